--- /dev/null
+++ b/core/code_test.go
@@ -0,0 +1,43 @@
+package core_test
+
+import (
+	"fmt"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"lavenderpond/core"
+)
+
+const codesPage = "../docs/RESULT-CODES.md"
+
+// TestCodesPage holds the operators' page and the code's table equal.
+func TestCodesPage(t *testing.T) {
+	page, err := filepath.Abs(codesPage)
+	assert.NilError(t, err)
+	golden.Assert(t, renderCodes(), page)
+}
+
+func TestEveryCodeHasALine(t *testing.T) {
+	seen := map[string]bool{}
+	for _, info := range core.Codes() {
+		assert.Assert(t, !seen[info.Name], "name %s stands twice", info.Name)
+		seen[info.Name] = true
+		assert.Equal(t, info.Code.String(), info.Name)
+		assert.Assert(t, info.Sentence != "")
+	}
+}
+
+func renderCodes() string {
+	var b strings.Builder
+	b.WriteString("# Result codes\n\nWritten from `core/codes.csv` by `go test ./core -update`.\n")
+	b.WriteString("The outcome says whether the request ran: `done`, `not_run` or `outcome_unknown`.\n\n")
+	b.WriteString("| number | name | outcome | meaning |\n|---|---|---|---|\n")
+	for _, info := range core.Codes() {
+		fmt.Fprintf(&b, "| %d | `%s` | `%s` | %s |\n", uint16(info.Code), info.Name, info.Outcome, info.Sentence)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/core/table/keys.go
@@ -0,0 +1,66 @@
+package table
+
+import (
+	"fmt"
+
+	"lavenderpond/core"
+)
+
+// Prefixes of the table's rows. All of lavenderpond's rows stand under these.
+const (
+	PrefixConfig    = "config/"
+	PrefixKey       = "key/"
+	PrefixAudit     = "audit/"
+	PrefixShard     = "shard/"
+	PrefixAllotment = "allotment/"
+	PrefixPool      = "pool/"
+	PrefixVM        = "vm/"
+	PrefixEntry     = "entry/"
+	PrefixWave      = "wave/"
+)
+
+// ConfigHead is the row of the configuration's version and last change.
+const ConfigHead Key = PrefixConfig + "head"
+
+// ConfigDefaults is the row of the fleet-wide defaults.
+const ConfigDefaults Key = PrefixConfig + "defaults"
+
+// TeamKey returns the row of a team's share and limit.
+func TeamKey(t core.TeamID) Key { return Key(PrefixConfig + "team/" + string(t)) }
+
+// PoolConfigKey returns the row of a pool's settings.
+func PoolConfigKey(p core.PoolID) Key { return Key(PrefixConfig + "pool/" + string(p)) }
+
+// QueueKey returns the row of a queue's settings.
+func QueueKey(q core.QueueID) Key { return Key(PrefixConfig + "queue/" + string(q)) }
+
+// ExceptionKey returns the row of an exception.
+func ExceptionKey(id string) Key { return Key(PrefixConfig + "exception/" + id) }
+
+// KeyKey returns the row of a team key.
+func KeyKey(d core.KeyDigest) Key { return Key(PrefixKey + string(d)) }
+
+// AuditKey returns the row of the record of an accepted change.
+func AuditKey(v core.Version) Key { return Key(fmt.Sprintf("%s%020d", PrefixAudit, uint64(v))) }
+
+// ShardKey returns the row of a shard's holder.
+func ShardKey(z core.ZoneID, i core.ShardIndex) Key {
+	return Key(fmt.Sprintf("%s%s/%04d", PrefixShard, z, i))
+}
+
+// TeamAllotmentKey returns the row that splits a team's limit among zones.
+func TeamAllotmentKey(t core.TeamID) Key { return Key(PrefixAllotment + string(t)) }
+
+// ZoneAllotmentKey returns the row that splits a zone's part among its entries.
+func ZoneAllotmentKey(t core.TeamID, z core.ZoneID) Key {
+	return Key(PrefixAllotment + string(t) + "/" + string(z))
+}
+
+// PoolStateKey returns the row of a pool's budget and of its VMs that are out.
+func PoolStateKey(p core.PoolID) Key { return Key(PrefixPool + string(p)) }
+
+// VMKey returns the row of a VM: its pool, state, rack and address.
+func VMKey(z core.ZoneID, vm core.VMID) Key { return Key(PrefixVM + string(z) + "/" + string(vm)) }
+
+// EntryKey returns the row in which an entry states its addresses.
+func EntryKey(z core.ZoneID, name string) Key { return Key(PrefixEntry + string(z) + "/" + name) }
--- /dev/null
+++ b/core/table/table.go
@@ -0,0 +1,84 @@
+// Package table holds the rows of the platform's transactional table as the
+// decisions see them: keys, versions and transactions, with no client.
+//
+// Rows are JSON objects with names in snake case. A transaction checks the
+// versions of rows and writes others, all or nothing.
+package table
+
+import (
+	"encoding/json"
+
+	"github.com/pkg/errors"
+
+	"lavenderpond/core"
+)
+
+// Key names a row. Parts are separated by "/".
+type Key string
+
+// Revision counts the transactions of the whole table.
+type Revision uint64
+
+// Row is one row as read. A row with Version 0 doesn't exist.
+type Row struct {
+	Key     Key             `json:"key"`
+	Version core.Version    `json:"version"`
+	Value   json.RawMessage `json:"value,omitempty"`
+}
+
+// Check demands that a row has a version when the transaction takes effect.
+type Check struct {
+	Key     Key          `json:"key"`
+	Version core.Version `json:"version"`
+}
+
+// Write sets a row's value, or deletes the row.
+type Write struct {
+	Key    Key             `json:"key"`
+	Value  json.RawMessage `json:"value,omitempty"`
+	Delete bool            `json:"delete,omitempty"`
+}
+
+// Transaction takes effect as a whole if all its checks hold, else not at all.
+type Transaction struct {
+	Checks []Check `json:"checks"`
+	Writes []Write `json:"writes"`
+}
+
+// Errors of a transaction or a read, as clients of the table return them.
+var (
+	// ErrConflict says that a check failed and nothing was written.
+	ErrConflict = errors.New("table: a row changed since it was read")
+	// ErrUnknown says that the answer was lost; the writes may have taken effect.
+	ErrUnknown = errors.New("table: answer lost, the outcome is unknown")
+	// ErrDown says that the table was not reached and nothing was written.
+	ErrDown = errors.New("table: not reachable")
+)
+
+// Check adds a demand that r is unchanged.
+func (t *Transaction) Check(r Row) {
+	t.Checks = append(t.Checks, Check{Key: r.Key, Version: r.Version})
+}
+
+// Set adds a write of value, encoded as JSON, to key.
+func (t *Transaction) Set(key Key, value any) error {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return errors.Wrapf(err, "encode row %s", key)
+	}
+	t.Writes = append(t.Writes, Write{Key: key, Value: data})
+	return nil
+}
+
+// Delete adds a deletion of key.
+func (t *Transaction) Delete(key Key) {
+	t.Writes = append(t.Writes, Write{Key: key, Delete: true})
+}
+
+// Decode reads r's value into v. A row that doesn't exist leaves v as it is.
+func (r Row) Decode(v any) error {
+	if r.Version == 0 {
+		return nil
+	}
+	return errors.Wrapf(json.Unmarshal(r.Value, v), "decode row %s", r.Key)
+}
