--- /dev/null
+++ b/io/peer/peer.go
@@ -0,0 +1,150 @@
+// Package peer carries the messages between lavenderpond's own daemons, by
+// net/rpc. Each concern registers a receiver of its own: Forward (requests to
+// their home), Shard (acks, mirrored starts), Spread (configuration and keys).
+package peer
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lavenderpond/io/supervisor"
+)
+
+// DialTimeout bounds the making of a connection to a peer.
+const DialTimeout = 500 * time.Millisecond
+
+// ErrNotSent says that the message certainly did not leave this process.
+var ErrNotSent = errors.New("peer: not sent")
+
+// ErrRefused says that nothing listens at the peer's address: its process has
+// ended. It is also ErrNotSent.
+var ErrRefused = errors.Wrap(ErrNotSent, "connection refused")
+
+// Server accepts connections of peers. Register receivers before Serve.
+type Server struct {
+	rpc *rpc.Server
+}
+
+// NewServer returns a server without receivers.
+func NewServer() *Server { return &Server{rpc: rpc.NewServer()} }
+
+// Register adds a receiver under name.
+func (s *Server) Register(name string, receiver any) error {
+	return errors.Wrapf(s.rpc.RegisterName(name, receiver), "register %s", name)
+}
+
+// Serve accepts connections on l until ctx ends.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	var g supervisor.Group
+	defer g.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	g.Go(func() {
+		<-ctx.Done()
+		_ = l.Close()
+	})
+	for {
+		conn, err := l.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(err, "accept peer")
+		}
+		g.Go(func() { s.serveConn(ctx, conn) })
+	}
+}
+
+// serveConn serves one connection and closes it when ctx ends.
+func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	s.rpc.ServeConn(conn)
+}
+
+// Pool keeps one connection per peer address. Its zero value works. It is safe
+// for concurrent use.
+type Pool struct {
+	mu      sync.Mutex
+	clients map[string]*rpc.Client
+}
+
+// Call sends args to the peer at address and waits for its reply until ctx ends.
+// An error that is ErrNotSent proves that the peer did not get the message.
+func (p *Pool) Call(ctx context.Context, address, method string, args, reply any) error {
+	c, err := p.client(ctx, address)
+	if err != nil {
+		return err
+	}
+	call := c.Go(method, args, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-ctx.Done():
+		return errors.Wrapf(ctx.Err(), "call %s", method)
+	case <-call.Done:
+	}
+	if call.Error == nil {
+		return nil
+	}
+	var remote rpc.ServerError
+	if !errors.As(call.Error, &remote) {
+		p.drop(address, c)
+	}
+	return errors.Wrapf(call.Error, "call %s", method)
+}
+
+// Close ends all connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.clients {
+		_ = c.Close()
+	}
+	p.clients = nil
+}
+
+func (p *Pool) client(ctx context.Context, address string) (*rpc.Client, error) {
+	p.mu.Lock()
+	c := p.clients[address]
+	p.mu.Unlock()
+	if c != nil {
+		return c, nil
+	}
+	d := net.Dialer{Timeout: DialTimeout}
+	conn, err := d.DialContext(ctx, "tcp", address)
+	if isRefused(err) {
+		return nil, ErrRefused
+	}
+	if err != nil {
+		return nil, errors.Wrap(ErrNotSent, err.Error())
+	}
+	return p.keep(address, rpc.NewClient(conn)), nil
+}
+
+// keep stores c, unless another goroutine was faster.
+func (p *Pool) keep(address string, c *rpc.Client) *rpc.Client {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if old := p.clients[address]; old != nil {
+		_ = c.Close()
+		return old
+	}
+	if p.clients == nil {
+		p.clients = make(map[string]*rpc.Client)
+	}
+	p.clients[address] = c
+	return c
+}
+
+func (p *Pool) drop(address string, c *rpc.Client) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.clients[address] == c {
+		delete(p.clients, address)
+	}
+	_ = c.Close()
+}
--- /dev/null
+++ b/io/peer/refused.go
@@ -0,0 +1,10 @@
+package peer
+
+import (
+	"syscall"
+
+	"github.com/pkg/errors"
+)
+
+// isRefused reports whether err proves that nothing listens at the address.
+func isRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
