Add the settings reader with its sample and page

Every key is a line of one table, which the reader, the sample and docs/SETTINGS.md share. ini.v1 keeps no line numbers and takes duplicates, quotes and unknown names in silence, so an index of lines refuses those before it; ruled out: a reader of our own. All mistakes are reported at once with file, line, key, what was read and what is allowed; credentials are not repeated.

--- /dev/null
+++ b/io/ini/parse.go
@@ -0,0 +1,116 @@
+package ini
+
+import (
+	"sort"
+	"strings"
+
+	inilib "gopkg.in/ini.v1"
+)
+
+// loadOptions make ini.v1 read keys and values as they stand: no multi-line
+// values, no inline comments, no unquoting. What it would skip, indexLines
+// refuses.
+var loadOptions = inilib.LoadOptions{
+	IgnoreContinuation:      true,
+	IgnoreInlineComment:     true,
+	PreserveSurroundedQuote: true,
+	KeyValueDelimiters:      "=",
+	SkipUnrecognizableLines: true,
+}
+
+// Parse reads settings from data; file is its name in errors. The error is a
+// Problems with every mistake.
+func Parse(file string, data []byte) (Settings, error) {
+	text := strings.TrimPrefix(string(data), "\ufeff")
+	x := indexLines(file, text)
+	f, err := inilib.LoadSources(loadOptions, []byte(strings.Join(x.kept, "\n")))
+	if err != nil {
+		x.refuse(1, "file", err.Error(), "an INI file")
+		return Settings{}, x.problems
+	}
+	x.checkNames()
+	var s Settings
+	for _, st := range settings {
+		x.take(&s, st, f)
+	}
+	x.checkTogether(&s)
+	if len(x.problems) > 0 {
+		sort.SliceStable(x.problems, func(i, j int) bool { return x.problems[i].Line < x.problems[j].Line })
+		return Settings{}, x.problems
+	}
+	return s, nil
+}
+
+// checkNames refuses unknown sections and keys: a misspelt key would otherwise
+// leave its default in force unseen.
+func (x *lineIndex) checkNames() {
+	known := map[string][]string{}
+	for _, st := range settings {
+		known[st.section] = append(known[st.section], st.key)
+	}
+	for section, n := range x.sections {
+		if known[section] == nil {
+			x.refuse(n, section, "["+section+"]", "one of the sections "+sectionNames())
+		}
+	}
+	for at, n := range x.keys {
+		if _, ok := findSetting(at); !ok && known[at.section] != nil {
+			x.refuse(n, at.String(), at.key, "one of "+strings.Join(known[at.section], ", "))
+		}
+	}
+	sort.Slice(x.problems, func(i, j int) bool { return x.problems[i].Key < x.problems[j].Key })
+}
+
+func (x *lineIndex) take(s *Settings, st setting, f *inilib.File) {
+	n := x.keys[st.place]
+	switch {
+	case n != 0:
+		v := f.Section(st.section).Key(st.key).Value()
+		if !st.kind.set(s, v) {
+			x.refuse(n, st.String(), v, st.kind.allowed)
+		}
+	case st.required && !x.refused(st.place):
+		x.refuse(0, st.String(), "", st.kind.allowed+"; the key is required")
+	case st.fallback != "":
+		st.kind.set(s, st.fallback)
+	}
+}
+
+// refused reports whether the key has a line that was refused already.
+func (x *lineIndex) refused(at place) bool {
+	for _, p := range x.problems {
+		if p.Key == at.String() {
+			return true
+		}
+	}
+	return false
+}
+
+// checkTogether checks settings against each other.
+func (x *lineIndex) checkTogether(s *Settings) {
+	if !s.Entry.AdvertisePeer.IsValid() && s.Entry.PeerListen.IsValid() {
+		s.Entry.AdvertisePeer = s.Entry.PeerListen
+		if !isDialable(s.Entry.PeerListen) {
+			at := place{"entry", "advertise_peer"}
+			x.refuse(x.keys[at], at.String(), "", "an address that others can connect to, since peer_listen is none")
+		}
+	}
+	at := place{"entry", "zone"}
+	if len(x.problems) > 0 || x.keys[at] == 0 {
+		return
+	}
+	for _, z := range s.Entry.Zones {
+		if z == s.Entry.Zone {
+			return
+		}
+	}
+	x.refuse(x.keys[at], at.String(), string(s.Entry.Zone), "one of the zones in entry.zones")
+}
+
+func sectionNames() string {
+	names := make([]string, len(sectionHelp))
+	for i, h := range sectionHelp {
+		names[i] = "[" + h.name + "]"
+	}
+	return strings.Join(names, " ")
+}
--- /dev/null
+++ b/io/ini/settings_test.go
@@ -0,0 +1,141 @@
+package ini
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	inilib "gopkg.in/ini.v1"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"lavenderpond/core"
+)
+
+func abs(t *testing.T, path string) string {
+	t.Helper()
+	p, err := filepath.Abs(path)
+	assert.NilError(t, err)
+	return p
+}
+
+// TestPages holds the embedded sample and the operators' page equal to the table.
+func TestPages(t *testing.T) {
+	golden.Assert(t, renderSample(), abs(t, "sample.ini"))
+	golden.Assert(t, renderPage(), abs(t, "../../docs/SETTINGS.md"))
+}
+
+func TestSampleLoads(t *testing.T) {
+	s, err := Parse("sample.ini", []byte(Sample()))
+	assert.NilError(t, err)
+	assert.Equal(t, s.Keys.OperatorKeyDigest, core.Digest("sample-operator-key"))
+	golden.Assert(t, fmt.Sprintf("%+v\n", s), "sample_settings.txt")
+}
+
+// TestRefusals reads each file of testdata/refused; the golden file beside it has
+// the whole error text.
+func TestRefusals(t *testing.T) {
+	files, err := filepath.Glob("testdata/refused/*.ini")
+	assert.NilError(t, err)
+	assert.Assert(t, len(files) > 5)
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			_, err := Load(file)
+			assert.Equal(t, core.ErrorCode(err), core.CodeInvalidSetting)
+			assert.Assert(t, !strings.Contains(err.Error(), "sample-operator-key"), "a key in an error")
+			golden.Assert(t, err.Error()+"\n", strings.TrimPrefix(file, "testdata/")+".txt")
+		})
+	}
+}
+
+func TestMissingFile(t *testing.T) {
+	_, err := Load("no_such_file.ini")
+	assert.Equal(t, core.ErrorCode(err), core.CodeInvalidSetting)
+}
+
+// FuzzParse holds, for any input: no panic; an error names a code, and each of
+// its problems what is allowed; what is accepted has every key of ini.v1's own
+// reading known and indexed, so that nothing is taken from an unseen line.
+func FuzzParse(f *testing.F) {
+	files, _ := filepath.Glob("testdata/refused/*.ini")
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		assert.NilError(f, err)
+		f.Add(data)
+	}
+	f.Add([]byte(Sample()))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := Parse("fuzz.ini", data)
+		if err != nil {
+			checkProblems(t, err)
+			return
+		}
+		assert.Assert(t, isID(s.Entry.Name) && s.Entry.Shards > 0 && isDialable(s.Entry.AdvertisePeer))
+		lib, err := inilib.LoadSources(loadOptions, data)
+		assert.NilError(t, err)
+		x := indexLines("fuzz.ini", string(data))
+		for _, section := range lib.Sections() {
+			for _, key := range section.Keys() {
+				at := place{section.Name(), key.Name()}
+				_, known := findSetting(at)
+				assert.Assert(t, known && x.keys[at] > 0, "%v", at)
+			}
+		}
+	})
+}
+
+func checkProblems(t *testing.T, err error) {
+	t.Helper()
+	problems, ok := err.(Problems) //nolint:errorlint // Parse documents the type.
+	assert.Assert(t, ok && len(problems) > 0)
+	assert.Equal(t, core.ErrorCode(err), core.CodeInvalidSetting)
+	for _, p := range problems {
+		assert.Assert(t, p.Allowed != "" && p.Key != "", "%v", p)
+	}
+}
+
+func renderSample() string {
+	var b strings.Builder
+	b.WriteString("# Settings of lavenderpondd. Lines with a leading # are comments; the values\n" +
+		"# behind them are the defaults. Written by `go test ./io/ini -update`.\n")
+	for _, h := range sectionHelp {
+		fmt.Fprintf(&b, "\n# %s\n[%s]\n", h.help, h.name)
+		for _, st := range settings {
+			if st.section != h.name {
+				continue
+			}
+			fmt.Fprintf(&b, "\n# %s\n# Allowed: %s.\n", st.help, st.kind.allowed)
+			if st.required {
+				fmt.Fprintf(&b, "%s = %s\n", st.key, st.example)
+			} else {
+				fmt.Fprintln(&b, strings.TrimSpace("#"+st.key+" = "+st.fallback+st.example))
+			}
+		}
+	}
+	return b.String()
+}
+
+func renderPage() string {
+	var b strings.Builder
+	b.WriteString("# Settings\n\nOf the daemon `lavenderpondd`, in INI. Written from the table in `io/ini` by `go test ./io/ini -update`.\n" +
+		"`lavenderpond config sample` prints a commented file; `lavenderpond config check FILE` checks one.\n" +
+		"Unknown sections and keys, duplicates, quotes and comments behind a value are errors; all are reported at once.\n")
+	for _, h := range sectionHelp {
+		fmt.Fprintf(&b, "\n## [%s]\n\n%s\n\n| key | default | allowed | meaning |\n|---|---|---|---|\n", h.name, h.help)
+		for _, st := range settings {
+			if st.section != h.name {
+				continue
+			}
+			fallback := "none"
+			if st.required {
+				fallback = "required"
+			} else if st.fallback != "" {
+				fallback = "`" + st.fallback + "`"
+			}
+			fmt.Fprintf(&b, "| `%s` | %s | %s | %s |\n", st.key, fallback, st.kind.allowed, st.help)
+		}
+	}
+	return b.String()
+}
