--- /dev/null
+++ b/core/queue/fair/admit.go
@@ -0,0 +1,159 @@
+package fair
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"lavenderpond/core"
+	"lavenderpond/core/queue"
+)
+
+const (
+	// bufferFactor is how many times the free places a team of mean weight may
+	// hold (a dynamic threshold, Choudhury and Hahne 1998). One team alone gets
+	// four fifths of the bound; a rival always finds places left.
+	bufferFactor = 4
+	// minReturn and maxReturn bound how far off a come-back time is.
+	minReturn = 250 * time.Millisecond
+	maxReturn = 30 * time.Second
+)
+
+// admit refuses what would not fit or would be late.
+func (f *Queue) admit(now time.Time, s *state, t *team, item queue.Item, idle core.Slots) (core.NotRun, bool) {
+	if !f.fits(s, t) {
+		return f.refuse(now, s, core.CodeQueueFull, "the queue has no place left for the team"), false
+	}
+	wait := f.predictWait(s, t, item, idle)
+	run := f.shortestRun(s, t, item)
+	if wait > 0 && now.Add(wait+run).After(item.Deadline) {
+		return f.refuse(now, s, core.CodeWouldBeLate, "predicted wait "+wait.Round(time.Millisecond).String()), false
+	}
+	return core.NotRun{}, true
+}
+
+// fits reports whether the queue has a place for one more item of t. Without the
+// threshold a flood of one team would fill the queue and the others' requests be
+// refused, whatever their shares.
+func (f *Queue) fits(s *state, t *team) bool {
+	bound := f.bound(s.id)
+	free := bound - s.waiting
+	if free <= 0 {
+		return false
+	}
+	active, total := f.activeWeight(s, t)
+	threshold := bufferFactor * float64(free) * t.weight * float64(active) / total
+	return float64(t.waiting()) < threshold
+}
+
+func (f *Queue) bound(q core.QueueID) int {
+	if f.MaxQueued == nil {
+		return DefaultMaxQueued
+	}
+	if n := f.MaxQueued(q); n > 0 {
+		return n
+	}
+	return DefaultMaxQueued
+}
+
+// activeWeight returns the number and the weight of the teams that wait, with t.
+func (f *Queue) activeWeight(s *state, t *team) (int, float64) {
+	active, total := 0, 0.0
+	for _, other := range s.heaps[byAny].teams {
+		active++
+		total += other.weight
+	}
+	if t.place[byAny] == 0 {
+		active++
+		total += t.weight
+	}
+	return active, total
+}
+
+// predictWait returns how long item would wait. The slots that serve the queue
+// are those its own items run on, so their number over the mean run is the rate
+// at which they come free.
+//
+// Two bounds hold, and the lower one is returned: the whole backlog served in
+// order, and the time until the queue's virtual time reaches the item's tag.
+func (f *Queue) predictWait(s *state, t *team, item queue.Item, idle core.Slots) time.Duration {
+	ahead, own := s.waiting, t.waiting()
+	if item.Urgent {
+		ahead, own = s.urgent, t.urgent.live()
+	}
+	if int(idle) > ahead {
+		return 0
+	}
+	slots := float64(s.running + int(idle))
+	if slots == 0 || !s.runs.trusted() {
+		return 0
+	}
+	mean := s.meanRun().Seconds()
+	backlog := float64(ahead+1) * mean / slots
+	_, total := f.activeWeight(s, t)
+	lead := max(0, t.virtual-s.virtual)
+	if item.Urgent {
+		lead = max(0, lead-urgentAhead*mean/t.weight)
+	}
+	tag := lead + float64(own+1)*f.predictRun(s, t, item).Seconds()/t.weight
+	return seconds(min(backlog, tag*total/slots))
+}
+
+// predictRun returns the expected run time of item: as measured for its team, or
+// for its queue, or as declared.
+func (f *Queue) predictRun(s *state, t *team, item queue.Item) time.Duration {
+	switch {
+	case t.runs.trusted():
+		return seconds(t.runs.mean)
+	case s.runs.trusted():
+		return seconds(s.runs.mean)
+	case item.DeclaredRun > 0:
+		return item.DeclaredRun
+	}
+	return fallbackRun
+}
+
+// shortestRun returns a run time that hardly any of the team's items stays below.
+// A declared time isn't used: it would refuse work for being declared too long.
+func (f *Queue) shortestRun(s *state, t *team, _ queue.Item) time.Duration {
+	switch {
+	case t.runs.trusted():
+		return seconds(t.runs.low)
+	case s.runs.trusted():
+		return seconds(s.runs.low)
+	}
+	return 0
+}
+
+func (s *state) meanRun() time.Duration {
+	if s.runs.trusted() {
+		return seconds(s.runs.mean)
+	}
+	return fallbackRun
+}
+
+// refuse answers NotRun with a time to come back. Times are handed out one after
+// the other at the rate at which slots come free, with jitter, so refused callers
+// return about as fast as they can be served and never together.
+func (f *Queue) refuse(now time.Time, s *state, code core.Code, detail string) core.NotRun {
+	step := s.meanRun() / time.Duration(max(1, s.running))
+	earliest := now.Add(minReturn)
+	if s.nextReturn.Before(earliest) {
+		s.nextReturn = earliest
+	}
+	at := s.nextReturn
+	s.nextReturn = at.Add(step)
+	if latest := now.Add(maxReturn); at.After(latest) {
+		// More callers than can be served within maxReturn: spread evenly.
+		at = earliest.Add(time.Duration(f.random().Int64N(int64(maxReturn - minReturn))))
+		s.nextReturn = latest
+	}
+	jitter := time.Duration(f.random().Int64N(int64(minReturn)))
+	return core.NotRun{Code: code, ComeBackAt: at.Add(jitter), Detail: detail}
+}
+
+func (f *Queue) random() *rand.Rand {
+	if f.Rand == nil {
+		f.Rand = rand.New(rand.NewPCG(1, 1))
+	}
+	return f.Rand
+}
--- /dev/null
+++ b/core/queue/fair/fair.go
@@ -0,0 +1,313 @@
+// Package fair is the queue of real entries: bounded, deadline-aware and
+// weighted fair among the teams of a queue.
+//
+// Within a queue it is start-time fair queueing: the team that has received the
+// fewest slot-seconds per share goes next. A team that was idle starts level with
+// the others, so nothing is kept back for it and nothing is owed to it. Charges
+// are predicted from measured run times and corrected when a run ends.
+package fair
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"lavenderpond/core"
+	"lavenderpond/core/queue"
+)
+
+const (
+	// DefaultMaxQueued bounds a queue for which no bound is set.
+	DefaultMaxQueued = 1000
+	// urgentAhead is how many runs a team's urgent work may be ahead of the
+	// team's share. It is what a VM holds, so urgent work finds a slot at once and
+	// a flood of it can't starve another team.
+	urgentAhead = 8
+	// maxProbes bounds how many items of one team a Pop offers to ready.
+	maxProbes = 2
+	// fallbackRun is the run time assumed where none is declared or measured.
+	fallbackRun = time.Second
+)
+
+// Queue is the fair queue.Queue. Its zero value works: equal shares,
+// DefaultMaxQueued and a fixed seed.
+//
+// Every popped item must be observed once, with run zero if it didn't run: the
+// queue learns from it how many slots serve it.
+type Queue struct {
+	// Share returns a team's weight; nil or a result below 1 counts as 1.
+	Share func(core.TeamID) int
+	// MaxQueued bounds the items of one queue; nil or below 1 means
+	// DefaultMaxQueued.
+	MaxQueued func(core.QueueID) int
+	// Rand spreads come-back times. Entries should be seeded differently.
+	Rand *rand.Rand
+
+	queues   map[core.QueueID]*state
+	entries  map[core.RequestKey]*entry
+	expiry   lane
+	sequence uint64
+	// off switches safeguards off, in tests only.
+	off switches
+}
+
+// switches name the safeguards that a test may switch off to see it fail.
+type switches struct {
+	fairness, urgentBound, expiryCheck, probing bool
+}
+
+var _ queue.Queue = (*Queue)(nil)
+
+// state is one queue.
+type state struct {
+	id    core.QueueID
+	teams map[core.TeamID]*team
+	// heaps are the teams with waiting items, by virtual time.
+	heaps [orders]teamHeap
+	// virtual is the start tag of the last popped item.
+	virtual float64
+	// waiting, urgent and running count items of all teams.
+	waiting, urgent, running int
+	runs                     estimate
+	// nextReturn is the next come-back time to hand out.
+	nextReturn time.Time
+}
+
+// Push implements queue.Queue.
+func (f *Queue) Push(now time.Time, item queue.Item, idleSlots core.Slots) (core.NotRun, bool) {
+	if _, known := f.entries[item.Key]; known {
+		return core.NotRun{Code: core.CodeIDReused, Detail: "the request waits already"}, false
+	}
+	if !now.Before(item.Deadline) {
+		return core.NotRun{Code: core.CodeDeadlinePassed, Detail: "send it with a later deadline"}, false
+	}
+	s := f.state(item.Queue)
+	t := f.team(s, item.Key.Team)
+	if refusal, ok := f.admit(now, s, t, item, idleSlots); !ok {
+		return refusal, false
+	}
+	f.insert(s, t, item)
+	return core.NotRun{}, true
+}
+
+func (f *Queue) insert(s *state, t *team, item queue.Item) {
+	if t.waiting() == 0 {
+		// A team that comes back starts level: idle time earns no arrears, which
+		// would let it take every slot for as long as it was away.
+		t.virtual = max(t.virtual, s.virtual)
+	}
+	f.sequence++
+	e := &entry{item: item, team: t, sequence: f.sequence}
+	f.entries[item.Key] = e
+	f.expiry.push(e)
+	t.lane(item.Urgent).push(e)
+	s.waiting++
+	if item.Urgent {
+		s.urgent++
+	}
+	s.place(t)
+}
+
+// Pop implements queue.Queue.
+func (f *Queue) Pop(now time.Time, q core.QueueID, ready func(queue.Item) bool) (queue.Item, bool) {
+	s := f.queues[q]
+	if s == nil || s.waiting == 0 {
+		return queue.Item{}, false
+	}
+	e := f.next(now, s, ready)
+	if e == nil {
+		return queue.Item{}, false
+	}
+	f.remove(e)
+	s.virtual = max(s.virtual, e.team.virtual)
+	s.running++
+	e.team.charge(f.predictRun(s, e.team, e.item))
+	s.place(e.team)
+	return e.item, true
+}
+
+// next finds the entry to pop: urgent work of a team that isn't too far ahead of
+// its share, then the team furthest behind.
+func (f *Queue) next(now time.Time, s *state, ready func(queue.Item) bool) *entry {
+	if least := s.heaps[byAny].min(); least != nil {
+		bound := least.virtual
+		e := f.scan(now, s, byUrgent, func(t *team) bool {
+			return f.off.urgentBound || t.virtual <= bound+urgentAhead*s.meanRun().Seconds()/t.weight
+		}, ready)
+		if e != nil {
+			return e
+		}
+	}
+	return f.scan(now, s, byAny, func(*team) bool { return true }, ready)
+}
+
+// scan offers items to ready, in the order of the teams' tags. A team that isn't
+// ready, for instance at its limit, is passed over and keeps its place.
+func (f *Queue) scan(now time.Time, s *state, o order, allowed func(*team) bool, ready func(queue.Item) bool) *entry {
+	h := &s.heaps[o]
+	var passed []*team
+	var found *entry
+	for h.Len() > 0 && found == nil {
+		t := h.min()
+		if allowed(t) {
+			found = f.offer(now, t, o, ready)
+		}
+		if found != nil || f.off.probing {
+			break
+		}
+		passed = append(passed, heap.Pop(h).(*team))
+	}
+	for _, t := range passed {
+		heap.Push(h, t)
+	}
+	return found
+}
+
+// offer returns the first item of t that is in time and ready: the urgent one
+// with the earliest deadline, then the normal one.
+func (f *Queue) offer(now time.Time, t *team, o order, ready func(queue.Item) bool) *entry {
+	lanes := [maxProbes]*lane{&t.urgent, &t.normal}
+	for _, l := range lanes {
+		e := f.firstInTime(now, l)
+		if e != nil && ready(e.item) {
+			return e
+		}
+		if o == byUrgent {
+			return nil
+		}
+	}
+	return nil
+}
+
+// firstInTime returns the lane's first entry whose deadline hasn't passed. The
+// expired ones before it stay for Expired, which answers them.
+func (f *Queue) firstInTime(now time.Time, l *lane) *entry {
+	e := l.peek()
+	if e == nil || f.off.expiryCheck || now.Before(e.item.Deadline) {
+		return e
+	}
+	// Rare: Expired wasn't called since a deadline passed.
+	var first *entry
+	for _, e := range l.entries {
+		if e.gone || !now.Before(e.item.Deadline) {
+			continue
+		}
+		if first == nil || e.item.Deadline.Before(first.item.Deadline) {
+			first = e
+		}
+	}
+	return first
+}
+
+// Expired implements queue.Queue.
+func (f *Queue) Expired(now time.Time) []queue.Item {
+	var expired []queue.Item
+	for e := f.expiry.peek(); e != nil && !now.Before(e.item.Deadline); e = f.expiry.peek() {
+		f.remove(e)
+		expired = append(expired, e.item)
+	}
+	return expired
+}
+
+// Remove implements queue.Queue.
+func (f *Queue) Remove(key core.RequestKey) bool {
+	e, ok := f.entries[key]
+	if ok {
+		f.remove(e)
+	}
+	return ok
+}
+
+func (f *Queue) remove(e *entry) {
+	s := f.queues[e.item.Queue]
+	delete(f.entries, e.item.Key)
+	e.gone = true
+	e.team.lane(e.item.Urgent).markGone()
+	f.expiry.markGone()
+	s.waiting--
+	if e.item.Urgent {
+		s.urgent--
+	}
+	s.place(e.team)
+}
+
+// Observe implements queue.Queue. A run of zero gives the charge of an item back
+// that was popped and did not run.
+func (f *Queue) Observe(_ time.Time, q core.QueueID, id core.TeamID, run time.Duration) {
+	s := f.state(q)
+	t := f.team(s, id)
+	if t.running > 0 {
+		s.running--
+	}
+	t.settle(run)
+	if run > 0 {
+		t.runs.add(run)
+		s.runs.add(run)
+	}
+	s.place(t)
+}
+
+// Len implements queue.Queue.
+func (f *Queue) Len(q core.QueueID) int {
+	if s := f.queues[q]; s != nil {
+		return s.waiting
+	}
+	return 0
+}
+
+// Queues implements queue.Queue.
+func (f *Queue) Queues() []core.QueueID {
+	var queues []core.QueueID
+	for id, s := range f.queues {
+		if s.waiting > 0 {
+			queues = append(queues, id)
+		}
+	}
+	sort.Slice(queues, func(i, j int) bool { return queues[i] < queues[j] })
+	return queues
+}
+
+func (f *Queue) state(q core.QueueID) *state {
+	if f.queues == nil {
+		f.queues = make(map[core.QueueID]*state)
+		f.entries = make(map[core.RequestKey]*entry)
+	}
+	s := f.queues[q]
+	if s == nil {
+		s = &state{id: q, teams: make(map[core.TeamID]*team)}
+		s.heaps[byUrgent].order = byUrgent
+		f.queues[q] = s
+	}
+	return s
+}
+
+func (f *Queue) team(s *state, id core.TeamID) *team {
+	t := s.teams[id]
+	if t == nil {
+		t = &team{id: id}
+		s.teams[id] = t
+	}
+	t.weight = f.weight(id)
+	return t
+}
+
+func (f *Queue) weight(id core.TeamID) float64 {
+	if f.Share == nil || f.off.fairness {
+		return 1
+	}
+	return float64(max(1, f.Share(id)))
+}
+
+// place puts t where it belongs in both heaps.
+func (s *state) place(t *team) {
+	s.heaps[byAny].keep(t, t.waiting() > 0)
+	s.heaps[byUrgent].keep(t, t.urgent.live() > 0)
+}
+
+func (t *team) lane(urgent bool) *lane {
+	if urgent {
+		return &t.urgent
+	}
+	return &t.normal
+}
--- /dev/null
+++ b/core/queue/fair/lane.go
@@ -0,0 +1,92 @@
+package fair
+
+import (
+	"container/heap"
+
+	"lavenderpond/core/queue"
+)
+
+// entry is a waiting item and its place in the queue.
+type entry struct {
+	item queue.Item
+	team *team
+	// sequence orders items of equal deadline by arrival.
+	sequence uint64
+	// gone marks an entry that left the queue and has yet to leave its lanes.
+	gone bool
+}
+
+// lane is a heap of entries by deadline that drops removed entries lazily.
+//
+// A cancellation only marks its entry, so a wave of cancellations costs O(1)
+// each. Marked entries leave when they come to the top, or all at once when they
+// outnumber the others, so memory stays within twice the waiting items.
+type lane struct {
+	entries entryHeap
+	gone    int
+}
+
+func (l *lane) push(e *entry) { heap.Push(&l.entries, e) }
+
+// live returns how many entries wait in the lane.
+func (l *lane) live() int { return len(l.entries) - l.gone }
+
+// peek returns the entry with the earliest deadline, or nil.
+func (l *lane) peek() *entry {
+	for len(l.entries) > 0 {
+		if !l.entries[0].gone {
+			return l.entries[0]
+		}
+		heap.Pop(&l.entries)
+		l.gone--
+	}
+	return nil
+}
+
+// markGone counts an entry of the lane as removed.
+func (l *lane) markGone() {
+	l.gone++
+	if 2*l.gone > len(l.entries) {
+		l.compact()
+	}
+}
+
+func (l *lane) compact() {
+	kept := l.entries[:0]
+	for _, e := range l.entries {
+		if !e.gone {
+			kept = append(kept, e)
+		}
+	}
+	clear(l.entries[len(kept):])
+	l.entries = kept
+	l.gone = 0
+	heap.Init(&l.entries)
+}
+
+// entryHeap is a heap.Interface of entries by deadline, then arrival.
+type entryHeap []*entry
+
+func (h entryHeap) Len() int { return len(h) }
+
+func (h entryHeap) Less(i, j int) bool {
+	if !h[i].item.Deadline.Equal(h[j].item.Deadline) {
+		return h[i].item.Deadline.Before(h[j].item.Deadline)
+	}
+	return h[i].sequence < h[j].sequence
+}
+
+func (h entryHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *entryHeap) Push(x any) { *h = append(*h, x.(*entry)) }
+
+// Pop implements heap.Interface.
+func (h *entryHeap) Pop() any {
+	old := *h
+	last := len(old) - 1
+	e := old[last]
+	old[last] = nil
+	*h = old[:last]
+	return e
+}
--- /dev/null
+++ b/core/queue/fair/team.go
@@ -0,0 +1,116 @@
+package fair
+
+import (
+	"container/heap"
+	"time"
+
+	"lavenderpond/core"
+)
+
+// order names the two heaps of teams that a queue keeps.
+type order int
+
+const (
+	// byAny holds the teams with any waiting item.
+	byAny order = iota
+	// byUrgent holds the teams with a waiting urgent item.
+	byUrgent
+	orders
+)
+
+// team is one team's part of a queue.
+type team struct {
+	id     core.TeamID
+	weight float64
+	// virtual is the team's start tag: slot-seconds received divided by weight.
+	virtual float64
+	// normal and urgent hold the waiting items.
+	normal, urgent lane
+	// running counts items popped and not yet observed, and charged is the run
+	// time in seconds that the team was charged for them.
+	running int
+	charged float64
+	runs    estimate
+	// place is the team's index in each heap of teams, plus one; zero if absent.
+	place [orders]int
+}
+
+func (t *team) waiting() int { return t.normal.live() + t.urgent.live() }
+
+// charge advances the team's tag by a run of the predicted length.
+func (t *team) charge(run time.Duration) {
+	t.running++
+	t.charged += run.Seconds()
+	t.virtual += run.Seconds() / t.weight
+}
+
+// settle replaces the charge of one running item by the measured run. Which item
+// ended isn't told, so the mean charge is taken back; the sum stays right.
+func (t *team) settle(run time.Duration) {
+	if t.running == 0 {
+		return
+	}
+	mean := t.charged / float64(t.running)
+	t.running--
+	t.charged -= mean
+	t.virtual += (run.Seconds() - mean) / t.weight
+}
+
+// teamHeap is a heap.Interface of teams by virtual time, then name.
+type teamHeap struct {
+	order order
+	teams []*team
+}
+
+func (h *teamHeap) Len() int { return len(h.teams) }
+
+func (h *teamHeap) Less(i, j int) bool {
+	a, b := h.teams[i], h.teams[j]
+	if a.virtual != b.virtual {
+		return a.virtual < b.virtual
+	}
+	return a.id < b.id
+}
+
+func (h *teamHeap) Swap(i, j int) {
+	h.teams[i], h.teams[j] = h.teams[j], h.teams[i]
+	h.teams[i].place[h.order] = i + 1
+	h.teams[j].place[h.order] = j + 1
+}
+
+// Push implements heap.Interface.
+func (h *teamHeap) Push(x any) {
+	t := x.(*team)
+	h.teams = append(h.teams, t)
+	t.place[h.order] = len(h.teams)
+}
+
+// Pop implements heap.Interface.
+func (h *teamHeap) Pop() any {
+	last := len(h.teams) - 1
+	t := h.teams[last]
+	h.teams[last] = nil
+	h.teams = h.teams[:last]
+	t.place[h.order] = 0
+	return t
+}
+
+// min returns the team with the lowest tag, or nil.
+func (h *teamHeap) min() *team {
+	if len(h.teams) == 0 {
+		return nil
+	}
+	return h.teams[0]
+}
+
+// keep puts t in its place in the heap, or takes it out if it has no items there.
+func (h *teamHeap) keep(t *team, present bool) {
+	switch i := t.place[h.order] - 1; {
+	case i < 0 && present:
+		heap.Push(h, t)
+	case i >= 0 && present:
+		heap.Fix(h, i)
+	case i >= 0:
+		heap.Remove(h, i)
+	}
+}
--- /dev/null
+++ b/core/route/least/eject.go
@@ -0,0 +1,123 @@
+package least
+
+import (
+	"time"
+
+	"lavenderpond/core/route"
+)
+
+const (
+	// minResults is how many results are needed to judge a target.
+	minResults = 5
+	// outlierMargin is how much more often than the rest of its pool a target must
+	// fail. A request that fails everywhere raises all targets alike, so it makes
+	// no outlier.
+	outlierMargin = 0.4
+	// probeStep is added to the time before a probe with each ejection in a row.
+	probeStep    = 2 * time.Second
+	maxProbeWait = 30 * time.Second
+	// probesToReturn is how many probes must succeed in a row.
+	probesToReturn = 3
+)
+
+// judge updates the health of t after a result.
+func (r *Router) judge(now time.Time, t *target, result route.Result) {
+	if t.health == ejected {
+		r.judgeProbe(now, t, result)
+		return
+	}
+	if !r.outlier(t) {
+		t.health = healthy
+		return
+	}
+	// A target that fails everything quickly looks idle and would draw all work of
+	// the pool to it. Ejecting it stops that. But ejecting is taking capacity out,
+	// so it may never exceed what is left of the availability budget.
+	if r.off.ejectionBound || r.ejectedIn(t.Pool) < r.pools[t.Pool].MaxEjected {
+		r.eject(now, t)
+		return
+	}
+	t.health = suspect
+}
+
+// judgeProbe returns a target whose probes succeed, and waits longer otherwise.
+func (r *Router) judgeProbe(now time.Time, t *target, result route.Result) {
+	if result != route.Succeeded {
+		r.eject(now, t)
+		return
+	}
+	t.probes++
+	t.probeAt = now
+	if t.probes >= probesToReturn {
+		t.restore()
+	}
+}
+
+func (r *Router) eject(now time.Time, t *target) {
+	t.health = ejected
+	t.probes = 0
+	t.ejections++
+	t.probeAt = now.Add(min(time.Duration(t.ejections)*probeStep, maxProbeWait))
+}
+
+// restore returns t to the pool with a clean record.
+func (t *target) restore() {
+	t.health = healthy
+	t.ejections = 0
+	t.failures = 0
+	t.results = 0
+}
+
+// outlier reports whether t fails much more often than the rest of its pool.
+func (r *Router) outlier(t *target) bool {
+	if t.results < minResults {
+		return false
+	}
+	sum, n := 0.0, 0
+	for _, other := range r.byPool[t.Pool] {
+		if other != t && other.health != ejected {
+			sum += other.failures
+			n++
+		}
+	}
+	return n > 0 && t.failures > sum/float64(n)+outlierMargin
+}
+
+// ejectedIn counts the ejected targets of the pool, those on probe included:
+// their capacity is out until they have shown that they work.
+func (r *Router) ejectedIn(pool poolID) int {
+	n := 0
+	for _, t := range r.byPool[pool] {
+		if t.health == ejected {
+			n++
+		}
+	}
+	return n
+}
+
+// enforce returns targets to a pool whose budget has shrunk below what is
+// ejected, the least failing first.
+func (r *Router) enforce(pool poolID) {
+	for r.ejectedIn(pool) > r.pools[pool].MaxEjected && !r.off.ejectionBound {
+		var best *target
+		for _, t := range r.byPool[pool] {
+			if t.health == ejected && (best == nil || t.failures < best.failures) {
+				best = t
+			}
+		}
+		best.health = suspect
+	}
+}
+
+// mayStart reports whether the health of t allows one more request now.
+func (r *Router) mayStart(now time.Time, t *target) bool {
+	switch {
+	case now.Before(t.pausedUntil):
+		return false
+	case t.health == ejected:
+		return t.running == 0 && !now.Before(t.probeAt)
+	case t.health == suspect:
+		return t.running == 0 && !now.Before(t.nextStart)
+	}
+	return true
+}
--- /dev/null
+++ b/core/route/least/least.go
@@ -0,0 +1,300 @@
+// Package least is the router of real entries: the target that is least loaded
+// for its speed, within the slots that other entries use too.
+//
+// Slots aren't split among entries: any entry may use any free slot, an answer of
+// "full" is normal, and it teaches how many slots the others use. Targets that
+// fail much more than their pool are ejected within the pool's budget.
+package least
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"lavenderpond/core"
+	"lavenderpond/core/route"
+)
+
+// DefaultLendReserve is how many slots of each target are kept free for its own
+// pool when other queues overflow into it.
+const DefaultLendReserve = 2
+
+type poolID = core.PoolID
+
+// Router is the least-loaded route.Router. Its zero value works, with a fixed
+// seed.
+type Router struct {
+	// Rand breaks ties. Entries should be seeded differently, or they choose the
+	// same target at once.
+	Rand *rand.Rand
+	// LendReserve is how many slots of each target overflow leaves free; zero means
+	// DefaultLendReserve, below zero none.
+	LendReserve core.Slots
+
+	targets map[core.VMID]*target
+	byPool  map[poolID][]*target
+	pools   map[poolID]route.Pool
+	order   []poolID
+	runs    map[poolID]float64
+	// off switches safeguards off, in tests only.
+	off switches
+}
+
+// switches name the safeguards that a test may switch off to see it fail.
+type switches struct {
+	ejectionBound, slotBound, ejection bool
+}
+
+var _ route.Router = (*Router)(nil)
+
+// Update implements route.Router.
+func (r *Router) Update(_ time.Time, targets []route.Target, pools []route.Pool) {
+	r.pools = make(map[poolID]route.Pool, len(pools))
+	for _, p := range pools {
+		r.pools[p.ID] = p
+	}
+	if r.targets == nil {
+		r.targets = make(map[core.VMID]*target)
+		r.runs = make(map[poolID]float64)
+	}
+	r.list(targets)
+	r.order = r.order[:0]
+	for id := range r.byPool {
+		r.order = append(r.order, id)
+	}
+	slices.Sort(r.order)
+	for _, id := range r.order {
+		r.enforce(id)
+	}
+}
+
+// list takes over the new targets. One that left keeps its count until its last
+// request has ended, since it may come back before that.
+func (r *Router) list(targets []route.Target) {
+	for _, t := range r.targets {
+		t.listed = false
+	}
+	r.byPool = make(map[poolID][]*target)
+	for _, update := range targets {
+		t := r.targets[update.VM]
+		if t == nil || t.Pool != update.Pool {
+			t = &target{running: running(t)}
+			r.targets[update.VM] = t
+		}
+		t.Target = update
+		t.listed = true
+		r.byPool[t.Pool] = append(r.byPool[t.Pool], t)
+	}
+	for id, t := range r.targets {
+		if !t.listed && t.running == 0 {
+			delete(r.targets, id)
+		}
+	}
+}
+
+func running(t *target) core.Slots {
+	if t == nil {
+		return 0
+	}
+	return t.running
+}
+
+// Pick implements route.Router.
+func (r *Router) Pick(now time.Time, want route.Want) (core.VMID, bool) {
+	best := r.best(now, want.Pool, want.Tried, 0)
+	if best == nil && want.Overflow {
+		best = r.bestLent(now, want)
+	}
+	if best == nil {
+		return "", false
+	}
+	return best.VM, true
+}
+
+// bestLent returns a target of the pool that lends with the most free slots.
+func (r *Router) bestLent(now time.Time, want route.Want) *target {
+	var best *target
+	most := core.Slots(0)
+	for _, id := range r.order {
+		if id == want.Pool || !r.pools[id].LendsIdle {
+			continue
+		}
+		t := r.best(now, id, want.Tried, r.reserve())
+		if t == nil {
+			continue
+		}
+		if free := t.free(now, r.meanRun(id)); free > most {
+			best, most = t, free
+		}
+	}
+	return best
+}
+
+func (r *Router) reserve() core.Slots {
+	if r.LendReserve == 0 {
+		return DefaultLendReserve
+	}
+	return max(0, r.LendReserve)
+}
+
+// best returns the target of the pool with the lowest score that has more than
+// reserve slots free, starting at a random one so that ties are spread.
+func (r *Router) best(now time.Time, pool poolID, tried []core.VMID, reserve core.Slots) *target {
+	targets := r.byPool[pool]
+	if len(targets) == 0 {
+		return nil
+	}
+	mean := r.meanRun(pool)
+	var best *target
+	lowest := 0.0
+	first := r.random().IntN(len(targets))
+	for i := range targets {
+		t := targets[(first+i)%len(targets)]
+		free := t.free(now, mean)
+		if r.off.slotBound {
+			free = t.capacity()
+		}
+		if free <= reserve || !r.mayStart(now, t) || slices.Contains(tried, t.VM) {
+			continue
+		}
+		if score := score(t, free, mean); best == nil || score < lowest {
+			best, lowest = t, score
+		}
+	}
+	return best
+}
+
+// score is the time that the target's slots need for what they hold and one more
+// request: a slow VM gets fewer, and one that fails counts as slower still.
+func score(t *target, free core.Slots, mean float64) float64 {
+	run := t.run
+	if run == 0 {
+		run = mean
+	}
+	held := float64(t.capacity()-free) + 1
+	if t.health != healthy {
+		// Probes are owed: a target on probe takes the next request, or it would
+		// wait for as long as any other target has a slot.
+		return 0
+	}
+	return held / float64(t.capacity()) * run * (1 + t.failures)
+}
+
+// Started implements route.Router.
+func (r *Router) Started(now time.Time, vm core.VMID) {
+	t := r.targets[vm]
+	if t == nil {
+		// It left between Pick and Started: the count is kept until it ends.
+		t = &target{Target: route.Target{VM: vm}}
+		if r.targets == nil {
+			r.targets = make(map[core.VMID]*target)
+		}
+		r.targets[vm] = t
+	}
+	t.running++
+	if t.health == suspect {
+		// A suspect that can't be ejected takes no more of the pool's work than one
+		// slot of a healthy target does, however quickly it fails.
+		t.nextStart = now.Add(secondsOf(r.meanRun(t.Pool)))
+	}
+}
+
+// Ended implements route.Router.
+func (r *Router) Ended(now time.Time, vm core.VMID, result route.Result, run time.Duration) {
+	t := r.targets[vm]
+	if t == nil {
+		return
+	}
+	t.running = max(0, t.running-1)
+	if !t.listed {
+		if t.running == 0 {
+			delete(r.targets, vm)
+		}
+		return
+	}
+	r.learn(now, t, result, run)
+}
+
+func (r *Router) learn(now time.Time, t *target, result route.Result, run time.Duration) {
+	switch result {
+	case route.Full:
+		t.learnFull(now)
+		return
+	case route.Refused:
+		t.pausedUntil = now.Add(leavingPause)
+		return
+	case route.Unreachable:
+		t.pausedUntil = now.Add(leavingPause)
+	case route.Succeeded:
+		r.learnRun(t.Pool, run)
+	case route.Failed:
+	}
+	t.learn(result, run)
+	if !r.off.ejection {
+		r.judge(now, t, result)
+	}
+}
+
+func (r *Router) learnRun(pool poolID, run time.Duration) {
+	if r.runs == nil {
+		r.runs = make(map[poolID]float64)
+	}
+	mean, known := r.runs[pool]
+	if !known {
+		mean = run.Seconds()
+	}
+	r.runs[pool] = mean + (run.Seconds()-mean)*runGain
+}
+
+// Idle implements route.Router.
+func (r *Router) Idle(now time.Time, want route.Want) core.Slots {
+	idle := r.idleIn(now, want.Pool, 0)
+	if !want.Overflow {
+		return idle
+	}
+	for _, id := range r.order {
+		if id != want.Pool && r.pools[id].LendsIdle {
+			idle += r.idleIn(now, id, r.reserve())
+		}
+	}
+	return idle
+}
+
+func (r *Router) idleIn(now time.Time, pool poolID, reserve core.Slots) core.Slots {
+	var idle core.Slots
+	mean := r.meanRun(pool)
+	for _, t := range r.byPool[pool] {
+		if t.health == healthy && r.mayStart(now, t) {
+			idle += max(0, t.free(now, mean)-reserve)
+		}
+	}
+	return idle
+}
+
+// Ejected returns the targets of the pool that get only probes, for operators.
+func (r *Router) Ejected(pool core.PoolID) []core.VMID {
+	var vms []core.VMID
+	for _, t := range r.byPool[pool] {
+		if t.health == ejected {
+			vms = append(vms, t.VM)
+		}
+	}
+	slices.Sort(vms)
+	return vms
+}
+
+func (r *Router) meanRun(pool poolID) float64 {
+	if mean := r.runs[pool]; mean > 0 {
+		return mean
+	}
+	return fallbackRun.Seconds()
+}
+
+func (r *Router) random() *rand.Rand {
+	if r.Rand == nil {
+		r.Rand = rand.New(rand.NewPCG(1, 1))
+	}
+	return r.Rand
+}
+
+func secondsOf(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/core/route/least/target.go
@@ -0,0 +1,102 @@
+package least
+
+import (
+	"time"
+
+	"lavenderpond/core"
+	"lavenderpond/core/route"
+)
+
+const (
+	// runGain and failureGain are the weights of the newest result in the means.
+	runGain     = 0.1
+	failureGain = 0.2
+	// fallbackRun is the run time assumed until one is measured.
+	fallbackRun = time.Second
+	// leavingPause is how long a target that refused or couldn't be reached gets
+	// no new work.
+	leavingPause = time.Second
+)
+
+// target is a VM with what this entry has learnt of it.
+type target struct {
+	route.Target
+	running core.Slots
+	// run is the mean time of runs that succeeded, in seconds; zero if none did.
+	run float64
+	// failures is the recent share of results that were failures, and results
+	// their number.
+	failures float64
+	results  int
+	// others is how many slots other entries used when the target was last full.
+	others core.Slots
+	fullAt time.Time
+	// pausedUntil is when a target that was leaving or out of reach may be tried.
+	pausedUntil time.Time
+	health      health
+	// ejections counts the ejections in a row, and probeAt is when the next probe
+	// may start.
+	ejections int
+	probeAt   time.Time
+	// probes counts the probes that succeeded in a row.
+	probes int
+	// nextStart paces a suspect target.
+	nextStart time.Time
+	listed    bool
+}
+
+// health is what the router concludes from a target's results.
+type health int
+
+const (
+	healthy health = iota
+	// suspect targets fail far more than their pool, but the budget allows no
+	// ejection. They are paced.
+	suspect
+	// ejected targets get only probes.
+	ejected
+)
+
+// capacity is how many requests the target takes from all entries at once.
+func (t *target) capacity() core.Slots {
+	if t.Connections > 0 {
+		return min(t.Slots, core.Slots(t.Connections))
+	}
+	return t.Slots
+}
+
+// free returns how many slots this entry could use, by what it knows: those it
+// doesn't use itself, less those that other entries were seen to use. That number
+// is taken to fall as the target's runs end.
+func (t *target) free(now time.Time, meanRun float64) core.Slots {
+	others := t.others
+	if others > 0 {
+		perSlot := meanRun / float64(max(1, t.capacity()))
+		others -= core.Slots(now.Sub(t.fullAt).Seconds() / perSlot)
+	}
+	return t.capacity() - t.running - max(0, others)
+}
+
+// learnFull notes that the target had no slot: what this entry doesn't run there
+// (the refused request is already taken back), others do.
+func (t *target) learnFull(now time.Time) {
+	t.others = max(1, t.capacity()-t.running)
+	t.fullAt = now
+}
+
+// learn takes a result into the means.
+func (t *target) learn(result route.Result, run time.Duration) {
+	failed := 0.0
+	if result != route.Succeeded {
+		failed = 1
+	}
+	t.results++
+	t.failures += (failed - t.failures) * max(failureGain, 1/float64(t.results))
+	if result != route.Succeeded {
+		return
+	}
+	if t.run == 0 {
+		t.run = run.Seconds()
+	}
+	t.run += (run.Seconds() - t.run) * runGain
+}
