--- a/core/fleet/vm.go
+++ b/core/fleet/vm.go
@@ -3,7 +3,11 @@
 package fleet
 
 import (
+	"strings"
+	"time"
+
 	"lavenderpond/core"
+	"lavenderpond/core/table"
 )
 
 // State is what a VM is doing, as its row says.
@@ -58,4 +62,61 @@
 	Slots   core.Slots `json:"slots"`
 	// Connections is how many connections the VM accepts.
 	Connections int `json:"connections"`
+
+	// Since is when the VM entered State.
+	Since time.Time `json:"since,omitzero"`
+	// Change is the last change that took the VM out, or put it into its pool. It
+	// stays until the next one, so that a repeated change is recognised.
+	Change core.ChangeID `json:"change,omitempty"`
+	// Wave is the maintenance wave that the VM was last taken out by.
+	Wave string `json:"wave,omitempty"`
+	// MoveTo is the pool that the VM goes to once nothing runs on it.
+	MoveTo core.PoolID `json:"move_to,omitempty"`
+	// Resize makes the VM bring a place along: the size of the pool that it moves
+	// to, or was added to, rises by one when it serves there.
+	Resize bool `json:"resize,omitempty"`
+	// DrainBy is when a drain that is still busy is withdrawn.
+	DrainBy time.Time `json:"drain_by,omitzero"`
+	// StopAfter is the earliest stop: by then every entry's view has the drain.
+	StopAfter time.Time `json:"stop_after,omitzero"`
+	// RebootBy is the last moment at which a reboot may be asked for.
+	RebootBy time.Time `json:"reboot_by,omitzero"`
+	// BackBy is when a stopped VM that has not come back counts as failed.
+	BackBy time.Time `json:"back_by,omitzero"`
+	// LastMaintained is when the VM last came back from a planned stop.
+	LastMaintained time.Time `json:"last_maintained,omitzero"`
+	// NextDue is the deadline of the next maintenance.
+	NextDue time.Time `json:"next_due,omitzero"`
+}
+
+// Ref names a VM fleet-wide.
+type Ref struct {
+	Zone core.ZoneID `json:"zone"`
+	VM   core.VMID   `json:"vm"`
+}
+
+// Key returns the VM's row.
+func (r Ref) Key() table.Key { return table.VMKey(r.Zone, r.VM) }
+
+// String returns the reference as "zone/vm".
+func (r Ref) String() string { return string(r.Zone) + "/" + string(r.VM) }
+
+// VMRow is a VM as read, with the version that transactions check.
+type VMRow struct {
+	Ref
+	VM  VM
+	Row table.Row
+}
+
+// DecodeVM reads a row of table.VMKey. A row that doesn't exist gives a zero VM.
+func DecodeVM(row table.Row) (VMRow, error) {
+	zone, vm, ok := strings.Cut(strings.TrimPrefix(string(row.Key), table.PrefixVM), "/")
+	if !ok {
+		return VMRow{}, core.Errorf(core.CodeMalformed, "row %q is no VM's row", row.Key)
+	}
+	r := VMRow{Ref: Ref{Zone: core.ZoneID(zone), VM: core.VMID(vm)}, Row: row}
+	return r, row.Decode(&r.VM)
 }
+
+// Exists reports whether the row was there when it was read.
+func (r VMRow) Exists() bool { return r.Row.Version != 0 }
