--- /dev/null
+++ b/cmd/lavenderpond-standin/serve.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lavenderpond/io/supervisor"
+)
+
+// headerTimeout bounds the reading of a request's headers.
+const headerTimeout = 5 * time.Second
+
+// serve serves h at address until ctx ends. Only loopback is allowed: a
+// stand-in must never be reachable from a real network.
+func serve(ctx context.Context, address netip.AddrPort, h http.Handler, limit int) error {
+	if !address.Addr().IsLoopback() {
+		return errors.Errorf("%s is not a loopback address", address)
+	}
+	l, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	if limit > 0 {
+		l = &limitListener{Listener: l, slots: make(chan struct{}, limit)}
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	var g supervisor.Group
+	g.Go(func() {
+		<-ctx.Done()
+		_ = srv.Close()
+	})
+	err = srv.Serve(l)
+	g.Wait()
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "serve")
+}
+
+// limitListener accepts at most as many connections at once as a VM has.
+type limitListener struct {
+	net.Listener
+	slots chan struct{}
+}
+
+// Accept implements net.Listener. A connection beyond the limit is closed.
+func (l *limitListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		select {
+		case l.slots <- struct{}{}:
+			return &limitedConn{Conn: conn, slots: l.slots}, nil
+		default:
+			_ = conn.Close()
+		}
+	}
+}
+
+type limitedConn struct {
+	net.Conn
+	slots chan struct{}
+	done  bool
+}
+
+// Close implements net.Conn.
+func (c *limitedConn) Close() error {
+	if !c.done {
+		c.done = true
+		<-c.slots
+	}
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/cmd/lavenderpond-standin/targets.go
@@ -0,0 +1,93 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"lavenderpond/core"
+	"lavenderpond/io/platform"
+	platformstandin "lavenderpond/io/platform/standin"
+	"lavenderpond/io/supervisor"
+	"lavenderpond/io/target/standin"
+)
+
+// livePostInterval is how often the VMs say that they are there.
+const livePostInterval = time.Second
+
+type targetsCommand struct {
+	Listen      netip.AddrPort `help:"Loopback address and port of the first VM; the others follow." default:"127.0.0.1:8000"`
+	Count       int            `help:"Number of VMs." default:"10"`
+	Zone        string         `help:"Availability zone." required:""`
+	Prefix      string         `help:"Start of the VMs' names." default:"vm"`
+	Slots       int            `help:"Slots per VM." default:"8"`
+	Connections int            `help:"Connections per VM." default:"64"`
+	Platform    string         `help:"URL of the platform's stand-in." default:"http://127.0.0.1:7000"`
+	LogStarts   bool           `help:"Keep a record of all starts, readable at /control/starts."`
+}
+
+// Run serves the VMs until ctx ends.
+func (c *targetsCommand) Run(ctx context.Context, log zerolog.Logger) error {
+	node := supervisor.Node{Name: "targets", Log: log}
+	var starts *standin.StartLog
+	if c.LogStarts {
+		starts = &standin.StartLog{}
+	}
+	var posts []platformstandin.LivePost
+	for i := range c.Count {
+		vm := &standin.VM{
+			ID: core.VMID(fmt.Sprintf("%s-%03d", c.Prefix, i)), Slots: core.Slots(c.Slots), Log: starts,
+		}
+		address := netip.AddrPortFrom(c.Listen.Addr(), c.Listen.Port()+uint16(i))
+		posts = append(posts, platformstandin.LivePost{
+			Liveness: platform.Liveness{Name: string(vm.ID), Zone: core.ZoneID(c.Zone)},
+			Control:  "http://" + address.String(),
+		})
+		handler := c.handler(vm, starts)
+		node.Children = append(node.Children, supervisor.Child{
+			Name: string(vm.ID),
+			Run:  func(ctx context.Context) error { return serve(ctx, address, handler, c.Connections) },
+		})
+	}
+	node.Children = append(node.Children, supervisor.Child{Name: "live", Run: func(ctx context.Context) error {
+		return supervisor.Every(ctx, livePostInterval, func(ctx context.Context) { c.post(ctx, posts, log) })
+	}})
+	log.Info().Stringer("listen", c.Listen).Int("count", c.Count).Str("zone", c.Zone).Msg("targets serve")
+	return node.Run(ctx)
+}
+
+func (c *targetsCommand) handler(vm *standin.VM, starts *standin.StartLog) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/tasks/", vm.Handler())
+	mux.Handle("/control/", (&standin.Control{VM: vm}).Handler())
+	if starts != nil {
+		mux.HandleFunc("GET /control/starts", func(w http.ResponseWriter, _ *http.Request) {
+			_ = json.NewEncoder(w).Encode(starts.Starts())
+		})
+	}
+	return mux
+}
+
+// post keeps the VMs on the platform's live list.
+func (c *targetsCommand) post(ctx context.Context, posts []platformstandin.LivePost, log zerolog.Logger) {
+	body, err := json.Marshal(posts)
+	if err != nil {
+		return
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.Platform+"/standin/live", bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		log.Warn().Err(err).Msg("live list not reached")
+		return
+	}
+	_ = resp.Body.Close()
+}
--- /dev/null
+++ b/core/home/cancel.go
@@ -0,0 +1,70 @@
+package home
+
+import (
+	"time"
+
+	"lavenderpond/core"
+	"lavenderpond/core/shard"
+)
+
+// cancel gives a request up: while it is queued that means it did not run.
+func (h *Home) cancel(now time.Time, e Cancel) {
+	r, ok := h.records[e.Key]
+	if !ok {
+		h.cancelUnknown(now, e)
+		return
+	}
+	r.cancelled = true
+	switch r.phase {
+	case queued, announced:
+		h.Queue.Remove(e.Key)
+		if r.phase == announced {
+			h.releaseSlots(now, r, 0)
+		}
+		h.finishNotRun(now, r, core.NotRun{Code: core.CodeCancelled})
+	case running, asking:
+		h.emit(StopTask{Key: e.Key, VM: r.vm})
+		h.finish(r, core.OutcomeUnknown{Code: core.CodeCancelledRunning})
+	case ended:
+	}
+	h.reply(e.Waiter, e.Key, r.answer)
+}
+
+// cancelUnknown keeps a cancellation that overtook its request, so that the
+// request does not run when it comes.
+func (h *Home) cancelUnknown(now time.Time, e Cancel) {
+	verdict := h.Rights.Decide(now, e.Key, time.Time{}, now.Add(h.Times.Retention))
+	if _, may := verdict.(shard.Run); !may {
+		h.reply(e.Waiter, e.Key, core.OutcomeUnknown{Code: core.CodeNotFound})
+		return
+	}
+	r := h.newRecord(core.Request{Key: e.Key, Deadline: now.Add(h.Times.Retention)})
+	r.cancelled = true
+	r.waiters = []Waiter{e.Waiter}
+	h.finish(r, core.NotRun{Code: core.CodeCancelled})
+}
+
+// keyWithdrawn refuses what still waits under the key. What runs, finishes.
+func (h *Home) keyWithdrawn(now time.Time, digest core.KeyDigest) {
+	for _, r := range sorted(h.records) {
+		if r.request.KeyDigest == digest && (r.phase == queued || r.phase == announced) {
+			h.Queue.Remove(r.request.Key)
+			if r.phase == announced {
+				h.releaseSlots(now, r, 0)
+			}
+			h.finishNotRun(now, r, core.NotRun{Code: core.CodeKeyWithdrawn})
+		}
+	}
+}
+
+// stop refuses what still waits, so that the callers go elsewhere at once. What
+// runs is waited for by the daemon.
+func (h *Home) stop(now time.Time) {
+	h.stopping = true
+	for _, r := range sorted(h.records) {
+		if r.phase == queued {
+			h.Queue.Remove(r.request.Key)
+			h.finishNotRun(now, r, core.NotRun{Code: core.CodeEntryStopping, ComeBackAt: now})
+		}
+	}
+}
--- /dev/null
+++ b/core/home/command.go
@@ -0,0 +1,48 @@
+package home
+
+import (
+	"time"
+
+	"lavenderpond/core"
+)
+
+// Command is something that the daemon has to do.
+type Command interface{ isCommand() }
+
+// Reply gives a waiter its answer.
+type Reply struct {
+	Waiter Waiter
+	Key    core.RequestKey
+	Answer core.Answer
+}
+
+// Dispatch sends a request to a target.
+type Dispatch struct {
+	Request core.Request
+	VM      core.VMID
+	// Number counts the dispatches of this request, from 1.
+	Number core.Attempt
+	// StartBy is the last moment at which the task may start: this entry's right
+	// to decide ends then. The sender checks it right before the write, and the
+	// target enforces it.
+	StartBy time.Time
+	// LeaseUntil is when the target stops the task.
+	LeaseUntil time.Time
+}
+
+// AskTarget asks a target what became of a task.
+type AskTarget struct {
+	Key core.RequestKey
+	VM  core.VMID
+}
+
+// StopTask tells a target to stop a task.
+type StopTask struct {
+	Key core.RequestKey
+	VM  core.VMID
+}
+
+func (Reply) isCommand()     {}
+func (Dispatch) isCommand()  {}
+func (AskTarget) isCommand() {}
+func (StopTask) isCommand()  {}
--- /dev/null
+++ b/core/home/dispatch.go
@@ -0,0 +1,138 @@
+package home
+
+import (
+	"time"
+
+	"lavenderpond/core"
+	"lavenderpond/core/queue"
+	"lavenderpond/core/route"
+	"lavenderpond/core/shard"
+)
+
+// pumpAll moves waiting requests of every queue to free slots.
+func (h *Home) pumpAll(now time.Time) {
+	for _, q := range h.Queue.Queues() {
+		h.pump(now, q)
+	}
+}
+
+// pump moves waiting requests of q to free slots until there is none left.
+func (h *Home) pump(now time.Time, q core.QueueID) {
+	pool, overflow, ok := h.Config.Pool(now, q)
+	if !ok || h.stopping {
+		return
+	}
+	want := route.Want{Pool: pool, Overflow: overflow}
+	for h.Queue.Len(q) > 0 && h.Router.Idle(now, want) > 0 {
+		var vm core.VMID
+		item, ok := h.Queue.Pop(now, q, func(item queue.Item) bool {
+			var ready bool
+			vm, ready = h.ready(now, item, want)
+			return ready
+		})
+		if !ok {
+			return
+		}
+		h.announce(now, h.records[item.Key], vm)
+	}
+}
+
+// ready says whether item may start now, and where. It takes the team's slot.
+func (h *Home) ready(now time.Time, item queue.Item, want route.Want) (core.VMID, bool) {
+	r := h.records[item.Key]
+	if r == nil || now.Before(r.notBefore) || !now.Before(h.Rights.RightUntil(now, item.Key)) {
+		return "", false
+	}
+	want.Tried = r.tried
+	vm, ok := h.Router.Pick(now, want)
+	if !ok {
+		return "", false
+	}
+	// The slot is counted until the target's lease has certainly ended by every
+	// clock, unless the end of the task is certain earlier.
+	if !h.Limiter.Acquire(now, item.Key, r.request.Deadline.Add(h.Times.SkewBound)) {
+		h.Limiter.Wanted(now, item.Key.Team)
+		return "", false
+	}
+	return vm, true
+}
+
+// announce takes the target's slot and has the start mirrored before it leaves.
+func (h *Home) announce(now time.Time, r *record, vm core.VMID) {
+	r.phase = announced
+	r.vm = vm
+	r.slotHeld = true
+	h.Router.Started(now, vm)
+	h.waiting[r.request.Key] = r
+	start := shard.Start{Key: r.request.Key, Deadline: r.request.Deadline, VM: vm}
+	if r.request.Idempotent || h.Rights.Start(now, start) {
+		h.dispatch(now, r)
+	}
+}
+
+func (h *Home) startAllowed(now time.Time, key core.RequestKey) {
+	if r := h.records[key]; r != nil && r.phase == announced {
+		h.dispatch(now, r)
+	}
+}
+
+// startDenied puts the request back: nothing was sent.
+func (h *Home) startDenied(now time.Time, key core.RequestKey) {
+	if r := h.records[key]; r != nil && r.phase == announced {
+		h.releaseSlots(now, r, route.Refused)
+		h.requeue(now, r, now.Add(h.Times.AskEvery))
+	}
+}
+
+func (h *Home) dispatch(now time.Time, r *record) {
+	startBy := earlier(h.Rights.RightUntil(now, r.request.Key), r.request.Deadline)
+	if !now.Before(startBy) {
+		h.releaseSlots(now, r, route.Refused)
+		h.requeue(now, r, now)
+		return
+	}
+	if r.number == 0 {
+		h.Budget.First(now)
+	}
+	h.counts.Dispatched++
+	delete(h.waiting, r.request.Key)
+	r.phase = running
+	r.number++
+	r.startedAt = now
+	r.leaseUntil = r.request.Deadline
+	h.emit(Dispatch{
+		Request: r.request, VM: r.vm, Number: r.number, StartBy: startBy, LeaseUntil: r.leaseUntil,
+	})
+}
+
+// releaseSlots gives back the team's slot and the target's, once it is certain
+// that nothing runs there.
+func (h *Home) releaseSlots(now time.Time, r *record, result route.Result) {
+	h.Limiter.Release(r.request.Key)
+	h.endAtTarget(now, r, result)
+}
+
+func (h *Home) endAtTarget(now time.Time, r *record, result route.Result) {
+	if r.slotHeld {
+		r.slotHeld = false
+		h.Router.Ended(now, r.vm, result, now.Sub(r.startedAt))
+	}
+}
+
+// requeue lets r wait for another slot, not before the given time.
+func (h *Home) requeue(now time.Time, r *record, notBefore time.Time) {
+	delete(h.waiting, r.request.Key)
+	r.phase = queued
+	r.notBefore = notBefore
+	refusal, ok := h.Queue.Push(now, itemOf(now, r.request), 0)
+	if !ok {
+		h.finishNotRun(now, r, refusal)
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/core/home/home.go
@@ -0,0 +1,165 @@
+// Package home decides about requests at their home entry: whether they may run,
+// when, where, and what the caller is told. It is pure: events and the time come
+// in, commands come out.
+//
+// A non-idempotent request is sent to a target at most once: its record is made
+// before the dispatch, its start is mirrored to the successor before it leaves,
+// and once bytes may have reached a target, only that target is asked again.
+package home
+
+import (
+	"time"
+
+	"lavenderpond/core"
+	"lavenderpond/core/limit"
+	"lavenderpond/core/queue"
+	"lavenderpond/core/retry"
+	"lavenderpond/core/route"
+	"lavenderpond/core/shard"
+)
+
+// Rights tells what this entry may decide. Implemented over core/shard.
+type Rights interface {
+	// Decide says whether a request without a record may run here.
+	Decide(now time.Time, key core.RequestKey, firstSent, deadline time.Time) shard.Verdict
+	// RightUntil returns until when this entry may start key's request.
+	RightUntil(now time.Time, key core.RequestKey) time.Time
+	// Start announces a start. If it returns false, a StartAllowed or StartDenied
+	// event follows.
+	Start(now time.Time, start shard.Start) bool
+}
+
+// Configuration is what home looks up in the operators' configuration.
+type Configuration interface {
+	// Pool returns the pool of a queue and whether requests may overflow.
+	Pool(now time.Time, q core.QueueID) (pool core.PoolID, overflow bool, ok bool)
+	// KeyGood says whether a team key may start work now, and why not.
+	KeyGood(now time.Time, team core.TeamID, key core.KeyDigest) (core.Code, bool)
+}
+
+// Times are the bounds that home works with.
+type Times struct {
+	// SkewBound is the most that two clocks differ.
+	SkewBound time.Duration
+	// Retention is how long an answer is kept after its request's deadline.
+	Retention time.Duration
+	// AskEvery is the time between two questions about a lost answer.
+	AskEvery time.Duration
+	// AskFor is how long a target is asked before the outcome is called unknown.
+	AskFor time.Duration
+	// FullPause is how long a request waits after a target had no free slot.
+	FullPause time.Duration
+	// MaxTargets is how many targets may refuse a request as invalid, or fail an
+	// idempotent one, before it is given up with CodeCannotRun.
+	MaxTargets int
+}
+
+// DefaultTimes are the bounds for the brief's fleet.
+func DefaultTimes() Times {
+	return Times{
+		SkewBound:  250 * time.Millisecond,
+		Retention:  time.Minute,
+		AskEvery:   200 * time.Millisecond,
+		AskFor:     2 * time.Second,
+		FullPause:  10 * time.Millisecond,
+		MaxTargets: 3,
+	}
+}
+
+// Home holds the records of the requests that this entry decides about. All
+// fields must be set before use. It is not safe for concurrent use.
+type Home struct {
+	Times   Times
+	Rights  Rights
+	Config  Configuration
+	Queue   queue.Queue
+	Router  route.Router
+	Limiter limit.Limiter
+	Budget  retry.Budget
+
+	records  map[core.RequestKey]*record
+	forget   forgetHeap
+	asking   map[core.RequestKey]*record
+	waiting  map[core.RequestKey]*record
+	commands []Command
+	stopping bool
+	counts   Counts
+}
+
+// Counts are running totals for metrics and dumps.
+type Counts struct {
+	Submitted  int64               `json:"submitted"`
+	Dispatched int64               `json:"dispatched"`
+	Answers    map[core.Code]int64 `json:"answers"`
+}
+
+// Handle applies an event and returns what has to be done, in order.
+func (h *Home) Handle(now time.Time, e Event) []Command {
+	h.commands = nil
+	h.apply(now, e)
+	return h.commands
+}
+
+func (h *Home) apply(now time.Time, e Event) {
+	switch e := e.(type) {
+	case Submit:
+		h.submit(now, e)
+	case Fetch:
+		h.fetch(e)
+	case Cancel:
+		h.cancel(now, e)
+	case Abandon:
+		h.abandon(e)
+	case StartAllowed:
+		h.startAllowed(now, e.Key)
+	case StartDenied:
+		h.startDenied(now, e.Key)
+	case Inherited:
+		h.inherit(now, e.Start)
+	case Ended:
+		h.ended(now, e)
+	case Asked:
+		h.asked(now, e)
+	case KeyWithdrawn:
+		h.keyWithdrawn(now, e.Digest)
+	case Changed:
+		h.pumpAll(now)
+	case Stopping:
+		h.stop(now)
+	case Tick:
+		h.tick(now)
+	}
+}
+
+func (h *Home) emit(c Command) { h.commands = append(h.commands, c) }
+
+// reply answers a waiter and counts the answer.
+func (h *Home) reply(w Waiter, key core.RequestKey, a core.Answer) {
+	if h.counts.Answers == nil {
+		h.counts.Answers = make(map[core.Code]int64)
+	}
+	h.counts.Answers[core.CodeOf(a)]++
+	h.emit(Reply{Waiter: w, Key: key, Answer: a})
+}
+
+// Running returns how many requests are at targets.
+func (h *Home) Running() int {
+	n := 0
+	for _, r := range h.records {
+		if r.phase == running || r.phase == asking {
+			n++
+		}
+	}
+	return n
+}
+
+// Unfinished returns how many requests have no final answer yet.
+func (h *Home) Unfinished() int {
+	n := 0
+	for _, r := range h.records {
+		if r.phase != ended {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/core/home/record.go
@@ -0,0 +1,135 @@
+package home
+
+import (
+	"container/heap"
+	"crypto/sha256"
+	"time"
+
+	"lavenderpond/core"
+)
+
+// phase is how far a request has come.
+type phase int
+
+const (
+	// queued: waits for a slot.
+	queued phase = iota
+	// announced: a slot is taken; the start waits for the successor's ack.
+	announced
+	// running: sent to a target.
+	running
+	// asking: the answer was lost; the target is being asked.
+	asking
+	// ended: has its final answer.
+	ended
+)
+
+var phaseNames = [...]string{"queued", "announced", "running", "asking", "ended"}
+
+// String returns the phase's name, as dumps show it.
+func (p phase) String() string { return phaseNames[p] }
+
+// record is what the home knows of a request.
+type record struct {
+	request core.Request
+	body    [sha256.Size]byte
+	phase   phase
+	answer  core.Answer
+	waiters []Waiter
+
+	vm         core.VMID
+	number     core.Attempt
+	leaseUntil time.Time
+	startedAt  time.Time
+	tried      []core.VMID
+	notBefore  time.Time
+	cancelled  bool
+	// slotHeld says that the router counts a slot of vm for this record.
+	slotHeld bool
+
+	nextAsk  time.Time
+	askUntil time.Time
+
+	forgetAt time.Time
+	index    int
+}
+
+// newRecord stores a record. It is forgotten some time after the deadline: from
+// the deadline on no attempt is taken any more, so a forgotten id can't run again.
+func (h *Home) newRecord(req core.Request) *record {
+	if h.records == nil {
+		h.records = make(map[core.RequestKey]*record)
+		h.asking = make(map[core.RequestKey]*record)
+		h.waiting = make(map[core.RequestKey]*record)
+	}
+	r := &record{request: req, body: sha256.Sum256(req.Body)}
+	r.forgetAt = req.Deadline.Add(h.Times.Retention)
+	h.records[req.Key] = r
+	heap.Push(&h.forget, r)
+	return r
+}
+
+func (h *Home) drop(r *record) {
+	delete(h.records, r.request.Key)
+	delete(h.asking, r.request.Key)
+	delete(h.waiting, r.request.Key)
+	heap.Remove(&h.forget, r.index)
+}
+
+// finish gives r its final answer. A NotRun is not kept: a later attempt of the
+// same id may still run. Everything else is, so that it can't run again.
+func (h *Home) finish(r *record, a core.Answer) {
+	r.phase = ended
+	r.answer = a
+	r.request.Body = nil
+	delete(h.asking, r.request.Key)
+	delete(h.waiting, r.request.Key)
+	for _, w := range r.waiters {
+		h.reply(w, r.request.Key, a)
+	}
+	r.waiters = nil
+	if _, notRun := a.(core.NotRun); notRun && !r.cancelled {
+		h.drop(r)
+	}
+}
+
+// finishNotRun says that r did not run, if this entry can still know it: with
+// its right lapsed, another holder may have taken an attempt of the same id.
+func (h *Home) finishNotRun(now time.Time, r *record, a core.NotRun) {
+	if now.Before(h.Rights.RightUntil(now, r.request.Key)) {
+		h.finish(r, a)
+		return
+	}
+	h.finish(r, core.OutcomeUnknown{Code: core.CodeHomeReplaced, ComeBackAt: a.ComeBackAt})
+}
+
+// forgetHeap orders records by the time at which they are forgotten.
+type forgetHeap []*record
+
+// Len implements heap.Interface.
+func (f forgetHeap) Len() int { return len(f) }
+
+// Less implements heap.Interface.
+func (f forgetHeap) Less(i, j int) bool { return f[i].forgetAt.Before(f[j].forgetAt) }
+
+// Swap implements heap.Interface.
+func (f forgetHeap) Swap(i, j int) {
+	f[i], f[j] = f[j], f[i]
+	f[i].index, f[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (f *forgetHeap) Push(x any) {
+	r := x.(*record)
+	r.index = len(*f)
+	*f = append(*f, r)
+}
+
+// Pop implements heap.Interface.
+func (f *forgetHeap) Pop() any {
+	old := *f
+	r := old[len(old)-1]
+	old[len(old)-1] = nil
+	*f = old[:len(old)-1]
+	return r
+}
--- /dev/null
+++ b/core/home/submit.go
@@ -0,0 +1,117 @@
+package home
+
+import (
+	"crypto/sha256"
+	"slices"
+	"time"
+
+	"lavenderpond/core"
+	"lavenderpond/core/queue"
+	"lavenderpond/core/route"
+	"lavenderpond/core/shard"
+)
+
+// holderSearch is how long a caller should wait before it tries again while an
+// id has no holder that may decide.
+const holderSearch = time.Second
+
+func (h *Home) submit(now time.Time, e Submit) {
+	h.counts.Submitted++
+	key := e.Request.Key
+	if r, ok := h.records[key]; ok {
+		h.join(r, e)
+		return
+	}
+	if refusal := h.refuseNew(now, e.Request); refusal != nil {
+		h.reply(e.Waiter, key, refusal)
+		return
+	}
+	pool, overflow, _ := h.Config.Pool(now, e.Request.Queue)
+	idle := h.Router.Idle(now, route.Want{Pool: pool, Overflow: overflow})
+	if refusal, ok := h.Queue.Push(now, itemOf(now, e.Request), idle); !ok {
+		h.reply(e.Waiter, key, refusal)
+		return
+	}
+	r := h.newRecord(e.Request)
+	h.wait(r, e)
+	h.pump(now, e.Request.Queue)
+}
+
+// join answers a further attempt from the record that is there already: an id
+// runs once, however many attempts reach its home, and whichever come crossed.
+func (h *Home) join(r *record, e Submit) {
+	same := sha256.Sum256(e.Request.Body) == r.body
+	if r.phase == ended && r.number == 0 && r.cancelled {
+		same = true // a cancellation may come before the request and has no body
+	}
+	if !same && !r.inherited() {
+		h.reply(e.Waiter, e.Request.Key, core.NotRun{Code: core.CodeIDReused})
+		return
+	}
+	if r.phase == ended {
+		h.reply(e.Waiter, e.Request.Key, r.answer)
+		return
+	}
+	h.wait(r, e)
+}
+
+func (h *Home) wait(r *record, e Submit) {
+	if e.NoWait {
+		h.reply(e.Waiter, e.Request.Key, core.Pending{Running: r.phase != queued})
+		return
+	}
+	r.waiters = append(r.waiters, e.Waiter)
+}
+
+// refuseNew returns the refusal of a request without a record, or nil.
+func (h *Home) refuseNew(now time.Time, req core.Request) core.Answer {
+	switch v := h.Rights.Decide(now, req.Key, req.FirstSent, req.Deadline).(type) {
+	case shard.Run:
+	case shard.Unknown:
+		return core.OutcomeUnknown{Code: v.Code}
+	case shard.Wait:
+		return core.Refuse(req.Attempt, core.NotRun{Code: core.CodeNoHolder, ComeBackAt: v.ComeBackAt})
+	default:
+		return core.Refuse(req.Attempt, core.NotRun{Code: core.CodeNoHolder, ComeBackAt: now.Add(holderSearch)})
+	}
+	if h.stopping {
+		return core.NotRun{Code: core.CodeEntryStopping, ComeBackAt: now}
+	}
+	if !now.Before(req.Deadline) {
+		// A record of an earlier attempt may have been forgotten by now.
+		return core.Refuse(req.Attempt, core.NotRun{Code: core.CodeDeadlinePassed})
+	}
+	if code, ok := h.Config.KeyGood(now, req.Key.Team, req.KeyDigest); !ok {
+		return core.NotRun{Code: code}
+	}
+	if _, _, ok := h.Config.Pool(now, req.Queue); !ok {
+		return core.NotRun{Code: core.CodeUnknownQueue, Detail: "queue " + string(req.Queue)}
+	}
+	return nil
+}
+
+func itemOf(now time.Time, req core.Request) queue.Item {
+	return queue.Item{
+		Key: req.Key, Queue: req.Queue, Urgent: req.Urgent, Deadline: req.Deadline,
+		Enqueued: now, DeclaredRun: req.DeclaredRun,
+	}
+}
+
+func (h *Home) fetch(e Fetch) {
+	r, ok := h.records[e.Key]
+	switch {
+	case !ok:
+		// A former holder may have run it, so this is not a "not run".
+		h.reply(e.Waiter, e.Key, core.OutcomeUnknown{Code: core.CodeNotFound})
+	case r.phase == ended:
+		h.reply(e.Waiter, e.Key, r.answer)
+	default:
+		h.reply(e.Waiter, e.Key, core.Pending{Running: r.phase != queued})
+	}
+}
+
+func (h *Home) abandon(e Abandon) {
+	if r, ok := h.records[e.Key]; ok {
+		r.waiters = slices.DeleteFunc(r.waiters, func(w Waiter) bool { return w == e.Waiter })
+	}
+}
--- /dev/null
+++ b/core/home/tick.go
@@ -0,0 +1,86 @@
+package home
+
+import (
+	"container/heap"
+	"sort"
+	"time"
+
+	"lavenderpond/core"
+	"lavenderpond/core/shard"
+)
+
+// tick lets deadlines take effect.
+func (h *Home) tick(now time.Time) {
+	for _, item := range h.Queue.Expired(now) {
+		if r := h.records[item.Key]; r != nil {
+			h.finishNotRun(now, r, core.NotRun{Code: core.CodeDeadlinePassed})
+		}
+	}
+	h.expireAnnounced(now)
+	h.askAgain(now)
+	h.forgetOld(now)
+	h.pumpAll(now)
+}
+
+// expireAnnounced ends requests whose start was never acknowledged in time.
+func (h *Home) expireAnnounced(now time.Time) {
+	for _, r := range sorted(h.waiting) {
+		if !now.Before(r.request.Deadline) {
+			h.releaseSlots(now, r, 0)
+			h.finishNotRun(now, r, core.NotRun{Code: core.CodeDeadlinePassed})
+		}
+	}
+}
+
+func (h *Home) askAgain(now time.Time) {
+	for _, r := range sorted(h.asking) {
+		if now.Before(r.nextAsk) {
+			continue
+		}
+		r.nextAsk = now.Add(h.Times.AskEvery)
+		h.emit(AskTarget{Key: r.request.Key, VM: r.vm})
+	}
+}
+
+// forgetOld drops the records whose time is over. A record that still runs is
+// kept: its end has yet to be told.
+func (h *Home) forgetOld(now time.Time) {
+	for len(h.forget) > 0 && !now.Before(h.forget[0].forgetAt) {
+		r := h.forget[0]
+		if r.phase != ended {
+			r.forgetAt = now.Add(h.Times.Retention)
+			heap.Fix(&h.forget, 0)
+			continue
+		}
+		h.drop(r)
+	}
+}
+
+// inherit records a start of a former holder. It never runs again here; the
+// target that it was meant for is asked for its answer.
+func (h *Home) inherit(now time.Time, s shard.Start) {
+	if _, ok := h.records[s.Key]; ok {
+		return
+	}
+	r := h.newRecord(core.Request{Key: s.Key, Deadline: s.Deadline})
+	r.vm = s.VM
+	r.leaseUntil = s.Deadline
+	h.ask(now, r)
+}
+
+// inherited says that the record came from a former holder, without its body.
+func (r *record) inherited() bool {
+	return r.number == 0 && r.vm != "" && r.phase != queued && r.phase != announced
+}
+
+// sorted returns records in a fixed order, so that runs repeat exactly.
+func sorted(records map[core.RequestKey]*record) []*record {
+	list := make([]*record, 0, len(records))
+	for _, r := range records {
+		list = append(list, r)
+	}
+	sort.Slice(list, func(i, j int) bool {
+		return list[i].request.Key.String() < list[j].request.Key.String()
+	})
+	return list
+}
--- /dev/null
+++ b/io/caller/server.go
@@ -0,0 +1,187 @@
+// Package caller serves teams: it takes their requests over connect-go, checks
+// their form, and gives each caller the answer to its own request.
+package caller
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	"lavenderpond/core"
+	pb "lavenderpond/io/gen/lavenderpond/v1"
+	"lavenderpond/io/gen/lavenderpond/v1/lavenderpondv1connect"
+)
+
+// Limits on what callers send.
+const (
+	// maxName bounds teams, ids and queues, in bytes.
+	maxName = 200
+	// overhead is what a request may have besides its body, in bytes.
+	overhead = 4096
+	// base64Growth is by how much a body grows in the JSON codec, in quarters.
+	base64Growth = 6
+)
+
+// Front brings a request to its home and back.
+type Front interface {
+	Submit(ctx context.Context, req core.Request, noWait bool) core.Answer
+	Fetch(ctx context.Context, key core.RequestKey, digest core.KeyDigest) core.Answer
+	Cancel(ctx context.Context, key core.RequestKey, digest core.KeyDigest) core.Answer
+}
+
+// Server implements CallerService over a Front. Its Front must be set.
+type Server struct {
+	Front Front
+	// MaxBody bounds a request's body, in bytes.
+	MaxBody int
+	// SkewBound is the most that two clocks differ.
+	SkewBound time.Duration
+	// MaxLifetime is the furthest that a deadline may lie ahead.
+	MaxLifetime time.Duration
+	// Now is the clock; nil means time.Now.
+	Now func() time.Time
+}
+
+var _ lavenderpondv1connect.CallerServiceHandler = (*Server)(nil)
+
+// Handler returns the URL path of the service and its HTTP handler.
+func (s *Server) Handler() (string, http.Handler) {
+	limit := s.MaxBody*base64Growth/4 + overhead
+	path, h := lavenderpondv1connect.NewCallerServiceHandler(s, connect.WithReadMaxBytes(limit))
+	return path, h
+}
+
+// Submit implements CallerService.
+func (s *Server) Submit(ctx context.Context, r *connect.Request[pb.SubmitRequest]) (*connect.Response[pb.Answer], error) {
+	m := r.Msg
+	req := requestOf(m, keyOf(r.Header()))
+	if refusal, bad := s.check(m, req); bad {
+		return respond(req.Key.ID, m.Attempt, core.Refuse(req.Attempt, refusal)), nil
+	}
+	return respond(req.Key.ID, m.Attempt, s.Front.Submit(ctx, req, m.NoWait)), nil
+}
+
+// Fetch implements CallerService.
+func (s *Server) Fetch(ctx context.Context, r *connect.Request[pb.FetchRequest]) (*connect.Response[pb.Answer], error) {
+	key := core.RequestKey{Team: core.TeamID(r.Msg.Team), ID: core.RequestID(r.Msg.Id)}
+	return respond(key.ID, 0, s.Front.Fetch(ctx, key, keyOf(r.Header()))), nil
+}
+
+// Cancel implements CallerService.
+func (s *Server) Cancel(ctx context.Context, r *connect.Request[pb.CancelRequest]) (*connect.Response[pb.Answer], error) {
+	key := core.RequestKey{Team: core.TeamID(r.Msg.Team), ID: core.RequestID(r.Msg.Id)}
+	return respond(key.ID, 0, s.Front.Cancel(ctx, key, keyOf(r.Header()))), nil
+}
+
+// check looks at the form of a request, before anything is done with it.
+func (s *Server) check(m *pb.SubmitRequest, req core.Request) (core.NotRun, bool) {
+	now := s.now()
+	switch {
+	case badName(m.Team):
+		return malformed("team: 1 to %d bytes without control characters or slashes", maxName), true
+	case badName(m.Id):
+		return malformed("id: 1 to %d bytes without control characters or slashes", maxName), true
+	case badName(m.Queue):
+		return malformed("queue: 1 to %d bytes without control characters or slashes", maxName), true
+	case m.Deadline == nil || m.Deadline.CheckValid() != nil:
+		return malformed("deadline: a timestamp is needed"), true
+	case m.FirstSent != nil && m.FirstSent.CheckValid() != nil:
+		return malformed("first_sent: not a valid timestamp"), true
+	case m.BodyLength != nil && *m.BodyLength != uint64(len(m.Body)):
+		return core.NotRun{Code: core.CodeTruncated,
+			Detail: fmt.Sprintf("body_length is %d, the body has %d bytes", *m.BodyLength, len(m.Body))}, true
+	case len(m.Body) > s.MaxBody:
+		return core.NotRun{Code: core.CodeTooLarge,
+			Detail: fmt.Sprintf("the body has %d bytes, at most %d are allowed", len(m.Body), s.MaxBody)}, true
+	case !now.Before(req.Deadline):
+		return core.NotRun{Code: core.CodeDeadlinePassed}, true
+	case req.Deadline.After(now.Add(s.MaxLifetime + s.SkewBound)):
+		return core.NotRun{Code: core.CodeDeadlineTooFar,
+			Detail: fmt.Sprintf("at most %s ahead", s.MaxLifetime)}, true
+	case req.FirstSent.After(now.Add(s.SkewBound)):
+		return core.NotRun{Code: core.CodeClockAhead,
+			Detail: fmt.Sprintf("first_sent may be at most %s ahead", s.SkewBound)}, true
+	}
+	return core.NotRun{}, false
+}
+
+func (s *Server) now() time.Time {
+	if s.Now == nil {
+		return time.Now()
+	}
+	return s.Now()
+}
+
+func malformed(format string, args ...any) core.NotRun {
+	return core.NotRun{Code: core.CodeMalformed, Detail: fmt.Sprintf(format, args...)}
+}
+
+func badName(name string) bool {
+	if name == "" || len(name) > maxName {
+		return true
+	}
+	return strings.ContainsFunc(name, func(r rune) bool { return r < ' ' || r == 0x7f || r == '/' })
+}
+
+// keyOf returns the digest of the team key in the Authorization header.
+func keyOf(h http.Header) core.KeyDigest {
+	key, ok := strings.CutPrefix(h.Get("Authorization"), "Bearer ")
+	if !ok {
+		return ""
+	}
+	return core.Digest(key)
+}
+
+func requestOf(m *pb.SubmitRequest, digest core.KeyDigest) core.Request {
+	req := core.Request{
+		Key:         core.RequestKey{Team: core.TeamID(m.Team), ID: core.RequestID(m.Id)},
+		KeyDigest:   digest,
+		Attempt:     core.Attempt(m.Attempt),
+		Queue:       core.QueueID(m.Queue),
+		Idempotent:  m.Idempotent,
+		Urgent:      m.Urgent,
+		DeclaredRun: time.Duration(m.DeclaredRunMs) * time.Millisecond,
+		Body:        m.Body,
+	}
+	if m.Deadline != nil {
+		req.Deadline = m.Deadline.AsTime()
+	}
+	if m.FirstSent != nil {
+		req.FirstSent = m.FirstSent.AsTime()
+	}
+	return req
+}
+
+func respond(id core.RequestID, attempt uint32, a core.Answer) *connect.Response[pb.Answer] {
+	m := &pb.Answer{Id: string(id), Attempt: attempt}
+	code := core.CodeOf(a)
+	m.Code, m.CodeName = uint32(code), code.String()
+	switch a := a.(type) {
+	case core.Done:
+		m.Outcome, m.Body, m.BodyLength, m.Vm = pb.Outcome_OUTCOME_DONE, a.Body, uint64(len(a.Body)), string(a.VM)
+	case core.NotRun:
+		m.Outcome, m.Detail, m.ComeBackAt = pb.Outcome_OUTCOME_NOT_RUN, a.Detail, stamp(a.ComeBackAt)
+	case core.OutcomeUnknown:
+		m.Outcome, m.Detail, m.ComeBackAt = pb.Outcome_OUTCOME_UNKNOWN, a.Detail, stamp(a.ComeBackAt)
+	case core.Pending:
+		m.Outcome = pb.Outcome_OUTCOME_PENDING
+	default:
+		m.Outcome = pb.Outcome_OUTCOME_UNKNOWN
+	}
+	if m.Detail == "" && code != core.CodeDone {
+		m.Detail = code.Info().Sentence
+	}
+	return connect.NewResponse(m)
+}
+
+func stamp(t time.Time) *timestamppb.Timestamp {
+	if t.IsZero() {
+		return nil
+	}
+	return timestamppb.New(t)
+}
--- /dev/null
+++ b/io/platform/standin/faults.go
@@ -0,0 +1,90 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"time"
+
+	"lavenderpond/core"
+)
+
+// Faults says how the stand-in's table and object store misbehave.
+type Faults struct {
+	// DownUntil: requests are refused before then and change nothing.
+	DownUntil time.Time `json:"down_until,omitzero"`
+	// SlowUntil: each request takes Delay longer before then.
+	SlowUntil time.Time     `json:"slow_until,omitzero"`
+	Delay     time.Duration `json:"delay,omitempty"`
+	// LoseAnswers is how many transactions take effect without an answer.
+	LoseAnswers int `json:"lose_answers,omitempty"`
+	// CutZones are refused by the zone in the header ZoneHeader: a partition.
+	CutZones []core.ZoneID `json:"cut_zones,omitempty"`
+}
+
+// ZoneHeader names the caller's availability zone, so that the stand-in can play
+// a partition between a zone and the platform.
+const ZoneHeader = "Lavenderpond-Zone"
+
+// SetFaults replaces the faults.
+func (s *Server) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+func (s *Server) postFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFaults(f)
+}
+
+// faulty wraps a handler with the faults in force.
+func (s *Server) faulty(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		f := s.inForce(r)
+		if f.Delay > 0 {
+			select {
+			case <-time.After(f.Delay):
+			case <-r.Context().Done():
+				return
+			}
+		}
+		if !f.DownUntil.IsZero() {
+			http.Error(w, "table down", http.StatusServiceUnavailable)
+			return
+		}
+		if f.LoseAnswers > 0 {
+			next(httptest.NewRecorder(), r)
+			panic(http.ErrAbortHandler) // closes the connection without an answer
+		}
+		next(w, r)
+	}
+}
+
+// inForce returns the faults that hit this request; a lost answer is used up.
+func (s *Server) inForce(r *http.Request) Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	var f Faults
+	if now.Before(s.faults.SlowUntil) {
+		f.Delay = s.faults.Delay
+	}
+	if now.Before(s.faults.DownUntil) {
+		f.DownUntil = s.faults.DownUntil
+	}
+	for _, z := range s.faults.CutZones {
+		if r.Header.Get(ZoneHeader) == string(z) {
+			f.DownUntil = now
+		}
+	}
+	if r.Method == http.MethodPost && s.faults.LoseAnswers > 0 && f.DownUntil.IsZero() {
+		s.faults.LoseAnswers--
+		f.LoseAnswers = 1
+	}
+	return f
+}
--- /dev/null
+++ b/io/target/client.go
@@ -0,0 +1,207 @@
+package target
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lavenderpond/core"
+	"lavenderpond/core/home"
+)
+
+// leaseGrace is how long after a task's lease the client still waits for the
+// answer that tells how it ended.
+const leaseGrace = 2 * time.Second
+
+// askTimeout bounds one question about a task.
+const askTimeout = 2 * time.Second
+
+// Client starts, asks about and stops tasks. It is safe for concurrent use.
+type Client struct {
+	// Now is the clock; nil means time.Now.
+	Now func() time.Time
+	// MaxAnswer bounds an answer's body, in bytes.
+	MaxAnswer int64
+	HTTP      *http.Client
+}
+
+// NewClient returns a client that keeps up to connections connections to each
+// target and reads at most maxAnswer bytes of an answer.
+func NewClient(connections int, maxAnswer int64) *Client {
+	dialer := &net.Dialer{Timeout: time.Second}
+	return &Client{
+		MaxAnswer: maxAnswer,
+		HTTP: &http.Client{Transport: &http.Transport{
+			DialContext:         dialer.DialContext,
+			MaxIdleConnsPerHost: connections,
+			MaxConnsPerHost:     connections,
+			DisableCompression:  true,
+			IdleConnTimeout:     time.Minute,
+		}},
+	}
+}
+
+// Start sends d to the target at address and returns how it ended. It returns
+// NotStarted only if the task certainly did not and will not start.
+func (c *Client) Start(ctx context.Context, address string, d home.Dispatch) home.End {
+	ctx, cancel := context.WithDeadline(ctx, d.LeaseUntil.Add(leaseGrace))
+	defer cancel()
+	sent := &sentMark{Reader: bytes.NewReader(d.Request.Body)}
+	req, err := c.request(ctx, http.MethodPost, address, d.Request.Key, sent)
+	if err != nil {
+		return home.NotStarted{Reason: home.Unreachable}
+	}
+	req.ContentLength = int64(len(d.Request.Body))
+	// The body must not be sent again by the transport: a repeated write could
+	// start the task twice.
+	req.GetBody = nil
+	req.Header.Set(HeaderAttempt, strconv.FormatUint(uint64(d.Number), 10))
+	setMillis(req.Header, HeaderStartBy, d.StartBy)
+	setMillis(req.Header, HeaderLeaseUntil, d.LeaseUntil)
+	// The clock is read right before the write: a process that was paused since
+	// it decided must not start work on a right that has lapsed meanwhile.
+	if !c.now().Before(d.StartBy) {
+		return home.NotStarted{Reason: home.Late}
+	}
+	resp, err := c.HTTP.Do(req)
+	if err != nil {
+		return c.sendError(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return c.readEnd(resp, d)
+}
+
+// Ask asks the target what became of a task.
+func (c *Client) Ask(ctx context.Context, address string, key core.RequestKey) home.Finding {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	req, err := c.request(ctx, http.MethodGet, address, key, nil)
+	if err != nil {
+		return home.FoundNothing{}
+	}
+	resp, err := c.HTTP.Do(req)
+	if err != nil {
+		return home.FoundNothing{}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	switch resp.Header.Get(HeaderState) {
+	case StateDone:
+		body, err := c.readBody(resp, key)
+		if err != nil {
+			return home.FoundNothing{}
+		}
+		return home.FoundDone{Body: body}
+	case StateRunning:
+		return home.FoundRunning{}
+	case StateStopped:
+		return home.FoundStopped{}
+	case StateNone:
+		return home.FoundNeverStarted{}
+	default:
+		return home.FoundNothing{}
+	}
+}
+
+// Stop tells the target to stop a task. A lost order is made good by the lease.
+func (c *Client) Stop(ctx context.Context, address string, key core.RequestKey) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	req, err := c.request(ctx, http.MethodDelete, address, key, nil)
+	if err != nil {
+		return
+	}
+	if resp, err := c.HTTP.Do(req); err == nil {
+		_ = resp.Body.Close()
+	}
+}
+
+func (c *Client) request(ctx context.Context, method, address string, key core.RequestKey, body io.Reader) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+TaskPath(key), body)
+	if err != nil {
+		return nil, errors.Wrap(err, "target request")
+	}
+	req.Header.Set(HeaderTask, key.String())
+	return req, nil
+}
+
+// sendError tells a request that never left from one that may have arrived.
+func (c *Client) sendError(err error) home.End {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return home.NotStarted{Reason: home.Unreachable}
+	}
+	return home.Lost{}
+}
+
+func (c *Client) readEnd(resp *http.Response, d home.Dispatch) home.End {
+	if reason := resp.Header.Get(HeaderNotStarted); reason != "" {
+		return notStarted(reason)
+	}
+	if resp.Header.Get(HeaderState) == StateStopped {
+		return home.Stopped{}
+	}
+	if resp.StatusCode != http.StatusOK {
+		return home.Failed{}
+	}
+	if resp.Header.Get(HeaderAttempt) != strconv.FormatUint(uint64(d.Number), 10) {
+		return home.Damaged{}
+	}
+	body, err := c.readBody(resp, d.Request.Key)
+	if err != nil {
+		return home.Damaged{}
+	}
+	return home.Answered{Body: body}
+}
+
+// readBody returns the answer's body if it is whole and of this task: a cut
+// answer is shorter than the length its runner stated, a crossed one names
+// another task.
+func (c *Client) readBody(resp *http.Response, key core.RequestKey) ([]byte, error) {
+	if resp.Header.Get(HeaderTask) != key.String() {
+		return nil, errors.New("answer of another task")
+	}
+	length, err := strconv.ParseInt(resp.Header.Get(HeaderLength), 10, 64)
+	if err != nil || length > c.MaxAnswer {
+		return nil, errors.New("answer without a usable length")
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, length+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "read answer")
+	}
+	if int64(len(body)) != length {
+		return nil, errors.New("answer was cut")
+	}
+	return body, nil
+}
+
+func (c *Client) now() time.Time {
+	if c.Now == nil {
+		return time.Now()
+	}
+	return c.Now()
+}
+
+var reasons = map[string]home.Reason{
+	ReasonFull:    home.Full,
+	ReasonLeaving: home.Leaving,
+	ReasonLate:    home.Late,
+	ReasonInvalid: home.Invalid,
+}
+
+func notStarted(reason string) home.End {
+	r, ok := reasons[reason]
+	if !ok {
+		return home.Lost{}
+	}
+	return home.NotStarted{Reason: r}
+}
+
+// sentMark hides the reader's other methods, so that the transport can't rewind
+// and send the body twice.
+type sentMark struct{ io.Reader }
--- /dev/null
+++ b/io/target/standin/control.go
@@ -0,0 +1,102 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"lavenderpond/core"
+)
+
+// RebootTime is how long a VM is away when the platform reboots it.
+const RebootTime = 2 * time.Second
+
+// Control is the interface by which the platform's stand-in and tests reach a
+// VM: its state, reboots, faults.
+type Control struct {
+	VM *VM
+
+	mu       sync.Mutex
+	backAt   time.Time
+	stuck    bool
+	rebooted int
+}
+
+// State is what a VM tells the platform.
+type State struct {
+	Up      bool       `json:"up"`
+	Running core.Slots `json:"running"`
+}
+
+// Handler returns the control interface under /control/.
+func (c *Control) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /control/state", c.state)
+	mux.HandleFunc("POST /control/reboot", c.reboot)
+	mux.HandleFunc("POST /control/faults", c.faults)
+	return mux
+}
+
+func (c *Control) state(w http.ResponseWriter, _ *http.Request) {
+	c.settle()
+	c.VM.mu.Lock()
+	up := !c.VM.down
+	c.VM.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(State{Up: up, Running: c.VM.Running()})
+}
+
+// reboot takes the VM down for RebootTime. What runs there is cut off: it is the
+// caller's duty to drain it before.
+func (c *Control) reboot(http.ResponseWriter, *http.Request) {
+	c.mu.Lock()
+	c.backAt = c.VM.now().Add(RebootTime)
+	c.rebooted++
+	c.mu.Unlock()
+	c.VM.setDown(true)
+}
+
+// faults sets the VM's faults; "stuck" keeps it from coming back.
+func (c *Control) faults(w http.ResponseWriter, r *http.Request) {
+	var f struct {
+		Faults
+		Stuck bool `json:"stuck"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	c.VM.SetFaults(f.Faults)
+	c.mu.Lock()
+	c.stuck = f.Stuck
+	c.mu.Unlock()
+}
+
+// settle brings the VM back up when its reboot is over.
+func (c *Control) settle() {
+	c.mu.Lock()
+	back := !c.stuck && !c.backAt.IsZero() && !c.VM.now().Before(c.backAt)
+	if back {
+		c.backAt = time.Time{}
+	}
+	c.mu.Unlock()
+	if back {
+		c.VM.setDown(false)
+	}
+}
+
+func (v *VM) setDown(down bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.down = down
+	if !down {
+		return
+	}
+	for t := range v.running {
+		select {
+		case t.stop <- struct{}{}:
+		default:
+		}
+	}
+}
--- /dev/null
+++ b/io/target/standin/log.go
@@ -0,0 +1,58 @@
+package standin
+
+import (
+	"sync"
+	"time"
+
+	"lavenderpond/core"
+)
+
+// Start is one start of a task, as the target saw it.
+type Start struct {
+	VM      core.VMID `json:"vm"`
+	Task    string    `json:"task"`
+	Attempt string    `json:"attempt"`
+	At      time.Time `json:"at"`
+	End     time.Time `json:"end,omitzero"`
+}
+
+// StartLog records what really ran, for tests to check answers and limits
+// against. A nil log records nothing. It is safe for concurrent use.
+type StartLog struct {
+	mu     sync.Mutex
+	starts []Start
+	open   map[string]int
+}
+
+func (l *StartLog) started(s Start) {
+	if l == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.open == nil {
+		l.open = make(map[string]int)
+	}
+	l.open[string(s.VM)+" "+s.Task] = len(l.starts)
+	l.starts = append(l.starts, s)
+}
+
+func (l *StartLog) ended(vm core.VMID, name string, at time.Time) {
+	if l == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	key := string(vm) + " " + name
+	if i, ok := l.open[key]; ok {
+		l.starts[i].End = at
+		delete(l.open, key)
+	}
+}
+
+// Starts returns all starts so far, in order.
+func (l *StartLog) Starts() []Start {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]Start(nil), l.starts...)
+}
--- /dev/null
+++ b/io/target/standin/reply.go
@@ -0,0 +1,64 @@
+package standin
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+
+	"lavenderpond/io/target"
+)
+
+// maxBody bounds a task's body, in bytes.
+const maxBody = 16 << 20
+
+func taskName(r *http.Request) string { return r.PathValue("team") + "/" + r.PathValue("id") }
+
+// readAll reads a request's body and refuses one that is shorter than stated.
+func readAll(r *http.Request) ([]byte, error) {
+	return io.ReadAll(io.LimitReader(r.Body, maxBody))
+}
+
+func refuse(w http.ResponseWriter, reason string) {
+	w.Header().Set(target.HeaderNotStarted, reason)
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// answerTo makes the answer of a task: it names the task, so that a person sees
+// whose it is, and is filled up to the size that the work asks for.
+func answerTo(name string, body []byte, work Work) []byte {
+	answer := fmt.Appendf(nil, "done %s, %d bytes in", name, len(body))
+	if fill := work.AnswerBytes - len(answer); fill > 0 {
+		answer = append(answer, bytes.Repeat([]byte{'.'}, fill)...)
+	}
+	return answer
+}
+
+func reply(w http.ResponseWriter, r *http.Request, name, state string, answer []byte, f Faults, work Work) {
+	if f.LoseAnswers > 0 {
+		panic(http.ErrAbortHandler) // the connection ends without an answer
+	}
+	h := w.Header()
+	h.Set(target.HeaderTask, name)
+	h.Set(target.HeaderAttempt, r.Header.Get(target.HeaderAttempt))
+	h.Set(target.HeaderState, state)
+	h.Set(target.HeaderLength, strconv.Itoa(len(answer)))
+	if f.CrossAnswers > 0 {
+		h.Set(target.HeaderTask, "other/task")
+	}
+	if f.FailAll || work.Fail {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	if f.CutAnswers > 0 {
+		answer = answer[:len(answer)/2]
+	}
+	_, _ = w.Write(answer)
+}
+
+func countDown(n *int) {
+	if *n > 0 {
+		*n--
+	}
+}
--- /dev/null
+++ b/io/target/standin/vm.go
@@ -0,0 +1,251 @@
+// Package standin is a small stand-in for target VMs: slots, connections,
+// leases, and a record of every start by which tests check what really ran. It
+// can be told to lose, cut, cross or delay answers, to fail, leave or stop.
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"lavenderpond/core"
+	"lavenderpond/io/target"
+)
+
+// VM is one target VM. Slots must be set. It is safe for concurrent use.
+type VM struct {
+	ID    core.VMID
+	Slots core.Slots
+	// Now is the clock; nil means time.Now.
+	Now func() time.Time
+	// Log, if set, records every start and end.
+	Log *StartLog
+
+	mu      sync.Mutex
+	running map[*task]struct{}
+	ended   map[string]ending
+	order   []string
+	faults  Faults
+	down    bool
+}
+
+// Faults says how a VM misbehaves.
+type Faults struct {
+	// FailAll answers every task with a failure, at once.
+	FailAll bool `json:"fail_all,omitempty"`
+	// RefuseAll says that no task is valid.
+	RefuseAll bool `json:"refuse_all,omitempty"`
+	// LoseAnswers, CutAnswers and CrossAnswers each count down per task that ran.
+	LoseAnswers  int `json:"lose_answers,omitempty"`
+	CutAnswers   int `json:"cut_answers,omitempty"`
+	CrossAnswers int `json:"cross_answers,omitempty"`
+	// Leaving refuses new tasks and lets what runs finish.
+	Leaving bool `json:"leaving,omitempty"`
+	// SlowBy multiplies run times, if above 1.
+	SlowBy int `json:"slow_by,omitempty"`
+}
+
+// Work is what the stand-in understands of a task's body. Another body runs for
+// no time and is answered all the same.
+type Work struct {
+	RunMs       int64 `json:"run_ms"`
+	AnswerBytes int   `json:"answer_bytes"`
+	Fail        bool  `json:"fail"`
+}
+
+// keptAnswers bounds how many answers a VM keeps for questions.
+const keptAnswers = 20000
+
+// task is one start; two starts of one id are two tasks.
+type task struct {
+	name string
+	stop chan struct{}
+}
+
+type ending struct {
+	state string
+	body  []byte
+}
+
+// Handler returns the VM's HTTP interface.
+func (v *VM) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /tasks/{team}/{id}", v.post)
+	mux.HandleFunc("GET /tasks/{team}/{id}", v.get)
+	mux.HandleFunc("DELETE /tasks/{team}/{id}", v.delete)
+	return mux
+}
+
+// SetFaults replaces the VM's faults.
+func (v *VM) SetFaults(f Faults) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.faults = f
+}
+
+// Running returns how many slots are in use.
+func (v *VM) Running() core.Slots {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return core.Slots(len(v.running))
+}
+
+func (v *VM) post(w http.ResponseWriter, r *http.Request) {
+	name := taskName(r)
+	body, err := readAll(r)
+	if err != nil {
+		refuse(w, target.ReasonInvalid)
+		return
+	}
+	t, reason := v.start(name, r)
+	if reason != "" {
+		refuse(w, reason)
+		return
+	}
+	work := parseWork(body)
+	stopped := v.run(r, t, work)
+	answer := answerTo(name, body, work)
+	state := target.StateDone
+	if stopped {
+		state, answer = target.StateStopped, nil
+	}
+	f := v.end(t, state, answer)
+	reply(w, r, name, state, answer, f, work)
+}
+
+// start takes a slot, or says why the task doesn't start.
+func (v *VM) start(name string, r *http.Request) (*task, string) {
+	startBy, err := target.Millis(r.Header, target.HeaderStartBy)
+	if err != nil {
+		return nil, target.ReasonInvalid
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	switch {
+	case v.faults.RefuseAll:
+		return nil, target.ReasonInvalid
+	case v.down || v.faults.Leaving:
+		return nil, target.ReasonLeaving
+	case !v.now().Before(startBy):
+		return nil, target.ReasonLate
+	case core.Slots(len(v.running)) >= v.Slots:
+		return nil, target.ReasonFull
+	}
+	if v.running == nil {
+		v.running = make(map[*task]struct{})
+		v.ended = make(map[string]ending)
+	}
+	// A second start of the same id is not refused here: the record must show
+	// what the callers' side did.
+	t := &task{name: name, stop: make(chan struct{}, 1)}
+	v.running[t] = struct{}{}
+	v.Log.started(Start{VM: v.ID, Task: name, Attempt: r.Header.Get(target.HeaderAttempt), At: v.now()})
+	return t, ""
+}
+
+// run takes the task's time and reports whether it was stopped.
+func (v *VM) run(r *http.Request, t *task, work Work) bool {
+	if v.fails() || work.RunMs <= 0 {
+		return false
+	}
+	v.mu.Lock()
+	d := time.Duration(work.RunMs) * time.Millisecond * time.Duration(max(1, v.faults.SlowBy))
+	v.mu.Unlock()
+	lease := d + time.Second
+	if until, err := target.Millis(r.Header, target.HeaderLeaseUntil); err == nil {
+		lease = until.Sub(v.now())
+	}
+	timer := time.NewTimer(min(d, lease))
+	defer timer.Stop()
+	select {
+	case <-t.stop:
+		return true
+	case <-timer.C:
+		return lease < d
+	}
+}
+
+func (v *VM) fails() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.faults.FailAll
+}
+
+// end frees the slot, keeps the answer and returns the faults for the reply.
+func (v *VM) end(t *task, state string, answer []byte) Faults {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	delete(v.running, t)
+	name := t.name
+	v.ended[name] = ending{state: state, body: answer}
+	v.order = append(v.order, name)
+	if len(v.order) > keptAnswers {
+		delete(v.ended, v.order[0])
+		v.order = v.order[1:]
+	}
+	v.Log.ended(v.ID, name, v.now())
+	f := v.faults
+	countDown(&v.faults.LoseAnswers)
+	countDown(&v.faults.CutAnswers)
+	countDown(&v.faults.CrossAnswers)
+	return f
+}
+
+func (v *VM) get(w http.ResponseWriter, r *http.Request) {
+	name := taskName(r)
+	v.mu.Lock()
+	e, done := v.ended[name]
+	isRunning := v.isRunning(name)
+	v.mu.Unlock()
+	w.Header().Set(target.HeaderTask, name)
+	switch {
+	case isRunning:
+		w.Header().Set(target.HeaderState, target.StateRunning)
+	case !done:
+		w.Header().Set(target.HeaderState, target.StateNone)
+	default:
+		w.Header().Set(target.HeaderState, e.state)
+		w.Header().Set(target.HeaderLength, strconv.Itoa(len(e.body)))
+		_, _ = w.Write(e.body)
+	}
+}
+
+func (v *VM) delete(_ http.ResponseWriter, r *http.Request) {
+	name := taskName(r)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for t := range v.running {
+		if t.name == name {
+			select {
+			case t.stop <- struct{}{}:
+			default:
+			}
+		}
+	}
+}
+
+func (v *VM) isRunning(name string) bool {
+	for t := range v.running {
+		if t.name == name {
+			return true
+		}
+	}
+	return false
+}
+
+func (v *VM) now() time.Time {
+	if v.Now == nil {
+		return time.Now()
+	}
+	return v.Now()
+}
+
+func parseWork(body []byte) Work {
+	var work Work
+	if json.Unmarshal(body, &work) != nil {
+		return Work{}
+	}
+	return work
+}
