Add the operators' changes, an entry's view of them and the key ring

Ruled out: deleting rows of retired exceptions, since a deletion has no version that an old view could be compared with.

--- /dev/null
+++ b/core/config/plan.go
@@ -0,0 +1,229 @@
+package config
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"lavenderpond/core"
+	"lavenderpond/core/table"
+)
+
+// Rows are the rows that a plan was given, by key. A row that was read and doesn't
+// exist has Version 0.
+type Rows map[table.Key]table.Row
+
+// Record is the row of a change id that took effect. It settles a lost answer and
+// keeps a change from being applied twice.
+type Record struct {
+	Version core.Version `json:"version"`
+	Key     table.Key    `json:"key"`
+	Author  string       `json:"author"`
+	At      time.Time    `json:"at"`
+	// Digest tells another change under the same id apart.
+	Digest string `json:"digest"`
+}
+
+// Audit is the record of an accepted change, for the monitor. It holds no keys,
+// only their digests.
+type Audit struct {
+	Version core.Version    `json:"version"`
+	Change  core.ChangeID   `json:"change"`
+	Kind    string          `json:"kind"`
+	Key     table.Key       `json:"key"`
+	Author  string          `json:"author"`
+	At      time.Time       `json:"at"`
+	Reason  string          `json:"reason,omitempty"`
+	Before  json.RawMessage `json:"before,omitempty"`
+	After   json.RawMessage `json:"after"`
+}
+
+// Needs returns the rows that Plan has to be given.
+func Needs(c Change, id core.ChangeID) []table.Key {
+	return []table.Key{table.ChangeKey(id), table.ConfigHead, c.Key()}
+}
+
+// Applied returns the record of the change id, if it took effect before. An error
+// says that the id was used for another change.
+func Applied(c Change, id core.ChangeID, rows Rows) (Record, bool, error) {
+	var record Record
+	row := rows[table.ChangeKey(id)]
+	if row.Version == 0 {
+		return record, false, nil
+	}
+	if err := row.Decode(&record); err != nil {
+		return record, false, err
+	}
+	if record.Digest != digest(c) {
+		return record, false, core.Errorf(core.CodeConflict,
+			"change id %q was used by %s for %s in version %d; choose a new change id", id, record.Author, record.Key, record.Version)
+	}
+	return record, true, nil
+}
+
+// Plan returns the transaction that carries out c as the change id: the head row
+// with the next version, the row itself, the audit record and the change's record,
+// all or nothing. It validates c against rows, and fails with a core.Error.
+func Plan(c Change, id core.ChangeID, now time.Time, rows Rows) (table.Transaction, error) {
+	var t table.Transaction
+	if err := validate(c, id, now); err != nil {
+		return t, err
+	}
+	before := rows[c.Key()]
+	before.Key = c.Key()
+	after, err := value(c, now, before)
+	if err != nil {
+		return t, err
+	}
+	var head Head
+	headRow := rows[table.ConfigHead]
+	headRow.Key = table.ConfigHead
+	if err := headRow.Decode(&head); err != nil {
+		return t, err
+	}
+	head = Head{Version: head.Version + 1, Change: id}
+	t.Check(table.Row{Key: table.ChangeKey(id)})
+	t.Check(headRow)
+	t.Check(before)
+	return t, writeAll(&t, c, now, head, before, after)
+}
+
+// writeAll adds the four writes of a change.
+func writeAll(t *table.Transaction, c Change, now time.Time, head Head, before table.Row, after any) error {
+	if err := t.Set(table.ConfigHead, head); err != nil {
+		return err
+	}
+	if err := t.Set(c.Key(), after); err != nil {
+		return err
+	}
+	record := Record{Version: head.Version, Key: c.Key(), Author: c.By(), At: now, Digest: digest(c)}
+	if err := t.Set(table.ChangeKey(head.Change), record); err != nil {
+		return err
+	}
+	audit := Audit{
+		Version: head.Version, Change: head.Change, Kind: Kind(c), Key: c.Key(), Author: c.By(), At: now, Reason: reason(c),
+		After: t.Writes[1].Value,
+	}
+	if before.Version > 0 {
+		audit.Before = before.Value
+	}
+	return t.Set(table.AuditKey(head.Version), audit)
+}
+
+// value returns the new value of the row that c writes.
+func value(c Change, now time.Time, before table.Row) (any, error) {
+	switch c := c.(type) {
+	case SetTeam:
+		return c.Value, nil
+	case SetPool:
+		return c.Value, nil
+	case SetQueue:
+		return c.Value, nil
+	case SetDefaults:
+		return c.Value, nil
+	case AddException:
+		return Exception{Scope: string(c.Scope), Reason: c.Reason, Author: c.Author, End: c.End, Value: c.Value}, nil
+	case RetireException:
+		return retired(c, now, before)
+	case GrantKey:
+		return granted(c, before)
+	case WithdrawKey:
+		return withdrawn(c, before)
+	case AttestZone:
+		return ZoneDown{Down: c.Down, Reason: c.Reason, Author: c.Author, Since: now}, nil
+	default:
+		return nil, core.Errorf(core.CodeMalformed, "unknown change %T", c)
+	}
+}
+
+func retired(c RetireException, now time.Time, before table.Row) (any, error) {
+	if before.Version == 0 {
+		return nil, core.Errorf(core.CodeNotFound, "no exception %q", c.ID)
+	}
+	var e Exception
+	if err := before.Decode(&e); err != nil {
+		return nil, err
+	}
+	if e.End.After(now) {
+		e.End = now
+	}
+	return e, nil
+}
+
+// granted refuses a digest that is withdrawn, so that a grant that races a
+// withdrawal can't undo it, whichever comes first.
+func granted(c GrantKey, before table.Row) (any, error) {
+	var k Key
+	if err := before.Decode(&k); err != nil {
+		return nil, err
+	}
+	if k.Withdrawn {
+		return nil, core.Errorf(core.CodeKeyWithdrawn, "this key was withdrawn for good; make a new key for team %s", c.Team)
+	}
+	if k.Team != "" && k.Team != c.Team {
+		return nil, core.Errorf(core.CodeConflict, "this key belongs to team %s; make a new key for team %s", k.Team, c.Team)
+	}
+	return Key{Team: c.Team}, nil
+}
+
+func withdrawn(c WithdrawKey, before table.Row) (any, error) {
+	k := Key{Team: c.Team}
+	if err := before.Decode(&k); err != nil {
+		return nil, err
+	}
+	k.Withdrawn = true
+	return k, nil
+}
+
+func digest(c Change) string {
+	data, err := json.Marshal(c)
+	if err != nil {
+		// A Change holds strings, numbers and times only.
+		panic(err)
+	}
+	sum := sha256.Sum256(append([]byte(Kind(c)), data...))
+	return hex.EncodeToString(sum[:])
+}
+
+// Kind returns the name of a change in audit records, in snake case.
+func Kind(c Change) string {
+	switch c.(type) {
+	case SetTeam:
+		return "set_team"
+	case SetPool:
+		return "set_pool"
+	case SetQueue:
+		return "set_queue"
+	case SetDefaults:
+		return "set_defaults"
+	case AddException:
+		return "add_exception"
+	case RetireException:
+		return "retire_exception"
+	case GrantKey:
+		return "grant_key"
+	case WithdrawKey:
+		return "withdraw_key"
+	case AttestZone:
+		return "attest_zone"
+	default:
+		return fmt.Sprintf("%T", c)
+	}
+}
+
+func reason(c Change) string {
+	switch c := c.(type) {
+	case AddException:
+		return c.Reason
+	case RetireException:
+		return c.Reason
+	case WithdrawKey:
+		return c.Reason
+	case AttestZone:
+		return c.Reason
+	default:
+		return ""
+	}
+}
--- /dev/null
+++ b/core/config/validate.go
@@ -0,0 +1,142 @@
+package config
+
+import (
+	"regexp"
+	"time"
+
+	"lavenderpond/core"
+)
+
+// MaxException is the furthest that an exception's end may lie ahead.
+const MaxException = 366 * 24 * time.Hour
+
+var (
+	namePattern   = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9_.-]{0,63}$`)
+	changePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9_.:-]{0,127}$`)
+	digestPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+)
+
+// validate refuses a change whose values are outside what is allowed.
+func validate(c Change, id core.ChangeID, now time.Time) error {
+	if !changePattern.MatchString(string(id)) {
+		return invalid("change id", string(id), "letters, digits and _.:- up to 128")
+	}
+	if c.By() == "" {
+		return core.Errorf(core.CodeReasonMissing, "%s needs an author", Kind(c))
+	}
+	switch c := c.(type) {
+	case SetTeam:
+		return firstError(checkName("team", string(c.Team)),
+			checkRange("share", c.Value.Share, MaxShare), checkRange("limit", int(c.Value.Limit), MaxLimit))
+	case SetPool:
+		return firstError(checkName("pool", string(c.Pool)), checkRange("max_unavailable", c.Value.MaxUnavailable, MaxUnavailable))
+	case SetQueue:
+		return firstError(checkName("queue", string(c.Queue)), checkName("pool", string(c.Value.Pool)),
+			checkRange("max_queued", c.Value.MaxQueued, MaxQueued))
+	case SetDefaults:
+		return validateDefaults(c.Value)
+	case AddException:
+		return validateException(c, now)
+	case RetireException:
+		return firstError(checkName("exception", c.ID), checkReason(c, c.Reason))
+	case GrantKey:
+		return firstError(checkName("team", string(c.Team)), checkDigest(c.Digest))
+	case WithdrawKey:
+		return firstError(checkName("team", string(c.Team)), checkDigest(c.Digest))
+	case AttestZone:
+		return firstError(checkName("zone", string(c.Zone)), checkReason(c, c.Reason))
+	default:
+		return core.Errorf(core.CodeMalformed, "unknown change %T", c)
+	}
+}
+
+func validateDefaults(d Defaults) error {
+	return firstError(
+		checkRange("share", d.Share, MaxShare),
+		checkRange("limit", int(d.Limit), MaxLimit),
+		checkRange("max_unavailable", d.MaxUnavailable, MaxUnavailable),
+		checkRange("max_queued", d.MaxQueued, MaxQueued),
+		checkRange("max_body", d.MaxBody, MaxBody))
+}
+
+func validateException(c AddException, now time.Time) error {
+	if err := firstError(checkName("exception", c.ID), checkReason(c, c.Reason)); err != nil {
+		return err
+	}
+	if c.End.IsZero() {
+		return core.Errorf(core.CodeReasonMissing, "exception %s needs an end", c.ID)
+	}
+	if !c.End.After(now) || c.End.After(now.Add(MaxException)) {
+		return invalid("end", c.End.Format(time.RFC3339), "a time ahead, at most 366 days")
+	}
+	if len(c.Value) == 0 {
+		return invalid("value", "nothing", "at least one value to replace")
+	}
+	switch kind, _ := split(c.Scope); kind {
+	case kindTeam:
+		return checkFields(c.Value, teamFields)
+	case kindPool:
+		return checkFields(c.Value, poolFields)
+	case kindQueue:
+		return checkFields(c.Value, queueFields)
+	case kindDefaults:
+		return checkFields(c.Value, defaultsFields)
+	default:
+		return invalid("scope", string(c.Scope), "the key of a team, pool, queue or defaults row")
+	}
+}
+
+func checkFields[T any](values map[string]int, fields map[string]field[T]) error {
+	for _, name := range sortedKeys(values) {
+		f, ok := fields[name]
+		if !ok {
+			return invalid("value", name, "a number that the scope's row has")
+		}
+		if err := checkRange(name, values[name], f.max); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkName(what, name string) error {
+	if namePattern.MatchString(name) {
+		return nil
+	}
+	return invalid(what, name, "letters, digits and _.- up to 64")
+}
+
+func checkRange(what string, n, most int) error {
+	if n >= 0 && n <= most {
+		return nil
+	}
+	return core.Errorf(core.CodeInvalidSetting, "%s is %d; allowed is 0 to %d", what, n, most)
+}
+
+func checkReason(c Change, reason string) error {
+	if reason != "" {
+		return nil
+	}
+	return core.Errorf(core.CodeReasonMissing, "%s of %s needs a reason that the monitor can read", Kind(c), c.Key())
+}
+
+func checkDigest(d core.KeyDigest) error {
+	if digestPattern.MatchString(string(d)) {
+		return nil
+	}
+	// The value isn't shown: it could be the key itself.
+	return core.Errorf(core.CodeInvalidSetting, "a key's digest is its SHA-256 in 64 hex digits")
+}
+
+func invalid(what, got, allowed string) error {
+	return core.Errorf(core.CodeInvalidSetting, "%s is %q; allowed: %s", what, got, allowed)
+}
+
+func firstError(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/core/config/view.go
@@ -0,0 +1,272 @@
+package config
+
+import (
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lavenderpond/core"
+	"lavenderpond/core/table"
+)
+
+// Source says where rows come from.
+type Source int
+
+const (
+	// FromTable rows were read by this entry itself.
+	FromTable Source = iota
+	// FromPeer rows were told by another entry, whose view may be older.
+	FromPeer
+)
+
+// Delta is the rows that changed after head version Base up to head version
+// Version. It may hold more rows than that, never fewer.
+type Delta struct {
+	Base    core.Version `json:"base"`
+	Version core.Version `json:"version"`
+	Rows    []table.Row  `json:"rows"`
+}
+
+// View is an entry's view of the rows under "config/" and "key/". It never goes
+// back: a row is replaced only by a higher version of it, and the view's own
+// version only rises. The zero value is an empty view. Not safe for concurrent
+// use.
+type View struct {
+	version    core.Version
+	rows       map[table.Key]viewRow
+	defaults   Defaults
+	teams      map[core.TeamID]Team
+	pools      map[core.PoolID]Pool
+	queues     map[core.QueueID]Queue
+	downZones  map[core.ZoneID]ZoneDown
+	exceptions map[table.Key]Exception
+	// byScope lists the exceptions of a row, by key.
+	byScope map[table.Key][]table.Key
+
+	// acceptOlder is switched on in tests only, to see the safeguard fail.
+	acceptOlder bool
+}
+
+type viewRow struct {
+	table.Row
+	// learned is the view's version once the row was applied, so never less than
+	// the head version at which the row changed.
+	learned core.Version
+	// deleted rows stay as tombstones. A peer with an older view can't tell a
+	// version after the deletion from one before it, so only the table's own word
+	// brings such a row back.
+	deleted bool
+}
+
+// Version returns the head version up to which the view is complete.
+func (v *View) Version() core.Version { return v.version }
+
+// Apply takes in the rows of d and returns those that were news. A row that can't
+// be decoded is skipped and reported; the version that the view had stays.
+func (v *View) Apply(d Delta, from Source) ([]table.Row, error) {
+	var news []table.Row
+	var failed error
+	version := v.version
+	if d.Base <= v.version && d.Version > v.version {
+		version = d.Version
+	}
+	for _, r := range d.Rows {
+		if !v.isNews(r, from) {
+			continue
+		}
+		if err := v.put(r, max(version, d.Version)); err != nil {
+			failed = err
+			continue
+		}
+		news = append(news, r)
+	}
+	if failed == nil {
+		v.version = version
+	}
+	return news, failed
+}
+
+// isNews compares versions row by row. Without it an entry that restarts, or that
+// was cut off, would tell its old rows to others and undo accepted changes there.
+func (v *View) isNews(r table.Row, from Source) bool {
+	old, known := v.rows[r.Key]
+	if v.acceptOlder {
+		return r.Version != old.Version
+	}
+	if r.Version == 0 {
+		return from == FromTable && known && !old.deleted
+	}
+	if old.deleted {
+		return from == FromTable && r.Version > old.Version
+	}
+	return r.Version > old.Version
+}
+
+func (v *View) put(r table.Row, learned core.Version) error {
+	old := v.rows[r.Key]
+	if r.Version == 0 {
+		v.forget(r.Key)
+		old.deleted, old.learned = true, learned
+		v.keep(r.Key, old)
+		return nil
+	}
+	if err := v.decode(r); err != nil {
+		return err
+	}
+	v.keep(r.Key, viewRow{Row: r, learned: learned})
+	return nil
+}
+
+func (v *View) keep(key table.Key, r viewRow) {
+	if v.rows == nil {
+		v.rows = make(map[table.Key]viewRow)
+	}
+	v.rows[key] = r
+}
+
+// DeltaSince returns what a peer whose view is complete up to since lacks.
+func (v *View) DeltaSince(since core.Version) Delta {
+	d := Delta{Base: since, Version: v.version}
+	for _, r := range v.rows {
+		if !r.deleted && r.learned > since {
+			d.Rows = append(d.Rows, r.Row)
+		}
+	}
+	sort.Slice(d.Rows, func(i, j int) bool { return d.Rows[i].Key < d.Rows[j].Key })
+	return d
+}
+
+// Row returns the row that the view holds under key, if any.
+func (v *View) Row(key table.Key) (table.Row, bool) {
+	r, ok := v.rows[key]
+	return r.Row, ok && !r.deleted
+}
+
+// decode parses r into the typed map of its kind.
+func (v *View) decode(r table.Row) error {
+	kind, name := split(r.Key)
+	switch kind {
+	case kindDefaults:
+		return decodeInto(r, func(d Defaults) { v.defaults = d })
+	case kindTeam:
+		return decodeInto(r, func(t Team) { put(&v.teams, core.TeamID(name), t) })
+	case kindPool:
+		return decodeInto(r, func(p Pool) { put(&v.pools, core.PoolID(name), p) })
+	case kindQueue:
+		return decodeInto(r, func(q Queue) { put(&v.queues, core.QueueID(name), q) })
+	case kindZoneDown:
+		return decodeInto(r, func(z ZoneDown) { put(&v.downZones, core.ZoneID(name), z) })
+	case kindException:
+		return decodeInto(r, func(e Exception) { v.putException(r.Key, e) })
+	case kindKey:
+		return decodeInto(r, func(Key) {})
+	case kindHead:
+		return decodeInto(r, func(Head) {})
+	default:
+		return nil
+	}
+}
+
+func decodeInto[T any](r table.Row, set func(T)) error {
+	var value T
+	if err := r.Decode(&value); err != nil {
+		return errors.WithStack(err)
+	}
+	set(value)
+	return nil
+}
+
+func put[K comparable, T any](m *map[K]T, key K, value T) {
+	if *m == nil {
+		*m = make(map[K]T)
+	}
+	(*m)[key] = value
+}
+
+func (v *View) putException(key table.Key, e Exception) {
+	v.dropException(key)
+	put(&v.exceptions, key, e)
+	scope := table.Key(e.Scope)
+	keys := append(v.byScope[scope], key)
+	sort.Slice(keys, func(i, j int) bool { return keys[i] < keys[j] })
+	put(&v.byScope, scope, keys)
+}
+
+func (v *View) dropException(key table.Key) {
+	old, ok := v.exceptions[key]
+	if !ok {
+		return
+	}
+	delete(v.exceptions, key)
+	scope := table.Key(old.Scope)
+	var rest []table.Key
+	for _, k := range v.byScope[scope] {
+		if k != key {
+			rest = append(rest, k)
+		}
+	}
+	v.byScope[scope] = rest
+	if len(rest) == 0 {
+		delete(v.byScope, scope)
+	}
+}
+
+func (v *View) forget(key table.Key) {
+	kind, name := split(key)
+	switch kind {
+	case kindDefaults:
+		v.defaults = Defaults{}
+	case kindTeam:
+		delete(v.teams, core.TeamID(name))
+	case kindPool:
+		delete(v.pools, core.PoolID(name))
+	case kindQueue:
+		delete(v.queues, core.QueueID(name))
+	case kindZoneDown:
+		delete(v.downZones, core.ZoneID(name))
+	case kindException:
+		v.dropException(key)
+	}
+}
+
+// The kinds of rows, as their keys name them.
+const (
+	kindHead      = "head"
+	kindDefaults  = "defaults"
+	kindTeam      = "team"
+	kindPool      = "pool"
+	kindQueue     = "queue"
+	kindException = "exception"
+	kindZoneDown  = "zone_down"
+	kindKey       = "key"
+)
+
+// split returns the kind of a row and its name within the kind.
+func split(key table.Key) (kind, name string) {
+	if digest, ok := strings.CutPrefix(string(key), table.PrefixKey); ok {
+		return kindKey, digest
+	}
+	rest, ok := strings.CutPrefix(string(key), table.PrefixConfig)
+	if !ok {
+		return "", ""
+	}
+	kind, name, _ = strings.Cut(rest, "/")
+	return kind, name
+}
+
+// ZoneDown is the row in which an operator attests that a zone is down, so that
+// others may reclaim its allotments.
+type ZoneDown struct {
+	Down   bool   `json:"down"`
+	Reason string `json:"reason"`
+	Author string `json:"author"`
+	// Since is when the attestation was accepted.
+	Since time.Time `json:"since"`
+}
+
+// ZoneDownKey returns the row of the attestation about z.
+func ZoneDownKey(z core.ZoneID) table.Key {
+	return table.Key(table.PrefixConfig + kindZoneDown + "/" + string(z))
+}
--- /dev/null
+++ b/core/key/ring.go
@@ -0,0 +1,230 @@
+// Package key decides whether a team key is good: which digests belong to which
+// team, which are withdrawn, and whether this entry's list is fresh enough to say.
+package key
+
+import (
+	"sort"
+	"time"
+
+	"lavenderpond/core"
+	"lavenderpond/core/config"
+	"lavenderpond/core/table"
+)
+
+// DefaultTrust is how long the list is trusted after its last evidence, unless
+// Ring.Trust says otherwise. docs/design/keys.md weighs it.
+const DefaultTrust = 15 * time.Second
+
+// MaxTrust is the greatest value of Ring.Trust.
+const MaxTrust = 15 * time.Minute
+
+// Withdrawal is the fact that a key ended. Facts are only ever added, and adding
+// one twice changes nothing, so they may be told in any order and any number of
+// times.
+type Withdrawal struct {
+	Digest core.KeyDigest `json:"digest"`
+	Team   core.TeamID    `json:"team"`
+	Author string         `json:"author"`
+	Reason string         `json:"reason,omitempty"`
+}
+
+// Ring is an entry's list of team keys. Its zero value knows no key and trusts
+// nothing. Not safe for concurrent use.
+type Ring struct {
+	// Zone is the entry's own zone.
+	Zone core.ZoneID
+	// Zones are all zones of the fleet, the own one included.
+	Zones []core.ZoneID
+	// Trust is how long the list is trusted after its last evidence. Zero means
+	// DefaultTrust.
+	Trust time.Duration
+
+	teams map[core.KeyDigest]core.TeamID
+	// withdrawn only grows. Unrecorded ones were told by an operator or a peer and
+	// haven't been read from the table yet.
+	withdrawn  map[core.KeyDigest]bool
+	unrecorded map[core.KeyDigest]Withdrawal
+	// complete is the send time of the last contact with the table, own or a peer's,
+	// whose withdrawals this ring holds.
+	complete time.Time
+	contacts map[core.ZoneID]time.Time
+
+	// Switched on in tests only, to see the safeguards fail.
+	trustAlways    bool
+	forgetWithdraw bool
+}
+
+// Apply takes in rows under "key/" and returns the digests that ended with them.
+// Other rows are ignored. The caller has made sure by row version that no row is
+// older than one applied before; a withdrawal holds in any case.
+func (r *Ring) Apply(rows []table.Row) []core.KeyDigest {
+	var ended []core.KeyDigest
+	for _, row := range rows {
+		d, ok := digestOf(row.Key)
+		if !ok {
+			continue
+		}
+		var k config.Key
+		if row.Version == 0 || row.Decode(&k) != nil {
+			continue
+		}
+		put(&r.teams, d, k.Team)
+		if !k.Withdrawn {
+			r.regrant(d)
+			continue
+		}
+		delete(r.unrecorded, d)
+		if r.end(d) {
+			ended = append(ended, d)
+		}
+	}
+	return ended
+}
+
+// Withdraw takes in withdrawals told by an operator or a peer, which may not have
+// reached the table, and returns the digests that ended with them.
+func (r *Ring) Withdraw(withdrawals ...Withdrawal) []core.KeyDigest {
+	var ended []core.KeyDigest
+	for _, w := range withdrawals {
+		if r.end(w.Digest) {
+			put(&r.unrecorded, w.Digest, w)
+			ended = append(ended, w.Digest)
+		}
+	}
+	return ended
+}
+
+// Unrecorded returns the withdrawals that weren't read from the table yet, by
+// digest: they have to be written there and told to peers.
+func (r *Ring) Unrecorded() []Withdrawal {
+	list := make([]Withdrawal, 0, len(r.unrecorded))
+	for _, w := range r.unrecorded {
+		list = append(list, w)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Digest < list[j].Digest })
+	return list
+}
+
+// Withdrawn reports whether the key of digest d ended. Queued requests that came
+// with it are refused, running ones finish.
+func (r *Ring) Withdrawn(d core.KeyDigest) bool { return r.withdrawn[d] }
+
+// Complete tells that the ring holds every withdrawal that the table held at the
+// instant sent, when the read that proves it left, here or at a peer.
+func (r *Ring) Complete(sent time.Time) {
+	if sent.After(r.complete) {
+		r.complete = sent
+	}
+}
+
+// Heard tells of an answer from an entry of zone z that carried its unrecorded
+// withdrawals, to a message that left here at sent.
+func (r *Ring) Heard(z core.ZoneID, sent time.Time) {
+	if sent.After(r.contacts[z]) {
+		put(&r.contacts, z, sent)
+	}
+}
+
+// CompleteAt returns the evidence by the table, for peers.
+func (r *Ring) CompleteAt() time.Time { return r.complete }
+
+// Evidence returns the instant up to which the ring surely holds all accepted
+// withdrawals: the later of the table's word and that of a majority of zones. A
+// withdrawal counts as accepted once the table or a majority of zones has it, and
+// any two majorities share a zone. Demanding every zone instead would let the loss
+// of one zone during a table outage stop all the others.
+func (r *Ring) Evidence() time.Time {
+	zones := r.zoneEvidence()
+	if zones.After(r.complete) {
+		return zones
+	}
+	return r.complete
+}
+
+// zoneEvidence returns the latest instant since which a majority of zones, the own
+// one included, was heard. It is zero for a fleet of one zone.
+func (r *Ring) zoneEvidence() time.Time {
+	others := len(r.Zones) / 2
+	if others == 0 {
+		return time.Time{}
+	}
+	var heard []time.Time
+	for _, z := range r.Zones {
+		if z != r.Zone {
+			heard = append(heard, r.contacts[z])
+		}
+	}
+	if len(heard) < others {
+		return time.Time{}
+	}
+	sort.Slice(heard, func(i, j int) bool { return heard[i].After(heard[j]) })
+	return heard[others-1]
+}
+
+// TrustedUntil returns when the list stops being trusted, if nothing is heard.
+func (r *Ring) TrustedUntil() time.Time {
+	evidence := r.Evidence()
+	if evidence.IsZero() {
+		return time.Time{}
+	}
+	trust := r.Trust
+	if trust == 0 {
+		trust = DefaultTrust
+	}
+	return evidence.Add(min(trust, MaxTrust))
+}
+
+// Fresh reports whether the list is trusted at now.
+func (r *Ring) Fresh(now time.Time) bool { return r.trustAlways || now.Before(r.TrustedUntil()) }
+
+// Check decides whether a request of team may be accepted under the digest of the
+// key that came with it. The code is CodeKeyWithdrawn, CodeKeysStale (another entry
+// or a later try may do better) or CodeBadKey.
+func (r *Ring) Check(now time.Time, team core.TeamID, d core.KeyDigest) (core.Code, bool) {
+	if r.withdrawn[d] {
+		return core.CodeKeyWithdrawn, false
+	}
+	if !r.Fresh(now) {
+		// Without this, an entry that is cut off from the table and from other zones
+		// would accept a withdrawn key until the cut heals.
+		return core.CodeKeysStale, false
+	}
+	if owner, ok := r.teams[d]; !ok || owner != team {
+		return core.CodeBadKey, false
+	}
+	return core.CodeDone, true
+}
+
+// Len returns how many digests the ring knows, and how many of them ended.
+func (r *Ring) Len() (known, withdrawn int) { return len(r.teams), len(r.withdrawn) }
+
+func (r *Ring) end(d core.KeyDigest) bool {
+	if r.withdrawn[d] {
+		return false
+	}
+	put(&r.withdrawn, d, true)
+	return true
+}
+
+// regrant does nothing: a row without the mark may be older than a withdrawal that
+// was told directly, so it never ends one. The test's switch shows what would
+// happen.
+func (r *Ring) regrant(d core.KeyDigest) {
+	if r.forgetWithdraw {
+		delete(r.withdrawn, d)
+	}
+}
+
+func digestOf(key table.Key) (core.KeyDigest, bool) {
+	if len(key) <= len(table.PrefixKey) || key[:len(table.PrefixKey)] != table.PrefixKey {
+		return "", false
+	}
+	return core.KeyDigest(key[len(table.PrefixKey):]), true
+}
+
+func put[K comparable, T any](m *map[K]T, key K, value T) {
+	if *m == nil {
+		*m = make(map[K]T)
+	}
+	(*m)[key] = value
+}
--- a/core/table/keys.go
+++ b/core/table/keys.go
@@ -17,6 +17,8 @@
 	PrefixVM        = "vm/"
 	PrefixEntry     = "entry/"
 	PrefixWave      = "wave/"
+	// PrefixChange holds a row for each change id that took effect.
+	PrefixChange = "change/"
 )
 
 // ConfigHead is the row of the configuration's version and last change.
@@ -43,6 +45,9 @@
 // AuditKey returns the row of the record of an accepted change.
 func AuditKey(v core.Version) Key { return Key(fmt.Sprintf("%s%020d", PrefixAudit, uint64(v))) }
 
+// ChangeKey returns the row that says that a change took effect.
+func ChangeKey(id core.ChangeID) Key { return Key(PrefixChange + string(id)) }
+
 // ShardKey returns the row of a shard's holder.
 func ShardKey(z core.ZoneID, i core.ShardIndex) Key {
 	return Key(fmt.Sprintf("%s%s/%04d", PrefixShard, z, i))
