core/shard: add the query API and the state machine of the take-over rule

Cause: home needs to know whether this entry may start a request id; the model of the take-over rule exists only as a sketch outside the repository. Ruled out: durations in rows, acks dated on receipt, a refused connection as proof of death (a restarting listener refuses for an entry that lives).

--- /dev/null
+++ b/core/shard/balance.go
@@ -0,0 +1,168 @@
+package shard
+
+import (
+	"slices"
+	"time"
+
+	"lavenderpond/core"
+)
+
+// Limits of hand-overs, as multiples of the lease.
+const (
+	// moveLeases is how long a move may take before it is given up.
+	moveLeases = 8
+	// balanceLeases is how often an entry considers a move.
+	balanceLeases = 1
+	// maxMoves bounds the moves that an entry has under way.
+	maxMoves = 4
+)
+
+func (k *Keeper) isLive(id core.EntryID) bool { return slices.Contains(k.live, id) }
+
+// chooseSuccessor returns the live entry that is successor of the fewest shards,
+// "" if none is left besides this entry and except.
+func (k *Keeper) chooseSuccessor(s *state, except core.EntryID) core.EntryID {
+	load := k.load(func(r Row) core.EntryID { return r.Successor })
+	var best core.EntryID
+	for i := range k.live {
+		// Ties fall on another entry for each shard.
+		id := k.live[(i+int(s.index))%len(k.live)]
+		if id == k.p.Self || id == except || k.gone[id] || k.refused[id] {
+			continue
+		}
+		if best == "" || load[id] < load[best] {
+			best = id
+		}
+	}
+	return best
+}
+
+// load counts the shards by the entry that role names.
+func (k *Keeper) load(role func(Row) core.EntryID) map[core.EntryID]int {
+	n := make(map[core.EntryID]int, len(k.live))
+	for i := range k.shards {
+		n[role(k.shards[i].row)]++
+	}
+	return n
+}
+
+// balance moves a few shards at a time to the live entry that holds the fewest, if it
+// holds at least two less than this one: so moves end, and a new entry gets its
+// part within some seconds.
+func (k *Keeper) balance(now time.Time) {
+	if now.Before(k.nextBalance) || !k.releaseBy.IsZero() || !k.tableOK {
+		return
+	}
+	k.nextBalance = now.Add(balanceLeases * k.p.Lease)
+	held := k.load(func(r Row) core.EntryID { return r.Holder })
+	if held[""] > 0 {
+		return
+	}
+	least := k.p.Self
+	for _, id := range k.live {
+		if held[id] < held[least] && !k.gone[id] && !k.refused[id] {
+			least = id
+		}
+	}
+	for range maxMoves {
+		if held[k.p.Self]-k.moves(now)-held[least] < 2 || !k.move(now, least) {
+			return
+		}
+	}
+}
+
+// moves counts the moves under way.
+func (k *Keeper) moves(now time.Time) int {
+	n := 0
+	for i := range k.shards {
+		if s := &k.shards[i]; s.holds(k.p.Self) && now.Before(s.moveBy) {
+			n++
+		}
+	}
+	return n
+}
+
+// move begins to hand a shard over to id, one that already has it as successor if
+// there is one.
+func (k *Keeper) move(now time.Time, id core.EntryID) bool {
+	if k.moves(now) >= maxMoves {
+		return false
+	}
+	var best *state
+	for i := range k.shards {
+		s := &k.shards[i]
+		if !s.holds(k.p.Self) || now.Before(s.moveBy) {
+			continue
+		}
+		if best == nil || best.row.Successor != id && s.row.Successor == id {
+			best = s
+		}
+	}
+	if best == nil {
+		return false
+	}
+	best.moveTo, best.moveBy = id, now.Add(moveLeases*k.p.Lease)
+	return true
+}
+
+// handOver returns the row that makes the successor the holder, once it knows all
+// starts and no more are open.
+func (k *Keeper) handOver(now time.Time, s *state) (Row, bool) {
+	to := k.handOverTo(now, s)
+	inSync := s.row.InSync && s.row.Successor == to && !k.silent(now, s)
+	forced := !k.releaseBy.IsZero() && !now.Before(k.releaseBy)
+	if to == "" || !inSync && !forced {
+		s.closingBy = time.Time{}
+		return Row{}, false
+	}
+	if s.closingBy.IsZero() {
+		s.closingBy = now.Add(k.p.silentAfter())
+	}
+	if len(s.waiting) > 0 && now.Before(s.closingBy) && !forced {
+		return Row{}, false
+	}
+	return k.handOverRow(now, s, to, inSync), true
+}
+
+func (k *Keeper) handOverRow(now time.Time, s *state, to core.EntryID, inSync bool) Row {
+	row := Row{
+		Holder: to, Epoch: s.row.Epoch + 1, Successor: k.p.Self,
+		Former: k.p.Self, Mirrored: inSync, Horizon: s.row.Horizon,
+	}
+	if !k.releaseBy.IsZero() {
+		row.Successor = k.chooseSuccessor(s, to)
+	}
+	if !inSync {
+		row.Horizon = k.p.horizonAt(now)
+	}
+	return row
+}
+
+func (k *Keeper) handOverTo(now time.Time, s *state) core.EntryID {
+	if !k.releaseBy.IsZero() {
+		return s.row.Successor
+	}
+	if now.Before(s.moveBy) {
+		return s.moveTo
+	}
+	s.moveTo, s.moveBy = "", time.Time{}
+	return ""
+}
+
+// handingOver reports whether a swap that takes the shard from this entry may take
+// effect at any moment. From its send on, this entry starts nothing.
+func (k *Keeper) handingOver(s *state) bool {
+	return s.pending != nil && s.pending.Row.Holder != k.p.Self
+}
+
+// Holding returns how many shards this entry holds by its last word from the
+// table. A stopping daemon waits until it is 0.
+func (k *Keeper) Holding() int {
+	n := 0
+	for i := range k.shards {
+		if k.shards[i].holds(k.p.Self) {
+			n++
+		}
+	}
+	return n
+}
