--- /dev/null
+++ b/core/maintenance/fixed/fixed.go
@@ -0,0 +1,53 @@
+// Package fixed is the naive planner: fixed-size waves in the order of names,
+// each begun when the one before is back. It knows no budgets, racks or pace. It
+// is the baseline of measurements.
+package fixed
+
+import (
+	"time"
+
+	"lavenderpond/core/fleet"
+	"lavenderpond/core/maintenance"
+)
+
+// DefaultSize is how many VMs a wave takes at once.
+const DefaultSize = 5
+
+// Planner is a maintenance.Planner. Its zero value works.
+type Planner struct {
+	// Size is how many VMs a wave takes; 0 means DefaultSize.
+	Size int
+}
+
+var _ maintenance.Planner = Planner{}
+
+// Plan implements maintenance.Planner.
+func (p Planner) Plan(_ time.Time, v maintenance.View) []maintenance.Command {
+	if v.Wave.Status != maintenance.Running {
+		return nil
+	}
+	size := p.Size
+	if size == 0 {
+		size = DefaultSize
+	}
+	name := v.Wave.Name(v.Zone)
+	var commands []maintenance.Command
+	due := 0
+	for _, r := range v.VMs {
+		maintained := !r.VM.LastMaintained.Before(v.Wave.Began)
+		if r.VM.Wave == name && r.VM.State != fleet.Serving && !maintained {
+			return nil
+		}
+		if maintained {
+			continue
+		}
+		due++
+		if r.VM.State == fleet.Serving && len(commands) < size {
+			commands = append(commands, maintenance.Take{VM: r.Ref, Permit: fleet.Permit{Wave: name}})
+		}
+	}
+	if due == 0 {
+		return []maintenance.Command{maintenance.Finish{}}
+	}
+	return commands
+}
--- /dev/null
+++ b/core/maintenance/spread/spread.go
@@ -0,0 +1,214 @@
+// Package spread is the planner that the daemon runs. It spreads planned stops
+// over pools and racks, keeps room in each budget for ordinary failures, starts
+// each wave small, repairs spent budgets from the spare pool, and halts a wave
+// whose VMs do not come back.
+package spread
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"lavenderpond/core"
+	"lavenderpond/core/fleet"
+	"lavenderpond/core/maintenance"
+)
+
+// Defaults of Planner.
+const (
+	// DefaultRepairAfter leaves a failed VM time to restart by itself: most do, and
+	// a move would be wasted.
+	DefaultRepairAfter = 15 * time.Minute
+	// DefaultStopTime is the time that one planned stop is taken to need.
+	DefaultStopTime = time.Hour
+)
+
+// Planner is a maintenance.Planner. Its zero value works.
+type Planner struct {
+	// RepairAfter is how long a VM has failed before a spare one takes its place.
+	RepairAfter time.Duration
+	// StopTime is an estimate of a planned stop, from the permit to the return.
+	StopTime time.Duration
+	// Test-only: each switches one rule off.
+	noHalt, noReserve, noRamp, noRacks, noRepair bool
+}
+
+var _ maintenance.Planner = Planner{}
+
+// Plan implements maintenance.Planner. Repairs go on while a wave is paused or
+// halted: they raise availability.
+func (p Planner) Plan(now time.Time, v maintenance.View) []maintenance.Command {
+	r := newRound(p, now, v)
+	commands := r.repairs()
+	if v.Wave.Status != maintenance.Running {
+		return commands
+	}
+	if r.progress.NotBack > v.Wave.MaxNotBack && !p.noHalt {
+		reason := fmt.Sprintf("%d VMs did not come back, max_not_back is %d", r.progress.NotBack, v.Wave.MaxNotBack)
+		return append(commands, maintenance.Halt{Reason: reason})
+	}
+	if r.progress.Maintained == r.progress.Total {
+		return append(commands, maintenance.Finish{})
+	}
+	return append(commands, r.takes()...)
+}
+
+// round is one call of Plan.
+type round struct {
+	Planner
+	now      time.Time
+	view     maintenance.View
+	name     string
+	progress maintenance.Progress
+	pools    map[core.PoolID]*pool
+	racks    map[core.RackID]rack
+	spare    core.PoolID
+	// out and back count VMs of this wave.
+	out, back int
+}
+
+type pool struct {
+	fleet.Pool
+	// room is how many more VMs may be taken out, by this round's knowledge.
+	room int
+	// due counts the VMs of this zone that are yet to be maintained.
+	due int
+	// incoming counts VMs that are on their way to the pool.
+	incoming int
+}
+
+type rack struct{ planned, failed int }
+
+func newRound(p Planner, now time.Time, v maintenance.View) *round {
+	r := &round{
+		Planner: p, now: now, view: v, name: v.Wave.Name(v.Zone),
+		progress: maintenance.ProgressOf(now, v.Zone, v.Wave, v.VMs),
+		pools:    make(map[core.PoolID]*pool, len(v.Pools)),
+		racks:    make(map[core.RackID]rack),
+	}
+	if r.RepairAfter == 0 {
+		r.RepairAfter = DefaultRepairAfter
+	}
+	if r.StopTime == 0 {
+		r.StopTime = DefaultStopTime
+	}
+	for id, row := range v.Pools {
+		r.pools[id] = &pool{Pool: row.Pool, room: row.Pool.Headroom()}
+		if row.Pool.Spare {
+			r.spare = id
+		}
+	}
+	for _, vm := range v.VMs {
+		r.count(vm.VM)
+	}
+	return r
+}
+
+func (r *round) count(vm fleet.VM) {
+	if p := r.pools[vm.Pool]; p != nil && r.isDue(vm) {
+		p.due++
+	}
+	if p := r.pools[vm.MoveTo]; p != nil {
+		p.incoming++
+	}
+	k := r.racks[vm.Rack]
+	switch vm.State {
+	case fleet.Serving:
+		if vm.Wave == r.name && !r.isDue(vm) {
+			r.back++
+		}
+		return
+	case fleet.Failed:
+		k.failed++
+	default:
+		k.planned++
+		if vm.Wave == r.name {
+			r.out++
+		}
+	}
+	r.racks[vm.Rack] = k
+}
+
+func (r *round) isDue(vm fleet.VM) bool { return vm.LastMaintained.Before(r.view.Wave.Began) }
+
+// takes chooses the VMs to take out now, those of the tightest pool first.
+func (r *round) takes() []maintenance.Command {
+	var commands []maintenance.Command
+	allowed := r.ramp() - r.out
+	for _, vm := range r.candidates() {
+		if len(commands) >= allowed {
+			break
+		}
+		p := r.pools[vm.VM.Pool]
+		pressed := r.pressed(p)
+		if p.room-r.reserve(p, pressed) < 1 || r.rackBlocked(vm.VM.Rack, pressed) {
+			continue
+		}
+		p.room--
+		k := r.racks[vm.VM.Rack]
+		k.planned++
+		r.racks[vm.VM.Rack] = k
+		commands = append(commands, maintenance.Take{VM: vm.Ref, Permit: fleet.Permit{Change: r.change(vm), Wave: r.name}})
+	}
+	return commands
+}
+
+func (r *round) candidates() []fleet.VMRow {
+	var due []fleet.VMRow
+	for _, vm := range r.view.VMs {
+		p := r.pools[vm.VM.Pool]
+		if p != nil && p.room > 0 && vm.VM.State == fleet.Serving && r.isDue(vm.VM) {
+			due = append(due, vm)
+		}
+	}
+	slices.SortStableFunc(due, func(a, b fleet.VMRow) int {
+		pa, pb := r.pools[a.VM.Pool], r.pools[b.VM.Pool]
+		// due/max descending, compared without a division.
+		tighter := cmp.Compare(pb.due*max(pa.MaxUnavailable, 1), pa.due*max(pb.MaxUnavailable, 1))
+		return cmp.Or(tighter, a.VM.NextDue.Compare(b.VM.NextDue))
+	})
+	return due
+}
+
+// ramp bounds how many VMs of the wave may be out at once: one at first, more as
+// VMs come back, fewer as they don't.
+//
+// A reboot that breaks VMs would otherwise break as many as the budgets allow
+// before the first is missed.
+func (r *round) ramp() int {
+	if r.noRamp {
+		return len(r.view.VMs)
+	}
+	bound := r.view.Wave.MaxNotBack + 1
+	return max(1, (1+2*r.back)*(bound-r.progress.NotBack)/bound)
+}
+
+// reserve is the part of a budget that is left to unplanned failures, so that an
+// ordinary one doesn't go beyond it. A pool that would miss its deadline, or has
+// a budget of one, has none.
+func (r *round) reserve(p *pool, pressed bool) int {
+	if pressed || r.noReserve || p.MaxUnavailable < 2 {
+		return 0
+	}
+	return 1
+}
+
+// pressed reports whether p's due VMs, taken with the reserve kept, would take
+// longer than the time that is left.
+func (r *round) pressed(p *pool) bool {
+	left := r.view.Wave.Deadline.Sub(r.now)
+	needed := time.Duration(p.due) * r.StopTime / time.Duration(max(p.MaxUnavailable-1, 1))
+	return needed > left
+}
+
+// rackBlocked keeps planned stops of one rack apart, and away from a rack that
+// may be failing. The latter gives way to the deadline.
+func (r *round) rackBlocked(id core.RackID, pressed bool) bool {
+	k := r.racks[id]
+	return !r.noRacks && (k.planned > 0 || k.failed > 0 && !pressed)
+}
+
+func (r *round) change(vm fleet.VMRow) core.ChangeID {
+	return core.ChangeID(fmt.Sprintf("%s/%s/%d", r.name, vm.Ref.VM, vm.Row.Version))
+}
--- /dev/null
+++ b/io/platform/controller.go
@@ -0,0 +1,212 @@
+package platform
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"lavenderpond/core"
+	"lavenderpond/core/fleet"
+	"lavenderpond/core/maintenance"
+	"lavenderpond/core/table"
+	"lavenderpond/io/supervisor"
+)
+
+// Defaults of Controller.
+const (
+	DefaultControlInterval = 5 * time.Second
+	// leaseIntervals is how many intervals a lease outlasts its renewal.
+	leaseIntervals = 4
+	// checksPerTick is how many serving VMs are looked at in each tick even though
+	// nothing speaks against them, because the live list may lag for long.
+	checksPerTick = 4
+)
+
+// Controller carries out a zone's maintenance. Every entry of the zone runs one;
+// the lease row lets one of them work. Two at once, or one that was paused for
+// any time, do no harm: each transaction checks the rows that it relies on, and
+// each reboot carries the deadline before which the VM can't serve again.
+type Controller struct {
+	Zone    core.ZoneID
+	Self    core.EntryID
+	Table   Table
+	Live    LiveList
+	VMs     VMControl
+	Now     func() time.Time
+	Log     zerolog.Logger
+	Planner maintenance.Planner
+	Driver  maintenance.Driver
+	// Interval between ticks; 0 means DefaultControlInterval.
+	Interval time.Duration
+
+	mu       sync.Mutex
+	suspects map[core.VMID]bool
+	state    ControllerState
+
+	vms    rowCache
+	pools  rowCache
+	listed map[core.VMID]bool
+	next   int
+	// Test-only: switches the check of a reboot's deadline off.
+	noDeadline bool
+}
+
+// ControllerState is what a dump shows of a Controller.
+type ControllerState struct {
+	Holds     bool                 `json:"holds"`
+	Wave      maintenance.Wave     `json:"wave"`
+	Progress  maintenance.Progress `json:"progress"`
+	LastTick  time.Time            `json:"last_tick,omitzero"`
+	LastError string               `json:"last_error,omitempty"`
+}
+
+// Child returns the controller's part of the daemon's tree.
+func (c *Controller) Child() supervisor.Child {
+	return supervisor.Child{Name: "controller", Run: func(ctx context.Context) error {
+		return supervisor.Every(ctx, c.interval(), func(ctx context.Context) { c.run(ctx) })
+	}}
+}
+
+// Suspect makes the next tick look at vm, which refused a connection.
+func (c *Controller) Suspect(vm core.VMID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.suspects == nil {
+		c.suspects = make(map[core.VMID]bool)
+	}
+	c.suspects[vm] = true
+}
+
+// State returns what the controller last did.
+func (c *Controller) State() ControllerState {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state
+}
+
+func (c *Controller) run(ctx context.Context) {
+	err := c.Tick(ctx)
+	c.mu.Lock()
+	c.state.LastTick, c.state.LastError = c.Now(), ""
+	if err != nil {
+		c.state.LastError = err.Error()
+	}
+	c.mu.Unlock()
+	if err != nil {
+		c.Log.Warn().Err(err).Str("zone", string(c.Zone)).Str("code", core.ErrorCode(err).String()).Msg("maintenance tick failed")
+	}
+}
+
+// Tick acquires or renews the lease, takes every VM that is out a step further,
+// and takes out the VMs that the planner chooses.
+func (c *Controller) Tick(ctx context.Context) error {
+	held, err := c.acquire(ctx)
+	if err != nil || !held {
+		return err
+	}
+	if err := c.refresh(ctx); err != nil {
+		return err
+	}
+	vms, err := c.vms.vms()
+	if err != nil {
+		return err
+	}
+	for _, vm := range c.toCheck(ctx, vms) {
+		if err := c.step(ctx, vm.vm, vm.leaving); err != nil {
+			return err
+		}
+	}
+	return c.plan(ctx)
+}
+
+func (c *Controller) acquire(ctx context.Context) (bool, error) {
+	row, err := c.Table.Read(ctx, maintenance.LeaseKey(c.Zone))
+	if err != nil {
+		return false, err
+	}
+	now := c.Now()
+	t, held, err := maintenance.Acquire(now, row, c.Self, now.Add(leaseIntervals*c.interval()))
+	if err == nil && held {
+		err = c.Table.Transact(ctx, t)
+	}
+	if errors.Is(err, table.ErrConflict) {
+		held, err = false, nil
+	}
+	c.mu.Lock()
+	c.state.Holds = held && err == nil
+	c.mu.Unlock()
+	return held, err
+}
+
+func (c *Controller) refresh(ctx context.Context) error {
+	c.vms.prefix = table.PrefixVM + string(c.Zone) + "/"
+	c.pools.prefix = table.PrefixPool
+	if _, err := c.vms.poll(ctx, c.Table); err != nil {
+		return err
+	}
+	_, err := c.pools.poll(ctx, c.Table)
+	return err
+}
+
+// checked is a VM to look at in this tick.
+type checked struct {
+	vm      fleet.VMRow
+	leaving bool
+}
+
+// toCheck returns the VMs that are out, those that something speaks against, and
+// a few others in turn.
+func (c *Controller) toCheck(ctx context.Context, vms []fleet.VMRow) []checked {
+	leaving, gone := c.readList(ctx)
+	suspects := c.takeSuspects()
+	var list []checked
+	for i, vm := range vms {
+		id := vm.Ref.VM
+		turn := (i-c.next+len(vms))%len(vms) < checksPerTick
+		if vm.VM.State != fleet.Serving || leaving[id] || gone[id] || suspects[id] || turn {
+			list = append(list, checked{vm: vm, leaving: leaving[id]})
+		}
+	}
+	if len(vms) > 0 {
+		c.next = (c.next + checksPerTick) % len(vms)
+	}
+	return list
+}
+
+// readList returns the VMs that are listed as leaving, and those that were
+// listed before and aren't any more. A list that can't be read says nothing.
+func (c *Controller) readList(ctx context.Context) (leaving, gone map[core.VMID]bool) {
+	live, err := c.Live.Live(ctx, c.Zone)
+	if err != nil {
+		return nil, nil
+	}
+	leaving, gone = make(map[core.VMID]bool), make(map[core.VMID]bool)
+	listed := make(map[core.VMID]bool, len(live))
+	for _, l := range live {
+		listed[core.VMID(l.Name)] = true
+		leaving[core.VMID(l.Name)] = l.Leaving
+	}
+	for id := range c.listed {
+		gone[id] = !listed[id]
+	}
+	c.listed = listed
+	return leaving, gone
+}
+
+func (c *Controller) takeSuspects() map[core.VMID]bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.suspects
+	c.suspects = nil
+	return s
+}
+
+func (c *Controller) interval() time.Duration {
+	if c.Interval == 0 {
+		return DefaultControlInterval
+	}
+	return c.Interval
+}
--- /dev/null
+++ b/io/platform/fleet.go
@@ -0,0 +1,158 @@
+package platform
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"lavenderpond/core"
+	"lavenderpond/core/fleet"
+	"lavenderpond/core/route"
+	"lavenderpond/core/table"
+	"lavenderpond/io/supervisor"
+)
+
+// DefaultWatchInterval is how often a FleetWatcher polls. It is part of how long
+// a leaving VM may still get new work.
+const DefaultWatchInterval = time.Second
+
+// FleetWatcher keeps an entry's view of its zone's VMs and of the pools, from
+// the table, the live list and what connections show. While the table or the
+// list can't be reached, the view stays as it is. It is safe for concurrent use.
+type FleetWatcher struct {
+	Zone  core.ZoneID
+	Table Table
+	Live  LiveList
+	Now   func() time.Time
+	// Interval between polls; 0 means DefaultWatchInterval.
+	Interval time.Duration
+	// Probe asks a VM that refused or was unreachable whether it takes work again.
+	// Without it, such a VM waits until it was verified by the controller.
+	Probe func(ctx context.Context, vm fleet.VMRow) bool
+	// OnChange gets the targets whenever they may have changed.
+	OnChange func(targets []route.Target)
+
+	mu      sync.Mutex
+	members fleet.Membership
+	vms     rowCache
+	pools   rowCache
+}
+
+// Child returns the watcher's part of the daemon's tree.
+func (w *FleetWatcher) Child() supervisor.Child {
+	interval := w.Interval
+	if interval == 0 {
+		interval = DefaultWatchInterval
+	}
+	return supervisor.Child{Name: "fleet_watcher", Run: func(ctx context.Context) error {
+		return supervisor.Every(ctx, interval, func(ctx context.Context) { _ = w.Poll(ctx) })
+	}}
+}
+
+// Poll fetches once from each source. It returns the first error, after all
+// sources were tried.
+func (w *FleetWatcher) Poll(ctx context.Context) error {
+	errRows := w.pollRows(ctx)
+	errList := w.pollList(ctx)
+	w.probe(ctx)
+	if errRows != nil {
+		return errRows
+	}
+	return errList
+}
+
+// Targets returns the VMs that may get new work.
+func (w *FleetWatcher) Targets() []route.Target {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.members.Targets()
+}
+
+// VM returns what the VM's row said when it was last read.
+func (w *FleetWatcher) VM(vm core.VMID) (fleet.VMRow, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.members.Row(vm)
+}
+
+// Pool returns the pool's state as last read.
+func (w *FleetWatcher) Pool(id core.PoolID) (fleet.Pool, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	row, ok := w.pools.rows[table.PoolStateKey(id)]
+	if !ok {
+		return fleet.Pool{}, false
+	}
+	pool, err := fleet.DecodePool(row)
+	return pool.Pool, err == nil
+}
+
+// Refused tells that a VM answered that it is leaving.
+func (w *FleetWatcher) Refused(vm core.VMID) { w.handle(fleet.Refused{VM: vm}) }
+
+// Unreachable tells that no connection to a VM could be made.
+func (w *FleetWatcher) Unreachable(vm core.VMID) { w.handle(fleet.Unreachable{VM: vm}) }
+
+// Answered tells that a VM took work that was sent at asked.
+func (w *FleetWatcher) Answered(vm core.VMID, asked time.Time) {
+	w.handle(fleet.Answered{VM: vm, Asked: asked})
+}
+
+func (w *FleetWatcher) pollRows(ctx context.Context) error {
+	// The cache of VMs only carries the revision: Membership keeps the rows.
+	rows, revision, err := w.Table.Changes(ctx, table.PrefixVM+string(w.Zone)+"/", w.vms.since)
+	if err != nil {
+		return err
+	}
+	w.vms.since = revision
+	if len(rows) > 0 {
+		w.handle(fleet.RowsChanged{Rows: rows})
+	}
+	pools := rowCache{prefix: table.PrefixPool, since: w.pools.since}
+	changed, err := pools.poll(ctx, w.Table)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.pools.since = pools.since
+	for _, row := range changed {
+		w.pools.put(row)
+	}
+	return err
+}
+
+func (w *FleetWatcher) pollList(ctx context.Context) error {
+	live, err := w.Live.Live(ctx, w.Zone)
+	if err != nil {
+		return err
+	}
+	listed := make([]fleet.ListedVM, 0, len(live))
+	for _, l := range live {
+		listed = append(listed, fleet.ListedVM{VM: core.VMID(l.Name), Leaving: l.Leaving})
+	}
+	w.handle(fleet.Listed{VMs: listed})
+	return nil
+}
+
+func (w *FleetWatcher) probe(ctx context.Context) {
+	if w.Probe == nil {
+		return
+	}
+	w.mu.Lock()
+	due := w.members.Probes(w.Now())
+	w.mu.Unlock()
+	for _, vm := range due {
+		asked := w.Now()
+		if w.Probe(ctx, vm) {
+			w.handle(fleet.Answered{VM: vm.Ref.VM, Asked: asked})
+		}
+	}
+}
+
+func (w *FleetWatcher) handle(e fleet.Event) {
+	w.mu.Lock()
+	changed := w.members.Handle(w.Now(), e)
+	targets := w.members.Targets()
+	w.mu.Unlock()
+	if changed && w.OnChange != nil {
+		w.OnChange(targets)
+	}
+}
--- a/io/platform/standin/live.go
+++ b/io/platform/standin/live.go
@@ -41,17 +41,22 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for _, p := range posts {
+		s.list(p)
+	}
+}
+
+// list takes in a post. The caller holds the mutex.
+func (s *Server) list(p LivePost) {
 	if s.live == nil {
 		s.live = make(map[string]*liveVM)
 	}
-	for _, p := range posts {
-		key := liveKey(p.Zone, p.Name)
-		if p.Gone {
-			delete(s.live, key)
-			continue
-		}
-		s.live[key] = &liveVM{Liveness: p.Liveness, control: p.Control, until: s.now().Add(LiveLag)}
+	key := liveKey(p.Zone, p.Name)
+	if p.Gone {
+		delete(s.live, key)
+		return
 	}
+	s.live[key] = &liveVM{Liveness: p.Liveness, control: p.Control, until: s.now().Add(LiveLag)}
 }
 
 func (s *Server) getLive(w http.ResponseWriter, r *http.Request) {
