--- a/cmd/lavenderpond-standin/platform.go
+++ b/cmd/lavenderpond-standin/platform.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"lavenderpond/io/platform/standin"
+	"lavenderpond/io/supervisor"
 )
 
 type platformCommand struct {
@@ -17,5 +18,9 @@
 func (c *platformCommand) Run(ctx context.Context, log zerolog.Logger) error {
 	log.Info().Stringer("listen", c.Listen).Msg("platform stand-in serves")
 	var s standin.Server
-	return serve(ctx, c.Listen, s.Handler(), 0)
+	node := supervisor.Node{Name: "platform", Log: log, Children: []supervisor.Child{
+		{Name: "entries", Run: s.WatchEntries},
+		{Name: "http", Run: func(ctx context.Context) error { return serve(ctx, c.Listen, s.Handler(), 0) }},
+	}}
+	return node.Run(ctx)
 }
--- a/core/home/dispatch.go
+++ b/core/home/dispatch.go
@@ -45,6 +45,11 @@
 	}
 	want.Tried = r.tried
 	vm, ok := h.Router.Pick(now, want)
+	if !ok {
+		// A small pool may have no untried target; the bound on refusals ends it.
+		want.Tried = nil
+		vm, ok = h.Router.Pick(now, want)
+	}
 	if !ok {
 		return "", false
 	}
@@ -64,14 +69,22 @@
 	r.slotHeld = true
 	h.Router.Started(now, vm)
 	h.waiting[r.request.Key] = r
+	if r.request.Idempotent || r.mirrored {
+		// The successor takes a mirrored id for started already; further targets
+		// after a certain "not started" change nothing about that.
+		h.dispatch(now, r)
+		return
+	}
 	start := shard.Start{Key: r.request.Key, Deadline: r.request.Deadline, VM: vm}
-	if r.request.Idempotent || h.Rights.Start(now, start) {
+	if h.Rights.Start(now, start) {
+		r.mirrored = true
 		h.dispatch(now, r)
 	}
 }
 
 func (h *Home) startAllowed(now time.Time, key core.RequestKey) {
 	if r := h.records[key]; r != nil && r.phase == announced {
+		r.mirrored = true
 		h.dispatch(now, r)
 	}
 }
@@ -113,9 +126,17 @@
 }
 
 func (h *Home) endAtTarget(now time.Time, r *record, result route.Result) {
-	if r.slotHeld {
-		r.slotHeld = false
-		h.Router.Ended(now, r.vm, result, now.Sub(r.startedAt))
+	if !r.slotHeld {
+		return
+	}
+	r.slotHeld = false
+	var run time.Duration
+	if result == route.Succeeded || result == route.Failed {
+		run = now.Sub(r.startedAt)
+	}
+	h.Router.Ended(now, r.vm, result, run)
+	if r.request.Queue != "" {
+		h.Queue.Observe(now, r.request.Queue, r.request.Key.Team, run)
 	}
 }
 
--- a/core/home/ended.go
+++ b/core/home/ended.go
@@ -1,7 +1,6 @@
 package home
 
 import (
-	"slices"
 	"time"
 
 	"lavenderpond/core"
@@ -21,7 +20,6 @@
 	}
 	switch end := e.End.(type) {
 	case Answered:
-		h.Queue.Observe(now, r.request.Queue, r.request.Key.Team, now.Sub(r.startedAt))
 		h.releaseSlots(now, r, route.Succeeded)
 		h.finish(r, core.Done{VM: r.vm, Body: end.Body})
 	case NotStarted:
@@ -68,7 +66,7 @@
 	notBefore := now
 	switch reason {
 	case Invalid:
-		r.tried = appendOnce(r.tried, r.vm)
+		r.tried = append(r.tried, r.vm)
 		if len(r.tried) >= h.Times.MaxTargets {
 			h.finishNotRun(now, r, core.NotRun{Code: core.CodeCannotRun})
 			return
@@ -87,8 +85,8 @@
 // again, at another target, within the retry budget and a bounded number of
 // targets.
 func (h *Home) failed(now time.Time, r *record, code core.Code) {
-	r.tried = appendOnce(r.tried, r.vm)
-	if !r.request.Idempotent || !now.Before(r.request.Deadline) {
+	r.tried = append(r.tried, r.vm)
+	if !r.request.Idempotent && !h.off.retryLost || !now.Before(r.request.Deadline) {
 		h.finish(r, core.OutcomeUnknown{Code: code})
 		return
 	}
@@ -148,16 +146,9 @@
 func (h *Home) giveUpAsking(now time.Time, r *record) {
 	delete(h.asking, r.request.Key)
 	h.endAtTarget(now, r, route.Failed)
-	if r.request.Idempotent {
+	if r.request.Idempotent || h.off.retryLost {
 		h.failed(now, r, core.CodeAnswerLost)
 		return
 	}
 	h.finish(r, core.OutcomeUnknown{Code: core.CodeAnswerLost})
 }
-
-func appendOnce(vms []core.VMID, vm core.VMID) []core.VMID {
-	if slices.Contains(vms, vm) {
-		return vms
-	}
-	return append(vms, vm)
-}
--- a/core/home/home.go
+++ b/core/home/home.go
@@ -62,7 +62,7 @@
 		AskEvery:   200 * time.Millisecond,
 		AskFor:     2 * time.Second,
 		FullPause:  10 * time.Millisecond,
-		MaxTargets: 3,
+		MaxTargets: retry.MaxTargets,
 	}
 }
 
@@ -84,6 +84,8 @@
 	commands []Command
 	stopping bool
 	counts   Counts
+	// off switches safeguards off, in tests only.
+	off struct{ retryLost bool }
 }
 
 // Counts are running totals for metrics and dumps.
--- a/core/home/record.go
+++ b/core/home/record.go
@@ -44,6 +44,8 @@
 	tried      []core.VMID
 	notBefore  time.Time
 	cancelled  bool
+	// mirrored says that Rights.Start allowed this request once.
+	mirrored bool
 	// slotHeld says that the router counts a slot of vm for this record.
 	slotHeld bool
 
--- /dev/null
+++ b/core/home/session_test.go
@@ -0,0 +1,276 @@
+package home
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/golden"
+
+	"lavenderpond/core"
+	"lavenderpond/core/queue/fifo"
+	"lavenderpond/core/retry"
+	"lavenderpond/core/route"
+	"lavenderpond/core/route/random"
+	"lavenderpond/core/shard"
+)
+
+var epoch = time.Date(2026, 12, 2, 20, 0, 0, 0, time.UTC)
+
+// fakeRights grants everything until a time, with or without a mirror.
+type fakeRights struct {
+	until  time.Time
+	mirror bool
+	known  map[core.RequestKey]bool
+}
+
+func (f *fakeRights) Decide(now time.Time, key core.RequestKey, _, _ time.Time) shard.Verdict {
+	switch {
+	case f.known[key]:
+		return shard.Unknown{Code: core.CodeHomeReplaced}
+	case !now.Before(f.until):
+		return shard.Wait{ComeBackAt: now.Add(time.Second)}
+	}
+	return shard.Run{StartBy: f.until}
+}
+
+func (f *fakeRights) RightUntil(time.Time, core.RequestKey) time.Time { return f.until }
+
+func (f *fakeRights) Start(time.Time, shard.Start) bool { return !f.mirror }
+
+// fakeConfig knows the queue "stack", served by the pool "p", and one good key.
+type fakeConfig struct{ withdrawn map[core.KeyDigest]bool }
+
+func (f *fakeConfig) Pool(_ time.Time, q core.QueueID) (core.PoolID, bool, bool) {
+	return "p", false, q == "stack"
+}
+
+func (f *fakeConfig) KeyGood(_ time.Time, _ core.TeamID, d core.KeyDigest) (core.Code, bool) {
+	if f.withdrawn[d] {
+		return core.CodeKeyWithdrawn, false
+	}
+	return 0, true
+}
+
+// fakeLimiter holds each team to a limit, with leases.
+type fakeLimiter struct {
+	limit core.Slots
+	held  map[core.RequestKey]time.Time
+}
+
+func (f *fakeLimiter) Acquire(now time.Time, key core.RequestKey, until time.Time) bool {
+	if f.Running(now, key.Team) >= f.limit {
+		return false
+	}
+	f.held[key] = until
+	return true
+}
+
+func (f *fakeLimiter) Release(key core.RequestKey) { delete(f.held, key) }
+
+func (f *fakeLimiter) Running(now time.Time, team core.TeamID) core.Slots {
+	var n core.Slots
+	for key, until := range f.held {
+		if key.Team == team && now.Before(until) {
+			n++
+		}
+	}
+	return n
+}
+
+func (f *fakeLimiter) Wanted(time.Time, core.TeamID) {}
+
+// bench is a home with fakes around it that writes down all that happens.
+type bench struct {
+	home   *Home
+	rights *fakeRights
+	config *fakeConfig
+	limits *fakeLimiter
+	now    time.Time
+	next   Waiter
+	out    strings.Builder
+}
+
+func newBench(limit core.Slots, vms ...core.VMID) *bench {
+	b := &bench{
+		rights: &fakeRights{until: epoch.Add(time.Hour), known: map[core.RequestKey]bool{}},
+		config: &fakeConfig{withdrawn: map[core.KeyDigest]bool{}},
+		limits: &fakeLimiter{limit: limit, held: map[core.RequestKey]time.Time{}},
+		now:    epoch,
+	}
+	router := &random.Router{Rand: rand.New(rand.NewPCG(1, 2))}
+	var targets []route.Target
+	for _, vm := range vms {
+		targets = append(targets, route.Target{VM: vm, Pool: "p", Slots: 1, Connections: 8})
+	}
+	router.Update(epoch, targets, nil)
+	b.home = &Home{
+		Times: DefaultTimes(), Rights: b.rights, Config: b.config, Queue: &fifo.Queue{},
+		Router: router, Limiter: b.limits,
+		Budget: &retry.TokenBucket{Rand: rand.New(rand.NewPCG(3, 4))},
+	}
+	return b
+}
+
+func (b *bench) note(format string, args ...any) { fmt.Fprintf(&b.out, "# "+format+"\n", args...) }
+
+func (b *bench) wait(d time.Duration) { b.now = b.now.Add(d) }
+
+func (b *bench) do(e Event) []Command {
+	commands := b.home.Handle(b.now, e)
+	fmt.Fprintf(&b.out, "%s > %s\n", b.now.Sub(epoch), show(e))
+	for _, c := range commands {
+		fmt.Fprintf(&b.out, "    %s\n", show(c))
+	}
+	return commands
+}
+
+func (b *bench) submit(id core.RequestID, attempt core.Attempt, change ...func(*core.Request)) []Command {
+	b.next++
+	req := core.Request{
+		Key: core.RequestKey{Team: "lyra", ID: id}, KeyDigest: "good", Attempt: attempt,
+		Deadline: epoch.Add(10 * time.Second), FirstSent: epoch, Queue: "stack", Body: []byte("frames of " + id),
+	}
+	for _, f := range change {
+		f(&req)
+	}
+	return b.do(Submit{Request: req, Waiter: b.next})
+}
+
+func key(id core.RequestID) core.RequestKey { return core.RequestKey{Team: "lyra", ID: id} }
+
+// show writes events and commands shortly, one a line.
+func show(v any) string {
+	switch v := v.(type) {
+	case Submit:
+		return fmt.Sprintf("submit %s attempt=%d waiter=%d", v.Request.Key, v.Request.Attempt, v.Waiter)
+	case Dispatch:
+		return fmt.Sprintf("dispatch %s to=%s number=%d start_by=%s lease_until=%s", v.Request.Key, v.VM, v.Number,
+			v.StartBy.Sub(epoch), v.LeaseUntil.Sub(epoch))
+	case Reply:
+		return fmt.Sprintf("reply waiter=%d %s %s", v.Waiter, v.Key, showAnswer(v.Answer))
+	case Ended:
+		return fmt.Sprintf("ended %s number=%d %T%+v", v.Key, v.Number, v.End, v.End)
+	default:
+		return fmt.Sprintf("%T%+v", v, v)
+	}
+}
+
+func showAnswer(a core.Answer) string {
+	switch a := a.(type) {
+	case core.Done:
+		return fmt.Sprintf("done vm=%s body=%q", a.VM, a.Body)
+	case core.NotRun:
+		return "not_run " + a.Code.String()
+	case core.OutcomeUnknown:
+		return "outcome_unknown " + a.Code.String()
+	default:
+		return fmt.Sprintf("%T%+v", a, a)
+	}
+}
+
+func TestSessionOneRequest(t *testing.T) {
+	b := newBench(4, "vm-1")
+	b.note("One slot: the second request waits; a further attempt of the first joins it.")
+	b.submit("a", 1)
+	b.submit("b", 1)
+	b.submit("a", 2)
+	b.wait(40 * time.Millisecond)
+	b.do(Ended{Key: key("a"), Number: 1, End: Answered{Body: []byte("plate a")}})
+	b.note("The answer is kept: an attempt after it runs nothing.")
+	b.submit("a", 3)
+	b.note("The same id with another body is another request, and is refused.")
+	b.submit("a", 4, func(r *core.Request) { r.Body = []byte("else") })
+	b.note("A late end of an old dispatch changes nothing.")
+	b.do(Ended{Key: key("a"), Number: 1, End: Lost{}})
+	b.do(Ended{Key: key("b"), Number: 1, End: Answered{Body: []byte("plate b")}})
+	golden.Assert(t, b.out.String(), "session_one_request.golden")
+}
+
+// TestSessionLostAnswer: the target runs the stack, then its answer is lost. The
+// caller must not be told "not run", and no second target may get the request.
+// The home asks the target; a target that can't be asked leaves the outcome
+// unknown, with the team's slot counted until the lease has ended.
+func TestSessionLostAnswer(t *testing.T) {
+	b := newBench(1, "vm-1", "vm-2")
+	b.submit("a", 1)
+	b.do(Ended{Key: key("a"), Number: 1, End: Lost{}})
+	b.submit("a", 2)
+	b.do(Asked{Key: key("a"), Finding: FoundDone{Body: []byte("plate a")}})
+	b.submit("b", 1)
+	b.do(Ended{Key: key("b"), Number: 1, End: Damaged{}})
+	b.wait(2100 * time.Millisecond)
+	b.do(Asked{Key: key("b"), Finding: FoundNothing{}})
+	b.note("The team's only slot is still counted, although vm-2 is free.")
+	b.submit("c", 1)
+	b.wait(8200 * time.Millisecond)
+	b.do(Tick{})
+	b.note("The lease of b has ended by every clock: the slot is free.")
+	b.submit("d", 1, func(r *core.Request) { r.Deadline = epoch.Add(30 * time.Second) })
+	golden.Assert(t, b.out.String(), "session_lost_answer.golden")
+}
+
+func TestSessionRefusals(t *testing.T) {
+	b := newBench(4, "vm-1")
+	b.submit("a", 1)
+	b.note("Cancelled while queued: not run, and it stays so.")
+	b.submit("b", 1)
+	b.do(Cancel{Key: key("b"), Waiter: 90})
+	b.submit("b", 2)
+	b.note("Cancelled while running: stopped, and the outcome is unknown.")
+	b.do(Cancel{Key: key("a"), Waiter: 91})
+	b.do(Ended{Key: key("a"), Number: 1, End: Stopped{}})
+	b.note("A cancellation that overtakes its request.")
+	b.do(Cancel{Key: key("c"), Waiter: 92})
+	b.submit("c", 1)
+	b.note("The job is called invalid three times, by the only target there is: given up.")
+	b.submit("d", 1)
+	b.do(Ended{Key: key("d"), Number: 1, End: NotStarted{Reason: Invalid}})
+	b.do(Ended{Key: key("d"), Number: 2, End: NotStarted{Reason: Invalid}})
+	b.do(Ended{Key: key("d"), Number: 3, End: NotStarted{Reason: Invalid}})
+	b.note("A withdrawn key: what waits is refused, what runs finishes.")
+	b.submit("e", 1)
+	b.submit("f", 1)
+	b.config.withdrawn["good"] = true
+	b.do(KeyWithdrawn{Digest: "good"})
+	b.submit("g", 1)
+	b.do(Ended{Key: key("e"), Number: 1, End: Answered{Body: []byte("plate e")}})
+	golden.Assert(t, b.out.String(), "session_refusals.golden")
+}
+
+// TestSessionRightLapses: the holder is frozen while a start waits for its
+// mirror and wakes after its right has lapsed. Nothing may be dispatched, and
+// "not run" may not be said: the successor may have started a retry meanwhile.
+func TestSessionRightLapses(t *testing.T) {
+	b := newBench(4, "vm-1")
+	b.rights.mirror = true
+	b.rights.until = epoch.Add(2 * time.Second)
+	b.submit("a", 1)
+	b.submit("b", 1)
+	b.wait(3 * time.Second)
+	b.do(StartAllowed{Key: key("a")})
+	b.do(Tick{})
+	b.submit("c", 1)
+	b.submit("c", 2)
+	b.wait(8 * time.Second)
+	b.do(Tick{})
+	b.note("Inherited from a former holder: asked about, never dispatched.")
+	b.rights.until = epoch.Add(time.Hour)
+	b.do(Inherited{Start: shard.Start{Key: key("z"), Deadline: epoch.Add(20 * time.Second), VM: "vm-9"}})
+	b.submit("z", 2)
+	b.do(Asked{Key: key("z"), Finding: FoundDone{Body: []byte("plate z")}})
+	golden.Assert(t, b.out.String(), "session_right_lapses.golden")
+}
+
+// sortedKeys returns a map's keys in order, for failures that repeat exactly.
+func sortedKeys[V any](m map[core.RequestKey]V) []core.RequestKey {
+	var keys []core.RequestKey
+	for k := range m {
+		keys = append(keys, k)
+	}
+	sort.Slice(keys, func(i, j int) bool { return keys[i].String() < keys[j].String() })
+	return keys
+}
--- a/core/home/submit.go
+++ b/core/home/submit.go
@@ -69,6 +69,8 @@
 	case shard.Run:
 	case shard.Unknown:
 		return core.OutcomeUnknown{Code: v.Code}
+	case shard.Refuse:
+		return core.Refuse(req.Attempt, core.NotRun{Code: v.Code})
 	case shard.Wait:
 		return core.Refuse(req.Attempt, core.NotRun{Code: core.CodeNoHolder, ComeBackAt: v.ComeBackAt})
 	default:
--- a/core/home/tick.go
+++ b/core/home/tick.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lavenderpond/core"
+	"lavenderpond/core/route"
 	"lavenderpond/core/shard"
 )
 
@@ -26,7 +27,7 @@
 func (h *Home) expireAnnounced(now time.Time) {
 	for _, r := range sorted(h.waiting) {
 		if !now.Before(r.request.Deadline) {
-			h.releaseSlots(now, r, 0)
+			h.releaseSlots(now, r, route.Refused)
 			h.finishNotRun(now, r, core.NotRun{Code: core.CodeDeadlinePassed})
 		}
 	}
--- /dev/null
+++ b/io/entry/front.go
@@ -0,0 +1,219 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lavenderpond/core"
+	"lavenderpond/core/shard"
+	"lavenderpond/io/caller"
+	"lavenderpond/io/peer"
+)
+
+// Bounds of forwarding.
+const (
+	// maxHops is how many entries may pass a call on: to the home zone, to the
+	// holder, and once more to a new holder.
+	maxHops = 3
+	// searchFor is how long a call looks for a holder before it is refused.
+	searchFor = 500 * time.Millisecond
+	// searchStep is the pause between two looks.
+	searchStep = 20 * time.Millisecond
+	// replyGrace is how long after a request's deadline its final answer may take
+	// to come back from the home.
+	replyGrace = 3 * time.Second
+	// peerPatience bounds calls that have no deadline of their own.
+	peerPatience = 5 * time.Second
+)
+
+// Holders tells who decides about an id of the own zone.
+type Holders interface {
+	Decide(now time.Time, key core.RequestKey, firstSent, deadline time.Time) shard.Verdict
+}
+
+// Gate checks a request against the configuration and the keys of this entry.
+type Gate interface {
+	// Admit returns the refusal of a request whose team or key isn't good.
+	Admit(now time.Time, team core.TeamID, digest core.KeyDigest) (core.Code, bool)
+}
+
+// Front brings callers' calls to the home of their ids: to this entry's own
+// Requests, to the holder in this zone, or to an entry of another zone. All
+// fields must be set.
+type Front struct {
+	Self      core.EntryID
+	Zone      core.ZoneID
+	Zones     []core.ZoneID
+	Now       func() time.Time
+	Holders   Holders
+	Gate      Gate
+	Requests  *Requests
+	Directory *Directory
+	Peers     *peer.Pool
+}
+
+var _ caller.Front = (*Front)(nil)
+
+// Submit implements caller.Front.
+func (f *Front) Submit(ctx context.Context, req core.Request, noWait bool) core.Answer {
+	return f.take(ctx, peer.ForwardArgs{Kind: peer.ForwardSubmit, Request: req, NoWait: noWait})
+}
+
+// Fetch implements caller.Front.
+func (f *Front) Fetch(ctx context.Context, key core.RequestKey, digest core.KeyDigest) core.Answer {
+	req := core.Request{Key: key, KeyDigest: digest}
+	return f.take(ctx, peer.ForwardArgs{Kind: peer.ForwardFetch, Request: req})
+}
+
+// Cancel implements caller.Front.
+func (f *Front) Cancel(ctx context.Context, key core.RequestKey, digest core.KeyDigest) core.Answer {
+	req := core.Request{Key: key, KeyDigest: digest}
+	return f.take(ctx, peer.ForwardArgs{Kind: peer.ForwardCancel, Request: req})
+}
+
+// take checks the key, so that no other entry works for a caller without rights.
+func (f *Front) take(ctx context.Context, args peer.ForwardArgs) core.Answer {
+	if code, ok := f.Gate.Admit(f.Now(), args.Request.Key.Team, args.Request.KeyDigest); !ok {
+		return core.Refuse(args.Request.Attempt, core.NotRun{Code: code})
+	}
+	args.GiveUpAt = f.giveUpAt(args)
+	return f.Handle(ctx, args)
+}
+
+func (f *Front) giveUpAt(args peer.ForwardArgs) time.Time {
+	if args.Kind == peer.ForwardSubmit && !args.NoWait {
+		return args.Request.Deadline.Add(replyGrace)
+	}
+	return f.Now().Add(peerPatience)
+}
+
+// Handle brings a call one step nearer to its home. It is also the handler of
+// calls that peers forward.
+func (f *Front) Handle(ctx context.Context, args peer.ForwardArgs) core.Answer {
+	home := args.Request.Key.Home(f.Zones)
+	if home != f.Zone {
+		return f.toZone(ctx, home, args)
+	}
+	return f.toHolder(ctx, args)
+}
+
+// toHolder looks for the holder of the id, for a short while: rights move within
+// milliseconds when an entry stops, and within seconds when one dies.
+func (f *Front) toHolder(ctx context.Context, args peer.ForwardArgs) core.Answer {
+	sent := false
+	until := f.Now().Add(searchFor)
+	for {
+		answer, err := f.tryHolder(ctx, args)
+		if err == nil {
+			return answer
+		}
+		sent = sent || !errors.Is(err, peer.ErrNotSent)
+		if errors.Is(err, errHandingOver) {
+			until = f.Now().Add(searchFor)
+		}
+		if !f.Now().Before(until) || !f.pause(ctx) {
+			return f.lost(args, sent, core.CodeNoHolder)
+		}
+	}
+}
+
+// Reasons to look for the holder again. Nothing was sent.
+var (
+	errNoHolder    = errors.Wrap(peer.ErrNotSent, "no holder")
+	errHandingOver = errors.Wrap(peer.ErrNotSent, "this entry hands its rights over")
+)
+
+// tryHolder hands the call to the holder that is known now.
+func (f *Front) tryHolder(ctx context.Context, args peer.ForwardArgs) (core.Answer, error) {
+	switch v := f.Holders.Decide(f.Now(), args.Request.Key, args.Request.FirstSent, f.deadlineOf(args)).(type) {
+	case shard.Wait:
+		return nil, errNoHolder
+	case shard.NotHolder:
+		if args.Hops >= maxHops {
+			return nil, errNoHolder
+		}
+		return f.toEntry(ctx, v.Holder, args)
+	default:
+		answer := f.here(ctx, args)
+		if core.CodeOf(answer) == core.CodeEntryStopping {
+			// A planned stop cuts nobody off: the call goes on to the next holder.
+			return nil, errHandingOver
+		}
+		return answer, nil
+	}
+}
+
+// deadlineOf returns the deadline by which Decide judges a call. Calls about an
+// id that may be recorded already are never refused by their times.
+func (f *Front) deadlineOf(args peer.ForwardArgs) time.Time {
+	if args.Kind == peer.ForwardSubmit {
+		return args.Request.Deadline
+	}
+	return f.Now().Add(peerPatience)
+}
+
+func (f *Front) here(ctx context.Context, args peer.ForwardArgs) core.Answer {
+	switch args.Kind {
+	case peer.ForwardFetch:
+		return f.Requests.Fetch(ctx, args.Request.Key)
+	case peer.ForwardCancel:
+		return f.Requests.Cancel(ctx, args.Request.Key)
+	default:
+		return f.Requests.Submit(ctx, args.Request, args.NoWait)
+	}
+}
+
+func (f *Front) toEntry(ctx context.Context, id core.EntryID, args peer.ForwardArgs) (core.Answer, error) {
+	a, ok := f.Directory.Find(f.Zone, id)
+	if !ok {
+		return nil, errors.Wrapf(peer.ErrNotSent, "no address of %s", id)
+	}
+	args.Hops++
+	return f.Peers.ForwardTo(ctx, a.Peer.String(), args)
+}
+
+// toZone sends a call to an entry of its home zone. A second entry is tried only
+// if the first certainly did not get it; the home would join two copies, but the
+// caller's answer must not depend on it.
+func (f *Front) toZone(ctx context.Context, zone core.ZoneID, args peer.ForwardArgs) core.Answer {
+	if args.Hops >= maxHops {
+		return f.lost(args, false, core.CodeZoneUnreachable)
+	}
+	args.Hops++
+	entries := f.Directory.Zone(zone)
+	offset := int(args.Request.Key.Shard(1 << 16))
+	for i := range entries {
+		a := entries[(i+offset)%len(entries)]
+		answer, err := f.Peers.ForwardTo(ctx, a.Peer.String(), args)
+		if err == nil {
+			return answer
+		}
+		if !errors.Is(err, peer.ErrNotSent) {
+			return f.lost(args, true, core.CodeZoneUnreachable)
+		}
+	}
+	return f.lost(args, false, core.CodeZoneUnreachable)
+}
+
+// lost answers a call that did not come back. Only a first attempt that was sent
+// nowhere is known not to have run.
+func (f *Front) lost(args peer.ForwardArgs, sent bool, code core.Code) core.Answer {
+	comeBack := f.Now().Add(searchFor)
+	if sent || args.Kind != peer.ForwardSubmit {
+		return core.OutcomeUnknown{Code: core.CodeHomeUnreachable, ComeBackAt: comeBack}
+	}
+	return core.Refuse(args.Request.Attempt, core.NotRun{Code: code, ComeBackAt: comeBack})
+}
+
+func (f *Front) pause(ctx context.Context) bool {
+	t := time.NewTimer(searchStep)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/io/entry/http.go
@@ -0,0 +1,105 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	metrics "github.com/rcrowley/go-metrics"
+
+	"lavenderpond/io/supervisor"
+)
+
+// Deadlines of the HTTP server. A caller that sends slowly, or nothing, must not
+// hold a connection for ever.
+const (
+	headerTimeout = 5 * time.Second
+	bodyTimeout   = 15 * time.Second
+	idleTimeout   = 2 * time.Minute
+	maxHeader     = 16 << 10
+)
+
+// Paths besides the connect services.
+const (
+	pathReady   = "/ready"
+	pathMetrics = "/metrics"
+)
+
+// HTTP serves callers, operators, metrics and readiness on one listener.
+type HTTP struct {
+	Mux     *http.ServeMux
+	Metrics metrics.Registry
+	// Ready says whether the balancer should send callers here.
+	Ready func() bool
+
+	server *http.Server
+}
+
+// Serve serves l until ctx ends, and then until the requests that are there
+// have been answered or patience is over.
+func (h *HTTP) Serve(ctx context.Context, l net.Listener, patience time.Duration) error {
+	h.Mux.HandleFunc("GET "+pathReady, h.ready)
+	h.Mux.HandleFunc("GET "+pathMetrics, h.metrics)
+	h.server = &http.Server{
+		Handler:           readDeadline(h.Mux),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeader,
+	}
+	var g supervisor.Group
+	g.Go(func() {
+		<-ctx.Done()
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		_ = h.server.Shutdown(ctx)
+		_ = h.server.Close()
+	})
+	err := h.server.Serve(l)
+	g.Wait()
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "serve callers")
+}
+
+func (h *HTTP) ready(w http.ResponseWriter, _ *http.Request) {
+	if h.Ready == nil || h.Ready() {
+		_, _ = io.WriteString(w, "ready\n")
+		return
+	}
+	http.Error(w, "not ready", http.StatusServiceUnavailable)
+}
+
+func (h *HTTP) metrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	metrics.WriteJSONOnce(h.Metrics, w)
+}
+
+// readDeadline bounds the reading of a request's body, and only that: the
+// server's own read timeout would also cut off callers that wait for an answer.
+func readDeadline(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		rc := http.NewResponseController(w)
+		_ = rc.SetReadDeadline(time.Now().Add(bodyTimeout))
+		r.Body = &deadlineBody{ReadCloser: r.Body, done: func() { _ = rc.SetReadDeadline(time.Time{}) }}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// deadlineBody lifts the read deadline once the body is read.
+type deadlineBody struct {
+	io.ReadCloser
+	done func()
+}
+
+// Read implements io.Reader.
+func (b *deadlineBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.done()
+	}
+	return n, err
+}
--- /dev/null
+++ b/io/platform/standin/entries.go
@@ -0,0 +1,70 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"lavenderpond/core"
+	"lavenderpond/core/table"
+	"lavenderpond/io/platform"
+	"lavenderpond/io/supervisor"
+)
+
+// Probing of entries: the platform knows by itself which entry VMs run.
+const (
+	probeInterval = 500 * time.Millisecond
+	probeTimeout  = 300 * time.Millisecond
+)
+
+// entryRow is what the stand-in reads of an entry's row.
+type entryRow struct {
+	Entry core.EntryID `json:"entry"`
+	Zone  core.ZoneID  `json:"zone"`
+	Peer  string       `json:"peer"`
+}
+
+// WatchEntries keeps the entries whose process runs on the live list until ctx
+// ends. A frozen process counts as live: its VM is.
+func (s *Server) WatchEntries(ctx context.Context) error {
+	return supervisor.Every(ctx, probeInterval, s.probeEntries)
+}
+
+func (s *Server) probeEntries(ctx context.Context) {
+	s.mu.Lock()
+	rows := s.rows.Scan(table.PrefixEntry)
+	s.mu.Unlock()
+	var g supervisor.Group
+	for _, row := range rows {
+		var e entryRow
+		if json.Unmarshal(row.Value, &e) == nil {
+			g.Go(func() { s.probeEntry(ctx, e) })
+		}
+	}
+	g.Wait()
+}
+
+func (s *Server) probeEntry(ctx context.Context, e entryRow) {
+	d := net.Dialer{Timeout: probeTimeout}
+	conn, err := d.DialContext(ctx, "tcp", e.Peer)
+	if err != nil {
+		return
+	}
+	_ = conn.Close()
+	name, started := splitEntry(e.Entry)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.list(LivePost{Liveness: platform.Liveness{Name: name, Zone: e.Zone, Started: started}})
+}
+
+func splitEntry(id core.EntryID) (string, time.Time) {
+	name, millis, _ := strings.Cut(string(id), "#")
+	ms, err := strconv.ParseInt(millis, 10, 64)
+	if err != nil {
+		return name, time.Time{}
+	}
+	return name, time.UnixMilli(ms)
+}
