--- /dev/null
+++ b/cmd/lavenderpond/app.go
@@ -0,0 +1,139 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/base64"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kong"
+)
+
+// cli is the command line.
+type cli struct {
+	Entry           []string      `placeholder:"IP:PORT" env:"LAVENDERPOND_ENTRIES" help:"Entries to ask, in this order; repeat the flag or separate by commas."`
+	Output          string        `short:"o" enum:"table,json" default:"table" help:"Form of the output: table or json."`
+	OperatorKeyFile string        `placeholder:"FILE" help:"File with the operator key. Else $$LAVENDERPOND_OPERATOR_KEY."`
+	TeamKeyFile     string        `placeholder:"FILE" help:"File with the team key. Else $$LAVENDERPOND_TEAM_KEY."`
+	Author          string        `env:"LAVENDERPOND_AUTHOR,USER" help:"Who makes the change, for the record."`
+	ChangeID        string        `name:"change-id" help:"Repeats a change whose answer was lost, under its id."`
+	Timeout         time.Duration `default:"10s" help:"How long one call to one entry may take."`
+
+	Pools       poolsCmd       `cmd:"" help:"Pools of target VMs and their availability budgets."`
+	VMs         vmsCmd         `cmd:"" name:"vms" help:"Target VMs."`
+	Teams       teamsCmd       `cmd:"" help:"Teams, their shares and upper limits."`
+	Queues      queuesCmd      `cmd:"" help:"Queues of requests."`
+	Defaults    defaultsCmd    `cmd:"" help:"Fleet-wide defaults."`
+	Keys        keysCmd        `cmd:"" help:"Team keys."`
+	Exceptions  exceptionsCmd  `cmd:"" help:"Exceptions from the defaults, for the monitor to read."`
+	Maintenance maintenanceCmd `cmd:"" help:"Maintenance of a zone's VMs."`
+	Zones       zonesCmd       `cmd:"" help:"Attest that a zone is down, or back."`
+	Audit       auditCmd       `cmd:"" help:"The last accepted changes."`
+	Status      statusCmd      `cmd:"" help:"Status of every entry."`
+	Where       whereCmd       `cmd:"" help:"At which entries a configuration version is in force."`
+	Dump        dumpCmd        `cmd:"" help:"State of each entry's process, as JSON without secrets."`
+	Submit      submitCmd      `cmd:"" help:"Submit a request and wait for its answer."`
+	Fetch       fetchCmd       `cmd:"" help:"Fetch the answer of a request by its id."`
+	Cancel      cancelCmd      `cmd:"" help:"Give a request up."`
+	Config      configCmd      `cmd:"" help:"Settings files of the daemon."`
+}
+
+// app is what commands run with. Tests replace its fields.
+type app struct {
+	cli
+	ctx            context.Context
+	stdin          io.Reader
+	stdout, stderr io.Writer
+	getenv         func(string) string
+	now            func() time.Time
+	// token returns a new random token.
+	token func() string
+	// pause waits before round n of calls to all entries.
+	pause func(ctx context.Context, n int)
+	http  *http.Client
+}
+
+func newApp() *app {
+	return &app{
+		stdin: os.Stdin, stdout: os.Stdout, stderr: os.Stderr, getenv: os.Getenv,
+		now: time.Now, token: randomToken, pause: pauseLinear, http: &http.Client{},
+	}
+}
+
+// tokenBytes is the length of keys and ids before their encoding.
+const tokenBytes = 24
+
+func randomToken() string {
+	b := make([]byte, tokenBytes)
+	// Since Go 1.24, rand.Read never fails.
+	_, _ = rand.Read(b)
+	return base64.RawURLEncoding.EncodeToString(b)
+}
+
+// parseExit carries the status with which kong would have ended the process.
+type parseExit int
+
+// run parses args, runs the command and returns the exit code.
+func run(ctx context.Context, a *app, args []string) (code exitCode) {
+	a.ctx = ctx
+	defer func() {
+		if p := recover(); p != nil {
+			status, ok := p.(parseExit)
+			if !ok {
+				panic(p)
+			}
+			code = exitCode(status)
+		}
+	}()
+	parser, err := newParser(a)
+	if err != nil {
+		problemOf(err).show(a.stderr, false)
+		return exitInternal
+	}
+	command, err := parser.Parse(args)
+	if err != nil {
+		problemOf(failf(exitUsage, "%v", err)).show(a.stderr, false)
+		return exitUsage
+	}
+	if err := command.Run(a); err != nil {
+		p := problemOf(coded(err))
+		p.show(a.stderr, a.Output == "json")
+		return exitCode(p.Exit)
+	}
+	return exitDone
+}
+
+func newParser(a *app) (*kong.Kong, error) {
+	return kong.New(&a.cli,
+		kong.Name("lavenderpond"),
+		kong.Description("Operates a lavenderpond fleet, and submits requests to it."),
+		kong.Writers(a.stdout, a.stderr),
+		kong.Exit(func(status int) { panic(parseExit(status)) }),
+		kong.ConfigureHelp(kong.HelpOptions{Compact: true, WrapUpperBound: 110}))
+}
+
+// secret returns the key from a file, else from the environment. Keys are never
+// taken as arguments, which other users of the machine can read.
+func (a *app) secret(file, env string) (string, error) {
+	key := a.getenv(env)
+	if file != "" {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			return "", failf(exitUsage, "key file: %v", err)
+		}
+		key = string(data)
+	}
+	if key = strings.TrimSpace(key); key == "" {
+		return "", failf(exitNotAuthorized, "no key: set $%s or give a key file", env)
+	}
+	return key, nil
+}
+
+func (a *app) printf(format string, args ...any) { _, _ = fmt.Fprintf(a.stdout, format, args...) }
+
+func (a *app) warnf(format string, args ...any) { _, _ = fmt.Fprintf(a.stderr, format, args...) }
--- /dev/null
+++ b/cmd/lavenderpond/audit.go
@@ -0,0 +1,23 @@
+package main
+
+import (
+	pb "lavenderpond/io/gen/lavenderpond/v1"
+)
+
+type auditCmd struct {
+	Last uint32 `default:"20" help:"How many of the last changes, at most 1000."`
+}
+
+// Run lists accepted changes.
+func (c auditCmd) Run(a *app) error {
+	reply, err := askAny(a, operatorClient.ListAudit, &pb.ListAuditRequest{Last: c.Last})
+	if err != nil {
+		return err
+	}
+	var g grid
+	g.add("VERSION", "AT", "AUTHOR", "KIND", "ROW", "BEFORE", "AFTER", "REASON", "CHANGE")
+	for _, r := range reply.Records {
+		g.add(r.Version, when(r.At), r.Author, r.Kind, r.Row, r.Before, r.After, r.Reason, r.ChangeId)
+	}
+	return a.show(reply, g)
+}
--- /dev/null
+++ b/cmd/lavenderpond/client.go
@@ -0,0 +1,201 @@
+package main
+
+import (
+	"context"
+	"net/netip"
+	"syscall"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	"lavenderpond/core"
+	pb "lavenderpond/io/gen/lavenderpond/v1"
+	"lavenderpond/io/gen/lavenderpond/v1/lavenderpondv1connect"
+	"lavenderpond/io/operator"
+	"lavenderpond/io/supervisor"
+)
+
+// rounds is how often a change is offered to every entry in turn.
+const rounds = 3
+
+// pauseStep is the pause before the second round; it grows linearly.
+const pauseStep = 500 * time.Millisecond
+
+func pauseLinear(ctx context.Context, n int) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(time.Duration(n) * pauseStep):
+	}
+}
+
+// addresses returns the entries to ask.
+func (a *app) addresses() ([]string, error) {
+	if len(a.Entry) == 0 {
+		return nil, failf(exitUsage, "no entry: give --entry IP:PORT or set $LAVENDERPOND_ENTRIES")
+	}
+	for _, e := range a.Entry {
+		if _, err := netip.ParseAddrPort(e); err != nil {
+			return nil, failf(exitUsage, "--entry: read %q, allowed is an IP number and a port", e)
+		}
+	}
+	return a.Entry, nil
+}
+
+// operatorClient speaks to one entry with the operator key.
+type operatorClient struct {
+	lavenderpondv1connect.OperatorServiceClient
+	address string
+	key     string
+	timeout time.Duration
+}
+
+func (a *app) operators() ([]operatorClient, error) {
+	addresses, err := a.addresses()
+	if err != nil {
+		return nil, err
+	}
+	key, err := a.secret(a.OperatorKeyFile, "LAVENDERPOND_OPERATOR_KEY")
+	if err != nil {
+		return nil, err
+	}
+	var clients []operatorClient
+	for _, address := range addresses {
+		c := lavenderpondv1connect.NewOperatorServiceClient(a.http, "http://"+address)
+		clients = append(clients, operatorClient{c, address, key, a.Timeout})
+	}
+	return clients, nil
+}
+
+// call is a method of the operators' service.
+type call[Q, R any] func(operatorClient, context.Context, *connect.Request[Q]) (*connect.Response[R], error)
+
+func (f call[Q, R]) do(ctx context.Context, c operatorClient, m *Q) (*R, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	req := connect.NewRequest(m)
+	req.Header().Set("Authorization", "Bearer "+c.key)
+	resp, err := f(c, ctx, req)
+	if err != nil {
+		return nil, err
+	}
+	return resp.Msg, nil
+}
+
+// askAny asks the entries in turn until one gives its word.
+func askAny[Q, R any](a *app, f call[Q, R], m *Q) (*R, error) {
+	clients, err := a.operators()
+	if err != nil {
+		return nil, err
+	}
+	var down error
+	for _, c := range clients {
+		reply, err := f.do(a.ctx, c, m)
+		e, heard := operator.FromConnect(err)
+		switch {
+		case err == nil:
+			return reply, nil
+		case heard && e.Code == core.CodePlatformDown:
+			// Another entry's zone may not be cut off from the table.
+			down = e
+		case heard:
+			return nil, e
+		default:
+			a.warnf("entry %s: %v\n", c.address, err)
+		}
+	}
+	if down != nil {
+		return nil, down
+	}
+	return nil, failf(exitUnreachable, "no entry was reached")
+}
+
+// reply is one entry's word, or why there is none.
+type reply[R any] struct {
+	address string
+	value   *R
+	err     error
+}
+
+// askAll asks every entry at once. It fails only if none of them gave its word.
+func askAll[Q, R any](a *app, f call[Q, R], m *Q) ([]reply[R], error) {
+	clients, err := a.operators()
+	if err != nil {
+		return nil, err
+	}
+	replies := make([]reply[R], len(clients))
+	var g supervisor.Group
+	for i, c := range clients {
+		g.Go(func() {
+			value, err := f.do(a.ctx, c, m)
+			replies[i] = reply[R]{c.address, value, err}
+		})
+	}
+	g.Wait()
+	var refusal error
+	for _, r := range replies {
+		if r.err == nil {
+			return replies, nil
+		}
+		if e, heard := operator.FromConnect(r.err); heard {
+			refusal = e
+		}
+	}
+	if refusal != nil {
+		return nil, refusal
+	}
+	return nil, failf(exitUnreachable, "no entry was reached: %v", replies[0].err)
+}
+
+// apply makes a change. A lost answer is settled by repeating the change under the
+// same id, at the same entry or another: it takes effect once.
+func (a *app) apply(m *pb.ApplyChangeRequest) (*pb.ApplyChangeReply, error) {
+	clients, err := a.operators()
+	if err != nil {
+		return nil, err
+	}
+	if m.ChangeId = a.ChangeID; m.ChangeId == "" {
+		m.ChangeId = "change-" + a.token()
+	}
+	m.Author = a.Author
+	f := call[pb.ApplyChangeRequest, pb.ApplyChangeReply](operatorClient.ApplyChange)
+	var last error
+	unknown := false
+	for n := range rounds {
+		if n > 0 {
+			a.pause(a.ctx, n)
+		}
+		for _, c := range clients {
+			reply, err := f.do(a.ctx, c, m)
+			if err == nil {
+				return reply, nil
+			}
+			e, heard := operator.FromConnect(err)
+			if heard && e.Code != core.CodeChangeUnknown && e.Code != core.CodePlatformDown {
+				return nil, e
+			}
+			unknown = unknown || heard && e.Code == core.CodeChangeUnknown || !heard && !errors.Is(err, syscall.ECONNREFUSED)
+			last = coded(err)
+			a.warnf("entry %s: %v\n", c.address, last)
+		}
+		if !unknown {
+			return nil, failf(exitUnreachable, "nothing was changed: %v", last)
+		}
+	}
+	return nil, core.Errorf(core.CodeChangeUnknown, "the change may have taken effect; repeat the command with --change-id %s", m.ChangeId)
+}
+
+// change makes a change and shows its version.
+func (a *app) change(m *pb.ApplyChangeRequest) error {
+	reply, err := a.apply(m)
+	if err != nil {
+		return err
+	}
+	var g grid
+	g.add("VERSION", "CHANGE", "REPEATED")
+	g.add(reply.Version, m.ChangeId, reply.Repeated)
+	if reply.Note != "" {
+		a.warnf("note: %s\n", reply.Note)
+	}
+	return a.show(reply, g)
+}
--- /dev/null
+++ b/cmd/lavenderpond/confirmed.go
@@ -0,0 +1,79 @@
+package main
+
+import (
+	"sort"
+	"strings"
+
+	pb "lavenderpond/io/gen/lavenderpond/v1"
+)
+
+// confirmed merges what several entries say of where something is in force. One
+// confirmation of an entry is enough; its zero value is empty.
+type confirmed struct {
+	entries map[string]*pb.Confirmation
+}
+
+func (r *confirmed) add(list []*pb.Confirmation) {
+	if r.entries == nil {
+		r.entries = map[string]*pb.Confirmation{}
+	}
+	for _, c := range list {
+		if old := r.entries[c.Entry]; old == nil || !old.Confirmed {
+			r.entries[c.Entry] = c
+		}
+	}
+}
+
+// unreached records an address that gave no answer. It counts as not confirmed,
+// even if others may know the entry behind it by name.
+func (r *confirmed) unreached(address string, err error) {
+	r.add([]*pb.Confirmation{{Entry: address, Detail: "not reached by this command: " + coded(err).Error()}})
+}
+
+// list returns the confirmations by zone and entry.
+func (r *confirmed) list() []*pb.Confirmation {
+	list := make([]*pb.Confirmation, 0, len(r.entries))
+	for _, c := range r.entries {
+		list = append(list, c)
+	}
+	sort.Slice(list, func(i, j int) bool {
+		if list[i].Zone != list[j].Zone {
+			return list[i].Zone < list[j].Zone
+		}
+		return list[i].Entry < list[j].Entry
+	})
+	return list
+}
+
+func (r *confirmed) grid() grid {
+	var g grid
+	g.add("ZONE", "ENTRY", "IN FORCE", "DETAIL")
+	for _, c := range r.list() {
+		state := "yes"
+		if !c.Confirmed {
+			state = "not confirmed"
+		}
+		g.add(c.Zone, c.Entry, state, c.Detail)
+	}
+	return g
+}
+
+// failure names the zones in which what could not be confirmed everywhere.
+func (r *confirmed) failure(what string) error {
+	seen := map[string]bool{}
+	var zones []string
+	for _, c := range r.list() {
+		zone := c.Zone
+		if zone == "" {
+			zone = c.Entry
+		}
+		if !c.Confirmed && !seen[zone] {
+			seen[zone] = true
+			zones = append(zones, zone)
+		}
+	}
+	if len(zones) == 0 {
+		return nil
+	}
+	return failf(exitPartly, "%s can't be confirmed everywhere in %s", what, strings.Join(zones, ", "))
+}
--- /dev/null
+++ b/cmd/lavenderpond/exit.go
@@ -0,0 +1,145 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"github.com/pkg/errors"
+
+	"lavenderpond/core"
+	"lavenderpond/io/operator"
+)
+
+// exitCode is the status that the command ends with. docs/operators/command-line.md
+// has the same table.
+type exitCode int
+
+// The exit codes.
+const (
+	exitDone           exitCode = 0
+	exitInternal       exitCode = 1
+	exitUsage          exitCode = 2
+	exitNotRun         exitCode = 3
+	exitOutcomeUnknown exitCode = 4
+	exitConflict       exitCode = 5
+	exitNotAuthorized  exitCode = 6
+	exitUnreachable    exitCode = 7
+	exitPartly         exitCode = 8
+	exitPending        exitCode = 9
+	exitRefused        exitCode = 10
+)
+
+// exits is the table of exit codes.
+var exits = []struct {
+	code          exitCode
+	name, meaning string
+}{
+	{exitDone, "done", "What was asked for is done."},
+	{exitInternal, "internal", "A fault of lavenderpond, or a local file that can't be read or written."},
+	{exitUsage, "usage", "The command line is wrong; see --help."},
+	{exitNotRun, "not_run", "The request did not run and won't. The detail says when to come back, if there is a point."},
+	{exitOutcomeUnknown, "outcome_unknown", "The request may have run, or the change may have taken effect. Fetch the request by its id; repeat the change with the same --change-id."},
+	{exitConflict, "conflict", "Another operator's change came first. Read again, then repeat under a new change id."},
+	{exitNotAuthorized, "not_authorized", "The operator key or team key is missing, wrong or withdrawn."},
+	{exitUnreachable, "unreachable", "The platform's table is down or no entry was reached. Nothing was changed, nothing ran."},
+	{exitPartly, "partly_confirmed", "Done where it could be confirmed; the report names the zones and entries where it can't be."},
+	{exitPending, "pending", "The request is queued or running; fetch it again later."},
+	{exitRefused, "refused", "The change or the settings file is outside what is allowed: a reason is missing, a value is wrong, a budget is spent, a name is unknown."},
+}
+
+// exitOf returns the exit code of a result code.
+func exitOf(c core.Code) exitCode {
+	switch c {
+	case core.CodeDone:
+		return exitDone
+	case core.CodePending:
+		return exitPending
+	case core.CodeBadKey, core.CodeKeyWithdrawn, core.CodeNotAuthorized:
+		return exitNotAuthorized
+	case core.CodeConflict:
+		return exitConflict
+	case core.CodePlatformDown:
+		return exitUnreachable
+	case core.CodeChangeUnknown:
+		return exitOutcomeUnknown
+	case core.CodeReasonMissing, core.CodeBudgetSpent, core.CodeInvalidSetting, core.CodeMalformed, core.CodeNotFound:
+		return exitRefused
+	case core.CodeInternal:
+		return exitInternal
+	}
+	switch c.Info().Outcome {
+	case "not_run":
+		return exitNotRun
+	case "outcome_unknown":
+		return exitOutcomeUnknown
+	default:
+		return exitInternal
+	}
+}
+
+// failure is an error with an exit code of its own.
+type failure struct {
+	exit exitCode
+	error
+}
+
+// Unwrap returns what the exit code is for.
+func (f *failure) Unwrap() error { return f.error }
+
+func failf(exit exitCode, format string, args ...any) error {
+	return &failure{exit, errors.Errorf(format, args...)}
+}
+
+// problem is an error as it is shown.
+type problem struct {
+	Exit       int    `json:"exit_code"`
+	Name       string `json:"exit_name"`
+	Code       int    `json:"code,omitempty"`
+	CodeName   string `json:"code_name,omitempty"`
+	Detail     string `json:"detail"`
+	ComeBackAt string `json:"come_back_at,omitempty"`
+}
+
+func problemOf(err error) problem {
+	p := problem{Exit: int(exitInternal), Detail: err.Error()}
+	var f *failure
+	var coded *core.Error
+	if errors.As(err, &coded) {
+		p.Exit, p.Code, p.CodeName, p.Detail = int(exitOf(coded.Code)), int(coded.Code), coded.Code.String(), coded.Detail
+		if !coded.ComeBackAt.IsZero() {
+			p.ComeBackAt = coded.ComeBackAt.UTC().Format(timeLayout)
+		}
+	}
+	if errors.As(err, &f) {
+		p.Exit = int(f.exit)
+	}
+	p.Name = exits[p.Exit].name
+	return p
+}
+
+// show writes p to w as a line for a person, or as JSON.
+func (p problem) show(w io.Writer, asJSON bool) {
+	if asJSON {
+		// A problem holds strings and numbers only.
+		data, _ := json.Marshal(p)
+		_, _ = fmt.Fprintf(w, "%s\n", data)
+		return
+	}
+	code := ""
+	if p.CodeName != "" {
+		code = fmt.Sprintf("%s (%d): ", p.CodeName, p.Code)
+	}
+	_, _ = fmt.Fprintf(w, "lavenderpond: %s: %s%s\n", p.Name, code, p.Detail)
+	if p.ComeBackAt != "" {
+		_, _ = fmt.Fprintf(w, "come back at %s\n", p.ComeBackAt)
+	}
+}
+
+// coded returns the entry's numbered refusal, or err itself.
+func coded(err error) error {
+	if e, ok := operator.FromConnect(err); ok {
+		return e
+	}
+	return err
+}
--- /dev/null
+++ b/cmd/lavenderpond/keys.go
@@ -0,0 +1,121 @@
+package main
+
+import (
+	"encoding/json"
+
+	"github.com/pkg/errors"
+
+	"lavenderpond/core"
+	pb "lavenderpond/io/gen/lavenderpond/v1"
+)
+
+type keysCmd struct {
+	List     keysListCmd     `cmd:"" help:"List the keys by their digests."`
+	Grant    keysGrantCmd    `cmd:"" help:"Make a new key for a team and print it, once."`
+	Withdraw keysWithdrawCmd `cmd:"" help:"Withdraw a key for good, at every entry that can be reached and in the table."`
+}
+
+type keysListCmd struct {
+	Team string `help:"Only this team's keys."`
+}
+
+// Run lists keys.
+func (c keysListCmd) Run(a *app) error {
+	reply, err := askAny(a, operatorClient.ListKeys, &pb.ListKeysRequest{Team: c.Team})
+	if err != nil {
+		return err
+	}
+	a.showView(reply.View)
+	var g grid
+	g.add("TEAM", "STATE", "DIGEST")
+	for _, k := range reply.Keys {
+		state := "granted"
+		if k.Withdrawn {
+			state = "withdrawn"
+		}
+		g.add(k.Team, state, k.Digest)
+	}
+	return a.show(reply, g)
+}
+
+type keysGrantCmd struct {
+	Team string `arg:"" help:"Team that the key speaks for."`
+}
+
+// granted is the JSON output of a grant.
+type granted struct {
+	Team    string `json:"team"`
+	Key     string `json:"key"`
+	Digest  string `json:"digest"`
+	Version uint64 `json:"version"`
+}
+
+// Run grants a key. Only its digest leaves the command; the key is printed once the
+// grant is certain.
+func (c keysGrantCmd) Run(a *app) error {
+	key := "lp_" + a.token()
+	digest := string(core.Digest(key))
+	reply, err := a.apply(&pb.ApplyChangeRequest{Change: &pb.ApplyChangeRequest_GrantKey{
+		GrantKey: &pb.GrantKey{Digest: digest, Team: c.Team},
+	}})
+	if core.ErrorCode(err) == core.CodeChangeUnknown {
+		return core.Errorf(core.CodeChangeUnknown,
+			"the key may have been granted and was thrown away; grant another, and withdraw digest %s if the list has it", digest)
+	}
+	if err != nil {
+		return err
+	}
+	if a.Output == "json" {
+		data, err := json.Marshal(granted{c.Team, key, digest, reply.Version})
+		if err != nil {
+			return errors.Wrap(err, "encode key")
+		}
+		a.printf("%s\n", data)
+		return nil
+	}
+	a.printf("key      %s\ndigest   %s\nversion  %d\n", key, digest, reply.Version)
+	a.warnf("the key is not stored and won't be shown again\n")
+	return nil
+}
+
+type keysWithdrawCmd struct {
+	Digest string `arg:"" help:"Digest of the key, from 'keys list'."`
+	Team   string `help:"Team of the key; needed only if no entry knows it."`
+	Reason string `help:"Why, for the record."`
+}
+
+// Run withdraws a key: it goes to every entry given, each of which sends it on and
+// tries to record it in the table.
+func (c keysWithdrawCmd) Run(a *app) error {
+	change := a.ChangeID
+	if change == "" {
+		change = "change-" + a.token()
+	}
+	replies, err := askAll(a, operatorClient.Withdraw, &pb.WithdrawRequest{
+		ChangeId: change, Author: a.Author, Digest: c.Digest, Team: c.Team, Reason: c.Reason,
+	})
+	if err != nil {
+		return err
+	}
+	merged := &pb.WithdrawReply{TableCode: uint32(core.CodePlatformDown), TableDetail: "no entry could record it"}
+	var r confirmed
+	for _, reply := range replies {
+		if reply.err != nil {
+			r.unreached(reply.address, reply.err)
+			continue
+		}
+		r.add(reply.value.Confirmations)
+		if v := reply.value; merged.TableCode != 0 {
+			merged.TableCode, merged.TableDetail, merged.Version = v.TableCode, v.TableDetail, v.Version
+		}
+	}
+	merged.Confirmations = r.list()
+	if err := a.show(merged, r.grid()); err != nil {
+		return err
+	}
+	if merged.TableCode != 0 {
+		return failf(exitPartly, "not recorded in the table (%s): %s; repeat with --change-id %s until it is, or a replaced entry won't know",
+			core.Code(merged.TableCode), merged.TableDetail, change)
+	}
+	return r.failure("the withdrawal")
+}
--- /dev/null
+++ b/cmd/lavenderpond/main.go
@@ -0,0 +1,16 @@
+// Command lavenderpond is the command line of operators and callers.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := run(ctx, newApp(), os.Args[1:])
+	stop()
+	os.Exit(int(code))
+}
--- /dev/null
+++ b/cmd/lavenderpond/output.go
@@ -0,0 +1,91 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	pb "lavenderpond/io/gen/lavenderpond/v1"
+)
+
+// timeLayout is how times are shown, in UTC.
+const timeLayout = time.RFC3339
+
+// grid is a table for a person: a header and rows.
+type grid [][]string
+
+func (g *grid) add(cells ...any) {
+	row := make([]string, len(cells))
+	for i, c := range cells {
+		row[i] = fmt.Sprint(c)
+		if row[i] == "" {
+			row[i] = "-"
+		}
+	}
+	*g = append(*g, row)
+}
+
+// show prints m as JSON, or g as a table.
+func (a *app) show(m proto.Message, g grid) error {
+	if a.Output == "json" {
+		data, err := encode(m)
+		a.printf("%s", data)
+		return err
+	}
+	w := tabwriter.NewWriter(a.stdout, 0, 0, 2, ' ', 0)
+	for _, row := range g {
+		_, _ = fmt.Fprintln(w, strings.Join(row, "\t"))
+	}
+	return w.Flush()
+}
+
+// showView says on stderr that a list comes from an entry's view.
+func (a *app) showView(v *pb.View) {
+	if v != nil {
+		a.warnf("the table is down: this is the view of entry %s at version %d\n", v.Entry, v.Version)
+	}
+}
+
+// encode returns m as JSON with field names in snake case.
+func encode(m proto.Message) ([]byte, error) {
+	data, err := protojson.MarshalOptions{UseProtoNames: true, EmitUnpopulated: true}.Marshal(m)
+	if err != nil {
+		return nil, err
+	}
+	return indent(data)
+}
+
+// indent gives JSON one form; protojson varies its spaces from run to run.
+func indent(data []byte) ([]byte, error) {
+	var compact, out bytes.Buffer
+	if err := json.Compact(&compact, data); err != nil {
+		return nil, err
+	}
+	if err := json.Indent(&out, compact.Bytes(), "", "  "); err != nil {
+		return nil, err
+	}
+	out.WriteByte('\n')
+	return out.Bytes(), nil
+}
+
+func when(t *timestamppb.Timestamp) string {
+	if t == nil {
+		return ""
+	}
+	return t.AsTime().UTC().Format(timeLayout)
+}
+
+// orDefault shows a zero as the default that then holds.
+func orDefault(n int32) string {
+	if n == 0 {
+		return "default"
+	}
+	return fmt.Sprint(n)
+}
--- /dev/null
+++ b/cmd/lavenderpond/requests.go
@@ -0,0 +1,206 @@
+package main
+
+import (
+	"context"
+	"io"
+	"os"
+	"syscall"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	"lavenderpond/core"
+	pb "lavenderpond/io/gen/lavenderpond/v1"
+	"lavenderpond/io/gen/lavenderpond/v1/lavenderpondv1connect"
+)
+
+// answerGrace is how long after a request's deadline its answer may arrive.
+const answerGrace = 5 * time.Second
+
+type submitCmd struct {
+	Body        string        `arg:"" default:"-" help:"File with the request's body; - reads standard input."`
+	Team        string        `required:"" env:"LAVENDERPOND_TEAM" help:"Team that submits."`
+	Queue       string        `required:"" help:"Queue of the request."`
+	ID          string        `name:"id" help:"Id of the request, unique in the team; else a new one. ZONE~REST names the home zone."`
+	Within      time.Duration `default:"1m" help:"The deadline: no work starts later than this from now."`
+	Idempotent  bool          `help:"The request may run more than once."`
+	Urgent      bool          `help:"Goes before others of the team."`
+	DeclaredRun time.Duration `help:"Expected run time; a hint."`
+	NoWait      bool          `help:"Return once the request is recorded; fetch the answer later."`
+}
+
+// Run submits a request and shows its answer.
+func (c submitCmd) Run(a *app) error {
+	body, err := a.readBody(c.Body)
+	if err != nil {
+		return err
+	}
+	if c.ID == "" {
+		c.ID = "request-" + a.token()
+	}
+	a.warnf("id %s\n", c.ID)
+	now := a.now()
+	length := uint64(len(body))
+	m := &pb.SubmitRequest{
+		Team: c.Team, Id: c.ID, Queue: c.Queue, Idempotent: c.Idempotent, Urgent: c.Urgent, NoWait: c.NoWait,
+		Deadline: timestamppb.New(now.Add(c.Within)), FirstSent: timestamppb.New(now),
+		DeclaredRunMs: uint32(c.DeclaredRun.Milliseconds()), Body: body, BodyLength: &length,
+	}
+	answer, err := a.deliver(m.Deadline.AsTime().Add(answerGrace), c.ID, func(ctx context.Context, t caller) (*pb.Answer, error) {
+		m.Attempt++
+		return answerOf(t.Submit(ctx, t.sign(connect.NewRequest(m)).(*connect.Request[pb.SubmitRequest])))
+	})
+	if err != nil {
+		return err
+	}
+	if c.NoWait && answer.Outcome == pb.Outcome_OUTCOME_PENDING {
+		return a.showAnswer(answer)
+	}
+	return a.finish(answer)
+}
+
+// requestArg names a request.
+type requestArg struct {
+	ID   string `arg:"" name:"id" help:"Id of the request."`
+	Team string `required:"" env:"LAVENDERPOND_TEAM" help:"Team that submitted it."`
+}
+
+type fetchCmd struct{ requestArg }
+
+// Run fetches an answer.
+func (c fetchCmd) Run(a *app) error {
+	m := &pb.FetchRequest{Team: c.Team, Id: c.ID}
+	answer, err := a.deliver(a.now().Add(a.Timeout), c.ID, func(ctx context.Context, t caller) (*pb.Answer, error) {
+		return answerOf(t.Fetch(ctx, t.sign(connect.NewRequest(m)).(*connect.Request[pb.FetchRequest])))
+	})
+	if err != nil {
+		return err
+	}
+	return a.finish(answer)
+}
+
+type cancelCmd struct{ requestArg }
+
+// Run cancels a request. A request cancelled in its queue is a success here.
+func (c cancelCmd) Run(a *app) error {
+	m := &pb.CancelRequest{Team: c.Team, Id: c.ID}
+	answer, err := a.deliver(a.now().Add(a.Timeout), c.ID, func(ctx context.Context, t caller) (*pb.Answer, error) {
+		return answerOf(t.Cancel(ctx, t.sign(connect.NewRequest(m)).(*connect.Request[pb.CancelRequest])))
+	})
+	if err != nil {
+		return err
+	}
+	if core.Code(answer.Code) == core.CodeCancelled {
+		return a.showAnswer(answer)
+	}
+	return a.finish(answer)
+}
+
+// caller speaks to one entry with the team key.
+type caller struct {
+	lavenderpondv1connect.CallerServiceClient
+	key string
+}
+
+func (t caller) sign(r connect.AnyRequest) connect.AnyRequest {
+	r.Header().Set("Authorization", "Bearer "+t.key)
+	return r
+}
+
+// deliver offers a request to the entries in turn until one gives its word or until
+// passes. Repeating is safe: the id and deadline stay the same, and its home
+// decides about the id once.
+func (a *app) deliver(until time.Time, id string, send func(context.Context, caller) (*pb.Answer, error)) (*pb.Answer, error) {
+	addresses, err := a.addresses()
+	if err != nil {
+		return nil, err
+	}
+	key, err := a.secret(a.TeamKeyFile, "LAVENDERPOND_TEAM_KEY")
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithDeadline(a.ctx, until)
+	defer cancel()
+	var stopping *pb.Answer
+	sent := false
+	for n := 0; n < rounds && ctx.Err() == nil; n++ {
+		if n > 0 {
+			a.pause(ctx, n)
+		}
+		for _, address := range addresses {
+			c := lavenderpondv1connect.NewCallerServiceClient(a.http, "http://"+address)
+			answer, err := send(ctx, caller{c, key})
+			switch {
+			case err == nil && core.Code(answer.Code) == core.CodeEntryStopping:
+				stopping = answer
+			case err == nil:
+				return answer, nil
+			default:
+				sent = sent || !errors.Is(err, syscall.ECONNREFUSED)
+				a.warnf("entry %s: %v\n", address, err)
+			}
+		}
+	}
+	switch {
+	case sent:
+		return nil, failf(exitOutcomeUnknown, "no answer came back; the request may have run: lavenderpond fetch %s", id)
+	case stopping != nil:
+		return stopping, nil
+	default:
+		return nil, failf(exitUnreachable, "no entry was reached; the request was not sent")
+	}
+}
+
+// answerOf returns the whole answer, or an error for one that was cut.
+func answerOf(r *connect.Response[pb.Answer], err error) (*pb.Answer, error) {
+	if err != nil {
+		return nil, err
+	}
+	if r.Msg.Outcome == pb.Outcome_OUTCOME_DONE && r.Msg.BodyLength != uint64(len(r.Msg.Body)) {
+		return nil, errors.Errorf("the answer has %d bytes of %d", len(r.Msg.Body), r.Msg.BodyLength)
+	}
+	return r.Msg, nil
+}
+
+// finish shows a final answer and turns what isn't done into an error.
+func (a *app) finish(m *pb.Answer) error {
+	if err := a.showAnswer(m); err != nil || m.Outcome == pb.Outcome_OUTCOME_DONE {
+		return err
+	}
+	e := &core.Error{Code: core.Code(m.Code), Detail: m.Detail}
+	if m.ComeBackAt != nil {
+		e.ComeBackAt = m.ComeBackAt.AsTime()
+	}
+	exit := exitOf(e.Code)
+	if exit == exitRefused && e.Code != core.CodeNotFound {
+		exit = exitNotRun
+	}
+	return &failure{exit, e}
+}
+
+// showAnswer prints the body as it is, or the whole answer as JSON.
+func (a *app) showAnswer(m *pb.Answer) error {
+	if a.Output == "json" {
+		return a.show(m, nil)
+	}
+	if m.Outcome == pb.Outcome_OUTCOME_DONE {
+		_, err := a.stdout.Write(m.Body)
+		return errors.Wrap(err, "write body")
+	}
+	a.warnf("%s: %s\n", m.CodeName, m.Detail)
+	return nil
+}
+
+func (a *app) readBody(path string) ([]byte, error) {
+	if path == "-" {
+		body, err := io.ReadAll(a.stdin)
+		return body, errors.Wrap(err, "read standard input")
+	}
+	body, err := os.ReadFile(path)
+	if err != nil {
+		return nil, failf(exitUsage, "body: %v", err)
+	}
+	return body, nil
+}
--- /dev/null
+++ b/io/operator/admin.go
@@ -0,0 +1,160 @@
+package operator
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"lavenderpond/core"
+	"lavenderpond/core/config"
+	"lavenderpond/core/table"
+	pb "lavenderpond/io/gen/lavenderpond/v1"
+)
+
+// maxTries bounds how often a change is planned again after others came first,
+// or sent again after a lost answer.
+const maxTries = 10
+
+// admin builds the transaction of a change of VMs or maintenance, on rows that it
+// reads. An empty transaction says that nothing is left to do.
+type admin interface {
+	// subject is the row that the change is about.
+	subject() table.Key
+	// about returns the kind of change and the reason for its audit record.
+	about() (kind, reason string)
+	build(ctx context.Context, s *Server, now time.Time, m *pb.ApplyChangeRequest) (table.Transaction, error)
+}
+
+// applyAdmin carries out a once. Such a change gets a version, an audit record and
+// the record of its change id like any change of configuration, in the same
+// transaction: a lost answer is settled by reading that record.
+func (s *Server) applyAdmin(ctx context.Context, m *pb.ApplyChangeRequest, a admin) (*pb.ApplyChangeReply, error) {
+	var failed error
+	sent := false
+	for range maxTries {
+		reply, err := s.tryAdmin(ctx, m, a)
+		switch {
+		case err == nil:
+			// After a lost answer the record is this call's own work.
+			reply.Repeated = reply.Repeated && !sent
+			return reply, nil
+		case errors.Is(err, table.ErrConflict), errors.Is(err, table.ErrDown):
+		case errors.Is(err, table.ErrUnknown):
+			sent = true
+		default:
+			return nil, err
+		}
+		failed = err
+	}
+	switch {
+	case sent:
+		return nil, core.Errorf(core.CodeChangeUnknown, "change %s may have taken effect: repeat it under the same change id (%v)", m.ChangeId, failed)
+	case errors.Is(failed, table.ErrConflict):
+		return nil, core.Errorf(core.CodeConflict, "other changes kept coming first; repeat change %s", m.ChangeId)
+	default:
+		return nil, core.Errorf(core.CodePlatformDown, "nothing was changed; repeat change %s when the table is back (%v)", m.ChangeId, failed)
+	}
+}
+
+func (s *Server) tryAdmin(ctx context.Context, m *pb.ApplyChangeRequest, a admin) (*pb.ApplyChangeReply, error) {
+	recordRow, err := s.Table.Read(ctx, table.ChangeKey(core.ChangeID(m.ChangeId)))
+	if err != nil {
+		return nil, err
+	}
+	if recordRow.Version != 0 {
+		return repeatedAdmin(m, recordRow)
+	}
+	head, err := s.Table.Read(ctx, table.ConfigHead)
+	if err != nil {
+		return nil, err
+	}
+	before, err := s.Table.Read(ctx, a.subject())
+	if err != nil {
+		return nil, err
+	}
+	now := s.now()
+	t, err := a.build(ctx, s, now, m)
+	if err != nil {
+		return nil, err
+	}
+	if len(t.Writes) == 0 {
+		return &pb.ApplyChangeReply{Repeated: true, Note: "nothing was left to change"}, nil
+	}
+	version, err := sign(&t, m, a, now, head, before, recordRow)
+	if err != nil {
+		return nil, err
+	}
+	return &pb.ApplyChangeReply{Version: uint64(version)}, s.Table.Transact(ctx, t)
+}
+
+func repeatedAdmin(m *pb.ApplyChangeRequest, row table.Row) (*pb.ApplyChangeReply, error) {
+	var record config.Record
+	if err := row.Decode(&record); err != nil {
+		return nil, err
+	}
+	if record.Digest != digestOf(m) {
+		return nil, core.Errorf(core.CodeConflict, "change id %q was used by %s for %s in version %d; choose a new change id",
+			m.ChangeId, record.Author, record.Key, record.Version)
+	}
+	return &pb.ApplyChangeReply{Version: uint64(record.Version), Repeated: true}, nil
+}
+
+// sign adds the head's next version, the audit record and the change's record.
+func sign(t *table.Transaction, m *pb.ApplyChangeRequest, a admin, now time.Time, headRow, before, recordRow table.Row) (core.Version, error) {
+	var head config.Head
+	if err := headRow.Decode(&head); err != nil {
+		return 0, err
+	}
+	head = config.Head{Version: head.Version + 1, Change: core.ChangeID(m.ChangeId)}
+	kind, reason := a.about()
+	audit := config.Audit{
+		Version: head.Version, Change: head.Change, Kind: kind, Key: a.subject(), Author: m.Author, At: now, Reason: reason,
+		Before: before.Value,
+	}
+	for _, w := range t.Writes {
+		if w.Key == a.subject() {
+			audit.After = w.Value
+		}
+	}
+	if audit.After == nil {
+		audit.After = []byte("null")
+	}
+	record := config.Record{Version: head.Version, Key: a.subject(), Author: m.Author, At: now, Digest: digestOf(m)}
+	t.Check(recordRow)
+	t.Check(headRow)
+	return head.Version, firstError(
+		t.Set(table.ConfigHead, head),
+		t.Set(recordRow.Key, record),
+		t.Set(table.AuditKey(head.Version), audit))
+}
+
+// digestOf tells two changes under one id apart. A drain's deadline is left out: an
+// operator who repeats the command later gives a later one.
+func digestOf(m *pb.ApplyChangeRequest) string {
+	m = proto.CloneOf(m)
+	switch c := m.Change.(type) {
+	case *pb.ApplyChangeRequest_MoveVm:
+		c.MoveVm.DrainBy = nil
+	case *pb.ApplyChangeRequest_CordonVm:
+		c.CordonVm.DrainBy = nil
+	}
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
+	if err != nil {
+		return ""
+	}
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:])
+}
+
+func firstError(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/io/operator/change.go
@@ -0,0 +1,91 @@
+package operator
+
+import (
+	"context"
+
+	"connectrpc.com/connect"
+
+	"lavenderpond/core"
+	"lavenderpond/core/config"
+	"lavenderpond/core/maintenance"
+	pb "lavenderpond/io/gen/lavenderpond/v1"
+)
+
+// ApplyChange implements OperatorService.
+func (s *Server) ApplyChange(ctx context.Context, r *connect.Request[pb.ApplyChangeRequest]) (*connect.Response[pb.ApplyChangeReply], error) {
+	m := r.Msg
+	if m.ChangeId == "" || m.Author == "" {
+		return nil, core.Errorf(core.CodeMalformed, "change_id and author: both are needed")
+	}
+	var reply *pb.ApplyChangeReply
+	var err error
+	if a := s.adminOf(m); a != nil {
+		reply, err = s.applyAdmin(ctx, m, a)
+	} else {
+		reply, err = s.applyConfig(ctx, m)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(reply), nil
+}
+
+// target returns a change of configuration without its value, for its row's key.
+func target(m *pb.ApplyChangeRequest) (config.Change, error) {
+	switch c := m.Change.(type) {
+	case *pb.ApplyChangeRequest_SetTeam:
+		return config.SetTeam{Author: m.Author, Team: core.TeamID(c.SetTeam.Team)}, nil
+	case *pb.ApplyChangeRequest_SetPool:
+		return config.SetPool{Author: m.Author, Pool: core.PoolID(c.SetPool.Pool)}, nil
+	case *pb.ApplyChangeRequest_SetQueue:
+		return config.SetQueue{Author: m.Author, Queue: core.QueueID(c.SetQueue.Queue)}, nil
+	case *pb.ApplyChangeRequest_SetDefaults:
+		return config.SetDefaults{Author: m.Author}, nil
+	case *pb.ApplyChangeRequest_AddException:
+		return addException(m, c.AddException), nil
+	case *pb.ApplyChangeRequest_RetireException:
+		return config.RetireException{Author: m.Author, ID: c.RetireException.Id, Reason: c.RetireException.Reason}, nil
+	case *pb.ApplyChangeRequest_GrantKey:
+		return config.GrantKey{Author: m.Author, Team: core.TeamID(c.GrantKey.Team), Digest: core.KeyDigest(c.GrantKey.Digest)}, nil
+	case *pb.ApplyChangeRequest_AttestZone:
+		a := c.AttestZone
+		return config.AttestZone{Author: m.Author, Zone: core.ZoneID(a.Zone), Down: a.Down, Reason: a.Reason}, nil
+	default:
+		return nil, core.Errorf(core.CodeMalformed, "change: none of the known kinds is set")
+	}
+}
+
+// adminOf returns the builder of a change of VMs or maintenance, nil for others.
+func (s *Server) adminOf(m *pb.ApplyChangeRequest) admin {
+	switch c := m.Change.(type) {
+	case *pb.ApplyChangeRequest_AddVm:
+		return addVM{c.AddVm}
+	case *pb.ApplyChangeRequest_RemoveVm:
+		return removeVM{c.RemoveVm}
+	case *pb.ApplyChangeRequest_MoveVm:
+		return moveVM{c.MoveVm}
+	case *pb.ApplyChangeRequest_CordonVm:
+		return cordonVM{c.CordonVm}
+	case *pb.ApplyChangeRequest_ReturnVm:
+		return returnVM{c.ReturnVm}
+	case *pb.ApplyChangeRequest_PlanMaintenance:
+		p := c.PlanMaintenance
+		return wave{zone: p.Zone, reason: p.Reason, kind: "plan_maintenance", plan: p}
+	case *pb.ApplyChangeRequest_StartMaintenance:
+		return wave{zone: c.StartMaintenance.Zone, reason: c.StartMaintenance.Reason, kind: "start_maintenance", step: maintenance.Start}
+	case *pb.ApplyChangeRequest_PauseMaintenance:
+		return wave{zone: c.PauseMaintenance.Zone, reason: c.PauseMaintenance.Reason, kind: "pause_maintenance", step: maintenance.Pause}
+	default:
+		return nil
+	}
+}
+
+func addException(m *pb.ApplyChangeRequest, e *pb.AddException) config.AddException {
+	values := map[string]int{}
+	for name, n := range e.Value {
+		values[name] = int(n)
+	}
+	return config.AddException{
+		Author: m.Author, ID: e.Id, Scope: tableKey(e.Scope), Reason: e.Reason, End: instant(e.End), Value: values,
+	}
+}
--- /dev/null
+++ b/io/operator/config.go
@@ -0,0 +1,198 @@
+package operator
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"lavenderpond/core"
+	"lavenderpond/core/config"
+	"lavenderpond/core/fleet"
+	"lavenderpond/core/table"
+	pb "lavenderpond/io/gen/lavenderpond/v1"
+	"lavenderpond/io/platform"
+)
+
+// applyConfig makes a change of configuration. Fields that the operator left out
+// are filled in from the row.
+func (s *Server) applyConfig(ctx context.Context, m *pb.ApplyChangeRequest) (*pb.ApplyChangeReply, error) {
+	c, err := target(m)
+	if err != nil {
+		return nil, err
+	}
+	p := &pinned{Table: s.Table, extend: s.budgetOf}
+	row, err := p.pin(ctx, c.Key())
+	if err != nil {
+		return nil, err
+	}
+	base, repeated, err := s.baseOf(ctx, m, row)
+	if err != nil {
+		return nil, err
+	}
+	if !repeated && m.IfVersion != 0 && core.Version(m.IfVersion) != row.Version {
+		return nil, core.Errorf(core.CodeConflict, "%s has version %d, not %d; read it again and repeat under a new change id",
+			c.Key(), row.Version, m.IfVersion)
+	}
+	if c, err = merge(c, m, base); err != nil {
+		return nil, err
+	}
+	applied, err := platform.Apply(ctx, p, c, core.ChangeID(m.ChangeId), s.now())
+	if err != nil {
+		return nil, err
+	}
+	return &pb.ApplyChangeReply{Version: uint64(applied.Version), Repeated: applied.Before, Note: s.noteOn(ctx, c)}, nil
+}
+
+// baseOf returns the row that the change's missing fields come from. For a change
+// id that took effect before, that is the row as it was then: filled in from
+// today's row, a repeated change would look like another one under the same id.
+func (s *Server) baseOf(ctx context.Context, m *pb.ApplyChangeRequest, row table.Row) (table.Row, bool, error) {
+	recordRow, err := s.Table.Read(ctx, table.ChangeKey(core.ChangeID(m.ChangeId)))
+	if err != nil || recordRow.Version == 0 {
+		return row, false, err
+	}
+	var record config.Record
+	if err := recordRow.Decode(&record); err != nil {
+		return row, false, err
+	}
+	var audit config.Audit
+	auditRow, err := s.Table.Read(ctx, table.AuditKey(record.Version))
+	if err == nil {
+		err = auditRow.Decode(&audit)
+	}
+	base := table.Row{Key: row.Key, Value: audit.Before}
+	if audit.Before != nil {
+		base.Version = 1
+	}
+	return base, true, err
+}
+
+// merge fills the fields that are set in m, and those of row that are not, into c.
+func merge(c config.Change, m *pb.ApplyChangeRequest, row table.Row) (config.Change, error) {
+	var err error
+	switch c := c.(type) {
+	case config.SetTeam:
+		err = row.Decode(&c.Value)
+		set(&c.Value.Share, m.GetSetTeam().Share)
+		set(&c.Value.Limit, m.GetSetTeam().Limit)
+		return c, err
+	case config.SetPool:
+		err = row.Decode(&c.Value)
+		set(&c.Value.MaxUnavailable, m.GetSetPool().MaxUnavailable)
+		setBool(&c.Value.Spare, m.GetSetPool().Spare)
+		setBool(&c.Value.LendsIdle, m.GetSetPool().LendsIdle)
+		return c, err
+	case config.SetQueue:
+		err = row.Decode(&c.Value)
+		if m.GetSetQueue().Pool != nil {
+			c.Value.Pool = core.PoolID(m.GetSetQueue().GetPool())
+		}
+		setBool(&c.Value.Overflow, m.GetSetQueue().Overflow)
+		set(&c.Value.MaxQueued, m.GetSetQueue().MaxQueued)
+		return c, err
+	case config.SetDefaults:
+		err = row.Decode(&c.Value)
+		d := m.GetSetDefaults()
+		set(&c.Value.Share, d.Share)
+		set(&c.Value.Limit, d.Limit)
+		set(&c.Value.MaxUnavailable, d.MaxUnavailable)
+		set(&c.Value.MaxQueued, d.MaxQueued)
+		set(&c.Value.MaxBody, d.MaxBody)
+		return c, err
+	default:
+		return c, nil
+	}
+}
+
+func set[T ~int](field *T, value *int32) {
+	if value != nil {
+		*field = T(*value)
+	}
+}
+
+func setBool(field *bool, value *bool) {
+	if value != nil {
+		*field = *value
+	}
+}
+
+// budgetOf adds the pool's row of state to the transaction that sets the pool, so
+// that drain permits never count against another budget than the one accepted.
+func (s *Server) budgetOf(ctx context.Context, t *table.Transaction) error {
+	for _, w := range t.Writes {
+		id, ok := poolOf(w.Key)
+		if !ok {
+			continue
+		}
+		var value config.Pool
+		if err := (table.Row{Key: w.Key, Version: 1, Value: w.Value}).Decode(&value); err != nil {
+			return err
+		}
+		defaults, err := s.Table.Read(ctx, table.ConfigDefaults)
+		if err != nil {
+			return err
+		}
+		row, err := s.readPool(ctx, id)
+		if err != nil {
+			return err
+		}
+		more, err := fleet.SetPool(row, budget(value, defaults), value.Spare)
+		if err != nil {
+			return err
+		}
+		t.Checks = append(t.Checks, more.Checks...)
+		t.Writes = append(t.Writes, more.Writes...)
+		return nil
+	}
+	return nil
+}
+
+func budget(p config.Pool, defaults table.Row) int {
+	var d config.Defaults
+	if p.MaxUnavailable == 0 && defaults.Decode(&d) == nil {
+		return d.MaxUnavailable
+	}
+	return p.MaxUnavailable
+}
+
+// pinned is a table whose reads of some rows return, once, what was read before.
+// platform.Apply thereby checks the very rows that a change was merged with: a
+// change by another operator in between is a conflict, and never undone unseen.
+type pinned struct {
+	platform.Table
+	rows map[table.Key]table.Row
+	// extend adds to a transaction, on rows that it reads itself.
+	extend func(ctx context.Context, t *table.Transaction) error
+}
+
+// pin reads the head and the row of key, in this order, so that whoever changes
+// the row later has a version above the head's.
+func (p *pinned) pin(ctx context.Context, key table.Key) (table.Row, error) {
+	p.rows = map[table.Key]table.Row{}
+	for _, k := range []table.Key{table.ConfigHead, key} {
+		row, err := p.Table.Read(ctx, k)
+		if err != nil {
+			return row, err
+		}
+		p.rows[k] = row
+	}
+	return p.rows[key], nil
+}
+
+// Read implements platform.Table.
+func (p *pinned) Read(ctx context.Context, key table.Key) (table.Row, error) {
+	if row, ok := p.rows[key]; ok {
+		delete(p.rows, key)
+		return row, nil
+	}
+	return p.Table.Read(ctx, key)
+}
+
+// Transact implements platform.Table.
+func (p *pinned) Transact(ctx context.Context, t table.Transaction) error {
+	if err := p.extend(ctx, &t); err != nil {
+		// Nothing was sent; any other error would count as a lost answer.
+		return errors.Wrap(table.ErrDown, err.Error())
+	}
+	return p.Table.Transact(ctx, t)
+}
--- /dev/null
+++ b/io/operator/error.go
@@ -0,0 +1,87 @@
+package operator
+
+import (
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	"lavenderpond/core"
+	"lavenderpond/core/table"
+	pb "lavenderpond/io/gen/lavenderpond/v1"
+)
+
+// connectCodes are the connect codes of result codes; others are internal.
+var connectCodes = map[core.Code]connect.Code{
+	core.CodeMalformed:      connect.CodeInvalidArgument,
+	core.CodeNotFound:       connect.CodeNotFound,
+	core.CodeKeyWithdrawn:   connect.CodeFailedPrecondition,
+	core.CodeConflict:       connect.CodeAborted,
+	core.CodeReasonMissing:  connect.CodeInvalidArgument,
+	core.CodeBudgetSpent:    connect.CodeFailedPrecondition,
+	core.CodeInvalidSetting: connect.CodeInvalidArgument,
+	core.CodePlatformDown:   connect.CodeUnavailable,
+	core.CodeChangeUnknown:  connect.CodeUnknown,
+	core.CodeNotAuthorized:  connect.CodeUnauthenticated,
+}
+
+// toConnect turns err into a connect error with its numbered code as a detail.
+func toConnect(err error) error {
+	e := asError(err)
+	code, ok := connectCodes[e.Code]
+	if !ok {
+		code = connect.CodeInternal
+	}
+	ce := connect.NewError(code, e)
+	m := &pb.ErrorDetail{Code: uint32(e.Code), CodeName: e.Code.String(), Detail: e.Detail, ComeBackAt: stamp(e.ComeBackAt)}
+	if detail, err := connect.NewErrorDetail(m); err == nil {
+		ce.AddDetail(detail)
+	}
+	return ce
+}
+
+func asError(err error) *core.Error {
+	var e *core.Error
+	switch {
+	case errors.As(err, &e):
+		return e
+	case errors.Is(err, table.ErrDown):
+		return &core.Error{Code: core.CodePlatformDown, Detail: err.Error()}
+	default:
+		return &core.Error{Code: core.CodeInternal, Detail: err.Error()}
+	}
+}
+
+// FromConnect returns the refusal that an entry gave, for clients. It is false if
+// no entry's word came back, so that the command may or may not have been heard.
+func FromConnect(err error) (*core.Error, bool) {
+	var ce *connect.Error
+	if !errors.As(err, &ce) {
+		return nil, false
+	}
+	for _, d := range ce.Details() {
+		value, err := d.Value()
+		if err != nil {
+			continue
+		}
+		if m, ok := value.(*pb.ErrorDetail); ok {
+			return &core.Error{Code: core.Code(m.Code), Detail: m.Detail, ComeBackAt: instant(m.ComeBackAt)}, true
+		}
+	}
+	return nil, false
+}
+
+func stamp(t time.Time) *timestamppb.Timestamp {
+	if t.IsZero() {
+		return nil
+	}
+	return timestamppb.New(t)
+}
+
+func instant(t *timestamppb.Timestamp) time.Time {
+	if t == nil {
+		return time.Time{}
+	}
+	return t.AsTime()
+}
--- /dev/null
+++ b/io/operator/operator.go
@@ -0,0 +1,129 @@
+// Package operator serves the operators' commands on an entry: changes to the
+// platform's table, lists, and what is in force where.
+package operator
+
+import (
+	"context"
+	"crypto/subtle"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"lavenderpond/core"
+	"lavenderpond/core/config"
+	"lavenderpond/io/gen/lavenderpond/v1/lavenderpondv1connect"
+	"lavenderpond/io/platform"
+)
+
+// maxRequest bounds an operator's request, in bytes.
+const maxRequest = 1 << 20
+
+// defaultTimeout bounds a request whose caller names no timeout.
+const defaultTimeout = 10 * time.Second
+
+// Backend is what the service asks of the daemon that it runs in.
+type Backend interface {
+	// Fleet returns the status of this entry, first, and of every other entry that
+	// it knows. It returns within ctx and marks those that it can't reach.
+	Fleet(ctx context.Context) []EntryStatus
+	// Withdraw puts the withdrawal of a key in force here, and sends it to every
+	// known entry. It returns a confirmation for each, this entry first.
+	Withdraw(ctx context.Context, key core.KeyDigest) []Confirmation
+	// View returns every row of the entry's view of the configuration.
+	View() config.Delta
+	// Dump returns the process's state, to be encoded as JSON, without secrets.
+	Dump() any
+}
+
+// EntryStatus is what an entry tells of itself.
+type EntryStatus struct {
+	Entry core.EntryID
+	Zone  core.ZoneID
+	// Reachable is false if the entry did not answer; the rest is then zero.
+	Reachable bool
+	// Version is the configuration version in force.
+	Version core.Version
+	// KeysFreshAt is the youngest evidence that the key list is whole.
+	KeysFreshAt time.Time
+	Shards      int
+	Teams       []TeamLoad
+}
+
+// TeamLoad is a team's work at one entry.
+type TeamLoad struct {
+	Team    core.TeamID
+	Running core.Slots
+	Queued  int
+}
+
+// Confirmation says whether something is in force at an entry.
+type Confirmation struct {
+	Entry     core.EntryID
+	Zone      core.ZoneID
+	Confirmed bool
+	// Detail says why it can't be confirmed.
+	Detail string
+}
+
+// Server implements OperatorService. Table, Backend and KeyDigest must be set.
+type Server struct {
+	Table   platform.Table
+	Backend Backend
+	// KeyDigest is the digest of the operator key.
+	KeyDigest core.KeyDigest
+	// Now is the clock; nil means time.Now.
+	Now func() time.Time
+}
+
+var _ lavenderpondv1connect.OperatorServiceHandler = (*Server)(nil)
+
+// Handler returns the URL path of the service and its HTTP handler.
+func (s *Server) Handler() (string, http.Handler) {
+	return lavenderpondv1connect.NewOperatorServiceHandler(s,
+		connect.WithReadMaxBytes(maxRequest), connect.WithInterceptors(connect.UnaryInterceptorFunc(s.intercept)))
+}
+
+// intercept lets in only who has the operator key, and gives errors their code.
+func (s *Server) intercept(next connect.UnaryFunc) connect.UnaryFunc {
+	return func(ctx context.Context, r connect.AnyRequest) (connect.AnyResponse, error) {
+		if !s.authorized(r.Header()) {
+			return nil, toConnect(core.Errorf(core.CodeNotAuthorized, "send the operator key as Authorization: Bearer KEY"))
+		}
+		ctx, cancel := s.shorten(ctx)
+		defer cancel()
+		resp, err := next(ctx, r)
+		if err != nil {
+			return nil, toConnect(err)
+		}
+		return resp, nil
+	}
+}
+
+// shorten leaves a fifth of the caller's time for the way back: a command that ran
+// into its own timeout while the table is down could not tell a change that was
+// not made from a lost answer.
+func (s *Server) shorten(ctx context.Context) (context.Context, context.CancelFunc) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return context.WithTimeout(ctx, defaultTimeout)
+	}
+	return context.WithTimeout(ctx, time.Until(deadline)*4/5)
+}
+
+func (s *Server) authorized(h http.Header) bool {
+	const scheme = "Bearer "
+	value := h.Get("Authorization")
+	if len(value) <= len(scheme) || value[:len(scheme)] != scheme || s.KeyDigest == "" {
+		return false
+	}
+	digest := core.Digest(value[len(scheme):])
+	return subtle.ConstantTimeCompare([]byte(digest), []byte(s.KeyDigest)) == 1
+}
+
+func (s *Server) now() time.Time {
+	if s.Now == nil {
+		return time.Now()
+	}
+	return s.Now()
+}
--- /dev/null
+++ b/io/operator/rows.go
@@ -0,0 +1,83 @@
+package operator
+
+import (
+	"context"
+	"net/netip"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"lavenderpond/core"
+	"lavenderpond/core/fleet"
+	"lavenderpond/core/table"
+	pb "lavenderpond/io/gen/lavenderpond/v1"
+)
+
+func tableKey(key string) table.Key { return table.Key(key) }
+
+func isAddress(s string) bool {
+	_, err := netip.ParseAddrPort(s)
+	return err == nil
+}
+
+// poolOf returns the pool whose settings stand under key.
+func poolOf(key table.Key) (core.PoolID, bool) {
+	id, ok := strings.CutPrefix(string(key), string(table.PoolConfigKey("")))
+	return core.PoolID(id), ok
+}
+
+func (s *Server) readPool(ctx context.Context, id core.PoolID) (fleet.PoolRow, error) {
+	row, err := s.Table.Read(ctx, table.PoolStateKey(id))
+	if err != nil {
+		return fleet.PoolRow{}, err
+	}
+	return fleet.DecodePool(row)
+}
+
+func (s *Server) readVM(ctx context.Context, key table.Key) (fleet.VMRow, error) {
+	row, err := s.Table.Read(ctx, key)
+	if err != nil {
+		return fleet.VMRow{}, err
+	}
+	return fleet.DecodeVM(row)
+}
+
+// readMember reads a VM and its pool.
+func (s *Server) readMember(ctx context.Context, key table.Key) (fleet.VMRow, fleet.PoolRow, error) {
+	vm, err := s.readVM(ctx, key)
+	if err != nil {
+		return vm, fleet.PoolRow{}, err
+	}
+	if !vm.Exists() {
+		return vm, fleet.PoolRow{}, core.Errorf(core.CodeNotFound, "no VM %s", vm.Ref)
+	}
+	pool, err := s.readPool(ctx, vm.VM.Pool)
+	return vm, pool, err
+}
+
+// scanConfig returns the rows of configuration under prefix, or, while the table
+// is down, those of the entry's own view, with a note of whose view it is.
+func (s *Server) scanConfig(ctx context.Context, prefix string) ([]table.Row, *pb.View, error) {
+	rows, _, err := s.Table.Scan(ctx, prefix)
+	if err == nil || !errors.Is(err, table.ErrDown) {
+		return rows, nil, err
+	}
+	d := s.Backend.View()
+	rows = nil
+	for _, r := range d.Rows {
+		if strings.HasPrefix(string(r.Key), prefix) && r.Version > 0 {
+			rows = append(rows, r)
+		}
+	}
+	return rows, &pb.View{Entry: s.entryName(ctx), Version: uint64(d.Version)}, nil
+}
+
+func (s *Server) entryName(ctx context.Context) string {
+	for _, e := range s.Backend.Fleet(ctx) {
+		return string(e.Entry)
+	}
+	return ""
+}
+
+// nameIn returns what follows prefix in the key of r.
+func nameIn(r table.Row, prefix string) string { return strings.TrimPrefix(string(r.Key), prefix) }
