--- /dev/null
+++ b/cmd/lavenderpond-load/load.go
@@ -0,0 +1,119 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lavenderpond/io/supervisor"
+)
+
+// maxRequests bounds a run, whatever is asked for.
+const maxRequests = 2_000_000
+
+// shape is how the load is made, for both commands.
+type shape struct {
+	Concurrency int           `help:"Requests under way at once." default:"32"`
+	Rate        float64       `help:"Requests a second in all; 0: as many as answers allow." default:"0"`
+	For         time.Duration `help:"How long." default:"5s"`
+	RunMs       int64         `help:"How long the stand-in target works on each request, in ms." default:"0"`
+	Bytes       int           `help:"Size of each answer, in bytes." default:"100"`
+}
+
+// result is what was measured.
+type result struct {
+	Requests  int            `json:"requests"`
+	Seconds   float64        `json:"seconds"`
+	PerSecond float64        `json:"per_second"`
+	P50Ms     float64        `json:"p50_ms"`
+	P99Ms     float64        `json:"p99_ms"`
+	MaxMs     float64        `json:"max_ms"`
+	Answers   map[string]int `json:"answers"`
+}
+
+// send makes request number n and names its answer.
+type send func(ctx context.Context, n int) string
+
+// run makes the load and measures it.
+func (s shape) run(ctx context.Context, do send) result {
+	ctx, cancel := context.WithTimeout(ctx, s.For)
+	defer cancel()
+	numbers := make(chan int)
+	var g supervisor.Group
+	var mu sync.Mutex
+	var times []time.Duration
+	answers := make(map[string]int)
+	begin := time.Now()
+	g.Go(func() { s.pace(ctx, numbers) })
+	for range s.Concurrency {
+		g.Go(func() {
+			for n := range numbers {
+				start := time.Now()
+				answer := do(context.Background(), n)
+				took := time.Since(start)
+				mu.Lock()
+				times = append(times, took)
+				answers[answer]++
+				mu.Unlock()
+			}
+		})
+	}
+	g.Wait()
+	return summary(times, time.Since(begin), answers)
+}
+
+// pace hands out request numbers at the rate asked for until ctx ends.
+func (s shape) pace(ctx context.Context, numbers chan<- int) {
+	defer close(numbers)
+	begin := time.Now()
+	for n := range maxRequests {
+		if s.Rate > 0 {
+			due := begin.Add(time.Duration(float64(n) / s.Rate * float64(time.Second)))
+			time.Sleep(time.Until(due))
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case numbers <- n:
+		}
+	}
+}
+
+func summary(times []time.Duration, took time.Duration, answers map[string]int) result {
+	slices.Sort(times)
+	at := func(q float64) float64 {
+		if len(times) == 0 {
+			return 0
+		}
+		return float64(times[int(q*float64(len(times)-1))]) / float64(time.Millisecond)
+	}
+	return result{
+		Requests: len(times), Seconds: took.Seconds(), PerSecond: float64(len(times)) / took.Seconds(),
+		P50Ms: at(0.5), P99Ms: at(0.99), MaxMs: at(1), Answers: answers,
+	}
+}
+
+func (r result) print() error {
+	return json.NewEncoder(os.Stdout).Encode(r)
+}
+
+// body is what the stand-in target works on.
+func (s shape) body() []byte {
+	return fmt.Appendf(nil, `{"run_ms":%d,"answer_bytes":%d}`, s.RunMs, s.Bytes)
+}
+
+func loopbackOnly(addresses []netip.AddrPort) error {
+	for _, a := range addresses {
+		if !a.Addr().IsLoopback() {
+			return errors.Errorf("%s is not a loopback address", a)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/lavenderpond-load/main.go
@@ -0,0 +1,25 @@
+// Command lavenderpond-load puts a bounded load on entries, or on targets
+// directly for comparison, over loopback only, and prints what it measured.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+
+	"github.com/alecthomas/kong"
+)
+
+type commands struct {
+	Entries entriesCommand `cmd:"" help:"Load entries with requests of one team."`
+	Targets targetsCommand `cmd:"" help:"Load targets directly, past lavenderpond."`
+}
+
+func main() {
+	var c commands
+	k := kong.Parse(&c, kong.Name("lavenderpond-load"), kong.Description("A bounded load over loopback."))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	k.BindTo(ctx, (*context.Context)(nil))
+	k.FatalIfErrorf(k.Run())
+}
--- a/core/home/cancel.go
+++ b/core/home/cancel.go
@@ -20,7 +20,7 @@
 	case queued, announced:
 		h.Queue.Remove(e.Key)
 		if r.phase == announced {
-			h.releaseSlots(now, r, route.Refused)
+			h.releaseSlots(now, r, route.Unsent)
 		}
 		h.finishNotRun(now, r, core.NotRun{Code: core.CodeCancelled})
 	case running, asking:
@@ -51,7 +51,7 @@
 		if r.request.KeyDigest == digest && (r.phase == queued || r.phase == announced) {
 			h.Queue.Remove(r.request.Key)
 			if r.phase == announced {
-				h.releaseSlots(now, r, route.Refused)
+				h.releaseSlots(now, r, route.Unsent)
 			}
 			h.finishNotRun(now, r, core.NotRun{Code: core.CodeKeyWithdrawn})
 		}
--- a/core/home/dispatch.go
+++ b/core/home/dispatch.go
@@ -92,7 +92,7 @@
 // startDenied puts the request back: nothing was sent.
 func (h *Home) startDenied(now time.Time, key core.RequestKey) {
 	if r := h.records[key]; r != nil && r.phase == announced {
-		h.releaseSlots(now, r, route.Refused)
+		h.releaseSlots(now, r, route.Unsent)
 		h.requeue(now, r, now.Add(h.Times.AskEvery))
 	}
 }
@@ -100,7 +100,7 @@
 func (h *Home) dispatch(now time.Time, r *record) {
 	startBy := earlier(h.Rights.RightUntil(now, r.request.Key), r.request.Deadline)
 	if !now.Before(startBy) {
-		h.releaseSlots(now, r, route.Refused)
+		h.releaseSlots(now, r, route.Unsent)
 		h.requeue(now, r, now)
 		return
 	}
--- a/core/home/ended.go
+++ b/core/home/ended.go
@@ -55,7 +55,7 @@
 	Unreachable: route.Unreachable,
 	Full:        route.Full,
 	Leaving:     route.Refused,
-	Late:        route.Refused,
+	Late:        route.Unsent,
 	Invalid:     route.Failed,
 }
 
--- a/core/home/tick.go
+++ b/core/home/tick.go
@@ -27,7 +27,7 @@
 func (h *Home) expireAnnounced(now time.Time) {
 	for _, r := range sorted(h.waiting) {
 		if !now.Before(r.request.Deadline) {
-			h.releaseSlots(now, r, route.Refused)
+			h.releaseSlots(now, r, route.Unsent)
 			h.finishNotRun(now, r, core.NotRun{Code: core.CodeDeadlinePassed})
 		}
 	}
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -54,9 +54,12 @@
 	Refused
 	// Unreachable: no connection could be made.
 	Unreachable
+	// Unsent: the request was given up before it left, which says nothing about
+	// the target.
+	Unsent
 )
 
-var resultNames = [...]string{"succeeded", "failed", "full", "refused", "unreachable"}
+var resultNames = [...]string{"succeeded", "failed", "full", "refused", "unreachable", "unsent"}
 
 // String returns the result's name.
 func (r Result) String() string {
--- a/io/platform/standin/live.go
+++ b/io/platform/standin/live.go
@@ -78,6 +78,11 @@
 	s.toVM(w, r, http.MethodPost, "/control/reboot")
 }
 
+// drain passes the order on to the VM.
+func (s *Server) drain(w http.ResponseWriter, r *http.Request) {
+	s.toVM(w, r, http.MethodPost, "/control/drain")
+}
+
 // getVM asks the VM for its state; a VM that doesn't answer is not up.
 func (s *Server) getVM(w http.ResponseWriter, r *http.Request) {
 	s.toVM(w, r, http.MethodGet, "/control/state")
@@ -97,7 +102,7 @@
 		http.NotFound(w, r)
 		return
 	}
-	req, err := http.NewRequestWithContext(r.Context(), method, vm.control+path, http.NoBody)
+	req, err := http.NewRequestWithContext(r.Context(), method, vm.control+path, io.LimitReader(r.Body, maxBody))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
--- a/io/platform/standin/server.go
+++ b/io/platform/standin/server.go
@@ -47,6 +47,7 @@
 	mux.HandleFunc("POST /standin/faults", s.postFaults)
 	mux.HandleFunc("GET /standin/counts", s.getCounts)
 	mux.HandleFunc("POST /vms/{zone}/{vm}/reboot", s.reboot)
+	mux.HandleFunc("POST /vms/{zone}/{vm}/drain", s.drain)
 	mux.HandleFunc("GET /vms/{zone}/{vm}", s.getVM)
 	return mux
 }
--- a/io/target/standin/control.go
+++ b/io/target/standin/control.go
@@ -34,6 +34,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /control/state", c.state)
 	mux.HandleFunc("POST /control/reboot", c.reboot)
+	mux.HandleFunc("POST /control/drain", c.drain)
 	mux.HandleFunc("POST /control/faults", c.faults)
 	return mux
 }
@@ -49,7 +50,18 @@
 
 // reboot takes the VM down for RebootTime. What runs there is cut off: it is the
 // caller's duty to drain it before.
-func (c *Control) reboot(http.ResponseWriter, *http.Request) {
+func (c *Control) reboot(w http.ResponseWriter, r *http.Request) {
+	var order struct {
+		NotAfter time.Time `json:"not_after"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if c.VM.now().After(order.NotAfter) {
+		http.Error(w, "the order's time has passed", http.StatusConflict)
+		return
+	}
 	c.mu.Lock()
 	c.backAt = c.VM.now().Add(RebootTime)
 	c.rebooted++
@@ -57,6 +69,20 @@
 	c.VM.setDown(true)
 }
 
+// drain makes the VM refuse new work until the time given.
+func (c *Control) drain(w http.ResponseWriter, r *http.Request) {
+	var order struct {
+		Until time.Time `json:"until"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	c.VM.mu.Lock()
+	defer c.VM.mu.Unlock()
+	c.VM.drainUntil = order.Until
+}
+
 // faults sets the VM's faults; "stuck" keeps it from coming back.
 func (c *Control) faults(w http.ResponseWriter, r *http.Request) {
 	var f struct {
--- a/io/target/standin/vm.go
+++ b/io/target/standin/vm.go
@@ -29,6 +29,8 @@
 	order   []string
 	faults  Faults
 	down    bool
+	// drainUntil makes the VM refuse new work before then.
+	drainUntil time.Time
 }
 
 // Faults says how a VM misbehaves.
@@ -126,7 +128,7 @@
 	switch {
 	case v.faults.RefuseAll:
 		return nil, target.ReasonInvalid
-	case v.down || v.faults.Leaving:
+	case v.down || v.faults.Leaving || v.now().Before(v.drainUntil):
 		return nil, target.ReasonLeaving
 	case !v.now().Before(startBy):
 		return nil, target.ReasonLate
