--- /dev/null
+++ b/cmd/lavenderpond-experiment/main.go
@@ -0,0 +1,25 @@
+// Command lavenderpond-experiment replays seeded demand and faults against the
+// decision code and prints what was measured.
+package main
+
+import (
+	"os"
+
+	"github.com/alecthomas/kong"
+)
+
+// CLI is the command line.
+type CLI struct {
+	List List `cmd:"" help:"List the experiments."`
+	Run  Run  `cmd:"" help:"Run an experiment and print its figures."`
+}
+
+func main() {
+	var cli CLI
+	ctx := kong.Parse(&cli,
+		kong.Name("lavenderpond-experiment"),
+		kong.Description("Measures lavenderpond's decisions against a naive baseline."),
+		kong.UsageOnError())
+	ctx.BindTo(os.Stdout, (*output)(nil))
+	ctx.FatalIfErrorf(ctx.Run())
+}
--- /dev/null
+++ b/core/experiment/policy/policy.go
@@ -0,0 +1,45 @@
+// Package policy registers the experiments on queueing, routing and retries.
+package policy
+
+import (
+	"maps"
+	"slices"
+
+	"lavenderpond/core/experiment"
+	"lavenderpond/core/experiment/replay"
+)
+
+// Comparison runs policies against the same demand and faults.
+type Comparison struct {
+	ID        string
+	Question  string
+	Workloads []replay.Workload
+	Faults    replay.Faults
+	// Policies holds the baseline first.
+	Policies []replay.Policy
+}
+
+var _ experiment.Experiment = Comparison{}
+
+// Name implements experiment.Experiment.
+func (c Comparison) Name() string { return c.ID }
+
+// Help implements experiment.Experiment.
+func (c Comparison) Help() string { return c.Question }
+
+// Run implements experiment.Experiment.
+func (c Comparison) Run(seed uint64) []experiment.Row {
+	var rows []experiment.Row
+	for _, w := range c.Workloads {
+		for _, p := range c.Policies {
+			measures := replay.Run(w, p, c.Faults, seed)
+			for _, name := range slices.Sorted(maps.Keys(measures)) {
+				rows = append(rows, experiment.Row{
+					Experiment: c.ID, Workload: w.Name, Variant: p.Name, Seed: seed,
+					Measure: name, Value: measures[name],
+				})
+			}
+		}
+	}
+	return rows
+}
--- /dev/null
+++ b/core/experiment/policy/register.go
@@ -0,0 +1,97 @@
+package policy
+
+import (
+	"math/rand/v2"
+
+	"lavenderpond/core/experiment"
+	"lavenderpond/core/experiment/replay"
+	"lavenderpond/core/retry"
+)
+
+// outagePart is the part of a pool's targets that an outage takes.
+const outagePart = 1.0 / 3
+
+// fullLoad is the mean demand of each queue when the whole fleet is full.
+const fullLoad = 1.4
+
+func init() {
+	both := replay.Workloads()
+	chosen := []replay.Policy{replay.Naive(), replay.Overflow()}
+	for _, c := range []Comparison{
+		{
+			ID: "rotation", Question: "Bursts in turn: naive, queueing, overflow into idle pools, and moving VMs.",
+			Workloads: both,
+			Policies:  []replay.Policy{replay.Naive(), replay.Queueing(), replay.Overflow(), replay.Moves()},
+		},
+		{
+			ID: "slots", Question: "Slots that two entries share: split, taken by whoever asks, or lent.",
+			Workloads: both,
+			Policies:  []replay.Policy{replay.Naive(), replay.Split(), replay.Shared(), replay.Queueing()},
+		},
+		{
+			ID: "full", Question: "Demand above the whole fleet: shares and early refusal against naive.",
+			Workloads: withLoad(both, fullLoad), Policies: chosen,
+		},
+		{
+			ID: "bad_target", Question: "One target fails everything quickly and looks idle.",
+			Workloads: both, Policies: chosen, Faults: replay.Faults{BadTarget: true},
+		},
+		{
+			ID: "outage", Question: "A third of a pool's targets is out of reach for a fifth of the run.",
+			Workloads: both, Policies: chosen, Faults: replay.Faults{Outage: outagePart},
+		},
+		{
+			ID: "cancellations", Question: "Three waves cancel seven tenths of all waiting requests.",
+			Workloads: both, Policies: chosen, Faults: replay.Faults{Cancellations: 0.7},
+		},
+		{
+			ID: "impossible", Question: "One request in fifty fails on every target.",
+			Workloads: both, Policies: chosen, Faults: replay.Faults{Impossible: 0.02},
+		},
+		{
+			ID: "bad_target_and_outage", Question: "A target that fails everything, and an outage, at once.",
+			Workloads: both, Policies: chosen, Faults: replay.Faults{BadTarget: true, Outage: outagePart},
+		},
+		{
+			ID: "impossible_and_cancellations", Question: "Requests that can't run, and waves of cancellations, at once.",
+			Workloads: both, Policies: chosen, Faults: replay.Faults{Impossible: 0.02, Cancellations: 0.7},
+		},
+		{
+			ID: "retry", Question: "All targets of a pool are out: retries unbounded, none, and under a budget.",
+			Workloads: both, Policies: retryPolicies(), Faults: replay.Faults{Outage: 1},
+		},
+	} {
+		experiment.Register(c)
+	}
+}
+
+func withLoad(workloads []replay.Workload, load float64) []replay.Workload {
+	var loaded []replay.Workload
+	for _, w := range workloads {
+		w.Load = load
+		loaded = append(loaded, w)
+	}
+	return loaded
+}
+
+// retryPolicies differ in the retry budget alone.
+func retryPolicies() []replay.Policy {
+	budgets := []struct {
+		name   string
+		budget func(*rand.Rand) retry.Budget
+	}{
+		{"naive", nil},
+		{"no_retries", func(*rand.Rand) retry.Budget { return replay.None{} }},
+		{"exponential", func(rng *rand.Rand) retry.Budget { return &retry.TokenBucket{Rand: rng} }},
+		{"linear", func(rng *rand.Rand) retry.Budget {
+			return &retry.TokenBucket{Rand: rng, Growth: retry.Linear}
+		}},
+	}
+	var policies []replay.Policy
+	for _, b := range budgets {
+		p := replay.Queueing()
+		p.Name, p.Budget = b.name, b.budget
+		policies = append(policies, p)
+	}
+	return policies
+}
--- /dev/null
+++ b/core/experiment/replay/event.go
@@ -0,0 +1,52 @@
+package replay
+
+import (
+	"container/heap"
+	"time"
+)
+
+// event is something that happens at a time.
+type event struct {
+	at time.Time
+	// sequence keeps events of the same time in order.
+	sequence int
+	do       func()
+}
+
+// events is a heap of events by time.
+type events struct {
+	list []event
+	next int
+}
+
+// add makes do happen at the given time.
+func (e *events) add(at time.Time, do func()) {
+	e.next++
+	heap.Push(e, event{at: at, sequence: e.next, do: do})
+}
+
+// Len implements heap.Interface.
+func (e *events) Len() int { return len(e.list) }
+
+// Less implements heap.Interface.
+func (e *events) Less(i, j int) bool {
+	if !e.list[i].at.Equal(e.list[j].at) {
+		return e.list[i].at.Before(e.list[j].at)
+	}
+	return e.list[i].sequence < e.list[j].sequence
+}
+
+// Swap implements heap.Interface.
+func (e *events) Swap(i, j int) { e.list[i], e.list[j] = e.list[j], e.list[i] }
+
+// Push implements heap.Interface.
+func (e *events) Push(x any) { e.list = append(e.list, x.(event)) }
+
+// Pop implements heap.Interface.
+func (e *events) Pop() any {
+	last := len(e.list) - 1
+	x := e.list[last]
+	e.list[last] = event{}
+	e.list = e.list[:last]
+	return x
+}
--- /dev/null
+++ b/core/experiment/replay/figures.go
@@ -0,0 +1,136 @@
+package replay
+
+import (
+	"slices"
+	"time"
+)
+
+// figures counts what happens in a run.
+type figures struct {
+	doneInTime, late, refusedEarly, refusedLate int
+	unknowns, givenUp, cancelled                int
+	moves, retries, returns, fulls              int
+	useful, wasted                              time.Duration
+	waits, urgentWaits                          []time.Duration
+	// first and attempts of the outage, and of the time after it.
+	duringFirst, duringAttempts, afterFirst, afterAttempts int
+}
+
+// countFirst counts a first attempt by period.
+func (f *figures) countFirst(s *simulation, j *job) {
+	switch {
+	case s.inOutage(j.item.Enqueued):
+		f.duringFirst++
+	case !j.item.Enqueued.Before(s.workload.part(outageEnd)):
+		f.afterFirst++
+	}
+}
+
+// countAttempt counts a dispatch by period.
+func (f *figures) countAttempt(s *simulation) {
+	switch {
+	case s.inOutage(s.now):
+		f.duringAttempts++
+	case !s.now.Before(s.workload.part(outageEnd)):
+		f.afterAttempts++
+	}
+}
+
+func (f *figures) countRun(run time.Duration, useful bool) {
+	if useful {
+		f.useful += run
+	} else {
+		f.wasted += run
+	}
+}
+
+func (f *figures) finish(_ time.Time, j *job, late bool) {
+	j.state = ended
+	wait := j.firstStart.Sub(j.item.Enqueued)
+	f.waits = append(f.waits, wait)
+	if j.item.Urgent {
+		f.urgentWaits = append(f.urgentWaits, wait)
+	}
+	if late {
+		f.late++
+		return
+	}
+	f.doneInTime++
+}
+
+// refuse counts a final refusal: early if more than half of the time to the
+// deadline is left, so that the caller can still act.
+func (f *figures) refuse(now time.Time, j *job) {
+	j.state = ended
+	if j.item.Deadline.Sub(now) > j.kind.Within/2 {
+		f.refusedEarly++
+		return
+	}
+	f.refusedLate++
+}
+
+func (f *figures) giveUp(j *job) {
+	j.state = ended
+	f.givenUp++
+}
+
+func (f *figures) unknown(j *job) {
+	j.state = ended
+	f.unknowns++
+}
+
+func (f *figures) cancel(j *job) {
+	j.state = ended
+	f.cancelled++
+}
+
+// measures returns the run's measures by name. Parts are of the requests that
+// weren't cancelled; times are in seconds.
+func (s *simulation) measures() map[string]float64 {
+	f := &s.figures
+	offered := float64(len(s.jobs) - f.cancelled)
+	capacity := pools * vmsPerPool * slotsPerVM * s.workload.Horizon.Seconds()
+	m := map[string]float64{
+		"done_in_time":        float64(f.doneInTime) / offered,
+		"refused_early":       float64(f.refusedEarly) / offered,
+		"refused_late":        float64(f.refusedLate) / offered,
+		"done_late":           float64(f.late) / offered,
+		"outcome_unknown":     float64(f.unknowns) / offered,
+		"given_up":            float64(f.givenUp) / offered,
+		"wasted_work":         ratio(f.wasted.Seconds(), (f.useful + f.wasted).Seconds()),
+		"buffer_cost":         ratio(capacity-f.useful.Seconds(), f.useful.Seconds()),
+		"share_nearness":      s.shares.nearness(),
+		"share_worst_team":    s.shares.worst(),
+		"moves":               float64(f.moves),
+		"retries_per_request": float64(f.retries) / offered,
+		"returns_per_request": float64(f.returns) / offered,
+		"full_per_request":    float64(f.fulls) / offered,
+		"wait_p50":            quantile(f.waits, 0.5),
+		"wait_p99":            quantile(f.waits, 0.99),
+		"urgent_wait_p99":     quantile(f.urgentWaits, 0.99),
+		"urgent_wait_max":     quantile(f.urgentWaits, 1),
+	}
+	if s.faults.Outage > 0 {
+		m["attempts_during_outage"] = ratio(float64(f.duringAttempts), float64(f.duringFirst))
+		m["attempts_after_outage"] = ratio(float64(f.afterAttempts), float64(f.afterFirst))
+	}
+	if f.cancelled > 0 {
+		m["cancelled"] = float64(f.cancelled)
+	}
+	return m
+}
+
+func ratio(a, b float64) float64 {
+	if b == 0 {
+		return 0
+	}
+	return a / b
+}
+
+func quantile(d []time.Duration, q float64) float64 {
+	if len(d) == 0 {
+		return 0
+	}
+	slices.Sort(d)
+	return d[int(q*float64(len(d)-1))].Seconds()
+}
--- /dev/null
+++ b/core/experiment/replay/fleet.go
@@ -0,0 +1,172 @@
+package replay
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"lavenderpond/core"
+	"lavenderpond/core/queue"
+	"lavenderpond/core/retry"
+	"lavenderpond/core/route"
+)
+
+// vm is a fake target.
+type vm struct {
+	id core.VMID
+	// home is the pool it started in, pool the one it is in now.
+	home, pool, index, zone int
+	// speed divides run times.
+	speed   float64
+	running core.Slots
+	// moving marks a VM that drains, or moves to pool moveTo at movedAt.
+	moving  bool
+	moveTo  int
+	movedAt time.Time
+}
+
+// entry is a fake entry VM around the real decisions.
+type entry struct {
+	zone   int
+	queue  queue.Queue
+	router route.Router
+	budget retry.Budget
+}
+
+// slowPart and slowSpeed: some VMs are slower than the others.
+const (
+	slowPart  = 0.2
+	slowSpeed = 0.5
+)
+
+// maxEjected is the availability budget left to each pool within a zone.
+const maxEjected = 1
+
+func newFleet(rng *rand.Rand) []*vm {
+	var vms []*vm
+	for p := range pools {
+		for i := range vmsPerPool {
+			speed := 1.0
+			if rng.Float64() < slowPart {
+				speed = slowSpeed
+			}
+			id := core.VMID(fmt.Sprintf("vm%d-%02d", p, i))
+			vms = append(vms, &vm{id: id, home: p, pool: p, index: i, zone: i % zones, speed: speed})
+		}
+	}
+	return vms
+}
+
+func newEntries(w Workload, p Policy, seed uint64) []*entry {
+	var entries []*entry
+	for i := range zones * entriesPerZone {
+		rng := func(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, uint64(i)<<8|stream)) }
+		e := &entry{zone: i % zones, queue: p.Queue(w, rng(1)), router: p.Router(rng(2)), budget: unbounded{}}
+		if p.Budget != nil {
+			e.budget = p.Budget(rng(3))
+		}
+		entries = append(entries, e)
+	}
+	return entries
+}
+
+// updateRouters tells the entries of a zone which targets may get new work.
+func (s *simulation) updateRouters(zone int) {
+	slots := core.Slots(slotsPerVM)
+	if s.policy.SplitSlots {
+		slots /= entriesPerZone
+	}
+	var targets []route.Target
+	for _, v := range s.vms {
+		if v.zone == zone && !v.moving {
+			targets = append(targets, route.Target{VM: v.id, Pool: poolID(v.pool), Slots: slots, Connections: connections})
+		}
+	}
+	var list []route.Pool
+	for p := range pools {
+		list = append(list, route.Pool{ID: poolID(p), LendsIdle: s.policy.Overflow, MaxEjected: maxEjected})
+	}
+	for _, e := range s.entries {
+		if e.zone == zone {
+			e.router.Update(s.now, targets, list)
+		}
+	}
+}
+
+// moveDrain is how long a VM is out of both pools, beyond its last run: it drains
+// for longer than a burst lasts.
+const moveDrain = 15 * time.Second
+
+// moveBacklog is how many waiting requests per zone start a move.
+const moveBacklog = slotsPerVM
+
+// planMoves moves VMs towards backlogs, at most one out per pool and zone, which
+// is the availability budget.
+func (s *simulation) planMoves() {
+	for zone := range zones {
+		s.finishMoves(zone)
+		for q := range queues {
+			if s.waitingIn(zone, q) >= moveBacklog {
+				s.startMove(zone, q)
+			}
+		}
+	}
+}
+
+func (s *simulation) finishMoves(zone int) {
+	changed := false
+	for _, v := range s.vms {
+		if v.zone != zone || !v.moving || v.running > 0 {
+			continue
+		}
+		if v.movedAt.IsZero() {
+			v.movedAt = s.now.Add(moveDrain)
+		}
+		if s.now.Before(v.movedAt) {
+			continue
+		}
+		v.moving, v.pool, v.movedAt = false, v.moveTo, time.Time{}
+		changed = true
+	}
+	if changed {
+		s.updateRouters(zone)
+	}
+}
+
+// startMove takes the least busy VM of another pool without a backlog.
+func (s *simulation) startMove(zone, to int) {
+	moving := make(map[int]bool)
+	left := make(map[int]int)
+	for _, v := range s.vms {
+		if v.zone == zone && v.moving {
+			moving[v.pool] = true
+		} else if v.zone == zone {
+			left[v.pool]++
+		}
+	}
+	var best *vm
+	for _, v := range s.vms {
+		if v.zone != zone || v.pool == to || moving[v.pool] || left[v.pool] < 2 || s.waitingIn(zone, v.pool) > 0 {
+			continue
+		}
+		if best == nil || v.running < best.running {
+			best = v
+		}
+	}
+	if best == nil {
+		return
+	}
+	best.moving, best.moveTo = true, to
+	s.figures.moves++
+	s.updateRouters(zone)
+}
+
+func (s *simulation) waitingIn(zone, q int) int {
+	n := 0
+	for _, e := range s.entries {
+		if e.zone == zone {
+			n += e.queue.Len(queueID(q))
+		}
+	}
+	return n
+}
--- a/core/route/least/least.go
+++ b/core/route/least/least.go
@@ -1,9 +1,10 @@
 // Package least is the router of real entries: the target that is least loaded
 // for its speed, within the slots that other entries use too.
 //
-// Slots aren't split among entries: any entry may use any free slot, an answer of
-// "full" is normal, and it teaches how many slots the others use. Targets that
-// fail much more than their pool are ejected within the pool's budget.
+// Each entry has a part of a target's slots and borrows the others' parts while
+// they don't want them. An answer of "full" is normal: it teaches how many slots
+// the others use and ends the borrowing for a while. Targets that fail much more
+// than their pool are ejected within the pool's budget.
 package least
 
 import (
@@ -30,6 +31,9 @@
 	// LendReserve is how many slots of each target overflow leaves free; zero means
 	// DefaultLendReserve, below zero none.
 	LendReserve core.Slots
+	// Entries is how many entries share the targets; it may change at any time.
+	// Below 2 the router takes itself to be alone, though a target may be full.
+	Entries int
 
 	targets map[core.VMID]*target
 	byPool  map[poolID][]*target
@@ -123,7 +127,7 @@
 		if t == nil {
 			continue
 		}
-		if free := t.free(now, r.meanRun(id)); free > most {
+		if free := t.free(now, r.meanRun(id), r.Entries); free > most {
 			best, most = t, free
 		}
 	}
@@ -150,7 +154,7 @@
 	first := r.random().IntN(len(targets))
 	for i := range targets {
 		t := targets[(first+i)%len(targets)]
-		free := t.free(now, mean)
+		free := t.free(now, mean, r.Entries)
 		if r.off.slotBound {
 			free = t.capacity()
 		}
@@ -217,8 +221,10 @@
 
 func (r *Router) learn(now time.Time, t *target, result route.Result, run time.Duration) {
 	switch result {
+	case route.Unsent:
+		return
 	case route.Full:
-		t.learnFull(now)
+		t.learnFull(now, r.meanRun(t.Pool), r.Entries)
 		return
 	case route.Refused:
 		t.pausedUntil = now.Add(leavingPause)
@@ -264,9 +270,14 @@
 	var idle core.Slots
 	mean := r.meanRun(pool)
 	for _, t := range r.byPool[pool] {
-		if t.health == healthy && r.mayStart(now, t) {
-			idle += max(0, t.free(now, mean)-reserve)
+		if !r.mayStart(now, t) {
+			continue
+		}
+		free := max(0, t.free(now, mean, r.Entries)-reserve)
+		if t.health != healthy {
+			free = min(1, free)
 		}
+		idle += free
 	}
 	return idle
 }
--- a/core/route/least/target.go
+++ b/core/route/least/target.go
@@ -16,6 +16,9 @@
 	// leavingPause is how long a target that refused or couldn't be reached gets
 	// no new work.
 	leavingPause = time.Second
+	// contendedRuns is for how many mean runs an entry that was told "full" keeps
+	// to its own part of the slots.
+	contendedRuns = 2
 )
 
 // target is a VM with what this entry has learnt of it.
@@ -31,6 +34,8 @@
 	// others is how many slots other entries used when the target was last full.
 	others core.Slots
 	fullAt time.Time
+	// contendedUntil is until when this entry keeps to its own part.
+	contendedUntil time.Time
 	// pausedUntil is when a target that was leaving or out of reach may be tried.
 	pausedUntil time.Time
 	health      health
@@ -68,20 +73,43 @@
 // free returns how many slots this entry could use, by what it knows: those it
 // doesn't use itself, less those that other entries were seen to use. That number
 // is taken to fall as the target's runs end.
-func (t *target) free(now time.Time, meanRun float64) core.Slots {
+func (t *target) free(now time.Time, meanRun float64, entries int) core.Slots {
 	others := t.others
 	if others > 0 {
 		perSlot := meanRun / float64(max(1, t.capacity()))
 		others -= core.Slots(now.Sub(t.fullAt).Seconds() / perSlot)
 	}
-	return t.capacity() - t.running - max(0, others)
+	return min(t.capacity()-max(0, others), t.allowance(now, entries)) - t.running
+}
+
+// allowance is how many slots this entry may use of a target that several entries
+// share. Beyond its own part it borrows, and leaves one slot. Without that slot an
+// entry that has them all would never learn that another wants some, since it
+// refills each slot itself. Told "full" there, it falls back to its part for a
+// while.
+func (t *target) allowance(now time.Time, entries int) core.Slots {
+	switch {
+	case entries <= 1:
+		return t.capacity()
+	case now.Before(t.contendedUntil):
+		return t.part(entries)
+	}
+	return max(t.capacity()-1, t.part(entries))
+}
+
+// part is an entry's own part of the target's slots.
+func (t *target) part(entries int) core.Slots {
+	return max(1, t.capacity()/core.Slots(max(1, entries)))
 }
 
 // learnFull notes that the target had no slot: what this entry doesn't run there
 // (the refused request is already taken back), others do.
-func (t *target) learnFull(now time.Time) {
+func (t *target) learnFull(now time.Time, meanRun float64, entries int) {
 	t.others = max(1, t.capacity()-t.running)
 	t.fullAt = now
+	if t.running >= t.part(entries) {
+		t.contendedUntil = now.Add(secondsOf(contendedRuns * meanRun))
+	}
 }
 
 // learn takes a result into the means.
