Split limits into allotments that move through the table

Cause: a team's running work must stay within its upper limit, fleet-wide, also when answers are lost, entries die or pause, zones are cut off and the limit changes in flight. The Ledger counts running work against this entry's part; parts move in transactions over the team's and the zone's row. Ruled out: using a raised part before its answer, and reclaiming a dead entry's part at once; scaling parts down locally after a lowering, since what runs elsewhere may still be above its scaled part; a zone-level pool of unassigned parts, a second level without a use.

--- /dev/null
+++ b/core/limit/dump.go
@@ -0,0 +1,32 @@
+package limit
+
+import "lavenderpond/core"
+
+// TeamDump is the ledger's state of one team, for operators.
+type TeamDump struct {
+	Team    core.TeamID `json:"team"`
+	Limit   core.Slots  `json:"limit"`
+	Part    core.Slots  `json:"part"`
+	Running core.Slots  `json:"running"`
+	// GivenOut is the sum of all zones' parts, as last read.
+	GivenOut core.Slots `json:"given_out"`
+	// Above is by how much the parts exceed the limit.
+	Above core.Slots `json:"above,omitempty"`
+	// Paused is true while a lowered limit stops new starts.
+	Paused bool `json:"paused,omitempty"`
+	// Settling is true while the outcome of a move is unknown.
+	Settling bool `json:"settling,omitempty"`
+}
+
+// Dump returns the ledger's state by team.
+func (l *Ledger) Dump() []TeamDump {
+	var dump []TeamDump
+	for _, team := range l.Teams() {
+		a := l.teams[team]
+		dump = append(dump, TeamDump{
+			Team: team, Limit: a.limit, Part: a.part, Running: a.running.count(), GivenOut: a.team.Sum(),
+			Above: l.Above(team), Paused: l.paused(a), Settling: a.move != nil,
+		})
+	}
+	return dump
+}
--- /dev/null
+++ b/core/limit/handle.go
@@ -0,0 +1,249 @@
+package limit
+
+import (
+	"strings"
+	"time"
+
+	"lavenderpond/core"
+	"lavenderpond/core/table"
+)
+
+// Timing of the moves. The table serves several hundred writes a second for the
+// whole fleet, so an idle part stays for a while and marks aren't renewed often.
+const (
+	// resendAfter is the wait before a lost move is sent again.
+	resendAfter = time.Second
+	// rereadAfter is the wait before a read without an answer is sent again.
+	rereadAfter = time.Second
+	// markFor is how long a mark of a waiting zone or entry stands.
+	markFor = 30 * time.Second
+	// wantFor is how long a call of Wanted counts.
+	wantFor = 2 * time.Second
+	// idleFor is how long a part that isn't used stays, at least.
+	idleFor = 30 * time.Second
+	// forgetAfter is how long a team without a part or work is kept track of.
+	forgetAfter = 10 * time.Minute
+)
+
+// Handle takes in an event and returns what to do.
+func (l *Ledger) Handle(now time.Time, event Event) []Command {
+	switch e := event.(type) {
+	case Limits:
+		return l.limits(now, e)
+	case RowsRead:
+		return l.rowsRead(now, e)
+	case Polled:
+		return l.handlePolled(now, e)
+	case Moved:
+		return l.movedAnswer(now, e)
+	case Gone:
+		if l.ownZone(e.Entry) {
+			put(&l.gone, e.Entry, true)
+		}
+	case ZoneDown:
+		if e.Down {
+			put(&l.down, e.Zone, e.Since)
+		} else {
+			delete(l.down, e.Zone)
+		}
+	case Stop:
+		l.stopping = true
+	case Tick:
+	}
+	return l.decideAll(now)
+}
+
+// ownZone reports whether e appears in a row of the own zone. Others never do, so
+// there is no list of the whole fleet's entries here.
+func (l *Ledger) ownZone(e core.EntryID) bool {
+	for _, a := range l.teams {
+		if _, ok := a.zone.Entries[e]; ok && e != l.Self {
+			return true
+		}
+	}
+	return false
+}
+
+func (l *Ledger) decideAll(now time.Time) []Command {
+	var commands []Command
+	for _, team := range l.Teams() {
+		a := l.teams[team]
+		commands = append(commands, l.decide(now, team, a)...)
+		if l.forgettable(now, a) {
+			delete(l.teams, team)
+		}
+	}
+	return commands
+}
+
+func (l *Ledger) forgettable(now time.Time, a *allotment) bool {
+	return a.move == nil && a.part == 0 && a.running.count() == 0 && a.known &&
+		!now.Before(a.wanted.Add(forgetAfter)) && !now.Before(a.used.last.Add(forgetAfter))
+}
+
+func (l *Ledger) limits(now time.Time, e Limits) []Command {
+	// An exception that ends changes a limit without a new configuration. With a new
+	// one, a lowering may have been skipped in between, so that a raise counts as a
+	// lowering too until the rows were read.
+	sameHead := e.Head.Version != 0 && e.Head.Version == l.head.Version
+	l.head = e.Head
+	for team, limit := range e.Limits {
+		a, ok := l.teams[team]
+		if !ok || (a.limitKnown && a.limit == limit) {
+			continue
+		}
+		if !a.limitKnown || !sameHead || limit < a.limit {
+			a.lowered = now
+		}
+		a.limit, a.limitKnown = limit, true
+	}
+	return l.decideAll(now)
+}
+
+func (l *Ledger) rowsRead(now time.Time, e RowsRead) []Command {
+	a, ok := l.teams[e.Team]
+	if !ok {
+		return nil
+	}
+	a.readSent = time.Time{}
+	if !a.takeTeamRow(e.TeamRow) || !a.takeZoneRow(e.ZoneRow) {
+		return nil
+	}
+	a.known = true
+	if e.Sent.After(a.read) {
+		a.read = e.Sent
+	}
+	l.settle(a, e.Sent)
+	return l.decide(now, e.Team, a)
+}
+
+func (l *Ledger) handlePolled(now time.Time, e Polled) []Command {
+	for _, row := range e.Rows {
+		team, zone := splitKey(row.Key)
+		a, ok := l.teams[team]
+		if !ok || !a.known {
+			continue
+		}
+		// A row that can't be decoded makes the rows unknown until a read succeeds.
+		switch zone {
+		case "":
+			a.known = a.takeTeamRow(row)
+		case l.Zone:
+			a.known = a.takeZoneRow(row)
+		}
+	}
+	if e.First {
+		// Rows may have changed between their read and the first poll's start.
+		for _, a := range l.teams {
+			a.known = false
+		}
+	}
+	if e.Sent.After(l.polled) {
+		l.polled = e.Sent
+	}
+	for _, a := range l.teams {
+		if a.known {
+			l.settle(a, e.Sent)
+		}
+	}
+	return l.decideAll(now)
+}
+
+// settle takes the own part from the rows once no move is open that could still
+// take effect after sent, when their read left.
+func (l *Ledger) settle(a *allotment, sent time.Time) {
+	if m := a.move; m != nil {
+		if m.conflicted.IsZero() || !sent.After(m.conflicted) {
+			return
+		}
+		delete(l.moves, m.ID)
+		a.move = nil
+	}
+	a.part = a.zone.Entries[l.Self]
+}
+
+func (l *Ledger) movedAnswer(now time.Time, e Moved) []Command {
+	team, ok := l.moves[e.ID]
+	if !ok {
+		return nil
+	}
+	a := l.teams[team]
+	m := a.move
+	switch e.Result {
+	case ResultApplied:
+		a.applied(m)
+		l.close(a)
+	case ResultConflict:
+		if !m.lost {
+			// The only sending so far wrote nothing.
+			a.known = false
+			l.close(a)
+			break
+		}
+		m.conflicted = now
+		a.known = false
+	case ResultNotSent:
+		if !m.lost {
+			l.close(a)
+			a.retryAt = now.Add(resendAfter)
+			return nil
+		}
+		m.resend = now.Add(resendAfter)
+	case ResultUnknown:
+		m.lost = true
+		m.resend = now.Add(resendAfter)
+		if l.unsafe.useBeforeSettled {
+			a.applied(m)
+			l.close(a)
+		}
+	}
+	return l.decide(now, team, a)
+}
+
+func (l *Ledger) close(a *allotment) {
+	delete(l.moves, a.move.ID)
+	a.move = nil
+}
+
+// applied takes the rows as the move wrote them.
+func (a *allotment) applied(m *openMove) {
+	a.part = m.after
+	a.team, a.zone = m.team, m.zone
+	a.teamRow.Version++
+	a.zoneRow.Version++
+}
+
+// takeTeamRow takes row unless it is older than the one known. It returns false if
+// the row can't be used.
+func (a *allotment) takeTeamRow(row table.Row) bool {
+	if row.Version < a.teamRow.Version {
+		return true
+	}
+	var r TeamRow
+	if row.Decode(&r) != nil || !valid(r.Zones) {
+		return false
+	}
+	a.teamRow, a.team = table.Row{Key: row.Key, Version: row.Version}, r
+	return true
+}
+
+// takeZoneRow is takeTeamRow for the zone's row.
+func (a *allotment) takeZoneRow(row table.Row) bool {
+	if row.Version < a.zoneRow.Version {
+		return true
+	}
+	var r ZoneRow
+	if row.Decode(&r) != nil || !valid(r.Entries) {
+		return false
+	}
+	a.zoneRow, a.zone = table.Row{Key: row.Key, Version: row.Version}, r
+	return true
+}
+
+// splitKey returns the team and zone of an allotment row; the zone is empty for a
+// team's row.
+func splitKey(key table.Key) (core.TeamID, core.ZoneID) {
+	rest := strings.TrimPrefix(string(key), table.PrefixAllotment)
+	team, zone, _ := strings.Cut(rest, "/")
+	return core.TeamID(team), core.ZoneID(zone)
+}
