Add the drivers of configuration, keys and allotments, and their spread among entries

Cause: an accepted change must be in force everywhere within seconds, also where the table can't be reached. Ruled out: exchanges of every entry with every other, whose messages grow with the square of the entries.

--- a/core/config/view.go
+++ b/core/config/view.go
@@ -138,6 +138,17 @@
 	return d
 }
 
+// Head returns the head row if the view is complete up to it, else a row of Version
+// 0. A transaction that checks it takes effect only if no later change was accepted.
+func (v *View) Head() table.Row {
+	var head Head
+	row, ok := v.Row(table.ConfigHead)
+	if !ok || row.Decode(&head) != nil || head.Version != v.version {
+		return table.Row{Key: table.ConfigHead}
+	}
+	return row
+}
+
 // Row returns the row that the view holds under key, if any.
 func (v *View) Row(key table.Key) (table.Row, bool) {
 	r, ok := v.rows[key]
--- a/core/key/ring.go
+++ b/core/key/ring.go
@@ -125,9 +125,6 @@
 	}
 }
 
-// CompleteAt returns the evidence by the table, for peers.
-func (r *Ring) CompleteAt() time.Time { return r.complete }
-
 // Evidence returns the instant up to which the ring surely holds all accepted
 // withdrawals: the later of the table's word and that of a majority of zones. A
 // withdrawal counts as accepted once the table or a majority of zones has it, and
@@ -141,24 +138,25 @@
 	return r.complete
 }
 
-// zoneEvidence returns the latest instant since which a majority of zones, the own
-// one included, was heard. It is zero for a fleet of one zone.
+// zoneEvidence returns the latest instant since which a majority of zones was heard,
+// or zero. The own zone counts without being heard, unless this entry started
+// without the table: what its zone was told, it may have forgotten by restarting.
 func (r *Ring) zoneEvidence() time.Time {
-	others := len(r.Zones) / 2
-	if others == 0 {
-		return time.Time{}
+	needed := len(r.Zones)/2 + 1
+	if !r.complete.IsZero() || !r.contacts[r.Zone].IsZero() {
+		needed--
 	}
 	var heard []time.Time
 	for _, z := range r.Zones {
-		if z != r.Zone {
+		if z != r.Zone && !r.contacts[z].IsZero() {
 			heard = append(heard, r.contacts[z])
 		}
 	}
-	if len(heard) < others {
+	if needed == 0 || len(heard) < needed {
 		return time.Time{}
 	}
 	sort.Slice(heard, func(i, j int) bool { return heard[i].After(heard[j]) })
-	return heard[others-1]
+	return heard[needed-1]
 }
 
 // TrustedUntil returns when the list stops being trusted, if nothing is heard.
@@ -195,6 +193,12 @@
 	return core.CodeDone, true
 }
 
+// Team returns the team of a known digest.
+func (r *Ring) Team(d core.KeyDigest) (core.TeamID, bool) {
+	t, ok := r.teams[d]
+	return t, ok
+}
+
 // Len returns how many digests the ring knows, and how many of them ended.
 func (r *Ring) Len() (known, withdrawn int) { return len(r.teams), len(r.withdrawn) }
 
--- a/core/limit/dump.go
+++ b/core/limit/dump.go
@@ -1,6 +1,11 @@
 package limit
 
-import "lavenderpond/core"
+import (
+	"maps"
+	"slices"
+
+	"lavenderpond/core"
+)
 
 // TeamDump is the ledger's state of one team, for operators.
 type TeamDump struct {
@@ -30,3 +35,14 @@
 	}
 	return dump
 }
+
+// Holders returns the entries of the own zone that hold allotments, sorted.
+func (l *Ledger) Holders() []core.EntryID {
+	all := make(map[core.EntryID]bool)
+	for _, a := range l.teams {
+		for e := range a.zone.Entries {
+			all[e] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(all))
+}
--- /dev/null
+++ b/io/peer/spread.go
@@ -0,0 +1,240 @@
+package peer
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"lavenderpond/core"
+	"lavenderpond/core/config"
+	"lavenderpond/core/key"
+	"lavenderpond/io/supervisor"
+)
+
+// SpreadName is the name under which a Spread's receiver is registered.
+const SpreadName = "Spread"
+
+// Timing of Spread.
+const (
+	// DefaultSpreadInterval is the time between two exchanges with the relay, or of
+	// the relay with other zones.
+	DefaultSpreadInterval = time.Second
+	// spreadTimeout bounds one exchange.
+	spreadTimeout = 2 * time.Second
+	// avoidFor is how long a peer that didn't answer is passed over, if another of its
+	// zone is left.
+	avoidFor = 5 * time.Second
+)
+
+// Member is an entry's place.
+type Member struct {
+	Entry   core.EntryID
+	Zone    core.ZoneID
+	Address string
+}
+
+// Replica is the configuration and key ring that are spread.
+type Replica interface {
+	Version() core.Version
+	DeltaSince(since core.Version) config.Delta
+	Summary() key.Summary
+	// FromPeer takes in what an entry of zone told. Sent is when the message that it
+	// answered left here, or zero for what came unasked.
+	FromPeer(d config.Delta, s key.Summary, zone core.ZoneID, sent time.Time) error
+	Withdraw(withdrawals ...key.Withdrawal)
+}
+
+// SpreadArgs tells a peer what the sender holds. Delta is empty in a first message.
+type SpreadArgs struct {
+	Zone    core.ZoneID
+	Version core.Version
+	Delta   config.Delta
+	Keys    key.Summary
+}
+
+// SpreadReply tells the sender what it lacks.
+type SpreadReply struct {
+	Version core.Version
+	Delta   config.Delta
+	Keys    key.Summary
+}
+
+// WithdrawArgs puts withdrawals in force at the receiver at once.
+type WithdrawArgs struct{ Withdrawals []key.Withdrawal }
+
+// WithdrawReply confirms that the withdrawals are in force at Entry.
+type WithdrawReply struct {
+	Entry core.EntryID
+	Zone  core.ZoneID
+}
+
+// Spread tells configuration and withdrawals among entries. Each entry exchanges
+// with its zone's relay, the first of its zone that answers; the relay alone
+// exchanges with the other zones' relays. So the messages of a round number the
+// entries plus the square of the zones, and a change crosses in three rounds.
+type Spread struct {
+	Self    Member
+	Replica Replica
+	// Members returns the known entries of a zone, self included or not.
+	Members func(zone core.ZoneID) []Member
+	Zones   []core.ZoneID
+	// Call sends to a peer; Pool.Call in the daemon.
+	Call func(ctx context.Context, address, method string, args, reply any) error
+	Now  func() time.Time
+	Log  zerolog.Logger
+	// Interval between rounds; 0 means DefaultSpreadInterval.
+	Interval time.Duration
+
+	mu      sync.Mutex
+	avoided map[core.EntryID]time.Time
+}
+
+// Receiver returns what is registered under SpreadName.
+func (s *Spread) Receiver() *SpreadReceiver { return &SpreadReceiver{spread: s} }
+
+// Child returns the rounds as a part of the daemon's tree.
+func (s *Spread) Child() supervisor.Child {
+	return supervisor.Child{Name: "spread", Run: func(ctx context.Context) error {
+		interval := s.Interval
+		if interval == 0 {
+			interval = DefaultSpreadInterval
+		}
+		return supervisor.Every(ctx, interval, s.Round)
+	}}
+}
+
+// Round exchanges once with this zone's relay, or, as the relay, with one entry of
+// each other zone.
+func (s *Spread) Round(ctx context.Context) {
+	if s.withRelay(ctx) {
+		return
+	}
+	var g supervisor.Group
+	for _, z := range s.Zones {
+		if z != s.Self.Zone {
+			g.Go(func() { s.withFirst(ctx, s.ranked(z)) })
+		}
+	}
+	g.Wait()
+}
+
+// withRelay exchanges with the relay of the own zone. It returns false if this
+// entry is the relay: none before it in rank answers.
+func (s *Spread) withRelay(ctx context.Context) bool {
+	var before []Member
+	for _, m := range s.ranked(s.Self.Zone) {
+		if m.Entry < s.Self.Entry {
+			before = append(before, m)
+		}
+	}
+	return s.withFirst(ctx, before)
+}
+
+// ranked returns the members of a zone by id, without self. The relay is the first
+// that answers; two at a time, while entries disagree about who answers, only cost
+// messages.
+func (s *Spread) ranked(zone core.ZoneID) []Member {
+	var list []Member
+	for _, m := range s.Members(zone) {
+		if m.Entry != s.Self.Entry {
+			list = append(list, m)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Entry < list[j].Entry })
+	return list
+}
+
+// withFirst exchanges with the first of members that answers. One that didn't
+// lately is tried last.
+func (s *Spread) withFirst(ctx context.Context, members []Member) bool {
+	sort.SliceStable(members, func(i, j int) bool { return !s.isAvoided(members[i].Entry) && s.isAvoided(members[j].Entry) })
+	for _, m := range members {
+		if ctx.Err() != nil {
+			return false
+		}
+		err := s.exchange(ctx, m)
+		s.setAvoided(m.Entry, err != nil)
+		if err == nil {
+			return true
+		}
+		s.Log.Debug().Err(err).Str("peer", string(m.Entry)).Msg("exchange failed")
+	}
+	return false
+}
+
+// exchange asks m for what this entry lacks, and sends m what m lacks.
+func (s *Spread) exchange(ctx context.Context, m Member) error {
+	ctx, cancel := context.WithTimeout(ctx, spreadTimeout)
+	defer cancel()
+	sent := s.Now()
+	args := s.args(s.Replica.Version())
+	var reply SpreadReply
+	if err := s.Call(ctx, m.Address, SpreadName+".Exchange", args, &reply); err != nil {
+		return err
+	}
+	if err := s.Replica.FromPeer(reply.Delta, reply.Keys, m.Zone, sent); err != nil {
+		return err
+	}
+	if reply.Version >= s.Replica.Version() {
+		return nil
+	}
+	return s.Call(ctx, m.Address, SpreadName+".Exchange", s.args(reply.Version), &SpreadReply{})
+}
+
+// args tells this entry's state, with what a peer at version since lacks.
+func (s *Spread) args(since core.Version) SpreadArgs {
+	// The summary is taken before the rows: its evidence must not be newer than they.
+	keys := s.Replica.Summary()
+	return SpreadArgs{Zone: s.Self.Zone, Version: s.Replica.Version(), Keys: keys, Delta: s.Replica.DeltaSince(since)}
+}
+
+// Withdraw puts a withdrawal in force at m, for the operator's command.
+func (s *Spread) Withdraw(ctx context.Context, m Member, w key.Withdrawal) error {
+	ctx, cancel := context.WithTimeout(ctx, spreadTimeout)
+	defer cancel()
+	return s.Call(ctx, m.Address, SpreadName+".Withdraw", WithdrawArgs{Withdrawals: []key.Withdrawal{w}}, &WithdrawReply{})
+}
+
+func (s *Spread) isAvoided(e core.EntryID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Now().Before(s.avoided[e])
+}
+
+func (s *Spread) setAvoided(e core.EntryID, failed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !failed {
+		delete(s.avoided, e)
+		return
+	}
+	if s.avoided == nil {
+		s.avoided = make(map[core.EntryID]time.Time)
+	}
+	s.avoided[e] = s.Now().Add(avoidFor)
+}
+
+// SpreadReceiver answers peers' Spread calls.
+type SpreadReceiver struct{ spread *Spread }
+
+// Exchange takes in what the sender told and answers with what it lacks.
+func (r *SpreadReceiver) Exchange(args SpreadArgs, reply *SpreadReply) error {
+	replica := r.spread.Replica
+	if err := replica.FromPeer(args.Delta, args.Keys, args.Zone, time.Time{}); err != nil {
+		return err
+	}
+	reply.Keys = replica.Summary()
+	reply.Delta = replica.DeltaSince(args.Version)
+	reply.Version = reply.Delta.Version
+	return nil
+}
+
+// Withdraw puts withdrawals in force here.
+func (r *SpreadReceiver) Withdraw(args WithdrawArgs, reply *WithdrawReply) error {
+	r.spread.Replica.Withdraw(args.Withdrawals...)
+	reply.Entry, reply.Zone = r.spread.Self.Entry, r.spread.Self.Zone
+	return nil
+}
--- /dev/null
+++ b/io/platform/allot.go
@@ -0,0 +1,292 @@
+package platform
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"lavenderpond/core"
+	"lavenderpond/core/config"
+	"lavenderpond/core/limit"
+	"lavenderpond/core/table"
+	"lavenderpond/io/supervisor"
+)
+
+// Timing of Allotments.
+const (
+	// DefaultAllotInterval is the time between two rounds.
+	DefaultAllotInterval = 100 * time.Millisecond
+	// allotPollInterval is the time between two polls of changed allotment rows.
+	allotPollInterval = time.Second
+	// goneInterval is the time between two looks at the list of live VMs.
+	goneInterval = 5 * time.Second
+	// listLag is longer than the platform's list ever lags: an entry that started
+	// before and isn't listed was listed once, and has gone for good.
+	listLag = 10 * time.Minute
+	// maxRounds bounds how many answers are handled in one round.
+	maxRounds = 8
+	// maxSendings bounds the table requests under way at once.
+	maxSendings = 4
+)
+
+// Allotments drives an entry's Ledger: it carries out moves of allotments and makes
+// the Ledger safe for concurrent use.
+type Allotments struct {
+	Table  Table
+	Live   LiveList
+	Config *Configuration
+	Now    func() time.Time
+	Log    zerolog.Logger
+	// Interval between rounds; 0 means DefaultAllotInterval.
+	Interval time.Duration
+	// OnChange is called without the lock after a move settled: work may start now.
+	OnChange func()
+
+	// Ledger is guarded by mu once Child runs.
+	Ledger limit.Ledger
+	mu     sync.Mutex
+
+	// The fields below belong to the driver's goroutine.
+	driver   sync.Mutex
+	since    table.Revision
+	polledAt time.Time
+	polled   bool
+	goneAt   time.Time
+	listed   map[string]bool
+}
+
+// Limiter returns the ledger for the dispatch of requests, safe for concurrent use.
+func (a *Allotments) Limiter() limit.Limiter { return limiter{a} }
+
+// Dump returns the ledger's state by team.
+func (a *Allotments) Dump() []limit.TeamDump {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.Ledger.Dump()
+}
+
+// Child returns the driver's part of the daemon's tree.
+func (a *Allotments) Child() supervisor.Child {
+	return supervisor.Child{Name: "allotments", Run: func(ctx context.Context) error {
+		return supervisor.Every(ctx, a.interval(), a.Round)
+	}}
+}
+
+// Round tells the ledger what is new and carries out what it asks for.
+func (a *Allotments) Round(ctx context.Context) {
+	a.driver.Lock()
+	defer a.driver.Unlock()
+	commands := a.handle(a.news(ctx)...)
+	for range maxRounds {
+		if len(commands) == 0 || ctx.Err() != nil {
+			return
+		}
+		commands = a.handle(a.carryOut(ctx, commands)...)
+		if a.OnChange != nil {
+			a.OnChange()
+		}
+	}
+}
+
+// Release gives back what doesn't run, and returns once all moves are settled or
+// ctx ends. What still runs stays counted until its leases end.
+func (a *Allotments) Release(ctx context.Context) {
+	a.handle(limit.Stop{})
+	for !a.released() && ctx.Err() == nil {
+		a.Round(ctx)
+		if !supervisor.Sleep(ctx, a.interval()) {
+			return
+		}
+	}
+}
+
+func (a *Allotments) released() bool {
+	for _, d := range a.Dump() {
+		if d.Settling || d.Part > d.Running {
+			return false
+		}
+	}
+	return true
+}
+
+func (a *Allotments) handle(events ...limit.Event) []limit.Command {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.Now()
+	var commands []limit.Command
+	for _, e := range events {
+		commands = append(commands, a.Ledger.Handle(now, e)...)
+	}
+	return commands
+}
+
+// news gathers the limits in force, attestations, changed rows and dead entries.
+func (a *Allotments) news(ctx context.Context) []limit.Event {
+	events := append(a.readLimits(), limit.Tick{})
+	now := a.Now()
+	if !now.Before(a.polledAt.Add(allotPollInterval)) {
+		a.polledAt = now
+		events = append(events, a.poll(ctx)...)
+	}
+	if !now.Before(a.goneAt.Add(goneInterval)) {
+		a.goneAt = now
+		events = append(events, a.findGone(ctx)...)
+	}
+	return events
+}
+
+// readLimits returns the limits of the ledger's teams and the attested zones.
+func (a *Allotments) readLimits() []limit.Event {
+	now := a.Now()
+	a.mu.Lock()
+	teams := a.Ledger.Teams()
+	a.mu.Unlock()
+	limits := limit.Limits{Limits: make(map[core.TeamID]core.Slots, len(teams))}
+	events := make([]limit.Event, 0, 2)
+	a.Config.View(func(v *config.View) {
+		limits.Head = v.Head()
+		for _, t := range teams {
+			team, _ := v.Team(now, t)
+			limits.Limits[t] = team.Limit
+		}
+		for _, z := range a.Config.Zones {
+			d, down := v.ZoneDown(z)
+			events = append(events, limit.ZoneDown{Zone: z, Down: down, Since: d.Since})
+		}
+	})
+	return append(events, limits)
+}
+
+func (a *Allotments) poll(ctx context.Context) []limit.Event {
+	if len(a.ledgerTeams()) == 0 && !a.polled {
+		return nil
+	}
+	sent := a.Now()
+	rows, since, err := a.Table.Changes(ctx, table.PrefixAllotment, a.since)
+	if err != nil {
+		return nil
+	}
+	e := limit.Polled{Sent: sent, First: !a.polled, Rows: rows}
+	a.since, a.polled = since, true
+	return []limit.Event{e}
+}
+
+func (a *Allotments) ledgerTeams() []core.TeamID {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.Ledger.Teams()
+}
+
+// carryOut sends the commands to the table and returns the answers.
+func (a *Allotments) carryOut(ctx context.Context, commands []limit.Command) []limit.Event {
+	events := make([]limit.Event, len(commands))
+	for first := 0; first < len(commands); first += maxSendings {
+		var g supervisor.Group
+		for i := first; i < min(first+maxSendings, len(commands)); i++ {
+			g.Go(func() { events[i] = a.send(ctx, commands[i]) })
+		}
+		g.Wait()
+	}
+	answers := events[:0]
+	for _, e := range events {
+		if e != nil {
+			answers = append(answers, e)
+		}
+	}
+	return answers
+}
+
+func (a *Allotments) send(ctx context.Context, command limit.Command) limit.Event {
+	switch c := command.(type) {
+	case limit.ReadRows:
+		return a.read(ctx, c.Team)
+	case limit.Move:
+		return limit.Moved{ID: c.ID, Result: resultOf(a.Table.Transact(ctx, c.Transaction))}
+	default:
+		return nil
+	}
+}
+
+// read returns nil if the table can't be reached; the ledger asks again.
+func (a *Allotments) read(ctx context.Context, team core.TeamID) limit.Event {
+	e := limit.RowsRead{Sent: a.Now(), Team: team}
+	var err error
+	if e.TeamRow, err = a.Table.Read(ctx, table.TeamAllotmentKey(team)); err != nil {
+		return nil
+	}
+	if e.ZoneRow, err = a.Table.Read(ctx, table.ZoneAllotmentKey(team, a.Ledger.Zone)); err != nil {
+		return nil
+	}
+	return e
+}
+
+func resultOf(err error) limit.Result {
+	switch {
+	case err == nil:
+		return limit.ResultApplied
+	case errors.Is(err, table.ErrConflict):
+		return limit.ResultConflict
+	case errors.Is(err, table.ErrDown):
+		return limit.ResultNotSent
+	default:
+		return limit.ResultUnknown
+	}
+}
+
+// findGone returns the entries of this zone that hold allotments and have ended, by
+// the platform's list: their name is listed with a later start, or not any more.
+func (a *Allotments) findGone(ctx context.Context) []limit.Event {
+	live, err := a.Live.Live(ctx, a.Ledger.Zone)
+	if err != nil {
+		return nil
+	}
+	started := make(map[string]time.Time, len(live))
+	for _, l := range live {
+		started[l.Name] = l.Started
+	}
+	a.mu.Lock()
+	holders := a.Ledger.Holders()
+	a.mu.Unlock()
+	var events []limit.Event
+	for _, e := range holders {
+		if a.ended(e, started) {
+			events = append(events, limit.Gone{Entry: e})
+		}
+	}
+	a.listed = make(map[string]bool, len(live))
+	for name := range started {
+		a.listed[name] = true
+	}
+	return events
+}
+
+func (a *Allotments) ended(e core.EntryID, started map[string]time.Time) bool {
+	own := startOf(e)
+	listed, ok := started[e.Name()]
+	if ok {
+		return listed.UnixMilli() > own.UnixMilli()
+	}
+	return a.listed[e.Name()] || a.Now().After(own.Add(listLag))
+}
+
+// startOf returns the start time that is part of an EntryID.
+func startOf(e core.EntryID) time.Time {
+	_, ms, _ := strings.Cut(string(e), "#")
+	n, err := strconv.ParseInt(ms, 10, 64)
+	if err != nil {
+		return time.Time{}
+	}
+	return time.UnixMilli(n)
+}
+
+func (a *Allotments) interval() time.Duration {
+	if a.Interval == 0 {
+		return DefaultAllotInterval
+	}
+	return a.Interval
+}
