Say what a withdrawal is worth while the table is down

Entries trust their keys on the word of a majority of zones (core/key), so a withdrawal that fewer zones hold is not safe; the command now says which it is.

--- a/cmd/lavenderpond/confirmed.go
+++ b/cmd/lavenderpond/confirmed.go
@@ -18,8 +18,9 @@
 		r.entries = map[string]*pb.Confirmation{}
 	}
 	for _, c := range list {
-		if old := r.entries[c.Entry]; old == nil || !old.Confirmed {
-			r.entries[c.Entry] = c
+		at := c.Zone + "/" + c.Entry
+		if old := r.entries[at]; old == nil || !old.Confirmed {
+			r.entries[at] = c
 		}
 	}
 }
@@ -77,3 +78,19 @@
 	}
 	return failf(exitPartly, "%s can't be confirmed everywhere in %s", what, strings.Join(zones, ", "))
 }
+
+// zones returns how many zones have an entry that confirms, and how many there are.
+func (r *confirmed) zones() (confirming, all int) {
+	zones := map[string]bool{}
+	for _, c := range r.list() {
+		if c.Zone != "" {
+			zones[c.Zone] = zones[c.Zone] || c.Confirmed
+		}
+	}
+	for _, yes := range zones {
+		if yes {
+			confirming++
+		}
+	}
+	return confirming, len(zones)
+}
--- a/cmd/lavenderpond/fakes_test.go
+++ b/cmd/lavenderpond/fakes_test.go
@@ -15,6 +15,7 @@
 
 	"lavenderpond/core"
 	"lavenderpond/core/config"
+	"lavenderpond/core/key"
 	"lavenderpond/core/table"
 	pb "lavenderpond/io/gen/lavenderpond/v1"
 	"lavenderpond/io/gen/lavenderpond/v1/lavenderpondv1connect"
@@ -170,7 +171,7 @@
 }
 
 // Withdraw implements operator.Backend.
-func (e *fakeEntry) Withdraw(ctx context.Context, _ core.KeyDigest) []operator.Confirmation {
+func (e *fakeEntry) Withdraw(ctx context.Context, _ key.Withdrawal) []operator.Confirmation {
 	var list []operator.Confirmation
 	for _, s := range e.Fleet(ctx) {
 		c := operator.Confirmation{Entry: s.Entry, Zone: s.Zone, Confirmed: s.Reachable}
--- a/cmd/lavenderpond/keys.go
+++ b/cmd/lavenderpond/keys.go
@@ -117,12 +117,25 @@
 	if err := a.show(merged, r.grid()); err != nil {
 		return err
 	}
-	switch code := core.Code(merged.TableCode); code {
-	case core.CodeDone:
+	if merged.TableCode == 0 {
 		return r.failure("the withdrawal")
-	case core.CodePlatformDown, core.CodeChangeUnknown:
-		merged.TableDetail = code.String()
 	}
-	return failf(exitPartly, "not recorded in the table: %s; repeat with --change-id %s until it is, or an entry that is replaced won't know of it",
-		merged.TableDetail, change)
+	return notRecorded(merged, &r, change)
+}
+
+// notRecorded says what a withdrawal is worth that the table doesn't have. Entries
+// trust their keys on the word of a majority of zones: one that fewer zones hold may
+// be missed by an entry that is cut off or starts anew.
+func notRecorded(m *pb.WithdrawReply, r *confirmed, change string) error {
+	why := m.TableDetail
+	if code := core.Code(m.TableCode); code == core.CodePlatformDown || code == core.CodeChangeUnknown {
+		why = code.String()
+	}
+	confirming, all := r.zones()
+	if 2*confirming > all {
+		return failf(exitPartly, "in force in %d of %d zones, not yet recorded in the table: %s; repeat with --change-id %s once it can be",
+			confirming, all, why, change)
+	}
+	return failf(exitPartly, "NOT SAFE: only %d of %d zones have it, the table doesn't: %s; repeat with --change-id %s until a majority of zones or the table has it",
+		confirming, all, why, change)
 }
--- a/cmd/lavenderpond/status.go
+++ b/cmd/lavenderpond/status.go
@@ -29,8 +29,9 @@
 		}
 		merged.Version = max(merged.Version, r.value.Version)
 		for _, e := range r.value.Entries {
-			if old := entries[e.Entry]; old == nil || !old.Reachable {
-				entries[e.Entry] = e
+			at := e.Zone + "/" + e.Entry
+			if old := entries[at]; old == nil || !old.Reachable {
+				entries[at] = e
 			}
 		}
 	}
--- a/io/operator/once_test.go
+++ b/io/operator/once_test.go
@@ -14,6 +14,7 @@
 	"lavenderpond/core"
 	"lavenderpond/core/config"
 	"lavenderpond/core/fleet"
+	"lavenderpond/core/key"
 	"lavenderpond/core/table"
 	pb "lavenderpond/io/gen/lavenderpond/v1"
 )
@@ -79,7 +80,7 @@
 func (*nobody) Fleet(context.Context) []EntryStatus {
 	return []EntryStatus{{Entry: "a1#1", Reachable: true}}
 }
-func (n *nobody) Withdraw(context.Context, core.KeyDigest) []Confirmation {
+func (n *nobody) Withdraw(context.Context, key.Withdrawal) []Confirmation {
 	n.withdrawn++
 	return []Confirmation{{Entry: "a1#1", Zone: "zone_a", Confirmed: true}}
 }
--- a/io/operator/operator.go
+++ b/io/operator/operator.go
@@ -12,6 +12,7 @@
 
 	"lavenderpond/core"
 	"lavenderpond/core/config"
+	"lavenderpond/core/key"
 	"lavenderpond/io/gen/lavenderpond/v1/lavenderpondv1connect"
 	"lavenderpond/io/platform"
 )
@@ -25,11 +26,15 @@
 // Backend is what the service asks of the daemon that it runs in.
 type Backend interface {
 	// Fleet returns the status of this entry, first, and of every other entry that
-	// it knows. It returns within ctx and marks those that it can't reach.
+	// it knows. It returns within ctx and marks those that it can't reach. A zone of
+	// which it knows no entry gets an unreachable status without an Entry, so that
+	// operators see that the zone can't be vouched for.
 	Fleet(ctx context.Context) []EntryStatus
 	// Withdraw puts the withdrawal of a key in force here, and sends it to every
-	// known entry. It returns a confirmation for each, this entry first.
-	Withdraw(ctx context.Context, key core.KeyDigest) []Confirmation
+	// known entry. It returns a confirmation for each, this entry first, and one
+	// without an Entry for a zone of which it knows none. The team is empty if nobody
+	// named it.
+	Withdraw(ctx context.Context, w key.Withdrawal) []Confirmation
 	// View returns every row of the entry's view of the configuration.
 	View() config.Delta
 	// Dump returns the process's state, to be encoded as JSON, without secrets.
--- a/io/operator/withdraw.go
+++ b/io/operator/withdraw.go
@@ -7,6 +7,7 @@
 
 	"lavenderpond/core"
 	"lavenderpond/core/config"
+	"lavenderpond/core/key"
 	"lavenderpond/core/table"
 	pb "lavenderpond/io/gen/lavenderpond/v1"
 	"lavenderpond/io/platform"
@@ -22,13 +23,14 @@
 	if m.ChangeId == "" || m.Author == "" || len(m.Digest) != digestLength {
 		return nil, core.Errorf(core.CodeMalformed, "change_id, author and the key's digest of %d hex digits are needed", digestLength)
 	}
+	w := key.Withdrawal{Digest: core.KeyDigest(m.Digest), Team: s.teamOf(m), Author: m.Author, Reason: m.Reason}
 	if s.tableFirst {
-		if _, err := s.recordWithdrawal(ctx, m); err != nil {
+		if _, err := s.recordWithdrawal(ctx, w, m); err != nil {
 			return nil, err
 		}
 	}
-	reply := &pb.WithdrawReply{Confirmations: confirmations(s.Backend.Withdraw(ctx, core.KeyDigest(m.Digest)))}
-	applied, err := s.recordWithdrawal(ctx, m)
+	reply := &pb.WithdrawReply{Confirmations: confirmations(s.Backend.Withdraw(ctx, w))}
+	applied, err := s.recordWithdrawal(ctx, w, m)
 	reply.Version = uint64(applied.Version)
 	if err != nil {
 		e := asError(err)
@@ -37,31 +39,39 @@
 	return connect.NewResponse(reply), nil
 }
 
-func (s *Server) recordWithdrawal(ctx context.Context, m *pb.WithdrawRequest) (platform.Applied, error) {
-	team, err := s.teamOf(ctx, m)
-	if err != nil {
-		return platform.Applied{}, err
+func (s *Server) recordWithdrawal(ctx context.Context, w key.Withdrawal, m *pb.WithdrawRequest) (platform.Applied, error) {
+	if w.Team == "" {
+		row, err := s.Table.Read(ctx, table.KeyKey(w.Digest))
+		if err != nil {
+			return platform.Applied{}, err
+		}
+		if w.Team = teamIn(row); w.Team == "" {
+			return platform.Applied{}, core.Errorf(core.CodeNotFound, "no key with this digest is known; name its team to record the withdrawal")
+		}
 	}
-	c := config.WithdrawKey{Author: m.Author, Team: team, Digest: core.KeyDigest(m.Digest), Reason: m.Reason}
+	c := config.WithdrawKey{Author: w.Author, Team: w.Team, Digest: w.Digest, Reason: w.Reason}
 	return platform.Apply(ctx, s.Table, c, core.ChangeID(m.ChangeId), s.now())
 }
 
-// teamOf returns the key's team by its row, or else by the operator's word.
-func (s *Server) teamOf(ctx context.Context, m *pb.WithdrawRequest) (core.TeamID, error) {
-	rows, _, err := s.scanConfig(ctx, string(table.KeyKey(core.KeyDigest(m.Digest))))
-	if err != nil {
-		return "", err
-	}
-	k := config.Key{Team: core.TeamID(m.Team)}
-	for _, r := range rows {
-		if err := r.Decode(&k); err != nil {
-			return "", err
+// teamOf returns the key's team by the entry's view, or else by the operator's word.
+func (s *Server) teamOf(m *pb.WithdrawRequest) core.TeamID {
+	for _, r := range s.Backend.View().Rows {
+		if r.Key != table.KeyKey(core.KeyDigest(m.Digest)) {
+			continue
+		}
+		if team := teamIn(r); team != "" {
+			return team
 		}
 	}
-	if k.Team == "" {
-		return "", core.Errorf(core.CodeNotFound, "no key with this digest is known; name its team to record the withdrawal")
+	return core.TeamID(m.Team)
+}
+
+func teamIn(r table.Row) core.TeamID {
+	var k config.Key
+	if err := r.Decode(&k); err != nil {
+		return ""
 	}
-	return k.Team, nil
+	return k.Team
 }
 
 func confirmations(cs []Confirmation) []*pb.Confirmation {
