Export the audit to the object store, guard the service before bodies are read

The monitor reads accepted changes from the object store; nothing wrote them there. Ruled out: a mark in the object store, which has no compare-and-swap and whose client can't tell a missing object from an outage.

The operator key is now checked before the body is decoded. Each change, withdrawal and refusal is one log line with call, code, change and author.

--- a/cmd/lavenderpond/fakes_test.go
+++ b/cmd/lavenderpond/fakes_test.go
@@ -148,7 +148,7 @@
 
 func (e *fakeEntry) handler() http.Handler {
 	mux := http.NewServeMux()
-	s := &operator.Server{Table: &e.fleet.table, Backend: e, KeyDigest: core.Digest(operatorKey), Now: func() time.Time { return e.fleet.now }}
+	s := &operator.Server{Table: &e.fleet.table, Backend: e, Entry: e.status.Entry, KeyDigest: core.Digest(operatorKey), Now: func() time.Time { return e.fleet.now }}
 	mux.Handle(s.Handler())
 	mux.Handle(lavenderpondv1connect.NewCallerServiceHandler(e))
 	return mux
--- a/io/operator/config.go
+++ b/io/operator/config.go
@@ -43,7 +43,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &pb.ApplyChangeReply{Version: uint64(applied.Version), Repeated: applied.Before, Note: s.noteOn(ctx, c)}, nil
+	return &pb.ApplyChangeReply{Version: uint64(applied.Version), Repeated: applied.Before, Note: s.noteOn(ctx, c, m)}, nil
 }
 
 // baseOf returns the row that the change's missing fields come from. For a change
--- /dev/null
+++ b/io/operator/export.go
@@ -0,0 +1,126 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"lavenderpond/core"
+	"lavenderpond/core/config"
+	"lavenderpond/core/table"
+	"lavenderpond/io/platform"
+	"lavenderpond/io/supervisor"
+)
+
+// exportRow holds how far the audit was copied to the object store.
+const exportRow table.Key = "export/audit"
+
+// DefaultExportInterval is the time between two looks for new audit records. With
+// all entries at work it costs the table two reads an entry.
+const DefaultExportInterval = 10 * time.Second
+
+// exportBatch bounds the records that one round copies.
+const exportBatch = 200
+
+// exported is the value of exportRow.
+type exported struct {
+	Version core.Version `json:"version"`
+}
+
+// Exporter copies the audit records of accepted changes to the object store, where
+// the monitor reads them as "audit-VERSION.json". Every entry may run one: a record
+// that is copied twice is the same twice.
+type Exporter struct {
+	Table   platform.Table
+	Objects platform.Objects
+	Log     zerolog.Logger
+	// Interval between rounds; 0 means DefaultExportInterval.
+	Interval time.Duration
+
+	// markFirst is switched on in tests only, to see the safeguard fail.
+	markFirst bool
+}
+
+// AuditObject returns the name of the object that holds the record of v.
+func AuditObject(v core.Version) string { return fmt.Sprintf("audit-%020d.json", uint64(v)) }
+
+// Child returns the exporter's part of the daemon's tree.
+func (e *Exporter) Child() supervisor.Child {
+	interval := e.Interval
+	if interval == 0 {
+		interval = DefaultExportInterval
+	}
+	return supervisor.Child{Name: "audit_export", Run: func(ctx context.Context) error {
+		return supervisor.Every(ctx, interval, func(ctx context.Context) {
+			if err := e.Round(ctx); err != nil {
+				e.Log.Debug().Err(err).Str("code", asError(err).Code.String()).Msg("audit not exported")
+			}
+		})
+	}}
+}
+
+// Round copies the records that are not in the object store yet.
+//
+// The mark moves only after the objects are stored. Moved first, an exporter that
+// ends in between, or an object store that is down, would leave a gap that nobody
+// fills, and the monitor would miss an accepted change.
+func (e *Exporter) Round(ctx context.Context) error {
+	var head config.Head
+	var mark exported
+	if _, err := e.read(ctx, table.ConfigHead, &head); err != nil {
+		return err
+	}
+	row, err := e.read(ctx, exportRow, &mark)
+	if err != nil || mark.Version >= head.Version {
+		return err
+	}
+	first, last := mark.Version+1, min(head.Version, mark.Version+exportBatch)
+	if e.markFirst {
+		return firstError(e.mark(ctx, row, last), e.copy(ctx, first, last))
+	}
+	if err := e.copy(ctx, first, last); err != nil {
+		return err
+	}
+	err = e.mark(ctx, row, last)
+	if errors.Is(err, table.ErrConflict) {
+		// Another entry's exporter was faster.
+		return nil
+	}
+	return err
+}
+
+func (e *Exporter) copy(ctx context.Context, first, last core.Version) error {
+	for v := first; v <= last; v++ {
+		row, err := e.Table.Read(ctx, table.AuditKey(v))
+		if err != nil {
+			return err
+		}
+		if row.Version == 0 {
+			return core.Errorf(core.CodeInternal, "the table has no audit record of version %d", v)
+		}
+		if err := e.Objects.Put(ctx, AuditObject(v), row.Value); err != nil {
+			return errors.Wrapf(err, "store audit record %d", v)
+		}
+	}
+	return nil
+}
+
+func (e *Exporter) mark(ctx context.Context, row table.Row, v core.Version) error {
+	var t table.Transaction
+	t.Check(row)
+	if err := t.Set(exportRow, exported{Version: v}); err != nil {
+		return err
+	}
+	return e.Table.Transact(ctx, t)
+}
+
+func (e *Exporter) read(ctx context.Context, key table.Key, value any) (table.Row, error) {
+	row, err := e.Table.Read(ctx, key)
+	if err != nil {
+		return row, err
+	}
+	return row, row.Decode(value)
+}
--- a/io/operator/note.go
+++ b/io/operator/note.go
@@ -6,13 +6,14 @@
 
 	"lavenderpond/core"
 	"lavenderpond/core/config"
+	pb "lavenderpond/io/gen/lavenderpond/v1"
 )
 
 // noteOn tells what an operator should know after c. A limit below what runs
 // stops nothing that runs; the note shows how far the team still is above it.
-func (s *Server) noteOn(ctx context.Context, c config.Change) string {
+func (s *Server) noteOn(ctx context.Context, c config.Change, m *pb.ApplyChangeRequest) string {
 	t, ok := c.(config.SetTeam)
-	if !ok || t.Value.Limit == 0 {
+	if !ok || m.GetSetTeam().Limit == nil || t.Value.Limit == 0 {
 		return ""
 	}
 	var running core.Slots
--- a/io/operator/operator.go
+++ b/io/operator/operator.go
@@ -6,9 +6,11 @@
 	"context"
 	"crypto/subtle"
 	"net/http"
+	"path"
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/rs/zerolog"
 
 	"lavenderpond/core"
 	"lavenderpond/core/config"
@@ -75,6 +77,10 @@
 type Server struct {
 	Table   platform.Table
 	Backend Backend
+	// Entry names this entry in reports.
+	Entry core.EntryID
+	// Log gets a line for each change, withdrawal and refusal.
+	Log zerolog.Logger
 	// KeyDigest is the digest of the operator key.
 	KeyDigest core.KeyDigest
 	// Now is the clock; nil means time.Now.
@@ -88,19 +94,36 @@
 
 // Handler returns the URL path of the service and its HTTP handler.
 func (s *Server) Handler() (string, http.Handler) {
-	return lavenderpondv1connect.NewOperatorServiceHandler(s,
+	path, h := lavenderpondv1connect.NewOperatorServiceHandler(s,
 		connect.WithReadMaxBytes(maxRequest), connect.WithInterceptors(connect.UnaryInterceptorFunc(s.intercept)))
+	return path, s.guard(h)
+}
+
+// guard lets in only who has the operator key, before anything is read of a body.
+func (s *Server) guard(next http.Handler) http.Handler {
+	refuse := connect.NewErrorWriter()
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.authorized(r.Header) {
+			next.ServeHTTP(w, r)
+			return
+		}
+		err := core.Errorf(core.CodeNotAuthorized, "send the operator key as Authorization: Bearer KEY")
+		s.log(r.URL.Path, nil, err)
+		if !refuse.IsSupported(r) {
+			http.Error(w, err.Error(), http.StatusUnauthorized)
+			return
+		}
+		_ = refuse.Write(w, r, toConnect(err))
+	})
 }
 
-// intercept lets in only who has the operator key, and gives errors their code.
+// intercept gives errors their code and writes the log.
 func (s *Server) intercept(next connect.UnaryFunc) connect.UnaryFunc {
 	return func(ctx context.Context, r connect.AnyRequest) (connect.AnyResponse, error) {
-		if !s.authorized(r.Header()) {
-			return nil, toConnect(core.Errorf(core.CodeNotAuthorized, "send the operator key as Authorization: Bearer KEY"))
-		}
 		ctx, cancel := s.shorten(ctx)
 		defer cancel()
 		resp, err := next(ctx, r)
+		s.log(r.Spec().Procedure, r.Any(), err)
 		if err != nil {
 			return nil, toConnect(err)
 		}
@@ -108,6 +131,27 @@
 	}
 }
 
+// signed is a request that makes a change.
+type signed interface {
+	GetChangeId() string
+	GetAuthor() string
+}
+
+func (s *Server) log(procedure string, message any, err error) {
+	code, line := core.CodeDone, s.Log.Debug()
+	m, isChange := message.(signed)
+	switch {
+	case err != nil:
+		code, line = asError(err).Code, s.Log.Warn().Err(err)
+	case isChange:
+		line = s.Log.Info()
+	}
+	if isChange {
+		line = line.Str("change", m.GetChangeId()).Str("author", m.GetAuthor())
+	}
+	line.Str("call", path.Base(procedure)).Int("code", int(code)).Str("code_name", code.String()).Msg("operator call")
+}
+
 // shorten leaves a fifth of the caller's time for the way back: a command that ran
 // into its own timeout while the table is down could not tell a change that was
 // not made from a lost answer.
--- a/io/operator/rows.go
+++ b/io/operator/rows.go
@@ -69,14 +69,7 @@
 			rows = append(rows, r)
 		}
 	}
-	return rows, &pb.View{Entry: s.entryName(ctx), Version: uint64(d.Version)}, nil
-}
-
-func (s *Server) entryName(ctx context.Context) string {
-	for _, e := range s.Backend.Fleet(ctx) {
-		return string(e.Entry)
-	}
-	return ""
+	return rows, &pb.View{Entry: string(s.Entry), Version: uint64(d.Version)}, nil
 }
 
 // nameIn returns what follows prefix in the key of r.
