Tell a dial that failed from an answer that was lost

A zone that is cut off lets dials time out instead of refusing them; the command took those for lost answers and reported an unknown outcome where nothing was sent. Any failed dial now proves it. The client ignores proxies named in the environment: entries are IP numbers on the operators' own network.

--- a/cmd/lavenderpond/app.go
+++ b/cmd/lavenderpond/app.go
@@ -61,7 +61,7 @@
 func newApp() *app {
 	return &app{
 		stdin: os.Stdin, stdout: os.Stdout, stderr: os.Stderr, getenv: os.Getenv,
-		now: time.Now, token: randomToken, pause: pauseLinear, http: &http.Client{},
+		now: time.Now, token: randomToken, pause: pauseLinear, http: newHTTP(),
 	}
 }
 
--- a/cmd/lavenderpond/client.go
+++ b/cmd/lavenderpond/client.go
@@ -3,8 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"net"
+	"net/http"
 	"net/netip"
-	"syscall"
 	"time"
 
 	"connectrpc.com/connect"
@@ -43,6 +44,23 @@
 	return a.Entry, nil
 }
 
+// dialTimeout bounds the making of a connection: an entry that is cut off must not
+// use up the time of the others.
+const dialTimeout = 2 * time.Second
+
+// newHTTP returns a client that goes to the entries directly, whatever proxy the
+// environment names.
+func newHTTP() *http.Client {
+	return &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext}}
+}
+
+// notSent reports whether err proves that nothing left this process: there was no
+// connection.
+func notSent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
 // operatorClient speaks to one entry with the operator key.
 type operatorClient struct {
 	lavenderpondv1connect.OperatorServiceClient
@@ -178,7 +196,7 @@
 			if heard && e.Code != core.CodeChangeUnknown && e.Code != core.CodePlatformDown {
 				return nil, e
 			}
-			unknown = unknown || heard && e.Code == core.CodeChangeUnknown || !heard && !errors.Is(err, syscall.ECONNREFUSED)
+			unknown = unknown || heard && e.Code == core.CodeChangeUnknown || !heard && !notSent(err)
 			last = &failure{exitUnreachable, coded(err)}
 			if line := fmt.Sprintf("entry %s: %v\n", c.address, last); !shown[line] {
 				shown[line] = true
--- a/cmd/lavenderpond/fakes_test.go
+++ b/cmd/lavenderpond/fakes_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/base64"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -134,7 +135,7 @@
 			continue
 		}
 		if e.fault == "refuse" {
-			return nil, syscall.ECONNREFUSED
+			return nil, refused()
 		}
 		w := httptest.NewRecorder()
 		e.handler().ServeHTTP(w, r)
@@ -143,9 +144,12 @@
 		}
 		return w.Result(), nil
 	}
-	return nil, syscall.ECONNREFUSED
+	return nil, refused()
 }
 
+// refused is the error of a dial to a port on which nothing listens.
+func refused() error { return &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED} }
+
 func (e *fakeEntry) handler() http.Handler {
 	mux := http.NewServeMux()
 	s := &operator.Server{Table: &e.fleet.table, Backend: e, Entry: e.status.Entry, KeyDigest: core.Digest(operatorKey), Now: func() time.Time { return e.fleet.now }}
--- a/cmd/lavenderpond/page_test.go
+++ b/cmd/lavenderpond/page_test.go
@@ -4,14 +4,19 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
+	"net"
 	"path/filepath"
 	"strings"
 	"testing"
 
+	"connectrpc.com/connect"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
 
 	"lavenderpond/core"
+	pb "lavenderpond/io/gen/lavenderpond/v1"
+	"lavenderpond/io/gen/lavenderpond/v1/lavenderpondv1connect"
 )
 
 // TestCommandLinePage holds docs/operators/command-line.md equal to the code: its
@@ -45,6 +50,18 @@
 	golden.Assert(t, b.String(), page)
 }
 
+// TestNotSent: nothing listens at the entry's port. The command can say for certain
+// that nothing was sent; an answer that is cut off proves no such thing.
+func TestNotSent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, l.Close())
+	client := lavenderpondv1connect.NewOperatorServiceClient(newHTTP(), "http://"+l.Addr().String())
+	_, err = client.Dump(context.Background(), connect.NewRequest(&pb.DumpRequest{}))
+	assert.Assert(t, notSent(err), "%v", err)
+	assert.Assert(t, !notSent(connect.NewError(connect.CodeUnavailable, io.ErrUnexpectedEOF)))
+}
+
 func commands(t *testing.T) [][]string {
 	t.Helper()
 	parser, err := newParser(newApp())
--- a/cmd/lavenderpond/requests.go
+++ b/cmd/lavenderpond/requests.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"os"
-	"syscall"
 	"time"
 
 	"connectrpc.com/connect"
@@ -138,7 +137,7 @@
 			case err == nil:
 				return answer, nil
 			default:
-				sent = sent || !errors.Is(err, syscall.ECONNREFUSED)
+				sent = sent || !notSent(err)
 				a.warnf("entry %s: %v\n", address, err)
 			}
 		}
