--- /dev/null
+++ b/cmd/lavenderpond-load/check.go
@@ -0,0 +1,139 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+
+	"github.com/pkg/errors"
+
+	pb "lavenderpond/io/gen/lavenderpond/v1"
+	"lavenderpond/io/target/standin"
+)
+
+// checkCommand holds what callers were told against what the targets wrote down.
+type checkCommand struct {
+	Record  []string         `help:"Files written by 'entries --record'." required:""`
+	Targets []netip.AddrPort `help:"One VM of each targets process started with --log-starts." required:""`
+}
+
+// verdict counts what was found.
+type verdict struct {
+	Ids int `json:"ids"`
+	// Done ids got a whole answer.
+	Done int `json:"done"`
+	// Unknown ids were told outcome_unknown, or got no answer, and never done.
+	Unknown int `json:"unknown"`
+	// NotRun ids were told not_run by every attempt.
+	NotRun int `json:"not_run"`
+	Starts int `json:"starts"`
+	// The rest must be zero.
+	Doubles     int `json:"doubles"`
+	FalseNotRun int `json:"false_not_run"`
+	NotWhole    int `json:"not_whole"`
+	DoneNoStart int `json:"done_without_start"`
+}
+
+// Run prints the verdict, and fails if something is wrong.
+func (c *checkCommand) Run(ctx context.Context) error {
+	starts, err := c.starts(ctx)
+	if err != nil {
+		return err
+	}
+	attempts := make(map[string][]attempt)
+	for _, path := range c.Record {
+		if err := readRecord(path, attempts); err != nil {
+			return err
+		}
+	}
+	var v verdict
+	for id, list := range attempts {
+		v.judge(list, starts[id])
+	}
+	if err := json.NewEncoder(os.Stdout).Encode(v); err != nil {
+		return err
+	}
+	if v.Doubles+v.FalseNotRun+v.NotWhole+v.DoneNoStart > 0 {
+		return errors.New("callers were told what is not so")
+	}
+	return nil
+}
+
+func (v *verdict) judge(list []attempt, starts int) {
+	v.Ids++
+	v.Starts += starts
+	if starts > 1 {
+		v.Doubles++
+	}
+	done, notRun := false, true
+	for _, a := range list {
+		isDone := a.Outcome == pb.Outcome_OUTCOME_DONE.String()
+		done = done || isDone
+		notRun = notRun && a.Outcome == pb.Outcome_OUTCOME_NOT_RUN.String()
+		if isDone && !a.Whole {
+			v.NotWhole++
+		}
+	}
+	switch {
+	case done:
+		v.Done++
+		if starts == 0 {
+			v.DoneNoStart++
+		}
+	case notRun:
+		v.NotRun++
+		if starts > 0 {
+			v.FalseNotRun++
+		}
+	default:
+		v.Unknown++
+	}
+}
+
+func (c *checkCommand) starts(ctx context.Context) (map[string]int, error) {
+	counts := make(map[string]int)
+	for _, address := range c.Targets {
+		if err := loopbackOnly([]netip.AddrPort{address}); err != nil {
+			return nil, err
+		}
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/control/starts", address), http.NoBody)
+		if err != nil {
+			return nil, err
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			return nil, errors.Wrap(err, "read starts")
+		}
+		var list []standin.Start
+		err = json.NewDecoder(resp.Body).Decode(&list)
+		_ = resp.Body.Close()
+		if err != nil {
+			return nil, errors.Wrap(err, "decode starts")
+		}
+		for _, s := range list {
+			counts[s.Task]++
+		}
+	}
+	return counts, nil
+}
+
+func readRecord(path string, attempts map[string][]attempt) error {
+	file, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = file.Close() }()
+	lines := bufio.NewScanner(file)
+	for lines.Scan() {
+		var a attempt
+		if err := json.Unmarshal(lines.Bytes(), &a); err != nil {
+			return errors.Wrap(err, path)
+		}
+		attempts[a.ID] = append(attempts[a.ID], a)
+	}
+	return lines.Err()
+}
--- a/cmd/lavenderpond-load/entries.go
+++ b/cmd/lavenderpond-load/entries.go
@@ -2,16 +2,24 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/netip"
 	"os"
+	"strings"
+	"sync"
 	"time"
 
 	"lavenderpond/core"
 	"lavenderpond/io/caller"
+	pb "lavenderpond/io/gen/lavenderpond/v1"
 )
 
+// retryPause is how long a caller waits before it repeats a request at another
+// entry, if it wasn't told when to come back.
+const retryPause = 50 * time.Millisecond
+
 type entriesCommand struct {
 	shape
 	Entry      []netip.AddrPort `help:"Addresses of entries, used in turn." required:""`
@@ -20,6 +28,22 @@
 	Home       string           `help:"Home zone of all ids; empty: by hash."`
 	Lifetime   time.Duration    `help:"Time from sending to deadline." default:"10s"`
 	Idempotent bool             `help:"Send idempotent requests."`
+	Retry      bool             `help:"Repeat an id at the next entry until it is done or its deadline."`
+	Record     string           `help:"Write every attempt's answer to this file, for the check command." type:"path"`
+
+	clients []*caller.Client
+	mu      sync.Mutex
+	records *json.Encoder
+}
+
+// attempt is a line of the record.
+type attempt struct {
+	ID      string `json:"id"`
+	Attempt int    `json:"attempt"`
+	Outcome string `json:"outcome"`
+	Code    string `json:"code"`
+	// Whole says that the answer's body names the id.
+	Whole bool `json:"whole"`
 }
 
 // Run loads the entries. The team key comes from LAVENDERPOND_TEAM_KEY.
@@ -28,24 +52,72 @@
 		return err
 	}
 	h := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: c.Concurrency}}
-	var clients []*caller.Client
 	for _, a := range c.Entry {
-		clients = append(clients, caller.NewClient(h, "http://"+a.String(), core.TeamID(c.Team), os.Getenv("LAVENDERPOND_TEAM_KEY")))
+		c.clients = append(c.clients, caller.NewClient(h, "http://"+a.String(), core.TeamID(c.Team), os.Getenv("LAVENDERPOND_TEAM_KEY")))
+	}
+	if c.Record != "" {
+		file, err := os.Create(c.Record)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = file.Close() }()
+		c.records = json.NewEncoder(file)
 	}
 	run := time.Now().UnixNano()
-	return c.run(ctx, func(ctx context.Context, n int) string {
-		now := time.Now()
-		id := fmt.Sprintf("load-%d-%d", run, n)
-		if c.Home != "" {
-			id = c.Home + "~" + id
+	return c.run(ctx, func(ctx context.Context, n int) string { return c.request(ctx, run, n) }).print()
+}
+
+// request makes request number n, with its repetitions, and names its last answer.
+func (c *entriesCommand) request(ctx context.Context, run int64, n int) string {
+	now := time.Now()
+	id := fmt.Sprintf("load-%d-%d", run, n)
+	if c.Home != "" {
+		id = c.Home + "~" + id
+	}
+	req := core.Request{
+		Key: core.RequestKey{ID: core.RequestID(id)}, Queue: core.QueueID(c.Queue),
+		Deadline: now.Add(c.Lifetime), FirstSent: now, Idempotent: c.Idempotent, Body: c.body(),
+	}
+	for {
+		req.Attempt++
+		answer, err := c.clients[(n+int(req.Attempt)-1)%len(c.clients)].Submit(ctx, req, false)
+		c.record(req, answer, err)
+		if err == nil && answer.Outcome == pb.Outcome_OUTCOME_DONE {
+			return answer.CodeName
 		}
-		answer, err := clients[n%len(clients)].Submit(ctx, core.Request{
-			Key: core.RequestKey{ID: core.RequestID(id)}, Attempt: 1, Queue: core.QueueID(c.Queue),
-			Deadline: now.Add(c.Lifetime), FirstSent: now, Idempotent: c.Idempotent, Body: c.body(),
-		}, false)
-		if err != nil {
-			return "error"
+		if !c.Retry || !c.pause(req, answer) {
+			if err != nil {
+				return "error"
+			}
+			return answer.CodeName
 		}
-		return answer.CodeName
-	}).print()
+	}
+}
+
+// pause waits until the answer says to come back. It returns false if that is
+// after the deadline.
+func (c *entriesCommand) pause(req core.Request, answer *pb.Answer) bool {
+	at := time.Now().Add(retryPause)
+	if answer != nil && answer.ComeBackAt != nil && answer.ComeBackAt.AsTime().After(at) {
+		at = answer.ComeBackAt.AsTime()
+	}
+	if !at.Before(req.Deadline) {
+		return false
+	}
+	time.Sleep(time.Until(at))
+	return true
+}
+
+func (c *entriesCommand) record(req core.Request, answer *pb.Answer, err error) {
+	if c.records == nil {
+		return
+	}
+	a := attempt{ID: c.Team + "/" + string(req.Key.ID), Attempt: int(req.Attempt), Outcome: "no_answer"}
+	if err == nil {
+		a.Outcome, a.Code = answer.Outcome.String(), answer.CodeName
+		a.Whole = strings.HasPrefix(string(answer.Body), "done "+a.ID+",") && len(answer.Body) >= c.Bytes
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_ = c.records.Encode(a)
 }
--- a/cmd/lavenderpond-load/main.go
+++ b/cmd/lavenderpond-load/main.go
@@ -13,6 +13,7 @@
 type commands struct {
 	Entries entriesCommand `cmd:"" help:"Load entries with requests of one team."`
 	Targets targetsCommand `cmd:"" help:"Load targets directly, past lavenderpond."`
+	Check   checkCommand   `cmd:"" help:"Hold what callers were told against what the targets wrote down."`
 }
 
 func main() {
--- /dev/null
+++ b/cmd/lavenderpondd/main.go
@@ -0,0 +1,83 @@
+// Command lavenderpondd is the daemon of lavenderpond: it runs on every entry
+// VM, takes callers' requests and brings them to the target VMs.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"github.com/rs/zerolog"
+
+	"lavenderpond/io/entry"
+	"lavenderpond/io/ini"
+	"lavenderpond/io/supervisor"
+)
+
+// Exit statuses of the daemon.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitSettings = 2
+	// exitAborted: a second signal ended the daemon before its work was done.
+	exitAborted = 3
+)
+
+type options struct {
+	Settings string `arg:"" help:"Settings file; see 'lavenderpond config sample'." type:"existingfile"`
+}
+
+func main() {
+	var o options
+	kong.Parse(&o, kong.Name("lavenderpondd"), kong.Description("The daemon on every entry VM."))
+	os.Exit(run(o))
+}
+
+func run(o options) int {
+	log := zerolog.New(os.Stderr).With().Timestamp().Str("program", "lavenderpondd").Logger()
+	settings, err := ini.Load(o.Settings)
+	if err != nil {
+		log.Error().Err(err).Msg("settings refused")
+		return exitSettings
+	}
+	log = log.Level(settings.Log.Level).With().
+		Str("entry", settings.Entry.Name).Str("zone", string(settings.Entry.Zone)).Logger()
+
+	d, err := entry.New(settings, log)
+	if err != nil {
+		log.Error().Err(err).Msg("start failed")
+		return exitFailed
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var g supervisor.Group
+	g.Go(func() { stopOnSignals(ctx, cancel, d, log) })
+	err = d.Run(ctx)
+	cancel()
+	if err != nil {
+		log.Error().Err(err).Msg("daemon failed")
+		return exitFailed
+	}
+	log.Info().Msg("stopped")
+	return exitOK
+}
+
+// stopOnSignals stops the daemon gracefully on the first signal and at once on
+// the second.
+func stopOnSignals(ctx context.Context, stop context.CancelFunc, d *entry.Daemon, log zerolog.Logger) {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	defer signal.Stop(signals)
+	select {
+	case <-ctx.Done():
+		return
+	case <-signals:
+	}
+	log.Info().Msg("stopping: finishing what runs")
+	stop()
+	<-signals
+	log.Error().Int("unfinished", d.Unfinished()).Msg("stopped at once by a second signal")
+	os.Exit(exitAborted)
+}
--- /dev/null
+++ b/io/entry/daemon.go
@@ -0,0 +1,287 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"lavenderpond/core"
+	"lavenderpond/core/home"
+	"lavenderpond/core/queue/fair"
+	"lavenderpond/core/retry"
+	"lavenderpond/core/route"
+	"lavenderpond/core/route/least"
+	"lavenderpond/io/caller"
+	"lavenderpond/io/ini"
+	"lavenderpond/io/operator"
+	"lavenderpond/io/peer"
+	"lavenderpond/io/platform"
+	"lavenderpond/io/supervisor"
+	"lavenderpond/io/target"
+)
+
+// Intervals of the daemon's own loops.
+const (
+	tickInterval      = 20 * time.Millisecond
+	directoryInterval = 2 * time.Second
+	metricsInterval   = time.Second
+	budgetsInterval   = 10 * time.Second
+	// announceStep is the pause between two tries to state this entry's address.
+	announceStep = 500 * time.Millisecond
+)
+
+// targetConnections is how many of a VM's connections one entry uses at most;
+// the other entries of the zone need theirs.
+const targetConnections = 16
+
+// Daemon is one run of an entry.
+type Daemon struct {
+	settings ini.Settings
+	log      zerolog.Logger
+	id       core.EntryID
+	started  time.Time
+	now      func() time.Time
+
+	platform  *platform.Client
+	peers     *peer.Pool
+	directory Directory
+	config    *configuration
+	shards    *rights
+	limits    *platform.Allotments
+	fleet     *platform.FleetWatcher
+	control   *platform.Controller
+	requests  *Requests
+	front     *Front
+	metrics   metrics.Registry
+
+	callers  net.Listener
+	peerings net.Listener
+	stopping atomic.Bool
+}
+
+// New binds the daemon's addresses and puts its parts together.
+func New(settings ini.Settings, log zerolog.Logger) (*Daemon, error) {
+	d := &Daemon{settings: settings, log: log, now: time.Now, peers: &peer.Pool{}, metrics: metrics.NewRegistry()}
+	d.started = d.now()
+	d.id = NewEntryID(settings.Entry.Name, d.started)
+	d.platform = &platform.Client{
+		BaseURL: settings.Platform.URL,
+		HTTP:    &http.Client{Timeout: settings.Platform.Timeout},
+		Zone:    settings.Entry.Zone,
+	}
+	if err := d.listen(); err != nil {
+		return nil, err
+	}
+	d.build()
+	return d, nil
+}
+
+// listen binds first: a second daemon under the same name must fail before it
+// claims any right.
+func (d *Daemon) listen() error {
+	var err error
+	d.callers, err = net.Listen("tcp", d.settings.Entry.CallerListen.String())
+	if err != nil {
+		return errors.Wrap(err, "caller_listen")
+	}
+	d.peerings, err = net.Listen("tcp", d.settings.Entry.PeerListen.String())
+	if err != nil {
+		return errors.Wrap(err, "peer_listen")
+	}
+	if d.settings.Entry.AdvertisePeer.Port() == 0 {
+		d.settings.Entry.AdvertisePeer = d.peerings.Addr().(*net.TCPAddr).AddrPort()
+	}
+	return nil
+}
+
+func (d *Daemon) build() {
+	seed := rand.New(rand.NewPCG(uint64(d.started.UnixNano()), 1))
+	router := &least.Router{Rand: rand.New(rand.NewPCG(seed.Uint64(), 2))}
+	queue := &fair.Queue{Rand: rand.New(rand.NewPCG(seed.Uint64(), 3))}
+	h := &home.Home{
+		Times: home.DefaultTimes(), Router: router, Queue: queue,
+		Budget: &retry.TokenBucket{Rand: rand.New(rand.NewPCG(seed.Uint64(), 4))},
+	}
+	h.Times.SkewBound = d.settings.Entry.SkewBound
+	d.requests = NewRequests(h)
+	d.requests.Now = d.now
+	d.requests.Targets = target.NewClient(targetConnections, int64(d.settings.Entry.MaxBody))
+	d.buildConfig(queue)
+	d.buildRights(h)
+	d.buildFleet(router)
+	d.front = &Front{
+		Self: d.id, Zone: d.settings.Entry.Zone, Zones: d.settings.Entry.Zones, Now: d.now,
+		Holders: d.shards, Gate: d.config, Requests: d.requests, Directory: &d.directory, Peers: d.peers,
+	}
+}
+
+// buildFleet connects the zone's targets to the router, and what connections
+// show back to the fleet watcher.
+func (d *Daemon) buildFleet(router *least.Router) {
+	zone := d.settings.Entry.Zone
+	d.fleet = &platform.FleetWatcher{
+		Zone: zone, Table: d.platform, Live: d.platform, Now: d.now, Interval: d.settings.Platform.PollInterval,
+		Probe: d.probe,
+		OnChange: func(targets []route.Target) {
+			pools := d.routePools()
+			d.requests.Locked(func(*home.Home) { router.Update(d.now(), targets, pools) })
+			d.requests.Handle(home.Changed{})
+		},
+	}
+	d.control = &platform.Controller{
+		Zone: zone, Self: d.id, Table: d.platform, Live: d.platform, VMs: d.platform, Now: d.now, Log: d.log,
+	}
+	d.requests.Address = func(vm core.VMID) (string, bool) {
+		row, ok := d.fleet.VM(vm)
+		return row.VM.Address, ok
+	}
+	d.requests.Seen = d.seen
+}
+
+// seen passes on what a dispatch showed of a VM's state.
+func (d *Daemon) seen(vm core.VMID, asked time.Time, end home.End) {
+	notStarted, ok := end.(home.NotStarted)
+	switch {
+	case !ok:
+		d.fleet.Answered(vm, asked)
+	case notStarted.Reason == home.Leaving:
+		d.fleet.Refused(vm)
+	case notStarted.Reason == home.Unreachable:
+		d.fleet.Unreachable(vm)
+		d.control.Suspect(vm)
+	}
+}
+
+// Run serves until ctx ends, then stops gracefully: what runs is finished and
+// the entry's rights are handed over.
+func (d *Daemon) Run(ctx context.Context) error {
+	// The parts go on during the graceful stop: running requests need them.
+	parts, stopParts := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopParts()
+	var g supervisor.Group
+	g.Go(func() { _ = d.tree().Run(parts) })
+	err := d.serveCallers(ctx)
+	stopParts()
+	g.Wait()
+	d.requests.Close()
+	d.peers.Close()
+	return err
+}
+
+// serveCallers returns when the graceful stop is over.
+func (d *Daemon) serveCallers(ctx context.Context) error {
+	serving, stopServing := context.WithCancel(context.WithoutCancel(ctx))
+	var g supervisor.Group
+	g.Go(func() {
+		<-ctx.Done()
+		d.stopGracefully()
+		stopServing()
+	})
+	err := d.http().Serve(serving, d.callers, d.settings.Entry.StopGrace)
+	if ctx.Err() == nil {
+		return errors.Wrap(err, "callers' listener ended")
+	}
+	g.Wait()
+	return err
+}
+
+// stopGracefully hands over what waits and what this entry may decide, and waits
+// for what runs.
+func (d *Daemon) stopGracefully() {
+	d.stopping.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Entry.StopGrace)
+	defer cancel()
+	d.requests.Handle(home.Stopping{})
+	d.shards.Release(ctx)
+	if left := d.requests.Drain(ctx); left > 0 {
+		d.log.Warn().Int("unfinished", left).Msg("stop_grace is over; what runs is left to its leases")
+	}
+	d.limits.Release(ctx)
+}
+
+func (d *Daemon) http() *HTTP {
+	mux := http.NewServeMux()
+	mux.Handle((&caller.Server{
+		Front: d.front, MaxBody: d.settings.Entry.MaxBody, SkewBound: d.settings.Entry.SkewBound,
+		MaxLifetime: d.settings.Entry.MaxLifetime,
+	}).Handler())
+	mux.Handle((&operator.Server{
+		Table: d.platform, Backend: backend{d}, KeyDigest: d.settings.Keys.OperatorKeyDigest, Entry: d.id, Log: d.log,
+	}).Handler())
+	return &HTTP{Mux: mux, Metrics: d.metrics, Ready: d.ready}
+}
+
+// ready says whether callers should be sent here.
+func (d *Daemon) ready() bool { return !d.stopping.Load() && d.config.loaded() && d.shards.loaded() }
+
+// Unfinished returns how many requests have no final answer yet.
+func (d *Daemon) Unfinished() int {
+	n := 0
+	d.requests.Locked(func(h *home.Home) { n = h.Unfinished() })
+	return n
+}
+
+// tree is the daemon's supervisor tree.
+func (d *Daemon) tree() *supervisor.Node {
+	peering := supervisor.Node{Name: "peers", Log: d.log, Children: d.peerChildren()}
+	table := supervisor.Node{Name: "platform", Log: d.log, Children: []supervisor.Child{
+		d.config.watcher.Child(), d.fleet.Child(), d.control.Child(), d.limits.Child(),
+		(&operator.Exporter{Table: d.platform, Objects: d.platform, Log: d.log}).Child(),
+		{Name: "budgets", Run: d.keepBudgets},
+		{Name: "directory", Run: d.keepDirectory},
+	}}
+	local := supervisor.Node{Name: "local", Log: d.log, Children: []supervisor.Child{
+		{Name: "tick", Run: d.tick},
+		{Name: "metrics", Run: d.measure},
+	}}
+	return &supervisor.Node{Name: "daemon", Log: d.log, Children: []supervisor.Child{
+		peering.AsChild(), table.AsChild(), local.AsChild(),
+	}}
+}
+
+func (d *Daemon) tick(ctx context.Context) error {
+	return supervisor.Every(ctx, tickInterval, func(context.Context) { d.requests.Handle(home.Tick{}) })
+}
+
+// keepBudgets carries exceptions and defaults over into the pools' rows. Every
+// entry may do it: each write checks the head row, so an old view changes nothing.
+func (d *Daemon) keepBudgets(ctx context.Context) error {
+	return supervisor.Every(ctx, budgetsInterval, func(ctx context.Context) {
+		if !d.control.State().Holds {
+			return
+		}
+		if err := operator.SyncBudgets(ctx, d.platform, d.now()); err != nil {
+			d.log.Debug().Err(err).Msg("budgets not carried over")
+		}
+	})
+}
+
+// keepDirectory states this entry's address and learns the others'.
+func (d *Daemon) keepDirectory(ctx context.Context) error {
+	self := Address{
+		Entry: d.id, Zone: d.settings.Entry.Zone,
+		Peer: d.settings.Entry.AdvertisePeer, Caller: d.settings.Entry.CallerListen,
+	}
+	announced := false
+	for {
+		pause := directoryInterval
+		if !announced {
+			err := d.directory.Announce(ctx, d.platform, self)
+			announced = err == nil
+			pause = announceStep
+		}
+		if err := d.directory.Refresh(ctx, d.platform); err != nil {
+			d.log.Debug().Err(err).Msg("directory not refreshed")
+		}
+		if !supervisor.Sleep(ctx, pause) {
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/io/entry/fleet_test.go
@@ -0,0 +1,218 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"lavenderpond/core"
+	"lavenderpond/core/config"
+	"lavenderpond/core/fleet"
+	"lavenderpond/core/table"
+	"lavenderpond/io/caller"
+	pb "lavenderpond/io/gen/lavenderpond/v1"
+	"lavenderpond/io/ini"
+	"lavenderpond/io/platform"
+	platformstandin "lavenderpond/io/platform/standin"
+	"lavenderpond/io/supervisor"
+	"lavenderpond/io/target/standin"
+)
+
+// patience bounds how long a test waits for a state. It decides nothing about a
+// pass: a test that needs it all fails for lack of progress.
+const patience = 60 * time.Second
+
+const (
+	teamKey     = "lp_test_team"
+	operatorKey = "lp_test_operator"
+)
+
+// testFleet is a small fleet in one process: the platform's stand-in, targets
+// with one record of all starts, and entries.
+type testFleet struct {
+	t        *testing.T
+	platform platformstandin.Server
+	url      string
+	client   *platform.Client
+	starts   standin.StartLog
+	vms      []*standin.VM
+	entries  []*testEntry
+	ctx      context.Context
+	group    supervisor.Group
+}
+
+// testEntry is one running daemon.
+type testEntry struct {
+	daemon *Daemon
+	stop   context.CancelFunc
+	ended  chan error
+}
+
+func newTestFleet(t *testing.T, zones map[core.ZoneID]int, vmsPerZone int) *testFleet {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &testFleet{t: t, ctx: ctx}
+	srv := httptest.NewServer(f.platform.Handler())
+	f.url = srv.URL
+	f.client = platform.NewClient(srv.URL)
+	f.group.Go(func() { _ = f.platform.WatchEntries(ctx) })
+	f.configure()
+	var names []core.ZoneID
+	for _, z := range []core.ZoneID{"zone_a", "zone_b", "zone_c"} {
+		if zones[z] > 0 {
+			names = append(names, z)
+			f.addVMs(z, vmsPerZone)
+		}
+	}
+	for _, z := range names {
+		for i := range zones[z] {
+			f.startEntry(fmt.Sprintf("%s_%d", z, i+1), z, names)
+		}
+	}
+	t.Cleanup(func() {
+		for _, e := range f.entries {
+			e.stop()
+		}
+		for _, e := range f.entries {
+			<-e.ended
+		}
+		cancel()
+		f.group.Wait()
+		srv.Close()
+	})
+	return f
+}
+
+func (f *testFleet) apply(c config.Change) {
+	f.t.Helper()
+	_, err := platform.Apply(f.ctx, f.client, c, core.ChangeID(core.Digest(fmt.Sprintf("%T-%v", c, c))), time.Now())
+	assert.NilError(f.t, err)
+}
+
+func (f *testFleet) configure() {
+	f.apply(config.SetTeam{Author: "test", Team: "lyra", Value: config.Team{Share: 1, Limit: 100}})
+	f.apply(config.SetPool{Author: "test", Pool: "frames", Value: config.Pool{MaxUnavailable: 2}})
+	f.apply(config.SetQueue{Author: "test", Queue: "frames", Value: config.Queue{Pool: "frames", MaxQueued: 500}})
+	f.apply(config.GrantKey{Author: "test", Team: "lyra", Digest: core.Digest(teamKey)})
+}
+
+func (f *testFleet) addVMs(zone core.ZoneID, n int) {
+	for i := range n {
+		vm := &standin.VM{ID: core.VMID(fmt.Sprintf("vm_%s_%d", zone, i)), Slots: 8, Log: &f.starts}
+		srv := httptest.NewServer(vm.Handler())
+		f.t.Cleanup(srv.Close)
+		f.vms = append(f.vms, vm)
+		var tx table.Transaction
+		assert.NilError(f.t, tx.Set(table.VMKey(zone, vm.ID), fleet.VM{
+			Pool: "frames", Rack: "rack_1", Slots: 8, Connections: 64, Address: strings.TrimPrefix(srv.URL, "http://"),
+		}))
+		assert.NilError(f.t, f.client.Transact(f.ctx, tx))
+	}
+}
+
+func (f *testFleet) startEntry(name string, zone core.ZoneID, zones []core.ZoneID) *testEntry {
+	f.t.Helper()
+	s, err := ini.Parse("sample.ini", []byte(ini.Sample()))
+	assert.NilError(f.t, err)
+	anyPort := netip.MustParseAddrPort("127.0.0.1:0")
+	s.Entry.Name, s.Entry.Zone, s.Entry.Zones = name, zone, zones
+	s.Entry.CallerListen, s.Entry.PeerListen, s.Entry.AdvertisePeer = anyPort, anyPort, anyPort
+	s.Platform.URL = f.url
+	s.Platform.PollInterval = 100 * time.Millisecond
+	s.Keys.OperatorKeyDigest = core.Digest(operatorKey)
+	d, err := New(s, zerolog.Nop())
+	assert.NilError(f.t, err)
+	ctx, stop := context.WithCancel(f.ctx)
+	e := &testEntry{daemon: d, stop: stop, ended: make(chan error, 1)}
+	f.group.Go(func() { e.ended <- d.Run(ctx) })
+	f.entries = append(f.entries, e)
+	return e
+}
+
+// await waits until check returns true.
+func (f *testFleet) await(what string, check func() bool) {
+	f.t.Helper()
+	deadline := time.Now().Add(patience)
+	for !check() {
+		if time.Now().After(deadline) {
+			f.t.Fatalf("gave up waiting for %s", what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// awaitServing waits until every entry is ready and answers a request.
+func (f *testFleet) awaitServing() {
+	f.t.Helper()
+	for i, e := range f.entries {
+		f.await("entry ready", e.daemon.ready)
+		n := 0
+		f.await("first answer", func() bool {
+			n++
+			a := f.submit(i, core.RequestID(fmt.Sprintf("warm-%d-%d", i, n)), 1, `{}`)
+			return a.Outcome == pb.Outcome_OUTCOME_DONE
+		})
+	}
+}
+
+// submit sends one attempt to entry number i. A connection that broke gives an
+// answer without outcome.
+func (f *testFleet) submit(i int, id core.RequestID, attempt core.Attempt, body string) *pb.Answer {
+	now := time.Now()
+	c := caller.NewClient(http.DefaultClient, "http://"+f.entries[i].daemon.callers.Addr().String(), "lyra", teamKey)
+	a, err := c.Submit(f.ctx, core.Request{
+		Key: core.RequestKey{ID: id}, Attempt: attempt, Queue: "frames",
+		Deadline: now.Add(30 * time.Second).Truncate(time.Minute).Add(time.Minute), Body: []byte(body),
+	}, false)
+	if err != nil {
+		return &pb.Answer{Detail: err.Error()}
+	}
+	return a
+}
+
+// startsOf counts the starts of an id at all targets.
+func (f *testFleet) startsOf(id core.RequestID) int {
+	n := 0
+	for _, s := range f.starts.Starts() {
+		if s.Task == "lyra/"+string(id) {
+			n++
+		}
+	}
+	return n
+}
+
+// TestFleetServesAndDedups: the same id goes to every entry of two zones at once.
+// All callers get the same whole answer, and the target's record shows one start.
+func TestFleetServesAndDedups(t *testing.T) {
+	f := newTestFleet(t, map[core.ZoneID]int{"zone_a": 2, "zone_b": 2}, 2)
+	f.awaitServing()
+	var g supervisor.Group
+	var mu sync.Mutex
+	answers := map[string]int{}
+	for n := range 20 {
+		for i := range f.entries {
+			g.Go(func() {
+				id := core.RequestID(fmt.Sprintf("frame-%d", n))
+				a := f.submit(i, id, core.Attempt(i+1), `{"run_ms":20}`)
+				mu.Lock()
+				defer mu.Unlock()
+				answers[a.Outcome.String()]++
+				assert.Check(t, strings.HasPrefix(string(a.Body), "done lyra/"+string(id)+","), "%s: %s", id, a)
+			})
+		}
+	}
+	g.Wait()
+	assert.DeepEqual(t, answers, map[string]int{"OUTCOME_DONE": 80})
+	for n := range 20 {
+		assert.Equal(t, f.startsOf(core.RequestID(fmt.Sprintf("frame-%d", n))), 1)
+	}
+}
--- a/io/entry/requests.go
+++ b/io/entry/requests.go
@@ -24,8 +24,8 @@
 	// Targets sends work to target VMs, at the address that Address gives.
 	Targets *target.Client
 	Address func(vm core.VMID) (string, bool)
-	// Seen is told how each dispatch ended, as evidence of a VM's state.
-	Seen func(vm core.VMID, end home.End)
+	// Seen is told how each dispatch sent at asked ended, as evidence of a VM's state.
+	Seen func(vm core.VMID, asked time.Time, end home.End)
 
 	mu      sync.Mutex
 	home    *home.Home
@@ -160,12 +160,13 @@
 }
 
 func (r *Requests) start(d home.Dispatch) {
+	asked := r.Now()
 	end := home.End(home.NotStarted{Reason: home.Unreachable})
 	if address, ok := r.Address(d.VM); ok {
 		end = r.Targets.Start(r.ctx, address, d)
 	}
 	if r.Seen != nil {
-		r.Seen(d.VM, end)
+		r.Seen(d.VM, asked, end)
 	}
 	r.Handle(home.Ended{Key: d.Request.Key, Number: d.Number, End: end})
 }
--- /dev/null
+++ b/io/entry/status.go
@@ -0,0 +1,165 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"lavenderpond/core"
+	"lavenderpond/core/config"
+	"lavenderpond/core/home"
+	"lavenderpond/core/key"
+	"lavenderpond/io/operator"
+	"lavenderpond/io/peer"
+	"lavenderpond/io/supervisor"
+)
+
+// statusTimeout bounds the question to one other entry.
+const statusTimeout = time.Second
+
+// backend answers the operators' service.
+type backend struct{ *Daemon }
+
+var _ operator.Backend = backend{}
+
+// StatusName is the name under which a StatusReceiver is registered.
+const StatusName = "Status"
+
+// StatusReceiver answers peers that gather the fleet's status for an operator.
+type StatusReceiver struct{ daemon *Daemon }
+
+// Get returns this entry's status.
+func (r *StatusReceiver) Get(_ struct{}, reply *operator.EntryStatus) error {
+	*reply = r.daemon.status()
+	return nil
+}
+
+func (d *Daemon) status() operator.EntryStatus {
+	s := operator.EntryStatus{
+		Entry: d.id, Zone: d.settings.Entry.Zone, Reachable: true,
+		Version: d.config.Version(),
+		// The trust counts from the evidence.
+		KeysFreshAt: d.config.KeysTrustedUntil().Add(-d.settings.Keys.CutOffBound),
+		Shards:      d.shards.held(),
+	}
+	d.requests.Locked(func(h *home.Home) { s.Teams = teamLoads(h.Loads()) })
+	return s
+}
+
+func teamLoads(loads []home.Load) []operator.TeamLoad {
+	var list []operator.TeamLoad
+	for _, l := range loads {
+		list = append(list, operator.TeamLoad{Team: l.Team, Running: l.Running, Queued: l.Queued})
+	}
+	return list
+}
+
+// Fleet implements operator.Backend.
+func (b backend) Fleet(ctx context.Context) []operator.EntryStatus {
+	list := []operator.EntryStatus{b.status()}
+	others := b.others()
+	replies := make([]operator.EntryStatus, len(others))
+	var g supervisor.Group
+	for i, m := range others {
+		g.Go(func() { replies[i] = b.ask(ctx, m) })
+	}
+	g.Wait()
+	return append(list, replies...)
+}
+
+func (b backend) ask(ctx context.Context, m peer.Member) operator.EntryStatus {
+	if m.Entry == "" {
+		return operator.EntryStatus{Zone: m.Zone}
+	}
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	var reply operator.EntryStatus
+	if err := b.peers.Call(ctx, m.Address, StatusName+".Get", struct{}{}, &reply); err != nil {
+		return operator.EntryStatus{Entry: m.Entry, Zone: m.Zone}
+	}
+	return reply
+}
+
+// others returns the other entries of the fleet. A zone of which no entry is
+// known has one member without an Entry: an operator must see that it is missing.
+func (b backend) others() []peer.Member {
+	var others []peer.Member
+	for _, zone := range b.settings.Entry.Zones {
+		members := b.members(zone)
+		if len(members) == 0 && zone != b.settings.Entry.Zone {
+			members = []peer.Member{{Zone: zone}}
+		}
+		for _, m := range members {
+			if m.Entry != b.id {
+				others = append(others, m)
+			}
+		}
+	}
+	return others
+}
+
+// Withdraw implements operator.Backend.
+func (b backend) Withdraw(ctx context.Context, w key.Withdrawal) []operator.Confirmation {
+	if w.Team == "" {
+		w.Team, _ = b.config.KeyTeam(w.Digest)
+	}
+	b.config.Withdraw(w)
+	others := b.others()
+	confirmations := make([]operator.Confirmation, len(others))
+	var g supervisor.Group
+	for i, m := range others {
+		g.Go(func() { confirmations[i] = b.withdrawAt(ctx, m, w) })
+	}
+	g.Wait()
+	own := operator.Confirmation{Entry: b.id, Zone: b.settings.Entry.Zone, Confirmed: true}
+	return append([]operator.Confirmation{own}, confirmations...)
+}
+
+func (b backend) withdrawAt(ctx context.Context, m peer.Member, w key.Withdrawal) operator.Confirmation {
+	c := operator.Confirmation{Entry: m.Entry, Zone: m.Zone}
+	if m.Entry == "" {
+		c.Detail = "no entry of this zone is known here"
+		return c
+	}
+	if err := b.config.spread.Withdraw(ctx, m, w); err != nil {
+		c.Detail = "not reached; it refuses the key once it hears of it, or when its key list is no longer trusted"
+		return c
+	}
+	c.Confirmed = true
+	return c
+}
+
+// View implements operator.Backend.
+func (b backend) View() config.Delta { return b.config.DeltaSince(0) }
+
+// state is what a dump shows. It holds no key and no request's body.
+type state struct {
+	Entry      core.EntryID     `json:"entry"`
+	Zone       core.ZoneID      `json:"zone"`
+	Started    time.Time        `json:"started"`
+	Now        time.Time        `json:"now"`
+	Stopping   bool             `json:"stopping"`
+	Version    core.Version     `json:"config_version"`
+	KeysUntil  time.Time        `json:"keys_trusted_until"`
+	Requests   home.Dump        `json:"requests"`
+	Shards     any              `json:"shards"`
+	Limits     any              `json:"limits"`
+	Targets    any              `json:"targets"`
+	Control    any              `json:"maintenance"`
+	Directory  []Address        `json:"directory"`
+	Unrecorded []key.Withdrawal `json:"withdrawals_unrecorded"`
+}
+
+// Dump implements operator.Backend.
+func (b backend) Dump() any {
+	s := state{
+		Entry: b.id, Zone: b.settings.Entry.Zone, Started: b.started, Now: b.now(), Stopping: b.stopping.Load(),
+		Version: b.config.Version(), KeysUntil: b.config.KeysTrustedUntil(), Shards: b.shards.dump(),
+		Limits: b.limits.Dump(), Targets: b.fleet.Targets(), Control: b.control.State(),
+		Unrecorded: b.config.Unrecorded(),
+	}
+	b.requests.Locked(func(h *home.Home) { s.Requests = h.Dump() })
+	for _, zone := range b.settings.Entry.Zones {
+		s.Directory = append(s.Directory, b.directory.Zone(zone)...)
+	}
+	return s
+}
--- a/io/platform/client.go
+++ b/io/platform/client.go
@@ -40,8 +40,13 @@
 type Client struct {
 	BaseURL string
 	HTTP    *http.Client
+	// Zone, if set, is stated in every request, for the platform's logs.
+	Zone core.ZoneID
 }
 
+// ZoneHeader names the zone that a request to the platform comes from.
+const ZoneHeader = "Lavenderpond-Zone"
+
 var (
 	_ Table    = (*Client)(nil)
 	_ Objects  = (*Client)(nil)
@@ -149,6 +154,9 @@
 	if err != nil {
 		return nil, 0, errors.Wrap(err, "platform request")
 	}
+	if c.Zone != "" {
+		req.Header.Set(ZoneHeader, string(c.Zone))
+	}
 	resp, err := c.http().Do(req)
 	if err != nil {
 		return nil, 0, errors.Wrap(err, "platform request")
--- a/io/platform/standin/faults.go
+++ b/io/platform/standin/faults.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"lavenderpond/core"
+	"lavenderpond/io/platform"
 )
 
 // Faults says how the stand-in's table and object store misbehave.
@@ -18,14 +19,10 @@
 	Delay     time.Duration `json:"delay,omitempty"`
 	// LoseAnswers is how many transactions take effect without an answer.
 	LoseAnswers int `json:"lose_answers,omitempty"`
-	// CutZones are refused by the zone in the header ZoneHeader: a partition.
+	// CutZones are refused by the zone in platform.ZoneHeader: a partition.
 	CutZones []core.ZoneID `json:"cut_zones,omitempty"`
 }
 
-// ZoneHeader names the caller's availability zone, so that the stand-in can play
-// a partition between a zone and the platform.
-const ZoneHeader = "Lavenderpond-Zone"
-
 // SetFaults replaces the faults.
 func (s *Server) SetFaults(f Faults) {
 	s.mu.Lock()
@@ -78,7 +75,7 @@
 		f.DownUntil = s.faults.DownUntil
 	}
 	for _, z := range s.faults.CutZones {
-		if r.Header.Get(ZoneHeader) == string(z) {
+		if r.Header.Get(platform.ZoneHeader) == string(z) {
 			f.DownUntil = now
 		}
 	}
--- a/io/supervisor/supervisor.go
+++ b/io/supervisor/supervisor.go
@@ -65,7 +65,7 @@
 			return
 		}
 		n.Log.Error().Str("node", n.Name).Str("child", c.Name).Err(err).Int("failures", failures).Msg("child restarts")
-		if !sleep(ctx, restartDelay(failures)) {
+		if !Sleep(ctx, restartDelay(failures)) {
 			return
 		}
 	}
@@ -86,7 +86,8 @@
 	return c.Run(ctx)
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
+// Sleep waits for d; it returns false at once when ctx ends.
+func Sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
@@ -101,7 +102,7 @@
 func Every(ctx context.Context, d time.Duration, f func(ctx context.Context)) error {
 	for {
 		f(ctx)
-		if !sleep(ctx, d) {
+		if !Sleep(ctx, d) {
 			return nil
 		}
 	}
--- a/io/target/client.go
+++ b/io/target/client.go
@@ -108,6 +108,26 @@
 	}
 }
 
+// Accepts asks a target whether it takes new work, by a task that is late before
+// it arrives: a target that takes work calls it late, and nothing starts.
+func (c *Client) Accepts(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	req, err := c.request(ctx, http.MethodPost, address, core.RequestKey{Team: "probe", ID: "probe"}, http.NoBody)
+	if err != nil {
+		return false
+	}
+	past := time.UnixMilli(1)
+	setMillis(req.Header, HeaderStartBy, past)
+	setMillis(req.Header, HeaderLeaseUntil, past)
+	resp, err := c.HTTP.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.Header.Get(HeaderNotStarted) == ReasonLate
+}
+
 // Stop tells the target to stop a task. A lost order is made good by the lease.
 func (c *Client) Stop(ctx context.Context, address string, key core.RequestKey) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
