--- a/core/experiment/policy/register.go
+++ b/core/experiment/policy/register.go
@@ -57,8 +57,12 @@
 			Workloads: both, Policies: chosen, Faults: replay.Faults{Impossible: 0.02, Cancellations: 0.7},
 		},
 		{
-			ID: "retry", Question: "All targets of a pool are out: retries unbounded, none, and under a budget.",
-			Workloads: both, Policies: retryPolicies(), Faults: replay.Faults{Outage: 1},
+			ID: "retry", Question: "All targets of a pool fail everything for a while: retries unbounded, none, under a budget.",
+			Workloads: both, Policies: retryPolicies(), Faults: replay.Faults{Brownout: 1},
+		},
+		{
+			ID: "unreachable", Question: "All targets of a pool are out of reach: retries as above, or back into the queue.",
+			Workloads: both, Policies: unreachablePolicies(), Faults: replay.Faults{Outage: 1},
 		},
 	} {
 		experiment.Register(c)
@@ -74,24 +78,29 @@
 	return loaded
 }
 
-// retryPolicies differ in the retry budget alone.
+// retryPolicies differ in the retry budget and its back-off alone; the naive one
+// also sends a request to any number of targets.
 func retryPolicies() []replay.Policy {
-	budgets := []struct {
-		name   string
-		budget func(*rand.Rand) retry.Budget
-	}{
-		{"naive", nil},
-		{"no_retries", func(*rand.Rand) retry.Budget { return replay.None{} }},
-		{"exponential", func(rng *rand.Rand) retry.Budget { return &retry.TokenBucket{Rand: rng} }},
-		{"linear", func(rng *rand.Rand) retry.Budget {
+	unbounded := withBudget("naive", nil)
+	unbounded.BoundTargets = false
+	return []replay.Policy{
+		unbounded,
+		withBudget("no_retries", func(*rand.Rand) retry.Budget { return replay.None{} }),
+		withBudget("exponential", func(rng *rand.Rand) retry.Budget { return &retry.TokenBucket{Rand: rng} }),
+		withBudget("linear", func(rng *rand.Rand) retry.Budget {
 			return &retry.TokenBucket{Rand: rng, Growth: retry.Linear}
-		}},
+		}),
 	}
-	var policies []replay.Policy
-	for _, b := range budgets {
-		p := replay.Queueing()
-		p.Name, p.Budget = b.name, b.budget
-		policies = append(policies, p)
-	}
-	return policies
+}
+
+func unreachablePolicies() []replay.Policy {
+	requeue := replay.Queueing()
+	requeue.Name = "requeue_unsent"
+	return append(retryPolicies(), requeue)
+}
+
+func withBudget(name string, budget func(*rand.Rand) retry.Budget) replay.Policy {
+	p := replay.Queueing()
+	p.Name, p.Budget, p.RequeueUnsent = name, budget, false
+	return p
 }
--- a/core/experiment/replay/figures.go
+++ b/core/experiment/replay/figures.go
@@ -108,9 +108,9 @@
 		"wait_p50":            quantile(f.waits, 0.5),
 		"wait_p99":            quantile(f.waits, 0.99),
 		"urgent_wait_p99":     quantile(f.urgentWaits, 0.99),
-		"urgent_wait_max":     quantile(f.urgentWaits, 1),
+		"urgent_start_in_aim": ratio(float64(s.urgentInAim()), float64(s.urgentOffered())),
 	}
-	if s.faults.Outage > 0 {
+	if s.faults.Outage+s.faults.Brownout > 0 {
 		m["attempts_during_outage"] = ratio(float64(f.duringAttempts), float64(f.duringFirst))
 		m["attempts_after_outage"] = ratio(float64(f.afterAttempts), float64(f.afterFirst))
 	}
@@ -120,6 +120,29 @@
 	return m
 }
 
+// urgentAim is within which urgent work is to start, by the two-year size.
+const urgentAim = 7200 * time.Millisecond
+
+func (s *simulation) urgentInAim() int {
+	n := 0
+	for _, j := range s.jobs {
+		if j.item.Urgent && j.started && j.firstStart.Sub(j.item.Enqueued) <= urgentAim {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *simulation) urgentOffered() int {
+	n := 0
+	for _, j := range s.jobs {
+		if j.item.Urgent {
+			n++
+		}
+	}
+	return n
+}
+
 func ratio(a, b float64) float64 {
 	if b == 0 {
 		return 0
--- a/core/experiment/replay/policy.go
+++ b/core/experiment/replay/policy.go
@@ -27,6 +27,9 @@
 	Budget func(rng *rand.Rand) retry.Budget
 	// BoundTargets gives up a request that retry.MaxTargets targets failed.
 	BoundTargets bool
+	// RequeueUnsent puts a request that reached no target back into its queue,
+	// without taking from the retry budget.
+	RequeueUnsent bool
 	// Overflow lets requests run in idle slots of other pools.
 	Overflow bool
 	// SplitSlots gives each entry of a zone its own part of a target's slots. Else
@@ -56,8 +59,9 @@
 		Router: func(rng *rand.Rand) route.Router {
 			return &least.Router{Rand: rng, Entries: entriesPerZone}
 		},
-		Budget:       func(rng *rand.Rand) retry.Budget { return &retry.TokenBucket{Rand: rng} },
-		BoundTargets: true,
+		Budget:        func(rng *rand.Rand) retry.Budget { return &retry.TokenBucket{Rand: rng} },
+		BoundTargets:  true,
+		RequeueUnsent: true,
 	}
 }
 
--- a/core/experiment/replay/simulation.go
+++ b/core/experiment/replay/simulation.go
@@ -159,7 +159,10 @@
 }
 
 func (s *simulation) want(j *job) route.Want {
-	return route.Want{Pool: poolID(j.queueIndex), Overflow: s.policy.Overflow, Tried: j.tries.Targets()}
+	return route.Want{
+		Pool: poolID(j.queueIndex), Overflow: s.policy.Overflow,
+		Tried: j.tries.Targets(), NoProbe: !j.kind.Idempotent,
+	}
 }
 
 // dispatch starts what can start at e.
@@ -201,8 +204,8 @@
 
 // send is the target's side: it takes j, or says why not a moment later.
 func (s *simulation) send(j *job, v *vm) {
-	s.figures.countAttempt(s)
 	if s.out(v, s.now) {
+		s.figures.countAttempt(s)
 		s.events.add(s.now.Add(connectRun), func() { s.back(j, v, route.Unreachable, retry.NotSent) })
 		return
 	}
@@ -211,6 +214,7 @@
 		s.events.add(s.now.Add(connectRun), func() { s.back(j, v, route.Full, retry.Refused) })
 		return
 	}
+	s.figures.countAttempt(s)
 	s.start(j, v)
 }
 
@@ -286,6 +290,11 @@
 		s.figures.unknown(j)
 		return
 	}
+	if p == retry.NotSent && s.policy.RequeueUnsent {
+		s.figures.retries++
+		s.enqueue(j)
+		return
+	}
 	if !j.entry.budget.Allow(s.now) {
 		s.figures.giveUp(j)
 		return
--- a/core/queue/fair/admit.go
+++ b/core/queue/fair/admit.go
@@ -18,17 +18,19 @@
 	maxReturn = 30 * time.Second
 )
 
-// admit refuses what would not fit or would be late.
-func (f *Queue) admit(now time.Time, s *state, t *team, item queue.Item, idle core.Slots) (core.NotRun, bool) {
+// admit refuses what would not fit or would be late. It returns the wait that it
+// predicts, before correction.
+func (f *Queue) admit(now time.Time, s *state, t *team, item queue.Item, idle core.Slots) (time.Duration, core.NotRun, bool) {
 	if !f.fits(s, t) {
-		return f.refuse(now, s, core.CodeQueueFull, "the queue has no place left for the team"), false
+		return 0, f.refuse(now, s, core.CodeQueueFull, "the queue has no place left for the team"), false
 	}
-	wait := f.predictWait(s, t, item, idle)
-	run := f.shortestRun(s, t, item)
+	predicted := f.predictWait(s, t, item, idle)
+	wait := s.correction(item.Urgent).apply(predicted)
+	run := f.shortestRun(s, t)
 	if wait > 0 && now.Add(wait+run).After(item.Deadline) {
-		return f.refuse(now, s, core.CodeWouldBeLate, "predicted wait "+wait.Round(time.Millisecond).String()), false
+		return 0, f.refuse(now, s, core.CodeWouldBeLate, "predicted wait "+wait.Round(time.Millisecond).String()), false
 	}
-	return core.NotRun{}, true
+	return predicted, core.NotRun{}, true
 }
 
 // fits reports whether the queue has a place for one more item of t. Without the
@@ -114,7 +116,7 @@
 
 // shortestRun returns a run time that hardly any of the team's items stays below.
 // A declared time isn't used: it would refuse work for being declared too long.
-func (f *Queue) shortestRun(s *state, t *team, _ queue.Item) time.Duration {
+func (f *Queue) shortestRun(s *state, t *team) time.Duration {
 	switch {
 	case t.runs.trusted():
 		return seconds(t.runs.low)
--- a/core/queue/fair/fair.go
+++ b/core/queue/fair/fair.go
@@ -70,6 +70,8 @@
 	// waiting, urgent and running count items of all teams.
 	waiting, urgent, running int
 	runs                     estimate
+	// waits and urgentWaits correct the predicted waits.
+	waits, urgentWaits correction
 	// nextReturn is the next come-back time to hand out.
 	nextReturn time.Time
 }
@@ -84,21 +86,26 @@
 	}
 	s := f.state(item.Queue)
 	t := f.team(s, item.Key.Team)
-	if refusal, ok := f.admit(now, s, t, item, idleSlots); !ok {
+	predicted, refusal, ok := f.admit(now, s, t, item, idleSlots)
+	if !ok {
 		return refusal, false
 	}
-	f.insert(s, t, item)
+	f.insert(s, t, &entry{
+		item: item, team: t, pushed: now, predicted: predicted,
+		startBy: item.Deadline.Add(-f.shortestRun(s, t)),
+	})
 	return core.NotRun{}, true
 }
 
-func (f *Queue) insert(s *state, t *team, item queue.Item) {
+func (f *Queue) insert(s *state, t *team, e *entry) {
+	item := e.item
 	if t.waiting() == 0 {
 		// A team that comes back starts level: idle time earns no arrears, which
 		// would let it take every slot for as long as it was away.
 		t.virtual = max(t.virtual, s.virtual)
 	}
 	f.sequence++
-	e := &entry{item: item, team: t, sequence: f.sequence}
+	e.sequence = f.sequence
 	f.entries[item.Key] = e
 	f.expiry.push(e)
 	t.lane(item.Urgent).push(e)
@@ -120,6 +127,7 @@
 		return queue.Item{}, false
 	}
 	f.remove(e)
+	s.correction(e.item.Urgent).add(e.predicted, now.Sub(e.pushed))
 	s.virtual = max(s.virtual, e.team.virtual)
 	s.running++
 	e.team.charge(f.predictRun(s, e.team, e.item))
@@ -180,20 +188,20 @@
 	return nil
 }
 
-// firstInTime returns the lane's first entry whose deadline hasn't passed. The
+// firstInTime returns the lane's first entry that can still be in time. The
 // expired ones before it stay for Expired, which answers them.
 func (f *Queue) firstInTime(now time.Time, l *lane) *entry {
 	e := l.peek()
-	if e == nil || f.off.expiryCheck || now.Before(e.item.Deadline) {
+	if e == nil || f.off.expiryCheck || now.Before(e.startBy) {
 		return e
 	}
 	// Rare: Expired wasn't called since a deadline passed.
 	var first *entry
 	for _, e := range l.entries {
-		if e.gone || !now.Before(e.item.Deadline) {
+		if e.gone || !now.Before(e.startBy) {
 			continue
 		}
-		if first == nil || e.item.Deadline.Before(first.item.Deadline) {
+		if first == nil || e.startBy.Before(first.startBy) {
 			first = e
 		}
 	}
@@ -203,8 +211,9 @@
 // Expired implements queue.Queue.
 func (f *Queue) Expired(now time.Time) []queue.Item {
 	var expired []queue.Item
-	for e := f.expiry.peek(); e != nil && !now.Before(e.item.Deadline); e = f.expiry.peek() {
+	for e := f.expiry.peek(); e != nil && !now.Before(e.startBy); e = f.expiry.peek() {
 		f.remove(e)
+		f.queues[e.item.Queue].correction(e.item.Urgent).add(e.predicted, now.Sub(e.pushed))
 		expired = append(expired, e.item)
 	}
 	return expired
@@ -299,6 +308,13 @@
 	return float64(max(1, f.Share(id)))
 }
 
+func (s *state) correction(urgent bool) *correction {
+	if urgent {
+		return &s.urgentWaits
+	}
+	return &s.waits
+}
+
 // place puts t where it belongs in both heaps.
 func (s *state) place(t *team) {
 	s.heaps[byAny].keep(t, t.waiting() > 0)
--- a/core/queue/fair/lane.go
+++ b/core/queue/fair/lane.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"time"
 
 	"lavenderpond/core/queue"
 )
@@ -10,13 +11,20 @@
 type entry struct {
 	item queue.Item
 	team *team
-	// sequence orders items of equal deadline by arrival.
+	// startBy is the deadline less the shortest run that is likely: work that
+	// starts later would be stopped at its deadline and wasted.
+	startBy time.Time
+	// pushed and predicted are when the item came and the wait it was told, to
+	// correct later predictions.
+	pushed    time.Time
+	predicted time.Duration
+	// sequence orders items of equal startBy by arrival.
 	sequence uint64
 	// gone marks an entry that left the queue and has yet to leave its lanes.
 	gone bool
 }
 
-// lane is a heap of entries by deadline that drops removed entries lazily.
+// lane is a heap of entries by startBy that drops removed entries lazily.
 //
 // A cancellation only marks its entry, so a wave of cancellations costs O(1)
 // each. Marked entries leave when they come to the top, or all at once when they
@@ -31,7 +39,7 @@
 // live returns how many entries wait in the lane.
 func (l *lane) live() int { return len(l.entries) - l.gone }
 
-// peek returns the entry with the earliest deadline, or nil.
+// peek returns the entry with the earliest startBy, or nil.
 func (l *lane) peek() *entry {
 	for len(l.entries) > 0 {
 		if !l.entries[0].gone {
@@ -64,14 +72,14 @@
 	heap.Init(&l.entries)
 }
 
-// entryHeap is a heap.Interface of entries by deadline, then arrival.
+// entryHeap is a heap.Interface of entries by startBy, then arrival.
 type entryHeap []*entry
 
 func (h entryHeap) Len() int { return len(h) }
 
 func (h entryHeap) Less(i, j int) bool {
-	if !h[i].item.Deadline.Equal(h[j].item.Deadline) {
-		return h[i].item.Deadline.Before(h[j].item.Deadline)
+	if !h[i].startBy.Equal(h[j].startBy) {
+		return h[i].startBy.Before(h[j].startBy)
 	}
 	return h[i].sequence < h[j].sequence
 }
--- a/core/route/least/eject.go
+++ b/core/route/least/eject.go
@@ -16,6 +16,10 @@
 	// probeStep is added to the time before a probe with each ejection in a row.
 	probeStep    = 2 * time.Second
 	maxProbeWait = 30 * time.Second
+	// probePatience is for how long a probe waits for a request that may be
+	// repeated. Without an end, a pool that gets no such request would never have
+	// the target back.
+	probePatience = 30 * time.Second
 	// probesToReturn is how many probes must succeed in a row.
 	probesToReturn = 3
 )
@@ -110,10 +114,12 @@
 }
 
 // mayStart reports whether the health of t allows one more request now.
-func (r *Router) mayStart(now time.Time, t *target) bool {
+func (r *Router) mayStart(now time.Time, t *target, noProbe bool) bool {
 	switch {
-	case now.Before(t.pausedUntil):
+	case now.Before(t.pausedUntil), t.awaitsTest(now):
 		return false
+	case t.health == ejected && noProbe:
+		return t.running == 0 && !now.Before(t.probeAt.Add(probePatience))
 	case t.health == ejected:
 		return t.running == 0 && !now.Before(t.probeAt)
 	case t.health == suspect:
--- a/core/route/least/least.go
+++ b/core/route/least/least.go
@@ -8,6 +8,7 @@
 package least
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -105,7 +106,7 @@
 
 // Pick implements route.Router.
 func (r *Router) Pick(now time.Time, want route.Want) (core.VMID, bool) {
-	best := r.best(now, want.Pool, want.Tried, 0)
+	best := r.best(now, want.Pool, want, 0)
 	if best == nil && want.Overflow {
 		best = r.bestLent(now, want)
 	}
@@ -123,7 +124,7 @@
 		if id == want.Pool || !r.pools[id].LendsIdle {
 			continue
 		}
-		t := r.best(now, id, want.Tried, r.reserve())
+		t := r.best(now, id, want, r.reserve())
 		if t == nil {
 			continue
 		}
@@ -143,7 +144,7 @@
 
 // best returns the target of the pool with the lowest score that has more than
 // reserve slots free, starting at a random one so that ties are spread.
-func (r *Router) best(now time.Time, pool poolID, tried []core.VMID, reserve core.Slots) *target {
+func (r *Router) best(now time.Time, pool poolID, want route.Want, reserve core.Slots) *target {
 	targets := r.byPool[pool]
 	if len(targets) == 0 {
 		return nil
@@ -158,10 +159,10 @@
 		if r.off.slotBound {
 			free = t.capacity()
 		}
-		if free <= reserve || !r.mayStart(now, t) || slices.Contains(tried, t.VM) {
+		if free <= reserve || !r.mayStart(now, t, want.NoProbe) || slices.Contains(want.Tried, t.VM) {
 			continue
 		}
-		if score := score(t, free, mean); best == nil || score < lowest {
+		if score := score(t, free, mean, want.NoProbe); best == nil || score < lowest {
 			best, lowest = t, score
 		}
 	}
@@ -170,15 +171,18 @@
 
 // score is the time that the target's slots need for what they hold and one more
 // request: a slow VM gets fewer, and one that fails counts as slower still.
-func score(t *target, free core.Slots, mean float64) float64 {
+func score(t *target, free core.Slots, mean float64, noProbe bool) float64 {
 	run := t.run
 	if run == 0 {
 		run = mean
 	}
 	held := float64(t.capacity()-free) + 1
+	if t.health != healthy && noProbe {
+		return math.Inf(1)
+	}
 	if t.health != healthy {
-		// Probes are owed: a target on probe takes the next request, or it would
-		// wait for as long as any other target has a slot.
+		// A target that may be tried takes the next request, or it would wait for as
+		// long as any other target has a slot and never return.
 		return 0
 	}
 	return held / float64(t.capacity()) * run * (1 + t.failures)
@@ -196,6 +200,9 @@
 		r.targets[vm] = t
 	}
 	t.running++
+	if t.unreached > 0 && t.testedAt.IsZero() {
+		t.testedAt = now
+	}
 	if t.health == suspect {
 		// A suspect that can't be ejected takes no more of the pool's work than one
 		// slot of a healthy target does, however quickly it fails.
@@ -230,7 +237,9 @@
 		t.pausedUntil = now.Add(leavingPause)
 		return
 	case route.Unreachable:
-		t.pausedUntil = now.Add(leavingPause)
+		t.unreached++
+		t.testedAt = time.Time{}
+		t.pausedUntil = now.Add(unreachablePause(t.unreached))
 	case route.Succeeded:
 		r.learnRun(t.Pool, run)
 	case route.Failed:
@@ -254,23 +263,23 @@
 
 // Idle implements route.Router.
 func (r *Router) Idle(now time.Time, want route.Want) core.Slots {
-	idle := r.idleIn(now, want.Pool, 0)
+	idle := r.idleIn(now, want.Pool, want.NoProbe, 0)
 	if !want.Overflow {
 		return idle
 	}
 	for _, id := range r.order {
 		if id != want.Pool && r.pools[id].LendsIdle {
-			idle += r.idleIn(now, id, r.reserve())
+			idle += r.idleIn(now, id, want.NoProbe, r.reserve())
 		}
 	}
 	return idle
 }
 
-func (r *Router) idleIn(now time.Time, pool poolID, reserve core.Slots) core.Slots {
+func (r *Router) idleIn(now time.Time, pool poolID, noProbe bool, reserve core.Slots) core.Slots {
 	var idle core.Slots
 	mean := r.meanRun(pool)
 	for _, t := range r.byPool[pool] {
-		if !r.mayStart(now, t) {
+		if !r.mayStart(now, t, noProbe) {
 			continue
 		}
 		free := max(0, t.free(now, mean, r.Entries)-reserve)
--- a/core/route/least/target.go
+++ b/core/route/least/target.go
@@ -13,12 +13,18 @@
 	failureGain = 0.2
 	// fallbackRun is the run time assumed until one is measured.
 	fallbackRun = time.Second
-	// leavingPause is how long a target that refused or couldn't be reached gets
-	// no new work.
+	// leavingPause is how long a target that refused gets no new work.
 	leavingPause = time.Second
+	// unreachedStep and maxUnreached shape the pause of a target that can't be
+	// reached.
+	unreachedStep = 250 * time.Millisecond
+	maxUnreached  = 5 * time.Second
+	maxDoublings  = 10
+	// connectTime is within which a connection is made or has failed.
+	connectTime = 500 * time.Millisecond
 	// contendedRuns is for how many mean runs an entry that was told "full" keeps
 	// to its own part of the slots.
-	contendedRuns = 2
+	contendedRuns = 1
 )
 
 // target is a VM with what this entry has learnt of it.
@@ -38,7 +44,12 @@
 	contendedUntil time.Time
 	// pausedUntil is when a target that was leaving or out of reach may be tried.
 	pausedUntil time.Time
-	health      health
+	// unreached counts the failures in a row to reach the target.
+	unreached int
+	// testedAt is when a request was sent to find out whether the target is back;
+	// zero if none was since it was last out of reach.
+	testedAt time.Time
+	health   health
 	// ejections counts the ejections in a row, and probeAt is when the next probe
 	// may start.
 	ejections int
@@ -128,3 +139,16 @@
 	}
 	t.run += (run.Seconds() - t.run) * runGain
 }
+
+// unreachablePause is how long a target that couldn't be reached n times in a row
+// gets no new work.
+func unreachablePause(n int) time.Duration {
+	return min(unreachedStep<<min(n-1, maxDoublings), maxUnreached)
+}
+
+// awaitsTest reports whether a request is on its way to find out if the target is
+// back. Without waiting for it, all that is queued would be sent there and back
+// each time a pause ends.
+func (t *target) awaitsTest(now time.Time) bool {
+	return t.unreached > 0 && !t.testedAt.IsZero() && now.Before(t.testedAt.Add(connectTime))
+}
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -37,6 +37,9 @@
 	Overflow bool
 	// Tried are targets that refused this request before.
 	Tried []core.VMID
+	// NoProbe keeps the request from targets that are under suspicion while others
+	// have a slot: it can't be sent again if they fail it.
+	NoProbe bool
 }
 
 // Result says how a request ended at a target.
