Prove keys and limits under failures, and stop a move that undid itself

Cause: the golden session of the limits overflowed the stack: a raise made a part idle, which was given back at once, without end. A part that was just raised now counts as used, and a waiting entry gives nothing back. The key world showed that a restarted entry must not speak for its zone: it forgot what it was told while the table was down. A ring joins only once its evidence covers the time before its start. Ruled out: demanding contact with every zone as evidence, since the loss of one zone in a table outage would then stop all.

--- a/core/key/ring.go
+++ b/core/key/ring.go
@@ -38,6 +38,9 @@
 	// Trust is how long the list is trusted after its last evidence. Zero means
 	// DefaultTrust.
 	Trust time.Duration
+	// Started is when this run of the entry began, by its own clock. Zero: only the
+	// entry's own contact with the table lets it join.
+	Started time.Time
 
 	teams map[core.KeyDigest]core.TeamID
 	// withdrawn only grows. Unrecorded ones were told by an operator or a peer and
@@ -48,10 +51,20 @@
 	// whose withdrawals this ring holds.
 	complete time.Time
 	contacts map[core.ZoneID]time.Time
+	// joined is true once the ring surely held what its zone had been told before this
+	// run began. A restarted entry has forgotten it, and speaks for its zone only then.
+	joined bool
 
 	// Switched on in tests only, to see the safeguards fail.
+	unsafe unsafe
+}
+
+// unsafe names the safeguards that a test switches off.
+type unsafe struct {
 	trustAlways    bool
 	forgetWithdraw bool
+	joinAtOnce     bool
+	anyZone        bool
 }
 
 // Apply takes in rows under "key/" and returns the digests that ended with them.
@@ -109,43 +122,56 @@
 // with it are refused, running ones finish.
 func (r *Ring) Withdrawn(d core.KeyDigest) bool { return r.withdrawn[d] }
 
-// Complete tells that the ring holds every withdrawal that the table held at the
-// instant sent, when the read that proves it left, here or at a peer.
+// Complete tells that the ring holds every withdrawal that the table held when this
+// entry's own read left, at sent.
 func (r *Ring) Complete(sent time.Time) {
-	if sent.After(r.complete) {
-		r.complete = sent
-	}
+	r.complete = later(r.complete, sent)
+	r.joined = true
 }
 
-// Heard tells of an answer from an entry of zone z that carried its unrecorded
-// withdrawals, to a message that left here at sent.
+// Heard tells of an answer from an entry of zone z, which has joined, to a message
+// that left here at sent. All that it told was taken in before.
 func (r *Ring) Heard(z core.ZoneID, sent time.Time) {
-	if sent.After(r.contacts[z]) {
-		put(&r.contacts, z, sent)
+	put(&r.contacts, z, later(r.contacts[z], sent))
+	if z == r.Zone && !r.Started.IsZero() && !sent.Before(r.Started) {
+		r.joined = true
 	}
+	r.join()
 }
 
-// Evidence returns the instant up to which the ring surely holds all accepted
-// withdrawals: the later of the table's word and that of a majority of zones. A
-// withdrawal counts as accepted once the table or a majority of zones has it, and
-// any two majorities share a zone. Demanding every zone instead would let the loss
-// of one zone during a table outage stop all the others.
-func (r *Ring) Evidence() time.Time {
-	zones := r.zoneEvidence()
-	if zones.After(r.complete) {
-		return zones
+// join lets the ring speak for its zone if what it was told by others covers the
+// time before this run began.
+func (r *Ring) join() {
+	if r.joined || r.Started.IsZero() {
+		return
 	}
-	return r.complete
+	r.joined = r.unsafe.joinAtOnce || !r.complete.Before(r.Started) || !r.zoneEvidence().Before(r.Started)
 }
 
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+// Evidence returns the instant up to which the ring surely holds all accepted
+// withdrawals: the later of the table's word and that of a majority of zones. A
+// withdrawal is accepted once the table and a majority of zones have it, or all
+// zones, so each kind of evidence meets it. Demanding every zone instead would let
+// the loss of one zone during a table outage stop all the others.
+func (r *Ring) Evidence() time.Time { return later(r.complete, r.zoneEvidence()) }
+
 // zoneEvidence returns the latest instant since which a majority of zones was heard,
-// or zero. The own zone counts without being heard, unless this entry started
-// without the table: what its zone was told, it may have forgotten by restarting.
+// or zero. The own zone counts without being heard once the ring has joined.
 func (r *Ring) zoneEvidence() time.Time {
 	needed := len(r.Zones)/2 + 1
-	if !r.complete.IsZero() || !r.contacts[r.Zone].IsZero() {
+	if r.joined {
 		needed--
 	}
+	if r.unsafe.anyZone {
+		needed = min(needed, 1)
+	}
 	var heard []time.Time
 	for _, z := range r.Zones {
 		if z != r.Zone && !r.contacts[z].IsZero() {
@@ -172,8 +198,12 @@
 	return evidence.Add(min(trust, MaxTrust))
 }
 
-// Fresh reports whether the list is trusted at now.
-func (r *Ring) Fresh(now time.Time) bool { return r.trustAlways || now.Before(r.TrustedUntil()) }
+// Fresh reports whether the list is trusted at now. In a fleet of one zone an entry
+// that has joined is told everything directly.
+func (r *Ring) Fresh(now time.Time) bool {
+	alone := r.joined && len(r.Zones) == 1
+	return alone || r.unsafe.trustAlways || now.Before(r.TrustedUntil())
+}
 
 // Check decides whether a request of team may be accepted under the digest of the
 // key that came with it. The code is CodeKeyWithdrawn, CodeKeysStale (another entry
@@ -214,7 +244,7 @@
 // was told directly, so it never ends one. The test's switch shows what would
 // happen.
 func (r *Ring) regrant(d core.KeyDigest) {
-	if r.forgetWithdraw {
+	if r.unsafe.forgetWithdraw {
 		delete(r.withdrawn, d)
 	}
 }
--- a/core/key/summary.go
+++ b/core/key/summary.go
@@ -13,13 +13,15 @@
 	// Complete is the evidence by the table, on the teller's clock.
 	Complete time.Time
 	// Contacts are the zones that the teller heard, on its clock.
-	Contacts    map[core.ZoneID]time.Time
+	Contacts map[core.ZoneID]time.Time
+	// Joined is true if the teller speaks for its zone.
+	Joined      bool
 	Withdrawals []Withdrawal
 }
 
 // Summary returns what to tell a peer.
 func (r *Ring) Summary() Summary {
-	return Summary{Complete: r.complete, Contacts: maps.Clone(r.contacts), Withdrawals: r.Unrecorded()}
+	return Summary{Complete: r.complete, Contacts: maps.Clone(r.contacts), Joined: r.joined, Withdrawals: r.Unrecorded()}
 }
 
 // Merge takes in a peer's summary, and returns the digests that ended with it. The
@@ -31,10 +33,13 @@
 		return ended
 	}
 	if !s.Complete.IsZero() {
-		r.Complete(s.Complete.Add(-skew))
+		r.complete = later(r.complete, s.Complete.Add(-skew))
 	}
 	for z, at := range s.Contacts {
-		r.Heard(z, at.Add(-skew))
+		if z != r.Zone {
+			put(&r.contacts, z, later(r.contacts[z], at.Add(-skew)))
+		}
 	}
+	r.join()
 	return ended
 }
--- a/core/limit/decide.go
+++ b/core/limit/decide.go
@@ -124,7 +124,7 @@
 func (l *Ledger) reclaimZones(now time.Time, d *draft) {
 	for _, z := range slices.Sorted(maps.Keys(l.down)) {
 		since := l.down[z]
-		if z == l.Zone || d.team.Zones[z] == 0 || now.Before(l.lastLease(since)) {
+		if z == l.Zone || d.team.Zones[z] == 0 || (now.Before(l.lastLease(since)) && !l.unsafe.reclaimAtOnce) {
 			continue
 		}
 		delete(d.team.Zones, z)
@@ -159,8 +159,10 @@
 	case wants && contended:
 		l.give(d, min(idle, max(0, d.part-fair)))
 		l.take(d, min(free, fair-d.part))
-	case wants && idle == 0:
-		l.take(d, min(free, max(d.part, reserve(a.limit))))
+	case wants:
+		if idle == 0 {
+			l.take(d, min(free, max(d.part, reserve(a.limit))))
+		}
 	case contended && free == 0:
 		l.give(d, idle)
 	default:
--- a/core/limit/handle.go
+++ b/core/limit/handle.go
@@ -171,7 +171,7 @@
 	m := a.move
 	switch e.Result {
 	case ResultApplied:
-		a.applied(m)
+		a.applied(now, m)
 		l.close(a)
 	case ResultConflict:
 		if !m.lost {
@@ -193,7 +193,7 @@
 		m.lost = true
 		m.resend = now.Add(resendAfter)
 		if l.unsafe.useBeforeSettled {
-			a.applied(m)
+			a.applied(now, m)
 			l.close(a)
 		}
 	}
@@ -206,7 +206,11 @@
 }
 
 // applied takes the rows as the move wrote them.
-func (a *allotment) applied(m *openMove) {
+func (a *allotment) applied(now time.Time, m *openMove) {
+	if m.after > a.part {
+		// A raise counts as use, so that it isn't given back before it could be used.
+		a.used.observe(now, m.after)
+	}
 	a.part = m.after
 	a.team, a.zone = m.team, m.zone
 	a.teamRow.Version++
--- a/core/limit/ledger_test.go
+++ b/core/limit/ledger_test.go
@@ -22,6 +22,8 @@
 	testSteps    = 1200
 )
 
+var testStart = time.Date(2026, 12, 2, 12, 0, 0, 0, time.UTC)
+
 // world runs real Ledgers over a table in memory, and keeps the targets' own record
 // of what runs. The verdict is taken from that record alone.
 type world struct {
@@ -69,7 +71,7 @@
 }
 
 func newWorld(seed uint64, u unsafe, limits bool) *world {
-	w := &world{r: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_800_000_000, 0), limit: 12, unsafe: u, limits: limits}
+	w := &world{r: rand.New(rand.NewPCG(seed, 1)), now: testStart, limit: 12, unsafe: u, limits: limits}
 	w.setLimit(12)
 	for i := range 6 {
 		w.entries = append(w.entries, w.start(i))
--- /dev/null
+++ b/core/limit/session_test.go
@@ -0,0 +1,184 @@
+package limit
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"lavenderpond/core"
+	"lavenderpond/core/config"
+	"lavenderpond/core/table"
+)
+
+// session is two entries of two zones and their table, written down as it goes.
+type session struct {
+	b    strings.Builder
+	m    table.Memory
+	now  time.Time
+	a, z *Ledger
+	// lose is true while answers of moves are lost; off entries do nothing.
+	lose bool
+	off  *Ledger
+}
+
+func (s *session) say(format string, args ...any) { fmt.Fprintf(&s.b, format+"\n", args...) }
+
+func (s *session) handle(l *Ledger, e Event) {
+	for _, c := range l.Handle(s.now, e) {
+		switch c := c.(type) {
+		case ReadRows:
+			s.handle(l, RowsRead{
+				Sent: s.now.Add(time.Millisecond), Team: c.Team, TeamRow: s.m.Read(table.TeamAllotmentKey(c.Team)),
+				ZoneRow: s.m.Read(table.ZoneAllotmentKey(c.Team, l.Zone)),
+			})
+		case Move:
+			s.move(l, c)
+		}
+	}
+}
+
+func (s *session) move(l *Ledger, c Move) {
+	result := ResultApplied
+	if s.m.Transact(c.Transaction) != nil {
+		result = ResultConflict
+	}
+	if s.lose {
+		result = ResultUnknown
+	}
+	s.say("  %s sends move %d: %s", l.Self, c.ID, []string{"answer lost", "applied", "conflict", "not sent"}[result])
+	s.handle(l, Moved{ID: c.ID, Result: result})
+}
+
+// on returns the ledgers whose entries run.
+func (s *session) on() []*Ledger {
+	if s.off == s.z {
+		return []*Ledger{s.a}
+	}
+	return []*Ledger{s.a, s.z}
+}
+
+func (s *session) limit(n core.Slots) {
+	var t table.Transaction
+	_ = t.Set(table.ConfigHead, config.Head{})
+	_ = s.m.Transact(t)
+	for _, l := range s.on() {
+		s.handle(l, Limits{Head: s.m.Read(table.ConfigHead), Limits: map[core.TeamID]core.Slots{testTeam: n}})
+	}
+}
+
+// start dispatches up to n requests that end by themselves after d.
+func (s *session) start(l *Ledger, n int, d time.Duration) {
+	started := 0
+	for range n {
+		started++
+		key := core.RequestKey{Team: testTeam, ID: core.RequestID(fmt.Sprint(l.Self, s.now.Unix(), started))}
+		if !l.Acquire(s.now, key, s.now.Add(d)) {
+			started--
+			l.Wanted(s.now, testTeam)
+		}
+	}
+	s.say("  %s starts %d of %d", l.Self, started, n)
+}
+
+func (s *session) at(seconds int, what string, do func()) {
+	s.now = testStart.Add(time.Duration(seconds) * time.Second)
+	s.say("%ds %s", seconds, what)
+	do()
+	for range 3 {
+		for _, l := range s.on() {
+			s.handle(l, Polled{Sent: s.now.Add(time.Millisecond), Rows: s.m.Changes(table.PrefixAllotment, 0)})
+			s.handle(l, Tick{})
+		}
+	}
+	for _, l := range []*Ledger{s.a, s.z} {
+		s.say("  %s %+v", l.Self, l.Dump())
+	}
+	s.say("  row %s", s.m.Read(table.TeamAllotmentKey(testTeam)).Value)
+}
+
+// TestSession is the life of a limit: handed out, wanted elsewhere, lowered below what
+// runs, raised with a lost answer, and reclaimed from an entry that died.
+func TestSession(t *testing.T) {
+	s := &session{now: testStart}
+	s.a = &Ledger{Self: "a#1", Zone: "za", MaxLifetime: time.Minute}
+	s.z = &Ledger{Self: "z#1", Zone: "zz", MaxLifetime: time.Minute}
+	s.at(0, "the team's first request comes at a", func() { s.start(s.a, 1, 0); s.limit(4) })
+	s.at(1, "a runs what it may", func() { s.start(s.a, 8, 30*time.Second) })
+	s.at(2, "a takes the rest", func() { s.start(s.a, 8, 30*time.Second) })
+	s.at(3, "z wants a part", func() { s.start(s.z, 1, 0); s.limit(4) })
+	s.at(20, "a may start no more than its even part", func() { s.start(s.a, 1, time.Second); s.start(s.z, 1, 0) })
+	s.at(33, "work of a ends, z still wants", func() { s.start(s.z, 1, 0) })
+	s.at(34, "both run", func() { s.start(s.a, 4, 20*time.Second); s.start(s.z, 4, 20*time.Second) })
+	s.at(35, "the limit is lowered below what runs", func() { s.limit(1) })
+	s.at(36, "nothing new starts", func() { s.start(s.a, 1, time.Second); s.start(s.z, 1, time.Second) })
+	s.at(56, "work ends, parts are given back", func() { s.start(s.z, 1, 10*time.Second) })
+	s.at(57, "the limit is raised, and z's move loses its answer", func() { s.lose = true; s.start(s.z, 3, time.Minute); s.limit(3) })
+	s.at(58, "z uses the smaller outcome only", func() { s.lose = false; s.start(s.z, 3, time.Minute) })
+	s.at(60, "z's move was sent again and read back", func() { s.start(s.z, 3, time.Minute) })
+	s.at(61, "z died, as an entry of its zone knows", func() {
+		s.z = &Ledger{Self: "z#2", Zone: "zz", MaxLifetime: time.Minute}
+		s.start(s.z, 1, 0)
+		s.limit(3)
+		s.handle(s.z, Gone{Entry: "z#1"})
+	})
+	s.at(120, "leases of the dead entry may still run", func() { s.start(s.z, 1, 0) })
+	s.at(123, "its last lease has ended", func() { s.start(s.z, 1, 0) })
+	s.at(124, "the new entry runs", func() { s.start(s.z, 1, 0) })
+	golden.Assert(t, s.b.String(), "session.golden")
+}
+
+// An operator attests that zone zz is down, with work of it running. Others may hold
+// its part only once the last lease that its entries could grant has ended.
+func TestZoneDown(t *testing.T) {
+	first := map[bool]int{}
+	for _, off := range []bool{false, true} {
+		s := &session{now: testStart}
+		s.a = &Ledger{Self: "a#1", Zone: "za", MaxLifetime: time.Minute, unsafe: unsafe{reclaimAtOnce: off}}
+		s.z = &Ledger{Self: "z#1", Zone: "zz", MaxLifetime: time.Minute}
+		s.at(0, "", func() { s.start(s.z, 1, 0); s.limit(2) })
+		s.at(1, "", func() { s.start(s.z, 2, 50*time.Second) })
+		s.at(2, "z holds all", func() { s.start(s.z, 2, time.Minute) })
+		s.off = s.z
+		s.handle(s.a, ZoneDown{Zone: "zz", Down: true, Since: s.now})
+		for second := 3; first[off] == 0; second++ {
+			s.at(second, "", func() { s.start(s.a, 1, time.Minute); s.limit(2) })
+			if s.a.Running(s.now, testTeam) > 0 {
+				first[off] = second
+			}
+		}
+		// The zone comes back and reads its rows: it holds nothing any more.
+		s.off = nil
+		s.at(first[off]+1, "", func() {})
+		assert.Assert(t, !s.z.Acquire(s.now, core.RequestKey{Team: testTeam}, s.now))
+	}
+	t.Logf("leases granted in zz end at second 62 at the latest; others start at second %d, at once reclaimed at %d", first[false], first[true])
+	assert.Assert(t, first[false] > 62 && first[true] < 62)
+}
+
+// FuzzRows feeds the decoders of the allotment rows: whatever they hold, the ledger
+// starts no more than the own part and the limit allow.
+func FuzzRows(f *testing.F) {
+	f.Add([]byte(`{"limit":4,"zones":{"za":2,"zz":2}}`), []byte(`{"entries":{"a#1":2}}`))
+	f.Add([]byte(`{"zones":{"za":-9}}`), []byte(`{"entries":{"a#1":-1},"reclaim":{"x":"2026-12-02T12:00:00Z"}}`))
+	f.Add([]byte(`{"wanted":{"zz":"2030-12-02T12:00:00Z"}}`), []byte(`{"entries":{"a#1":9000000000}}`))
+	f.Add([]byte(`{`), []byte(`null`))
+	f.Fuzz(func(t *testing.T, team, zone []byte) {
+		l := &Ledger{Self: "a#1", Zone: "za"}
+		l.Wanted(testStart, testTeam)
+		l.Handle(testStart, Limits{Head: table.Row{Key: table.ConfigHead, Version: 1}, Limits: map[core.TeamID]core.Slots{testTeam: 4}})
+		l.Handle(testStart, RowsRead{
+			Sent: testStart.Add(time.Second), Team: testTeam,
+			TeamRow: table.Row{Key: table.TeamAllotmentKey(testTeam), Version: 1, Value: team},
+			ZoneRow: table.Row{Key: table.ZoneAllotmentKey(testTeam, "za"), Version: 1, Value: zone},
+		})
+		l.Handle(testStart.Add(2*time.Second), Tick{})
+		for i := range 6 {
+			l.Acquire(testStart, core.RequestKey{Team: testTeam, ID: core.RequestID(fmt.Sprint(i))}, testStart.Add(time.Minute))
+		}
+		assert.Assert(t, l.Running(testStart, testTeam) <= 4)
+	})
+}
--- a/io/platform/watch_state.go
+++ b/io/platform/watch_state.go
@@ -16,6 +16,8 @@
 	Zones []core.ZoneID
 	// KeyTrust is key.Ring's Trust.
 	KeyTrust time.Duration
+	// Started is when this run of the entry began.
+	Started time.Time
 	// Skew is the most by which the clocks of two machines differ.
 	Skew time.Duration
 	// OnWithdrawn is told of keys that ended, so that what is queued with them is
@@ -121,7 +123,7 @@
 		ended := c.ring.Apply(news)
 		caughtUp := err == nil && c.view.Version() >= d.Version
 		ended = append(ended, c.ring.Merge(s, caughtUp, c.Skew)...)
-		if caughtUp && !sent.IsZero() {
+		if caughtUp && s.Joined && !sent.IsZero() {
 			c.ring.Heard(zone, sent)
 		}
 		return ended
@@ -135,7 +137,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.set {
-		c.ring.Zone, c.ring.Zones, c.ring.Trust, c.set = c.Zone, c.Zones, c.KeyTrust, true
+		c.ring.Zone, c.ring.Zones, c.ring.Trust, c.ring.Started, c.set = c.Zone, c.Zones, c.KeyTrust, c.Started, true
 	}
 	return f()
 }
