--- a/core/shard/holder.go
+++ b/core/shard/holder.go
@@ -15,7 +15,10 @@
 	if ping {
 		k.nextPing = now.Add(k.p.pingEvery())
 	}
-	held := make(map[core.EntryID][]Held)
+	var held map[core.EntryID][]Held
+	if ping {
+		held = make(map[core.EntryID][]Held)
+	}
 	for i := range k.shards {
 		s := &k.shards[i]
 		switch {
@@ -23,7 +26,9 @@
 			k.tickHolder(now, s)
 			if ping {
 				for _, c := range k.candidates(s) {
-					held[c] = append(held[c], Held{Shard: s.index, Epoch: s.row.Epoch})
+					if c != "" {
+						held[c] = append(held[c], Held{Shard: s.index, Epoch: s.row.Epoch})
+					}
 				}
 			}
 		case s.read && k.releaseBy.IsZero():
--- a/core/shard/keeper.go
+++ b/core/shard/keeper.go
@@ -36,7 +36,7 @@
 // each is needed.
 type safeguardsOff struct {
 	horizon, sendDate, announcement, oneSuccessor, unbrokenProof, unconfirmed bool
-	mirror, successorMark, thirdEntry, copyWaiting, readBack                  bool
+	mirror, successorMark, thirdEntry, copyWaiting, copyMerge, readBack       bool
 }
 
 // New returns a Keeper that holds nothing.
--- a/core/shard/message_in.go
+++ b/core/shard/message_in.go
@@ -58,7 +58,7 @@
 // any time after it, and the successor counts its wait from there.
 func (k *Keeper) ackedBy(s *state, from core.EntryID, at time.Time) {
 	for _, c := range k.candidates(s) {
-		if c == from {
+		if c == from && c != "" {
 			s.saw(c, at)
 		}
 	}
@@ -66,10 +66,10 @@
 
 func (k *Keeper) mirrorStarted(from core.EntryID, m MirrorStart) {
 	s := k.state(m.Shard)
-	if s == nil || s.mirror.holder != from || s.mirror.epoch != m.Epoch || s.mirror.round != m.Round {
+	if s == nil || s.mirror.holder != from || s.mirror.epoch != m.Epoch || !k.heeds(s, from, m.Epoch) {
 		return
 	}
-	if !k.heeds(s, from, m.Epoch) {
+	if s.mirror.round != m.Round && !k.off.copyMerge {
 		return
 	}
 	s.mirror.starts[m.Start.Key] = m.Start
@@ -84,7 +84,7 @@
 	if s == nil || s.row.Holder != from || s.row.Epoch != m.Epoch || !k.heeds(s, from, m.Epoch) {
 		return
 	}
-	if s.mirror.holder != from || s.mirror.epoch != m.Epoch {
+	if s.mirror.holder != from || s.mirror.epoch != m.Epoch || k.off.copyMerge {
 		s.mirror = mirror{holder: from, epoch: m.Epoch}
 	}
 	if s.mirror.starts == nil {
--- a/core/shard/mirror.go
+++ b/core/shard/mirror.go
@@ -55,10 +55,10 @@
 // startAcked allows a start that the successor knows of, if the right still holds.
 func (k *Keeper) startAcked(now time.Time, from core.EntryID, m StartAck) {
 	s := k.state(m.Shard)
-	if s == nil || !s.holds(k.p.Self) || s.row.Epoch != m.Epoch || s.row.Successor != from || s.round != m.Round {
+	if s == nil || !s.holds(k.p.Self) || s.row.Epoch != m.Epoch || s.row.Successor != from {
 		return
 	}
-	if w := s.waiting[m.Key]; w != nil {
+	if w := s.waiting[m.Key]; w != nil && (s.round == m.Round || k.off.copyMerge) {
 		k.allow(now, s, w)
 	}
 }
--- a/core/shard/state.go
+++ b/core/shard/state.go
@@ -100,35 +100,33 @@
 func (s *state) stopCopying() { s.copyTo, s.copied = "", false }
 
 // candidates are the entries that may be the row's successor: the one read, and
-// the one of a change that may yet take effect. If the answer to a naming is lost
-// after the write took effect, the holder would otherwise renew its right with the
-// old successor while the new one takes over.
-func (k *Keeper) candidates(s *state) []core.EntryID {
-	var c []core.EntryID
-	if s.row.Successor != "" {
-		c = append(c, s.row.Successor)
-	}
+// the one of a change that may yet take effect; "" for none. If the answer to a
+// naming is lost after the write took effect, the holder would otherwise renew its
+// right with the old successor while the new one takes over.
+func (k *Keeper) candidates(s *state) [2]core.EntryID {
+	c := [2]core.EntryID{s.row.Successor}
 	p := s.pending
-	if p == nil || k.off.unconfirmed || p.Row.Holder != k.p.Self {
+	if p == nil || k.off.unconfirmed || p.Row.Holder != k.p.Self || p.Row.Successor == c[0] {
 		return c
 	}
-	if n := p.Row.Successor; n != "" && n != s.row.Successor {
-		c = append(c, n)
-	}
+	c[1] = p.Row.Successor
 	return c
 }
 
 // evidence returns the time at which it was still certain that no other entry had
 // taken over. Without any possible successor nobody can, until this entry ends.
 func (k *Keeper) evidence(now time.Time, s *state) time.Time {
-	oldest := now
-	for i, c := range k.candidates(s) {
+	oldest, found := now, false
+	for _, c := range k.candidates(s) {
+		if c == "" {
+			continue
+		}
 		e := s.rowSeen
 		if s.acks[c].After(e) {
 			e = s.acks[c]
 		}
-		if i == 0 || e.Before(oldest) {
-			oldest = e
+		if !found || e.Before(oldest) {
+			oldest, found = e, true
 		}
 	}
 	return oldest
--- a/core/shard/world_test.go
+++ b/core/shard/world_test.go
@@ -17,12 +17,28 @@
 // Its figures are those of the models that the rule was first tried in.
 const (
 	step     = 50 * time.Millisecond
-	maxDelay = 3  // of a message, in steps
 	maxLate  = 60 // of a write whose answer was lost, in steps
 	lifetime = 150
 	entries  = 3
 )
 
+// faults are the chances of each fault per step, and the longest delay of a
+// message in steps.
+type faults struct {
+	delay                                  int
+	down, up, cut, heal, pause, kill, lost float64
+	// leaving is the chance that a list shows an entry as leaving that isn't.
+	leaving float64
+}
+
+// modelFaults are those of the model. The others let rare faults meet: lateFaults
+// with slow messages, lossyFaults with a table that mostly loses its answers.
+var (
+	modelFaults = faults{delay: 3, down: .004, up: .01, cut: .004, heal: .01, pause: .002, kill: .001, lost: .2}
+	lateFaults  = faults{delay: 8, down: .008, up: .01, cut: .004, heal: .02, pause: .003, kill: .001, lost: .6, leaving: .01}
+	lossyFaults = faults{delay: 4, down: .008, up: .006, cut: .006, heal: .01, pause: .002, kill: .001, lost: .8, leaving: .05}
+)
+
 var worldStart = time.Unix(1_000_000_000, 0).UTC()
 
 type worldEntry struct {
@@ -31,7 +47,6 @@
 	alive        bool
 	paused       int
 	offset       time.Duration
-	dispatches   []delayed
 	releaseUntil int
 }
 
@@ -51,9 +66,11 @@
 	r        *rand.Rand
 	t        int
 	off      safeguardsOff
+	faults   faults
 	table    table.Memory
 	entries  [entries]*worldEntry
 	byName   map[core.EntryID]*worldEntry
+	names    []core.EntryID
 	down     map[core.EntryID]bool
 	cut      map[[2]core.EntryID]bool
 	unlisted map[core.EntryID]int
@@ -68,15 +85,11 @@
 	doubles, served, asked, takeOvers, inSync, handOvers int
 }
 
-func runWorld(seed int64, steps int, off safeguardsOff) worldResult {
-	return newWorld(seed, off).run(steps)
-}
-
-func newWorld(seed int64, off safeguardsOff) *world {
+func newWorld(seed int64, f faults, off safeguardsOff) *world {
 	w := &world{
-		r: rand.New(rand.NewSource(seed)), off: off, byName: map[core.EntryID]*worldEntry{},
+		r: rand.New(rand.NewSource(seed)), off: off, faults: f, byName: map[core.EntryID]*worldEntry{},
 		down: map[core.EntryID]bool{}, cut: map[[2]core.EntryID]bool{}, unlisted: map[core.EntryID]int{},
-		runs: map[core.RequestKey]int{}, trace: func(string, ...any) {},
+		runs: map[core.RequestKey]int{},
 	}
 	for i := range w.entries {
 		w.boot(i)
@@ -86,15 +99,9 @@
 
 func (w *world) run(steps int) worldResult {
 	for w.t = 1; w.t < steps; w.t++ {
-		w.faults()
+		w.induceFaults()
 		w.clients()
-		w.deliver()
-		for _, e := range w.entries {
-			if e.up() && w.r.Float64() < .3 {
-				w.list(e)
-				w.handle(e, Tick{})
-			}
-		}
+		w.advance()
 	}
 	w.result.asked = len(w.requests)
 	for _, n := range w.runs {
@@ -106,6 +113,16 @@
 	return w.result
 }
 
+func (w *world) advance() {
+	w.deliver()
+	for _, e := range w.entries {
+		if e.up() && w.r.Float64() < .3 {
+			w.list(e)
+			w.handle(e, Tick{})
+		}
+	}
+}
+
 func (e *worldEntry) up() bool { return e.alive && e.paused == 0 }
 
 func (w *world) now(e *worldEntry) time.Time {
@@ -122,38 +139,39 @@
 	e.k = New(Params{Zone: "a", Self: e.name, Shards: 1, MaxLifetime: lifetime * step})
 	e.k.off = w.off
 	w.entries[i], w.byName[e.name] = e, e
+	w.names = append(w.names, e.name)
 }
 
-func (w *world) faults() {
-	r := w.r
-	if r.Float64() < .004 {
+func (w *world) induceFaults() {
+	r, f := w.r, w.faults
+	if r.Float64() < f.down {
 		for _, i := range r.Perm(entries)[:1+r.Intn(entries)] {
 			w.down[w.entries[i].name] = true
 		}
 	}
-	if r.Float64() < .01 {
+	if r.Float64() < f.up {
 		clear(w.down)
 	}
-	if r.Float64() < .004 {
+	if r.Float64() < f.cut {
 		p := r.Perm(entries)
 		w.cut[pair(w.entries[p[0]].name, w.entries[p[1]].name)] = true
 	}
-	if r.Float64() < .01 {
+	if r.Float64() < f.heal {
 		clear(w.cut)
 	}
 	for i, e := range w.entries {
 		if e.paused > 0 {
 			e.paused--
-		} else if r.Float64() < .002 {
+		} else if r.Float64() < f.pause {
 			e.paused = []int{5, 30, 60, 150}[r.Intn(4)]
-			w.trace("%s pauses for %d steps", e.name, e.paused)
+			w.say("%s pauses for %d steps", e.name, e.paused)
 		}
 		if e.releaseUntil == 0 && r.Float64() < .0005 && e.up() {
 			e.releaseUntil = w.t + 20 + r.Intn(60)
 			w.handle(e, Releasing{By: w.now(e).Add(time.Second)})
 		}
-		if r.Float64() < .001 || e.releaseUntil > 0 && (w.t > e.releaseUntil || e.k.Holding() == 0) {
-			w.trace("%s ends", e.name)
+		if r.Float64() < f.kill || e.releaseUntil > 0 && (w.t > e.releaseUntil || e.k.Holding() == 0) {
+			w.say("%s ends", e.name)
 			e.alive = false
 			w.unlisted[e.name] = w.t + 20 + r.Intn(61) // the list lags
 			w.boot(i)
@@ -169,10 +187,10 @@
 		return
 	}
 	var l Listed
-	for name := range w.byName {
+	for _, name := range w.names {
 		if at, ended := w.unlisted[name]; ended && at <= w.t {
 			l.Gone = append(l.Gone, name)
-		} else {
+		} else if w.faults.leaving == 0 || w.r.Float64() >= w.faults.leaving {
 			l.Live = append(l.Live, name)
 		}
 	}
@@ -207,13 +225,16 @@
 
 // ask sends a request to an entry whose home keeps no record at all: what the
 // Keeper knows has to do.
-func (w *world) ask(q worldRequest) {
-	e := w.entries[w.r.Intn(entries)]
+func (w *world) ask(q worldRequest) { w.askAt(w.entries[w.r.Intn(entries)], q) }
+
+func (w *world) askAt(e *worldEntry, q worldRequest) {
 	if !e.up() {
 		return
 	}
 	now := w.now(e)
-	if _, ok := e.k.Decide(now, 0, q.key, q.firstSent, q.deadline).(Run); !ok {
+	verdict := e.k.Decide(now, 0, q.key, q.firstSent, q.deadline)
+	w.traceAsk(e, q, verdict)
+	if _, ok := verdict.(Run); !ok {
 		return
 	}
 	allowed, commands := e.k.Start(now, 0, Start{Key: q.key, Deadline: q.deadline})
@@ -223,15 +244,27 @@
 	w.do(e, commands)
 }
 
+func (w *world) traceAsk(e *worldEntry, q worldRequest, v Verdict) {
+	if w.trace != nil {
+		w.trace("%s is asked for %s: %T%+v", e.name, q.key.ID, v, v)
+	}
+}
+
 // dispatch runs the request some steps later, without a look at start_by: a pause
 // may lie in between.
 func (w *world) dispatch(e *worldEntry, key core.RequestKey) {
 	w.later(e, w.r.Intn(5), func() {
 		w.runs[key]++
-		w.trace("%s runs %s (%d)", e.name, key.ID, w.runs[key])
+		w.say("%s runs %s (%d)", e.name, key.ID, w.runs[key])
 	})
 }
 
+func (w *world) say(format string, args ...any) {
+	if w.trace != nil {
+		w.trace(format, args...)
+	}
+}
+
 func (w *world) later(to *worldEntry, delay int, do func()) {
 	w.events = append(w.events, delayed{due: w.t + delay, do: do, to: to})
 }
@@ -262,7 +295,10 @@
 			w.swap(e, c)
 		case StartAllowed:
 			w.dispatch(e, c.Key)
-		case StartDenied, Inherited:
+		case StartDenied:
+			w.say("%s denies the start of %s", e.name, c.Key.ID)
+		case Inherited:
+			w.say("%s inherits %d starts of %s", e.name, len(c.Starts), c.Former)
 		}
 	}
 }
@@ -275,7 +311,7 @@
 		}
 		return
 	}
-	w.later(to, 1+w.r.Intn(maxDelay), func() {
+	w.later(to, 1+w.r.Intn(w.faults.delay), func() {
 		if !w.cut[pair(from.name, to.name)] {
 			w.handle(to, Received{From: from.name, Message: c.Message})
 		}
@@ -298,10 +334,10 @@
 	})
 }
 
-// swap loses one answer in five: the write never happens, happened, or happens
+// swap loses some answers: the write never happens, happened, or happens
 // late.
 func (w *world) swap(e *worldEntry, c SwapRow) {
-	sentAt, lost, delay := w.now(e), w.r.Intn(5) == 0, w.r.Intn(2)
+	sentAt, lost, delay := w.now(e), w.r.Float64() < w.faults.lost, w.r.Intn(2)
 	settle := func(o Outcome) {
 		w.later(e, w.r.Intn(2), func() {
 			w.handle(e, SwapSettled{Shard: c.Shard, Version: c.Version, SentAt: sentAt, Outcome: o})
@@ -340,7 +376,7 @@
 	if errors.Is(w.table.Transact(t), table.ErrConflict) {
 		return SwapConflict
 	}
-	w.trace("%s writes version %d: %+v", e.name, c.Version+1, c.Row)
+	w.say("%s writes version %d: %s", e.name, c.Version+1, t.Writes[0].Value)
 	switch {
 	case old.Epoch == 0 || c.Row.Epoch == old.Epoch:
 	case old.Holder == e.name:
