--- a/core/queue/fair/admit.go
+++ b/core/queue/fair/admit.go
@@ -143,11 +143,11 @@
 		s.nextReturn = earliest
 	}
 	at := s.nextReturn
-	s.nextReturn = at.Add(step)
-	if latest := now.Add(maxReturn); at.After(latest) {
+	if at.After(now.Add(maxReturn)) {
 		// More callers than can be served within maxReturn: spread evenly.
 		at = earliest.Add(time.Duration(f.random().Int64N(int64(maxReturn - minReturn))))
-		s.nextReturn = latest
+	} else {
+		s.nextReturn = at.Add(step)
 	}
 	jitter := time.Duration(f.random().Int64N(int64(minReturn)))
 	return core.NotRun{Code: code, ComeBackAt: at.Add(jitter), Detail: detail}
--- a/core/queue/fair/fair.go
+++ b/core/queue/fair/fair.go
@@ -24,8 +24,9 @@
 	// team's share. It is what a VM holds, so urgent work finds a slot at once and
 	// a flood of it can't starve another team.
 	urgentAhead = 8
-	// maxProbes bounds how many items of one team a Pop offers to ready.
-	maxProbes = 2
+	// maxProbes bounds how many items of one team a Pop offers to ready, urgent and
+	// normal ones each.
+	maxProbes = 4
 	// fallbackRun is the run time assumed where none is declared or measured.
 	fallbackRun = time.Second
 )
@@ -172,40 +173,32 @@
 	return found
 }
 
-// offer returns the first item of t that is in time and ready: the urgent one
-// with the earliest deadline, then the normal one.
+// offer returns an item of t that is in time and ready, urgent ones first.
 func (f *Queue) offer(now time.Time, t *team, o order, ready func(queue.Item) bool) *entry {
-	lanes := [maxProbes]*lane{&t.urgent, &t.normal}
-	for _, l := range lanes {
-		e := f.firstInTime(now, l)
-		if e != nil && ready(e.item) {
-			return e
-		}
-		if o == byUrgent {
-			return nil
-		}
+	if e := f.offerLane(now, &t.urgent, ready); e != nil || o == byUrgent {
+		return e
 	}
-	return nil
+	return f.offerLane(now, &t.normal, ready)
 }
 
-// firstInTime returns the lane's first entry that can still be in time. The
-// expired ones before it stay for Expired, which answers them.
-func (f *Queue) firstInTime(now time.Time, l *lane) *entry {
+// offerLane offers the lane's first entry and then a few others. A single item
+// may be unready, for instance in back-off, and must not hold up those behind it;
+// but a team at its limit must not cost a call for each of its items.
+func (f *Queue) offerLane(now time.Time, l *lane, ready func(queue.Item) bool) *entry {
 	e := l.peek()
-	if e == nil || f.off.expiryCheck || now.Before(e.startBy) {
-		return e
-	}
-	// Rare: Expired wasn't called since a deadline passed.
-	var first *entry
-	for _, e := range l.entries {
-		if e.gone || !now.Before(e.startBy) {
-			continue
-		}
-		if first == nil || e.startBy.Before(first.startBy) {
-			first = e
+	for probe := 0; e != nil && probe < min(maxProbes, len(l.entries)); probe++ {
+		if f.inTime(now, e) && ready(e.item) {
+			return e
 		}
+		e = l.entries[f.random().IntN(len(l.entries))]
 	}
-	return first
+	return nil
+}
+
+// inTime reports whether e waits and can still be in time. Items that can't stay
+// for Expired, which answers them.
+func (f *Queue) inTime(now time.Time, e *entry) bool {
+	return !e.gone && (f.off.expiryCheck || now.Before(e.startBy))
 }
 
 // Expired implements queue.Queue.
--- /dev/null
+++ b/core/queue/fair/property_test.go
@@ -0,0 +1,216 @@
+package fair
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lavenderpond/core"
+	"lavenderpond/core/queue"
+)
+
+const q = core.QueueID("q")
+
+var t0 = time.Unix(1_800_000_000, 0).UTC()
+
+func always(queue.Item) bool { return true }
+
+func item(team string, n int, urgent bool, within time.Duration) queue.Item {
+	return queue.Item{
+		Key:   core.RequestKey{Team: core.TeamID(team), ID: core.RequestID(fmt.Sprint(n))},
+		Queue: q, Urgent: urgent, Deadline: t0.Add(within), DeclaredRun: time.Second,
+	}
+}
+
+func bounded(n int) func(core.QueueID) int { return func(core.QueueID) int { return n } }
+
+// Each property holds with every safeguard on and is seen to fail with its own
+// switched off.
+func TestProperties(t *testing.T) {
+	for _, p := range []struct {
+		name  string
+		off   switches
+		check func(off switches, rng *rand.Rand) error
+	}{
+		{"weighted shares", switches{fairness: true}, sharesHold},
+		{"urgent flood starves nobody", switches{urgentBound: true}, urgentIsBounded},
+		{"never expired", switches{expiryCheck: true}, neverExpired},
+		{"work conserving", switches{probing: true}, workConserving},
+	} {
+		t.Run(p.name, func(t *testing.T) {
+			red := 0
+			var first error
+			for seed := range uint64(200) {
+				assert.NilError(t, p.check(switches{}, rand.New(rand.NewPCG(seed, 1))), "seed %d", seed)
+				if err := p.check(p.off, rand.New(rand.NewPCG(seed, 1))); err != nil {
+					red++
+					if first == nil {
+						first = fmt.Errorf("seed %d: %w", seed, err)
+					}
+				}
+			}
+			t.Logf("switched off: red on %d of 200 seeds, first: %v", red, first)
+			assert.Assert(t, red > 0, "the property can't fail")
+		})
+	}
+}
+
+// sharesHold serves teams that always wait and runs of unlike lengths. Slot time
+// by share may differ by no more than what is running, as each team had at most
+// a slot's run charged before it was measured.
+func sharesHold(off switches, rng *rand.Rand) error {
+	shares := map[core.TeamID]int{"a": 1, "b": 2, "c": 1 + rng.IntN(6), "d": 9}
+	f := Queue{Share: func(t core.TeamID) int { return shares[t] }, MaxQueued: bounded(1 << 20), off: off}
+	got := map[core.TeamID]float64{}
+	longest := 0.0
+	for n := range 300 {
+		for team := range shares {
+			f.Push(t0, item(string(team), n, false, 24*time.Hour), 1<<20)
+		}
+	}
+	for range 250 {
+		i, _ := f.Pop(t0, q, always)
+		run := 0.1 + rng.ExpFloat64()
+		longest = math.Max(longest, run)
+		got[i.Key.Team] += run
+		f.Observe(t0, q, i.Key.Team, seconds(run))
+	}
+	for a := range shares {
+		for b := range shares {
+			wa, wb := float64(shares[a]), float64(shares[b])
+			if gap := math.Abs(got[a]/wa - got[b]/wb); gap > longest/wa+longest/wb {
+				return fmt.Errorf("%s got %.2f and %s %.2f by shares %v, longest run %.2f", a, got[a], b, got[b], shares, longest)
+			}
+		}
+	}
+	return nil
+}
+
+// urgentIsBounded floods with one team's urgent work. The other team gets half of
+// the runs, but for those that urgent work may be ahead.
+func urgentIsBounded(off switches, rng *rand.Rand) error {
+	f := Queue{MaxQueued: bounded(1 << 20), off: off}
+	const n = 200
+	for i := range n {
+		f.Push(t0, item("flood", i, true, 24*time.Hour), 1<<20)
+		f.Push(t0, item("calm", i, false, 24*time.Hour), 1<<20)
+	}
+	calm, served := 0, 100+rng.IntN(n-100)
+	for range served {
+		i, _ := f.Pop(t0, q, always)
+		if i.Key.Team == "calm" {
+			calm++
+		}
+		f.Observe(t0, q, i.Key.Team, time.Second)
+	}
+	if calm < served/2-urgentAhead {
+		return fmt.Errorf("calm got %d of %d runs", calm, served)
+	}
+	return nil
+}
+
+// neverExpired pops at random times, with and without Expired before it.
+func neverExpired(off switches, rng *rand.Rand) error {
+	f := Queue{off: off}
+	now := t0
+	for n := range 100 {
+		f.Push(now, item("a", n, rng.IntN(2) == 0, time.Duration(rng.IntN(20))*time.Second), 1<<20)
+		now = now.Add(time.Duration(rng.IntN(1000)) * time.Millisecond)
+		if rng.IntN(4) == 0 {
+			f.Expired(now)
+		}
+		if i, ok := f.Pop(now, q, always); ok && !now.Before(i.Deadline) {
+			return fmt.Errorf("popped at %v past the deadline %v", now, i.Deadline)
+		}
+	}
+	return nil
+}
+
+// workConserving keeps some teams at their limit. A Pop must find the work of any
+// other team.
+func workConserving(off switches, rng *rand.Rand) error {
+	f := Queue{MaxQueued: bounded(1 << 20), off: off}
+	free := map[core.TeamID]int{}
+	for n := range 100 {
+		team := fmt.Sprint("team", rng.IntN(10))
+		f.Push(t0, item(team, n, rng.IntN(2) == 0, time.Hour), 1<<20)
+		free[core.TeamID(team)]++
+	}
+	blocked := map[core.TeamID]bool{}
+	for f.Len(q) > 0 {
+		blocked[core.TeamID(fmt.Sprint("team", rng.IntN(10)))] = rng.IntN(3) > 0
+		runnable := 0
+		for team, n := range free {
+			if !blocked[team] {
+				runnable += n
+			}
+		}
+		i, ok := f.Pop(t0, q, func(i queue.Item) bool { return !blocked[i.Key.Team] })
+		if ok != (runnable > 0) {
+			return fmt.Errorf("popped %t with %d items of teams below their limit", ok, runnable)
+		}
+		if ok {
+			free[i.Key.Team]--
+		}
+	}
+	return nil
+}
+
+// A wave of cancellations may arrive in any order; what is left must be served
+// alike, and each id must be gone at once.
+func TestCancelOrderDoesNotMatter(t *testing.T) {
+	for seed := range uint64(100) {
+		rng := rand.New(rand.NewPCG(seed, 2))
+		cancelled := rng.Perm(100)[:60]
+		serve := func() (served []core.RequestKey) {
+			f := Queue{}
+			for n := range 100 {
+				f.Push(t0, item(fmt.Sprint("team", n%7), n, n%3 == 0, time.Duration(1+n%11)*time.Minute), 1<<20)
+			}
+			for _, n := range cancelled {
+				key := core.RequestKey{Team: core.TeamID(fmt.Sprint("team", n%7)), ID: core.RequestID(fmt.Sprint(n))}
+				assert.Assert(t, f.Remove(key) && !f.Remove(key), "seed %d", seed)
+			}
+			for i, ok := f.Pop(t0, q, always); ok; i, ok = f.Pop(t0, q, always) {
+				served = append(served, i.Key)
+			}
+			return served
+		}
+		first := serve()
+		slices.Reverse(cancelled)
+		assert.DeepEqual(t, first, serve())
+		assert.Equal(t, len(first), 40)
+	}
+}
+
+// A burst is refused while it waits for slots. The callers' come-back times must
+// be in the future, and about as far apart as slots come free.
+func TestComeBackTimesAreSpread(t *testing.T) {
+	f := Queue{MaxQueued: bounded(50)}
+	for n := range 10 {
+		f.Push(t0, item("a", n, false, time.Hour), 1<<20)
+		f.Pop(t0, q, always)
+		f.Observe(t0, q, "a", time.Second)
+	}
+	var times []time.Time
+	for n := range 150 {
+		if refusal, ok := f.Push(t0, item("a", 100+n, false, time.Hour), 0); !ok {
+			assert.Equal(t, refusal.Code, core.CodeQueueFull)
+			times = append(times, refusal.ComeBackAt)
+		}
+	}
+	assert.Assert(t, len(times) > 100, "%d refused", len(times))
+	perSecond := map[int]int{}
+	for _, at := range times {
+		assert.Assert(t, !at.Before(t0.Add(minReturn)) && at.Before(t0.Add(maxReturn+time.Second)), at.String())
+		perSecond[int(at.Sub(t0).Seconds())]++
+	}
+	for second, n := range perSecond {
+		assert.Assert(t, n <= 15, "%d callers return in second %d", n, second)
+	}
+}
--- /dev/null
+++ b/core/retry/retry_test.go
@@ -0,0 +1,91 @@
+package retry
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lavenderpond/core"
+)
+
+var t0 = time.Unix(1_800_000_000, 0).UTC()
+
+// retries asks for a retry after each first attempt and up to ten times more, as
+// in an outage, and fails when more were allowed than the budget says.
+func retries(rng *rand.Rand, unbounded bool) error {
+	b := TokenBucket{Ratio: 0.05 + rng.Float64()/4, Burst: float64(1 + rng.IntN(20)), unbounded: unbounded}
+	first, allowed := 0, 0
+	for range 500 {
+		if rng.IntN(3) > 0 {
+			b.First(t0)
+			first++
+		}
+		for range rng.IntN(10) {
+			if b.Allow(t0) {
+				allowed++
+			}
+		}
+		if bound := b.Ratio*float64(first) + b.Burst; float64(allowed) > bound+1e-6 {
+			return fmt.Errorf("%d retries after %d first attempts, bound %.1f", allowed, first, bound)
+		}
+	}
+	return nil
+}
+
+func TestBudgetBoundsRetries(t *testing.T) {
+	red := 0
+	for seed := range uint64(100) {
+		assert.NilError(t, retries(rand.New(rand.NewPCG(seed, 1)), false), "seed %d", seed)
+		if retries(rand.New(rand.NewPCG(seed, 1)), true) != nil {
+			red++
+		}
+	}
+	assert.Equal(t, red, 100, "the bound held on %d seeds without a budget", 100-red)
+}
+
+func TestBackoffGrowsToItsBound(t *testing.T) {
+	for growth, want := range map[Growth][]time.Duration{
+		Exponential: {250, 500, 1000, 2000, 4000, 5000, 5000},
+		Linear:      {250, 500, 750, 1000, 1250, 1500, 1750},
+	} {
+		b := TokenBucket{Growth: growth}
+		for n, ms := range want {
+			full := ms * time.Millisecond
+			for range 50 {
+				d := b.Backoff(t0, n+1).Sub(t0)
+				assert.Assert(t, d >= full/2 && d <= full, "retry %d waits %v of %v", n+1, d, full)
+			}
+		}
+	}
+}
+
+func TestSafe(t *testing.T) {
+	for _, p := range []Progress{NotSent, Refused, Sent} {
+		assert.Assert(t, Safe(p, true), p.String())
+		assert.Equal(t, Safe(p, false), p != Sent, p.String())
+	}
+	assert.Assert(t, !Safe(Progress(7), false), "an unknown progress must allow least")
+}
+
+// A request that fails everywhere would visit every target until its deadline. It
+// ends after MaxTargets different ones; not_run only if none of them started it.
+func TestTriesEnd(t *testing.T) {
+	var refused, failed Tries
+	for n := range MaxTargets {
+		_, done := refused.Exhausted()
+		assert.Assert(t, !done)
+		vm := core.VMID(fmt.Sprint("vm", n))
+		refused.Add(vm, Refused)
+		refused.Add(vm, Refused)
+		failed.Add(vm, []Progress{Sent, Refused, Refused}[n])
+	}
+	answer, done := refused.Exhausted()
+	assert.Assert(t, done)
+	assert.Equal(t, core.CodeOf(answer), core.CodeCannotRun)
+	answer, _ = failed.Exhausted()
+	assert.Equal(t, core.CodeOf(answer), core.CodeTargetFailed)
+	assert.Equal(t, len(failed.Targets()), MaxTargets)
+}
--- /dev/null
+++ b/core/route/least/property_test.go
@@ -0,0 +1,196 @@
+package least
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lavenderpond/core"
+	"lavenderpond/core/route"
+)
+
+var t0 = time.Unix(1_800_000_000, 0).UTC()
+
+const pool = core.PoolID("p")
+
+func targets(n int) (list []route.Target) {
+	for i := range n {
+		list = append(list, route.Target{VM: core.VMID(fmt.Sprint("vm", i)), Pool: pool, Slots: 8, Connections: 64})
+	}
+	return list
+}
+
+// walk makes n random steps: picks, ends with any result, and updates that change
+// the budget. After each step, check is called.
+func walk(r *Router, rng *rand.Rand, n int, check func(maxEjected int) error) error {
+	const vms = 10
+	now := t0
+	budget := 0
+	running := map[core.VMID]int{}
+	for range n {
+		now = now.Add(time.Duration(rng.IntN(500)) * time.Millisecond)
+		switch rng.IntN(8) {
+		case 0:
+			budget = rng.IntN(4)
+			r.Update(now, targets(vms-rng.IntN(2)), []route.Pool{{ID: pool, MaxEjected: budget}})
+		case 1, 2, 3:
+			if vm, ok := r.Pick(now, route.Want{Pool: pool, NoProbe: rng.IntN(2) == 0}); ok {
+				r.Started(now, vm)
+				running[vm]++
+				if running[vm] > 8 {
+					return fmt.Errorf("%s holds %d of 8 slots", vm, running[vm])
+				}
+			}
+		default:
+			vm := core.VMID(fmt.Sprint("vm", rng.IntN(vms)))
+			if running[vm] == 0 {
+				continue
+			}
+			running[vm]--
+			result := route.Result(rng.IntN(6))
+			if vm < "vm4" {
+				result = route.Failed
+			}
+			r.Ended(now, vm, result, time.Second)
+		}
+		if err := check(budget); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Each bound holds with every safeguard on and is seen to fail with its own
+// switched off.
+func TestBounds(t *testing.T) {
+	for _, p := range []struct {
+		name  string
+		off   switches
+		check func(r *Router, budget int) error
+	}{
+		{"slots", switches{slotBound: true}, func(*Router, int) error { return nil }},
+		{"ejected", switches{ejectionBound: true}, func(r *Router, budget int) error {
+			if n := len(r.Ejected(pool)); n > budget {
+				return fmt.Errorf("%d targets ejected, budget %d", n, budget)
+			}
+			return nil
+		}},
+	} {
+		t.Run(p.name, func(t *testing.T) {
+			run := func(seed uint64, off switches) error {
+				rng := rand.New(rand.NewPCG(seed, 1))
+				r := &Router{Rand: rng, off: off, Entries: rng.IntN(3)}
+				return walk(r, rng, 1500, func(budget int) error { return p.check(r, budget) })
+			}
+			red := 0
+			var first error
+			for seed := range uint64(100) {
+				assert.NilError(t, run(seed, switches{}), "seed %d", seed)
+				if err := run(seed, p.off); err != nil {
+					red++
+					if first == nil {
+						first = fmt.Errorf("seed %d: %w", seed, err)
+					}
+				}
+			}
+			t.Logf("switched off: red on %d of 100 seeds, first: %v", red, first)
+			assert.Assert(t, red > 0, "the bound can't be exceeded")
+		})
+	}
+}
+
+// drawn counts how many of 2,000 requests a target gets that fails everything in
+// 5 ms while the nine others take a second each, with the pool kept full.
+func drawn(budget int, off switches) int {
+	r := &Router{off: off}
+	r.Update(t0, targets(10), []route.Pool{{ID: pool, MaxEjected: budget}})
+	type run struct {
+		vm  core.VMID
+		end time.Time
+	}
+	var runs []run
+	bad := 0
+	now := t0
+	for sent := 0; sent < 2000; now = now.Add(5 * time.Millisecond) {
+		var left []run
+		for _, x := range runs {
+			switch {
+			case x.vm == "vm0":
+				r.Ended(now, x.vm, route.Failed, 5*time.Millisecond)
+			case !now.Before(x.end):
+				r.Ended(now, x.vm, route.Succeeded, time.Second)
+			default:
+				left = append(left, x)
+			}
+		}
+		runs = left
+		for vm, ok := r.Pick(now, route.Want{Pool: pool}); ok; vm, ok = r.Pick(now, route.Want{Pool: pool}) {
+			r.Started(now, vm)
+			runs = append(runs, run{vm, now.Add(time.Second)})
+			sent++
+			if vm == "vm0" {
+				bad++
+			}
+		}
+	}
+	return bad
+}
+
+// A target that fails everything quickly looks idle, so a full pool sends it
+// nearly all its work and the callers get failures though nine VMs are well.
+// Ejected, it gets probes only. With the budget spent it may not be ejected; it
+// is paced to no more than one slot's work.
+func TestBadTargetDrawsLittle(t *testing.T) {
+	off := drawn(1, switches{ejection: true})
+	ejected, paced := drawn(1, switches{}), drawn(0, switches{})
+	t.Logf("requests to the bad target of 2000: off %d, ejected %d, paced %d", off, ejected, paced)
+	assert.Assert(t, off > 1000, "%d", off)
+	assert.Assert(t, ejected < 40, "%d", ejected)
+	assert.Assert(t, paced < 60, "%d", paced)
+}
+
+// An ejected target that works again must come back by its probes, and only one
+// request at a time is risked on it until then.
+func TestEjectedTargetReturns(t *testing.T) {
+	r := &Router{}
+	r.Update(t0, targets(3), []route.Pool{{ID: pool, MaxEjected: 1}})
+	for range minResults {
+		r.Started(t0, "vm0")
+		r.Ended(t0, "vm0", route.Failed, 0)
+	}
+	assert.DeepEqual(t, r.Ejected(pool), []core.VMID{"vm0"})
+	now := t0.Add(probeStep)
+	_, ok := r.Pick(now, route.Want{Pool: pool, NoProbe: true, Tried: []core.VMID{"vm1", "vm2"}})
+	assert.Assert(t, !ok, "a request that can't be repeated was used as a probe")
+	for range probesToReturn {
+		vm, _ := r.Pick(now, route.Want{Pool: pool})
+		assert.Equal(t, vm, core.VMID("vm0"))
+		r.Started(now, vm)
+		other, _ := r.Pick(now, route.Want{Pool: pool})
+		assert.Assert(t, other != vm, "two probes at once")
+		r.Ended(now, vm, route.Succeeded, time.Second)
+	}
+	assert.Equal(t, len(r.Ejected(pool)), 0)
+}
+
+// Overflow must leave the lender's own queue its reserve, and never enters a pool
+// that doesn't lend.
+func TestOverflowLeavesTheReserve(t *testing.T) {
+	r := &Router{}
+	lender := route.Target{VM: "lender", Pool: "lends", Slots: 8}
+	own := route.Target{VM: "closed", Pool: "keeps", Slots: 8}
+	r.Update(t0, []route.Target{lender, own}, []route.Pool{{ID: "lends", LendsIdle: true}, {ID: "keeps"}})
+	want := route.Want{Pool: pool, Overflow: true}
+	assert.Equal(t, r.Idle(t0, want), core.Slots(8-DefaultLendReserve))
+	n := core.Slots(0)
+	for vm, ok := r.Pick(t0, want); ok; vm, ok = r.Pick(t0, want) {
+		assert.Equal(t, vm, core.VMID("lender"))
+		r.Started(t0, vm)
+		n++
+	}
+	assert.Equal(t, n, core.Slots(8-DefaultLendReserve))
+	assert.Equal(t, r.Idle(t0, route.Want{Pool: "lends"}), core.Slots(DefaultLendReserve))
+}
