Measure how fast changes and withdrawals spread, and what it costs in messages

Cause: accepted changes have to be in force within seconds, also where the table can't be reached. Ruled out: pushes to every entry; the relay's rounds are fast enough and their messages grow with the entries only.

--- a/io/peer/spread.go
+++ b/io/peer/spread.go
@@ -90,6 +90,9 @@
 
 	mu      sync.Mutex
 	avoided map[core.EntryID]time.Time
+
+	// Switched on in tests only: no relay to other zones; zones one after the other.
+	noRelay, inOrder bool
 }
 
 // Receiver returns what is registered under SpreadName.
@@ -114,8 +117,12 @@
 	}
 	var g supervisor.Group
 	for _, z := range s.Zones {
-		if z != s.Self.Zone {
-			g.Go(func() { s.withFirst(ctx, s.ranked(z)) })
+		if z == s.Self.Zone || s.noRelay {
+			continue
+		}
+		g.Go(func() { s.withFirst(ctx, s.ranked(z)) })
+		if s.inOrder {
+			g.Wait()
 		}
 	}
 	g.Wait()
