--- a/core/queue/fair/fair.go
+++ b/core/queue/fair/fair.go
@@ -26,7 +26,7 @@
 	urgentAhead = 8
 	// maxProbes bounds how many items of one team a Pop offers to ready, urgent and
 	// normal ones each.
-	maxProbes = 4
+	maxProbes = 2
 	// fallbackRun is the run time assumed where none is declared or measured.
 	fallbackRun = time.Second
 )
@@ -68,6 +68,8 @@
 	heaps [orders]teamHeap
 	// virtual is the start tag of the last popped item.
 	virtual float64
+	// lightest is the lowest weight that any of the teams had.
+	lightest float64
 	// waiting, urgent and running count items of all teams.
 	waiting, urgent, running int
 	runs                     estimate
@@ -139,27 +141,49 @@
 // next finds the entry to pop: urgent work of a team that isn't too far ahead of
 // its share, then the team furthest behind.
 func (f *Queue) next(now time.Time, s *state, ready func(queue.Item) bool) *entry {
-	if least := s.heaps[byAny].min(); least != nil {
-		bound := least.virtual
-		e := f.scan(now, s, byUrgent, func(t *team) bool {
-			return f.off.urgentBound || t.virtual <= bound+urgentAhead*s.meanRun().Seconds()/t.weight
-		}, ready)
-		if e != nil {
+	if least := s.heaps[byAny].min(); least != nil && s.urgent > 0 {
+		if e := f.scan(now, s, byUrgent, f.urgentBound(s, least.virtual), ready); e != nil {
 			return e
 		}
 	}
-	return f.scan(now, s, byAny, func(*team) bool { return true }, ready)
+	return f.scan(now, s, byAny, bound{}, ready)
+}
+
+// bound limits the tags of the teams that a scan serves. Its zero value doesn't.
+type bound struct {
+	limited bool
+	// tag is the bound of a team without a lead, lead that of a team of weight one,
+	// and lightest the lowest weight that a team may have.
+	tag, lead, lightest float64
+}
+
+func (b bound) allows(t *team) bool {
+	return !b.limited || t.virtual <= b.tag+b.lead/t.weight
+}
+
+// ends reports whether no team with a tag of t's or later can be allowed.
+func (b bound) ends(t *team) bool {
+	return b.limited && t.virtual > b.tag+b.lead/b.lightest
+}
+
+// urgentBound lets urgent work be ahead of the tag of the team furthest behind by
+// a few runs. Without it, one team's flood of urgent work would starve the rest.
+func (f *Queue) urgentBound(s *state, tag float64) bound {
+	return bound{
+		limited: !f.off.urgentBound,
+		tag:     tag, lead: urgentAhead * s.meanRun().Seconds(), lightest: s.lightest,
+	}
 }
 
 // scan offers items to ready, in the order of the teams' tags. A team that isn't
 // ready, for instance at its limit, is passed over and keeps its place.
-func (f *Queue) scan(now time.Time, s *state, o order, allowed func(*team) bool, ready func(queue.Item) bool) *entry {
+func (f *Queue) scan(now time.Time, s *state, o order, b bound, ready func(queue.Item) bool) *entry {
 	h := &s.heaps[o]
 	var passed []*team
 	var found *entry
-	for h.Len() > 0 && found == nil {
+	for h.Len() > 0 && !b.ends(h.min()) {
 		t := h.min()
-		if allowed(t) {
+		if b.allows(t) {
 			found = f.offer(now, t, o, ready)
 		}
 		if found != nil || f.off.probing {
@@ -186,11 +210,15 @@
 // but a team at its limit must not cost a call for each of its items.
 func (f *Queue) offerLane(now time.Time, l *lane, ready func(queue.Item) bool) *entry {
 	e := l.peek()
-	for probe := 0; e != nil && probe < min(maxProbes, len(l.entries)); probe++ {
+	if e == nil || f.inTime(now, e) && ready(e.item) {
+		return e
+	}
+	others := l.entries[1:]
+	for range min(maxProbes-1, len(others)) {
+		e = others[f.random().IntN(len(others))]
 		if f.inTime(now, e) && ready(e.item) {
 			return e
 		}
-		e = l.entries[f.random().IntN(len(l.entries))]
 	}
 	return nil
 }
@@ -291,6 +319,9 @@
 		s.teams[id] = t
 	}
 	t.weight = f.weight(id)
+	if s.lightest == 0 || t.weight < s.lightest {
+		s.lightest = t.weight
+	}
 	return t
 }
 
--- /dev/null
+++ b/core/route/least/bench_test.go
@@ -0,0 +1,54 @@
+package least
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"lavenderpond/core"
+	"lavenderpond/core/route"
+)
+
+// BenchmarkPick starts and ends a request at an entry with that many targets in
+// five pools, all but the reserve of their slots free.
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{10, 100, 1000} {
+		for _, overflow := range []bool{false, true} {
+			b.Run(fmt.Sprintf("targets=%d/overflow=%t", n, overflow), func(b *testing.B) {
+				r := &Router{Entries: 2}
+				var list []route.Target
+				var pools []route.Pool
+				for i := range n {
+					list = append(list, route.Target{VM: core.VMID(fmt.Sprint("vm", i)), Pool: core.PoolID(fmt.Sprint(i % 5)), Slots: 8})
+				}
+				for p := range 5 {
+					pools = append(pools, route.Pool{ID: core.PoolID(fmt.Sprint(p)), LendsIdle: true, MaxEjected: 1})
+				}
+				r.Update(t0, list, pools)
+				want := route.Want{Pool: "0", Overflow: overflow}
+				if overflow {
+					want.Pool = "none"
+				}
+				b.ReportAllocs()
+				for b.Loop() {
+					vm, _ := r.Pick(t0, want)
+					r.Started(t0, vm)
+					r.Ended(t0, vm, route.Succeeded, time.Second)
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkIdle asks for the idle slots, as each Push does.
+func BenchmarkIdle(b *testing.B) {
+	for _, n := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprintf("targets=%d", n), func(b *testing.B) {
+			r := &Router{Entries: 2}
+			r.Update(t0, targets(n), nil)
+			for b.Loop() {
+				r.Idle(t0, route.Want{Pool: pool})
+			}
+		})
+	}
+}
