--- a/cmd/lavenderpond-experiment/run.go
+++ b/cmd/lavenderpond-experiment/run.go
@@ -33,7 +33,7 @@
 	Name      string `arg:"" help:"The experiment, as shown by list."`
 	Seeds     uint64 `default:"20" help:"How many seeds to run."`
 	FirstSeed uint64 `default:"1" help:"The first seed; the others follow it."`
-	Workload  string `help:"Print this workload only."`
+	Workload  string `help:"Run this workload only."`
 	Output    string `enum:"table,json,rows" default:"table" help:"table or json print the summary, rows each figure as a JSON line."`
 }
 
@@ -43,6 +43,9 @@
 	if err != nil {
 		return err
 	}
+	if n, ok := e.(experiment.Narrower); ok && r.Workload != "" {
+		e = n.Narrow(r.Workload)
+	}
 	var rows []experiment.Row
 	for seed := r.FirstSeed; seed < r.FirstSeed+r.Seeds; seed++ {
 		for _, row := range e.Run(seed) {
--- a/core/experiment/experiment.go
+++ b/core/experiment/experiment.go
@@ -27,6 +27,11 @@
 	Run(seed uint64) []Row
 }
 
+// Narrower is an Experiment that can run one of its workloads alone.
+type Narrower interface {
+	Narrow(workload string) Experiment
+}
+
 var registry = map[string]Experiment{}
 
 // Register adds e. It is called from the init functions of experiments.
--- a/core/experiment/policy/policy.go
+++ b/core/experiment/policy/policy.go
@@ -19,7 +19,7 @@
 	Policies []replay.Policy
 }
 
-var _ experiment.Experiment = Comparison{}
+var _ experiment.Narrower = Comparison{}
 
 // Name implements experiment.Experiment.
 func (c Comparison) Name() string { return c.ID }
@@ -43,3 +43,11 @@
 	}
 	return rows
 }
+
+// Narrow implements experiment.Narrower.
+func (c Comparison) Narrow(workload string) experiment.Experiment {
+	c.Workloads = slices.DeleteFunc(slices.Clone(c.Workloads), func(w replay.Workload) bool {
+		return w.Name != workload
+	})
+	return c
+}
--- /dev/null
+++ b/core/experiment/replay/replay_test.go
@@ -0,0 +1,56 @@
+package replay
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// short cuts a workload to one round of bursts.
+func short(w Workload) Workload {
+	w.Horizon = phases * burstLength
+	return w
+}
+
+// Every request of a run has one end: what the measures count adds up to all of
+// them, whatever fails. A request lost by the replay would flatter a policy.
+func TestEveryRequestEnds(t *testing.T) {
+	faults := Faults{BadTarget: true, Outage: 0.5, Cancellations: 0.5, Impossible: 0.05}
+	for _, p := range []Policy{Naive(), Queueing(), Overflow(), Moves(), Shared(), Split()} {
+		m := Run(short(Consortium()), p, faults, 1)
+		sum := m["done_in_time"] + m["done_late"] + m["refused_early"] + m["refused_late"] +
+			m["outcome_unknown"] + m["given_up"]
+		assert.Assert(t, sum > 0.999999 && sum < 1.000001, "%s: %v", p.Name, sum)
+	}
+}
+
+// The same seed gives the same run, and another seed another.
+func TestRunIsDeterministic(t *testing.T) {
+	w := short(Consortium())
+	assert.DeepEqual(t, Run(w, Overflow(), Faults{}, 5), Run(w, Overflow(), Faults{}, 5))
+	assert.Assert(t, Run(w, Overflow(), Faults{}, 5)["wait_p99"] != Run(w, Overflow(), Faults{}, 6)["wait_p99"])
+}
+
+// The mean of a queue's demand over a round of bursts is the workload's load.
+func TestDemandKeepsItsMean(t *testing.T) {
+	w := short(Magnolia())
+	offered := time.Duration(0)
+	for _, j := range demand(w, Faults{}, 1) {
+		offered += j.run
+	}
+	load := offered.Seconds() / (queues * vmsPerPool * slotsPerVM * w.Horizon.Seconds())
+	assert.Assert(t, load > 0.47 && load < 0.57, "load %v", load)
+}
+
+func TestShareMeter(t *testing.T) {
+	m := newShareMeter([]Account{{Team: "a", Share: 3, Limit: 100}, {Team: "b", Share: 1, Limit: 100}, {Team: "c", Share: 4, Limit: 100}})
+	// c wants little; what it leaves is divided three to one.
+	assert.DeepEqual(t, m.divide(18, []float64{100, 100, 2}), []float64{12, 4, 2})
+	m.queues[0].running = []int{4, 12, 2}
+	m.queues[0].waiting = []int{50, 50, 0}
+	m.sample(start)
+	m.sample(start.Add(shareWindow))
+	assert.Equal(t, m.nearness(), 1-8.0/18)
+	assert.Equal(t, m.worst(), 4.0/12)
+}
--- a/core/experiment/summary.go
+++ b/core/experiment/summary.go
@@ -67,9 +67,12 @@
 		sum += v
 	}
 	n := len(sorted)
-	return Spread{Mean: sum / float64(n), P5: sorted[5*(n-1)/100], P95: sorted[95*(n-1)/100]}
+	return Spread{Mean: sum / float64(n), P5: sorted[rank(5, n)], P95: sorted[rank(95, n)]}
 }
 
+// rank is the index of a percentile of n sorted values, by the nearest rank.
+func rank(percent, n int) int { return (percent*n+99)/100 - 1 }
+
 func ratios(values, base map[uint64]float64) *Spread {
 	ratio := make(map[uint64]float64)
 	for seed, v := range values {
