--- a/core/experiment/policy/register.go
+++ b/core/experiment/policy/register.go
@@ -26,11 +26,13 @@
 		{
 			ID: "slots", Question: "Slots that two entries share: split, taken by whoever asks, or lent.",
 			Workloads: both,
-			Policies:  []replay.Policy{replay.Naive(), replay.Split(), replay.Shared(), replay.Queueing()},
+			Policies: []replay.Policy{
+				replay.Naive(), replay.FairRandom(), replay.Split(), replay.Shared(), replay.Queueing(),
+			},
 		},
 		{
 			ID: "full", Question: "Demand above the whole fleet: shares and early refusal against naive.",
-			Workloads: withLoad(both, fullLoad), Policies: chosen,
+			Workloads: withLoad(both, fullLoad), Policies: fullPolicies(),
 		},
 		{
 			ID: "bad_target", Question: "One target fails everything quickly and looks idle.",
@@ -78,6 +80,14 @@
 	return loaded
 }
 
+// fullPolicies differ in how entries share slots when no pool has many to lend.
+func fullPolicies() []replay.Policy {
+	split, shared := replay.Split(), replay.Shared()
+	split.Name, split.Overflow = "overflow_split", true
+	shared.Name, shared.Overflow = "overflow_shared", true
+	return []replay.Policy{replay.Naive(), split, shared, replay.Overflow()}
+}
+
 // retryPolicies differ in the retry budget and its back-off alone; the naive one
 // also sends a request to any number of targets.
 func retryPolicies() []replay.Policy {
--- a/core/experiment/replay/policy.go
+++ b/core/experiment/replay/policy.go
@@ -82,6 +82,15 @@
 	return p
 }
 
+// FairRandom is Split with a random target, to tell the queue's part in the
+// results from the router's.
+func FairRandom() Policy {
+	p := Split()
+	p.Name = "fair_random"
+	p.Router = func(rng *rand.Rand) route.Router { return &random.Router{Rand: rng} }
+	return p
+}
+
 // Overflow is Queueing, with bursts overflowing into idle slots of other pools.
 func Overflow() Policy {
 	p := Queueing()
