--- /dev/null
+++ b/core/experiment/maintenance/experiment.go
@@ -0,0 +1,230 @@
+package maintenance
+
+import (
+	"fmt"
+	"time"
+
+	"lavenderpond/core"
+	"lavenderpond/core/experiment"
+	"lavenderpond/core/fleet"
+	"lavenderpond/core/maintenance"
+	"lavenderpond/core/maintenance/fixed"
+	"lavenderpond/core/maintenance/spread"
+	"lavenderpond/core/table"
+)
+
+// The two sizes of the users' brief and letter.
+var (
+	Today = Size{Name: "today", Zones: 3, Pools: 4, PoolVMs: 10, SpareVMs: 10, RackVMs: 4, MaxUnavailable: 2}
+	// TwoYears has 214 pools of 46 VMs and a spare pool: 10,000 VMs.
+	TwoYears = Size{Name: "two_years", Zones: 7, Pools: 214, PoolVMs: 46, SpareVMs: 156, RackVMs: 4, MaxUnavailable: 4}
+)
+
+// failureRates are the letter's: 170 of 10,000 VMs fail a day, one rack of its
+// 2,500 a week. How long a failure lasts, and how many VMs stay away after a
+// reboot, the letter doesn't say; a tenth for hours and 0.5% are assumed.
+var failureRates = Faults{PerVMDay: 170.0 / 10000, LongShare: 0.1, PerRackWeek: 1.0 / 2500, NotBack: 0.005}
+
+// Times of the experiment. A step is the controller's tick here.
+const (
+	stepTime   = time.Minute
+	rebootTime = 3 * time.Minute
+	drainTime  = 20 * time.Minute
+	cycle      = 7 * 7 * 24 * time.Hour
+	// countEvery is how many steps go by between two looks at the whole fleet.
+	countEvery = 10
+)
+
+// start is an arbitrary fixed date.
+var start = time.Date(2026, 1, 5, 0, 0, 0, 0, time.UTC)
+
+func init() {
+	experiment.Register(Experiment{Size: Today})
+	experiment.Register(Experiment{Size: TwoYears})
+}
+
+// Experiment maintains every VM of a fleet once, by the daemon's planner and by
+// the naive one, under the same rates of failure.
+type Experiment struct{ Size Size }
+
+var _ experiment.Experiment = Experiment{}
+
+// Name implements experiment.Experiment.
+func (e Experiment) Name() string { return "maintenance_" + e.Size.Name }
+
+// Help implements experiment.Experiment.
+func (e Experiment) Help() string {
+	return "compares the spread planner with naive fixed-size waves while VMs and racks fail"
+}
+
+// Run implements experiment.Experiment.
+//
+// The naive waves have the size that the fleet's budgets add up to per zone, so
+// that roll-out times compare, and one of a single VM per zone, the careful use
+// of the naive planner.
+func (e Experiment) Run(seed uint64) []experiment.Row {
+	fair := max(1, e.Size.Pools*e.Size.MaxUnavailable/e.Size.Zones)
+	var rows []experiment.Row
+	for _, v := range []struct {
+		name    string
+		planner maintenance.Planner
+		gated   bool
+	}{
+		{"spread", spread.Planner{}, true},
+		{"naive", fixed.Planner{Size: fair}, false},
+		{"naive_small", fixed.Planner{Size: max(1, fair/8)}, false},
+	} {
+		r := e.roll(seed, v.planner, v.gated)
+		for _, m := range r.measures() {
+			rows = append(rows, experiment.Row{
+				Experiment: e.Name(), Workload: e.Size.Name, Variant: v.name, Seed: seed, Measure: m.name, Value: m.value,
+			})
+		}
+	}
+	return rows
+}
+
+// run is one roll-out.
+type run struct {
+	size  Size
+	world *World
+	zones []*Zone
+	// ended is when the last zone finished; zero if it didn't.
+	ended  time.Time
+	halted int
+	steps  int
+	// spareIdle adds up the idle spare VMs of each look, and short the VMs that
+	// were missing beyond a pool's budget.
+	spareIdle, short int
+}
+
+// roll runs until every zone finished or the deadline passed. A naive run is not
+// gated: the pools' rows allow any number of stops, as it knows no budgets.
+func (e Experiment) roll(seed uint64, p maintenance.Planner, gated bool) *run {
+	rowBudget := e.Size.MaxUnavailable
+	if !gated {
+		rowBudget = e.Size.PoolVMs
+	}
+	w := NewWorld(seed, start, e.Size, rowBudget)
+	w.Faults, w.RebootTime, w.DrainTime, w.Unseen = failureRates, rebootTime, drainTime, 2*stepTime
+	r := &run{size: e.Size, world: w}
+	for i := range e.Size.Zones {
+		z := &Zone{World: w, ID: core.ZoneID(fmt.Sprintf("z%d", i)), Planner: p}
+		r.zones = append(r.zones, z)
+		z.begin(w.Now.Add(cycle), max(maintenance.DefaultMaxNotBack, len(w.order)/e.Size.Zones/50))
+	}
+	for w.Now.Before(start.Add(cycle)) && r.step() {
+		r.steps++
+	}
+	return r
+}
+
+func (z *Zone) begin(deadline time.Time, maxNotBack int) {
+	for _, build := range []func(maintenance.WaveRow) (table.Transaction, error){
+		func(r maintenance.WaveRow) (table.Transaction, error) {
+			return maintenance.Plan(z.World.Now, r, maintenance.Order{Author: "experiment", Change: "plan"}, deadline, maxNotBack)
+		},
+		func(r maintenance.WaveRow) (table.Transaction, error) {
+			return maintenance.Start(r, maintenance.Order{Author: "experiment", Change: "start"})
+		},
+	} {
+		if err := z.Order(build); err != nil {
+			panic(err)
+		}
+	}
+}
+
+// step advances the fleet by a tick and reports whether a zone is still at work.
+func (r *run) step() bool {
+	r.world.Advance(stepTime)
+	working := false
+	for _, z := range r.zones {
+		if err := z.Tick(); err != nil {
+			panic(err)
+		}
+		switch z.Wave().Status {
+		case maintenance.Running:
+			working = true
+		case maintenance.Halted:
+			// The operator looks and goes on.
+			r.halted++
+			working = true
+			err := z.Order(func(w maintenance.WaveRow) (table.Transaction, error) {
+				return maintenance.Start(w, maintenance.Order{Author: "experiment", Change: core.ChangeID(fmt.Sprint(r.world.Now))})
+			})
+			if err != nil {
+				panic(err)
+			}
+		}
+	}
+	if r.steps%countEvery == 0 {
+		r.count()
+	}
+	if !working {
+		r.ended = r.world.Now
+	}
+	return working
+}
+
+func (r *run) count() {
+	missing := make(map[core.PoolID]int)
+	for _, m := range r.world.order {
+		switch serves := r.world.serves(m); {
+		case m.row.VM.Pool == SparePool && serves:
+			r.spareIdle++
+		case m.row.VM.Pool != SparePool && serves:
+			missing[m.row.VM.Pool]--
+		}
+	}
+	for id, size := range r.world.Sizes {
+		if id != SparePool {
+			r.short += max(0, missing[id]+size-r.world.Budget)
+		}
+	}
+}
+
+type measure struct {
+	name  string
+	value float64
+}
+
+func (r *run) measures() []measure {
+	missed, reboots := 0, 0
+	for _, m := range r.world.order {
+		if m.row.VM.LastMaintained.Before(start) {
+			missed++
+		}
+		reboots += m.Reboots
+	}
+	moves := 0
+	for _, z := range r.zones {
+		moves += z.Moves
+	}
+	ended := r.ended
+	if ended.IsZero() {
+		ended = r.world.Now
+	}
+	looks := float64(r.steps/countEvery + 1)
+	return []measure{
+		{"rollout_hours", ended.Sub(start).Hours()},
+		{"breaches", float64(len(r.world.Breaches))},
+		{"cut_off", float64(len(r.world.CutOff))},
+		{"short_vm_hours", float64(r.short) * countEvery * stepTime.Hours()},
+		{"moves", float64(moves)},
+		{"stops", float64(r.world.Stops)},
+		{"halts", float64(r.halted)},
+		{"missed", float64(missed)},
+		{"spare_idle_mean", float64(r.spareIdle) / looks},
+		{"vms_failed", float64(r.failed())},
+	}
+}
+
+func (r *run) failed() int {
+	n := 0
+	for _, m := range r.world.order {
+		if m.row.VM.State == fleet.Failed {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/core/experiment/maintenance/zone.go
@@ -0,0 +1,202 @@
+package maintenance
+
+import (
+	"errors"
+	"slices"
+	"strings"
+	"time"
+
+	"lavenderpond/core"
+	"lavenderpond/core/fleet"
+	"lavenderpond/core/maintenance"
+	"lavenderpond/core/table"
+)
+
+// Zone runs the real planner and driver for one zone of a World, as the daemon's
+// controller does, without a network.
+type Zone struct {
+	World   *World
+	ID      core.ZoneID
+	Planner maintenance.Planner
+	Driver  maintenance.Driver
+	// Moves counts VMs that changed their pool.
+	Moves int
+	// PlanTime adds up the planner's own time, by Clock, if that is set.
+	PlanTime time.Duration
+	Plans    int
+	Clock    func() time.Time
+
+	vms []*Machine
+	// rows are the VMs' rows at that count of the world's changes.
+	rows    []fleet.VMRow
+	changed int
+}
+
+// stepsPerTick bounds the steps of one VM in a tick, as in the controller.
+const stepsPerTick = 3
+
+// Order writes the zone's wave row by an operator's change.
+func (z *Zone) Order(build func(maintenance.WaveRow) (table.Transaction, error)) error {
+	row, err := z.wave()
+	if err != nil {
+		return err
+	}
+	t, err := build(row)
+	if err != nil {
+		return err
+	}
+	return z.World.Transact(t)
+}
+
+// Wave returns the zone's maintenance.
+func (z *Zone) Wave() maintenance.Wave {
+	row, err := z.wave()
+	if err != nil {
+		panic(err)
+	}
+	return row.Wave
+}
+
+// View returns what the planner sees.
+func (z *Zone) View() maintenance.View {
+	w := z.World
+	w.sync()
+	if z.vms == nil {
+		for _, m := range w.order {
+			if m.Ref.Zone == z.ID {
+				z.vms = append(z.vms, m)
+			}
+		}
+		slices.SortFunc(z.vms, func(a, b *Machine) int { return strings.Compare(string(a.Ref.VM), string(b.Ref.VM)) })
+	}
+	if z.rows == nil || z.changed != w.changed[z.ID] {
+		z.changed = w.changed[z.ID]
+		z.rows = make([]fleet.VMRow, 0, len(z.vms))
+		for _, m := range z.vms {
+			z.rows = append(z.rows, m.row)
+		}
+	}
+	return maintenance.View{Zone: z.ID, Wave: z.Wave(), Pools: z.pools(), VMs: z.rows}
+}
+
+// Tick takes every VM that is out a step further and carries out the plan.
+func (z *Zone) Tick() error {
+	z.View()
+	for _, m := range z.vms {
+		if m.row.VM.State == fleet.Serving && m.Up {
+			continue
+		}
+		for range stepsPerTick {
+			before := m.row.Row.Version
+			if err := z.step(m.row, m); ignore(err) != nil {
+				return err
+			}
+			if m.row.Row.Version == before {
+				break
+			}
+		}
+	}
+	return z.plan()
+}
+
+func (z *Zone) step(vm fleet.VMRow, m *Machine) error {
+	w := z.World
+	var seen maintenance.Seen
+	if until, ok := z.Driver.Hold(w.Now, vm); ok {
+		w.Drain(vm.Ref, until)
+		seen.RefusesUntil = until
+	}
+	seen.Up, seen.Running = m.Up, w.Running(vm.Ref)
+	next, err := z.Driver.Next(w.Now, vm, z.pools(), &seen)
+	if err != nil {
+		return err
+	}
+	if next.Reboot && w.Reboot(vm.Ref, next.NotAfter) != nil {
+		return nil
+	}
+	if err := z.transact(next.Transaction, vm); err != nil {
+		return err
+	}
+	if next.Release {
+		w.Drain(vm.Ref, w.Now)
+	}
+	return nil
+}
+
+func (z *Zone) plan() error {
+	view := z.View()
+	var begin time.Time
+	if z.Clock != nil {
+		begin = z.Clock()
+	}
+	commands := z.Planner.Plan(z.World.Now, view)
+	z.Plans++
+	if z.Clock != nil {
+		z.PlanTime += z.Clock().Sub(begin)
+	}
+	for _, c := range commands {
+		if err := z.carryOut(c); ignore(err) != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (z *Zone) carryOut(c maintenance.Command) error {
+	wave, err := z.wave()
+	if err != nil {
+		return err
+	}
+	view := maintenance.View{Zone: z.ID, Wave: wave.Wave, Pools: z.pools()}
+	for _, m := range z.vms {
+		if refersTo(c, m.Ref) {
+			view.VMs = []fleet.VMRow{m.row}
+		}
+	}
+	t, err := z.Driver.Transaction(z.World.Now, view, wave, c)
+	if err != nil {
+		return err
+	}
+	if _, ok := c.(maintenance.SendHome); ok {
+		z.Moves++
+	}
+	return z.World.Transact(t)
+}
+
+func refersTo(c maintenance.Command, vm fleet.Ref) bool {
+	switch c := c.(type) {
+	case maintenance.Take:
+		return c.VM == vm
+	case maintenance.SendHome:
+		return c.VM == vm
+	}
+	return false
+}
+
+func (z *Zone) transact(t table.Transaction, vm fleet.VMRow) error {
+	if len(t.Writes) == 0 {
+		return nil
+	}
+	if err := z.World.Transact(t); err != nil {
+		return err
+	}
+	if z.World.Row(vm.Ref).VM.Pool != vm.VM.Pool {
+		z.Moves++
+	}
+	return nil
+}
+
+func (z *Zone) wave() (maintenance.WaveRow, error) {
+	return maintenance.DecodeWave(z.ID, z.World.Table.Read(maintenance.WaveKey(z.ID)))
+}
+
+func (z *Zone) pools() map[core.PoolID]fleet.PoolRow { return z.World.Pools() }
+
+// ignore drops refusals by the rules: the next tick decides anew.
+func ignore(err error) error {
+	var refusal *core.Error
+	if errors.As(err, &refusal) || errors.Is(err, table.ErrConflict) {
+		return nil
+	}
+	return err
+}
--- a/io/platform/controller.go
+++ b/io/platform/controller.go
@@ -23,6 +23,9 @@
 	// checksPerTick is how many serving VMs are looked at in each tick even though
 	// nothing speaks against them, because the live list may lag for long.
 	checksPerTick = 4
+	// stepsPerTick bounds the steps of one VM in a tick. A stop and its reboot
+	// belong into one: by the next tick the reboot's deadline may have passed.
+	stepsPerTick = 3
 )
 
 // Controller carries out a zone's maintenance. Every entry of the zone runs one;
@@ -115,7 +118,7 @@
 		return err
 	}
 	for _, vm := range c.toCheck(ctx, vms) {
-		if err := c.step(ctx, vm.vm, vm.leaving); err != nil {
+		if err := c.steps(ctx, vm.vm, vm.leaving); err != nil {
 			return err
 		}
 	}
--- a/io/platform/controller_step.go
+++ b/io/platform/controller_step.go
@@ -12,6 +12,25 @@
 	"lavenderpond/core/table"
 )
 
+// steps takes a VM as many steps further as it can go now.
+func (c *Controller) steps(ctx context.Context, vm fleet.VMRow, leaving bool) error {
+	for range stepsPerTick {
+		if err := c.step(ctx, vm, leaving); err != nil {
+			return err
+		}
+		row, ok := c.vms.rows[vm.Key()]
+		if !ok || row.Version == vm.Row.Version {
+			return nil
+		}
+		next, err := fleet.DecodeVM(row)
+		if err != nil {
+			return err
+		}
+		vm = next
+	}
+	return nil
+}
+
 // step takes one VM a step further. A refusal by the rules or a lost race ends
 // this VM's step only; an unreachable table ends the tick.
 func (c *Controller) step(ctx context.Context, vm fleet.VMRow, leaving bool) error {
