Count shares from the start of each busy period

What a team took while nobody waited was charged to it, and its tag dragged the queue's virtual time past those of teams that had taken less; when the queue got full, those had lost their turn. A busy period now starts with what each team still runs.

--- a/core/queue/fair/fair.go
+++ b/core/queue/fair/fair.go
@@ -2,9 +2,10 @@
 // weighted fair among the teams of a queue.
 //
 // Within a queue it is start-time fair queueing: the team that has received the
-// fewest slot-seconds per share goes next. A team that was idle starts level with
-// the others, so nothing is kept back for it and nothing is owed to it. Charges
-// are predicted from measured run times and corrected when a run ends.
+// fewest slot-seconds per share goes next. What was received while nobody had to
+// wait isn't counted, but for what still runs. A team that was idle starts level
+// with the others, so nothing is owed to it. Charges are predicted from measured
+// run times and corrected when a run ends.
 package fair
 
 import (
@@ -66,7 +67,10 @@
 	teams map[core.TeamID]*team
 	// heaps are the teams with waiting items, by virtual time.
 	heaps [orders]teamHeap
-	// virtual is the start tag of the last popped item.
+	// period counts the busy periods: a new one starts when an item is pushed and
+	// none waits.
+	period int
+	// virtual is the lowest tag of a team with waiting items at the last pop.
 	virtual float64
 	// lightest is the lowest weight that any of the teams had.
 	lightest float64
@@ -102,10 +106,12 @@
 
 func (f *Queue) insert(s *state, t *team, e *entry) {
 	item := e.item
+	if s.waiting == 0 {
+		s.period++
+		s.virtual = 0
+	}
 	if t.waiting() == 0 {
-		// A team that comes back starts level: idle time earns no arrears, which
-		// would let it take every slot for as long as it was away.
-		t.virtual = max(t.virtual, s.virtual)
+		t.join(s)
 	}
 	f.sequence++
 	e.sequence = f.sequence
@@ -129,9 +135,9 @@
 	if e == nil {
 		return queue.Item{}, false
 	}
+	s.virtual = max(s.virtual, s.heaps[byAny].min().virtual)
 	f.remove(e)
 	s.correction(e.item.Urgent).add(e.predicted, now.Sub(e.pushed))
-	s.virtual = max(s.virtual, e.team.virtual)
 	s.running++
 	e.team.charge(f.predictRun(s, e.team, e.item))
 	s.place(e.team)
--- a/core/queue/fair/team.go
+++ b/core/queue/fair/team.go
@@ -24,6 +24,8 @@
 	weight float64
 	// virtual is the team's start tag: slot-seconds received divided by weight.
 	virtual float64
+	// period is the busy period that virtual belongs to.
+	period int
 	// normal and urgent hold the waiting items.
 	normal, urgent lane
 	// running counts items popped and not yet observed, and charged is the run
@@ -37,6 +39,19 @@
 
 func (t *team) waiting() int { return t.normal.live() + t.urgent.live() }
 
+// join sets the tag of a team that begins to wait. In a new busy period it is
+// charged with what it still runs: slots it took while there were enough for all
+// were nobody's loss, but those that it still holds count. Else it starts level
+// with the others at least: idle time earns no arrears, which would let it take
+// every slot for as long as it was away.
+func (t *team) join(s *state) {
+	if t.period != s.period {
+		t.period = s.period
+		t.virtual = t.charged / t.weight
+	}
+	t.virtual = max(t.virtual, s.virtual)
+}
+
 // charge advances the team's tag by a run of the predicted length.
 func (t *team) charge(run time.Duration) {
 	t.running++
