--- a/cmd/lavenderpond-experiment/run.go
+++ b/cmd/lavenderpond-experiment/run.go
@@ -10,7 +10,8 @@
 	"github.com/pkg/errors"
 
 	"lavenderpond/core/experiment"
-	_ "lavenderpond/core/experiment/policy" // registers its experiments
+	_ "lavenderpond/core/experiment/maintenance" // registers its experiments
+	_ "lavenderpond/core/experiment/policy"      // registers its experiments
 )
 
 // output is where results are printed.
