core/shard: decide anew when a queued request starts, tell of a lost shard

Cause: a request may wait in home's queue between Decide and Start. Meanwhile the shard can be lost, a retry can run at the next holder, and the shard can come back out of sync; or the deadline passes and the record of the start is forgotten. Ruled out: remembering every Decide (memory for each queued id). Change: Start holds the id against right, deadline and horizon again; Start has FirstSent; StartDenied has a Verdict; Lost tells home that its queued requests may run elsewhere. A read that was overtaken no longer hides later ones.

--- a/core/shard/command.go
+++ b/core/shard/command.go
@@ -8,7 +8,7 @@
 )
 
 // Command is what a Keeper wants done: Send, ReadRows, SwapRow, StartAllowed,
-// StartDenied or Inherited.
+// StartDenied, Lost or Inherited.
 type Command interface{ isCommand() }
 
 // Send sends a message to another entry. Messages may be lost, late or crossed.
@@ -44,12 +44,19 @@
 	StartBy time.Time
 }
 
-// StartDenied says that a start, held back by Keeper.Start, won't be allowed: the
-// right lapsed or moved. This entry did not start it; whether another did, only
-// the shard's next holder can say.
+// StartDenied says that a start won't be allowed. This entry did not start it;
+// Verdict says what is known of it now. It is never a Run.
 type StartDenied struct {
-	Shard core.ShardIndex
-	Key   core.RequestKey
+	Shard   core.ShardIndex
+	Key     core.RequestKey
+	Verdict Verdict
+}
+
+// Lost says that another entry decides about the shard now. Home may not say "not
+// run" of the requests that it still queues: a retry may have run there.
+type Lost struct {
+	Shard  core.ShardIndex
+	Holder core.EntryID
 }
 
 // Inherited reports, once after a take-over, the starts of former holders that
@@ -65,4 +72,5 @@
 func (SwapRow) isCommand()      {}
 func (StartAllowed) isCommand() {}
 func (StartDenied) isCommand()  {}
+func (Lost) isCommand()         {}
 func (Inherited) isCommand()    {}
--- a/core/shard/keeper.go
+++ b/core/shard/keeper.go
@@ -35,8 +35,8 @@
 // safeguardsOff switches single safeguards off. Only tests set it, to show that
 // each is needed.
 type safeguardsOff struct {
-	horizon, sendDate, announcement, oneSuccessor, unbrokenProof, unconfirmed bool
-	mirror, successorMark, thirdEntry, copyWaiting, copyMerge, readBack       bool
+	horizon, sendDate, announcement, oneSuccessor, unbrokenProof, unconfirmed       bool
+	mirror, successorMark, thirdEntry, copyWaiting, copyMerge, readBack, decideAnew bool
 }
 
 // New returns a Keeper that holds nothing.
@@ -125,19 +125,23 @@
 // Start asks for the right to dispatch a non-idempotent request after Decide said
 // Run. If allowed is false and no StartDenied is among the commands, a later
 // StartAllowed or StartDenied settles it.
+//
+// It decides anew: while the request was queued, the shard may have been lost and
+// won again, and another holder may have run a retry in between.
 func (k *Keeper) Start(now time.Time, shard core.ShardIndex, start Start) (allowed bool, commands []Command) {
 	s := k.state(shard)
-	if s == nil || !s.closingBy.IsZero() || !now.Before(k.RightUntil(now, shard)) {
-		return false, []Command{StartDenied{Shard: shard, Key: start.Key}}
+	verdict := k.Decide(now, shard, start.Key, start.FirstSent, start.Deadline)
+	if k.off.decideAnew && now.Before(k.RightUntil(now, shard)) {
+		verdict = Run{Mirrored: k.mirroring(now, s)}
 	}
-	if _, started := s.starts[start.Key]; started {
-		return false, []Command{StartDenied{Shard: shard, Key: start.Key}}
-	}
-	if !k.mirroring(now, s) {
+	run, may := verdict.(Run)
+	switch {
+	case !may:
+		return false, []Command{StartDenied{Shard: shard, Key: start.Key, Verdict: verdict}}
+	case !run.Mirrored:
 		s.remember(start)
 		return true, nil
-	}
-	if s.waiting[start.Key] == nil {
+	case s.waiting[start.Key] == nil:
 		s.wait(start)
 		k.mirrorStart(now, s, s.waiting[start.Key])
 	}
--- a/core/shard/message.go
+++ b/core/shard/message.go
@@ -33,6 +33,8 @@
 type Start struct {
 	Key      core.RequestKey
 	Deadline time.Time
+	// FirstSent is zero if the caller doesn't say.
+	FirstSent time.Time
 	// VM is the target chosen, which can be asked how the request ended.
 	VM core.VMID
 }
--- a/core/shard/mirror.go
+++ b/core/shard/mirror.go
@@ -36,7 +36,7 @@
 	}
 	switch {
 	case !now.Before(k.RightUntil(now, s.index)):
-		k.denyWaiting(s)
+		k.denyWaiting(now, s)
 	case !k.mirroring(now, s):
 		k.allowWaiting(now, s)
 	default:
@@ -82,22 +82,30 @@
 		startBy = w.Deadline
 	}
 	if !now.Before(startBy) {
-		k.emit(StartDenied{Shard: s.index, Key: w.Key})
+		k.deny(now, s, w)
 		return
 	}
 	s.remember(w.Start)
 	k.emit(StartAllowed{Shard: s.index, Key: w.Key, StartBy: startBy})
 }
 
-func (k *Keeper) denyWaiting(s *state) {
+func (k *Keeper) denyWaiting(now time.Time, s *state) {
 	for _, key := range s.order {
-		if s.waiting[key] != nil {
-			k.emit(StartDenied{Shard: s.index, Key: key})
+		if w := s.waiting[key]; w != nil {
+			k.deny(now, s, w)
 		}
 	}
 	s.clearWaiting()
 }
 
+func (k *Keeper) deny(now time.Time, s *state, w *waitingStart) {
+	verdict := k.Decide(now, s.index, w.Key, w.FirstSent, w.Deadline)
+	if _, may := verdict.(Run); may {
+		verdict = Wait{ComeBackAt: now}
+	}
+	k.emit(StartDenied{Shard: s.index, Key: w.Key, Verdict: verdict})
+}
+
 // tickCopy brings the successor in sync: a copy of all known starts, those that
 // await an ack included, since they are allowed as soon as the ack comes.
 func (k *Keeper) tickCopy(now time.Time, s *state) {
--- a/core/shard/rows.go
+++ b/core/shard/rows.go
@@ -25,7 +25,7 @@
 // rowRead takes in a row as it was at some moment after sentAt. A read that was
 // overtaken by a swap of this entry says nothing new.
 func (k *Keeper) rowRead(now time.Time, s *state, r VersionedRow, sentAt time.Time) {
-	s.readVersion = r.Version
+	s.readVersion = max(s.readVersion, r.Version)
 	if s.read && r.Version < s.version {
 		return
 	}
@@ -46,7 +46,7 @@
 	case row.Holder == k.p.Self:
 		k.adoptHeld(now, s, old, sentAt)
 	case old.Holder == k.p.Self:
-		k.lose(s)
+		k.lose(now, s)
 	}
 	if row.Successor == k.p.Self && moved && (old.Holder != row.Holder || old.Epoch != row.Epoch || old.Successor != row.Successor) {
 		s.heard = now
@@ -99,8 +99,9 @@
 }
 
 // lose ends an epoch of this entry as holder.
-func (k *Keeper) lose(s *state) {
-	k.denyWaiting(s)
+func (k *Keeper) lose(now time.Time, s *state) {
+	k.denyWaiting(now, s)
+	k.emit(Lost{Shard: s.index, Holder: s.row.Holder})
 	s.stopCopying()
 	s.closingBy, s.moveTo, s.moveBy = time.Time{}, "", time.Time{}
 	s.needsHorizon, s.starts = false, nil
