--- /dev/null
+++ b/core/fleet/membership_test.go
@@ -0,0 +1,177 @@
+package fleet
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lavenderpond/core"
+	"lavenderpond/core/table"
+)
+
+// sight is one event as the naive version keeps it.
+type sight struct {
+	at    time.Time
+	event Event
+}
+
+// naiveTargets goes through the whole history for each VM. It is slow and plain:
+// a VM may work if its newest row says Serving, and nothing seen since that row
+// began to say so speaks against it.
+func naiveTargets(history []sight, vms []core.VMID) []core.VMID {
+	var targets []core.VMID
+	for _, vm := range vms {
+		if naiveMayWork(history, vm) {
+			targets = append(targets, vm)
+		}
+	}
+	return targets
+}
+
+func naiveMayWork(history []sight, vm core.VMID) bool {
+	var row VMRow
+	var listed, leaving, gone, held bool
+	var heldAt time.Time
+	for _, s := range history {
+		switch e := s.event.(type) {
+		case RowsChanged:
+			next, _ := DecodeVM(e.Rows[0])
+			switch {
+			case next.Ref.VM != vm || next.Row.Version <= row.Row.Version:
+			case row.VM.State != Serving && next.VM.State == Serving:
+				listed, gone, held = false, false, false
+				row = next
+			default:
+				row = next
+			}
+		case Listed:
+			i := slices.IndexFunc(e.VMs, func(l ListedVM) bool { return l.VM == vm })
+			gone = i < 0 && (listed || gone)
+			leaving = i >= 0 && e.VMs[i].Leaving
+			listed = listed || i >= 0
+		case Refused:
+			if e.VM == vm {
+				held, heldAt = true, s.at
+			}
+		case Unreachable:
+			if e.VM == vm {
+				held, heldAt = true, s.at
+			}
+		case Answered:
+			if e.VM == vm && e.Asked.After(heldAt) {
+				held = false
+			}
+		}
+	}
+	return row.Exists() && row.VM.State == Serving && !leaving && !gone && !held
+}
+
+// An entry hears of its VMs by rows, by a list that lags and by connections, in
+// any order, and answers cross. At every moment it sends work to exactly those
+// VMs that the whole history allows, as the naive version works out afresh.
+func TestMembershipMatchesNaive(t *testing.T) {
+	vms := []core.VMID{"v0", "v1", "v2", "v3"}
+	for seed := range uint64(100) {
+		r := rand.New(rand.NewPCG(seed, 3))
+		var m Membership
+		var history []sight
+		now := testStart
+		versions := make([]core.Version, len(vms))
+		see := func(e Event) {
+			m.Handle(now, e)
+			history = append(history, sight{now, e})
+		}
+		row := func(i int, s State) table.Row {
+			versions[i]++
+			return table.MustRow(table.VMKey("z", vms[i]), versions[i], VM{State: s})
+		}
+		for i := range vms {
+			see(RowsChanged{Rows: []table.Row{row(i, Serving)}})
+		}
+		for range 100 {
+			now = now.Add(time.Duration(r.IntN(3)) * time.Second)
+			i := r.IntN(len(vms))
+			see([]func() Event{
+				func() Event {
+					return RowsChanged{Rows: []table.Row{row(i, []State{Serving, Serving, Draining, Failed}[r.IntN(4)])}}
+				},
+				func() Event {
+					var l Listed
+					for _, vm := range vms {
+						if r.IntN(5) > 0 {
+							l.VMs = append(l.VMs, ListedVM{VM: vm, Leaving: r.IntN(5) == 0})
+						}
+					}
+					return l
+				},
+				func() Event { return Refused{VM: vms[i]} },
+				func() Event { return Unreachable{VM: vms[i]} },
+				func() Event {
+					return Answered{VM: vms[i], Asked: now.Add(-time.Duration(r.IntN(4)) * time.Second)}
+				},
+			}[r.IntN(5)]())
+			var got []core.VMID
+			for _, target := range m.Targets() {
+				got = append(got, target.VM)
+			}
+			want := naiveTargets(history, vms)
+			assert.Assert(t, slices.Equal(got, want), "seed %d: %v, naive %v", seed, got, want)
+		}
+	}
+}
+
+// A VM leaves while the table, the list or the connections are silent: whichever
+// source speaks first ends its new work. Callers whose work goes to a leaving VM
+// see refusals and delays; with the source switched off, they see them for long.
+func TestLeavingFoundBySourceAlone(t *testing.T) {
+	serving := table.MustRow(table.VMKey("z", "v"), 1, VM{State: Serving})
+	draining := table.MustRow(table.VMKey("z", "v"), 2, VM{State: Draining})
+	for _, c := range []struct {
+		name    string
+		event   Event
+		without Membership
+	}{
+		{"row", RowsChanged{Rows: []table.Row{draining}}, Membership{}},
+		{"list", Listed{VMs: []ListedVM{{VM: "v", Leaving: true}}}, Membership{ignoreList: true}},
+		{"no longer listed", Listed{}, Membership{ignoreList: true}},
+		{"refusal", Refused{VM: "v"}, Membership{ignoreConnections: true}},
+		{"refused connection", Unreachable{VM: "v"}, Membership{ignoreConnections: true}},
+	} {
+		with := Membership{}
+		for i, m := range []*Membership{&with, &c.without} {
+			m.Handle(testStart, RowsChanged{Rows: []table.Row{serving}})
+			m.Handle(testStart, Listed{VMs: []ListedVM{{VM: "v"}}})
+			assert.Equal(t, len(m.Targets()), 1, c.name)
+			m.Handle(testStart.Add(time.Second), c.event)
+			if i == 0 {
+				assert.Equal(t, len(m.Targets()), 0, c.name)
+			} else if c.name != "row" {
+				assert.Equal(t, len(m.Targets()), 1, "%s: the safeguard is not what ends the work", c.name)
+			}
+		}
+	}
+}
+
+// A VM that refused is asked again with growing pauses, and works again once an
+// answer to a question that was asked after the refusal says so.
+func TestProbes(t *testing.T) {
+	var m Membership
+	m.Handle(testStart, RowsChanged{Rows: []table.Row{table.MustRow(table.VMKey("z", "v"), 1, VM{State: Serving})}})
+	m.Handle(testStart, Refused{VM: "v"})
+	var asked []string
+	for s := range 40 {
+		now := testStart.Add(time.Duration(s) * time.Second)
+		if len(m.Probes(now)) > 0 {
+			asked = append(asked, fmt.Sprint(s))
+		}
+	}
+	assert.DeepEqual(t, asked, []string{"1", "2", "4", "7", "11", "16", "22", "29", "37"})
+	m.Handle(testStart, Answered{VM: "v", Asked: testStart})
+	assert.Equal(t, len(m.Targets()), 0, "a crossed answer")
+	m.Handle(testStart, Answered{VM: "v", Asked: testStart.Add(time.Second)})
+	assert.Equal(t, len(m.Targets()), 1)
+}
--- /dev/null
+++ b/core/fleet/rules_test.go
@@ -0,0 +1,288 @@
+package fleet
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"lavenderpond/core"
+	"lavenderpond/core/table"
+)
+
+var testStart = time.Date(2026, 1, 5, 0, 0, 0, 0, time.UTC)
+
+var budgets = map[core.PoolID]int{"a": 2, "b": 1, "spare": 2}
+
+const vmsPerPool = 4
+
+// race is a table with three actors that act on views of any age. It judges
+// commits by the VMs' rows and its own sizes, never by the pools' counters.
+type race struct {
+	rand  *rand.Rand
+	now   time.Time
+	table table.Memory
+	rules Rules
+	views []map[table.Key]table.Row
+	// permits counts the permits granted under each change id.
+	permits  map[core.ChangeID]int
+	breaches []string
+	vms      []Ref
+}
+
+func newRace(t *testing.T, seed uint64, rules Rules) *race {
+	r := &race{
+		rand: rand.New(rand.NewPCG(seed, 2)), now: testStart, rules: rules,
+		permits: make(map[core.ChangeID]int), views: make([]map[table.Key]table.Row, 3),
+	}
+	for id, budget := range budgets {
+		r.commit(t)(SetPool(r.pool(r.table.Read, id), budget, id == "spare"))
+		for i := range vmsPerPool {
+			ref := Ref{Zone: "z", VM: core.VMID(fmt.Sprintf("%s%d", id, i))}
+			r.vms = append(r.vms, ref)
+			r.commit(t)(AddVM(testStart, r.vm(r.table.Read, ref), r.pool(r.table.Read, id), true))
+		}
+	}
+	return r
+}
+
+func (r *race) commit(t *testing.T) func(table.Transaction, error) {
+	return func(tx table.Transaction, err error) {
+		assert.NilError(t, err)
+		assert.NilError(t, r.table.Transact(tx))
+	}
+}
+
+type reader func(table.Key) table.Row
+
+func (r *race) vm(read reader, ref Ref) VMRow {
+	row, err := DecodeVM(read(ref.Key()))
+	if err != nil {
+		panic(err)
+	}
+	return row
+}
+
+func (r *race) pool(read reader, id core.PoolID) PoolRow {
+	row, err := DecodePool(read(table.PoolStateKey(id)))
+	if err != nil {
+		panic(err)
+	}
+	return row
+}
+
+// view returns actor i's reader: rows as they stood when it last looked.
+func (r *race) view(i int) reader {
+	if r.views[i] == nil || r.rand.IntN(3) == 0 {
+		r.views[i] = make(map[table.Key]table.Row)
+		for _, row := range r.table.Scan("") {
+			r.views[i][row.Key] = row
+		}
+	}
+	return func(k table.Key) table.Row {
+		if row, ok := r.views[i][k]; ok {
+			return row
+		}
+		return table.Row{Key: k}
+	}
+}
+
+// step lets an actor do something to a random VM, perhaps with a lost answer.
+func (r *race) step(n int) {
+	r.now = r.now.Add(time.Second)
+	actor := r.rand.IntN(len(r.views))
+	read := r.view(actor)
+	vm := r.vm(read, r.vms[r.rand.IntN(len(r.vms))])
+	change := core.ChangeID(fmt.Sprintf("change%d", n))
+	tx, err := r.decide(read, vm, change)
+	if err != nil || len(tx.Writes) == 0 {
+		return
+	}
+	err = r.transact(vm.Ref, tx)
+	if errors.Is(err, table.ErrUnknown) {
+		// The actor reads again and repeats the same change.
+		r.views[actor] = nil
+		read = r.view(actor)
+		if vm = r.vm(read, vm.Ref); vm.VM.State != Serving && vm.VM.Change != change {
+			return
+		}
+		if tx, err = r.rules.Permit(r.now, vm, r.pool(read, vm.VM.Pool), Permit{Change: change}); err == nil && len(tx.Writes) > 0 {
+			_ = r.transact(vm.Ref, tx)
+		}
+	}
+}
+
+func (r *race) decide(read reader, vm VMRow, change core.ChangeID) (table.Transaction, error) {
+	pool := r.pool(read, vm.VM.Pool)
+	if r.rand.IntN(12) == 0 {
+		return r.rules.Fail(r.now, vm, pool)
+	}
+	switch vm.VM.State {
+	case Serving:
+		p := Permit{Change: change}
+		if r.rand.IntN(3) == 0 {
+			p.MoveTo = []core.PoolID{"a", "b", "spare"}[r.rand.IntN(3)]
+		}
+		return r.rules.Permit(r.now, vm, pool, p)
+	case Cordoned:
+		return r.rules.Drain(r.now, vm, r.now.Add(2*time.Second))
+	case Draining:
+		tx, err := r.rules.Stop(r.now, vm, pool, r.now.Add(3*time.Second), r.now.Add(time.Minute))
+		if core.ErrorCode(err) == core.CodeBudgetSpent {
+			return r.rules.Withdraw(r.now, vm, pool)
+		}
+		return tx, err
+	case Stopped:
+		if vm.VM.MoveTo != "" {
+			return r.rules.Join(r.now, vm, pool, r.pool(read, vm.VM.MoveTo))
+		}
+		return r.rules.Verify(r.now, vm, r.now.Add(time.Minute))
+	case Failed:
+		return r.rules.Verify(r.now, vm, r.now.Add(time.Minute))
+	}
+	return r.rules.Return(r.now, vm, pool, time.Time{})
+}
+
+// transact applies tx and judges it, and loses one answer in four.
+func (r *race) transact(ref Ref, tx table.Transaction) error {
+	before := r.vm(r.table.Read, ref).VM
+	if err := r.table.Transact(tx); err != nil {
+		return err
+	}
+	after := r.vm(r.table.Read, ref).VM
+	if before.State == Serving && after.State == Cordoned {
+		r.permits[after.Change]++
+	}
+	if after.State == Cordoned || before.State == Draining && after.State == Stopped {
+		r.judge(ref, after)
+	}
+	if r.rand.IntN(4) == 0 {
+		return table.ErrUnknown
+	}
+	return nil
+}
+
+// judge counts the VMs that the pool lacks by their rows alone.
+func (r *race) judge(ref Ref, vm VM) {
+	serving := 0
+	for _, other := range r.vms {
+		if o := r.vm(r.table.Read, other).VM; o.Pool == vm.Pool && o.State == Serving {
+			serving++
+		}
+	}
+	if lacking := vmsPerPool - serving; lacking > budgets[vm.Pool] {
+		r.breaches = append(r.breaches, fmt.Sprintf("%s of %s %s: %d lacking", ref, vm.Pool, vm.State, lacking))
+	}
+}
+
+// check compares the pools' counters with the VMs' rows: a VM that two pools
+// count, or none, shows here.
+func (r *race) check() error {
+	for id := range budgets {
+		members, out := 0, 0
+		for _, ref := range r.vms {
+			if vm := r.vm(r.table.Read, ref).VM; vm.Pool == id {
+				members++
+				if vm.State != Serving {
+					out++
+				}
+			}
+		}
+		if p := r.pool(r.table.Read, id).Pool; p.Members != members || len(p.Out) != out {
+			return errors.Errorf("pool %s says %d members, %d out; rows say %d, %d", id, p.Members, len(p.Out), members, out)
+		}
+	}
+	for change, n := range r.permits {
+		if n > 1 {
+			return errors.Errorf("change %s was applied %d times", change, n)
+		}
+	}
+	return nil
+}
+
+// runRaces returns how many of the seeds broke a budget, and how many a count.
+func runRaces(t *testing.T, seeds uint64, rules Rules) (breaches, miscounts int) {
+	for seed := range seeds {
+		r := newRace(t, seed, rules)
+		var err error
+		for n := range 300 {
+			r.step(n)
+			if n%20 == 19 && err == nil {
+				err = r.check()
+			}
+		}
+		if len(r.breaches) > 0 {
+			breaches++
+		}
+		if err != nil {
+			miscounts++
+		}
+		if rules == (Rules{}) {
+			assert.NilError(t, err, "seed %d", seed)
+			assert.Assert(t, len(r.breaches) == 0, "seed %d: %v", seed, r.breaches)
+		}
+	}
+	return breaches, miscounts
+}
+
+// Callers see a pool with fewer VMs than its budget promises, or a VM that two
+// pools count. Controllers and operators act on old views at once: permits,
+// moves, failures and returns cross, answers are lost after the write took
+// effect. Every transaction checks VM and pool rows, so only one of two that
+// were decided on the same state takes effect.
+func TestRaces(t *testing.T) {
+	runRaces(t, 300, Rules{})
+}
+
+// Each safeguard is needed: without it, some seed breaks a budget or a count.
+func TestRacesWithoutSafeguard(t *testing.T) {
+	const seeds = 100
+	for _, c := range []struct {
+		name  string
+		rules Rules
+	}{
+		{"no budget check at the permit", Rules{noBudget: true}},
+		{"pool row not checked", Rules{noPoolCheck: true}},
+		{"no budget check at the stop", Rules{noStopCheck: true}},
+		{"failures not counted", Rules{freeUnplanned: true}},
+	} {
+		breaches, miscounts := runRaces(t, seeds, c.rules)
+		t.Logf("%s: %d of %d seeds broke a budget, %d a count", c.name, breaches, seeds, miscounts)
+		assert.Assert(t, breaches+miscounts > 0, c.name)
+	}
+}
+
+// An operator's command repeats a change whose answer was lost, and another
+// operator moves the same VM: the first is settled by its id, the second is told
+// of the conflict. Deleting a pool, or lowering its budget, races the same way.
+func TestOperatorsRace(t *testing.T) {
+	r := newRace(t, 1, Rules{})
+	read := r.table.Read
+	vm, a := r.vm(read, Ref{"z", "a0"}), r.pool(read, "a")
+	r.commit(t)(r.rules.Permit(r.now, vm, a, Permit{Change: "one", MoveTo: "b", Resize: true}))
+
+	again, err := r.rules.Permit(r.now, r.vm(read, vm.Ref), r.pool(read, "a"), Permit{Change: "one", MoveTo: "b"})
+	assert.NilError(t, err)
+	assert.Equal(t, len(again.Writes), 0)
+	_, err = r.rules.Permit(r.now, r.vm(read, vm.Ref), r.pool(read, "a"), Permit{Change: "two", MoveTo: "spare"})
+	assert.Equal(t, core.ErrorCode(err), core.CodeConflict)
+
+	r.commit(t)(SetPool(r.pool(read, "a"), 1, false))
+	_, err = r.rules.Permit(r.now, r.vm(read, Ref{"z", "a1"}), r.pool(read, "a"), Permit{Change: "three"})
+	assert.Equal(t, core.ErrorCode(err), core.CodeBudgetSpent)
+	_, err = DeletePool(r.pool(read, "a"))
+	assert.Equal(t, core.ErrorCode(err), core.CodeConflict)
+
+	// The move goes on: drained, cleared, joined. The place goes with the VM.
+	r.commit(t)(r.rules.Drain(r.now, r.vm(read, vm.Ref), r.now))
+	r.commit(t)(r.rules.Stop(r.now, r.vm(read, vm.Ref), r.pool(read, "a"), time.Time{}, r.now))
+	r.commit(t)(r.rules.Join(r.now, r.vm(read, vm.Ref), r.pool(read, "a"), r.pool(read, "b")))
+	assert.Equal(t, r.pool(read, "b").Pool.Unavailable(), 0)
+	r.commit(t)(r.rules.Return(r.now, r.vm(read, vm.Ref), r.pool(read, "b"), time.Time{}))
+	assert.Equal(t, r.pool(read, "a").Pool.Size, vmsPerPool-1)
+	assert.Equal(t, r.pool(read, "b").Pool.Size, vmsPerPool+1)
+	assert.NilError(t, r.check())
+}
