core/home: pass first_sent on with a start

Cause: Keeper.Start holds a queued start against the horizon; without first_sent it would fall back on the deadline and deny ids that Decide let in.

--- a/core/home/dispatch.go
+++ b/core/home/dispatch.go
@@ -75,7 +75,7 @@
 		h.dispatch(now, r)
 		return
 	}
-	start := shard.Start{Key: r.request.Key, Deadline: r.request.Deadline, VM: vm}
+	start := shard.Start{Key: r.request.Key, Deadline: r.request.Deadline, FirstSent: r.request.FirstSent, VM: vm}
 	if h.Rights.Start(now, start) {
 		r.mirrored = true
 		h.dispatch(now, r)
