--- a/core/shard/balance.go
+++ b/core/shard/balance.go
@@ -166,3 +166,21 @@
 	}
 	return n
 }
+
+// Named returns the entries that the rows name, in no order: whether they have
+// ended matters to this Keeper.
+func (k *Keeper) Named() []core.EntryID {
+	seen := map[core.EntryID]bool{"": true}
+	var named []core.EntryID
+	for i := range k.shards {
+		s := &k.shards[i]
+		c := k.candidates(s)
+		for _, id := range [3]core.EntryID{s.row.Holder, c[0], c[1]} {
+			if !seen[id] {
+				seen[id] = true
+				named = append(named, id)
+			}
+		}
+	}
+	return named
+}
--- a/core/shard/event.go
+++ b/core/shard/event.go
@@ -54,6 +54,8 @@
 type Listed struct {
 	// Live are the entries that take work, without those that are leaving.
 	Live []core.EntryID
+	// Gone are all entries that a row may name and that have ended, not only those
+	// that ended since the list before.
 	Gone []core.EntryID
 }
 
--- a/core/shard/keeper.go
+++ b/core/shard/keeper.go
@@ -67,6 +67,7 @@
 		for _, id := range e.Live {
 			k.listed = k.listed || id == k.p.Self
 		}
+		clear(k.gone)
 		for _, id := range e.Gone {
 			k.gone[id] = true
 		}
