Pace a pool whose targets all fail

With every target failing alike none is an outlier and none may be ejected, so work that can't be repeated was lost as fast as it came. Each target now gets one request per mean run until one succeeds.

--- a/core/route/least/eject.go
+++ b/core/route/least/eject.go
@@ -13,6 +13,9 @@
 	// fail. A request that fails everywhere raises all targets alike, so it makes
 	// no outlier.
 	outlierMargin = 0.4
+	// failingShare is the share of failures above which a target is paced even if
+	// its pool fails alike. A single success brings a target below it.
+	failingShare = 0.9
 	// probeStep is added to the time before a probe with each ejection in a row.
 	probeStep    = 2 * time.Second
 	maxProbeWait = 30 * time.Second
@@ -32,6 +35,12 @@
 	}
 	if !r.outlier(t) {
 		t.health = healthy
+		if t.results >= minResults && t.failures > failingShare && !r.off.pacing {
+			// The whole pool fails, so no target is an outlier. Work that can't be
+			// repeated would be lost on it as fast as it comes; paced, it waits or is
+			// refused, and is known not to have run. One success ends it.
+			t.health = suspect
+		}
 		return
 	}
 	// A target that fails everything quickly looks idle and would draw all work of
--- a/core/route/least/least.go
+++ b/core/route/least/least.go
@@ -47,7 +47,7 @@
 
 // switches name the safeguards that a test may switch off to see it fail.
 type switches struct {
-	ejectionBound, slotBound, ejection bool
+	ejectionBound, slotBound, ejection, pacing bool
 }
 
 var _ route.Router = (*Router)(nil)
--- a/core/route/least/target.go
+++ b/core/route/least/target.go
@@ -67,7 +67,7 @@
 const (
 	healthy health = iota
 	// suspect targets fail far more than their pool, but the budget allows no
-	// ejection. They are paced.
+	// ejection, or fail nearly everything like all their pool. They are paced.
 	suspect
 	// ejected targets get only probes.
 	ejected
