--- a/core/experiment/replay/figures.go
+++ b/core/experiment/replay/figures.go
@@ -11,7 +11,9 @@
 	unknowns, givenUp, cancelled                int
 	moves, retries, returns, fulls              int
 	useful, wasted                              time.Duration
-	waits, urgentWaits                          []time.Duration
+	// usefulInHorizon is the part of useful before the last arrival.
+	usefulInHorizon    time.Duration
+	waits, urgentWaits []time.Duration
 	// first and attempts of the outage, and of the time after it.
 	duringFirst, duringAttempts, afterFirst, afterAttempts int
 }
@@ -36,12 +38,16 @@
 	}
 }
 
-func (f *figures) countRun(run time.Duration, useful bool) {
-	if useful {
-		f.useful += run
-	} else {
+// countRun counts a run that began at begun and ends at now.
+func (f *figures) countRun(s *simulation, begun time.Time, useful bool) {
+	run := s.now.Sub(begun)
+	if !useful {
 		f.wasted += run
+		return
 	}
+	f.useful += run
+	after := s.now.Sub(s.workload.part(1))
+	f.usefulInHorizon += max(0, run-max(0, after))
 }
 
 func (f *figures) finish(_ time.Time, j *job, late bool) {
@@ -98,7 +104,7 @@
 		"outcome_unknown":     float64(f.unknowns) / offered,
 		"given_up":            float64(f.givenUp) / offered,
 		"wasted_work":         ratio(f.wasted.Seconds(), (f.useful + f.wasted).Seconds()),
-		"buffer_cost":         ratio(capacity-f.useful.Seconds(), f.useful.Seconds()),
+		"buffer_cost":         ratio(capacity-f.usefulInHorizon.Seconds(), f.usefulInHorizon.Seconds()),
 		"share_nearness":      s.shares.nearness(),
 		"share_worst_team":    s.shares.worst(),
 		"moves":               float64(f.moves),
--- a/core/experiment/replay/simulation.go
+++ b/core/experiment/replay/simulation.go
@@ -254,7 +254,7 @@
 		result = route.Failed
 	}
 	late := !s.now.Before(j.item.Deadline)
-	s.figures.countRun(run, result == route.Succeeded && !late)
+	s.figures.countRun(s, begun, result == route.Succeeded && !late)
 	if result != route.Succeeded {
 		s.back(j, v, result, retry.Sent)
 		return
