core/shard: choose successors among the next three entries, let a refusal expire

Cause: successors spread over all entries made an entry ping every other one of its zone; an entry refused once was never chosen again unless it spoke.

--- a/core/shard/balance.go
+++ b/core/shard/balance.go
@@ -13,23 +13,35 @@
 	moveLeases = 8
 	// balanceLeases is how often an entry considers a move.
 	balanceLeases = 1
+	// refusedLeases is how long a refused connection counts against an entry.
+	refusedLeases = 4
+	// maxPartners bounds the entries that this one chooses as successors, and so its
+	// messages, however many entries the zone has.
+	maxPartners = 3
 	// maxMoves bounds the moves that an entry has under way.
 	maxMoves = 4
 )
 
 func (k *Keeper) isLive(id core.EntryID) bool { return slices.Contains(k.live, id) }
 
-// chooseSuccessor returns the live entry that is successor of the fewest shards,
-// "" if none is left besides this entry and except.
-func (k *Keeper) chooseSuccessor(s *state, except core.EntryID) core.EntryID {
-	load := k.load(func(r Row) core.EntryID { return r.Successor })
+// chooseSuccessor returns, of the next live entries in order after this one, the
+// successor of the fewest of its shards; "" if none is left besides except.
+func (k *Keeper) chooseSuccessor(now time.Time, s *state, except core.EntryID) core.EntryID {
+	load := make(map[core.EntryID]int)
+	for i := range k.shards {
+		if o := &k.shards[i]; o != s && o.holds(k.p.Self) {
+			load[o.row.Successor]++
+		}
+	}
 	var best core.EntryID
+	partners := 0
+	self := slices.Index(k.live, k.p.Self)
 	for i := range k.live {
-		// Ties fall on another entry for each shard.
-		id := k.live[(i+int(s.index))%len(k.live)]
-		if id == k.p.Self || id == except || k.gone[id] || k.refused[id] {
+		id := k.live[(self+1+i)%len(k.live)]
+		if id == k.p.Self || id == except || k.gone[id] || now.Before(k.refused[id]) || partners == maxPartners {
 			continue
 		}
+		partners++
 		if best == "" || load[id] < load[best] {
 			best = id
 		}
@@ -60,7 +72,7 @@
 	}
 	least := k.p.Self
 	for _, id := range k.live {
-		if held[id] < held[least] && !k.gone[id] && !k.refused[id] {
+		if held[id] < held[least] && !k.gone[id] && !now.Before(k.refused[id]) {
 			least = id
 		}
 	}
@@ -130,7 +142,7 @@
 		Former: k.p.Self, Mirrored: inSync, Horizon: s.row.Horizon,
 	}
 	if !k.releaseBy.IsZero() {
-		row.Successor = k.chooseSuccessor(s, to)
+		row.Successor = k.chooseSuccessor(now, s, to)
 	}
 	if !inSync {
 		row.Horizon = k.p.horizonAt(now)
--- a/core/shard/holder.go
+++ b/core/shard/holder.go
@@ -126,7 +126,7 @@
 	if old != "" && !k.gone[old] && !quiet && k.isLive(old) {
 		return old
 	}
-	next := k.chooseSuccessor(s, old)
+	next := k.chooseSuccessor(now, s, old)
 	if next == "" && !k.gone[old] {
 		return old
 	}
@@ -137,7 +137,7 @@
 // had better not wait for it.
 func (k *Keeper) silent(now time.Time, s *state) bool {
 	id := s.row.Successor
-	return k.gone[id] || k.refused[id] || s.quietFor(now) > k.p.silentAfter()
+	return k.gone[id] || now.Before(k.refused[id]) || s.quietFor(now) > k.p.silentAfter()
 }
 
 // quietFor returns how long the successor has not acked, at most since it was
--- a/core/shard/keeper.go
+++ b/core/shard/keeper.go
@@ -14,8 +14,9 @@
 	shards []state
 	live   []core.EntryID
 	gone   map[core.EntryID]bool
-	// refused are entries whose address refused a connection since they last spoke.
-	refused map[core.EntryID]bool
+	// refused are entries whose address refused a connection, until when that
+	// counts: some leases, or until they speak again.
+	refused map[core.EntryID]time.Time
 	// listed says that the platform lists this entry, so that others can learn of
 	// its end. Only then does it claim shards.
 	listed bool
@@ -42,7 +43,7 @@
 // New returns a Keeper that holds nothing.
 func New(p Params) *Keeper {
 	p = p.withDefaults()
-	k := &Keeper{p: p, shards: make([]state, p.Shards), gone: map[core.EntryID]bool{}, refused: map[core.EntryID]bool{}}
+	k := &Keeper{p: p, shards: make([]state, p.Shards), gone: map[core.EntryID]bool{}, refused: map[core.EntryID]time.Time{}}
 	for i := range k.shards {
 		k.shards[i].index = core.ShardIndex(i)
 	}
@@ -72,7 +73,7 @@
 			k.gone[id] = true
 		}
 	case Refused:
-		k.refused[e.Entry] = true
+		k.refused[e.Entry] = now.Add(refusedLeases * k.p.Lease)
 		k.readSoon(now)
 	case Releasing:
 		k.releaseBy = e.By
--- a/core/shard/successor.go
+++ b/core/shard/successor.go
@@ -69,7 +69,7 @@
 		known = true
 	}
 	row := Row{
-		Holder: k.p.Self, Epoch: s.row.Epoch + 1, Successor: k.chooseSuccessor(s, s.row.Holder),
+		Holder: k.p.Self, Epoch: s.row.Epoch + 1, Successor: k.chooseSuccessor(now, s, s.row.Holder),
 		Former: s.row.Holder, Mirrored: known, Horizon: s.row.Horizon,
 	}
 	if !known {
@@ -81,7 +81,7 @@
 // claim takes a shard that never had a holder.
 func (k *Keeper) claim(now time.Time, s *state) {
 	if k.listed && k.myTurn(now, s) {
-		k.swap(now, s, Row{Holder: k.p.Self, Epoch: s.row.Epoch + 1, Successor: k.chooseSuccessor(s, "")})
+		k.swap(now, s, Row{Holder: k.p.Self, Epoch: s.row.Epoch + 1, Successor: k.chooseSuccessor(now, s, "")})
 	}
 }
 
