--- a/core/route/least/eject.go
+++ b/core/route/least/eject.go
@@ -56,7 +56,12 @@
 // judgeProbe returns a target whose probes succeed, and waits longer otherwise.
 func (r *Router) judgeProbe(now time.Time, t *target, result route.Result) {
 	if result != route.Succeeded {
-		r.eject(now, t)
+		t.probes = 0
+		// What was under way at the ejection isn't a probe: eight requests that fail
+		// together are no reason to wait eight times as long.
+		if !now.Before(t.probeAt) {
+			r.eject(now, t)
+		}
 		return
 	}
 	t.probes++
