--- a/io/platform/controller.go
+++ b/io/platform/controller.go
@@ -49,8 +49,7 @@
 	suspects map[core.VMID]bool
 	state    ControllerState
 
-	vms    rowCache
-	pools  rowCache
+	rows   zoneRows
 	listed map[core.VMID]bool
 	next   int
 	// Test-only: switches the check of a reboot's deadline off.
@@ -64,6 +63,8 @@
 	Progress  maintenance.Progress `json:"progress"`
 	LastTick  time.Time            `json:"last_tick,omitzero"`
 	LastError string               `json:"last_error,omitempty"`
+	// BadRows counts rows that can't be decoded; their VMs and pools are left alone.
+	BadRows int `json:"bad_rows"`
 }
 
 // Child returns the controller's part of the daemon's tree.
@@ -113,11 +114,7 @@
 	if err := c.refresh(ctx); err != nil {
 		return err
 	}
-	vms, err := c.vms.vms()
-	if err != nil {
-		return err
-	}
-	for _, vm := range c.toCheck(ctx, vms) {
+	for _, vm := range c.toCheck(ctx, c.rows.allVMs()) {
 		if err := c.steps(ctx, vm.vm, vm.leaving); err != nil {
 			return err
 		}
@@ -144,15 +141,7 @@
 	return held, err
 }
 
-func (c *Controller) refresh(ctx context.Context) error {
-	c.vms.prefix = table.PrefixVM + string(c.Zone) + "/"
-	c.pools.prefix = table.PrefixPool
-	if _, err := c.vms.poll(ctx, c.Table); err != nil {
-		return err
-	}
-	_, err := c.pools.poll(ctx, c.Table)
-	return err
-}
+func (c *Controller) refresh(ctx context.Context) error { return c.rows.poll(ctx, c.Table, c.Zone) }
 
 // checked is a VM to look at in this tick.
 type checked struct {
--- a/io/platform/controller_step.go
+++ b/io/platform/controller_step.go
@@ -18,14 +18,10 @@
 		if err := c.step(ctx, vm, leaving); err != nil {
 			return err
 		}
-		row, ok := c.vms.rows[vm.Key()]
-		if !ok || row.Version == vm.Row.Version {
+		next, ok := c.rows.vms.rows[vm.Key()]
+		if !ok || next.Row.Version == vm.Row.Version {
 			return nil
 		}
-		next, err := fleet.DecodeVM(row)
-		if err != nil {
-			return err
-		}
 		vm = next
 	}
 	return nil
@@ -34,15 +30,11 @@
 // step takes one VM a step further. A refusal by the rules or a lost race ends
 // this VM's step only; an unreachable table ends the tick.
 func (c *Controller) step(ctx context.Context, vm fleet.VMRow, leaving bool) error {
-	pools, err := c.pools.pools()
-	if err != nil {
-		return err
-	}
 	seen := c.look(ctx, vm)
 	if seen != nil {
 		seen.Leaving = leaving
 	}
-	next, err := c.Driver.Next(c.Now(), vm, pools, seen)
+	next, err := c.Driver.Next(c.Now(), vm, c.rows.allPools(), seen)
 	if err != nil {
 		return c.settle(ctx, vm, err)
 	}
@@ -107,16 +99,14 @@
 	if err != nil {
 		return err
 	}
-	view, err := c.view(wave)
-	if err != nil {
-		return err
-	}
+	view := c.view(wave)
 	for _, command := range c.Planner.Plan(c.Now(), view) {
 		if err := c.carryOut(ctx, wave, command); err != nil {
 			return err
 		}
 	}
 	c.mu.Lock()
+	c.state.BadRows = len(c.rows.vms.bad) + len(c.rows.pools.bad)
 	c.state.Wave = wave.Wave
 	c.state.Progress = maintenance.ProgressOf(c.Now(), c.Zone, wave.Wave, view.VMs)
 	c.mu.Unlock()
@@ -126,11 +116,7 @@
 // carryOut builds the command's transaction on the rows as they are now: the
 // commands before it have changed them.
 func (c *Controller) carryOut(ctx context.Context, wave maintenance.WaveRow, command maintenance.Command) error {
-	view, err := c.view(wave)
-	if err != nil {
-		return err
-	}
-	t, err := c.Driver.Transaction(c.Now(), view, wave, command)
+	t, err := c.Driver.Transaction(c.Now(), c.view(wave), wave, command)
 	if err == nil && len(t.Writes) > 0 {
 		err = c.transact(ctx, t)
 	}
@@ -143,21 +129,15 @@
 	return nil
 }
 
-func (c *Controller) view(wave maintenance.WaveRow) (maintenance.View, error) {
-	vms, err := c.vms.vms()
-	if err != nil {
-		return maintenance.View{}, err
-	}
-	pools, err := c.pools.pools()
-	return maintenance.View{Zone: c.Zone, Wave: wave.Wave, VMs: vms, Pools: pools}, err
+func (c *Controller) view(wave maintenance.WaveRow) maintenance.View {
+	return maintenance.View{Zone: c.Zone, Wave: wave.Wave, VMs: c.rows.allVMs(), Pools: c.rows.allPools()}
 }
 
 func (c *Controller) transact(ctx context.Context, t table.Transaction) error {
 	if err := c.Table.Transact(ctx, t); err != nil {
 		return err
 	}
-	c.vms.apply(t)
-	c.pools.apply(t)
+	c.rows.apply(t)
 	return nil
 }
 
--- a/io/platform/fleet.go
+++ b/io/platform/fleet.go
@@ -34,8 +34,8 @@
 
 	mu      sync.Mutex
 	members fleet.Membership
-	vms     rowCache
-	pools   rowCache
+	since   table.Revision
+	pools   rowCache[fleet.PoolRow]
 }
 
 // Child returns the watcher's part of the daemon's tree.
@@ -80,11 +80,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	row, ok := w.pools.rows[table.PoolStateKey(id)]
-	if !ok {
-		return fleet.Pool{}, false
-	}
-	pool, err := fleet.DecodePool(row)
-	return pool.Pool, err == nil
+	return row.Pool, ok
 }
 
 // Refused tells that a VM answered that it is leaving.
@@ -99,24 +95,30 @@
 }
 
 func (w *FleetWatcher) pollRows(ctx context.Context) error {
-	// The cache of VMs only carries the revision: Membership keeps the rows.
-	rows, revision, err := w.Table.Changes(ctx, table.PrefixVM+string(w.Zone)+"/", w.vms.since)
+	rows, revision, err := w.Table.Changes(ctx, table.PrefixVM+string(w.Zone)+"/", w.since)
 	if err != nil {
 		return err
 	}
-	w.vms.since = revision
+	w.since = revision
 	if len(rows) > 0 {
 		w.handle(fleet.RowsChanged{Rows: rows})
 	}
-	pools := rowCache{prefix: table.PrefixPool, since: w.pools.since}
-	changed, err := pools.poll(ctx, w.Table)
+	return w.pollPools(ctx)
+}
+
+// pollPools doesn't hold the lock while it waits for the table.
+func (w *FleetWatcher) pollPools(ctx context.Context) error {
+	rows, revision, err := w.Table.Changes(ctx, table.PrefixPool, w.pools.since)
+	if err != nil {
+		return err
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.pools.since = pools.since
-	for _, row := range changed {
+	w.pools.since, w.pools.decode = revision, fleet.DecodePool
+	for _, row := range rows {
 		w.pools.put(row)
 	}
-	return err
+	return nil
 }
 
 func (w *FleetWatcher) pollList(ctx context.Context) error {
--- a/io/platform/fleet_rows.go
+++ b/io/platform/fleet_rows.go
@@ -11,40 +11,53 @@
 )
 
 // rowCache follows the rows under a prefix by their changes, so that a poll
-// costs what changed and not what stands there.
-type rowCache struct {
+// costs what changed and not what stands there. A row that can't be decoded is
+// left out, so that one bad row doesn't stop a zone's maintenance.
+type rowCache[T any] struct {
 	prefix string
+	decode func(table.Row) (T, error)
 	since  table.Revision
-	rows   map[table.Key]table.Row
+	rows   map[table.Key]T
+	// bad holds the rows that could not be decoded.
+	bad map[table.Key]error
+	// changed is set whenever a row is put.
+	changed bool
 }
 
-// poll fetches what changed and returns it.
-func (c *rowCache) poll(ctx context.Context, t Table) ([]table.Row, error) {
+// poll fetches what changed.
+func (c *rowCache[T]) poll(ctx context.Context, t Table) error {
 	changed, revision, err := t.Changes(ctx, c.prefix, c.since)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	c.since = revision
 	for _, row := range changed {
 		c.put(row)
 	}
-	return changed, nil
+	return nil
 }
 
-func (c *rowCache) put(row table.Row) {
+func (c *rowCache[T]) put(row table.Row) {
 	if c.rows == nil {
-		c.rows = make(map[table.Key]table.Row)
+		c.rows, c.bad = make(map[table.Key]T), make(map[table.Key]error)
 	}
+	c.changed = true
+	delete(c.rows, row.Key)
+	delete(c.bad, row.Key)
 	if row.Version == 0 {
-		delete(c.rows, row.Key)
 		return
 	}
-	c.rows[row.Key] = row
+	v, err := c.decode(row)
+	if err != nil {
+		c.bad[row.Key] = err
+		return
+	}
+	c.rows[row.Key] = v
 }
 
 // apply takes over the writes of t, which took effect: its checks tell the
 // versions that they were made on.
-func (c *rowCache) apply(t table.Transaction) {
+func (c *rowCache[T]) apply(t table.Transaction) {
 	for _, w := range t.Writes {
 		if !strings.HasPrefix(string(w.Key), c.prefix) {
 			continue
@@ -58,27 +71,52 @@
 	}
 }
 
-func (c *rowCache) vms() ([]fleet.VMRow, error) {
-	vms := make([]fleet.VMRow, 0, len(c.rows))
-	for _, row := range c.rows {
-		vm, err := fleet.DecodeVM(row)
-		if err != nil {
-			return nil, err
-		}
-		vms = append(vms, vm)
+// zoneRows are the rows that a controller works on.
+type zoneRows struct {
+	vms   rowCache[fleet.VMRow]
+	pools rowCache[fleet.PoolRow]
+
+	sorted []fleet.VMRow
+	byID   map[core.PoolID]fleet.PoolRow
+}
+
+func (z *zoneRows) poll(ctx context.Context, t Table, zone core.ZoneID) error {
+	z.vms.prefix, z.vms.decode = table.PrefixVM+string(zone)+"/", fleet.DecodeVM
+	z.pools.prefix, z.pools.decode = table.PrefixPool, fleet.DecodePool
+	if err := z.vms.poll(ctx, t); err != nil {
+		return err
 	}
-	slices.SortFunc(vms, func(a, b fleet.VMRow) int { return strings.Compare(string(a.Ref.VM), string(b.Ref.VM)) })
-	return vms, nil
+	return z.pools.poll(ctx, t)
 }
 
-func (c *rowCache) pools() (map[core.PoolID]fleet.PoolRow, error) {
-	pools := make(map[core.PoolID]fleet.PoolRow, len(c.rows))
-	for _, row := range c.rows {
-		pool, err := fleet.DecodePool(row)
-		if err != nil {
-			return nil, err
-		}
-		pools[pool.ID] = pool
+func (z *zoneRows) apply(t table.Transaction) {
+	z.vms.apply(t)
+	z.pools.apply(t)
+}
+
+// allVMs returns the zone's VMs by name. The slice must not be changed.
+func (z *zoneRows) allVMs() []fleet.VMRow {
+	if !z.vms.changed && z.sorted != nil {
+		return z.sorted
+	}
+	z.vms.changed = false
+	z.sorted = make([]fleet.VMRow, 0, len(z.vms.rows))
+	for _, vm := range z.vms.rows {
+		z.sorted = append(z.sorted, vm)
+	}
+	slices.SortFunc(z.sorted, func(a, b fleet.VMRow) int { return strings.Compare(string(a.Ref.VM), string(b.Ref.VM)) })
+	return z.sorted
+}
+
+// allPools returns the pools. The map must not be changed.
+func (z *zoneRows) allPools() map[core.PoolID]fleet.PoolRow {
+	if !z.pools.changed && z.byID != nil {
+		return z.byID
+	}
+	z.pools.changed = false
+	z.byID = make(map[core.PoolID]fleet.PoolRow, len(z.pools.rows))
+	for _, pool := range z.pools.rows {
+		z.byID[pool.ID] = pool
 	}
-	return pools, nil
+	return z.byID
 }
