Take a VM for failed only by the platform's word

Cause: a platform that doesn't know the path of VMs answered 404, which read as every VM being down. Gone is now 410; 404 is an error and decides nothing. A Controller without a planner uses spread. Conclusion: a missing answer changes no row.

--- a/io/platform/controller.go
+++ b/io/platform/controller.go
@@ -11,6 +11,7 @@
 	"lavenderpond/core"
 	"lavenderpond/core/fleet"
 	"lavenderpond/core/maintenance"
+	"lavenderpond/core/maintenance/spread"
 	"lavenderpond/core/table"
 	"lavenderpond/io/supervisor"
 )
@@ -33,13 +34,14 @@
 // any time, do no harm: each transaction checks the rows that it relies on, and
 // each reboot carries the deadline before which the VM can't serve again.
 type Controller struct {
-	Zone    core.ZoneID
-	Self    core.EntryID
-	Table   Table
-	Live    LiveList
-	VMs     VMControl
-	Now     func() time.Time
-	Log     zerolog.Logger
+	Zone  core.ZoneID
+	Self  core.EntryID
+	Table Table
+	Live  LiveList
+	VMs   VMControl
+	Now   func() time.Time
+	Log   zerolog.Logger
+	// Planner chooses the VMs to take out; nil means spread.Planner.
 	Planner maintenance.Planner
 	Driver  maintenance.Driver
 	// Interval between ticks; 0 means DefaultControlInterval.
@@ -197,6 +199,13 @@
 	return s
 }
 
+func (c *Controller) planner() maintenance.Planner {
+	if c.Planner == nil {
+		return spread.Planner{}
+	}
+	return c.Planner
+}
+
 func (c *Controller) interval() time.Duration {
 	if c.Interval == 0 {
 		return DefaultControlInterval
--- a/io/platform/controller_step.go
+++ b/io/platform/controller_step.go
@@ -100,7 +100,7 @@
 		return err
 	}
 	view := c.view(wave)
-	for _, command := range c.Planner.Plan(c.Now(), view) {
+	for _, command := range c.planner().Plan(c.Now(), view) {
 		if err := c.carryOut(ctx, wave, command); err != nil {
 			return err
 		}
--- a/io/platform/fleet_client.go
+++ b/io/platform/fleet_client.go
@@ -16,7 +16,7 @@
 
 // PathVMs is the HTTP path of the platform's control of VMs. Below it stand
 //
-//	GET  {zone}/{vm}         the VMStatus; 404 if there is no such VM
+//	GET  {zone}/{vm}         the VMStatus; 410 if there is no such VM any more
 //	POST {zone}/{vm}/drain   with a DrainRequest; 409 if its fence is too low
 //	POST {zone}/{vm}/reboot  with a RebootRequest; 409 also once NotAfter has passed
 const PathVMs = "/vms/"
@@ -51,7 +51,8 @@
 	Drain(ctx context.Context, vm fleet.Ref, r DrainRequest) error
 	// Reboot reboots vm unless it is too late. Nil means that it was taken.
 	Reboot(ctx context.Context, vm fleet.Ref, r RebootRequest) error
-	// Status returns what vm is doing. A VM that is gone is not up.
+	// Status returns what vm is doing. A VM that is gone is not up; of one that the
+	// platform doesn't know nothing is known, and that is an error.
 	Status(ctx context.Context, vm fleet.Ref) (VMStatus, error)
 }
 
@@ -71,7 +72,7 @@
 func (c *Client) Status(ctx context.Context, vm fleet.Ref) (VMStatus, error) {
 	var s VMStatus
 	data, status, err := c.do(ctx, http.MethodGet, c.vmURL(vm), nil)
-	if err == nil && status == http.StatusNotFound {
+	if err == nil && status == http.StatusGone {
 		return s, nil
 	}
 	if err := c.expectOK(data, status, err); err != nil {
--- /dev/null
+++ b/io/platform/fleet_client_test.go
@@ -0,0 +1,53 @@
+package platform
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"lavenderpond/core/fleet"
+	"lavenderpond/core/table"
+)
+
+// The controller takes a VM for failed only by the platform's word. A platform
+// that doesn't know the path, or breaks off, must not take a fleet down.
+func TestVMControlReplies(t *testing.T) {
+	status, body, got := http.StatusOK, `{"up":true,"running":3}`, ""
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		data, _ := io.ReadAll(r.Body)
+		got = r.Method + " " + r.URL.Path + " " + string(data)
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, body)
+	}))
+	defer s.Close()
+	c, ctx, vm := NewClient(s.URL), context.Background(), fleet.Ref{Zone: "z", VM: "v"}
+
+	seen, err := c.Status(ctx, vm)
+	assert.NilError(t, err)
+	assert.Equal(t, seen, VMStatus{Up: true, Running: 3})
+	at := time.Date(2026, 1, 5, 0, 0, 0, 0, time.UTC)
+	assert.NilError(t, c.Reboot(ctx, vm, RebootRequest{NotAfter: at, Fence: 7}))
+	assert.Equal(t, got, `POST /vms/z/v/reboot {"not_after":"2026-01-05T00:00:00Z","fence":7}`)
+	assert.NilError(t, c.Drain(ctx, vm, DrainRequest{Until: at, Fence: 8}))
+	assert.Equal(t, got, `POST /vms/z/v/drain {"until":"2026-01-05T00:00:00Z","fence":8}`)
+
+	status, body = http.StatusConflict, ""
+	assert.Assert(t, errors.Is(c.Reboot(ctx, vm, RebootRequest{}), table.ErrConflict))
+	status = http.StatusGone
+	seen, err = c.Status(ctx, vm)
+	assert.NilError(t, err)
+	assert.Assert(t, !seen.Up)
+	for _, status = range []int{http.StatusNotFound, http.StatusInternalServerError} {
+		_, err = c.Status(ctx, vm)
+		assert.Assert(t, err != nil, "status %d says nothing of the VM", status)
+	}
+	status, body = http.StatusOK, `{"up":tr`
+	_, err = c.Status(ctx, vm)
+	assert.Assert(t, err != nil)
+}
