--- a/core/fleet/rules_test.go
+++ b/core/fleet/rules_test.go
@@ -286,3 +286,24 @@
 	assert.Equal(t, r.pool(read, "b").Pool.Size, vmsPerPool+1)
 	assert.NilError(t, r.check())
 }
+
+// A VM is gone for good and another takes its place: the pool goes on lacking it
+// until the replacement has been verified, and no planned stop uses the gap.
+func TestReplacedVM(t *testing.T) {
+	r := newRace(t, 1, Rules{})
+	read := r.table.Read
+	old, fresh := Ref{"z", "b0"}, Ref{"z", "b9"}
+	r.commit(t)(r.rules.Fail(r.now, r.vm(read, old), r.pool(read, "b")))
+	r.commit(t)(RemoveVM(r.vm(read, old), r.pool(read, "b"), false))
+	_, err := r.rules.Permit(r.now, r.vm(read, Ref{"z", "b1"}), r.pool(read, "b"), Permit{Change: "stop"})
+	assert.Equal(t, core.ErrorCode(err), core.CodeBudgetSpent)
+
+	added := r.vm(read, fresh)
+	added.VM.State = Verifying
+	r.commit(t)(AddVM(r.now, added, r.pool(read, "b"), false))
+	assert.Equal(t, r.pool(read, "b").Pool.Unavailable(), 1)
+	_, err = AddVM(r.now, r.vm(read, fresh), r.pool(read, "a"), true)
+	assert.Equal(t, core.ErrorCode(err), core.CodeConflict)
+	r.commit(t)(r.rules.Return(r.now, r.vm(read, fresh), r.pool(read, "b"), time.Time{}))
+	assert.Equal(t, r.pool(read, "b").Pool.Unavailable(), 0)
+}
