Drive the rights through the shard keeper, and pass on what waits when a shard moves

A rebalanced shard left its queued requests waiting for a right that was gone until their deadlines; they now go on to the new holder through the front.

--- a/core/home/cancel.go
+++ b/core/home/cancel.go
@@ -58,6 +58,22 @@
 	}
 }
 
+// handedOver sends what waits on a shard that moved on to its new holder: without
+// it the callers would wait here until their deadlines for a right that is gone.
+// Nothing of it was sent, so CodeEntryStopping is true; the front passes it on.
+func (h *Home) handedOver(now time.Time, e HandedOver) {
+	for _, r := range sorted(h.records) {
+		if r.request.Key.Shard(e.Shards) != e.Shard || (r.phase != queued && r.phase != announced) {
+			continue
+		}
+		h.Queue.Remove(r.request.Key)
+		if r.phase == announced {
+			h.releaseSlots(now, r, route.Unsent)
+		}
+		h.finish(r, core.NotRun{Code: core.CodeEntryStopping, ComeBackAt: now})
+	}
+}
+
 // stop refuses what still waits, so that the callers go elsewhere at once. What
 // runs is waited for by the daemon.
 func (h *Home) stop(now time.Time) {
--- a/core/home/event.go
+++ b/core/home/event.go
@@ -64,6 +64,12 @@
 // KeyWithdrawn says that a team key stopped working.
 type KeyWithdrawn struct{ Digest core.KeyDigest }
 
+// HandedOver says that this entry lost a shard, of Shards, to another holder.
+type HandedOver struct {
+	Shard  core.ShardIndex
+	Shards core.ShardIndex
+}
+
 // Changed says that targets, limits or configuration changed.
 type Changed struct{}
 
@@ -83,6 +89,7 @@
 func (Ended) isEvent()        {}
 func (Asked) isEvent()        {}
 func (KeyWithdrawn) isEvent() {}
+func (HandedOver) isEvent()   {}
 func (Changed) isEvent()      {}
 func (Stopping) isEvent()     {}
 func (Tick) isEvent()         {}
--- a/core/home/home.go
+++ b/core/home/home.go
@@ -124,6 +124,8 @@
 		h.asked(now, e)
 	case KeyWithdrawn:
 		h.keyWithdrawn(now, e.Digest)
+	case HandedOver:
+		h.handedOver(now, e)
 	case Changed:
 		h.pumpAll(now)
 	case Stopping:
--- /dev/null
+++ b/io/entry/bench_test.go
@@ -0,0 +1,97 @@
+package entry
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"lavenderpond/core"
+	"lavenderpond/core/home"
+	"lavenderpond/io/caller"
+	pb "lavenderpond/io/gen/lavenderpond/v1"
+	"lavenderpond/io/target"
+)
+
+// BenchmarkPath compares, in one run, requests through an entry with the same
+// targets called directly: at the holder, through an entry that forwards, and
+// idempotent ones, which need no mirror.
+//
+//	go test ./io/entry -run '^$' -bench Path -benchtime 3s
+func BenchmarkPath(b *testing.B) {
+	f := newTestFleet(b, map[core.ZoneID]int{"zone_a": 2}, 8)
+	f.awaitServing()
+	b.Run("direct", func(b *testing.B) {
+		c := target.NewClient(64, 1<<20)
+		measure(b, func(n int64) bool {
+			deadline := time.Now().Add(10 * time.Second)
+			end := c.Start(b.Context(), f.addresses[n%int64(len(f.addresses))], home.Dispatch{
+				Request: core.Request{Key: core.RequestKey{Team: "lyra", ID: core.RequestID(fmt.Sprintf("direct-%d", n))}, Body: []byte(`{}`)},
+				Number:  1, StartBy: deadline, LeaseUntil: deadline,
+			})
+			_, ok := end.(home.Answered)
+			return ok
+		})
+	})
+	for _, kind := range []string{"holder", "forwarded", "idempotent"} {
+		b.Run(kind, func(b *testing.B) { measure(b, f.caller(kind)) })
+	}
+}
+
+// caller returns a function that submits a request whose holder is the entry that
+// is asked, or another one.
+func (f *testFleet) caller(kind string) func(n int64) bool {
+	h := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}
+	var clients []*caller.Client
+	for _, e := range f.entries {
+		clients = append(clients, caller.NewClient(h, "http://"+e.daemon.callers.Addr().String(), "lyra", teamKey))
+	}
+	return func(n int64) bool {
+		now := time.Now()
+		id := core.RequestID(fmt.Sprintf("%s-%d", kind, n))
+		holder := 0
+		if !f.entries[1].daemon.shards.RightUntil(now, core.RequestKey{Team: "lyra", ID: id}).IsZero() {
+			holder = 1
+		}
+		if kind == "forwarded" {
+			holder = 1 - holder
+		}
+		a, err := clients[holder].Submit(f.ctx, core.Request{
+			Key: core.RequestKey{ID: id}, Attempt: 1, Queue: "frames", FirstSent: now,
+			Deadline: now.Add(10 * time.Second), Body: []byte(`{}`), Idempotent: kind == "idempotent",
+		}, false)
+		return err == nil && a.Outcome == pb.Outcome_OUTCOME_DONE
+	}
+}
+
+var benchNumber atomic.Int64
+
+// measure runs do from parallel callers and reports percentiles and failures.
+func measure(b *testing.B, do func(n int64) bool) {
+	var mu sync.Mutex
+	var times []time.Duration
+	var failed atomic.Int64
+	b.SetParallelism(2)
+	b.RunParallel(func(p *testing.PB) {
+		var own []time.Duration
+		for p.Next() {
+			begin := time.Now()
+			if !do(benchNumber.Add(1)) {
+				failed.Add(1)
+			}
+			own = append(own, time.Since(begin))
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		times = append(times, own...)
+	})
+	slices.Sort(times)
+	at := func(q float64) float64 { return float64(times[int(q*float64(len(times)-1))].Microseconds()) / 1000 }
+	b.ReportMetric(at(0.5), "p50-ms")
+	b.ReportMetric(at(0.99), "p99-ms")
+	b.ReportMetric(float64(len(times))/b.Elapsed().Seconds(), "req/s")
+	b.ReportMetric(float64(failed.Load()), "failed")
+}
--- a/io/entry/daemon.go
+++ b/io/entry/daemon.go
@@ -53,7 +53,7 @@
 	peers     *peer.Pool
 	directory Directory
 	config    *configuration
-	shards    *rights
+	shards    *peer.ShardKeeper
 	limits    *platform.Allotments
 	fleet     *platform.FleetWatcher
 	control   *platform.Controller
@@ -199,7 +199,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Entry.StopGrace)
 	defer cancel()
 	d.requests.Handle(home.Stopping{})
-	d.shards.Release(ctx)
+	d.releaseRights(ctx)
 	if left := d.requests.Drain(ctx); left > 0 {
 		d.log.Warn().Int("unfinished", left).Msg("stop_grace is over; what runs is left to its leases")
 	}
@@ -219,7 +219,9 @@
 }
 
 // ready says whether callers should be sent here.
-func (d *Daemon) ready() bool { return !d.stopping.Load() && d.config.loaded() && d.shards.loaded() }
+func (d *Daemon) ready() bool {
+	return !d.stopping.Load() && d.config.loaded() && len(d.shards.Dump().Shards) > 0
+}
 
 // Unfinished returns how many requests have no final answer yet.
 func (d *Daemon) Unfinished() int {
--- a/io/entry/front.go
+++ b/io/entry/front.go
@@ -17,8 +17,9 @@
 	// maxHops is how many entries may pass a call on: to the home zone, to the
 	// holder, and once more to a new holder.
 	maxHops = 3
-	// searchFor is how long a call looks for a holder before it is refused.
-	searchFor = 500 * time.Millisecond
+	// searchFor is how long a call looks for a holder before it is refused. A planned
+	// hand-over takes a write and a read of the table.
+	searchFor = 1500 * time.Millisecond
 	// searchStep is the pause between two looks.
 	searchStep = 20 * time.Millisecond
 	// replyGrace is how long after a request's deadline its final answer may take
--- a/io/entry/peers.go
+++ b/io/entry/peers.go
@@ -2,30 +2,18 @@
 
 import (
 	"context"
-	"time"
 
 	"lavenderpond/core/fleet"
-	"lavenderpond/core/shard"
 	"lavenderpond/io/peer"
 	"lavenderpond/io/supervisor"
 )
 
-const (
-	shardTick = 100 * time.Millisecond
-	listEvery = time.Second
-)
-
 // peerChildren serves peers and keeps what is agreed among them.
 func (d *Daemon) peerChildren() []supervisor.Child {
 	return []supervisor.Child{
 		{Name: "server", Run: d.servePeers},
 		d.config.spread.Child(),
-		{Name: "shards", Run: func(ctx context.Context) error {
-			return supervisor.Every(ctx, shardTick, func(context.Context) { d.shards.handle(shard.Tick{}) })
-		}},
-		{Name: "entries", Run: func(ctx context.Context) error {
-			return supervisor.Every(ctx, listEvery, d.shards.list)
-		}},
+		d.shards.Child(),
 	}
 }
 
@@ -35,7 +23,7 @@
 		peer.ForwardName: &peer.Forward{Context: ctx, Handler: d.front.Handle},
 		peer.SpreadName:  d.config.spread.Receiver(),
 		StatusName:       &StatusReceiver{daemon: d},
-		"Shard":          &ShardReceiver{rights: d.shards},
+		peer.ShardName:   d.shards.Receiver(),
 	}
 	for name, receiver := range receivers {
 		if err := s.Register(name, receiver); err != nil {
