Let allotments stay where they are until someone waits for them

Now a part is given back only when the limit is short or an entry has less than its even part, one mark of a short limit serves all entries, and a move is made on rows at most 250 ms old, since two reads are cheaper than a failed write.

--- /dev/null
+++ b/core/limit/bench_test.go
@@ -0,0 +1,183 @@
+package limit
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+	"time"
+
+	"lavenderpond/core"
+	"lavenderpond/core/table"
+)
+
+// demand is a fleet of entries with teams whose demand rotates: each team bursts to
+// five times its mean in turn, and is at a twentieth of it in between.
+type demand struct {
+	r         *rand.Rand
+	now       time.Time
+	table     table.Memory
+	ledgers   []*Ledger
+	since     []table.Revision
+	teams     []core.TeamID
+	limits    map[core.TeamID]core.Slots
+	sent      int
+	conflicts int
+	starts    int
+	refused   int
+	n         int
+}
+
+const (
+	demandLimit = 240
+	// demandTick is coarser than the driver's, to keep the benchmark short.
+	demandTick = 250 * time.Millisecond
+	demandTurn = 8 * time.Second
+	demandRun  = 2 * time.Second
+)
+
+func newDemand(teams, zones, perZone int, u unsafe) *demand {
+	d := &demand{r: rand.New(rand.NewPCG(1, 8)), now: testStart, limits: map[core.TeamID]core.Slots{}}
+	for i := range teams {
+		team := core.TeamID(fmt.Sprintf("team%04d", i))
+		d.teams = append(d.teams, team)
+		d.limits[team] = demandLimit
+	}
+	for i := range zones * perZone {
+		zone := core.ZoneID(fmt.Sprint("z", i/perZone))
+		d.ledgers = append(d.ledgers, &Ledger{Self: core.EntryID(fmt.Sprint("e", i, "#1")), Zone: zone, unsafe: u})
+		d.since = append(d.since, 0)
+	}
+	return d
+}
+
+func (d *demand) tick() {
+	d.now = d.now.Add(demandTick)
+	head := table.Row{Key: table.ConfigHead}
+	if d.table.Read(table.ConfigHead).Version == 0 {
+		var t table.Transaction
+		_ = t.Set(table.ConfigHead, struct{}{})
+		_ = d.table.Transact(t)
+	}
+	head.Version = 1
+	for i, l := range d.ledgers {
+		d.work(l)
+		events := []Event{Limits{Head: head, Limits: d.limits}, Tick{}}
+		if d.now.UnixMilli()%1000 == 0 {
+			events = append(events, Polled{Sent: d.now, Rows: d.table.Changes(table.PrefixAllotment, d.since[i])})
+			d.since[i] = d.table.Revision()
+		}
+		for _, e := range events {
+			d.carry(l, l.Handle(d.now, e))
+		}
+	}
+}
+
+func (d *demand) carry(l *Ledger, commands []Command) {
+	for len(commands) > 0 {
+		var next []Command
+		for _, c := range commands {
+			switch c := c.(type) {
+			case ReadRows:
+				next = append(next, l.Handle(d.now, RowsRead{
+					Sent: d.now.Add(time.Millisecond), Team: c.Team, TeamRow: d.table.Read(table.TeamAllotmentKey(c.Team)),
+					ZoneRow: d.table.Read(table.ZoneAllotmentKey(c.Team, l.Zone)),
+				})...)
+			case Move:
+				d.sent++
+				m := Moved{ID: c.ID, Result: ResultApplied}
+				if d.table.Transact(c.Transaction) != nil {
+					d.conflicts++
+					m.Result = ResultConflict
+				}
+				next = append(next, l.Handle(d.now, m)...)
+			}
+		}
+		commands = next
+	}
+}
+
+// work offers the entry its part of each team's demand; a tenth of the teams bursts.
+func (d *demand) work(l *Ledger) {
+	turn := int(d.now.Sub(testStart) / demandTurn)
+	for i, team := range d.teams {
+		mean := float64(demandLimit) / 6 / float64(len(d.ledgers)) * float64(demandTick) / float64(demandRun)
+		if i%10 == turn%10 {
+			mean *= 5
+		} else {
+			mean /= 20
+		}
+		for mean > 0 && d.r.Float64() < mean {
+			mean--
+			d.n++
+			key := core.RequestKey{Team: team, ID: core.RequestID(fmt.Sprint(d.n))}
+			if l.Acquire(d.now, key, d.now.Add(demandRun)) {
+				d.starts++
+			} else {
+				d.refused++
+				l.Wanted(d.now, team)
+			}
+		}
+	}
+}
+
+// BenchmarkMoves measures the writes that moves of allotments cost the table under a
+// rotating demand, after two turns of all teams, with and without fresh reads before them.
+func BenchmarkMoves(b *testing.B) {
+	for _, size := range []struct{ teams, zones, perZone int }{{62, 3, 2}, {155, 7, 2}, {620, 7, 6}} {
+		for _, u := range []unsafe{{}, {staleRows: true}} {
+			b.Run(fmt.Sprintf("teams=%d/entries=%d/fresh=%t", size.teams, size.zones*size.perZone, !u.staleRows), func(b *testing.B) {
+				d := newDemand(size.teams, size.zones, size.perZone, u)
+				perSecond := int(time.Second / demandTick)
+				for range 170 * perSecond {
+					d.tick()
+				}
+				d.sent, d.conflicts, d.starts, d.refused = 0, 0, 0, 0
+				for b.Loop() {
+					for range perSecond {
+						d.tick()
+					}
+				}
+				b.ReportMetric(float64(d.sent)/float64(b.N), "transactions/s")
+				b.ReportMetric(float64(d.conflicts)/float64(b.N), "conflicts/s")
+				b.ReportMetric(100*float64(d.refused)/float64(d.starts+d.refused), "%waits")
+				b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N*len(d.ledgers)), "us/s/entry")
+			})
+		}
+	}
+}
+
+// BenchmarkLedgerMemory measures what an entry keeps by number of teams, each with a
+// part and ten running requests.
+func BenchmarkLedgerMemory(b *testing.B) {
+	for _, teams := range []int{62, 155, 620} {
+		b.Run(fmt.Sprintf("teams=%d", teams), func(b *testing.B) {
+			var d *demand
+			before := heapInUse()
+			for b.Loop() {
+				d = newDemand(teams, 1, 1, unsafe{})
+				for range 10 {
+					d.tick()
+				}
+				for i, team := range d.teams {
+					for n := range 10 {
+						d.ledgers[0].teams[team] = d.ledgers[0].allotment(team)
+						d.ledgers[0].teams[team].part = 10
+						key := core.RequestKey{Team: team, ID: core.RequestID(fmt.Sprint(i, n))}
+						d.ledgers[0].teams[team].running.add(key, d.now.Add(time.Hour))
+					}
+				}
+				d.table, d.limits, d.teams = table.Memory{}, nil, nil
+			}
+			b.ReportMetric(float64(heapInUse()-before)/float64(teams), "B/team")
+			runtime.KeepAlive(d)
+		})
+	}
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/core/limit/decide.go
+++ b/core/limit/decide.go
@@ -20,6 +20,10 @@
 		m.resend = time.Time{}
 		return []Command{m.Move}
 	}
+	if a.move == nil && now.Before(a.retryAt) {
+		// The rows are read after the wait, not before: they would be old by then.
+		return nil
+	}
 	if l.needsRead(a) {
 		if now.Before(a.readSent.Add(rereadAfter)) {
 			return nil
@@ -27,7 +31,7 @@
 		a.readSent = now
 		return []Command{ReadRows{Team: team}}
 	}
-	if a.move != nil || now.Before(a.retryAt) || !a.limitKnown {
+	if a.move != nil || !a.limitKnown {
 		return nil
 	}
 	return l.plan(now, team, a)
@@ -59,6 +63,11 @@
 	if !d.worth {
 		return nil
 	}
+	if now.After(a.fresh.Add(freshFor)) && !l.unsafe.staleRows {
+		// Two reads are cheaper than a write that meets a conflict.
+		a.readSent = now
+		return []Command{ReadRows{Team: team}}
+	}
 	d.team.Limit = a.limit
 	setPart(&d.zone.Entries, l.Self, d.part)
 	setPart(&d.team.Zones, l.Zone, d.zone.Sum())
@@ -140,7 +149,9 @@
 	return t.Add(l.maxLifetime() + 3*l.skew())
 }
 
-// size sets the part that the entry should have.
+// size sets the part that the entry should have. A part stays where it is until
+// someone else waits for it: limits of teams are independent, so an idle part costs
+// nothing, and giving it back and fetching it again costs two writes.
 func (l *Ledger) size(now time.Time, a *allotment, d *draft) {
 	running := a.running.count()
 	if l.unsafe.giveRunning {
@@ -149,28 +160,47 @@
 	idle := max(0, d.part-running)
 	free := a.limit - d.team.Sum()
 	wants := l.wants(now, a)
-	contended := l.contended(now, d)
-	fair := l.fair(now, a.limit, d)
+	starving := l.starving(now, d)
+	even := l.even(now, a.limit, d)
 	switch {
 	case l.stopping:
 		l.give(d, idle)
 	case free < 0:
 		l.give(d, min(idle, -free))
-	case wants && contended:
-		l.give(d, min(idle, max(0, d.part-fair)))
-		l.take(d, min(free, fair-d.part))
+	case starving > 0:
+		l.share(d, idle, free, even, starving, wants)
 	case wants:
 		if idle == 0 {
-			l.take(d, min(free, max(d.part, reserve(a.limit))))
+			l.take(d, min(free, l.step(now, a, d)))
 		}
-	case contended && free == 0:
+	case d.team.Short.After(now) && free <= 0:
+		l.give(d, min(idle, d.part-a.used.peak(now)))
+	case !now.Before(a.used.last.Add(unusedFor)):
 		l.give(d, idle)
-	default:
-		l.giveIdle(now, a, d, idle)
 	}
-	_, marked := d.zone.Wanted[l.Self]
-	full := free <= 0 && d.part <= a.part
-	l.mark(now, wants && d.part < fair && (marked || full), d)
+	l.mark(now, wants && free <= 0 && d.part <= a.part, even, d)
+}
+
+// share makes room for others that have less than their even part.
+func (l *Ledger) share(d *draft, idle, free, even core.Slots, starving int, wants bool) {
+	switch {
+	case !wants && free <= 0:
+		l.give(d, min(idle, core.Slots(starving)))
+	case d.part > even && free <= 0:
+		l.give(d, min(idle, d.part-even, core.Slots(starving)))
+	case wants && idle == 0 && d.part < max(1, even):
+		l.take(d, min(free, max(1, even)-d.part))
+	}
+}
+
+// step returns how much to take at once: as much again as the part or about an entry's
+// share of what is free, or single slots while the limit is short.
+func (l *Ledger) step(now time.Time, a *allotment, d *draft) core.Slots {
+	if d.team.Short.After(now) {
+		return 1
+	}
+	const entries = 32
+	return max(d.part, reserve(a.limit), (a.limit-d.team.Sum())/entries)
 }
 
 // wants reports whether a request waits here for want of allotment.
@@ -179,28 +209,28 @@
 	return !l.stopping && !down && l.head.Version > 0 && !a.wanted.IsZero() && now.Before(a.wanted.Add(wantFor))
 }
 
-// contended reports whether another zone, or another entry of this one, waits.
-func (l *Ledger) contended(now time.Time, d *draft) bool {
-	return othersWant(d.team.Wanted, l.Zone, now) || othersWant(d.zone.Wanted, l.Self, now)
+// starving counts the other zones, and other entries of this one, in which an entry
+// waits with less than its even part.
+func (l *Ledger) starving(now time.Time, d *draft) int {
+	return othersWant(d.team.Wanted, l.Zone, now) + othersWant(d.zone.Wanted, l.Self, now)
 }
 
-// fair returns the entry's even part of the limit among those who hold or want one:
-// among zones first, then within the zone.
-func (l *Ledger) fair(now time.Time, limit core.Slots, d *draft) core.Slots {
+// even returns the entry's even part of the limit among those who hold or want one,
+// among zones first, then within the zone, rounded down.
+func (l *Ledger) even(now time.Time, limit core.Slots, d *draft) core.Slots {
 	zones := claimants(d.team.Zones, d.team.Wanted, l.Zone, now)
 	entries := claimants(d.zone.Entries, d.zone.Wanted, l.Self, now)
-	part := (limit + core.Slots(zones) - 1) / core.Slots(zones)
-	return (part + core.Slots(entries) - 1) / core.Slots(entries)
+	return limit / core.Slots(zones*entries)
 }
 
-// ceiling bounds what runs here while others wait for parts of a limit that is all
-// given out: work that ends makes room for them.
+// ceiling bounds what runs here while others wait with less than their even part of a
+// limit that is all given out: work that ends makes room for them.
 func (a *allotment) ceiling(now time.Time, l *Ledger) core.Slots {
 	d := draft{team: a.team, zone: a.zone}
-	if a.team.Sum() < a.limit || !l.contended(now, &d) {
+	if a.team.Sum() < a.limit || l.starving(now, &d) == 0 {
 		return a.limit
 	}
-	return l.fair(now, a.limit, &d)
+	return max(1, l.even(now, a.limit, &d))
 }
 
 func (l *Ledger) give(d *draft, n core.Slots) {
@@ -217,34 +247,28 @@
 	}
 }
 
-// giveIdle gives back what wasn't used for idleFor, but for a reserve that lets the
-// entry serve the team's next requests when the table is down.
-func (l *Ledger) giveIdle(now time.Time, a *allotment, d *draft, idle core.Slots) {
-	keep := max(a.used.peak(now), reserve(a.limit))
-	surplus := min(idle, d.part-keep)
-	if surplus > d.part/4 {
-		l.give(d, surplus)
-	}
-}
-
-// mark sets or clears the marks by which this entry asks others for a part.
-func (l *Ledger) mark(now time.Time, waits bool, d *draft) {
+// mark sets or clears the marks by which entries ask others for a part. One mark of a
+// short limit serves all, so that a burst doesn't cost a write for each entry.
+func (l *Ledger) mark(now time.Time, waits bool, even core.Slots, d *draft) {
 	_, marked := d.zone.Wanted[l.Self]
+	less := d.part == 0 || d.part < even
 	switch {
-	case waits && !marked:
+	case waits && less && !marked:
 		put(&d.zone.Wanted, l.Self, now.Add(markFor))
 		put(&d.team.Wanted, l.Zone, now.Add(markFor))
 		d.worth = true
-	case !waits && marked:
+	case waits && !less && !d.team.Short.After(now):
+		d.team.Short = now.Add(markFor)
+		d.worth = true
+	case marked && !less:
 		delete(d.zone.Wanted, l.Self)
 		if len(d.zone.Wanted) == 0 {
 			delete(d.team.Wanted, l.Zone)
 		}
-		d.worth = true
 	}
 }
 
-// reserve is the least part worth asking for, and the part that stays when idle.
+// reserve is the least part worth asking for.
 func reserve(limit core.Slots) core.Slots {
 	const entries = 64
 	return max(1, limit/entries)
--- a/core/limit/handle.go
+++ b/core/limit/handle.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -19,10 +20,20 @@
 	markFor = 30 * time.Second
 	// wantFor is how long a call of Wanted counts.
 	wantFor = 2 * time.Second
-	// idleFor is how long a part that isn't used stays, at least.
-	idleFor = 30 * time.Second
+	// idleFor is how long a part that isn't used stays, at least, when the limit is
+	// short. Demand rotates within seconds, and parts must not follow each turn.
+	idleFor = 2 * time.Minute
+	// unusedFor is how long a part stays that nobody asks for and nothing uses.
+	unusedFor = 30 * time.Minute
+	// lookEvery is the time between two looks at an allotment without news.
+	lookEvery = time.Second
+	// conflictWait is the wait after a conflict. An entry that sees an old configuration
+	// fails until it hears of the new one, and must not keep the table busy till then.
+	conflictWait = 250 * time.Millisecond
+	// freshFor is how old rows may be when a move is made on them.
+	freshFor = 250 * time.Millisecond
 	// forgetAfter is how long a team without a part or work is kept track of.
-	forgetAfter = 10 * time.Minute
+	forgetAfter = 40 * time.Minute
 )
 
 // Handle takes in an event and returns what to do.
@@ -64,18 +75,34 @@
 	return false
 }
 
+// decideAll looks at the allotments that have news, and at each other one once in
+// lookEvery: an entry may know hundreds of teams of which few have work.
 func (l *Ledger) decideAll(now time.Time) []Command {
 	var commands []Command
-	for _, team := range l.Teams() {
+	var forget []core.TeamID
+	for _, team := range l.order {
 		a := l.teams[team]
+		if now.Before(a.lookAt) && !l.hasNews(now, a) {
+			continue
+		}
+		a.lookAt = now.Add(lookEvery)
 		commands = append(commands, l.decide(now, team, a)...)
 		if l.forgettable(now, a) {
-			delete(l.teams, team)
+			forget = append(forget, team)
 		}
 	}
+	for _, team := range forget {
+		delete(l.teams, team)
+		i, _ := slices.BinarySearch(l.order, team)
+		l.order = slices.Delete(l.order, i, i+1)
+	}
 	return commands
 }
 
+func (l *Ledger) hasNews(now time.Time, a *allotment) bool {
+	return a.move != nil || !a.known || now.Before(a.wanted.Add(wantFor)) || l.stopping
+}
+
 func (l *Ledger) forgettable(now time.Time, a *allotment) bool {
 	return a.move == nil && a.part == 0 && a.running.count() == 0 && a.known &&
 		!now.Before(a.wanted.Add(forgetAfter)) && !now.Before(a.used.last.Add(forgetAfter))
@@ -95,6 +122,7 @@
 		if !a.limitKnown || !sameHead || limit < a.limit {
 			a.lowered = now
 		}
+		a.lookAt = time.Time{}
 		a.limit, a.limitKnown = limit, true
 	}
 	return l.decideAll(now)
@@ -111,7 +139,7 @@
 	}
 	a.known = true
 	if e.Sent.After(a.read) {
-		a.read = e.Sent
+		a.read, a.fresh = e.Sent, e.Sent
 	}
 	l.settle(a, e.Sent)
 	return l.decide(now, e.Team, a)
@@ -124,6 +152,7 @@
 		if !ok || !a.known {
 			continue
 		}
+		a.lookAt = time.Time{}
 		// A row that can't be decoded makes the rows unknown until a read succeeds.
 		switch zone {
 		case "":
@@ -174,14 +203,14 @@
 		a.applied(now, m)
 		l.close(a)
 	case ResultConflict:
-		if !m.lost {
-			// The only sending so far wrote nothing.
-			a.known = false
-			l.close(a)
+		a.known = false
+		if m.lost {
+			m.conflicted = now
 			break
 		}
-		m.conflicted = now
-		a.known = false
+		// The only sending so far wrote nothing.
+		a.retryAt = now.Add(conflictWait)
+		l.close(a)
 	case ResultNotSent:
 		if !m.lost {
 			l.close(a)
@@ -211,7 +240,7 @@
 		// A raise counts as use, so that it isn't given back before it could be used.
 		a.used.observe(now, m.after)
 	}
-	a.part = m.after
+	a.part, a.fresh = m.after, now
 	a.team, a.zone = m.team, m.zone
 	a.teamRow.Version++
 	a.zoneRow.Version++
--- a/core/limit/ledger.go
+++ b/core/limit/ledger.go
@@ -1,7 +1,7 @@
 package limit
 
 import (
-	"sort"
+	"slices"
 	"time"
 
 	"lavenderpond/core"
@@ -26,7 +26,9 @@
 	// DefaultSkew.
 	Skew time.Duration
 
-	teams    map[core.TeamID]*allotment
+	teams map[core.TeamID]*allotment
+	// order holds the keys of teams, sorted.
+	order    []core.TeamID
 	moves    map[MoveID]core.TeamID
 	lastMove MoveID
 	head     table.Row
@@ -46,6 +48,8 @@
 	ignoreLowered    bool
 	giveRunning      bool
 	noHeadCheck      bool
+	// staleRows is no safeguard: it shows what the reads before moves save.
+	staleRows bool
 }
 
 var _ Limiter = (*Ledger)(nil)
@@ -68,9 +72,13 @@
 	read     time.Time
 	known    bool
 	readSent time.Time
-	move     *openMove
+	// fresh is when the rows were read or written by this entry itself.
+	fresh time.Time
+	move  *openMove
 	// retryAt is when the table is tried again after it was not reached.
 	retryAt time.Time
+	// lookAt is when an allotment without news is looked at again.
+	lookAt time.Time
 
 	running running
 	wanted  time.Time
@@ -132,12 +140,7 @@
 
 // Teams returns the teams that the ledger keeps track of, sorted.
 func (l *Ledger) Teams() []core.TeamID {
-	teams := make([]core.TeamID, 0, len(l.teams))
-	for t := range l.teams {
-		teams = append(teams, t)
-	}
-	sort.Slice(teams, func(i, j int) bool { return teams[i] < teams[j] })
-	return teams
+	return slices.Clone(l.order)
 }
 
 // Above returns by how much the team may still be above its limit, fleet-wide, as
@@ -190,6 +193,8 @@
 	if !ok {
 		a = &allotment{}
 		put(&l.teams, team, a)
+		i, _ := slices.BinarySearch(l.order, team)
+		l.order = slices.Insert(l.order, i, team)
 	}
 	return a
 }
--- a/core/limit/rows.go
+++ b/core/limit/rows.go
@@ -13,8 +13,12 @@
 	Limit core.Slots `json:"limit"`
 	// Zones holds each zone's part: the sum of its entries' parts.
 	Zones map[core.ZoneID]core.Slots `json:"zones,omitempty"`
-	// Wanted holds the zones that wait for a part, with the end of their marks.
+	// Wanted holds the zones in which an entry has less than its even part and waits,
+	// with the end of their marks.
 	Wanted map[core.ZoneID]time.Time `json:"wanted,omitempty"`
+	// Short is the end of the mark of an entry that waits at its even part: others give
+	// back what they haven't used lately.
+	Short time.Time `json:"short,omitzero"`
 }
 
 // ZoneRow is the row that splits a zone's part among its entries.
@@ -23,7 +27,7 @@
 	// Reclaim holds the deadline of the last lease that an entry which is gone could
 	// have granted. Its part is free from then on.
 	Reclaim map[core.EntryID]time.Time `json:"reclaim,omitempty"`
-	// Wanted holds the entries that wait for a part, with the end of their marks.
+	// Wanted holds the zone's entries that have less than their even part and wait.
 	Wanted map[core.EntryID]time.Time `json:"wanted,omitempty"`
 }
 
@@ -34,7 +38,7 @@
 func (r ZoneRow) Sum() core.Slots { return sum(r.Entries) }
 
 func (r TeamRow) clone() TeamRow {
-	return TeamRow{Limit: r.Limit, Zones: maps.Clone(r.Zones), Wanted: maps.Clone(r.Wanted)}
+	return TeamRow{Limit: r.Limit, Zones: maps.Clone(r.Zones), Wanted: maps.Clone(r.Wanted), Short: r.Short}
 }
 
 func (r ZoneRow) clone() ZoneRow {
@@ -80,14 +84,15 @@
 	maps.DeleteFunc(marks, func(_ K, end time.Time) bool { return !end.After(now) })
 }
 
-// othersWant reports whether a mark of another than self stands at now.
-func othersWant[K comparable](marks map[K]time.Time, self K, now time.Time) bool {
+// othersWant counts the marks of others than self that stand at now.
+func othersWant[K comparable](marks map[K]time.Time, self K, now time.Time) int {
+	n := 0
 	for key, end := range marks {
 		if key != self && end.After(now) {
-			return true
+			n++
 		}
 	}
-	return false
+	return n
 }
 
 // claimants counts the holders of parts and those who want one, self included.
