--- a/core/shard/balance.go
+++ b/core/shard/balance.go
@@ -29,7 +29,12 @@
 func (k *Keeper) chooseSuccessor(now time.Time, s *state, except core.EntryID) core.EntryID {
 	load := make(map[core.EntryID]int)
 	for i := range k.shards {
-		if o := &k.shards[i]; o != s && o.holds(k.p.Self) {
+		o := &k.shards[i]
+		switch {
+		case o == s:
+		case o.pending != nil && o.pending.Row.Holder == k.p.Self:
+			load[o.pending.Row.Successor]++
+		case o.holds(k.p.Self):
 			load[o.row.Successor]++
 		}
 	}
