--- a/cmd/lavenderpond-load/check.go
+++ b/cmd/lavenderpond-load/check.go
@@ -23,7 +23,7 @@
 
 // verdict counts what was found.
 type verdict struct {
-	Ids int `json:"ids"`
+	IDs int `json:"ids"`
 	// Done ids got a whole answer.
 	Done int `json:"done"`
 	// Unknown ids were told outcome_unknown, or got no answer, and never done.
@@ -64,7 +64,7 @@
 }
 
 func (v *verdict) judge(list []attempt, starts int) {
-	v.Ids++
+	v.IDs++
 	v.Starts += starts
 	if starts > 1 {
 		v.Doubles++
--- a/core/home/cancel.go
+++ b/core/home/cancel.go
@@ -18,12 +18,9 @@
 	r.cancelled = true
 	switch r.phase {
 	case queued, announced:
-		h.Queue.Remove(e.Key)
-		if r.phase == announced {
-			h.releaseSlots(now, r, route.Unsent)
-		}
+		h.takeBack(now, r)
 		h.finishNotRun(now, r, core.NotRun{Code: core.CodeCancelled})
-	case running, asking:
+	case running, asking, inherited:
 		h.emit(StopTask{Key: e.Key, VM: r.vm})
 		h.finish(r, core.OutcomeUnknown{Code: core.CodeCancelledRunning})
 	case ended:
@@ -47,14 +44,9 @@
 
 // keyWithdrawn refuses what still waits under the key. What runs, finishes.
 func (h *Home) keyWithdrawn(now time.Time, digest core.KeyDigest) {
-	for _, r := range sorted(h.records) {
-		if r.request.KeyDigest == digest && (r.phase == queued || r.phase == announced) {
-			h.Queue.Remove(r.request.Key)
-			if r.phase == announced {
-				h.releaseSlots(now, r, route.Unsent)
-			}
-			h.finishNotRun(now, r, core.NotRun{Code: core.CodeKeyWithdrawn})
-		}
+	for _, r := range h.notSent(func(r *record) bool { return r.request.KeyDigest == digest }) {
+		h.takeBack(now, r)
+		h.finishNotRun(now, r, core.NotRun{Code: core.CodeKeyWithdrawn})
 	}
 }
 
@@ -62,14 +54,8 @@
 // it the callers would wait here until their deadlines for a right that is gone.
 // Nothing of it was sent, so CodeEntryStopping is true; the front passes it on.
 func (h *Home) handedOver(now time.Time, e HandedOver) {
-	for _, r := range sorted(h.records) {
-		if r.request.Key.Shard(e.Shards) != e.Shard || (r.phase != queued && r.phase != announced) {
-			continue
-		}
-		h.Queue.Remove(r.request.Key)
-		if r.phase == announced {
-			h.releaseSlots(now, r, route.Unsent)
-		}
+	for _, r := range h.notSent(func(r *record) bool { return r.request.Key.Shard(e.Shards) == e.Shard }) {
+		h.takeBack(now, r)
 		h.finish(r, core.NotRun{Code: core.CodeEntryStopping, ComeBackAt: now})
 	}
 }
@@ -78,10 +64,28 @@
 // runs is waited for by the daemon.
 func (h *Home) stop(now time.Time) {
 	h.stopping = true
-	for _, r := range sorted(h.records) {
-		if r.phase == queued {
-			h.Queue.Remove(r.request.Key)
-			h.finishNotRun(now, r, core.NotRun{Code: core.CodeEntryStopping, ComeBackAt: now})
+	for _, r := range h.notSent(func(r *record) bool { return r.phase == queued }) {
+		h.takeBack(now, r)
+		h.finishNotRun(now, r, core.NotRun{Code: core.CodeEntryStopping, ComeBackAt: now})
+	}
+}
+
+// notSent returns the requests that keep allows and that no target was sent, in a
+// fixed order. Most records have ended, so they are picked before they are sorted.
+func (h *Home) notSent(keep func(*record) bool) []*record {
+	picked := make(map[core.RequestKey]*record)
+	for key, r := range h.records {
+		if (r.phase == queued || r.phase == announced) && keep(r) {
+			picked[key] = r
 		}
 	}
+	return sorted(picked)
+}
+
+// takeBack frees what a request that was not sent holds.
+func (h *Home) takeBack(now time.Time, r *record) {
+	h.Queue.Remove(r.request.Key)
+	if r.phase == announced {
+		h.releaseSlots(now, r, route.Unsent)
+	}
 }
--- a/core/home/dump.go
+++ b/core/home/dump.go
@@ -18,7 +18,7 @@
 func (h *Home) Loads() []Load {
 	byTeam := make(map[core.TeamID]*Load)
 	for key, r := range h.records {
-		if r.phase == ended {
+		if r.phase == ended || r.phase == inherited {
 			continue
 		}
 		l := byTeam[key.Team]
@@ -69,7 +69,7 @@
 		d.Counts.Answers[code] = n
 	}
 	for key, r := range h.records {
-		if r.phase == ended || len(d.Unfinished) == dumpedRecords {
+		if r.phase == ended || r.phase == inherited || len(d.Unfinished) == dumpedRecords {
 			continue
 		}
 		d.Unfinished = append(d.Unfinished, RecordDump{
--- a/core/home/home.go
+++ b/core/home/home.go
@@ -107,7 +107,7 @@
 	case Submit:
 		h.submit(now, e)
 	case Fetch:
-		h.fetch(e)
+		h.fetch(now, e)
 	case Cancel:
 		h.cancel(now, e)
 	case Abandon:
@@ -146,22 +146,11 @@
 	h.emit(Reply{Waiter: w, Key: key, Answer: a})
 }
 
-// Running returns how many requests are at targets.
-func (h *Home) Running() int {
-	n := 0
-	for _, r := range h.records {
-		if r.phase == running || r.phase == asking {
-			n++
-		}
-	}
-	return n
-}
-
 // Unfinished returns how many requests have no final answer yet.
 func (h *Home) Unfinished() int {
 	n := 0
 	for _, r := range h.records {
-		if r.phase != ended {
+		if r.phase != ended && r.phase != inherited {
 			n++
 		}
 	}
--- a/core/home/record.go
+++ b/core/home/record.go
@@ -20,11 +20,13 @@
 	running
 	// asking: the answer was lost; the target is being asked.
 	asking
+	// inherited: a former holder announced its start. Nobody has asked for it here.
+	inherited
 	// ended: has its final answer.
 	ended
 )
 
-var phaseNames = [...]string{"queued", "announced", "running", "asking", "ended"}
+var phaseNames = [...]string{"queued", "announced", "running", "asking", "inherited", "ended"}
 
 // String returns the phase's name, as dumps show it.
 func (p phase) String() string { return phaseNames[p] }
@@ -44,6 +46,8 @@
 	tried      []core.VMID
 	notBefore  time.Time
 	cancelled  bool
+	// fromFormer says that the record came from a former holder, without its body.
+	fromFormer bool
 	// mirrored says that Rights.Start allowed this request once.
 	mirrored bool
 	// slotHeld says that the router counts a slot of vm for this record.
--- a/core/home/submit.go
+++ b/core/home/submit.go
@@ -19,7 +19,7 @@
 	h.counts.Submitted++
 	key := e.Request.Key
 	if r, ok := h.records[key]; ok {
-		h.join(r, e)
+		h.join(now, r, e)
 		return
 	}
 	if refusal := h.refuseNew(now, e.Request); refusal != nil {
@@ -39,12 +39,12 @@
 
 // join answers a further attempt from the record that is there already: an id
 // runs once, however many attempts reach its home, and whichever come crossed.
-func (h *Home) join(r *record, e Submit) {
+func (h *Home) join(now time.Time, r *record, e Submit) {
 	same := sha256.Sum256(e.Request.Body) == r.body
 	if r.phase == ended && r.number == 0 && r.cancelled {
 		same = true // a cancellation may come before the request and has no body
 	}
-	if !same && !r.inherited() {
+	if !same && !r.fromFormer {
 		h.reply(e.Waiter, e.Request.Key, core.NotRun{Code: core.CodeIDReused})
 		return
 	}
@@ -53,6 +53,7 @@
 		return
 	}
 	h.wait(r, e)
+	h.wanted(now, r)
 }
 
 func (h *Home) wait(r *record, e Submit) {
@@ -99,7 +100,7 @@
 	}
 }
 
-func (h *Home) fetch(e Fetch) {
+func (h *Home) fetch(now time.Time, e Fetch) {
 	r, ok := h.records[e.Key]
 	switch {
 	case !ok:
@@ -107,6 +108,9 @@
 		h.reply(e.Waiter, e.Key, core.OutcomeUnknown{Code: core.CodeNotFound})
 	case r.phase == ended:
 		h.reply(e.Waiter, e.Key, r.answer)
+	case r.phase == inherited:
+		r.waiters = append(r.waiters, e.Waiter)
+		h.wanted(now, r)
 	default:
 		h.reply(e.Waiter, e.Key, core.Pending{Running: r.phase != queued})
 	}
--- a/core/home/tick.go
+++ b/core/home/tick.go
@@ -48,7 +48,7 @@
 func (h *Home) forgetOld(now time.Time) {
 	for len(h.forget) > 0 && !now.Before(h.forget[0].forgetAt) {
 		r := h.forget[0]
-		if r.phase != ended {
+		if r.phase != ended && r.phase != inherited {
 			r.forgetAt = now.Add(h.Times.Retention)
 			heap.Fix(&h.forget, 0)
 			continue
@@ -57,8 +57,10 @@
 	}
 }
 
-// inherit records a start of a former holder. It never runs again here; the
-// target that it was meant for is asked for its answer.
+// inherit records a start of a former holder. It never runs again here. Its target
+// is asked only once a caller wants the answer: a take-over inherits thousands of
+// starts whose callers have theirs long since, and asking for all of them at once
+// would flood the zone's targets just when an entry is missing.
 func (h *Home) inherit(now time.Time, s shard.Start) {
 	if _, ok := h.records[s.Key]; ok {
 		return
@@ -66,12 +68,15 @@
 	r := h.newRecord(core.Request{Key: s.Key, Deadline: s.Deadline})
 	r.vm = s.VM
 	r.leaseUntil = s.Deadline
-	h.ask(now, r)
+	r.phase = inherited
+	r.fromFormer = true
 }
 
-// inherited says that the record came from a former holder, without its body.
-func (r *record) inherited() bool {
-	return r.number == 0 && r.vm != "" && r.phase != queued && r.phase != announced
+// wanted starts the questions about an inherited start that a caller waits for.
+func (h *Home) wanted(now time.Time, r *record) {
+	if r.phase == inherited {
+		h.ask(now, r)
+	}
 }
 
 // sorted returns records in a fixed order, so that runs repeat exactly.
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -23,6 +23,9 @@
 	maxName = 200
 	// overhead is what a request may have besides its body, in bytes.
 	overhead = 4096
+	// compressAbove is the size from which an answer is compressed for callers that
+	// accept it, in bytes. Below it, gzip cost a tenth of the entry's processor time.
+	compressAbove = 16 << 10
 	// base64Growth is by how much a body grows in the JSON codec, in quarters.
 	base64Growth = 6
 )
@@ -52,7 +55,7 @@
 // Handler returns the URL path of the service and its HTTP handler.
 func (s *Server) Handler() (string, http.Handler) {
 	limit := s.MaxBody*base64Growth/4 + overhead
-	path, h := lavenderpondv1connect.NewCallerServiceHandler(s, connect.WithReadMaxBytes(limit))
+	path, h := lavenderpondv1connect.NewCallerServiceHandler(s, connect.WithReadMaxBytes(limit), connect.WithCompressMinBytes(compressAbove))
 	return path, h
 }
 
--- a/io/entry/fleet_test.go
+++ b/io/entry/fleet_test.go
@@ -85,7 +85,7 @@
 			e.stop()
 		}
 		for _, e := range f.entries {
-			<-e.ended
+			assert.NilError(t, <-e.ended)
 		}
 		cancel()
 		f.group.Wait()
@@ -129,6 +129,7 @@
 	anyPort := netip.MustParseAddrPort("127.0.0.1:0")
 	s.Entry.Name, s.Entry.Zone, s.Entry.Zones = name, zone, zones
 	s.Entry.CallerListen, s.Entry.PeerListen, s.Entry.AdvertisePeer = anyPort, anyPort, anyPort
+	s.Entry.StopGrace = 2 * time.Second
 	s.Platform.URL = f.url
 	s.Platform.PollInterval = 100 * time.Millisecond
 	s.Keys.OperatorKeyDigest = core.Digest(operatorKey)
--- a/io/entry/rights.go
+++ b/io/entry/rights.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"lavenderpond/core"
 	"lavenderpond/core/home"
@@ -50,8 +51,14 @@
 	}
 }
 
+// releasePatience bounds the handing over of rights at a stop. With no other entry
+// left in the zone there is nobody to take them, and waiting longer is no use.
+const releasePatience = 5 * time.Second
+
 // releaseRights hands every shard over to its successor.
 func (d *Daemon) releaseRights(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, releasePatience)
+	defer cancel()
 	if err := d.shards.Release(ctx); err != nil {
 		d.log.Warn().Err(err).Msg("rights not handed over")
 	}
