--- a/core/experiment/policy/register.go
+++ b/core/experiment/policy/register.go
@@ -63,7 +63,7 @@
 			Workloads: both, Policies: retryPolicies(), Faults: replay.Faults{Brownout: 1},
 		},
 		{
-			ID: "unreachable", Question: "All targets of a pool are out of reach: retries as above, or back into the queue.",
+			ID: "unreachable", Question: "All targets of a pool are out of reach: retries unbounded, under a budget, or back into the queue.",
 			Workloads: both, Policies: unreachablePolicies(), Faults: replay.Faults{Outage: 1},
 		},
 	} {
@@ -104,10 +104,18 @@
 	}
 }
 
+// unreachablePolicies have the router and the queue in common. A random router
+// would try the targets a thousand times a second here, which takes too long.
 func unreachablePolicies() []replay.Policy {
 	requeue := replay.Queueing()
 	requeue.Name = "requeue_unsent"
-	return append(retryPolicies(), requeue)
+	return []replay.Policy{
+		unbounded("naive", replay.Queueing()),
+		withBudget("exponential", replay.Queueing(), func(rng *rand.Rand) retry.Budget {
+			return &retry.TokenBucket{Rand: rng}
+		}),
+		requeue,
+	}
 }
 
 // unbounded retries at once, at any number of targets.
