--- a/core/maintenance/spread/repair.go
+++ b/core/maintenance/spread/repair.go
@@ -42,14 +42,15 @@
 
 // repairsNeeded returns how many spare VMs of this zone p should get: as many as
 // give its budget room for one failure or, during a wave, one planned stop again,
-// counting what is on its way back, and at most one for each of the zone's VMs
-// that failed long ago.
+// and at most one for each of the zone's VMs that failed long ago. VMs that are out
+// by plan come back by themselves and call for no move.
 func (r *round) repairsNeeded(p *pool) int {
 	room := 1
 	if r.view.Wave.Status == maintenance.Running && p.due > 0 {
 		room += r.reserve(p, r.pressed(p))
 	}
-	missing := room - p.Headroom() - p.incoming - p.verifying
+	lost := p.Size - p.Members + p.Failed() - p.incoming - p.recovering
+	missing := room + lost - p.MaxUnavailable
 	if p.Spare || missing < 1 {
 		return 0
 	}
--- a/core/maintenance/spread/spread.go
+++ b/core/maintenance/spread/spread.go
@@ -79,8 +79,8 @@
 	due int
 	// incoming counts VMs that are on their way to the pool.
 	incoming int
-	// verifying counts VMs that are about to serve.
-	verifying int
+	// recovering counts failed VMs that are up again and being verified.
+	recovering int
 }
 
 // rack counts a rack's VMs that are out by plan, and those that failed lately.
@@ -107,6 +107,7 @@
 	}
 	for _, vm := range v.VMs {
 		r.count(vm.VM)
+		r.countRecovering(vm)
 	}
 	return r
 }
@@ -118,9 +119,6 @@
 	if p := r.pools[vm.MoveTo]; p != nil {
 		p.incoming++
 	}
-	if p := r.pools[vm.Pool]; p != nil && vm.State == fleet.Verifying {
-		p.verifying++
-	}
 	k := r.racks[vm.Rack]
 	switch vm.State {
 	case fleet.Serving:
@@ -141,6 +139,16 @@
 	r.racks[vm.Rack] = k
 }
 
+func (r *round) countRecovering(vm fleet.VMRow) {
+	p := r.pools[vm.VM.Pool]
+	if p == nil || vm.VM.State != fleet.Verifying {
+		return
+	}
+	if out, ok := p.FindOut(vm.Ref); ok && !out.Planned {
+		p.recovering++
+	}
+}
+
 func (r *round) isDue(vm fleet.VM) bool { return vm.LastMaintained.Before(r.view.Wave.Began) }
 
 // takes chooses the VMs to take out now, those of the tightest pool first.
