Test the driver of allotments over a table that loses answers

Cause: the driver maps the table's errors to results that the ledger relies on. At the end all parts were handed back.

--- a/io/platform/allot.go
+++ b/io/platform/allot.go
@@ -58,6 +58,9 @@
 	polled   bool
 	goneAt   time.Time
 	listed   map[string]bool
+
+	// Switched on in tests only: a lost answer is taken for a success.
+	lostIsDone bool
 }
 
 // Limiter returns the ledger for the dispatch of requests, safe for concurrent use.
@@ -206,7 +209,11 @@
 	case limit.ReadRows:
 		return a.read(ctx, c.Team)
 	case limit.Move:
-		return limit.Moved{ID: c.ID, Result: resultOf(a.Table.Transact(ctx, c.Transaction))}
+		result := resultOf(a.Table.Transact(ctx, c.Transaction))
+		if a.lostIsDone && result == limit.ResultUnknown {
+			result = limit.ResultApplied
+		}
+		return limit.Moved{ID: c.ID, Result: result}
 	default:
 		return nil
 	}
--- /dev/null
+++ b/io/platform/allot_test.go
@@ -0,0 +1,129 @@
+package platform
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lavenderpond/core"
+	"lavenderpond/core/config"
+	"lavenderpond/core/limit"
+	"lavenderpond/core/table"
+)
+
+// fakeLive is the platform's list of one zone's entries.
+type fakeLive struct{ live []Liveness }
+
+func (f *fakeLive) Live(context.Context, core.ZoneID) ([]Liveness, error) { return f.live, nil }
+
+// allotEntry is an entry with its real drivers over a lossy table.
+type allotEntry struct {
+	allotments *Allotments
+	watcher    *Watcher
+	live       *fakeLive
+	running    []core.RequestKey
+}
+
+func newAllotEntry(t Table, zone core.ZoneID, id core.EntryID, now func() time.Time) *allotEntry {
+	c := &Configuration{Zone: zone, Zones: []core.ZoneID{"za", "zb"}}
+	e := &allotEntry{live: &fakeLive{}}
+	e.watcher = &Watcher{Table: t, Config: c, Now: now}
+	e.allotments = &Allotments{Table: t, Live: e.live, Config: c, Now: now, Interval: time.Millisecond}
+	e.allotments.Ledger = limit.Ledger{Self: id, Zone: zone, MaxLifetime: 30 * time.Second}
+	return e
+}
+
+// step makes a round of the entry's drivers and offers it work.
+func (e *allotEntry) step(now time.Time, r *rand.Rand, n *int) {
+	_ = e.watcher.Poll(context.Background())
+	e.allotments.Round(context.Background())
+	l := e.allotments.Limiter()
+	for range r.IntN(3) {
+		*n++
+		key := core.RequestKey{Team: "frames", ID: core.RequestID(fmt.Sprint(*n))}
+		if l.Acquire(now, key, now.Add(20*time.Second)) {
+			e.running = append(e.running, key)
+		} else {
+			l.Wanted(now, "frames")
+		}
+	}
+	if len(e.running) > 0 && r.IntN(2) == 0 {
+		l.Release(e.running[0])
+		e.running = e.running[1:]
+	}
+}
+
+const allotLimit = 5
+
+// allotRun returns the most that ran at once, and the parts left at the end.
+func allotRun(t *testing.T, seed uint64, lostIsDone bool) (most int, left core.Slots) {
+	x := &lossyTable{r: rand.New(rand.NewPCG(seed, 9)), calm: true}
+	now, started := changeStart, 0
+	clock := func() time.Time { return now }
+	team := config.SetTeam{Author: "ana", Team: "frames", Value: config.Team{Share: 1, Limit: allotLimit}}
+	_, err := Apply(context.Background(), x, team, "c1", now)
+	assert.NilError(t, err)
+	a, b := newAllotEntry(x, "za", "a#1000", clock), newAllotEntry(x, "zb", "b#1000", clock)
+	// b's daemon dies with work running; its successor learns it from the list.
+	successor := newAllotEntry(x, "zb", "b#2000", clock)
+	successor.live.live = []Liveness{{Name: "b", Zone: "zb", Started: time.UnixMilli(2000)}}
+	a.allotments.lostIsDone, b.allotments.lostIsDone, successor.allotments.lostIsDone = lostIsDone, lostIsDone, lostIsDone
+	steps := func(n int, entries ...*allotEntry) {
+		for range n {
+			now = now.Add(250 * time.Millisecond)
+			for _, e := range entries {
+				e.step(now, x.r, &started)
+				most = max(most, len(a.running)+len(b.running)+len(successor.running))
+			}
+		}
+	}
+	x.calm = false
+	steps(200, a, b)
+	steps(80, a, successor)
+	b.running = nil
+	steps(200, a, successor)
+	x.calm = true
+	for _, e := range []*allotEntry{a, successor} {
+		for _, key := range e.running {
+			e.allotments.Limiter().Release(key)
+		}
+		now = now.Add(time.Minute)
+		e.allotments.Round(context.Background())
+		patience := time.Minute
+		if lostIsDone {
+			patience = 20 * time.Millisecond
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		e.allotments.Release(ctx)
+		cancel()
+	}
+	var row limit.TeamRow
+	assert.NilError(t, x.rows.Read(table.TeamAllotmentKey("frames")).Decode(&row))
+	return most, row.Sum()
+}
+
+// A team would run more than its limit if a driver took a lost answer for a success.
+// Two entries run their real drivers over a table that loses answers and is down at
+// times. One is replaced, its part comes back after its last lease, and at the end
+// both stop and hand back all.
+func TestAllotments(t *testing.T) {
+	const seeds = 60
+	for _, lostIsDone := range []bool{false, true} {
+		broken, worst := 0, 0
+		for seed := range uint64(seeds) {
+			most, left := allotRun(t, seed, lostIsDone)
+			assert.Check(t, lostIsDone || most <= allotLimit, "seed %d: %d run, limit %d", seed, most, allotLimit)
+			assert.Check(t, lostIsDone || left == 0, "seed %d: parts of %d left", seed, left)
+			worst = max(worst, most)
+			if most > allotLimit {
+				broken++
+			}
+		}
+		t.Logf("lost answers taken for success %t: %d of %d seeds above the limit of %d, at most %d ran", lostIsDone, broken, seeds, allotLimit, worst)
+		assert.Check(t, lostIsDone == (broken > 0))
+	}
+}
