Keep forwarded calls through a planned stop, hold first parts of every team's limit, and heed what a denied start says

Four calls were answered home_unreachable since a stopping entry closed its peers' connections under forwarded calls; they are counted and waited for, and another entry of the zone is tried. An entry that had never run a team's work refused it for as long as the table was down; it now asks for a part of every team's limit.

--- a/core/home/dispatch.go
+++ b/core/home/dispatch.go
@@ -44,6 +44,8 @@
 		return "", false
 	}
 	want.Tried = r.tried
+	// A request that runs once must not be spent on finding out about a suspect VM.
+	want.NoProbe = !r.request.Idempotent
 	vm, ok := h.Router.Pick(now, want)
 	if !ok {
 		// A small pool may have no untried target; the bound on refusals ends it.
@@ -89,10 +91,21 @@
 	}
 }
 
-// startDenied puts the request back: nothing was sent.
-func (h *Home) startDenied(now time.Time, key core.RequestKey) {
-	if r := h.records[key]; r != nil && r.phase == announced {
-		h.releaseSlots(now, r, route.Unsent)
+// startDenied takes the request back: this entry sent nothing. If the shard was lost
+// and won back meanwhile, another holder may have run the id: then it must neither
+// wait here nor be called "not run".
+func (h *Home) startDenied(now time.Time, e StartDenied) {
+	r := h.records[e.Key]
+	if r == nil || r.phase != announced {
+		return
+	}
+	h.releaseSlots(now, r, route.Unsent)
+	switch v := e.Verdict.(type) {
+	case shard.Unknown:
+		h.finish(r, core.OutcomeUnknown{Code: v.Code})
+	case shard.NotHolder:
+		h.finish(r, core.NotRun{Code: core.CodeEntryStopping, ComeBackAt: now})
+	default:
 		h.requeue(now, r, now.Add(h.Times.AskEvery))
 	}
 }
--- a/core/home/ended.go
+++ b/core/home/ended.go
@@ -83,7 +83,8 @@
 
 // failed ends a request that ran and failed. Only an idempotent one is tried
 // again, at another target, within the retry budget and a bounded number of
-// targets.
+// targets. It ran, so it ends with the code of its last failure and never as
+// "cannot_run", which says that nothing started.
 func (h *Home) failed(now time.Time, r *record, code core.Code) {
 	r.tried = append(r.tried, r.vm)
 	if !r.request.Idempotent && !h.off.retryLost || !now.Before(r.request.Deadline) {
@@ -91,7 +92,7 @@
 		return
 	}
 	if len(r.tried) >= h.Times.MaxTargets {
-		h.finish(r, core.OutcomeUnknown{Code: core.CodeCannotRun})
+		h.finish(r, core.OutcomeUnknown{Code: code})
 		return
 	}
 	if !h.Budget.Allow(now) {
--- a/core/home/event.go
+++ b/core/home/event.go
@@ -41,8 +41,12 @@
 // mirrored and may be dispatched.
 type StartAllowed struct{ Key core.RequestKey }
 
-// StartDenied says that the start of Key may not be dispatched.
-type StartDenied struct{ Key core.RequestKey }
+// StartDenied says that the start of Key may not be dispatched. Verdict says what
+// is known of the id now; nil: nothing new.
+type StartDenied struct {
+	Key     core.RequestKey
+	Verdict shard.Verdict
+}
 
 // Inherited reports a start that a former holder announced before it was taken
 // over from.
--- a/core/home/home.go
+++ b/core/home/home.go
@@ -115,7 +115,7 @@
 	case StartAllowed:
 		h.startAllowed(now, e.Key)
 	case StartDenied:
-		h.startDenied(now, e.Key)
+		h.startDenied(now, e)
 	case Inherited:
 		h.inherit(now, e.Start)
 	case Ended:
--- a/io/entry/daemon.go
+++ b/io/entry/daemon.go
@@ -64,12 +64,17 @@
 	callers  net.Listener
 	peerings net.Listener
 	stopping atomic.Bool
+
+	// aborted ends when a stop may not take any longer.
+	aborted context.Context
+	abort   context.CancelFunc
 }
 
 // New binds the daemon's addresses and puts its parts together.
 func New(settings ini.Settings, log zerolog.Logger) (*Daemon, error) {
 	d := &Daemon{settings: settings, log: log, now: time.Now, peers: &peer.Pool{}, metrics: metrics.NewRegistry()}
 	d.started = d.now()
+	d.aborted, d.abort = context.WithCancel(context.Background())
 	d.id = NewEntryID(settings.Entry.Name, d.started)
 	d.platform = &platform.Client{
 		BaseURL: settings.Platform.URL,
@@ -131,7 +136,11 @@
 		Probe: d.probe,
 		OnChange: func(targets []route.Target) {
 			pools := d.routePools()
-			d.requests.Locked(func(*home.Home) { router.Update(d.now(), targets, pools) })
+			entries := len(d.shards.Dump().Live)
+			d.requests.Locked(func(*home.Home) {
+				router.Entries = entries
+				router.Update(d.now(), targets, pools)
+			})
 			d.requests.Handle(home.Changed{})
 		},
 	}
@@ -196,13 +205,15 @@
 // for what runs.
 func (d *Daemon) stopGracefully() {
 	d.stopping.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Entry.StopGrace)
+	ctx, cancel := context.WithTimeout(d.aborted, d.settings.Entry.StopGrace)
 	defer cancel()
 	d.requests.Handle(home.Stopping{})
 	d.releaseRights(ctx)
 	if left := d.requests.Drain(ctx); left > 0 {
 		d.log.Warn().Int("unfinished", left).Msg("stop_grace is over; what runs is left to its leases")
 	}
+	for d.front.Forwarded() > 0 && supervisor.Sleep(ctx, drainStep) {
+	}
 	d.limits.Release(ctx)
 }
 
@@ -215,9 +226,13 @@
 	mux.Handle((&operator.Server{
 		Table: d.platform, Backend: backend{d}, KeyDigest: d.settings.Keys.OperatorKeyDigest, Entry: d.id, Log: d.log,
 	}).Handler())
-	return &HTTP{Mux: mux, Metrics: d.metrics, Ready: d.ready}
+	return &HTTP{Mux: mux, Metrics: d.metrics, Ready: d.ready, Aborted: d.aborted}
 }
 
+// Abort makes a stop that is under way, or the next one, end at once: what runs is
+// left to its leases and what is held to the take-over rule.
+func (d *Daemon) Abort() { d.abort() }
+
 // ready says whether callers should be sent here.
 func (d *Daemon) ready() bool {
 	return !d.stopping.Load() && d.config.loaded() && len(d.shards.Dump().Shards) > 0
@@ -237,6 +252,7 @@
 		d.config.watcher.Child(), d.fleet.Child(), d.control.Child(), d.limits.Child(),
 		(&operator.Exporter{Table: d.platform, Objects: d.platform, Log: d.log}).Child(),
 		{Name: "budgets", Run: d.keepBudgets},
+		{Name: "first_parts", Run: d.keepParts},
 		{Name: "directory", Run: d.keepDirectory},
 	}}
 	local := supervisor.Node{Name: "local", Log: d.log, Children: []supervisor.Child{
--- /dev/null
+++ b/io/entry/failure_test.go
@@ -0,0 +1,257 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/types/known/timestamppb"
+	"gotest.tools/v3/assert"
+
+	"lavenderpond/core"
+	"lavenderpond/core/config"
+	pb "lavenderpond/io/gen/lavenderpond/v1"
+	"lavenderpond/io/gen/lavenderpond/v1/lavenderpondv1connect"
+	"lavenderpond/io/supervisor"
+	"lavenderpond/io/target/standin"
+)
+
+func (f *testFleet) service(i int) lavenderpondv1connect.CallerServiceClient {
+	return lavenderpondv1connect.NewCallerServiceClient(http.DefaultClient, "http://"+f.entries[i].daemon.callers.Addr().String())
+}
+
+// send sends a message with a key and returns the answer.
+func (f *testFleet) send(i int, m *pb.SubmitRequest, key string) *pb.Answer {
+	f.t.Helper()
+	r := connect.NewRequest(m)
+	r.Header().Set("Authorization", "Bearer "+key)
+	resp, err := f.service(i).Submit(f.ctx, r)
+	assert.NilError(f.t, err)
+	return resp.Msg
+}
+
+// TestRefusalsAreTrue: each kind of bad input gets its own numbered code at once,
+// says "not run", and the targets' record shows that it did not run. A second
+// attempt that is refused by an entry without its record says "unknown".
+func TestRefusalsAreTrue(t *testing.T) {
+	f := newTestFleet(t, map[core.ZoneID]int{"zone_a": 2}, 2)
+	f.awaitServing()
+	length := func(n uint64) *uint64 { return &n }
+	in := func(d time.Duration) *timestamppb.Timestamp { return timestamppb.New(time.Now().Add(d)) }
+	cases := []struct {
+		code   core.Code
+		key    string
+		change func(m *pb.SubmitRequest)
+	}{
+		{core.CodeMalformed, teamKey, func(m *pb.SubmitRequest) { m.Id = "with/slash" }},
+		{core.CodeMalformed, teamKey, func(m *pb.SubmitRequest) { m.Id = strings.Repeat("x", 201) }},
+		{core.CodeMalformed, teamKey, func(m *pb.SubmitRequest) { m.Deadline = nil }},
+		{core.CodeMalformed, teamKey, func(m *pb.SubmitRequest) { m.Deadline = &timestamppb.Timestamp{Nanos: -1} }},
+		{core.CodeTooLarge, teamKey, func(m *pb.SubmitRequest) { m.Body = bytes.Repeat([]byte{1}, 1<<20+1) }},
+		{core.CodeTruncated, teamKey, func(m *pb.SubmitRequest) { m.BodyLength = length(99) }},
+		{core.CodeUnknownTeam, teamKey, func(m *pb.SubmitRequest) { m.Team = "nobody" }},
+		{core.CodeBadKey, "wrong", func(*pb.SubmitRequest) {}},
+		{core.CodeBadKey, "", func(*pb.SubmitRequest) {}},
+		{core.CodeDeadlinePassed, teamKey, func(m *pb.SubmitRequest) { m.Deadline = in(-time.Second) }},
+		{core.CodeDeadlineTooFar, teamKey, func(m *pb.SubmitRequest) { m.Deadline = in(25 * time.Hour) }},
+		{core.CodeClockAhead, teamKey, func(m *pb.SubmitRequest) { m.FirstSent = in(time.Minute) }},
+		{core.CodeUnknownQueue, teamKey, func(m *pb.SubmitRequest) { m.Queue = "nowhere" }},
+	}
+	for n, c := range cases {
+		id := fmt.Sprintf("bad-%d", n)
+		m := &pb.SubmitRequest{Team: "lyra", Id: id, Attempt: 1, Queue: "frames", Deadline: in(20 * time.Second), Body: []byte("{}")}
+		c.change(m)
+		a := f.send(n%2, m, c.key)
+		assert.Equal(t, a.CodeName, c.code.String(), "case %d", n)
+		assert.Equal(t, a.Outcome, pb.Outcome_OUTCOME_NOT_RUN, "case %d", n)
+		assert.Assert(t, a.Detail != "", "case %d", n)
+		assert.Equal(t, f.startsOf(core.RequestID(id)), 0)
+	}
+	again := &pb.SubmitRequest{Team: "lyra", Id: "again", Attempt: 2, Queue: "frames", Deadline: in(-time.Second)}
+	assert.Equal(t, f.send(0, again, teamKey).Outcome, pb.Outcome_OUTCOME_UNKNOWN)
+}
+
+// TestAnswersWholeOrUnknown: targets run every request, then lose, cut or cross
+// its answer. The caller gets its own whole answer, which the entry asks the same
+// target for, and never another's or a part. Nothing is started twice.
+func TestAnswersWholeOrUnknown(t *testing.T) {
+	f := newTestFleet(t, map[core.ZoneID]int{"zone_a": 2}, 3)
+	f.awaitServing()
+	faults := []standin.Faults{{LoseAnswers: 8}, {CutAnswers: 8}, {CrossAnswers: 8}}
+	for i, vm := range f.vms {
+		vm.SetFaults(faults[i])
+	}
+	var g supervisor.Group
+	for n := range 40 {
+		g.Go(func() {
+			id := core.RequestID(fmt.Sprintf("lied-%d", n))
+			a := f.submit(n%2, id, 1, `{"run_ms":5,"answer_bytes":300}`)
+			switch a.Outcome {
+			case pb.Outcome_OUTCOME_DONE:
+				assert.Check(t, strings.HasPrefix(string(a.Body), "done lyra/"+string(id)+","), "%s", a)
+				assert.Check(t, len(a.Body) == 300 && a.BodyLength == 300, "%d bytes", len(a.Body))
+			default:
+				assert.Check(t, a.Outcome == pb.Outcome_OUTCOME_UNKNOWN, "%s", a)
+			}
+		})
+	}
+	g.Wait()
+	for n := range 40 {
+		assert.Equal(t, f.startsOf(core.RequestID(fmt.Sprintf("lied-%d", n))), 1)
+	}
+}
+
+// TestPlannedStopCutsNothingOff: an entry is told to stop while requests run and
+// wait at it, its own callers' and forwarded ones. All of them get their whole
+// answer: what runs is finished, what waits goes on to the next holder.
+func TestPlannedStopCutsNothingOff(t *testing.T) {
+	f := newTestFleet(t, map[core.ZoneID]int{"zone_a": 2, "zone_b": 1}, 1)
+	f.awaitServing()
+	var g supervisor.Group
+	var mu sync.Mutex
+	outcomes := map[string]int{}
+	const requests = 40
+	for n := range requests {
+		g.Go(func() {
+			// Ids of zone_a, by all three entries; its one VM has 8 slots, so most wait.
+			id := core.RequestID(fmt.Sprintf("zone_a~stop-%d", n))
+			a := f.submit(n%3, id, 1, `{"run_ms":150}`)
+			mu.Lock()
+			defer mu.Unlock()
+			outcomes[a.Outcome.String()+" "+a.CodeName+a.Detail]++
+		})
+	}
+	f.await("the first starts", func() bool { return len(f.starts.Starts()) > 5 })
+	stopping := f.entries[0]
+	stopping.stop()
+	g.Wait()
+	assert.DeepEqual(t, outcomes, map[string]int{"OUTCOME_DONE done": requests})
+	assert.NilError(t, <-stopping.ended)
+	stopping.ended <- nil // for the fleet's own end
+	for n := range requests {
+		assert.Equal(t, f.startsOf(core.RequestID(fmt.Sprintf("zone_a~stop-%d", n))), 1)
+	}
+}
+
+// TestLeavingTargetGetsNothingNew: a target begins to leave while it runs a task.
+// It refuses the next one, which goes to another target; from then on it is sent
+// nothing, although its row and the live list know nothing yet. The task finishes.
+func TestLeavingTargetGetsNothingNew(t *testing.T) {
+	f := newTestFleet(t, map[core.ZoneID]int{"zone_a": 1}, 2)
+	f.awaitServing()
+	var g supervisor.Group
+	for n := range 16 {
+		g.Go(func() {
+			a := f.submit(0, core.RequestID(fmt.Sprintf("long-%d", n)), 1, `{"run_ms":400}`)
+			assert.Check(t, a.Outcome == pb.Outcome_OUTCOME_DONE, "%s", a)
+		})
+	}
+	f.await("both targets busy", func() bool { return f.vms[0].Running() == 8 && f.vms[1].Running() == 8 })
+	f.vms[0].SetFaults(standin.Faults{Leaving: true})
+	before := f.startsAt(f.vms[0].ID)
+	g.Wait()
+	for n := range 20 {
+		a := f.submit(0, core.RequestID(fmt.Sprintf("new-%d", n)), 1, `{}`)
+		assert.Equal(t, a.Outcome, pb.Outcome_OUTCOME_DONE, "%s", a)
+	}
+	assert.Equal(t, f.startsAt(f.vms[0].ID), before)
+	assert.Equal(t, len(f.entries[0].daemon.fleet.Targets()), 1)
+	f.vms[0].SetFaults(standin.Faults{})
+	f.await("the target to be found working again", func() bool { return len(f.entries[0].daemon.fleet.Targets()) == 2 })
+}
+
+func (f *testFleet) startsAt(vm core.VMID) int {
+	n := 0
+	for _, s := range f.starts.Starts() {
+		if s.VM == vm {
+			n++
+		}
+	}
+	return n
+}
+
+// TestUpperLimitAcrossEntries: eight times the limit is submitted through three
+// entries of two zones, with a cut of the limit in between. The targets' record
+// never shows more than the limit at once.
+func TestUpperLimitAcrossEntries(t *testing.T) {
+	f := newTestFleet(t, map[core.ZoneID]int{"zone_a": 2, "zone_b": 1}, 2)
+	f.awaitServing()
+	f.apply(config.SetTeam{Author: "test", Team: "lyra", Value: config.Team{Share: 1, Limit: 5}})
+	version := f.version()
+	f.await("the limit in force", func() bool { return f.allHave(version) && f.parts() <= 5 })
+	mark := len(f.starts.Starts())
+	var g supervisor.Group
+	for n := range 40 {
+		g.Go(func() {
+			a := f.submit(n%3, core.RequestID(fmt.Sprintf("limit-%d", n)), 1, `{"run_ms":40}`)
+			assert.Check(t, a.Outcome == pb.Outcome_OUTCOME_DONE, "%s", a)
+		})
+	}
+	g.Wait()
+	assert.Assert(t, overlap(f.starts.Starts()[mark:]) <= 5, "overlap %d", overlap(f.starts.Starts()[mark:]))
+}
+
+// version returns the configuration's version in the table.
+func (f *testFleet) version() core.Version {
+	var head config.Head
+	row, err := f.client.Read(f.ctx, "config/head")
+	assert.NilError(f.t, err)
+	assert.NilError(f.t, row.Decode(&head))
+	return head.Version
+}
+
+func (f *testFleet) allHave(version core.Version) bool {
+	for _, e := range f.entries {
+		if e.daemon.config.Version() < version {
+			return false
+		}
+	}
+	return true
+}
+
+// parts returns the sum of the entries' allotments.
+func (f *testFleet) parts() core.Slots {
+	var sum core.Slots
+	for _, e := range f.entries {
+		for _, d := range e.daemon.limits.Dump() {
+			sum += d.Part
+		}
+	}
+	return sum
+}
+
+// overlap returns the most starts that ran at one moment.
+func overlap(starts []standin.Start) int {
+	most := 0
+	for _, s := range starts {
+		n := 0
+		for _, o := range starts {
+			if !o.At.After(s.At) && s.At.Before(o.End) {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
+// TestServesWithoutTable: the table goes down for good while requests come. The
+// entries go on serving with what they hold, and a new id through each of them is
+// answered. Nothing is refused for lack of the table.
+func TestServesWithoutTable(t *testing.T) {
+	f := newTestFleet(t, map[core.ZoneID]int{"zone_a": 2}, 2)
+	f.awaitServing()
+	f.platform.SetFaults(platformDown())
+	for n := range 30 {
+		a := f.submit(n%2, core.RequestID(fmt.Sprintf("down-%d", n)), 1, `{"run_ms":1}`)
+		assert.Equal(t, a.Outcome, pb.Outcome_OUTCOME_DONE, "%s", a)
+	}
+	_, err := f.client.Read(context.Background(), "config/head")
+	assert.Assert(t, err != nil)
+}
--- a/io/entry/front.go
+++ b/io/entry/front.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -53,6 +54,8 @@
 	Requests  *Requests
 	Directory *Directory
 	Peers     *peer.Pool
+
+	forwarded atomic.Int64
 }
 
 var _ caller.Front = (*Front)(nil)
@@ -90,8 +93,18 @@
 	return f.Now().Add(peerPatience)
 }
 
-// Handle brings a call one step nearer to its home. It is also the handler of
-// calls that peers forward.
+// HandleForwarded is the handler of calls that peers forward. They are counted, so
+// that a planned stop doesn't cut them off.
+func (f *Front) HandleForwarded(ctx context.Context, args peer.ForwardArgs) core.Answer {
+	f.forwarded.Add(1)
+	defer f.forwarded.Add(-1)
+	return f.Handle(ctx, args)
+}
+
+// Forwarded returns how many calls of peers are under way here.
+func (f *Front) Forwarded() int64 { return f.forwarded.Load() }
+
+// Handle brings a call one step nearer to its home.
 func (f *Front) Handle(ctx context.Context, args peer.ForwardArgs) core.Answer {
 	home := args.Request.Key.Home(f.Zones)
 	if home != f.Zone {
@@ -175,14 +188,15 @@
 	return f.Peers.ForwardTo(ctx, a.Peer.String(), args)
 }
 
-// toZone sends a call to an entry of its home zone. A second entry is tried only
-// if the first certainly did not get it; the home would join two copies, but the
-// caller's answer must not depend on it.
+// toZone sends a call to an entry of its home zone, and to the next one if no
+// answer came back: an entry that stops or dies must not cost the caller its
+// answer. Two copies of a call meet at the id's record and run once.
 func (f *Front) toZone(ctx context.Context, zone core.ZoneID, args peer.ForwardArgs) core.Answer {
 	if args.Hops >= maxHops {
 		return f.lost(args, false, core.CodeZoneUnreachable)
 	}
 	args.Hops++
+	sent := false
 	entries := f.Directory.Zone(zone)
 	offset := int(args.Request.Key.Shard(1 << 16))
 	for i := range entries {
@@ -191,11 +205,12 @@
 		if err == nil {
 			return answer
 		}
-		if !errors.Is(err, peer.ErrNotSent) {
-			return f.lost(args, true, core.CodeZoneUnreachable)
+		sent = sent || !errors.Is(err, peer.ErrNotSent)
+		if ctx.Err() != nil {
+			break
 		}
 	}
-	return f.lost(args, false, core.CodeZoneUnreachable)
+	return f.lost(args, sent, core.CodeZoneUnreachable)
 }
 
 // lost answers a call that did not come back. Only a first attempt that was sent
--- a/io/entry/http.go
+++ b/io/entry/http.go
@@ -34,6 +34,8 @@
 	Metrics metrics.Registry
 	// Ready says whether the balancer should send callers here.
 	Ready func() bool
+	// Aborted, if set, ends the patience of a stop early.
+	Aborted context.Context
 
 	server *http.Server
 }
@@ -52,7 +54,7 @@
 	var g supervisor.Group
 	g.Go(func() {
 		<-ctx.Done()
-		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		ctx, cancel := context.WithTimeout(h.aborted(), patience)
 		defer cancel()
 		_ = h.server.Shutdown(ctx)
 		_ = h.server.Close()
@@ -65,6 +67,13 @@
 	return errors.Wrap(err, "serve callers")
 }
 
+func (h *HTTP) aborted() context.Context {
+	if h.Aborted == nil {
+		return context.Background()
+	}
+	return h.Aborted
+}
+
 func (h *HTTP) ready(w http.ResponseWriter, _ *http.Request) {
 	if h.Ready == nil || h.Ready() {
 		_, _ = io.WriteString(w, "ready\n")
--- a/io/entry/peers.go
+++ b/io/entry/peers.go
@@ -20,7 +20,7 @@
 func (d *Daemon) servePeers(ctx context.Context) error {
 	s := peer.NewServer()
 	receivers := map[string]any{
-		peer.ForwardName: &peer.Forward{Context: ctx, Handler: d.front.Handle},
+		peer.ForwardName: &peer.Forward{Context: ctx, Handler: d.front.HandleForwarded},
 		peer.SpreadName:  d.config.spread.Receiver(),
 		StatusName:       &StatusReceiver{daemon: d},
 		peer.ShardName:   d.shards.Receiver(),
--- a/io/entry/rights.go
+++ b/io/entry/rights.go
@@ -25,7 +25,7 @@
 		},
 		Table: d.platform, Live: d.platform, Peers: d.peers, Address: d.addressOf, Now: d.now, Log: d.log,
 		OnAllowed:   func(c shard.StartAllowed) { d.requests.Handle(home.StartAllowed{Key: c.Key}) },
-		OnDenied:    func(c shard.StartDenied) { d.requests.Handle(home.StartDenied{Key: c.Key}) },
+		OnDenied:    func(c shard.StartDenied) { d.requests.Handle(home.StartDenied{Key: c.Key, Verdict: c.Verdict}) },
 		OnInherited: d.inherited,
 		OnLost:      func(c shard.Lost) { d.requests.Handle(home.HandedOver{Shard: c.Shard, Shards: s.Shards}) },
 	})
@@ -51,13 +51,22 @@
 	}
 }
 
-// releasePatience bounds the handing over of rights at a stop. With no other entry
-// left in the zone there is nobody to take them, and waiting longer is no use.
-const releasePatience = 5 * time.Second
+// Bounds of the handing over of rights at a stop. A successor that has just started
+// needs some seconds until it knows every start; handing over without would leave
+// ids unanswered that ran nowhere. With no other entry left in the zone there is
+// nobody to wait for.
+const (
+	releasePatience = 20 * time.Second
+	alonePatience   = time.Second
+)
 
 // releaseRights hands every shard over to its successor.
 func (d *Daemon) releaseRights(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, releasePatience)
+	patience := releasePatience
+	if len(d.shards.Dump().Live) <= 1 {
+		patience = alonePatience
+	}
+	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	if err := d.shards.Release(ctx); err != nil {
 		d.log.Warn().Err(err).Msg("rights not handed over")
