Let a stopping entry refuse copies aloud

A planned stop of one of two entries hung until stop_grace and then cut its calls off: the new holder chose the stopping entry as successor and sent it a copy; that entry took no copies but still acked pings, so it was never silent, and the starts waited for an ack that never came, while the stop waited for the callers of those starts. Ruled out: the limit's parts (12 of them free) and the target (idle). It now answers a copy with a refusal, and starts go on unmirrored, which the row's missing mark makes safe.

--- a/core/shard/message.go
+++ b/core/shard/message.go
@@ -61,10 +61,12 @@
 	Starts []Start
 }
 
-// CopyAck says that the successor remembers a copy.
+// CopyAck says that the successor remembers a copy, or that it takes none.
 type CopyAck struct {
 	Held
 	Round uint64
+	// Refused: the successor is stopping. Starts go on unmirrored.
+	Refused bool
 }
 
 func (Ping) isMessage()        {}
--- a/core/shard/message_in.go
+++ b/core/shard/message_in.go
@@ -19,7 +19,7 @@
 	case MirrorCopy:
 		k.copyReceived(from, m)
 	case CopyAck:
-		k.copyAcked(from, m)
+		k.copyAcked(now, from, m)
 	}
 }
 
@@ -85,7 +85,10 @@
 		return
 	}
 	if !k.releaseBy.IsZero() {
-		// This entry stops: nobody should hand it a shard.
+		// This entry stops: nobody should hand it a shard. It says so, since it still
+		// acks pings: a holder that only misses the ack would keep its starts waiting
+		// for it, and a stop that waits for those starts' callers would never end.
+		k.emit(Send{To: from, Message: CopyAck{Held: m.Held, Round: m.Round, Refused: true}})
 		return
 	}
 	if s.mirror.holder != from || s.mirror.epoch != m.Epoch || k.off.copyMerge {
@@ -101,9 +104,17 @@
 	k.emit(Send{To: from, Message: CopyAck{Held: m.Held, Round: m.Round}})
 }
 
-func (k *Keeper) copyAcked(from core.EntryID, m CopyAck) {
+func (k *Keeper) copyAcked(now time.Time, from core.EntryID, m CopyAck) {
 	s := k.state(m.Shard)
-	if s != nil && s.holds(k.p.Self) && s.row.Epoch == m.Epoch && s.copyTo == from && s.round == m.Round {
-		s.copied = true
+	if s == nil || !s.holds(k.p.Self) || s.row.Epoch != m.Epoch || s.copyTo != from || s.round != m.Round {
+		return
+	}
+	s.copied = !m.Refused
+	if m.Refused {
+		s.stopCopying()
+		s.nextCopy = now.Add(k.p.Lease)
+		if !k.mirroring(now, s) {
+			k.allowWaiting(now, s)
+		}
 	}
 }
--- a/core/shard/mirror.go
+++ b/core/shard/mirror.go
@@ -119,6 +119,9 @@
 		}
 		return
 	}
+	if now.Before(s.nextCopy) {
+		return
+	}
 	if s.copied || s.copyTo != "" && now.Before(s.sentAt.Add(k.p.silentAfter())) {
 		return
 	}
--- a/core/shard/state.go
+++ b/core/shard/state.go
@@ -37,6 +37,8 @@
 	// waiting are starts that await the successor's ack; order is by arrival.
 	waiting map[core.RequestKey]*waitingStart
 	order   []core.RequestKey
+	// nextCopy is when a successor that refused a copy is asked again.
+	nextCopy time.Time
 	// copyTo is the successor that is being brought in sync.
 	copyTo core.EntryID
 	round  uint64
