--- /dev/null
+++ b/cmd/lavenderpond-load/fill.go
@@ -0,0 +1,220 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lavenderpond/core"
+	"lavenderpond/core/config"
+	"lavenderpond/core/fleet"
+	"lavenderpond/core/limit"
+	"lavenderpond/core/table"
+	"lavenderpond/io/platform"
+	"lavenderpond/io/platform/standin"
+	"lavenderpond/io/supervisor"
+)
+
+// Sizes of what fill writes.
+const (
+	// fillBatch is how many rows go into one transaction.
+	fillBatch = 500
+	// rackVMs is how many VMs stand in a rack.
+	rackVMs = 4
+	// livePost is how often the VMs are said to be there; the stand-in forgets
+	// them after 3 s.
+	livePost = time.Second
+)
+
+// fillCommand fills the table of the platform's stand-in with a fleet of a given
+// size and stands in for its idle VMs, to measure what idle daemons cost.
+type fillCommand struct {
+	Platform netip.AddrPort `help:"The platform's stand-in." required:""`
+	Control  netip.AddrPort `help:"Loopback address on which all VMs tell their state." required:""`
+	Zones    []core.ZoneID  `help:"Availability zones." required:""`
+	VMs      int            `name:"vms" help:"VMs in each zone." default:"17"`
+	Out      int            `help:"VMs of each zone that failed, and stand in their pools' rows." default:"0"`
+	Pools    int            `help:"Pools, each with a queue." default:"5"`
+	Teams    int            `help:"Teams." default:"6"`
+	Keys     int            `help:"Keys of each team; the first of team_0001 is printed." default:"3"`
+	// Since matters to the controller, which tells VMs that serve again to take work.
+	Since   time.Duration  `help:"How long ago the VMs began to serve." default:"1h"`
+	Targets netip.AddrPort `help:"First address of the VMs' task services." default:"127.0.0.1:20000"`
+	// Churn rewrites allotment rows, as limits that move between entries do.
+	Churn   float64 `help:"Moves of allotments a second, in turn over the teams." default:"0"`
+	Entries int     `help:"Entries of a zone that hold a part of each team's limit, for churn." default:"6"`
+
+	client *platform.Client
+	writes []table.Write
+}
+
+// Run fills the table, prints "filled", and stands in for the VMs until ctx ends.
+func (c *fillCommand) Run(ctx context.Context) error {
+	if err := loopbackOnly([]netip.AddrPort{c.Platform, c.Control}); err != nil {
+		return err
+	}
+	c.client = platform.NewClient("http://" + c.Platform.String())
+	c.configRows()
+	c.fleetRows()
+	if err := c.flush(ctx); err != nil {
+		return err
+	}
+	fmt.Println("filled", c.key(1, 0))
+	var g supervisor.Group
+	g.Go(func() { _ = supervisor.Every(ctx, livePost, c.postLive) })
+	g.Go(func() { c.churn(ctx) })
+	err := c.serveControl(ctx)
+	g.Wait()
+	return err
+}
+
+// configRows writes pools, queues, teams and keys, and last the head.
+func (c *fillCommand) configRows() {
+	for i := range c.Pools {
+		c.set(table.PoolConfigKey(c.pool(i)), config.Pool{MaxUnavailable: 2, LendsIdle: true})
+		c.set(table.QueueKey(core.QueueID(c.pool(i))), config.Queue{Pool: c.pool(i), Overflow: true, MaxQueued: 500})
+	}
+	for i := 1; i <= c.Teams; i++ {
+		c.set(table.TeamKey(c.team(i)), config.Team{Share: 1, Limit: 200})
+		for k := range c.Keys {
+			c.set(table.KeyKey(core.Digest(c.key(i, k))), config.Key{Team: c.team(i)})
+		}
+	}
+	version := core.Version(c.Teams*(1+c.Keys) + 2*c.Pools)
+	c.set(table.ConfigHead, config.Head{Version: version, Change: "fill"})
+	// The audit records of these rows are left out, so they count as exported.
+	c.set("export/audit", map[string]core.Version{"version": version})
+}
+
+// fleetRows writes the rows of VMs, and of pools with the VMs that are out.
+func (c *fillCommand) fleetRows() {
+	pools := make([]fleet.Pool, c.Pools)
+	for i := range pools {
+		pools[i].MaxUnavailable = 2
+	}
+	since := time.Now().Add(-c.Since)
+	for _, z := range c.Zones {
+		for i := range c.VMs {
+			ref, pool := fleet.Ref{Zone: z, VM: vmName(z, i)}, &pools[i%c.Pools]
+			vm := fleet.VM{
+				Pool: c.pool(i % c.Pools), Slots: 8, Connections: 64, Since: since,
+				Rack:    core.RackID(fmt.Sprintf("rack_%s_%03d", z, i/rackVMs)),
+				Address: netip.AddrPortFrom(c.Targets.Addr(), c.Targets.Port()+uint16(i)).String(),
+			}
+			pool.Size, pool.Members = pool.Size+1, pool.Members+1
+			if i < c.Out {
+				vm.State = fleet.Failed
+				pool.Out = append(pool.Out, fleet.Out{Ref: ref, Since: since})
+			}
+			c.set(ref.Key(), vm)
+		}
+	}
+	for i, p := range pools {
+		c.set(table.PoolStateKey(c.pool(i)), p)
+	}
+}
+
+func (c *fillCommand) set(key table.Key, value any) {
+	var t table.Transaction
+	if err := t.Set(key, value); err != nil {
+		panic(err) // all values are plain structs
+	}
+	c.writes = append(c.writes, t.Writes...)
+}
+
+func (c *fillCommand) flush(ctx context.Context) error {
+	for len(c.writes) > 0 {
+		n := min(fillBatch, len(c.writes))
+		if err := c.client.Transact(ctx, table.Transaction{Writes: c.writes[:n]}); err != nil {
+			return errors.Wrap(err, "fill the table")
+		}
+		c.writes = c.writes[n:]
+	}
+	return nil
+}
+
+// churn rewrites the two rows of a move, Churn times a second.
+func (c *fillCommand) churn(ctx context.Context) {
+	if c.Churn == 0 {
+		return
+	}
+	n := 0
+	step := time.Duration(float64(time.Second) / c.Churn)
+	_ = supervisor.Every(ctx, step, func(ctx context.Context) {
+		team, zone := c.team(1+n%c.Teams), c.Zones[n%len(c.Zones)]
+		row, all := limit.ZoneRow{Entries: map[core.EntryID]core.Slots{}}, limit.TeamRow{Limit: 200, Zones: map[core.ZoneID]core.Slots{}}
+		for e := range c.Entries {
+			row.Entries[core.EntryID(fmt.Sprintf("churn_%02d#%d", e, time.Now().UnixMilli()))] = core.Slots(1 + n%5)
+		}
+		for _, z := range c.Zones {
+			all.Zones[z] = core.Slots(c.Entries)
+		}
+		var t table.Transaction
+		if t.Set(table.ZoneAllotmentKey(team, zone), row) == nil && t.Set(table.TeamAllotmentKey(team), all) == nil {
+			_ = c.client.Transact(ctx, t)
+		}
+		n++
+	})
+}
+
+// postLive keeps the VMs on the platform's list.
+func (c *fillCommand) postLive(ctx context.Context) {
+	var posts []standin.LivePost
+	for _, z := range c.Zones {
+		for i := range c.VMs {
+			posts = append(posts, standin.LivePost{
+				Liveness: platform.Liveness{Name: string(vmName(z, i)), Zone: z}, Control: "http://" + c.Control.String(),
+			})
+		}
+	}
+	body, err := json.Marshal(posts)
+	if err != nil {
+		return
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.client.BaseURL+"/standin/live", bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "live list not posted:", err)
+		return
+	}
+	_ = resp.Body.Close()
+}
+
+// serveControl answers for every VM that it is up and idle.
+func (c *fillCommand) serveControl(ctx context.Context) error {
+	l, err := net.Listen("tcp", c.Control.String())
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	server := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(standin.VMState{Up: true})
+	})}
+	var g supervisor.Group
+	g.Go(func() {
+		<-ctx.Done()
+		_ = server.Close()
+	})
+	err = server.Serve(l)
+	g.Wait()
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "serve")
+}
+
+func (c *fillCommand) pool(i int) core.PoolID { return core.PoolID(fmt.Sprintf("pool_%03d", i)) }
+func (c *fillCommand) team(i int) core.TeamID { return core.TeamID(fmt.Sprintf("team_%04d", i)) }
+func (c *fillCommand) key(team, k int) string { return fmt.Sprintf("capacity-%04d-%d", team, k) }
+
+func vmName(z core.ZoneID, i int) core.VMID { return core.VMID(fmt.Sprintf("vm_%s-%04d", z, i)) }
