Let the races of a seed go the same way on every run

Cause: the VMs were made in the order of a map, so a seed printed on failure would not have shown it again (96, then 92 of 100 seeds in the same red run).

--- a/core/fleet/rules_test.go
+++ b/core/fleet/rules_test.go
@@ -38,8 +38,8 @@
 		rand: rand.New(rand.NewPCG(seed, 2)), now: testStart, rules: rules,
 		permits: make(map[core.ChangeID]int), views: make([]map[table.Key]table.Row, 3),
 	}
-	for id, budget := range budgets {
-		r.commit(t)(SetPool(r.pool(r.table.Read, id), budget, id == "spare"))
+	for _, id := range []core.PoolID{"a", "b", "spare"} {
+		r.commit(t)(SetPool(r.pool(r.table.Read, id), budgets[id], id == "spare"))
 		for i := range vmsPerPool {
 			ref := Ref{Zone: "z", VM: core.VMID(fmt.Sprintf("%s%d", id, i))}
 			r.vms = append(r.vms, ref)
