--- a/io/platform/standin/live.go
+++ b/io/platform/standin/live.go
@@ -108,10 +108,15 @@
 		return
 	}
 	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
+	if err != nil && method == http.MethodGet {
 		writeJSON(w, VMState{})
 		return
 	}
+	if err != nil {
+		// An order to a VM that doesn't answer was not carried out.
+		http.Error(w, "the VM doesn't answer", http.StatusBadGateway)
+		return
+	}
 	defer func() { _ = resp.Body.Close() }()
 	var b bytes.Buffer
 	_, _ = io.Copy(&b, resp.Body)
--- a/io/target/standin/control.go
+++ b/io/target/standin/control.go
@@ -21,6 +21,19 @@
 	backAt   time.Time
 	stuck    bool
 	rebooted int
+	// fence is the highest that an order carried.
+	fence core.Version
+}
+
+// admits says whether an order is not older than one seen before, and remembers it.
+func (c *Control) admits(fence core.Version) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if fence < c.fence {
+		return false
+	}
+	c.fence = fence
+	return true
 }
 
 // State is what a VM tells the platform.
@@ -52,13 +65,14 @@
 // caller's duty to drain it before.
 func (c *Control) reboot(w http.ResponseWriter, r *http.Request) {
 	var order struct {
-		NotAfter time.Time `json:"not_after"`
+		NotAfter time.Time    `json:"not_after"`
+		Fence    core.Version `json:"fence"`
 	}
 	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if c.VM.now().After(order.NotAfter) {
+	if c.VM.now().After(order.NotAfter) || !c.admits(order.Fence) {
 		http.Error(w, "the order's time has passed", http.StatusConflict)
 		return
 	}
@@ -72,12 +86,17 @@
 // drain makes the VM refuse new work until the time given.
 func (c *Control) drain(w http.ResponseWriter, r *http.Request) {
 	var order struct {
-		Until time.Time `json:"until"`
+		Until time.Time    `json:"until"`
+		Fence core.Version `json:"fence"`
 	}
 	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if !c.admits(order.Fence) {
+		http.Error(w, "an order with a higher fence came before", http.StatusConflict)
+		return
+	}
 	c.VM.mu.Lock()
 	defer c.VM.mu.Unlock()
 	c.VM.drainUntil = order.Until
