--- a/core/code_test.go
+++ b/core/code_test.go
@@ -34,7 +34,9 @@
 func renderCodes() string {
 	var b strings.Builder
 	b.WriteString("# Result codes\n\nWritten from `core/codes.csv` by `go test ./core -update`.\n")
-	b.WriteString("The outcome says whether the request ran: `done`, `not_run` or `outcome_unknown`.\n\n")
+	b.WriteString("The outcome says whether the request ran: `done`, `not_run` or `outcome_unknown`.\n")
+	b.WriteString("A code listed as `not_run` comes with `outcome_unknown` when an entry that has no record of the id refuses\n")
+	b.WriteString("a second or later attempt: an earlier one may have run.\n\n")
 	b.WriteString("| number | name | outcome | meaning |\n|---|---|---|---|\n")
 	for _, info := range core.Codes() {
 		fmt.Fprintf(&b, "| %d | `%s` | `%s` | %s |\n", uint16(info.Code), info.Name, info.Outcome, info.Sentence)
--- a/core/id.go
+++ b/core/id.go
@@ -4,7 +4,9 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"hash/fnv"
+	"strconv"
 	"strings"
+	"time"
 )
 
 // TeamID names a team, the unit that keys, shares and limits belong to.
@@ -110,8 +112,26 @@
 	return KeyDigest(hex.EncodeToString(sum[:]))
 }
 
+// startSeparator parts an entry's name from its start time.
+const startSeparator = "#"
+
+// NewEntryID returns the id of the run of an entry that began at started.
+func NewEntryID(name string, started time.Time) EntryID {
+	return EntryID(name + startSeparator + strconv.FormatInt(started.UnixMilli(), 10))
+}
+
 // Name returns the configured name of the entry, without its start time.
 func (e EntryID) Name() string {
-	name, _, _ := strings.Cut(string(e), "#")
+	name, _, _ := strings.Cut(string(e), startSeparator)
 	return name
 }
+
+// Started returns when the run began, to the millisecond; zero if e doesn't say.
+func (e EntryID) Started() time.Time {
+	_, millis, _ := strings.Cut(string(e), startSeparator)
+	n, err := strconv.ParseInt(millis, 10, 64)
+	if err != nil {
+		return time.Time{}
+	}
+	return time.UnixMilli(n)
+}
--- a/io/entry/daemon.go
+++ b/io/entry/daemon.go
@@ -32,7 +32,6 @@
 	tickInterval      = 20 * time.Millisecond
 	directoryInterval = 2 * time.Second
 	metricsInterval   = time.Second
-	budgetsInterval   = 10 * time.Second
 	// announceStep is the pause between two tries to state this entry's address.
 	announceStep = 500 * time.Millisecond
 )
@@ -77,7 +76,7 @@
 	d := &Daemon{settings: settings, log: log, now: time.Now, peers: &peer.Pool{}, metrics: metrics.NewRegistry()}
 	d.started = d.now()
 	d.aborted, d.abort = context.WithCancel(context.Background())
-	d.id = NewEntryID(settings.Entry.Name, d.started)
+	d.id = core.NewEntryID(settings.Entry.Name, d.started)
 	d.platform = &platform.Client{
 		BaseURL: settings.Platform.URL,
 		HTTP:    &http.Client{Timeout: settings.Platform.Timeout},
@@ -271,19 +270,6 @@
 	return supervisor.Every(ctx, tickInterval, func(context.Context) { d.requests.Handle(home.Tick{}) })
 }
 
-// keepBudgets carries exceptions and defaults over into the pools' rows. Every
-// entry may do it: each write checks the head row, so an old view changes nothing.
-func (d *Daemon) keepBudgets(ctx context.Context) error {
-	return supervisor.Every(ctx, budgetsInterval, func(ctx context.Context) {
-		if !d.control.State().Holds {
-			return
-		}
-		if err := operator.SyncBudgets(ctx, d.platform, d.now()); err != nil {
-			d.log.Debug().Err(err).Msg("budgets not carried over")
-		}
-	})
-}
-
 // keepDirectory states this entry's address and learns the others'.
 func (d *Daemon) keepDirectory(ctx context.Context) error {
 	self := Address{
--- a/io/entry/directory.go
+++ b/io/entry/directory.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"net/netip"
 	"sort"
 	"strings"
 	"sync"
-	"time"
 
 	"lavenderpond/core"
 	"lavenderpond/core/table"
@@ -96,8 +94,3 @@
 	a, ok := d.entries[table.EntryKey(zone, id.Name())]
 	return a, ok && a.Entry == id
 }
-
-// NewEntryID returns the id of a run of the entry called name.
-func NewEntryID(name string, started time.Time) core.EntryID {
-	return core.EntryID(fmt.Sprintf("%s#%d", name, started.UnixMilli()))
-}
--- a/io/peer/shard_list.go
+++ b/io/peer/shard_list.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"slices"
-	"strconv"
-	"strings"
 	"time"
 
 	"lavenderpond/core"
@@ -42,21 +40,6 @@
 	k.handle(k.lister.update(k.now(), live, named))
 }
 
-// entryID returns the id of a listed run of an entry.
-func entryID(l platform.Liveness) core.EntryID {
-	return core.EntryID(l.Name + "#" + strconv.FormatInt(l.Started.UnixMilli(), 10))
-}
-
-// started returns when the run id began, in Unix milliseconds; 0 if it doesn't say.
-func started(id core.EntryID) int64 {
-	_, millis, _ := strings.Cut(string(id), "#")
-	n, err := strconv.ParseInt(millis, 10, 64)
-	if err != nil {
-		return 0
-	}
-	return n
-}
-
 // update takes in a list. A list without this entry proves nothing about others:
 // it is older than this run, or wrong.
 func (l *entryLister) update(now time.Time, live []platform.Liveness, named []core.EntryID) shard.Listed {
@@ -65,14 +48,16 @@
 		l.missing = map[core.EntryID]time.Time{}
 	}
 	var e shard.Listed
-	listed, newest := map[core.EntryID]bool{}, map[string]int64{}
+	listed, newest := map[core.EntryID]bool{}, map[string]time.Time{}
 	for _, v := range live {
 		if v.Started.IsZero() {
 			continue
 		}
-		id := entryID(v)
+		id := core.NewEntryID(v.Name, v.Started)
 		listed[id] = true
-		newest[v.Name] = max(newest[v.Name], v.Started.UnixMilli())
+		if id.Started().After(newest[v.Name]) {
+			newest[v.Name] = id.Started()
+		}
 		if !v.Leaving {
 			e.Live = append(e.Live, id)
 		}
@@ -93,7 +78,7 @@
 	return e
 }
 
-func (l *entryLister) findGone(now time.Time, listed map[core.EntryID]bool, newest map[string]int64, named []core.EntryID) {
+func (l *entryLister) findGone(now time.Time, listed map[core.EntryID]bool, newest map[string]time.Time, named []core.EntryID) {
 	for id := range l.seen {
 		if !listed[id] {
 			l.gone[id] = true
@@ -104,7 +89,7 @@
 		switch {
 		case id == l.self || listed[id]:
 			delete(l.missing, id)
-		case newest[id.Name()] > started(id):
+		case newest[id.Name()].After(id.Started()):
 			// One name has one run at a time, so the older has ended.
 			l.gone[id] = true
 		case l.missing[id].IsZero():
--- a/io/peer/shard_zone_test.go
+++ b/io/peer/shard_zone_test.go
@@ -68,7 +68,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(z.t, err)
 	live := platform.Liveness{Name: name, Zone: "a", Started: z.now}
-	k := &testKeeper{id: entryID(live)}
+	k := &testKeeper{id: core.NewEntryID(live.Name, live.Started)}
 	z.addresses[k.id] = l.Addr().String()
 	k.ShardKeeper = NewShardKeeper(ShardConfig{
 		Params: shard.Params{Zone: "a", Self: k.id, Shards: testShards},
@@ -103,7 +103,7 @@
 
 func (z *shardZone) unlist(id core.EntryID) {
 	for i, l := range z.live {
-		if entryID(l) == id {
+		if core.NewEntryID(l.Name, l.Started) == id {
 			z.live = append(z.live[:i], z.live[i+1:]...)
 			return
 		}
--- a/io/platform/standin/entries.go
+++ b/io/platform/standin/entries.go
@@ -4,10 +4,11 @@
 	"context"
 	"encoding/json"
 	"net"
-	"strconv"
-	"strings"
+	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"lavenderpond/core"
 	"lavenderpond/core/table"
 	"lavenderpond/io/platform"
@@ -50,21 +51,15 @@
 func (s *Server) probeEntry(ctx context.Context, e entryRow) {
 	d := net.Dialer{Timeout: probeTimeout}
 	conn, err := d.DialContext(ctx, "tcp", e.Peer)
-	if err != nil {
-		return
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return // nothing listens there: the process has ended
+	}
+	if err == nil {
+		_ = conn.Close()
 	}
-	_ = conn.Close()
-	name, started := splitEntry(e.Entry)
+	// A VM that is slow to answer is still there: what isn't listed counts as gone
+	// for good.
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.list(LivePost{Liveness: platform.Liveness{Name: name, Zone: e.Zone, Started: started}})
-}
-
-func splitEntry(id core.EntryID) (string, time.Time) {
-	name, millis, _ := strings.Cut(string(id), "#")
-	ms, err := strconv.ParseInt(millis, 10, 64)
-	if err != nil {
-		return name, time.Time{}
-	}
-	return name, time.UnixMilli(ms)
+	s.list(LivePost{Liveness: platform.Liveness{Name: e.Entry.Name(), Zone: e.Zone, Started: e.Entry.Started()}})
 }
