Measure the capacity again with first parts of every team's limit

Cause: since idle entries hold a part of each team's limit, which changes what 620 teams cost.

Moves of allotments are now simulated with teams of their own: rewritten parts of real entries made these fight for them.

--- a/cmd/lavenderpond-load/fill.go
+++ b/cmd/lavenderpond-load/fill.go
@@ -32,6 +32,11 @@
 	// livePost is how often the VMs are said to be there; the stand-in forgets
 	// them after 3 s.
 	livePost = time.Second
+	// churnTeams have limits that move; churnZones and churnEntries hold a part of
+	// each: the two-year size.
+	churnTeams   = 620
+	churnZones   = 7
+	churnEntries = 6
 )
 
 // fillCommand fills the table of the platform's stand-in with a fleet of a given
@@ -48,9 +53,8 @@
 	// Since matters to the controller, which tells VMs that serve again to take work.
 	Since   time.Duration  `help:"How long ago the VMs began to serve." default:"1h"`
 	Targets netip.AddrPort `help:"First address of the VMs' task services." default:"127.0.0.1:20000"`
-	// Churn rewrites allotment rows, as limits that move between entries do.
-	Churn   float64 `help:"Moves of allotments a second, in turn over the teams." default:"0"`
-	Entries int     `help:"Entries of a zone that hold a part of each team's limit, for churn." default:"6"`
+	// Churn rewrites allotment rows as limits that move do, but of teams of its own.
+	Churn float64 `help:"Moves of allotments a second, in turn over the teams." default:"0"`
 
 	client *platform.Client
 	writes []table.Write
@@ -149,16 +153,17 @@
 	n := 0
 	step := time.Duration(float64(time.Second) / c.Churn)
 	_ = supervisor.Every(ctx, step, func(ctx context.Context) {
-		team, zone := c.team(1+n%c.Teams), c.Zones[n%len(c.Zones)]
-		row, all := limit.ZoneRow{Entries: map[core.EntryID]core.Slots{}}, limit.TeamRow{Limit: 200, Zones: map[core.ZoneID]core.Slots{}}
-		for e := range c.Entries {
-			row.Entries[core.EntryID(fmt.Sprintf("churn_%02d#%d", e, time.Now().UnixMilli()))] = core.Slots(1 + n%5)
+		team := core.TeamID(fmt.Sprintf("moves_%04d", n%churnTeams))
+		parts := limit.ZoneRow{Entries: make(map[core.EntryID]core.Slots)}
+		for e := range churnEntries {
+			parts.Entries[core.EntryID(fmt.Sprintf("churn_%02d#%d", e, time.Now().UnixMilli()))] = core.Slots(1 + n%5)
 		}
-		for _, z := range c.Zones {
-			all.Zones[z] = core.Slots(c.Entries)
+		all := limit.TeamRow{Limit: 200, Zones: make(map[core.ZoneID]core.Slots)}
+		for z := range churnZones {
+			all.Zones[core.ZoneID(fmt.Sprintf("zone_%d", z+1))] = parts.Sum()
 		}
 		var t table.Transaction
-		if t.Set(table.ZoneAllotmentKey(team, zone), row) == nil && t.Set(table.TeamAllotmentKey(team), all) == nil {
+		if t.Set(table.ZoneAllotmentKey(team, c.Zones[0]), parts) == nil && t.Set(table.TeamAllotmentKey(team), all) == nil {
 			_ = c.client.Transact(ctx, t)
 		}
 		n++
