Number the refusals that the connect protocol makes itself

A body that could not be read, or was too large, got connect's own code without our number, and a misspelt JSON field was dropped in silence. Now malformed (100) and too_large (101), with the cause; before, 'invalid_argument: unmarshal message' alone.

--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/types/known/timestamppb"
 
 	"lavenderpond/core"
+	"lavenderpond/io/connectrpc"
 	pb "lavenderpond/io/gen/lavenderpond/v1"
 	"lavenderpond/io/gen/lavenderpond/v1/lavenderpondv1connect"
 )
@@ -55,8 +56,9 @@
 // Handler returns the URL path of the service and its HTTP handler.
 func (s *Server) Handler() (string, http.Handler) {
 	limit := s.MaxBody*base64Growth/4 + overhead
-	path, h := lavenderpondv1connect.NewCallerServiceHandler(s, connect.WithReadMaxBytes(limit), connect.WithCompressMinBytes(compressAbove))
-	return path, h
+	path, h := lavenderpondv1connect.NewCallerServiceHandler(s, connectrpc.Options(),
+		connect.WithReadMaxBytes(limit), connect.WithCompressMinBytes(compressAbove))
+	return path, connectrpc.LimitBody(h, int64(limit))
 }
 
 // Submit implements CallerService.
--- /dev/null
+++ b/io/connectrpc/connectrpc_test.go
@@ -0,0 +1,51 @@
+package connectrpc
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"connectrpc.com/connect"
+	"gotest.tools/v3/assert"
+
+	pb "lavenderpond/io/gen/lavenderpond/v1"
+	"lavenderpond/io/gen/lavenderpond/v1/lavenderpondv1connect"
+)
+
+// echo answers every submission with its id.
+type echo struct {
+	lavenderpondv1connect.UnimplementedCallerServiceHandler
+}
+
+func (echo) Submit(_ context.Context, r *connect.Request[pb.SubmitRequest]) (*connect.Response[pb.Answer], error) {
+	return connect.NewResponse(&pb.Answer{Id: r.Msg.Id}), nil
+}
+
+// TestRefusalsAreNumbered: a caller sends what can't be read as the message, or
+// more than is allowed. It gets the number and a sentence that names the cause.
+func TestRefusalsAreNumbered(t *testing.T) {
+	path, h := lavenderpondv1connect.NewCallerServiceHandler(echo{}, Options())
+	mux := http.NewServeMux()
+	mux.Handle(path, LimitBody(h, 1000))
+	srv := httptest.NewServer(mux)
+	defer srv.Close()
+	cases := []struct{ contentType, body, want string }{
+		{"application/json", `{"id":"a"}`, `{"id":"a"}`},
+		{"application/json", `{"id":`, "malformed (100)"},
+		{"application/json", `{"idd":"a"}`, `unknown field`},
+		{"application/json", `{"attempt":-1}`, "malformed (100)"},
+		{"application/proto", "\x0a\xff", "malformed (100)"},
+		{"application/json", strings.Repeat(" ", 1001), "too_large (101)"},
+	}
+	for _, c := range cases {
+		resp, err := http.Post(srv.URL+path+"Submit", c.contentType, strings.NewReader(c.body))
+		assert.NilError(t, err)
+		body, err := io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+		assert.NilError(t, resp.Body.Close())
+		assert.Assert(t, strings.Contains(strings.ReplaceAll(string(body), " ", " "), c.want), "%q: %s", c.body, body)
+	}
+}
--- /dev/null
+++ b/io/connectrpc/limit.go
@@ -0,0 +1,29 @@
+package connectrpc
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"lavenderpond/core"
+)
+
+// refusal is the connect protocol's error body.
+type refusal struct {
+	Code    string `json:"code"`
+	Message string `json:"message"`
+}
+
+// LimitBody refuses a request whose stated length is above limit, in bytes, before
+// its body is read. A body without a length is bounded by the handler's own limit.
+func LimitBody(next http.Handler, limit int64) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength <= limit {
+			next.ServeHTTP(w, r)
+			return
+		}
+		err := core.Errorf(core.CodeTooLarge, "the request has %d bytes, at most %d are allowed", r.ContentLength, limit)
+		w.Header().Set("Content-Type", "application/json")
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+		_ = json.NewEncoder(w).Encode(refusal{Code: "resource_exhausted", Message: err.Error()})
+	})
+}
--- a/io/operator/operator.go
+++ b/io/operator/operator.go
@@ -15,6 +15,7 @@
 	"lavenderpond/core"
 	"lavenderpond/core/config"
 	"lavenderpond/core/key"
+	"lavenderpond/io/connectrpc"
 	"lavenderpond/io/gen/lavenderpond/v1/lavenderpondv1connect"
 	"lavenderpond/io/platform"
 )
@@ -94,9 +95,9 @@
 
 // Handler returns the URL path of the service and its HTTP handler.
 func (s *Server) Handler() (string, http.Handler) {
-	path, h := lavenderpondv1connect.NewOperatorServiceHandler(s,
+	path, h := lavenderpondv1connect.NewOperatorServiceHandler(s, connectrpc.Options(),
 		connect.WithReadMaxBytes(maxRequest), connect.WithInterceptors(connect.UnaryInterceptorFunc(s.intercept)))
-	return path, s.guard(h)
+	return path, s.guard(connectrpc.LimitBody(h, maxRequest))
 }
 
 // guard lets in only who has the operator key, before anything is read of a body.
