--- a/cmd/lavenderpond-load/check.go
+++ b/cmd/lavenderpond-load/check.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"lavenderpond/core"
 	pb "lavenderpond/io/gen/lavenderpond/v1"
 	"lavenderpond/io/target/standin"
 )
@@ -31,6 +32,10 @@
 	// NotRun ids were told not_run by every attempt.
 	NotRun int `json:"not_run"`
 	Starts int `json:"starts"`
+	// FailedForMs is the time from the first to the last attempt that wasn't done
+	// for lack of a holder: how long the fleet took to recover.
+	FailedForMs int64 `json:"failed_for_ms"`
+	first, last int64
 	// The rest must be zero.
 	Doubles     int `json:"doubles"`
 	FalseNotRun int `json:"false_not_run"`
@@ -71,6 +76,7 @@
 	}
 	done, notRun := false, true
 	for _, a := range list {
+		v.noteFailure(a)
 		isDone := a.Outcome == pb.Outcome_OUTCOME_DONE.String()
 		done = done || isDone
 		notRun = notRun && a.Outcome == pb.Outcome_OUTCOME_NOT_RUN.String()
@@ -94,6 +100,19 @@
 	}
 }
 
+// noteFailure dates attempts that found no holder. An entry that is away refuses
+// connections for as long as it is, which says nothing about the others.
+func (v *verdict) noteFailure(a attempt) {
+	if a.Code != core.CodeNoHolder.String() && a.Code != core.CodeHomeUnreachable.String() && a.Code != core.CodeZoneUnreachable.String() {
+		return
+	}
+	if v.first == 0 || a.AtMs < v.first {
+		v.first = a.AtMs
+	}
+	v.last = max(v.last, a.AtMs)
+	v.FailedForMs = v.last - v.first
+}
+
 func (c *checkCommand) starts(ctx context.Context) (map[string]int, error) {
 	counts := make(map[string]int)
 	for _, address := range c.Targets {
--- a/cmd/lavenderpond-load/entries.go
+++ b/cmd/lavenderpond-load/entries.go
@@ -44,6 +44,8 @@
 	Code    string `json:"code"`
 	// Whole says that the answer's body names the id.
 	Whole bool `json:"whole"`
+	// AtMs is when the answer came, in Unix milliseconds.
+	AtMs int64 `json:"at_ms"`
 }
 
 // Run loads the entries. The team key comes from LAVENDERPOND_TEAM_KEY.
@@ -112,7 +114,7 @@
 	if c.records == nil {
 		return
 	}
-	a := attempt{ID: c.Team + "/" + string(req.Key.ID), Attempt: int(req.Attempt), Outcome: "no_answer"}
+	a := attempt{ID: c.Team + "/" + string(req.Key.ID), Attempt: int(req.Attempt), Outcome: "no_answer", AtMs: time.Now().UnixMilli()}
 	if err == nil {
 		a.Outcome, a.Code = answer.Outcome.String(), answer.CodeName
 		a.Whole = strings.HasPrefix(string(answer.Body), "done "+a.ID+",") && len(answer.Body) >= c.Bytes
