--- a/core/home/dispatch.go
+++ b/core/home/dispatch.go
@@ -125,9 +125,8 @@
 	r.phase = running
 	r.number++
 	r.startedAt = now
-	r.leaseUntil = r.request.Deadline
 	h.emit(Dispatch{
-		Request: r.request, VM: r.vm, Number: r.number, StartBy: startBy, LeaseUntil: r.leaseUntil,
+		Request: r.request, VM: r.vm, Number: r.number, StartBy: startBy, LeaseUntil: r.request.Deadline,
 	})
 }
 
--- a/core/home/record.go
+++ b/core/home/record.go
@@ -39,13 +39,12 @@
 	answer  core.Answer
 	waiters []Waiter
 
-	vm         core.VMID
-	number     core.Attempt
-	leaseUntil time.Time
-	startedAt  time.Time
-	tried      []core.VMID
-	notBefore  time.Time
-	cancelled  bool
+	vm        core.VMID
+	number    core.Attempt
+	startedAt time.Time
+	tried     []core.VMID
+	notBefore time.Time
+	cancelled bool
 	// fromFormer says that the record came from a former holder, without its body.
 	fromFormer bool
 	// mirrored says that Rights.Start allowed this request once.
--- a/core/home/tick.go
+++ b/core/home/tick.go
@@ -67,7 +67,6 @@
 	}
 	r := h.newRecord(core.Request{Key: s.Key, Deadline: s.Deadline})
 	r.vm = s.VM
-	r.leaseUntil = s.Deadline
 	r.phase = inherited
 	r.fromFormer = true
 	delete(h.open, s.Key)
--- a/core/request.go
+++ b/core/request.go
@@ -18,8 +18,8 @@
 	Idempotent bool
 	// Urgent requests go before others of their team.
 	Urgent bool
-	// DeclaredRun is when the work would end, by the caller's word, if it started
-	// at FirstSent. Often far off; used as a hint until run times are measured.
+	// DeclaredRun is the run time that the caller declares: a size, not a deadline.
+	// Often far off; used as a hint until run times are measured.
 	DeclaredRun time.Duration
 	Body        []byte
 }
--- a/io/entry/daemon.go
+++ b/io/entry/daemon.go
@@ -124,7 +124,7 @@
 	d.buildRights(h)
 	d.buildFleet(router)
 	d.front = &Front{
-		Self: d.id, Zone: d.settings.Entry.Zone, Zones: d.settings.Entry.Zones, Now: d.now,
+		Zone: d.settings.Entry.Zone, Zones: d.settings.Entry.Zones, Now: d.now,
 		Holders: d.shards, Gate: d.config, Requests: d.requests, Directory: &d.directory, Peers: d.peers,
 	}
 }
--- a/io/entry/front.go
+++ b/io/entry/front.go
@@ -45,7 +45,6 @@
 // Requests, to the holder in this zone, or to an entry of another zone. All
 // fields must be set.
 type Front struct {
-	Self      core.EntryID
 	Zone      core.ZoneID
 	Zones     []core.ZoneID
 	Now       func() time.Time
