Spread numbered ids over shards, and carry unwaited requests through a planned stop

Found when the test of a planned stop with unwaited requests passed for the wrong reason: all 120 ids had their home at the entry that stayed. With even ids it was red: what the stopping entry had queued (57 of 120) was dropped, since no caller waited for it. The front now follows such a request to the next holder, and a refusal is kept for its caller to fetch. 15 of the 57 still met no_holder: the right moved between the front's question and the home's; that is now looked up again, for waiting callers too. After: 120 of 120 done, each started once.

--- a/core/home/property_test.go
+++ b/core/home/property_test.go
@@ -190,3 +190,22 @@
 	assert.DeepEqual(t, commands, []Command{Reply{Waiter: 1, Key: key("a"),
 		Answer: core.OutcomeUnknown{Code: core.CodeHomeReplaced}}})
 }
+
+// TestRefusalIsKeptForFetch: a caller submits without waiting and its request is
+// refused later. It fetches the refusal; a further attempt of the id may still run.
+func TestRefusalIsKeptForFetch(t *testing.T) {
+	b := newBench(1, "vm-1")
+	b.submit("first", 1)
+	req := core.Request{Key: key("a"), KeyDigest: "good", Attempt: 1, Deadline: epoch.Add(time.Second), Queue: "stack"}
+	b.do(Submit{Request: req, Waiter: 10, NoWait: true})
+	b.wait(2 * time.Second)
+	b.do(Tick{})
+	commands := b.do(Fetch{Key: key("a"), Waiter: 11})
+	assert.DeepEqual(t, commands, []Command{Reply{Waiter: 11, Key: key("a"), Answer: core.NotRun{Code: core.CodeDeadlinePassed}}})
+	b.do(Ended{Key: key("first"), Number: 1, End: Answered{}})
+	req.Attempt, req.Deadline = 2, epoch.Add(time.Minute)
+	commands = b.do(Submit{Request: req, Waiter: 12})
+	assert.Equal(t, len(commands), 1)
+	_, dispatched := commands[0].(Dispatch)
+	assert.Assert(t, dispatched, "%+v", commands)
+}
--- a/core/home/record.go
+++ b/core/home/record.go
@@ -45,6 +45,8 @@
 	tried     []core.VMID
 	notBefore time.Time
 	cancelled bool
+	// fetched says that a caller does not wait but fetches the answer later.
+	fetched bool
 	// fromFormer says that the record came from a former holder, without its body.
 	fromFormer bool
 	// mirrored says that Rights.Start allowed this request once.
@@ -84,8 +86,9 @@
 	heap.Remove(&h.forget, r.index)
 }
 
-// finish gives r its final answer. A NotRun is not kept: a later attempt of the
-// same id may still run. Everything else is, so that it can't run again.
+// finish gives r its final answer. It is kept, so that the id can't run again, but
+// for a NotRun: a later attempt of the same id may still run. Of a caller that
+// fetches its answer a NotRun is kept too, unless the request goes on elsewhere.
 func (h *Home) finish(r *record, a core.Answer) {
 	r.phase = ended
 	r.answer = a
@@ -97,8 +100,10 @@
 		h.reply(w, r.request.Key, a)
 	}
 	r.waiters = nil
-	if _, notRun := a.(core.NotRun); notRun && !r.cancelled {
-		h.drop(r)
+	if refusal, notRun := a.(core.NotRun); notRun && !r.cancelled {
+		if !r.fetched || refusal.Code == core.CodeEntryStopping {
+			h.drop(r)
+		}
 	}
 }
 
--- a/core/home/submit.go
+++ b/core/home/submit.go
@@ -19,8 +19,12 @@
 	h.counts.Submitted++
 	key := e.Request.Key
 	if r, ok := h.records[key]; ok {
-		h.join(now, r, e)
-		return
+		if !r.refused() {
+			h.join(now, r, e)
+			return
+		}
+		// Only a refusal is kept for its caller to fetch: this attempt may run.
+		h.drop(r)
 	}
 	if refusal := h.refuseNew(now, e.Request); refusal != nil {
 		h.reply(e.Waiter, key, refusal)
@@ -37,6 +41,12 @@
 	h.pump(now, e.Request.Queue)
 }
 
+// refused says that r ended without running, and not by a cancellation.
+func (r *record) refused() bool {
+	_, notRun := r.answer.(core.NotRun)
+	return r.phase == ended && notRun && !r.cancelled
+}
+
 // join answers a further attempt from the record that is there already: an id
 // runs once, however many attempts reach its home, and whichever come crossed.
 func (h *Home) join(now time.Time, r *record, e Submit) {
@@ -58,6 +68,7 @@
 
 func (h *Home) wait(r *record, e Submit) {
 	if e.NoWait {
+		r.fetched = true
 		h.reply(e.Waiter, e.Request.Key, core.Pending{Running: r.phase != queued})
 		return
 	}
--- a/core/id.go
+++ b/core/id.go
@@ -2,8 +2,8 @@
 
 import (
 	"crypto/sha256"
+	"encoding/binary"
 	"encoding/hex"
-	"hash/fnv"
 	"strconv"
 	"strings"
 	"time"
@@ -98,12 +98,11 @@
 	return ShardIndex((k.hash() >> 32) % uint64(n))
 }
 
+// hash spreads keys evenly, those of numbered ids included: with FNV-1a, whose high
+// bits hardly depend on the last characters, 120 ids in a row fell on one entry.
 func (k RequestKey) hash() uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(k.Team))
-	_, _ = h.Write([]byte{0})
-	_, _ = h.Write([]byte(k.ID))
-	return h.Sum64()
+	sum := sha256.Sum256([]byte(string(k.Team) + "\x00" + string(k.ID)))
+	return binary.BigEndian.Uint64(sum[:])
 }
 
 // Digest returns the digest under which key is stored and compared.
--- a/io/entry/failure_test.go
+++ b/io/entry/failure_test.go
@@ -140,6 +140,37 @@
 	}
 }
 
+// TestPlannedStopKeepsUnwaited: callers submit without waiting, more than the zone's
+// one target has slots for, and the entry that took them is told to stop. What it
+// had queued goes on to the next holder; each caller fetches its answer there.
+func TestPlannedStopKeepsUnwaited(t *testing.T) {
+	f := newTestFleet(t, map[core.ZoneID]int{"zone_a": 2}, 1)
+	f.awaitServing()
+	const requests = 120
+	deadline := timestamppb.New(time.Now().Add(time.Minute))
+	for n := range requests {
+		a := f.send(0, &pb.SubmitRequest{
+			Team: "lyra", Id: fmt.Sprintf("later-%d", n), Attempt: 1, Queue: "frames", Deadline: deadline, NoWait: true,
+			Body: []byte(`{"run_ms":300}`),
+		}, teamKey)
+		assert.Equal(t, a.Outcome, pb.Outcome_OUTCOME_PENDING)
+	}
+	stopping := f.entries[0]
+	stopping.stop()
+	for n := range requests {
+		id := fmt.Sprintf("later-%d", n)
+		f.await(id, func() bool {
+			r := connect.NewRequest(&pb.FetchRequest{Team: "lyra", Id: id})
+			r.Header().Set("Authorization", "Bearer "+teamKey)
+			resp, err := f.service(1).Fetch(f.ctx, r)
+			return err == nil && resp.Msg.Outcome == pb.Outcome_OUTCOME_DONE
+		})
+		assert.Equal(t, f.startsOf(core.RequestID(id)), 1)
+	}
+	assert.NilError(t, <-stopping.ended)
+	stopping.ended <- nil // for the fleet's own end
+}
+
 // TestLeavingTargetGetsNothingNew: a target begins to leave while it runs a task.
 // It refuses the next one, which goes to another target; from then on it is sent
 // nothing, although its row and the live list know nothing yet. The task finishes.
--- a/io/entry/front.go
+++ b/io/entry/front.go
@@ -150,11 +150,16 @@
 		return f.toEntry(ctx, v.Holder, args)
 	default:
 		answer := f.here(ctx, args)
-		if core.CodeOf(answer) == core.CodeEntryStopping {
+		switch core.CodeOf(answer) {
+		case core.CodeEntryStopping:
 			// A planned stop cuts nobody off: the call goes on to the next holder.
 			return nil, errHandingOver
+		case core.CodeNoHolder:
+			// The right moved between the two questions.
+			return nil, errNoHolder
+		default:
+			return answer, nil
 		}
-		return answer, nil
 	}
 }
 
@@ -174,10 +179,31 @@
 	case peer.ForwardCancel:
 		return f.Requests.Cancel(ctx, args.Request.Key)
 	default:
-		return f.Requests.Submit(ctx, args.Request, args.NoWait)
+		answer := f.Requests.Submit(ctx, args.Request, args.NoWait)
+		if args.NoWait && core.CodeOf(answer) == core.CodePending {
+			f.follow(args)
+		}
+		return answer
 	}
 }
 
+// follow stays with a request whose caller doesn't wait. When this entry hands the
+// id over before the request was sent, it takes it to the next holder: nobody else
+// is left who would, and the caller would fetch an answer that never comes.
+func (f *Front) follow(args peer.ForwardArgs) {
+	f.forwarded.Add(1)
+	f.Requests.Go(func(ctx context.Context) {
+		defer f.forwarded.Add(-1)
+		ctx, cancel := context.WithDeadline(ctx, args.Request.Deadline.Add(replyGrace))
+		defer cancel()
+		answer := f.Requests.Submit(ctx, args.Request, false)
+		if core.CodeOf(answer) == core.CodeEntryStopping {
+			args.GiveUpAt = args.Request.Deadline.Add(replyGrace)
+			f.toHolder(ctx, args)
+		}
+	})
+}
+
 func (f *Front) toEntry(ctx context.Context, id core.EntryID, args peer.ForwardArgs) (core.Answer, error) {
 	a, ok := f.Directory.Find(f.Zone, id)
 	if !ok {
--- a/io/entry/requests.go
+++ b/io/entry/requests.go
@@ -98,6 +98,11 @@
 	return left
 }
 
+// Go runs f on a goroutine that Close waits for; ctx ends with Close.
+func (r *Requests) Go(f func(ctx context.Context)) {
+	r.calls.Go(func() { f(r.ctx) })
+}
+
 // Close gives up all calls to targets and waits for them.
 func (r *Requests) Close() {
 	r.cancel()
