Send what was mirrored before rights are handed over

Waiting callers in that place got outcome_unknown for what never ran. A stopping entry now still sends what was mirrored, and waits up to 5 s for it before it hands its rights over; the rest goes on at once; a followed request looks for its holder until its deadline.

--- a/core/home/cancel.go
+++ b/core/home/cancel.go
@@ -61,10 +61,12 @@
 }
 
 // stop refuses what still waits, so that the callers go elsewhere at once. What
-// runs is waited for by the daemon.
+// runs is waited for by the daemon. A request whose start was mirrored and whose
+// target had no slot is still sent from here: the next holder would take it for
+// started, and its caller would be told that the outcome is unknown.
 func (h *Home) stop(now time.Time) {
 	h.stopping = true
-	for _, r := range h.notSent(func(r *record) bool { return r.phase == queued }) {
+	for _, r := range h.notSent(func(r *record) bool { return r.phase == queued && !r.mirrored }) {
 		h.takeBack(now, r)
 		h.finishNotRun(now, r, core.NotRun{Code: core.CodeEntryStopping, ComeBackAt: now})
 	}
--- a/core/home/dispatch.go
+++ b/core/home/dispatch.go
@@ -19,7 +19,7 @@
 // pump moves waiting requests of q to free slots until there is none left.
 func (h *Home) pump(now time.Time, q core.QueueID) {
 	pool, overflow, ok := h.Config.Pool(now, q)
-	if !ok || h.stopping {
+	if !ok {
 		return
 	}
 	want := route.Want{Pool: pool, Overflow: overflow}
@@ -40,7 +40,7 @@
 // ready says whether item may start now, and where. It takes the team's slot.
 func (h *Home) ready(now time.Time, item queue.Item, want route.Want) (core.VMID, bool) {
 	r := h.records[item.Key]
-	if r == nil || now.Before(r.notBefore) || !now.Before(h.Rights.RightUntil(now, item.Key)) {
+	if r == nil || h.stopping && !r.mirrored || now.Before(r.notBefore) || !now.Before(h.Rights.RightUntil(now, item.Key)) {
 		return "", false
 	}
 	want.Tried = r.tried
@@ -157,6 +157,10 @@
 	delete(h.waiting, r.request.Key)
 	r.phase = queued
 	r.notBefore = notBefore
+	if h.stopping && !r.mirrored {
+		h.finishNotRun(now, r, core.NotRun{Code: core.CodeEntryStopping, ComeBackAt: now})
+		return
+	}
 	refusal, ok := h.Queue.Push(now, itemOf(now, r.request), 0)
 	if !ok {
 		h.finishNotRun(now, r, refusal)
--- a/core/home/home.go
+++ b/core/home/home.go
@@ -149,6 +149,18 @@
 	h.emit(Reply{Waiter: w, Key: key, Answer: a})
 }
 
+// Unsettled returns how many requests are between their mirrored start and their
+// target. A stop that hands rights over waits for them first.
+func (h *Home) Unsettled() int {
+	n := 0
+	for _, r := range h.open {
+		if r.phase == announced || r.phase == queued && r.mirrored {
+			n++
+		}
+	}
+	return n
+}
+
 // Unfinished returns how many requests have no final answer yet.
 func (h *Home) Unfinished() int {
 	return len(h.open)
--- a/io/entry/daemon.go
+++ b/io/entry/daemon.go
@@ -36,6 +36,9 @@
 	announceStep = 500 * time.Millisecond
 )
 
+// settlePatience bounds how long a stop waits for mirrored starts to reach a target.
+const settlePatience = 5 * time.Second
+
 // targetConnections is how many of a VM's connections one entry uses at most: one
 // for each of its 8 slots, and two for questions. Six entries of a zone stay within
 // a VM's 64.
@@ -210,6 +213,9 @@
 	ctx, cancel := context.WithTimeout(d.aborted, d.settings.Entry.StopGrace)
 	defer cancel()
 	d.requests.Handle(home.Stopping{})
+	settling, settled := context.WithTimeout(ctx, settlePatience)
+	d.requests.Settle(settling)
+	settled()
 	d.releaseRights(ctx)
 	if left := d.requests.Drain(ctx); left > 0 {
 		d.log.Warn().Int("unfinished", left).Msg("stop_grace is over; what runs is left to its leases")
--- a/io/entry/front.go
+++ b/io/entry/front.go
@@ -197,13 +197,23 @@
 		ctx, cancel := context.WithDeadline(ctx, args.Request.Deadline.Add(replyGrace))
 		defer cancel()
 		answer := f.Requests.Submit(ctx, args.Request, false)
-		if core.CodeOf(answer) == core.CodeEntryStopping {
-			args.GiveUpAt = args.Request.Deadline.Add(replyGrace)
-			f.toHolder(ctx, args)
+		args.GiveUpAt = args.Request.Deadline.Add(replyGrace)
+		for goesOn(answer) && ctx.Err() == nil {
+			answer = f.toHolder(ctx, args)
 		}
 	})
 }
 
+// goesOn says that the request has still to be brought to a holder.
+func goesOn(a core.Answer) bool {
+	switch core.CodeOf(a) {
+	case core.CodeEntryStopping, core.CodeNoHolder, core.CodeHomeUnreachable:
+		return true
+	default:
+		return false
+	}
+}
+
 func (f *Front) toEntry(ctx context.Context, id core.EntryID, args peer.ForwardArgs) (core.Answer, error) {
 	a, ok := f.Directory.Find(f.Zone, id)
 	if !ok {
--- a/io/entry/requests.go
+++ b/io/entry/requests.go
@@ -83,14 +83,21 @@
 	f(r.home)
 }
 
+// Settle returns when no request is between its mirrored start and its target, or
+// when ctx ends.
+func (r *Requests) Settle(ctx context.Context) { r.awaitNone(ctx, (*home.Home).Unsettled) }
+
 // Drain returns when no request runs any more, or when ctx ends; it returns how
 // many were left then.
-func (r *Requests) Drain(ctx context.Context) int {
+func (r *Requests) Drain(ctx context.Context) int { return r.awaitNone(ctx, (*home.Home).Unfinished) }
+
+// awaitNone returns when count is 0, or when ctx ends, and the last count.
+func (r *Requests) awaitNone(ctx context.Context, count func(*home.Home) int) int {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	left := 0
 	_ = supervisor.Every(ctx, drainStep, func(context.Context) {
-		r.Locked(func(h *home.Home) { left = h.Unfinished() })
+		r.Locked(func(h *home.Home) { left = count(h) })
 		if left == 0 {
 			cancel()
 		}
