--- a/io/target/standin/reply.go
+++ b/io/target/standin/reply.go
@@ -39,14 +39,16 @@
 	if f.LoseAnswers > 0 {
 		panic(http.ErrAbortHandler) // the connection ends without an answer
 	}
+	if f.CrossAnswers > 0 {
+		// Whole in itself, and another task's.
+		name = "other/task"
+		answer = answerTo(name, nil, work)
+	}
 	h := w.Header()
 	h.Set(target.HeaderTask, name)
 	h.Set(target.HeaderAttempt, r.Header.Get(target.HeaderAttempt))
 	h.Set(target.HeaderState, state)
 	h.Set(target.HeaderLength, strconv.Itoa(len(answer)))
-	if f.CrossAnswers > 0 {
-		h.Set(target.HeaderTask, "other/task")
-	}
 	if f.FailAll || work.Fail {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
