Wait for targets' refusals before rights are handed over

Cause: a dispatch that was under way when a stop handed its rights over could come back "full"; the next holder had inherited it as started, asked the target, and answered outcome_unknown for what never ran. Seen as 1 to 2 failures of 20 runs of the two tests of planned stops, ten processes at once on 12 cores (answer_lost, no start in the targets' record). Ruled out: starts that wait for their mirror (none left after the settling), a longer patience alone (15 s in place of 5: still 1 of 16). A stop now counts a dispatch of the last second as unsettled, as nothing new is sent meanwhile; what never was sent goes on although the right has lapsed, since the next holder decides about it.

--- a/core/home/cancel.go
+++ b/core/home/cancel.go
@@ -68,7 +68,7 @@
 	h.stopping = true
 	for _, r := range h.notSent(func(r *record) bool { return r.phase == queued && !r.mirrored }) {
 		h.takeBack(now, r)
-		h.finishNotRun(now, r, core.NotRun{Code: core.CodeEntryStopping, ComeBackAt: now})
+		h.finish(r, core.NotRun{Code: core.CodeEntryStopping, ComeBackAt: now})
 	}
 }
 
--- a/core/home/dispatch.go
+++ b/core/home/dispatch.go
@@ -158,7 +158,7 @@
 	r.phase = queued
 	r.notBefore = notBefore
 	if h.stopping && !r.mirrored {
-		h.finishNotRun(now, r, core.NotRun{Code: core.CodeEntryStopping, ComeBackAt: now})
+		h.finish(r, core.NotRun{Code: core.CodeEntryStopping, ComeBackAt: now})
 		return
 	}
 	refusal, ok := h.Queue.Push(now, itemOf(now, r.request), 0)
--- a/core/home/home.go
+++ b/core/home/home.go
@@ -149,13 +149,28 @@
 	h.emit(Reply{Waiter: w, Key: key, Answer: a})
 }
 
+// settledAfter is how long after a dispatch the target's refusal may still come.
+const settledAfter = time.Second
+
 // Unsettled returns how many requests are between their mirrored start and their
-// target. A stop that hands rights over waits for them first.
-func (h *Home) Unsettled() int {
+// target, those included whose target may still say that it has no slot. A stop
+// that hands rights over waits for them first: such a request has to be sent again,
+// and only this entry knows that it did not run.
+func (h *Home) Unsettled(now time.Time) int {
 	n := 0
 	for _, r := range h.open {
-		if r.phase == announced || r.phase == queued && r.mirrored {
+		switch r.phase {
+		case announced:
 			n++
+		case queued:
+			if r.mirrored {
+				n++
+			}
+		case running:
+			if now.Before(r.startedAt.Add(settledAfter)) {
+				n++
+			}
+		default:
 		}
 	}
 	return n
--- a/io/entry/daemon.go
+++ b/io/entry/daemon.go
@@ -37,7 +37,9 @@
 )
 
 // settlePatience bounds how long a stop waits for mirrored starts to reach a target.
-const settlePatience = 5 * time.Second
+// Ids of this entry's shards wait as long; what is handed over unsettled ends as
+// outcome_unknown although it never ran.
+const settlePatience = 15 * time.Second
 
 // targetConnections is how many of a VM's connections one entry uses at most: one
 // for each of its 8 slots, and two for questions. Six entries of a zone stay within
--- a/io/entry/requests.go
+++ b/io/entry/requests.go
@@ -85,7 +85,9 @@
 
 // Settle returns when no request is between its mirrored start and its target, or
 // when ctx ends.
-func (r *Requests) Settle(ctx context.Context) { r.awaitNone(ctx, (*home.Home).Unsettled) }
+func (r *Requests) Settle(ctx context.Context) {
+	r.awaitNone(ctx, func(h *home.Home) int { return h.Unsettled(r.Now()) })
+}
 
 // Drain returns when no request runs any more, or when ctx ends; it returns how
 // many were left then.
