--- a/io/entry/front.go
+++ b/io/entry/front.go
@@ -11,6 +11,7 @@
 	"lavenderpond/core/shard"
 	"lavenderpond/io/caller"
 	"lavenderpond/io/peer"
+	"lavenderpond/io/supervisor"
 )
 
 // Bounds of forwarding.
@@ -126,7 +127,7 @@
 		if errors.Is(err, errHandingOver) {
 			until = f.Now().Add(searchFor)
 		}
-		if !f.Now().Before(until) || !f.pause(ctx) {
+		if !f.Now().Before(until) || !supervisor.Sleep(ctx, searchStep) {
 			return f.lost(args, sent, core.CodeNoHolder)
 		}
 	}
@@ -257,14 +258,3 @@
 	}
 	return core.Refuse(args.Request.Attempt, core.NotRun{Code: code, ComeBackAt: comeBack})
 }
-
-func (f *Front) pause(ctx context.Context) bool {
-	t := time.NewTimer(searchStep)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
