Let only the first entry of the home zone look for an id's holder

A call was passed on from one supposed holder to the next, three hops at most. While a right moved, entries with unlike views passed it back and forth until it stood at the former holder with its hops used up; there it waited 1.5 s for a right that never comes back and was refused, although the new holder served. A trace on a scratch copy showed every lost call at the stopping entry, at its third hop, with the verdict "the other one holds it".

Ruled out: a lease that lapsed on a busy machine (two of twelve cores were used), a slow table, a lost look.

Change: a call has three stages and passes each once. The first entry of the home zone looks for the holder; an entry that is taken for it and isn't says so at once (a typed result), and the sender looks again. A search counts anew while an entry hands its rights over, up to the time when the sender gives up.

TestMovedRightIsFound and TestHandOverIsWaitedFor were red before the change (home_unreachable and no_holder in place of the home's word) and are green now.

--- a/io/entry/daemon.go
+++ b/io/entry/daemon.go
@@ -214,11 +214,13 @@
 	d.stopping.Store(true)
 	ctx, cancel := context.WithTimeout(d.aborted, d.settings.Entry.StopGrace)
 	defer cancel()
+	d.front.SetHandingOver(true)
 	d.requests.Handle(home.Stopping{})
 	settling, settled := context.WithTimeout(ctx, settlePatience)
 	d.requests.Settle(settling)
 	settled()
 	d.releaseRights(ctx)
+	d.front.SetHandingOver(false)
 	if left := d.requests.Drain(ctx); left > 0 {
 		d.log.Warn().Int("unfinished", left).Msg("stop_grace is over; what runs is left to its leases")
 	}
--- a/io/entry/front.go
+++ b/io/entry/front.go
@@ -16,11 +16,8 @@
 
 // Bounds of forwarding.
 const (
-	// maxHops is how many entries may pass a call on: to the home zone, to the
-	// holder, and once more to a new holder.
-	maxHops = 3
-	// searchFor is how long a call looks for a holder before it is refused. A planned
-	// hand-over takes a write and a read of the table.
+	// searchFor is how long a call looks for a holder before it is refused, counted
+	// anew while an entry is known to hand its rights over.
 	searchFor = 1500 * time.Millisecond
 	// searchStep is the pause between two looks.
 	searchStep = 20 * time.Millisecond
@@ -55,7 +52,8 @@
 	Directory *Directory
 	Peers     *peer.Pool
 
-	forwarded atomic.Int64
+	forwarded   atomic.Int64
+	handingOver atomic.Bool
 }
 
 var _ caller.Front = (*Front)(nil)
@@ -95,12 +93,18 @@
 
 // HandleForwarded is the handler of calls that peers forward. They are counted, so
 // that a planned stop doesn't cut them off.
-func (f *Front) HandleForwarded(ctx context.Context, args peer.ForwardArgs) core.Answer {
+func (f *Front) HandleForwarded(ctx context.Context, args peer.ForwardArgs) (core.Answer, error) {
 	f.forwarded.Add(1)
 	defer f.forwarded.Add(-1)
-	return f.Handle(ctx, args)
+	if args.Stage == peer.ToHolder {
+		return f.asHolder(ctx, args, f.decide(args))
+	}
+	return f.Handle(ctx, args), nil
 }
 
+// SetHandingOver says whether this entry hands its rights over just now.
+func (f *Front) SetHandingOver(on bool) { f.handingOver.Store(on) }
+
 // Forwarded returns how many calls of peers are under way here.
 func (f *Front) Forwarded() int64 { return f.forwarded.Load() }
 
@@ -114,18 +118,21 @@
 }
 
 // toHolder looks for the holder of the id, for a short while: rights move within
-// milliseconds when an entry stops, and within seconds when one dies.
+// milliseconds when an entry stops, and within seconds when one dies. Only the first
+// entry of the home zone looks. Were a call passed on from one supposed holder to
+// the next, it could end at a former holder whose view can't help it, and be refused
+// although the new holder serves.
 func (f *Front) toHolder(ctx context.Context, args peer.ForwardArgs) core.Answer {
 	sent := false
-	until := f.Now().Add(searchFor)
+	until := f.searchUntil(args)
 	for {
 		answer, err := f.tryHolder(ctx, args)
 		if err == nil {
 			return answer
 		}
 		sent = sent || !errors.Is(err, peer.ErrNotSent)
-		if errors.Is(err, errHandingOver) {
-			until = f.Now().Add(searchFor)
+		if errors.Is(err, peer.ErrHandingOver) {
+			until = f.searchUntil(args)
 		}
 		if !f.Now().Before(until) || !supervisor.Sleep(ctx, searchStep) {
 			return f.lost(args, sent, core.CodeNoHolder)
@@ -133,35 +140,55 @@
 	}
 }
 
-// Reasons to look for the holder again. Nothing was sent.
-var (
-	errNoHolder    = errors.Wrap(peer.ErrNotSent, "no holder")
-	errHandingOver = errors.Wrap(peer.ErrNotSent, "this entry hands its rights over")
-)
+// searchUntil returns when a search that begins now ends.
+func (f *Front) searchUntil(args peer.ForwardArgs) time.Time {
+	until := f.Now().Add(searchFor)
+	if until.After(args.GiveUpAt) {
+		return args.GiveUpAt
+	}
+	return until
+}
 
 // tryHolder hands the call to the holder that is known now.
 func (f *Front) tryHolder(ctx context.Context, args peer.ForwardArgs) (core.Answer, error) {
-	switch v := f.Holders.Decide(f.Now(), args.Request.Key, args.Request.FirstSent, f.deadlineOf(args)).(type) {
-	case shard.Wait:
-		return nil, errNoHolder
-	case shard.NotHolder:
-		if args.Hops >= maxHops {
-			return nil, errNoHolder
-		}
+	verdict := f.decide(args)
+	if v, ok := verdict.(shard.NotHolder); ok {
 		return f.toEntry(ctx, v.Holder, args)
+	}
+	return f.asHolder(ctx, args, verdict)
+}
+
+func (f *Front) decide(args peer.ForwardArgs) shard.Verdict {
+	return f.Holders.Decide(f.Now(), args.Request.Key, args.Request.FirstSent, f.deadlineOf(args))
+}
+
+// asHolder answers the call if this entry may decide about its id. The errors are
+// peer.ErrNotHolder and peer.ErrHandingOver.
+func (f *Front) asHolder(ctx context.Context, args peer.ForwardArgs, verdict shard.Verdict) (core.Answer, error) {
+	switch verdict.(type) {
+	case shard.Wait, shard.NotHolder:
+		return nil, f.notHolder()
 	default:
-		answer := f.here(ctx, args)
-		switch core.CodeOf(answer) {
-		case core.CodeEntryStopping:
-			// A planned stop cuts nobody off: the call goes on to the next holder.
-			return nil, errHandingOver
-		case core.CodeNoHolder:
-			// The right moved between the two questions.
-			return nil, errNoHolder
-		default:
-			return answer, nil
-		}
 	}
+	answer := f.here(ctx, args)
+	switch core.CodeOf(answer) {
+	case core.CodeEntryStopping:
+		// A planned stop cuts nobody off: the call goes on to the next holder.
+		return nil, peer.ErrHandingOver
+	case core.CodeNoHolder:
+		// The right moved between the two questions.
+		return nil, f.notHolder()
+	default:
+		return answer, nil
+	}
+}
+
+// notHolder returns why this entry doesn't decide.
+func (f *Front) notHolder() error {
+	if f.handingOver.Load() {
+		return peer.ErrHandingOver
+	}
+	return peer.ErrNotHolder
 }
 
 // deadlineOf returns the deadline by which Decide judges a call. Calls about an
@@ -220,7 +247,7 @@
 	if !ok {
 		return nil, errors.Wrapf(peer.ErrNotSent, "no address of %s", id)
 	}
-	args.Hops++
+	args.Stage = peer.ToHolder
 	return f.Peers.ForwardTo(ctx, a.Peer.String(), args)
 }
 
@@ -228,10 +255,11 @@
 // answer came back: an entry that stops or dies must not cost the caller its
 // answer. Two copies of a call meet at the id's record and run once.
 func (f *Front) toZone(ctx context.Context, zone core.ZoneID, args peer.ForwardArgs) core.Answer {
-	if args.Hops >= maxHops {
+	if args.Stage != peer.FromCaller {
+		// The sender's settings name other zones than ours.
 		return f.lost(args, false, core.CodeZoneUnreachable)
 	}
-	args.Hops++
+	args.Stage = peer.ToHomeZone
 	sent := false
 	entries := f.Directory.Zone(zone)
 	offset := int(args.Request.Key.Shard(1 << 16))
--- a/io/entry/front_test.go
+++ b/io/entry/front_test.go
@@ -4,12 +4,15 @@
 	"context"
 	"net"
 	"net/netip"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"lavenderpond/core"
+	"lavenderpond/core/home"
 	"lavenderpond/core/shard"
 	"lavenderpond/core/table"
 	"lavenderpond/io/peer"
@@ -107,3 +110,116 @@
 		return a
 	}
 }
+
+// scripted are Holders that give one verdict after the other, and the last for good.
+type scripted struct {
+	mu       sync.Mutex
+	verdicts []shard.Verdict
+}
+
+func (s *scripted) Decide(time.Time, core.RequestKey, time.Time, time.Time) shard.Verdict {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v := s.verdicts[0]
+	if len(s.verdicts) > 1 {
+		s.verdicts = s.verdicts[1:]
+	}
+	return v
+}
+
+// looksOfSearch is how often a search looks at a steppedClock, three times a try.
+const looksOfSearch = 30
+
+// steppedClock is a clock that moves on with each look, so that a search ends after
+// a number of looks and not by the machine's pace.
+type steppedClock struct {
+	began time.Time
+	looks atomic.Int64
+}
+
+func (c *steppedClock) now() time.Time {
+	return c.began.Add(time.Duration(c.looks.Add(1)) * searchFor / looksOfSearch)
+}
+
+// newZoneFront returns the front of an entry of zone_a that listens for peers.
+func newZoneFront(t *testing.T, verdicts ...shard.Verdict) (*Front, netip.AddrPort) {
+	t.Helper()
+	clock := steppedClock{began: time.Now()}
+	f := &Front{
+		Zone: "zone_a", Zones: []core.ZoneID{"zone_a"}, Now: clock.now, Holders: &scripted{verdicts: verdicts},
+		Gate: openGate{}, Requests: NewRequests(&home.Home{}), Directory: &Directory{}, Peers: &peer.Pool{},
+	}
+	f.Requests.Now = time.Now
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := peer.NewServer()
+	assert.NilError(t, s.Register(peer.ForwardName, &peer.Forward{Context: t.Context(), Handler: f.HandleForwarded}))
+	ctx, cancel := context.WithCancel(t.Context())
+	var g supervisor.Group
+	g.Go(func() { _ = s.Serve(ctx, l) })
+	t.Cleanup(func() {
+		f.Peers.Close()
+		cancel()
+		g.Wait()
+	})
+	return f, l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// TestMovedRightIsFound: an id's right moved from a1 to a2. The caller's entry a3
+// still takes a1 for the holder, a2 knows of its right two looks later than a1 does,
+// and a1 never decides again. The call has to reach a2; before, the entries passed it
+// back and forth until it stayed at a1, which refused it with no_holder.
+func TestMovedRightIsFound(t *testing.T) {
+	toA1, toA2 := shard.NotHolder{Holder: "a1#1"}, shard.NotHolder{Holder: "a2#1"}
+	a1, addressOfA1 := newZoneFront(t, toA2)
+	a2, addressOfA2 := newZoneFront(t, toA1, toA1, shard.Run{})
+	a3, _ := newZoneFront(t, toA1, toA1, toA2)
+	addresses := map[table.Key]Address{
+		table.EntryKey("zone_a", "a1"): {Entry: "a1#1", Zone: "zone_a", Peer: addressOfA1},
+		table.EntryKey("zone_a", "a2"): {Entry: "a2#1", Zone: "zone_a", Peer: addressOfA2},
+	}
+	for _, f := range []*Front{a1, a2, a3} {
+		f.Directory.entries = addresses
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	answer := a3.Fetch(ctx, core.RequestKey{Team: "lyra", ID: "moved"}, "")
+	// The word of a2's home: it has no record of the id.
+	assert.Equal(t, core.CodeOf(answer), core.CodeNotFound)
+}
+
+// TestHandOverIsWaitedFor: an entry that stops can't write its rights over for a
+// while, since the table is slow. A caller's search there lasts as long as the
+// hand-over does, and ends with a refusal once the entry has given that up.
+func TestHandOverIsWaitedFor(t *testing.T) {
+	verdicts := make([]shard.Verdict, 3*looksOfSearch)
+	for i := range verdicts {
+		verdicts[i] = shard.Wait{}
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	key := core.RequestKey{Team: "lyra", ID: "waits"}
+	deadline := time.Now().Add(time.Hour)
+	submit := func(f *Front) core.Answer {
+		return f.Submit(ctx, core.Request{Key: key, Attempt: 1, Deadline: deadline}, false)
+	}
+
+	f, _ := newZoneFront(t, append(verdicts, shard.Refuse{Code: core.CodeDeadlinePassed})...)
+	f.Requests.Locked(func(h *home.Home) { h.Rights = refusing{} })
+	f.SetHandingOver(true)
+	assert.Equal(t, core.CodeOf(submit(f)), core.CodeDeadlinePassed)
+
+	f, _ = newZoneFront(t, verdicts...)
+	assert.Equal(t, core.CodeOf(submit(f)), core.CodeNoHolder)
+}
+
+// refusing are the Rights of a home that refuses every id.
+type refusing struct{}
+
+func (refusing) Decide(time.Time, core.RequestKey, time.Time, time.Time) shard.Verdict {
+	return shard.Refuse{Code: core.CodeDeadlinePassed}
+}
+
+func (refusing) RightUntil(time.Time, core.RequestKey) time.Time { return time.Time{} }
+
+func (refusing) Start(time.Time, shard.Start) bool { return false }
--- a/io/peer/forward.go
+++ b/io/peer/forward.go
@@ -5,6 +5,8 @@
 	"encoding/gob"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"lavenderpond/core"
 )
 
@@ -21,22 +23,60 @@
 	ForwardCancel
 )
 
+// ForwardStage says how far a call has come on its way. A call passes each stage
+// once at most, so that entries with unlike views can't pass it back and forth.
+type ForwardStage int
+
+// The stages of a forwarded call.
+const (
+	// FromCaller is a call that was taken from a caller.
+	FromCaller ForwardStage = iota
+	// ToHomeZone is a call sent to an entry of its home zone, which looks for the
+	// holder.
+	ToHomeZone
+	// ToHolder is a call sent to the entry that the sender takes for the holder. If
+	// it isn't, it says so at once, and the sender looks again.
+	ToHolder
+)
+
 // ForwardArgs is a caller's call on its way to the home of its id.
 type ForwardArgs struct {
 	Kind    ForwardKind
 	Request core.Request
 	NoWait  bool
-	// Hops counts the entries that passed it on.
-	Hops int
+	Stage   ForwardStage
 	// GiveUpAt is when the sender stops waiting for the reply.
 	GiveUpAt time.Time
 }
 
-// ForwardReply is the home's answer.
-type ForwardReply struct{ Answer core.Answer }
+// Reasons why a peer did not take a call at stage ToHolder. It did nothing with the
+// call, so they are also ErrNotSent.
+var (
+	// ErrNotHolder says that the peer may not decide about the id now.
+	ErrNotHolder = errors.Wrap(ErrNotSent, "not the holder")
+	// ErrHandingOver says that the peer stops and hands its rights over just now.
+	ErrHandingOver = errors.Wrap(ErrNotSent, "handing over")
+)
+
+// ForwardResult says whether a peer took a call.
+type ForwardResult int
 
-// ForwardHandler takes a call that a peer forwarded.
-type ForwardHandler func(ctx context.Context, args ForwardArgs) core.Answer
+// The results of a forwarded call.
+const (
+	ForwardTaken ForwardResult = iota
+	ForwardNotHolder
+	ForwardHandingOver
+)
+
+// ForwardReply is the home's answer, or the reason why there is none.
+type ForwardReply struct {
+	Result ForwardResult
+	Answer core.Answer
+}
+
+// ForwardHandler takes a call that a peer forwarded. Its errors are ErrNotHolder and
+// ErrHandingOver.
+type ForwardHandler func(ctx context.Context, args ForwardArgs) (core.Answer, error)
 
 // Forward is the net/rpc receiver for forwarded calls.
 type Forward struct {
@@ -49,15 +89,37 @@
 func (f *Forward) Call(args ForwardArgs, reply *ForwardReply) error {
 	ctx, cancel := context.WithDeadline(f.Context, args.GiveUpAt)
 	defer cancel()
-	reply.Answer = f.Handler(ctx, args)
+	answer, err := f.Handler(ctx, args)
+	*reply = ForwardReply{Result: resultOf(err), Answer: answer}
 	return nil
 }
 
-// ForwardTo sends a call to the peer at address.
+func resultOf(err error) ForwardResult {
+	switch {
+	case err == nil:
+		return ForwardTaken
+	case errors.Is(err, ErrHandingOver):
+		return ForwardHandingOver
+	default:
+		return ForwardNotHolder
+	}
+}
+
+// ForwardTo sends a call to the peer at address. Besides the errors of Call, it
+// returns ErrNotHolder or ErrHandingOver if the peer did not take the call.
 func (p *Pool) ForwardTo(ctx context.Context, address string, args ForwardArgs) (core.Answer, error) {
 	var reply ForwardReply
-	err := p.Call(ctx, address, ForwardName+".Call", args, &reply)
-	return reply.Answer, err
+	if err := p.Call(ctx, address, ForwardName+".Call", args, &reply); err != nil {
+		return nil, err
+	}
+	switch reply.Result {
+	case ForwardHandingOver:
+		return nil, ErrHandingOver
+	case ForwardNotHolder:
+		return nil, ErrNotHolder
+	default:
+		return reply.Answer, nil
+	}
 }
 
 func init() {
