Let urgent work overflow into every idle slot, the lender's own queue first

Slots came free in other pools, but overflow left two slots of each VM, and in a full fleet none has three idle.

Ruled out: the bound on urgent work within its queue.

Change: urgent work that overflows leaves no reserve. A pool's own queue goes first for a slot that comes free, in the home's decisions and in the replay, which now fills slots as the home does; TestLenderGoesFirst sees 32 requests of a flood go before the lender's own with that switched off, and none with it.

--- a/cmd/lavenderpond/pools.go
+++ b/cmd/lavenderpond/pools.go
@@ -29,7 +29,7 @@
 	Pool           string `arg:"" help:"Name of the pool."`
 	MaxUnavailable *int32 `help:"Availability budget: the most VMs that may be out at once, planned and failed together."`
 	Spare          *bool  `negatable:"" help:"The pool's VMs repair other pools."`
-	LendsIdle      *bool  `negatable:"" help:"Other queues' requests may run in the pool's idle slots."`
+	LendsIdle      *bool  `negatable:"" help:"Other queues' requests may run in the pool's idle slots: urgent ones in all, others in all but two of each VM."`
 	IfVersion      uint64 `help:"Refuse unless the row still has this version."`
 }
 
--- a/core/experiment/replay/simulation.go
+++ b/core/experiment/replay/simulation.go
@@ -144,7 +144,7 @@
 	}
 	j.state = waiting
 	s.shares.wait(j, 1)
-	s.dispatch(j.entry)
+	s.fill(j.entry, j.item.Queue, s.policy.Overflow)
 }
 
 // refused ends j, unless its caller can come back in time.
@@ -160,21 +160,41 @@
 
 func (s *simulation) want(j *job) route.Want {
 	return route.Want{
-		Pool: poolID(j.queueIndex), Overflow: s.policy.Overflow,
+		Pool: poolID(j.queueIndex), Overflow: s.policy.Overflow, Urgent: j.item.Urgent,
 		Tried: j.tries.Targets(), NoProbe: !j.kind.Idempotent,
 	}
 }
 
-// dispatch starts what can start at e.
+// dispatch starts what can start at e, requests in their own pools first, as
+// core/home does.
 func (s *simulation) dispatch(e *entry) {
-	for _, q := range e.queue.Queues() {
-		for s.dispatchOne(e, q) {
-		}
+	queues := e.queue.Queues()
+	for _, q := range queues {
+		s.fill(e, q, false)
+	}
+	for _, q := range queues {
+		s.fill(e, q, s.policy.Overflow)
+	}
+}
+
+// dispatchAfter fills the slot of v that j gave back: one that its pool had lent
+// goes to its own queue first.
+func (s *simulation) dispatchAfter(j *job, v *vm) {
+	if v.pool != j.queueIndex {
+		s.dispatch(j.entry)
+		return
+	}
+	s.fill(j.entry, j.item.Queue, s.policy.Overflow)
+}
+
+// fill starts what can start of one queue at e.
+func (s *simulation) fill(e *entry, q core.QueueID, overflow bool) {
+	for s.dispatchOne(e, q, overflow) {
 	}
 }
 
-func (s *simulation) dispatchOne(e *entry, q core.QueueID) bool {
-	if e.router.Idle(s.now, route.Want{Pool: poolOf(q), Overflow: s.policy.Overflow}) <= 0 {
+func (s *simulation) dispatchOne(e *entry, q core.QueueID, overflow bool) bool {
+	if e.router.Idle(s.now, route.Want{Pool: poolOf(q), Overflow: overflow, Urgent: true}) <= 0 {
 		return false
 	}
 	var vm core.VMID
@@ -183,7 +203,9 @@
 			return false
 		}
 		var free bool
-		vm, free = e.router.Pick(s.now, s.want(s.byKey[i.Key]))
+		want := s.want(s.byKey[i.Key])
+		want.Overflow = overflow
+		vm, free = e.router.Pick(s.now, want)
 		return free
 	})
 	if !ok {
@@ -262,7 +284,7 @@
 	j.entry.router.Ended(s.now, v.id, result, run)
 	j.entry.queue.Observe(s.now, j.item.Queue, j.item.Key.Team, run)
 	s.figures.finish(s.now, j, late)
-	s.dispatch(j.entry)
+	s.dispatchAfter(j, v)
 }
 
 // back handles a dispatch that brought no answer.
@@ -275,7 +297,7 @@
 		return
 	}
 	s.retry(j, v, result, p)
-	s.dispatch(j.entry)
+	s.dispatchAfter(j, v)
 }
 
 func (s *simulation) retry(j *job, v *vm, result route.Result, p retry.Progress) {
--- a/core/home/dispatch.go
+++ b/core/home/dispatch.go
@@ -9,20 +9,46 @@
 	"lavenderpond/core/shard"
 )
 
-// pumpAll moves waiting requests of every queue to free slots.
+// reach is where a queue's requests may run.
+type reach int
+
+const (
+	ownPool reach = iota
+	anyPool
+)
+
+// pumpAll moves waiting requests of every queue to free slots, those of their own
+// pools first. Else a flood of one queue's urgent work would take each slot that
+// comes free in a pool that lends, and the lender's own requests would wait for it
+// to end.
 func (h *Home) pumpAll(now time.Time) {
-	for _, q := range h.Queue.Queues() {
-		h.pump(now, q)
+	queues := h.Queue.Queues()
+	for _, q := range queues {
+		h.pump(now, q, ownPool)
+	}
+	for _, q := range queues {
+		h.pump(now, q, anyPool)
 	}
 }
 
+// pumpAfter fills the slot that r gave back. A slot that its pool had lent goes to
+// its own queue first.
+func (h *Home) pumpAfter(now time.Time, r *record) {
+	if r.lent && !h.off.lenderFirst {
+		h.pumpAll(now)
+		return
+	}
+	h.pump(now, r.request.Queue, anyPool)
+}
+
 // pump moves waiting requests of q to free slots until there is none left.
-func (h *Home) pump(now time.Time, q core.QueueID) {
+func (h *Home) pump(now time.Time, q core.QueueID, to reach) {
 	pool, overflow, ok := h.Config.Pool(now, q)
 	if !ok {
 		return
 	}
-	want := route.Want{Pool: pool, Overflow: overflow}
+	// Urgent: whether an item is, is known when it is offered.
+	want := route.Want{Pool: pool, Overflow: overflow && to == anyPool, Urgent: true}
 	for h.Queue.Len(q) > 0 && h.Router.Idle(now, want) > 0 {
 		var vm core.VMID
 		item, ok := h.Queue.Pop(now, q, func(item queue.Item) bool {
@@ -43,14 +69,14 @@
 	if r == nil || h.stopping && !r.mirrored || now.Before(r.notBefore) || !now.Before(h.Rights.RightUntil(now, item.Key)) {
 		return "", false
 	}
-	want.Tried = r.tried
+	want.Tried, want.Urgent = r.tried, item.Urgent
 	// A request that runs once must not be spent on finding out about a suspect VM.
 	want.NoProbe = !r.request.Idempotent
-	vm, ok := h.Router.Pick(now, want)
+	vm, ok := h.pick(now, r, want)
 	if !ok {
 		// A small pool may have no untried target; the bound on refusals ends it.
 		want.Tried = nil
-		vm, ok = h.Router.Pick(now, want)
+		vm, ok = h.pick(now, r, want)
 	}
 	if !ok {
 		return "", false
@@ -64,6 +90,18 @@
 	return vm, true
 }
 
+// pick chooses a target for r, of its own pool if one has a slot.
+func (h *Home) pick(now time.Time, r *record, want route.Want) (core.VMID, bool) {
+	own := want
+	own.Overflow = false
+	vm, ok := h.Router.Pick(now, own)
+	r.lent = !ok
+	if !ok && want.Overflow {
+		vm, ok = h.Router.Pick(now, want)
+	}
+	return vm, ok
+}
+
 // announce takes the target's slot and has the start mirrored before it leaves.
 func (h *Home) announce(now time.Time, r *record, vm core.VMID) {
 	r.phase = announced
--- a/core/home/ended.go
+++ b/core/home/ended.go
@@ -35,7 +35,7 @@
 	case Lost:
 		h.lost(now, r)
 	}
-	h.pump(now, r.request.Queue)
+	h.pumpAfter(now, r)
 }
 
 // endedAfterAnswer takes the slots back when a task ends whose caller already
@@ -48,7 +48,7 @@
 	default:
 		h.releaseSlots(now, r, route.Succeeded)
 	}
-	h.pump(now, r.request.Queue)
+	h.pumpAfter(now, r)
 }
 
 var resultOf = map[Reason]route.Result{
@@ -139,7 +139,7 @@
 			h.giveUpAsking(now, r)
 		}
 	}
-	h.pump(now, r.request.Queue)
+	h.pumpAfter(now, r)
 }
 
 // giveUpAsking ends a request whose target can't tell. The team's slot is kept
--- a/core/home/home.go
+++ b/core/home/home.go
@@ -88,7 +88,7 @@
 	stopping bool
 	counts   Counts
 	// off switches safeguards off, in tests only.
-	off struct{ retryLost bool }
+	off struct{ retryLost, lenderFirst bool }
 }
 
 // Counts are running totals for metrics and dumps.
--- /dev/null
+++ b/core/home/lent_test.go
@@ -0,0 +1,65 @@
+package home
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lavenderpond/core"
+	"lavenderpond/core/queue/fair"
+	"lavenderpond/core/route"
+	"lavenderpond/core/route/least"
+)
+
+// twoQueues serves the queue "stack" from pool "p" and "quotes" from "q"; both
+// may overflow.
+type twoQueues struct{ fakeConfig }
+
+func (*twoQueues) Pool(_ time.Time, q core.QueueID) (core.PoolID, bool, bool) {
+	if q == "quotes" {
+		return "q", true, true
+	}
+	return "p", true, q == "stack"
+}
+
+// floodedLender returns how many urgent requests of the queue "quotes" start in the
+// lending pool "p" before its own request does.
+func floodedLender(t *testing.T, lenderFirst bool) int {
+	t.Helper()
+	b := newBench(100)
+	router := &least.Router{}
+	router.Update(epoch, []route.Target{{VM: "lender", Pool: "p", Slots: 8}}, []route.Pool{{ID: "p", LendsIdle: true}, {ID: "q"}})
+	b.home.Router, b.home.Queue, b.home.Config = router, &fair.Queue{}, &twoQueues{}
+	b.home.off.lenderFirst = !lenderFirst
+	var open []Dispatch
+	collect := func(commands []Command) {
+		for _, c := range commands {
+			if d, ok := c.(Dispatch); ok {
+				open = append(open, d)
+			}
+		}
+	}
+	for n := range 40 {
+		collect(b.submit(core.RequestID(fmt.Sprintf("quote-%d", n)), 1, func(r *core.Request) { r.Queue, r.Urgent = "quotes", true }))
+	}
+	assert.Equal(t, len(open), 8)
+	collect(b.submit("own", 1))
+	for n := 0; n < len(open); n++ {
+		if open[n].Request.Key.ID == "own" {
+			return n - 8
+		}
+		b.wait(time.Millisecond)
+		collect(b.do(Ended{Key: open[n].Request.Key, Number: open[n].Number, End: Answered{}}))
+	}
+	return len(open) - 8
+}
+
+// TestLenderGoesFirst: a flood of urgent requests fills every slot of a pool that
+// lends, and a request of the pool's own queue comes. The first slot that comes
+// free must be its; else it would wait for the flood to end.
+func TestLenderGoesFirst(t *testing.T) {
+	assert.Equal(t, floodedLender(t, true), 0)
+	assert.Equal(t, floodedLender(t, false), 32, "without the safeguard")
+}
--- a/core/home/record.go
+++ b/core/home/record.go
@@ -53,6 +53,8 @@
 	mirrored bool
 	// slotHeld says that the router counts a slot of vm for this record.
 	slotHeld bool
+	// lent says that vm is of another pool, which lends its idle slots.
+	lent bool
 
 	nextAsk  time.Time
 	askUntil time.Time
--- a/core/home/submit.go
+++ b/core/home/submit.go
@@ -31,14 +31,14 @@
 		return
 	}
 	pool, overflow, _ := h.Config.Pool(now, e.Request.Queue)
-	idle := h.Router.Idle(now, route.Want{Pool: pool, Overflow: overflow})
+	idle := h.Router.Idle(now, route.Want{Pool: pool, Overflow: overflow, Urgent: e.Request.Urgent})
 	if refusal, ok := h.Queue.Push(now, itemOf(now, e.Request), idle); !ok {
 		h.reply(e.Waiter, key, refusal)
 		return
 	}
 	r := h.newRecord(e.Request)
 	h.wait(r, e)
-	h.pump(now, e.Request.Queue)
+	h.pump(now, e.Request.Queue, anyPool)
 }
 
 // refused says that r ended without running, and not by a cancellation.
--- a/core/route/least/least.go
+++ b/core/route/least/least.go
@@ -18,7 +18,8 @@
 )
 
 // DefaultLendReserve is how many slots of each target are kept free for its own
-// pool when other queues overflow into it.
+// pool when other queues overflow into it. Urgent work leaves none: with a reserve,
+// it waited in a full fleet for its own pool while slots elsewhere came free.
 const DefaultLendReserve = 2
 
 type poolID = core.PoolID
@@ -124,7 +125,7 @@
 		if id == want.Pool || !r.pools[id].LendsIdle {
 			continue
 		}
-		t := r.best(now, id, want, r.reserve())
+		t := r.best(now, id, want, r.reserve(want))
 		if t == nil {
 			continue
 		}
@@ -135,11 +136,16 @@
 	return best
 }
 
-func (r *Router) reserve() core.Slots {
-	if r.LendReserve == 0 {
+// reserve is how many slots of each target a request of another queue leaves free.
+func (r *Router) reserve(want route.Want) core.Slots {
+	switch {
+	case want.Urgent:
+		return 0
+	case r.LendReserve == 0:
 		return DefaultLendReserve
+	default:
+		return max(0, r.LendReserve)
 	}
-	return max(0, r.LendReserve)
 }
 
 // best returns the target of the pool with the lowest score that has more than
@@ -269,7 +275,7 @@
 	}
 	for _, id := range r.order {
 		if id != want.Pool && r.pools[id].LendsIdle {
-			idle += r.idleIn(now, id, want.NoProbe, r.reserve())
+			idle += r.idleIn(now, id, want.NoProbe, r.reserve(want))
 		}
 	}
 	return idle
--- a/core/route/least/property_test.go
+++ b/core/route/least/property_test.go
@@ -201,4 +201,16 @@
 	}
 	assert.Equal(t, n, core.Slots(8-DefaultLendReserve))
 	assert.Equal(t, r.Idle(t0, route.Want{Pool: "lends"}), core.Slots(DefaultLendReserve))
+
+	// Urgent work may have the reserve too.
+	want.Urgent = true
+	assert.Equal(t, r.Idle(t0, want), core.Slots(DefaultLendReserve))
+	for range DefaultLendReserve {
+		vm, ok := r.Pick(t0, want)
+		assert.Assert(t, ok)
+		assert.Equal(t, vm, core.VMID("lender"))
+		r.Started(t0, vm)
+	}
+	_, ok := r.Pick(t0, want)
+	assert.Assert(t, !ok)
 }
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -35,6 +35,9 @@
 	Pool core.PoolID
 	// Overflow allows a target of another pool that lends idle slots.
 	Overflow bool
+	// Urgent work that overflows may take every idle slot of a pool that lends;
+	// other work leaves a reserve.
+	Urgent bool
 	// Tried are targets that refused this request before.
 	Tried []core.VMID
 	// NoProbe keeps the request from targets that are under suspicion while others
