See a hand-over run an id again when its successor forgets starts

The zone of the test can now let successors ack starts and copies that they don't remember.

Red: `forgets`: one entry would run the started id again. Green: none, and the start is inherited. Nothing outside the tests is touched.

--- a/io/peer/shard_test.go
+++ b/io/peer/shard_test.go
@@ -30,25 +30,32 @@
 
 // TestReleaseHandsOverStarts: an entry stops gracefully after a start. The next
 // holder answers a retry of that id as unknown, and runs other ids at once, though
-// callers give no first_sent.
+// callers give no first_sent. A successor that forgets starts would run it again.
 func TestReleaseHandsOverStarts(t *testing.T) {
-	z := newShardZone(t, "a1", "a2", "a3")
-	z.run(10 * time.Second)
-	k := z.keepers["a1"]
-	key := z.idAt(k)
-	assert.Assert(t, !k.Start(z.now, shard.Start{Key: key, Deadline: z.now.Add(time.Minute), VM: "vm"}), "not mirrored")
-	z.settle()
-	assert.DeepEqual(t, k.allowed, []core.RequestKey{key})
-	k.handle(shard.Releasing{By: z.now.Add(5 * time.Second)})
-	z.run(2 * time.Second)
-	assert.Equal(t, k.Holding(), 0)
-	counts, _ := z.held()
-	assert.Equal(t, counts["a2"]+counts["a3"], testShards)
-	assert.Equal(t, z.runners(key), 0)
-	inherited := append(z.keepers["a2"].inherited, z.keepers["a3"].inherited...)
-	assert.DeepEqual(t, inherited, []core.RequestKey{key})
-	key.ID += "-other"
-	assert.Equal(t, z.runners(key), 1)
+	for _, forgets := range []bool{false, true} {
+		z := newShardZone(t, "a1", "a2", "a3")
+		z.forgets = forgets
+		z.run(10 * time.Second)
+		k := z.keepers["a1"]
+		key := z.idAt(k)
+		assert.Assert(t, !k.Start(z.now, shard.Start{Key: key, Deadline: z.now.Add(time.Minute), VM: "vm"}), "not mirrored")
+		z.settle()
+		assert.DeepEqual(t, k.allowed, []core.RequestKey{key})
+		k.handle(shard.Releasing{By: z.now.Add(5 * time.Second)})
+		z.run(2 * time.Second)
+		assert.Equal(t, k.Holding(), 0)
+		counts, _ := z.held()
+		assert.Equal(t, counts["a2"]+counts["a3"], testShards)
+		if forgets {
+			assert.Equal(t, z.runners(key), 1, "the test can't fail")
+			continue
+		}
+		assert.Equal(t, z.runners(key), 0)
+		inherited := append(z.keepers["a2"].inherited, z.keepers["a3"].inherited...)
+		assert.DeepEqual(t, inherited, []core.RequestKey{key})
+		key.ID += "-other"
+		assert.Equal(t, z.runners(key), 1)
+	}
 }
 
 // TestTwoStopTogether: a zone's only entries stop at the same time. A shard goes to
--- a/io/peer/shard_zone_test.go
+++ b/io/peer/shard_zone_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -34,11 +35,14 @@
 	// addresses are those of all runs, ended ones too.
 	addresses map[core.EntryID]string
 	group     supervisor.Group
+	// forgets makes successors ack starts that they don't remember.
+	forgets bool
 }
 
 type testKeeper struct {
 	*ShardKeeper
 	id   core.EntryID
+	zone *shardZone
 	pool Pool
 	cut  bool
 	end  context.CancelFunc
@@ -68,7 +72,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(z.t, err)
 	live := platform.Liveness{Name: name, Zone: "a", Started: z.now}
-	k := &testKeeper{id: core.NewEntryID(live.Name, live.Started)}
+	k := &testKeeper{zone: z, id: core.NewEntryID(live.Name, live.Started)}
 	z.addresses[k.id] = l.Addr().String()
 	k.ShardKeeper = NewShardKeeper(ShardConfig{
 		Params: shard.Params{Zone: "a", Self: k.id, Shards: testShards},
@@ -156,7 +160,31 @@
 	if k.cut {
 		return ErrNotSent
 	}
-	return k.pool.Call(ctx, address, method, args, reply)
+	batch, ok := args.(ShardBatch)
+	if !ok || !k.zone.forgets {
+		return k.pool.Call(ctx, address, method, args, reply)
+	}
+	err := k.pool.Call(ctx, address, method, withoutStarts(batch), reply)
+	acks := reply.(*ShardBatch).StartAcks
+	for i := range acks {
+		acks[i].Key.ID = core.RequestID(strings.TrimSuffix(string(acks[i].Key.ID), forgotten))
+	}
+	return err
+}
+
+// forgotten marks the id that a forgetful successor remembers in place of a start's.
+const forgotten = "-forgotten"
+
+// withoutStarts returns the batch as a successor takes it that remembers no start.
+func withoutStarts(b ShardBatch) ShardBatch {
+	b.Starts, b.Copies = slices.Clone(b.Starts), slices.Clone(b.Copies)
+	for i := range b.Starts {
+		b.Starts[i].Start.Key.ID += forgotten
+	}
+	for i := range b.Copies {
+		b.Copies[i].Starts = nil
+	}
+	return b
 }
 
 // Live implements platform.LiveList.
