Add links to the stand-ins: forwarders that cut, swallow, hold or delay

Cause: zones cut from one another, and regions apart, were proved in the pure models only, because real processes on one loopback address reach one another whatever a test does. `lavenderpond-standin link` forwards TCP connections by named links, which are told over HTTP to refuse, to swallow bytes, to hold them back until healed, or to delay.

Ruled out: telling the caller by its source address (all the same on loopback) or by its messages (a forwarded call names no sender).

--- /dev/null
+++ b/cmd/lavenderpond-standin/link.go
@@ -0,0 +1,127 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"path"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"lavenderpond/io/supervisor"
+)
+
+type linkCommand struct {
+	Control netip.AddrPort `help:"Loopback address and port at which the links are told to cut and heal." default:"127.0.0.1:7950"`
+	Forward []string       `arg:"" help:"NAME=LISTEN=TARGET: forward connections of link NAME. A name may be given several times."`
+}
+
+// Run forwards until ctx ends.
+func (c *linkCommand) Run(ctx context.Context, log zerolog.Logger) error {
+	links, err := parseLinks(c.Forward)
+	if err != nil {
+		return err
+	}
+	node := supervisor.Node{Name: "links", Log: log}
+	for _, l := range links {
+		for _, f := range l.forwards {
+			node.Children = append(node.Children, supervisor.Child{
+				Name: l.name, Run: func(ctx context.Context) error { return l.serve(ctx, f) },
+			})
+		}
+	}
+	node.Children = append(node.Children, supervisor.Child{Name: "control", Run: func(ctx context.Context) error {
+		return serve(ctx, c.Control, links.handler(), 0)
+	}})
+	log.Info().Stringer("control", c.Control).Int("links", len(links)).Msg("links forward")
+	return node.Run(ctx)
+}
+
+// linkSet is the links of a process, by name.
+type linkSet map[string]*link
+
+func parseLinks(forwards []string) (linkSet, error) {
+	links := make(linkSet)
+	for _, text := range forwards {
+		name, f, err := parseForward(text)
+		if err != nil {
+			return nil, errors.Wrapf(err, "%q is not NAME=LISTEN=TARGET on loopback", text)
+		}
+		if links[name] == nil {
+			links[name] = newLink(name)
+		}
+		links[name].forwards = append(links[name].forwards, f)
+	}
+	return links, nil
+}
+
+func parseForward(text string) (string, forward, error) {
+	parts := strings.Split(text, "=")
+	if len(parts) != 3 {
+		return "", forward{}, errors.Errorf("%d parts", len(parts))
+	}
+	var f forward
+	for part, to := range map[string]*netip.AddrPort{parts[1]: &f.listen, parts[2]: &f.target} {
+		address, err := netip.ParseAddrPort(part)
+		if err != nil {
+			return "", forward{}, errors.Wrap(err, "address")
+		}
+		if !address.Addr().IsLoopback() {
+			return "", forward{}, errors.Errorf("%s is not a loopback address", part)
+		}
+		*to = address
+	}
+	return parts[0], f, nil
+}
+
+// linkOrder says what links should do from now on.
+type linkOrder struct {
+	// Links are patterns of names, as path.Match takes them.
+	Links []string  `json:"links"`
+	State linkState `json:"state"`
+	// Delay is added to each direction of an open link.
+	Delay time.Duration `json:"delay"`
+}
+
+// handler returns the control interface: POST /links takes a linkOrder.
+func (s linkSet) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /links", func(w http.ResponseWriter, r *http.Request) {
+		var o linkOrder
+		if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		if err := s.apply(o); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+		}
+	})
+	return mux
+}
+
+// apply changes the links that the order names; it must name some.
+func (s linkSet) apply(o linkOrder) error {
+	if !contains([]linkState{linkOpen, linkRefused, linkSilent, linkHeld}, o.State) {
+		return errors.Errorf("unknown state %q", o.State)
+	}
+	found := 0
+	for name, l := range s {
+		for _, pattern := range o.Links {
+			if ok, err := path.Match(pattern, name); err != nil {
+				return errors.Wrap(err, pattern)
+			} else if ok {
+				l.set(o.State, o.Delay)
+				found++
+				break
+			}
+		}
+	}
+	if found == 0 {
+		return errors.Errorf("no link matches %q", o.Links)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/lavenderpond-standin/link_test.go
@@ -0,0 +1,200 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"lavenderpond/io/platform"
+	"lavenderpond/io/supervisor"
+)
+
+// linkPatience bounds how long a test waits for progress; it decides nothing.
+const linkPatience = 20 * time.Second
+
+// testLink is a link named "a.b" to a listener whose connections are in taken.
+type testLink struct {
+	t       *testing.T
+	links   linkSet
+	address string
+	taken   chan net.Conn
+}
+
+func newTestLink(t *testing.T) *testLink {
+	behind, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	l := &testLink{t: t, address: free.Addr().String(), taken: make(chan net.Conn, 10)}
+	assert.NilError(t, free.Close())
+	l.links, err = parseLinks([]string{"a.b=" + l.address + "=" + behind.Addr().String()})
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	var g supervisor.Group
+	g.Go(func() { _ = l.links["a.b"].serve(ctx, l.links["a.b"].forwards[0]) })
+	g.Go(func() {
+		for conn, err := behind.Accept(); err == nil; conn, err = behind.Accept() {
+			l.taken <- conn
+		}
+	})
+	t.Cleanup(func() {
+		cancel()
+		_ = behind.Close()
+		g.Wait()
+	})
+	return l
+}
+
+func (l *testLink) tell(state linkState) {
+	l.t.Helper()
+	assert.NilError(l.t, l.links.apply(linkOrder{Links: []string{"a.*"}, State: state}))
+}
+
+// connect returns both ends of a new connection.
+func (l *testLink) connect() (here, there net.Conn) {
+	l.t.Helper()
+	for until := time.Now().Add(linkPatience); ; {
+		conn, err := net.Dial("tcp", l.address)
+		if err == nil {
+			here = conn
+			break
+		}
+		assert.Assert(l.t, time.Now().Before(until), "%v", err)
+		time.Sleep(time.Millisecond)
+	}
+	there = <-l.taken
+	deadline := time.Now().Add(linkPatience)
+	assert.NilError(l.t, here.SetDeadline(deadline))
+	assert.NilError(l.t, there.SetDeadline(deadline))
+	l.t.Cleanup(func() {
+		_ = here.Close()
+		_ = there.Close()
+	})
+	return here, there
+}
+
+// awaitTaken waits until the link has taken n bytes more than before.
+func (l *testLink) awaitTaken(before, n int64) {
+	l.t.Helper()
+	for until := time.Now().Add(linkPatience); l.links["a.b"].taken.Load() < before+n; time.Sleep(time.Millisecond) {
+		assert.Assert(l.t, time.Now().Before(until), "the link takes no bytes")
+	}
+}
+
+// pass sends a line and returns what arrives.
+func pass(t *testing.T, from, to net.Conn, line string) string {
+	t.Helper()
+	_, err := io.WriteString(from, line+"\n")
+	assert.NilError(t, err)
+	got, err := bufio.NewReader(to).ReadString('\n')
+	assert.NilError(t, err)
+	return strings.TrimSpace(got)
+}
+
+// TestLinkRefuses: connections of a link that is cut break off, and new ones are
+// refused by the system, as where nothing listens. Healed, it connects again.
+func TestLinkRefuses(t *testing.T) {
+	l := newTestLink(t)
+	here, there := l.connect()
+	assert.Equal(t, pass(t, here, there, "ping"), "ping")
+	assert.Equal(t, pass(t, there, here, "pong"), "pong")
+	l.tell(linkRefused)
+	_, err := io.ReadAll(there)
+	assert.Assert(t, err == nil || errors.Is(err, syscall.ECONNRESET), "%v", err)
+	_, err = net.Dial("tcp", l.address)
+	assert.Assert(t, errors.Is(err, syscall.ECONNREFUSED), "%v", err)
+	l.tell(linkOpen)
+	here, there = l.connect()
+	assert.Equal(t, pass(t, here, there, "again"), "again")
+}
+
+// TestLinkSwallows: bytes sent while a link is silent never arrive, and neither end
+// sees an error until it heals. Then the connection breaks off: its stream has a gap,
+// and passed on it would show the peer half a message.
+func TestLinkSwallows(t *testing.T) {
+	l := newTestLink(t)
+	here, there := l.connect()
+	assert.Equal(t, pass(t, here, there, "before"), "before")
+	l.tell(linkSilent)
+	taken := l.links["a.b"].taken.Load()
+	_, err := io.WriteString(here, "during\n")
+	assert.NilError(t, err)
+	l.awaitTaken(taken, int64(len("during\n")))
+	l.tell(linkOpen)
+	_, _ = io.WriteString(here, "after\n")
+	got, _ := io.ReadAll(there)
+	assert.Equal(t, string(got), "")
+	here, there = l.connect()
+	assert.Equal(t, pass(t, here, there, "again"), "again")
+}
+
+// TestLinkHolds: bytes sent while a link holds them arrive after it healed, in order,
+// on the same connection: a late answer.
+func TestLinkHolds(t *testing.T) {
+	l := newTestLink(t)
+	here, there := l.connect()
+	l.tell(linkHeld)
+	_, err := io.WriteString(here, "late ")
+	assert.NilError(t, err)
+	l.awaitTaken(0, int64(len("late ")))
+	l.tell(linkOpen)
+	assert.Equal(t, pass(t, here, there, "words"), "late words")
+}
+
+// TestLinkOrders: an order that would change nothing is refused, as are addresses
+// that aren't on loopback: a fault that isn't induced would look survived.
+func TestLinkOrders(t *testing.T) {
+	links, err := parseLinks([]string{"a.b=127.0.0.1:1=127.0.0.1:2", "a.b=127.0.0.1:3=127.0.0.1:4", "b.a=127.0.0.1:5=127.0.0.1:6"})
+	assert.NilError(t, err)
+	assert.Equal(t, len(links), 2)
+	assert.Equal(t, links["a.b"].forwards[1].target, netip.MustParseAddrPort("127.0.0.1:4"))
+	for body, want := range map[string]int{
+		`{"links":["*.b"],"state":"silent"}`: http.StatusOK,
+		`{"links":["c.*"],"state":"silent"}`: http.StatusBadRequest,
+		`{"links":["*"],"state":"quiet"}`:    http.StatusBadRequest,
+		`{`:                                  http.StatusBadRequest,
+	} {
+		w := httptest.NewRecorder()
+		links.handler().ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/links", strings.NewReader(body)))
+		assert.Equal(t, w.Code, want, body)
+	}
+	assert.Equal(t, links["a.b"].state, linkSilent)
+	assert.Equal(t, links["b.a"].state, linkOpen)
+	for _, bad := range []string{"a=127.0.0.1:1", "a=10.0.0.1:1=127.0.0.1:2", "a=127.0.0.1:1=here"} {
+		_, err := parseLinks([]string{bad})
+		assert.Assert(t, err != nil, bad)
+	}
+}
+
+// TestAddressView: each zone sees another's entry at the link from it, and its own
+// entries and the operators see the address that the entry stated.
+func TestAddressView(t *testing.T) {
+	v, err := parseView([]string{"zone_a=127.0.0.1:7103=127.0.0.1:7213"})
+	assert.NilError(t, err)
+	h := v.handler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, `{"peer":"127.0.0.1:7103"},{"peer":"127.0.0.1:7104"}`)
+	}))
+	for zone, want := range map[string]string{
+		"zone_a": `{"peer":"127.0.0.1:7213"},{"peer":"127.0.0.1:7104"}`,
+		"zone_b": `{"peer":"127.0.0.1:7103"},{"peer":"127.0.0.1:7104"}`,
+	} {
+		r := httptest.NewRequest(http.MethodGet, platform.PathRows+"?prefix=entry/", http.NoBody)
+		r.Header.Set(platform.ZoneHeader, zone)
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, r)
+		assert.Equal(t, w.Body.String(), want)
+	}
+	_, err = parseView([]string{"zone_a=127.0.0.1:7103"})
+	assert.Assert(t, err != nil)
+}
--- a/cmd/lavenderpond-standin/main.go
+++ b/cmd/lavenderpond-standin/main.go
@@ -15,6 +15,7 @@
 type commands struct {
 	Platform platformCommand `cmd:"" help:"Serve the table, the object store and the live list."`
 	Targets  targetsCommand  `cmd:"" help:"Serve target VMs of one availability zone."`
+	Link     linkCommand     `cmd:"" help:"Forward connections that can be cut, held or delayed."`
 }
 
 func main() {
--- /dev/null
+++ b/cmd/lavenderpond-standin/view.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"bytes"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"lavenderpond/core"
+	"lavenderpond/io/platform"
+)
+
+// addressView is what the zones see in place of an entry's address. An entry states
+// one address to all; only so can the connections from each zone go through a link
+// of their own, and a zone be cut off from others and not from itself.
+type addressView map[core.ZoneID][]replacement
+
+type replacement struct{ from, to []byte }
+
+// parseView reads ZONE=ADDRESS=SEEN: entries of ZONE see SEEN for ADDRESS.
+func parseView(views []string) (addressView, error) {
+	v := make(addressView)
+	for _, text := range views {
+		parts := strings.Split(text, "=")
+		if len(parts) != 3 {
+			return nil, errors.Errorf("%q is not ZONE=ADDRESS=SEEN", text)
+		}
+		for _, address := range parts[1:] {
+			if _, err := netip.ParseAddrPort(address); err != nil {
+				return nil, errors.Wrap(err, "view")
+			}
+		}
+		quoted := func(address string) []byte { return []byte(`"peer":"` + address + `"`) }
+		zone := core.ZoneID(parts[0])
+		v[zone] = append(v[zone], replacement{from: quoted(parts[1]), to: quoted(parts[2])})
+	}
+	return v, nil
+}
+
+// handler shows the rows of next as the asking zone sees them.
+func (v addressView) handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		replacements := v[core.ZoneID(r.Header.Get(platform.ZoneHeader))]
+		if len(replacements) == 0 || r.Method != http.MethodGet || r.URL.Path != platform.PathRows {
+			next.ServeHTTP(w, r)
+			return
+		}
+		recorder := httptest.NewRecorder()
+		next.ServeHTTP(recorder, r)
+		body := recorder.Body.Bytes()
+		for _, one := range replacements {
+			body = bytes.ReplaceAll(body, one.from, one.to)
+		}
+		w.Header().Set("Content-Type", recorder.Header().Get("Content-Type"))
+		w.WriteHeader(recorder.Code)
+		_, _ = w.Write(body)
+	})
+}
