--- a/cmd/lavenderpond-load/check.go
+++ b/cmd/lavenderpond-load/check.go
@@ -74,12 +74,13 @@
 	if starts > 1 {
 		v.Doubles++
 	}
-	done, notRun := false, true
+	done, notRun, lastNotRun := false, true, false
 	for _, a := range list {
 		v.noteFailure(a)
 		isDone := a.Outcome == pb.Outcome_OUTCOME_DONE.String()
 		done = done || isDone
-		notRun = notRun && a.Outcome == pb.Outcome_OUTCOME_NOT_RUN.String()
+		lastNotRun = a.Outcome == pb.Outcome_OUTCOME_NOT_RUN.String()
+		notRun = notRun && lastNotRun
 		if isDone && !a.Whole {
 			v.NotWhole++
 		}
@@ -92,12 +93,14 @@
 		}
 	case notRun:
 		v.NotRun++
-		if starts > 0 {
-			v.FalseNotRun++
-		}
 	default:
 		v.Unknown++
 	}
+	// A caller makes its attempts one after the other: what its last answer says must
+	// be so, whatever the earlier ones said.
+	if lastNotRun && starts > 0 {
+		v.FalseNotRun++
+	}
 }
 
 // noteFailure dates attempts that found no holder. An entry that is away refuses
--- a/cmd/lavenderpond-load/entries.go
+++ b/cmd/lavenderpond-load/entries.go
@@ -27,6 +27,7 @@
 	Queue      string           `help:"Queue." required:""`
 	Home       string           `help:"Home zone of all ids; empty: by hash."`
 	Lifetime   time.Duration    `help:"Time from sending to deadline." default:"10s"`
+	Patience   time.Duration    `help:"How long to wait for one attempt's answer before the next; 0: as long as it takes."`
 	Idempotent bool             `help:"Send idempotent requests."`
 	Retry      bool             `help:"Repeat an id at the next entry until it is done or its deadline."`
 	Record     string           `help:"Write every attempt's answer to this file, for the check command." type:"path"`
@@ -82,7 +83,7 @@
 	}
 	for {
 		req.Attempt++
-		answer, err := c.clients[(n+int(req.Attempt)-1)%len(c.clients)].Submit(ctx, req, false)
+		answer, err := c.submit(ctx, req, n)
 		c.record(req, answer, err)
 		if err == nil && answer.Outcome == pb.Outcome_OUTCOME_DONE {
 			return answer.CodeName
@@ -96,6 +97,16 @@
 	}
 }
 
+// submit sends one attempt to the next entry.
+func (c *entriesCommand) submit(ctx context.Context, req core.Request, n int) (*pb.Answer, error) {
+	if c.Patience > 0 {
+		bounded, cancel := context.WithTimeout(ctx, c.Patience)
+		defer cancel()
+		ctx = bounded
+	}
+	return c.clients[(n+int(req.Attempt)-1)%len(c.clients)].Submit(ctx, req, false)
+}
+
 // pause waits until the answer says to come back. It returns false if that is
 // after the deadline.
 func (c *entriesCommand) pause(req core.Request, answer *pb.Answer) bool {
