Let stand-in VMs lose their power while the record of starts stays

Cause: a rack's death could not be run over real processes: killing the process of a zone's stand-in targets kills all of them and the record that answers are held against. POST /control/outage takes VMs of a process down and brings them back: nothing listens at their addresses, what ran there is cut off, what they knew is forgotten, and they are not on the live list.

--- a/cmd/lavenderpond-standin/targets.go
+++ b/cmd/lavenderpond-standin/targets.go
@@ -40,6 +40,7 @@
 		starts = &standin.StartLog{}
 	}
 	var posts []platformstandin.LivePost
+	out := newOutages()
 	for i := range c.Count {
 		vm := &standin.VM{
 			ID: core.VMID(fmt.Sprintf("%s-%03d", c.Prefix, i)), Slots: core.Slots(c.Slots), Log: starts,
@@ -49,23 +50,27 @@
 			Liveness: platform.Liveness{Name: string(vm.ID), Zone: core.ZoneID(c.Zone)},
 			Control:  "http://" + address.String(),
 		})
-		handler := c.handler(vm, starts)
+		out.vms[vm.ID] = vm
+		handler := c.handler(vm, starts, out)
 		node.Children = append(node.Children, supervisor.Child{
 			Name: string(vm.ID),
-			Run:  func(ctx context.Context) error { return serve(ctx, address, handler, c.Connections) },
+			Run: func(ctx context.Context) error {
+				return out.run(ctx, vm.ID, func(ctx context.Context) error { return serve(ctx, address, handler, c.Connections) })
+			},
 		})
 	}
 	node.Children = append(node.Children, supervisor.Child{Name: "live", Run: func(ctx context.Context) error {
-		return supervisor.Every(ctx, livePostInterval, func(ctx context.Context) { c.post(ctx, posts, log) })
+		return supervisor.Every(ctx, livePostInterval, func(ctx context.Context) { c.post(ctx, out.living(posts), log) })
 	}})
 	log.Info().Stringer("listen", c.Listen).Int("count", c.Count).Str("zone", c.Zone).Msg("targets serve")
 	return node.Run(ctx)
 }
 
-func (c *targetsCommand) handler(vm *standin.VM, starts *standin.StartLog) http.Handler {
+func (c *targetsCommand) handler(vm *standin.VM, starts *standin.StartLog, out *outages) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/tasks/", vm.Handler())
 	mux.Handle("/control/", (&standin.Control{VM: vm}).Handler())
+	mux.HandleFunc("POST /control/outage", out.order)
 	if starts != nil {
 		mux.HandleFunc("GET /control/starts", func(w http.ResponseWriter, _ *http.Request) {
 			_ = json.NewEncoder(w).Encode(starts.Starts())
--- a/io/target/standin/control.go
+++ b/io/target/standin/control.go
@@ -131,6 +131,17 @@
 	}
 }
 
+// Crash ends the VM at once: what runs is cut off, and what ended is forgotten.
+func (v *VM) Crash() {
+	v.setDown(true)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.ended, v.order = make(map[string]ending), nil
+}
+
+// Restart brings the VM back.
+func (v *VM) Restart() { v.setDown(false) }
+
 func (v *VM) setDown(down bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/io/target/standin/vm.go
+++ b/io/target/standin/vm.go
@@ -137,6 +137,8 @@
 	}
 	if v.running == nil {
 		v.running = make(map[*task]struct{})
+	}
+	if v.ended == nil {
 		v.ended = make(map[string]ending)
 	}
 	// A second start of the same id is not refused here: the record must show
