See wrong keys run work where neither the front nor the home checks them

TestKeysDecide switches both off in the test's fleet.

Red: `keys`: the requests with a wrong key and with none both run. Green: bad_key, and no start at the target.

--- a/io/entry/failure_test.go
+++ b/io/entry/failure_test.go
@@ -79,6 +79,23 @@
 	assert.Equal(t, f.send(0, again, teamKey).Outcome, pb.Outcome_OUTCOME_UNKNOWN)
 }
 
+// TestKeysDecide: a caller with a wrong key, or none, runs nothing. An entry without
+// the checks of the front and the home would run both.
+func TestKeysDecide(t *testing.T) {
+	for _, off := range []bool{false, true} {
+		f := newUnsafeFleet(t, map[core.ZoneID]int{"zone_a": 1}, 1, safeguardsOff{keys: off})
+		f.awaitServing()
+		for n, key := range []string{"wrong", ""} {
+			id := fmt.Sprintf("key-%d", n)
+			a := f.send(0, &pb.SubmitRequest{
+				Team: "lyra", Id: id, Attempt: 1, Queue: "frames", Deadline: timestamppb.New(time.Now().Add(patience)), Body: []byte("{}"),
+			}, key)
+			assert.Equal(t, a.CodeName == core.CodeBadKey.String(), !off, "%s", a)
+			assert.Equal(t, f.startsOf(core.RequestID(id)) == 0, !off)
+		}
+	}
+}
+
 // TestAnswersWholeOrUnknown: targets run every request, then lose, cut or cross
 // its answer. The caller gets its own whole answer, which the entry asks the same
 // target for, and never another's or a part. Nothing is started twice. Unchecked,
--- a/io/entry/fleet_test.go
+++ b/io/entry/fleet_test.go
@@ -61,6 +61,8 @@
 	allotments bool
 	// answerCheck: answers pass the checks for the task and the length.
 	answerCheck bool
+	// keys: every key is good for every team.
+	keys bool
 	// leaving: a target's refusal isn't passed on.
 	leaving bool
 }
--- a/io/entry/unsafe_test.go
+++ b/io/entry/unsafe_test.go
@@ -23,6 +23,10 @@
 	if o.allotments {
 		d.requests.home.Limiter = noLimit{d.requests.home.Limiter}
 	}
+	if o.keys {
+		d.front.Gate = openGate{}
+		d.requests.home.Config = anyKey{d.requests.home.Config}
+	}
 	if o.leaving {
 		d.requests.Seen = func(core.VMID, time.Time, home.End) {}
 	}
@@ -65,6 +69,12 @@
 // Start implements home.Rights.
 func (anyHolder) Start(time.Time, shard.Start) bool { return true }
 
+// anyKey takes every key.
+type anyKey struct{ home.Configuration }
+
+// KeyGood implements home.Configuration.
+func (anyKey) KeyGood(time.Time, core.TeamID, core.KeyDigest) (core.Code, bool) { return 0, true }
+
 // noLimit allows every start.
 type noLimit struct{ limit.Limiter }
 
