Delete audit and change records once they are kept elsewhere and their time is over

Rows and the mark (export/audit) change in one transaction that checks mark and rows, so two exporters, paused ones and lost answers are settled by the mark. Found on the way: a repeated command whose change record is deleted between two reads would be merged with the old row and made anew; the record is now pinned like the other rows. 'audit' reads from the object store what the table no longer has. Ruled out: a scan of change/ (all rows are read to find old ones; the audit's order has it); confirming by the answer of the write alone (an object lost since would be gone); deleting in a transaction apart from the mark.

A quiet round is still two reads. TestExportStoreDown has no switch: it shows that nothing goes during a month's outage and that the backlog is worked off.

--- a/core/config/plan.go
+++ b/core/config/plan.go
@@ -15,6 +15,10 @@
 // exist has Version 0.
 type Rows map[table.Key]table.Row
 
+// RecordLife is how long a Record is kept, so how long a change may be repeated under
+// its id. It is far above the seconds for which a command repeats it by itself.
+const RecordLife = 24 * time.Hour
+
 // Record is the row of a change id that took effect. It settles a lost answer and
 // keeps a change from being applied twice.
 type Record struct {
@@ -22,6 +26,8 @@
 	Key     table.Key    `json:"key"`
 	Author  string       `json:"author"`
 	At      time.Time    `json:"at"`
+	// KeepUntil is when the record may be deleted, with the audit record of Version.
+	KeepUntil time.Time `json:"keep_until"`
 	// Digest tells another change under the same id apart.
 	Digest string `json:"digest"`
 }
@@ -40,6 +46,11 @@
 	After   json.RawMessage `json:"after"`
 }
 
+// Record returns the record of the change id that a is about.
+func (a Audit) Record(digest string) Record {
+	return Record{Version: a.Version, Key: a.Key, Author: a.Author, At: a.At, KeepUntil: a.At.Add(RecordLife), Digest: digest}
+}
+
 // Needs returns the rows that Plan has to be given.
 func Needs(c Change, id core.ChangeID) []table.Key {
 	return []table.Key{table.ChangeKey(id), table.ConfigHead, c.Key()}
@@ -98,10 +109,6 @@
 	if err := t.Set(c.Key(), after); err != nil {
 		return err
 	}
-	record := Record{Version: head.Version, Key: c.Key(), Author: c.By(), At: now, Digest: digest(c)}
-	if err := t.Set(table.ChangeKey(head.Change), record); err != nil {
-		return err
-	}
 	audit := Audit{
 		Version: head.Version, Change: head.Change, Kind: Kind(c), Key: c.Key(), Author: c.By(), At: now, Reason: reason(c),
 		After: t.Writes[1].Value,
@@ -109,6 +116,9 @@
 	if before.Version > 0 {
 		audit.Before = before.Value
 	}
+	if err := t.Set(table.ChangeKey(head.Change), audit.Record(digest(c))); err != nil {
+		return err
+	}
 	return t.Set(table.AuditKey(head.Version), audit)
 }
 
--- a/io/operator/admin.go
+++ b/io/operator/admin.go
@@ -123,12 +123,11 @@
 	if audit.After == nil {
 		audit.After = []byte("null")
 	}
-	record := config.Record{Version: head.Version, Key: a.subject(), Author: m.Author, At: now, Digest: digestOf(m)}
 	t.Check(recordRow)
 	t.Check(headRow)
 	return head.Version, firstError(
 		t.Set(table.ConfigHead, head),
-		t.Set(recordRow.Key, record),
+		t.Set(recordRow.Key, audit.Record(digestOf(m))),
 		t.Set(table.AuditKey(head.Version), audit))
 }
 
--- a/io/operator/config.go
+++ b/io/operator/config.go
@@ -28,7 +28,7 @@
 	if s.noPin {
 		p.rows = nil
 	}
-	base, repeated, err := s.baseOf(ctx, m, row)
+	base, repeated, err := s.baseOf(ctx, p, m, row)
 	if err != nil {
 		return nil, err
 	}
@@ -49,7 +49,11 @@
 // baseOf returns the row that the change's missing fields come from. For a change
 // id that took effect before, that is the row as it was then: filled in from
 // today's row, a repeated change would look like another one under the same id.
-func (s *Server) baseOf(ctx context.Context, m *pb.ApplyChangeRequest, row table.Row) (table.Row, bool, error) {
+//
+// The change id's record is pinned: it may be deleted at any moment after its time, and
+// a change that was merged with the old row would then be made anew, over what others
+// have changed since.
+func (s *Server) baseOf(ctx context.Context, p *pinned, m *pb.ApplyChangeRequest, row table.Row) (table.Row, bool, error) {
 	recordRow, err := s.Table.Read(ctx, table.ChangeKey(core.ChangeID(m.ChangeId)))
 	if err != nil || recordRow.Version == 0 {
 		return row, false, err
@@ -58,11 +62,8 @@
 	if err := recordRow.Decode(&record); err != nil {
 		return row, false, err
 	}
-	var audit config.Audit
-	auditRow, err := s.Table.Read(ctx, table.AuditKey(record.Version))
-	if err == nil {
-		err = auditRow.Decode(&audit)
-	}
+	p.keep(recordRow)
+	audit, err := s.audit(ctx, record.Version)
 	base := table.Row{Key: row.Key, Value: audit.Before}
 	if audit.Before != nil {
 		base.Version = 1
@@ -182,6 +183,14 @@
 	return p.rows[key], nil
 }
 
+// keep lets the next read of row's key return row. Without pinned rows, as in a test,
+// it does nothing.
+func (p *pinned) keep(row table.Row) {
+	if p.rows != nil {
+		p.rows[row.Key] = row
+	}
+}
+
 // Read implements platform.Table.
 func (p *pinned) Read(ctx context.Context, key table.Key) (table.Row, error) {
 	if row, ok := p.rows[key]; ok {
--- a/io/operator/export.go
+++ b/io/operator/export.go
@@ -27,21 +27,30 @@
 
 // exported is the value of exportRow.
 type exported struct {
+	// Version is the last record that the object store has, Deleted the last that the
+	// table no longer has.
 	Version core.Version `json:"version"`
+	Deleted core.Version `json:"deleted,omitempty"`
+	// DeleteAt is when the record after Deleted may be deleted; zero if not known yet.
+	DeleteAt time.Time `json:"delete_at,omitzero"`
 }
 
 // Exporter copies the audit records of accepted changes to the object store, where
-// the monitor reads them as "audit-VERSION.json". Every entry may run one: a record
-// that is copied twice is the same twice.
+// the monitor reads them as "audit-VERSION.json", and deletes them in the table later,
+// with the records of their change ids. Every entry may run one: a record that is
+// copied twice is the same twice.
 type Exporter struct {
 	Table   platform.Table
 	Objects platform.Objects
 	Log     zerolog.Logger
 	// Interval between rounds; 0 means DefaultExportInterval.
 	Interval time.Duration
+	// Now is the clock; nil means time.Now.
+	Now func() time.Time
 
-	// markFirst is switched on in tests only, to see the safeguard fail.
-	markFirst bool
+	// Switched on in tests only, to see the safeguards fail: the mark moves before the
+	// objects are stored; records are deleted unread, early, or apart from the mark.
+	markFirst, deleteUnread, deleteEarly, deleteApart bool
 }
 
 // AuditObject returns the name of the object that holds the record of v.
@@ -62,11 +71,8 @@
 	}}
 }
 
-// Round copies the records that are not in the object store yet.
-//
-// The mark moves only after the objects are stored. Moved first, an exporter that
-// ends in between, or an object store that is down, would leave a gap that nobody
-// fills, and the monitor would miss an accepted change.
+// Round copies the records that are not in the object store yet, and deletes those
+// whose time is over.
 func (e *Exporter) Round(ctx context.Context) error {
 	var head config.Head
 	var mark exported
@@ -74,17 +80,14 @@
 		return err
 	}
 	row, err := e.read(ctx, exportRow, &mark)
-	if err != nil || mark.Version >= head.Version {
+	if err != nil {
 		return err
 	}
-	first, last := mark.Version+1, min(head.Version, mark.Version+exportBatch)
-	if e.markFirst {
-		return firstError(e.mark(ctx, row, last), e.copy(ctx, first, last))
+	if mark.Version < head.Version {
+		err = e.export(ctx, row, mark, head.Version)
+	} else {
+		err = e.delete(ctx, row, mark)
 	}
-	if err := e.copy(ctx, first, last); err != nil {
-		return err
-	}
-	err = e.mark(ctx, row, last)
 	if errors.Is(err, table.ErrConflict) {
 		// Another entry's exporter was faster.
 		return nil
@@ -92,6 +95,23 @@
 	return err
 }
 
+// export copies the records after the mark, up to head.
+//
+// The mark moves only after the objects are stored. Moved first, an exporter that
+// ends in between, or an object store that is down, would leave a gap that nobody
+// fills, and the monitor would miss an accepted change.
+func (e *Exporter) export(ctx context.Context, row table.Row, mark exported, head core.Version) error {
+	first, last := mark.Version+1, min(head, mark.Version+exportBatch)
+	mark.Version = last
+	if e.markFirst {
+		return firstError(e.mark(ctx, row, mark), e.copy(ctx, first, last))
+	}
+	if err := e.copy(ctx, first, last); err != nil {
+		return err
+	}
+	return e.mark(ctx, row, mark)
+}
+
 func (e *Exporter) copy(ctx context.Context, first, last core.Version) error {
 	for v := first; v <= last; v++ {
 		row, err := e.Table.Read(ctx, table.AuditKey(v))
@@ -108,10 +128,10 @@
 	return nil
 }
 
-func (e *Exporter) mark(ctx context.Context, row table.Row, v core.Version) error {
+func (e *Exporter) mark(ctx context.Context, row table.Row, mark exported) error {
 	var t table.Transaction
 	t.Check(row)
-	if err := t.Set(exportRow, exported{Version: v}); err != nil {
+	if err := t.Set(exportRow, mark); err != nil {
 		return err
 	}
 	return e.Table.Transact(ctx, t)
--- /dev/null
+++ b/io/operator/export_delete.go
@@ -0,0 +1,135 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lavenderpond/core"
+	"lavenderpond/core/config"
+	"lavenderpond/core/table"
+)
+
+const (
+	// deleteBatch bounds the versions that one transaction deletes, two rows each, so
+	// that an outage's backlog doesn't take the writes of others.
+	deleteBatch = 25
+	// deleteMargin is above any difference between two entries' clocks.
+	deleteMargin = time.Minute
+)
+
+// delete deletes the audit records whose time is over, oldest first, each together
+// with the record of its change id. Without it the table would grow by 8,600 rows a
+// day at 4,300 changes.
+//
+// Rows and mark change in one transaction that checks the mark, so of two exporters
+// one deletes, and after a lost answer the mark tells what was done. A mark that moved
+// apart from its rows would leave rows that nobody ever deletes.
+func (e *Exporter) delete(ctx context.Context, row table.Row, mark exported) error {
+	if mark.Deleted >= mark.Version || e.now().Before(mark.DeleteAt) {
+		return nil
+	}
+	var t table.Transaction
+	deleted, deleteAt, err := e.gather(ctx, &t, mark)
+	if deleted == mark.Deleted && deleteAt.IsZero() {
+		return err
+	}
+	// What was gathered before an error is certain, and goes.
+	mark.Deleted, mark.DeleteAt = deleted, deleteAt
+	return e.commit(ctx, row, mark, t)
+}
+
+// gather adds the deletions to t. It returns the last version among them, or that of
+// the mark, and when the next one may go if that lies ahead.
+func (e *Exporter) gather(ctx context.Context, t *table.Transaction, mark exported) (core.Version, time.Time, error) {
+	last := min(mark.Version, mark.Deleted+deleteBatch)
+	for v := mark.Deleted + 1; v <= last; v++ {
+		deleteAt, err := e.deleteOne(ctx, t, v)
+		if err != nil || !deleteAt.IsZero() {
+			return v - 1, deleteAt, err
+		}
+	}
+	return last, time.Time{}, nil
+}
+
+func (e *Exporter) commit(ctx context.Context, row table.Row, mark exported, t table.Transaction) error {
+	if e.deleteApart {
+		return firstError(e.mark(ctx, row, mark), e.Table.Transact(ctx, t))
+	}
+	t.Check(row)
+	if err := t.Set(exportRow, mark); err != nil {
+		return err
+	}
+	return e.Table.Transact(ctx, t)
+}
+
+// deleteOne adds to t the deletion of version v's records. If it isn't time yet, it
+// adds nothing and returns when it is.
+func (e *Exporter) deleteOne(ctx context.Context, t *table.Transaction, v core.Version) (time.Time, error) {
+	var audit config.Audit
+	auditRow, err := e.read(ctx, table.AuditKey(v), &audit)
+	if err != nil || auditRow.Version == 0 {
+		return time.Time{}, err
+	}
+	var record config.Record
+	recordRow, err := e.read(ctx, table.ChangeKey(audit.Change), &record)
+	if err != nil {
+		return time.Time{}, err
+	}
+	if at := e.deleteAt(audit, record); e.now().Before(at) {
+		return at, nil
+	}
+	if err := e.readBack(ctx, v, auditRow.Value); err != nil {
+		return time.Time{}, err
+	}
+	t.Check(auditRow)
+	t.Delete(auditRow.Key)
+	if recordRow.Version > 0 && record.Version == v {
+		t.Check(recordRow)
+		t.Delete(recordRow.Key)
+	}
+	return time.Time{}, nil
+}
+
+// deleteAt returns when the record of a change id may go. Deleted earlier, an operator
+// who repeats a change whose answer was lost would make it a second time, over what
+// others have changed since. The audit record stays as long: it tells what the change
+// was merged with, and who won a race.
+func (e *Exporter) deleteAt(a config.Audit, r config.Record) time.Time {
+	if e.deleteEarly {
+		return time.Time{}
+	}
+	until := r.KeepUntil
+	if r.Version != a.Version || until.IsZero() {
+		// The change id is another change's by now, or the record is from before records
+		// had a deadline.
+		until = a.At.Add(config.RecordLife)
+	}
+	return until.Add(deleteMargin)
+}
+
+// readBack makes sure that the object store has the record of v. What the store lost
+// or cut since it was copied would else be gone for good, and the monitor would miss an
+// accepted change. It is stored again, and read back in a later round.
+func (e *Exporter) readBack(ctx context.Context, v core.Version, value []byte) error {
+	if e.deleteUnread {
+		return nil
+	}
+	data, err := e.Objects.Get(ctx, AuditObject(v))
+	if err == nil && bytes.Equal(data, value) {
+		return nil
+	}
+	if err := e.Objects.Put(ctx, AuditObject(v), value); err != nil {
+		return errors.Wrapf(err, "store audit record %d again", v)
+	}
+	return errors.Errorf("audit record %d was not in the object store; it was stored again", v)
+}
+
+func (e *Exporter) now() time.Time {
+	if e.Now == nil {
+		return time.Now()
+	}
+	return e.Now()
+}
--- /dev/null
+++ b/io/operator/export_delete_test.go
@@ -0,0 +1,257 @@
+package operator
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"gotest.tools/v3/assert"
+
+	"lavenderpond/core"
+	"lavenderpond/core/config"
+	"lavenderpond/core/table"
+	pb "lavenderpond/io/gen/lavenderpond/v1"
+)
+
+// exportRun is a history with two exporters, and all audit records that it ever had.
+type exportRun struct {
+	*history
+	now       time.Time
+	store     *fakeObjects
+	exporters [2]*Exporter
+	accepted  map[core.Version]acceptedChange
+	fault     string
+}
+
+type acceptedChange struct {
+	row   table.Row
+	audit config.Audit
+}
+
+func newExportRun(seed uint64, with Exporter) *exportRun {
+	r := &exportRun{history: newHistory(seed, &Server{}), now: start, accepted: map[core.Version]acceptedChange{}}
+	clock := func() time.Time { return r.now }
+	r.s.Now = clock
+	r.store = &fakeObjects{table: r.t, objects: map[string]string{}, forgets: true}
+	with.Table, with.Objects, with.Now = r.t, r.store, clock
+	for i := range r.exporters {
+		e := with
+		r.exporters[i] = &e
+	}
+	r.t.between = func() {
+		if r.t.rand.IntN(2) == 0 {
+			r.random()
+		} else {
+			r.export()
+		}
+	}
+	return r
+}
+
+func (r *exportRun) export() {
+	r.look()
+	_ = r.exporters[r.t.rand.IntN(2)].Round(context.Background())
+	r.look()
+}
+
+// look remembers the records in the table and finds what is wrong: a record that is
+// nowhere, or one of a change id that went before its time.
+func (r *exportRun) look() {
+	for v := core.Version(len(r.accepted) + 1); ; v++ {
+		c := acceptedChange{row: r.t.rows.Read(table.AuditKey(v))}
+		if c.row.Version == 0 {
+			break
+		}
+		if err := c.row.Decode(&c.audit); err != nil {
+			r.fault = err.Error()
+		}
+		r.accepted[v] = c
+	}
+	for v, c := range r.accepted {
+		kept := r.t.rows.Read(c.row.Key).Version > 0
+		if !kept && r.store.objects[AuditObject(v)] != string(c.row.Value) {
+			r.fault = "an accepted change is neither in the table nor in the object store"
+		}
+		early := r.now.Before(c.audit.At.Add(config.RecordLife))
+		if early && r.t.rows.Read(table.ChangeKey(c.audit.Change)).Version == 0 {
+			r.fault = "a change id was forgotten before its time"
+		}
+	}
+}
+
+// run lets hours pass, then days without faults, and returns what is wrong.
+func (r *exportRun) run() string {
+	for range 30 {
+		r.random()
+		r.export()
+		r.now = r.now.Add(time.Duration(r.t.rand.IntN(4)) * time.Hour)
+	}
+	r.t.quiet = true
+	for range 20 {
+		r.now = r.now.Add(config.RecordLife)
+		r.export()
+	}
+	left := len(r.t.rows.Scan(table.PrefixAudit)) + len(r.t.rows.Scan(table.PrefixChange))
+	if r.fault == "" && left > 0 {
+		return "rows stay for ever"
+	}
+	return r.fault
+}
+
+// TestExportDeletes: the monitor would miss a change for good, an operator's repeated
+// change would be made twice, or the table would grow without end. For some days
+// operators make changes while two exporters copy and delete, also within each other's
+// rounds; table and store are down at times and lose answers, and the store loses
+// objects that it had confirmed. Red without reading back, before the stored time, and
+// with the mark in a transaction of its own.
+func TestExportDeletes(t *testing.T) {
+	const runs = 150
+	for seed := range uint64(runs) {
+		if fault := newExportRun(seed, Exporter{}).run(); fault != "" {
+			t.Fatalf("seed %d: %s", seed, fault)
+		}
+	}
+	for name, broken := range map[string]Exporter{
+		"deleteUnread": {deleteUnread: true}, "deleteEarly": {deleteEarly: true}, "deleteApart": {deleteApart: true},
+	} {
+		red, last := 0, ""
+		for seed := range uint64(runs) {
+			if fault := newExportRun(seed, broken).run(); fault != "" {
+				red, last = red+1, fault
+			}
+		}
+		t.Logf("%s: %d of %d seeds red: %s", name, red, runs, last)
+		assert.Assert(t, red > 0, "%s: the safeguard is not needed", name)
+	}
+}
+
+// TestExportStoreDown: the object store is down for a month. Nothing is deleted, each
+// record is copied when it is back, and then the old ones go.
+func TestExportStoreDown(t *testing.T) {
+	r := newExportRun(1, Exporter{})
+	r.t.between, r.t.quiet = nil, true
+	r.store.forgets = false
+	down := &brokenObjects{}
+	r.exporters[0].Objects, r.exporters[1].Objects = down, down
+	for range 30 {
+		r.random()
+		r.now = r.now.Add(config.RecordLife)
+		r.export()
+	}
+	changes := len(r.accepted)
+	assert.Equal(t, len(r.t.rows.Scan(table.PrefixAudit)), changes)
+	assert.Equal(t, len(r.t.rows.Scan(table.PrefixChange)), changes)
+	assert.Assert(t, down.asked > 0)
+	r.exporters[0].Objects, r.exporters[1].Objects = r.store, r.store
+	for range 2 + changes/deleteBatch {
+		r.export()
+	}
+	assert.Equal(t, r.fault, "")
+	assert.Equal(t, len(r.store.objects), changes)
+	// The last change is a day old, without the margin for clocks.
+	assert.Equal(t, len(r.t.rows.Scan(table.PrefixAudit)), 1)
+}
+
+// brokenObjects is an object store that is down.
+type brokenObjects struct{ asked int }
+
+func (o *brokenObjects) Put(context.Context, string, []byte) error {
+	o.asked++
+	return table.ErrDown
+}
+
+func (*brokenObjects) Get(context.Context, string) ([]byte, error) { return nil, table.ErrDown }
+
+// wholePlatform is a table with the object store beside it, as platform.Client is.
+// OnRead runs once, after the read of a row.
+type wholePlatform struct {
+	*faultyTable
+	*fakeObjects
+	onRead map[table.Key]func()
+}
+
+func (p *wholePlatform) Read(ctx context.Context, key table.Key) (table.Row, error) {
+	row, err := p.faultyTable.Read(ctx, key)
+	if f := p.onRead[key]; f != nil {
+		delete(p.onRead, key)
+		f()
+	}
+	return row, err
+}
+
+// TestRepeatWhileDeleted: an operator's answer was lost, another raised the share and
+// the limit since, and the first repeats the command under the same id: a moment before
+// the record's time is over, and after it, while an exporter deletes the record right
+// after it was read. Both times nothing may be made twice. Red when records go early
+// (the old limit is back), and without the pinned record (the change is made anew, with
+// what its row held at the first time).
+func TestRepeatWhileDeleted(t *testing.T) {
+	repeat := func(with Exporter, after time.Duration, between bool) (config.Team, *pb.ApplyChangeReply) {
+		r := newExportRun(1, with)
+		r.t.between, r.t.quiet = nil, true
+		r.store.forgets = false
+		p := &wholePlatform{faultyTable: r.t, fakeObjects: r.store, onRead: map[table.Key]func(){}}
+		r.s.Table = p
+		apply := func(id string, share, limit *int32) *pb.ApplyChangeReply {
+			m := &pb.ApplyChangeRequest{ChangeId: id, Author: "ana", Change: &pb.ApplyChangeRequest_SetTeam{
+				SetTeam: &pb.SetTeam{Team: "surveys", Share: share, Limit: limit}}}
+			reply, err := r.s.ApplyChange(context.Background(), connect.NewRequest(m))
+			assert.NilError(t, err)
+			return reply.Msg
+		}
+		apply("lost", nil, ptr(40))
+		apply("later", ptr(3), ptr(60))
+		r.export()
+		r.now = r.now.Add(after)
+		if between {
+			p.onRead[table.ChangeKey("lost")] = r.export
+		} else {
+			r.export()
+		}
+		reply := apply("lost", nil, ptr(40))
+		var team config.Team
+		assert.NilError(t, r.t.rows.Read(table.TeamKey("surveys")).Decode(&team))
+		return team, reply
+	}
+	latest := config.Team{Share: 3, Limit: 60}
+	for _, between := range []bool{false, true} {
+		team, reply := repeat(Exporter{}, config.RecordLife-time.Second, between)
+		assert.Assert(t, reply.Repeated)
+		assert.Equal(t, team, latest)
+	}
+	team, reply := repeat(Exporter{}, config.RecordLife+2*deleteMargin, true)
+	assert.Assert(t, reply.Repeated)
+	assert.Equal(t, team, latest)
+	// After its time, the id is a new change's: it sets what it names, and undoes
+	// nothing else.
+	team, reply = repeat(Exporter{}, config.RecordLife+2*deleteMargin, false)
+	assert.Assert(t, !reply.Repeated)
+	assert.Equal(t, team, config.Team{Share: 3, Limit: 40})
+	team, reply = repeat(Exporter{deleteEarly: true}, config.RecordLife-time.Second, false)
+	assert.Assert(t, !reply.Repeated && team.Limit == 40, "red: the safeguard is not needed")
+}
+
+// TestListAuditDeleted: an operator lists changes older than what the table keeps, and
+// sees them as before they were deleted there.
+func TestListAuditDeleted(t *testing.T) {
+	r := newExportRun(2, Exporter{})
+	r.t.between, r.t.quiet = nil, true
+	r.store.forgets = false
+	r.s.Table = &wholePlatform{faultyTable: r.t, fakeObjects: r.store}
+	list := func() []*pb.AuditRecord {
+		reply, err := r.s.ListAudit(context.Background(), connect.NewRequest(&pb.ListAuditRequest{Last: 5}))
+		assert.NilError(t, err)
+		return reply.Msg.Records
+	}
+	before := list()
+	assert.Equal(t, len(before), 5)
+	for range 4 {
+		r.now = r.now.Add(config.RecordLife)
+		r.export()
+	}
+	assert.Equal(t, len(r.t.rows.Scan(table.PrefixAudit)), 0)
+	for i, record := range list() {
+		assert.Equal(t, record.String(), before[i].String())
+	}
+}
--- a/io/operator/export_test.go
+++ b/io/operator/export_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -11,21 +10,34 @@
 	"lavenderpond/core/table"
 )
 
-// fakeObjects is the object store, down at times.
+// fakeObjects is the object store: down at times, and answers are lost. It may also
+// lose what it said it had stored.
 type fakeObjects struct {
 	table   *faultyTable
 	objects map[string]string
+	forgets bool
 }
 
 func (o *fakeObjects) Put(_ context.Context, name string, data []byte) error {
 	if o.table.chance(20) {
 		return table.ErrDown
 	}
-	o.objects[name] = string(data)
+	if !o.forgets || !o.table.chance(20) {
+		o.objects[name] = string(data)
+	}
+	if o.table.chance(10) {
+		return table.ErrDown
+	}
 	return nil
 }
 
-func (*fakeObjects) Get(context.Context, string) ([]byte, error) { return nil, errors.New("not used") }
+func (o *fakeObjects) Get(_ context.Context, name string) ([]byte, error) {
+	data, ok := o.objects[name]
+	if !ok || o.table.chance(20) {
+		return nil, table.ErrDown
+	}
+	return []byte(data), nil
+}
 
 // TestExport: operators make changes while the table and the object store fail at
 // times and two entries export at once. In the end the monitor finds every accepted
@@ -34,9 +46,10 @@
 func TestExport(t *testing.T) {
 	missing := func(seed uint64, markFirst bool) int {
 		h := newHistory(seed, &Server{})
-		store := &fakeObjects{h.t, map[string]string{}}
+		store := &fakeObjects{table: h.t, objects: map[string]string{}}
 		exporters := []*Exporter{
-			{Table: h.t, Objects: store, markFirst: markFirst}, {Table: h.t, Objects: store, markFirst: markFirst}}
+			{Table: h.t, Objects: store, Now: h.s.Now, markFirst: markFirst},
+			{Table: h.t, Objects: store, Now: h.s.Now, markFirst: markFirst}}
 		for range 10 {
 			h.random()
 			_ = exporters[h.t.rand.IntN(2)].Round(context.Background())
--- a/io/operator/lists.go
+++ b/io/operator/lists.go
@@ -2,15 +2,18 @@
 
 import (
 	"context"
+	"encoding/json"
 	"strings"
 
 	"connectrpc.com/connect"
+	"github.com/pkg/errors"
 
 	"lavenderpond/core"
 	"lavenderpond/core/config"
 	"lavenderpond/core/fleet"
 	"lavenderpond/core/table"
 	pb "lavenderpond/io/gen/lavenderpond/v1"
+	"lavenderpond/io/platform"
 )
 
 // Prefixes of the rows of each list.
@@ -229,13 +232,29 @@
 }
 
 func (s *Server) auditRecord(ctx context.Context, v core.Version) (*pb.AuditRecord, error) {
-	var a config.Audit
-	row, err := s.Table.Read(ctx, table.AuditKey(v))
-	if err == nil {
-		err = row.Decode(&a)
-	}
+	a, err := s.audit(ctx, v)
 	return &pb.AuditRecord{
 		Version: uint64(v), ChangeId: string(a.Change), Author: a.Author, At: stamp(a.At), Kind: a.Kind, Reason: a.Reason,
 		Row: strings.TrimSpace(string(a.Key)), Before: string(a.Before), After: string(a.After),
 	}, err
 }
+
+// audit returns the record of version v, from the table, or from the object store if
+// the table no longer keeps it.
+func (s *Server) audit(ctx context.Context, v core.Version) (config.Audit, error) {
+	var a config.Audit
+	row, err := s.Table.Read(ctx, table.AuditKey(v))
+	if err != nil || row.Version > 0 {
+		return a, firstError(err, row.Decode(&a))
+	}
+	// The platform's client serves the object store beside the table.
+	objects, ok := s.Table.(platform.Objects)
+	if !ok {
+		return a, nil
+	}
+	data, err := objects.Get(ctx, AuditObject(v))
+	if err != nil {
+		return a, errors.Wrapf(err, "audit record %d is in the object store only", v)
+	}
+	return a, errors.Wrapf(json.Unmarshal(data, &a), "decode audit record %d", v)
+}
