Tell a peer that has all without walking the configuration

Cause: View.DeltaSince went through all rows for each exchange, twice for the side that asks: 58 us at 620 teams and 215 pools, some ten times a second at a relay. The view now keeps the greatest version at which it learned a row; a peer at or above it lacks nothing. Ruled out: comparing with the view's own version, since rows told with a gap are learned above it.

--- a/core/config/bench_test.go
+++ b/core/config/bench_test.go
@@ -106,3 +106,16 @@
 	runtime.ReadMemStats(&m)
 	return m.HeapAlloc
 }
+
+// BenchmarkDeltaSince measures what is told to a peer that has all.
+func BenchmarkDeltaSince(b *testing.B) {
+	for _, size := range fleetSizes {
+		b.Run(fmt.Sprintf("teams=%d/pools=%d", size.teams, size.pools), func(b *testing.B) {
+			var v View
+			_, _ = v.Apply(Delta{Version: 1, Rows: fleetTable(size.teams, size.pools).Scan("")}, FromTable)
+			for b.Loop() {
+				_ = v.DeltaSince(1)
+			}
+		})
+	}
+}
--- a/core/config/view.go
+++ b/core/config/view.go
@@ -34,8 +34,10 @@
 // version only rises. The zero value is an empty view. Not safe for concurrent
 // use.
 type View struct {
-	version    core.Version
-	rows       map[table.Key]viewRow
+	version core.Version
+	rows    map[table.Key]viewRow
+	// learned is the greatest of the rows.
+	learned    core.Version
 	defaults   Defaults
 	teams      map[core.TeamID]Team
 	pools      map[core.PoolID]Pool
@@ -132,11 +134,17 @@
 		v.rows = make(map[table.Key]viewRow)
 	}
 	v.rows[key] = r
+	v.learned = max(v.learned, r.learned)
 }
 
 // DeltaSince returns what a peer whose view is complete up to since lacks.
 func (v *View) DeltaSince(since core.Version) Delta {
 	d := Delta{Base: since, Version: v.version}
+	if since >= v.learned {
+		// Peers ask every second and mostly have all. A walk through the rows took 58 us
+		// at 620 teams, and a relay makes ten a second.
+		return d
+	}
 	for _, r := range v.rows {
 		if !r.deleted && r.learned > since {
 			d.Rows = append(d.Rows, r.Row)
--- a/core/config/view_test.go
+++ b/core/config/view_test.go
@@ -200,3 +200,29 @@
 		_ = v.DeltaSince(0)
 	})
 }
+
+// A peer would miss a row for good if an entry took it to have all when it hasn't:
+// rows are learned from tellers with gaps, late messages, restarts and deletions. What
+// DeltaSince returns is held against a walk through all rows, for every version.
+func TestDeltaSinceMissesNothing(t *testing.T) {
+	for seed := range uint64(20) {
+		w := newViewWorld(seed, unsafe{})
+		for step := range 300 {
+			w.step()
+			v := w.views[w.r.IntN(len(w.views))]
+			for since := range v.learned + 3 {
+				assert.Equal(t, len(v.DeltaSince(since).Rows), naiveDelta(v, since), "seed %d step %d since %d", seed, step, since)
+			}
+		}
+	}
+}
+
+func naiveDelta(v *View, since core.Version) int {
+	n := 0
+	for _, r := range v.rows {
+		if !r.deleted && r.learned > since {
+			n++
+		}
+	}
+	return n
+}
