Look at the allotments that may need a move, and at the rest once a minute

Cause: each event had the ledger walk all of an entry's teams, nine times in a round of 100 ms (the limits, the tick, an attestation for each of seven zones), whether anything had changed or not. Ruled out: a longer round, since a raised limit is handed out with the next one.

A heap orders the allotments by when they are looked at next: at once with news (a row, a limit, a wait, an answer, work), once a second while time alone may call for a move (running work, marks, waits, reclaims, a lowered limit that the rows are above), else once a minute, for parts that nobody used for half an hour. An attestation counts as news when it changes.

TestLimitHolds and the others are unchanged but for a switch that lets the test world rest.

--- a/core/limit/decide.go
+++ b/core/limit/decide.go
@@ -57,14 +57,9 @@
 	worth bool
 }
 
-// plan drafts a move and opens it if it is worth a write.
+// plan opens the move that the rows call for if it is worth a write.
 func (l *Ledger) plan(now time.Time, team core.TeamID, a *allotment) []Command {
-	d := draft{team: a.team.clone(), zone: a.zone.clone(), part: a.part}
-	dropEnded(d.team.Wanted, now)
-	dropEnded(d.zone.Wanted, now)
-	l.reclaimEntries(now, &d)
-	l.reclaimZones(now, &d)
-	l.size(now, a, &d)
+	d := l.draft(now, a)
 	if !d.worth {
 		return nil
 	}
@@ -78,6 +73,17 @@
 	return l.open(team, a, d)
 }
 
+// draft returns the move that the rows call for.
+func (l *Ledger) draft(now time.Time, a *allotment) draft {
+	d := draft{team: a.team.clone(), zone: a.zone.clone(), part: a.part}
+	dropEnded(d.team.Wanted, now)
+	dropEnded(d.zone.Wanted, now)
+	l.reclaimEntries(now, &d)
+	l.reclaimZones(now, &d)
+	l.size(now, a, &d)
+	return d
+}
+
 // open makes the move of a draft the allotment's open one.
 func (l *Ledger) open(team core.TeamID, a *allotment, d draft) []Command {
 	teamKey, zoneKey := table.TeamAllotmentKey(team), table.ZoneAllotmentKey(team, l.Zone)
--- a/core/limit/event.go
+++ b/core/limit/event.go
@@ -16,7 +16,8 @@
 	// Head is the row of the configuration's head that the limits were computed at,
 	// or an empty row if the view isn't complete up to it: nothing is taken then.
 	Head table.Row
-	// Limits holds an entry for every team of Ledger.Teams.
+	// Limits holds an entry for every team of Ledger.Teams. With the Head of the event
+	// before, teams whose limit is the same may be left out.
 	Limits map[core.TeamID]core.Slots
 }
 
--- a/core/limit/handle.go
+++ b/core/limit/handle.go
@@ -1,7 +1,6 @@
 package limit
 
 import (
-	"slices"
 	"strings"
 	"time"
 
@@ -25,8 +24,11 @@
 	idleFor = 2 * time.Minute
 	// unusedFor is how long a part stays that nobody asks for and nothing uses.
 	unusedFor = 30 * time.Minute
-	// lookEvery is the time between two looks at an allotment without news.
+	// lookEvery is the time between two looks at an allotment without news that time
+	// alone may change.
 	lookEvery = time.Second
+	// quietLookEvery is the time between two looks at any other allotment.
+	quietLookEvery = time.Minute
 	// conflictWait is the wait after a conflict. An entry that sees an old configuration
 	// fails until it hears of the new one, and must not keep the table busy till then.
 	conflictWait = 250 * time.Millisecond
@@ -48,64 +50,41 @@
 	case Moved:
 		return l.movedAnswer(now, e)
 	case Gone:
-		if l.ownZone(e.Entry) {
-			put(&l.gone, e.Entry, true)
-		}
+		l.entryGone(e.Entry)
 	case ZoneDown:
-		if e.Down {
-			put(&l.down, e.Zone, e.Since)
-		} else {
-			delete(l.down, e.Zone)
-		}
+		l.zoneDown(e)
 	case Stop:
 		l.stopping = true
+		l.schedule.all()
 	case Tick:
 	}
 	return l.decideAll(now)
 }
 
-// ownZone reports whether e appears in a row of the own zone. Others never do, so
-// there is no list of the whole fleet's entries here.
-func (l *Ledger) ownZone(e core.EntryID) bool {
+// entryGone takes note of an entry that appears in a row of the own zone. Others never
+// do, so there is no list of the whole fleet's entries here.
+func (l *Ledger) entryGone(e core.EntryID) {
+	if e == l.Self {
+		return
+	}
 	for _, a := range l.teams {
-		if _, ok := a.zone.Entries[e]; ok && e != l.Self {
-			return true
+		if _, ok := a.zone.Entries[e]; ok {
+			put(&l.gone, e, true)
+			l.schedule.now(a)
 		}
 	}
-	return false
 }
 
-// decideAll looks at the allotments that have news, and at each other one once in
-// lookEvery: an entry may know hundreds of teams of which few have work.
-func (l *Ledger) decideAll(now time.Time) []Command {
-	var commands []Command
-	var forget []core.TeamID
-	for _, team := range l.order {
-		a := l.teams[team]
-		if now.Before(a.lookAt) && !l.hasNews(now, a) {
-			continue
-		}
-		a.lookAt = now.Add(lookEvery)
-		commands = append(commands, l.decide(now, team, a)...)
-		if l.forgettable(now, a) {
-			forget = append(forget, team)
-		}
+func (l *Ledger) zoneDown(e ZoneDown) {
+	since, down := l.down[e.Zone]
+	if down == e.Down && (!down || since.Equal(e.Since)) {
+		return
 	}
-	for _, team := range forget {
-		delete(l.teams, team)
-		i, _ := slices.BinarySearch(l.order, team)
-		l.order = slices.Delete(l.order, i, i+1)
+	delete(l.down, e.Zone)
+	if e.Down {
+		put(&l.down, e.Zone, e.Since)
 	}
-	return commands
-}
-
-func (l *Ledger) hasNews(now time.Time, a *allotment) bool {
-	return a.move != nil || !a.known || now.Before(a.wanted.Add(wantFor)) || l.stopping
-}
-
-func (l *Ledger) forgettable(now time.Time, a *allotment) bool {
-	return a.move == nil && a.part == 0 && a.running.count() == 0 && a.known &&
-		!now.Before(a.wanted.Add(forgetAfter)) && !now.Before(a.used.last.Add(forgetAfter))
+	l.schedule.all()
 }
 
 func (l *Ledger) limits(now time.Time, e Limits) []Command {
@@ -122,7 +101,8 @@
 		if !a.limitKnown || !sameHead || limit < a.limit {
 			a.lowered = now
 		}
-		a.lookAt = time.Time{}
+		l.schedule.now(a)
+		delete(l.unlimited, team)
 		a.limit, a.limitKnown = limit, true
 	}
 	return l.decideAll(now)
@@ -134,6 +114,7 @@
 		return nil
 	}
 	a.readSent = time.Time{}
+	l.schedule.now(a)
 	if !a.takeTeamRow(e.TeamRow) || !a.takeZoneRow(e.ZoneRow) {
 		return nil
 	}
@@ -152,7 +133,7 @@
 		if !ok || !a.known {
 			continue
 		}
-		a.lookAt = time.Time{}
+		l.schedule.now(a)
 		// A row that can't be decoded makes the rows unknown until a read succeeds.
 		switch zone {
 		case "":
@@ -166,6 +147,7 @@
 		for _, a := range l.teams {
 			a.known = false
 		}
+		l.schedule.all()
 	}
 	if e.Sent.After(l.polled) {
 		l.polled = e.Sent
@@ -198,6 +180,7 @@
 	}
 	a := l.teams[team]
 	m := a.move
+	l.schedule.now(a)
 	switch e.Result {
 	case ResultApplied:
 		a.applied(now, m)
--- a/core/limit/ledger.go
+++ b/core/limit/ledger.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -28,14 +29,17 @@
 
 	teams map[core.TeamID]*allotment
 	// order holds the keys of teams, sorted.
-	order    []core.TeamID
-	moves    map[MoveID]core.TeamID
-	lastMove MoveID
-	head     table.Row
-	polled   time.Time
-	gone     map[core.EntryID]bool
-	down     map[core.ZoneID]time.Time
-	stopping bool
+	order []core.TeamID
+	// unlimited holds the teams whose limit isn't known.
+	unlimited map[core.TeamID]bool
+	schedule  schedule
+	moves     map[MoveID]core.TeamID
+	lastMove  MoveID
+	head      table.Row
+	polled    time.Time
+	gone      map[core.EntryID]bool
+	down      map[core.ZoneID]time.Time
+	stopping  bool
 
 	// Switched on in tests only, to see the safeguards fail.
 	unsafe unsafe
@@ -56,6 +60,7 @@
 
 // allotment is what the ledger knows of one team.
 type allotment struct {
+	id         core.TeamID
 	limit      core.Slots
 	limitKnown bool
 	// lowered is when a limit change was heard that may be a lowering. Nothing starts
@@ -77,8 +82,9 @@
 	move  *openMove
 	// retryAt is when the table is tried again after it was not reached.
 	retryAt time.Time
-	// lookAt is when an allotment without news is looked at again.
+	// lookAt is when the allotment is looked at again, index its place in the schedule.
 	lookAt time.Time
+	index  int
 
 	running running
 	wanted  time.Time
@@ -116,6 +122,7 @@
 		return false
 	}
 	a.running.add(key, until.Add(l.skew()))
+	l.schedule.now(a)
 	a.used.observe(now, a.running.count())
 	return true
 }
@@ -138,13 +145,22 @@
 }
 
 // Wanted implements Limiter.
-func (l *Ledger) Wanted(now time.Time, team core.TeamID) { l.allotment(team).wanted = now }
+func (l *Ledger) Wanted(now time.Time, team core.TeamID) {
+	a := l.allotment(team)
+	a.wanted = now
+	l.schedule.now(a)
+}
 
 // Teams returns the teams that the ledger keeps track of, sorted.
 func (l *Ledger) Teams() []core.TeamID {
 	return slices.Clone(l.order)
 }
 
+// Unlimited returns the teams whose limit wasn't told yet, sorted.
+func (l *Ledger) Unlimited() []core.TeamID {
+	return slices.Sorted(maps.Keys(l.unlimited))
+}
+
 // Above returns by how much the team may still be above its limit, fleet-wide, as
 // the allotments say: an upper bound, since a part counts as running.
 func (l *Ledger) Above(team core.TeamID) core.Slots {
@@ -193,8 +209,10 @@
 func (l *Ledger) allotment(team core.TeamID) *allotment {
 	a, ok := l.teams[team]
 	if !ok {
-		a = &allotment{}
+		a = &allotment{id: team}
 		put(&l.teams, team, a)
+		put(&l.unlimited, team, true)
+		l.schedule.add(a)
 		i, _ := slices.BinarySearch(l.order, team)
 		l.order = slices.Insert(l.order, i, team)
 	}
--- a/core/limit/ledger_test.go
+++ b/core/limit/ledger_test.go
@@ -41,7 +41,9 @@
 	// limits is true if the limit is raised and lowered on the way.
 	limits bool
 	// calm is true if the test itself makes the faults.
-	calm        bool
+	calm bool
+	// restful is true while no new work comes.
+	restful     bool
 	next        int
 	worst       core.Slots
 	served      int
@@ -225,6 +227,9 @@
 // work starts and ends requests at an entry as its home would.
 func (w *world) work(n *node) {
 	for range w.r.IntN(4) {
+		if w.restful {
+			break
+		}
 		key := core.RequestKey{Team: testTeam, ID: core.RequestID(fmt.Sprint(w.next))}
 		w.next++
 		until := w.now.Add(time.Duration(1+w.r.IntN(int(testLifetime/testStep))) * testStep)
--- /dev/null
+++ b/core/limit/schedule_test.go
@@ -0,0 +1,93 @@
+package limit
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lavenderpond/core"
+	"lavenderpond/core/table"
+)
+
+// Others would wait up to a minute for a part, or for ever for an attested zone's, if
+// an allotment that calls for a move were left unlooked at. Faults come as in
+// TestLimitHolds, with pauses in the work so that allotments become quiet; what isn't
+// looked at within lookEvery must not call for a move, as a look at all would show.
+func TestQuietAllotmentsNeedNoMove(t *testing.T) {
+	quiet := 0
+	for seed := range uint64(testSeeds) {
+		w := newWorld(seed, unsafe{}, true)
+		for i := range testSteps {
+			w.restful = i%600 >= 100
+			if i%400 == 199 {
+				w.attest("z0", i%800 == 199)
+			}
+			w.step()
+			for _, n := range w.entries {
+				quiet += w.checkQuiet(t, seed, n)
+			}
+		}
+	}
+	t.Logf("%d seeds, %d looks left out, none at a move", testSeeds, quiet)
+	assert.Assert(t, quiet > testSeeds*20)
+}
+
+// checkQuiet returns the number of allotments that aren't looked at soon.
+func (w *world) checkQuiet(t *testing.T, seed uint64, n *node) int {
+	quiet := 0
+	for team, a := range n.ledger.teams {
+		if w.now.Before(n.paused) || !a.lookAt.After(w.now.Add(lookEvery)) {
+			continue
+		}
+		quiet++
+		d := n.ledger.draft(w.now, a)
+		assert.Assert(t, !d.worth, "seed %d, %s at %s: %s is not looked at until %s", seed, n.ledger.Self, w.now, team, a.lookAt)
+	}
+	return quiet
+}
+
+// attest tells all entries that are not paused an operator's attestation.
+func (w *world) attest(z core.ZoneID, down bool) {
+	for _, n := range w.entries {
+		n.inbox = append(n.inbox, ZoneDown{Zone: z, Down: down, Since: w.now})
+	}
+}
+
+// BenchmarkIdle measures a second of an entry that holds a part of each team's limit
+// and runs nothing: the driver's rounds with what it tells of 7 zones.
+func BenchmarkIdle(b *testing.B) {
+	for _, teams := range []int{6, 60, 620} {
+		b.Run(fmt.Sprintf("teams=%d", teams), func(b *testing.B) {
+			d := newDemand(teams, 1, 1, unsafe{})
+			l := d.ledgers[0]
+			for _, team := range d.teams {
+				l.Wanted(d.now, team)
+			}
+			d.settle(l)
+			for b.Loop() {
+				for range 10 {
+					d.now = d.now.Add(100 * time.Millisecond)
+					for z := range 7 {
+						d.carry(l, l.Handle(d.now, ZoneDown{Zone: core.ZoneID(fmt.Sprint("z", z))}))
+					}
+					d.idleRound(l)
+				}
+				d.carry(l, l.Handle(d.now, Polled{Sent: d.now, Rows: d.table.Changes(table.PrefixAllotment, d.table.Revision())}))
+			}
+			b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N), "us/s")
+		})
+	}
+}
+
+// settle moves the first parts, and lets the wish for them pass.
+func (d *demand) settle(l *Ledger) {
+	for range 100 {
+		d.now = d.now.Add(100 * time.Millisecond)
+		d.step(l)
+	}
+}
+
+// idleRound is the driver's round when the head hasn't moved.
+func (d *demand) idleRound(l *Ledger) { d.carry(l, l.Handle(d.now, Tick{})) }
