Tell the ledger the limits that may have changed

Cause: the driver looked up every team's limit ten times a second, though limits change only with the configuration's head or when an exception ends. They are told when the head moves, while the view holds rows of a change but not all of it, when the next exception ends, of teams that are new, and else once a second.

--- a/io/platform/allot.go
+++ b/io/platform/allot.go
@@ -9,7 +9,6 @@
 	"github.com/rs/zerolog"
 
 	"lavenderpond/core"
-	"lavenderpond/core/config"
 	"lavenderpond/core/limit"
 	"lavenderpond/core/table"
 	"lavenderpond/io/supervisor"
@@ -55,6 +54,7 @@
 	polledAt time.Time
 	polled   bool
 	goneAt   time.Time
+	told     toldLimits
 	listed   map[string]bool
 	// pending are the commands that wait for the next round.
 	pending []limit.Command
@@ -154,30 +154,8 @@
 	return events
 }
 
-// readLimits returns the limits of the ledger's teams and the attested zones.
-func (a *Allotments) readLimits() []limit.Event {
-	now := a.Now()
-	a.mu.Lock()
-	teams := a.Ledger.Teams()
-	a.mu.Unlock()
-	limits := limit.Limits{Limits: make(map[core.TeamID]core.Slots, len(teams))}
-	events := make([]limit.Event, 0, 2)
-	a.Config.View(func(v *config.View) {
-		limits.Head = v.Head()
-		for _, t := range teams {
-			team, _ := v.Team(now, t)
-			limits.Limits[t] = team.Limit
-		}
-		for _, z := range a.Config.Zones {
-			d, down := v.ZoneDown(z)
-			events = append(events, limit.ZoneDown{Zone: z, Down: down, Since: d.Since})
-		}
-	})
-	return append(events, limits)
-}
-
 func (a *Allotments) poll(ctx context.Context) []limit.Event {
-	if len(a.ledgerTeams()) == 0 && !a.polled {
+	if !a.polled && len(a.ledgerTeams()) == 0 {
 		return nil
 	}
 	sent := a.Now()
@@ -190,12 +168,6 @@
 	return []limit.Event{e}
 }
 
-func (a *Allotments) ledgerTeams() []core.TeamID {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.Ledger.Teams()
-}
-
 // carryOut sends the commands to the table and returns the answers.
 func (a *Allotments) carryOut(ctx context.Context, commands []limit.Command) []limit.Event {
 	events := make([]limit.Event, len(commands))
--- /dev/null
+++ b/io/platform/allot_news_test.go
@@ -0,0 +1,129 @@
+package platform
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lavenderpond/core"
+	"lavenderpond/core/config"
+	"lavenderpond/core/key"
+	"lavenderpond/core/table"
+)
+
+// A team would go on starting up to its former limit if a lowering did not reach the
+// ledger. Limits and defaults change, exceptions begin and end, teams are new, and
+// peers tell rows with a gap before them, in any order; after each round the ledger
+// has the limits that a look at every team in the view gives.
+func TestLedgerHasTheLimitsInForce(t *testing.T) {
+	const seeds, rounds = 20, 400
+	compared := 0
+	for seed := range uint64(seeds) {
+		now := changeStart
+		w := &newsWorld{r: rand.New(rand.NewPCG(seed, 4)), t: t, table: &lossyTable{calm: true}}
+		w.entry = newAllotEntry(w.table, "za", "a#1000", func() time.Time { return now })
+		for range rounds {
+			now = now.Add(100 * time.Millisecond)
+			w.change(now)
+			w.entry.allotments.Round(context.Background())
+			for _, d := range w.entry.allotments.Dump() {
+				w.entry.allotments.Config.View(func(v *config.View) {
+					team, _ := v.Team(now, d.Team)
+					assert.Assert(t, team.Limit == d.Limit, "seed %d at %s: %s has %d, not %d", seed, now, d.Team, d.Limit, team.Limit)
+				})
+				compared++
+			}
+		}
+	}
+	t.Logf("%d seeds, %d limits compared", seeds, compared)
+}
+
+// newsWorld is one entry whose configuration changes.
+type newsWorld struct {
+	t     *testing.T
+	r     *rand.Rand
+	table *lossyTable
+	entry *allotEntry
+	n     int
+}
+
+func (w *newsWorld) change(now time.Time) {
+	w.n++
+	team := core.TeamID(fmt.Sprint("t", w.r.IntN(8)))
+	limit := core.Slots(w.r.IntN(20))
+	switch w.r.IntN(12) {
+	case 0, 1:
+		w.apply(now, config.SetTeam{Author: "ana", Team: team, Value: config.Team{Share: 1, Limit: limit}})
+	case 2:
+		w.apply(now, config.SetDefaults{Author: "ana", Value: config.Defaults{Limit: limit}})
+	case 3:
+		end := now.Add(time.Duration(1+w.r.IntN(2500)) * time.Millisecond)
+		w.apply(now, config.AddException{
+			Author: "ana", ID: fmt.Sprint(w.n), Scope: table.TeamKey(team), Reason: "test", End: end,
+			Value: map[string]int{"limit": 1 + w.r.IntN(30)},
+		})
+	case 4:
+		w.entry.allotments.Limiter().Wanted(now, team)
+	case 5, 6:
+		assert.NilError(w.t, w.entry.watcher.Poll(context.Background()))
+	case 7:
+		w.gap(team)
+	}
+}
+
+func (w *newsWorld) apply(now time.Time, c config.Change) {
+	// A change that isn't accepted, as of a team that is not there, changes nothing.
+	_, _ = Apply(context.Background(), w.table, c, core.ChangeID(fmt.Sprint("c", w.n)), now)
+}
+
+// gap tells the newest rows as a peer would that believes this entry to know more than
+// it does: rows are taken, but the view isn't complete up to them.
+func (w *newsWorld) gap(team core.TeamID) {
+	head := w.table.rows.Read(table.ConfigHead)
+	var h config.Head
+	assert.NilError(w.t, head.Decode(&h))
+	rows := []table.Row{head}
+	if row := w.table.rows.Read(table.TeamKey(team)); row.Version > 0 {
+		rows = append(rows, row)
+	}
+	_ = w.entry.allotments.Config.FromPeer(config.Delta{Base: h.Version, Version: h.Version, Rows: rows}, key.Summary{}, "zb", time.Time{})
+}
+
+// BenchmarkRound measures a second of the driver of an entry that holds a part of each
+// team's limit and runs nothing.
+func BenchmarkRound(b *testing.B) {
+	for _, teams := range []int{6, 60, 620} {
+		b.Run(fmt.Sprintf("teams=%d", teams), func(b *testing.B) {
+			x := &lossyTable{calm: true}
+			now := changeStart
+			e := newAllotEntry(x, "za", "a#1000", func() time.Time { return now })
+			var t table.Transaction
+			_ = t.Set(table.ConfigHead, config.Head{Version: 1})
+			for i := range teams {
+				_ = t.Set(table.TeamKey(core.TeamID(fmt.Sprintf("team_%04d", i))), config.Team{Share: 1, Limit: 200})
+			}
+			_ = x.rows.Transact(t)
+			_ = e.watcher.Poll(context.Background())
+			for i := range teams {
+				e.allotments.Limiter().Wanted(now, core.TeamID(fmt.Sprintf("team_%04d", i)))
+			}
+			second := func() {
+				for range 10 {
+					now = now.Add(100 * time.Millisecond)
+					e.allotments.Round(context.Background())
+				}
+			}
+			for range 5 {
+				second()
+			}
+			for b.Loop() {
+				second()
+			}
+			b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N), "us/s")
+		})
+	}
+}
