Keep the least part of a limit in an entry that doesn't use it

Cause: a part that nobody used for half an hour was given back whole, and since an entry asks for a first part of every team's limit, it was asked for again at once: two moves for each entry and team in half an hour of an idle fleet, all at the same time, most in vain.

--- a/core/limit/decide.go
+++ b/core/limit/decide.go
@@ -189,12 +189,21 @@
 	case wants:
 	case d.team.Short.After(now) && free <= 0:
 		l.give(d, min(idle, d.part-a.used.peak(now)))
-	case !now.Before(a.used.last.Add(unusedFor)):
-		l.give(d, idle)
+	case !now.Before(a.used.last.Add(l.unusedFor())):
+		// The least part stays. It would be asked for again as the first one, and the
+		// table would get both moves for every entry and team.
+		l.give(d, min(idle, d.part-reserve(a.limit)))
 	}
 	l.mark(now, wants && free <= 0 && d.part <= a.part, even, d)
 }
 
+// unusedFor returns how long a part stays that nobody asks for and nothing uses. It is
+// another for each entry: if all gave back at the same time, most moves would conflict.
+func (l *Ledger) unusedFor() time.Duration {
+	spread := l.place(int(unusedFor / time.Second))
+	return unusedFor + time.Duration(spread)*time.Second
+}
+
 // share makes room for others that have less than their even part.
 func (l *Ledger) share(d *draft, idle, free, even core.Slots, starving int, wants bool) {
 	switch {
--- a/core/limit/first_test.go
+++ b/core/limit/first_test.go
@@ -238,3 +238,21 @@
 		})
 	}
 }
+
+// The table would get a move from every entry for every team twice in half an hour, all
+// at the same time, from a fleet that runs nothing: parts that nobody used were given
+// back whole, and then asked for again as first parts. The fleet starts and idles for
+// two hours.
+func TestIdlePartsStay(t *testing.T) {
+	const teams, zones, perZone = 10, 3, 2
+	c := newColdStart(teams, zones, perZone, true).run()
+	first := c.sent
+	for range 2 * 60 {
+		c.now = c.now.Add(time.Minute - time.Second)
+		c.run().second()
+	}
+	t.Logf("%d transactions at the start, %d in the two hours after it", first, c.sent-first)
+	assert.Equal(t, c.lacking(), 0)
+	// One for each part that shrinks to the least one.
+	assert.Assert(t, c.sent-first <= teams*zones*perZone*3/2)
+}
--- a/core/limit/handle.go
+++ b/core/limit/handle.go
@@ -22,7 +22,7 @@
 	// idleFor is how long a part that isn't used stays, at least, when the limit is
 	// short. Demand rotates within seconds, and parts must not follow each turn.
 	idleFor = 2 * time.Minute
-	// unusedFor is how long a part stays that nobody asks for and nothing uses.
+	// unusedFor is how long a part stays, at least, that nobody asks for and nothing uses.
 	unusedFor = 30 * time.Minute
 	// lookEvery is the time between two looks at an allotment without news that time
 	// alone may change.
