Put the zone first in the keys of its parts, and poll the own zone's rows and the teams'

Cause: an entry polled every row under allotment/, so it read what moved in each of seven zones: the zone's row, which only that zone needs, and the team's.

An entry now polls allotment/zone/ZONE/ and then allotment/team/; a zone's row is never newer than the team's of the same move. Each row is at least as new as the poll, which is what the pause after a lowering rests on, and every move still checks both versions.

Not compatible: rows under the former keys are not read, so entries of both kinds in one fleet would each give out the whole limit. All entries have to stop, and their last leases to end, before entries of this commit start.

TestPollBringsTheOwnZonesRows is red on the code before: the other zone's row is read.

--- a/core/limit/handle.go
+++ b/core/limit/handle.go
@@ -1,7 +1,6 @@
 package limit
 
 import (
-	"strings"
 	"time"
 
 	"lavenderpond/core"
@@ -138,7 +137,7 @@
 	}
 	learned := l.learn(e)
 	for _, row := range e.Rows {
-		team, zone := splitKey(row.Key)
+		team, zone, _ := table.SplitAllotmentKey(row.Key)
 		a, ok := l.teams[team]
 		if !ok || !a.known {
 			continue
@@ -171,7 +170,7 @@
 func (l *Ledger) learn(e Polled) []*allotment {
 	var learned []*allotment
 	for _, row := range e.Rows {
-		team, zone := splitKey(row.Key)
+		team, zone, _ := table.SplitAllotmentKey(row.Key)
 		if _, ok := l.teams[team]; ok || zone != l.Zone {
 			continue
 		}
@@ -291,11 +290,3 @@
 	a.zoneRow, a.zone = table.Row{Key: row.Key, Version: row.Version}, r
 	return true
 }
-
-// splitKey returns the team and zone of an allotment row; the zone is empty for a
-// team's row.
-func splitKey(key table.Key) (core.TeamID, core.ZoneID) {
-	rest := strings.TrimPrefix(string(key), table.PrefixAllotment)
-	team, zone, _ := strings.Cut(rest, "/")
-	return core.TeamID(team), core.ZoneID(zone)
-}
--- a/core/table/keys.go
+++ b/core/table/keys.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"lavenderpond/core"
 )
@@ -13,10 +14,12 @@
 	PrefixAudit     = "audit/"
 	PrefixShard     = "shard/"
 	PrefixAllotment = "allotment/"
-	PrefixPool      = "pool/"
-	PrefixVM        = "vm/"
-	PrefixEntry     = "entry/"
-	PrefixWave      = "wave/"
+	// PrefixTeamAllotment is that of the rows which split teams' limits among zones.
+	PrefixTeamAllotment = PrefixAllotment + "team/"
+	PrefixPool          = "pool/"
+	PrefixVM            = "vm/"
+	PrefixEntry         = "entry/"
+	PrefixWave          = "wave/"
 	// PrefixChange holds a row for each change id that took effect.
 	PrefixChange = "change/"
 )
@@ -54,11 +57,29 @@
 }
 
 // TeamAllotmentKey returns the row that splits a team's limit among zones.
-func TeamAllotmentKey(t core.TeamID) Key { return Key(PrefixAllotment + string(t)) }
+func TeamAllotmentKey(t core.TeamID) Key { return Key(PrefixTeamAllotment + string(t)) }
 
 // ZoneAllotmentKey returns the row that splits a zone's part among its entries.
 func ZoneAllotmentKey(t core.TeamID, z core.ZoneID) Key {
-	return Key(PrefixAllotment + string(t) + "/" + string(z))
+	return Key(PrefixZoneAllotment(z) + string(t))
+}
+
+// PrefixZoneAllotment returns the prefix of the rows that split z's parts. The zone
+// stands first, so that its entries read their own zone's rows only.
+func PrefixZoneAllotment(z core.ZoneID) string { return prefixZoneAllotments + string(z) + "/" }
+
+// prefixZoneAllotments is that of all zones' rows.
+const prefixZoneAllotments = PrefixAllotment + "zone/"
+
+// SplitAllotmentKey returns the team and zone of an allotment row; the zone is empty for
+// a team's row. It is false for other rows.
+func SplitAllotmentKey(key Key) (core.TeamID, core.ZoneID, bool) {
+	if team, ok := strings.CutPrefix(string(key), PrefixTeamAllotment); ok {
+		return core.TeamID(team), "", true
+	}
+	rest, ok := strings.CutPrefix(string(key), prefixZoneAllotments)
+	zone, team, cut := strings.Cut(rest, "/")
+	return core.TeamID(team), core.ZoneID(zone), ok && cut
 }
 
 // PoolStateKey returns the row of a pool's budget and of its VMs that are out.
--- a/io/platform/allot.go
+++ b/io/platform/allot.go
@@ -52,13 +52,14 @@
 	mu     sync.Mutex
 
 	// The fields below belong to the driver's goroutine.
-	driver   sync.Mutex
-	since    table.Revision
-	polledAt time.Time
-	polled   bool
-	goneAt   time.Time
-	told     toldLimits
-	listed   map[string]bool
+	driver sync.Mutex
+	// The revisions up to which the zone's and the teams' rows were read.
+	zoneSince, teamSince table.Revision
+	polledAt             time.Time
+	polled               bool
+	goneAt               time.Time
+	told                 toldLimits
+	listed               map[string]bool
 	// pending are the commands that wait for the next round.
 	pending []limit.Command
 
@@ -178,12 +179,18 @@
 		return nil
 	}
 	sent := a.Now()
-	rows, since, err := a.Table.Changes(ctx, table.PrefixAllotment, a.since)
+	// The team's rows are read last: whatever move the zone's rows show, the team's
+	// are as new.
+	zone, zoneSince, err := a.Table.Changes(ctx, table.PrefixZoneAllotment(a.Ledger.Zone), a.zoneSince)
 	if err != nil {
 		return nil
 	}
-	e := limit.Polled{Sent: sent, First: !a.polled, Rows: rows}
-	a.since, a.polled = since, true
+	teams, teamSince, err := a.Table.Changes(ctx, table.PrefixTeamAllotment, a.teamSince)
+	if err != nil {
+		return nil
+	}
+	e := limit.Polled{Sent: sent, First: !a.polled, Rows: append(zone, teams...)}
+	a.zoneSince, a.teamSince, a.polled = zoneSince, teamSince, true
 	return []limit.Event{e}
 }
 
--- a/io/platform/allot_news_test.go
+++ b/io/platform/allot_news_test.go
@@ -12,6 +12,7 @@
 	"lavenderpond/core"
 	"lavenderpond/core/config"
 	"lavenderpond/core/key"
+	"lavenderpond/core/limit"
 	"lavenderpond/core/table"
 )
 
@@ -54,12 +55,12 @@
 func (w *newsWorld) change(now time.Time) {
 	w.n++
 	team := core.TeamID(fmt.Sprint("t", w.r.IntN(8)))
-	limit := core.Slots(w.r.IntN(20))
+	slots := core.Slots(w.r.IntN(20))
 	switch w.r.IntN(12) {
 	case 0, 1:
-		w.apply(now, config.SetTeam{Author: "ana", Team: team, Value: config.Team{Share: 1, Limit: limit}})
+		w.apply(now, config.SetTeam{Author: "ana", Team: team, Value: config.Team{Share: 1, Limit: slots}})
 	case 2:
-		w.apply(now, config.SetDefaults{Author: "ana", Value: config.Defaults{Limit: limit}})
+		w.apply(now, config.SetDefaults{Author: "ana", Value: config.Defaults{Limit: slots}})
 	case 3:
 		end := now.Add(time.Duration(1+w.r.IntN(2500)) * time.Millisecond)
 		w.apply(now, config.AddException{
@@ -127,3 +128,56 @@
 		})
 	}
 }
+
+// seenTable notes the rows that polls brought.
+type seenTable struct {
+	*lossyTable
+	seen map[table.Key]bool
+}
+
+func (t *seenTable) Changes(ctx context.Context, prefix string, since table.Revision) ([]table.Row, table.Revision, error) {
+	rows, revision, err := t.lossyTable.Changes(ctx, prefix, since)
+	for _, row := range rows {
+		t.seen[row.Key] = true
+	}
+	return rows, revision, err
+}
+
+// Each entry would read what moves in seven zones, more than the 10 KB a second that it
+// has for control. Another zone takes a part and leaves a mark; this zone's entry reads
+// the team's row, which holds both, and not the other zone's.
+func TestPollBringsTheOwnZonesRows(t *testing.T) {
+	x := &seenTable{lossyTable: &lossyTable{calm: true}, seen: make(map[table.Key]bool)}
+	now := changeStart
+	e := newAllotEntry(x, "za", "a#1000", func() time.Time { return now })
+	var rows table.Transaction
+	assert.NilError(t, rows.Set(table.ConfigHead, config.Head{Version: 1}))
+	assert.NilError(t, rows.Set(table.TeamKey("frames"), config.Team{Share: 1, Limit: 4}))
+	assert.NilError(t, x.rows.Transact(rows))
+	assert.NilError(t, e.watcher.Poll(context.Background()))
+	e.allotments.Limiter().Wanted(now, "frames")
+	e.rounds(&now, 20)
+	assert.Equal(t, e.allotments.Dump()[0].Part, core.Slots(1))
+
+	for _, team := range []core.TeamID{"frames", "other"} {
+		var move table.Transaction
+		row := limit.TeamRow{Limit: 4, Zones: map[core.ZoneID]core.Slots{"za": 1, "zb": 3}, Wanted: map[core.ZoneID]time.Time{"zb": now.Add(time.Hour)}}
+		assert.NilError(t, move.Set(table.TeamAllotmentKey(team), row))
+		assert.NilError(t, move.Set(table.ZoneAllotmentKey(team, "zb"), limit.ZoneRow{Entries: map[core.EntryID]core.Slots{"b#1000": 3}}))
+		assert.NilError(t, x.rows.Transact(move))
+	}
+	e.rounds(&now, 20)
+	assert.Assert(t, x.seen[table.TeamAllotmentKey("frames")])
+	assert.Assert(t, x.seen[table.ZoneAllotmentKey("frames", "za")])
+	assert.Assert(t, !x.seen[table.ZoneAllotmentKey("frames", "zb")])
+	// The mark was heard: the idle part was given back.
+	assert.Equal(t, e.allotments.Dump()[0].Part, core.Slots(0))
+}
+
+// rounds makes n rounds of the allotments' driver, 100 ms apart.
+func (e *allotEntry) rounds(now *time.Time, n int) {
+	for range n {
+		*now = now.Add(100 * time.Millisecond)
+		e.allotments.Round(context.Background())
+	}
+}
