--- a/core/limit/decide.go
+++ b/core/limit/decide.go
@@ -24,7 +24,7 @@
 		// The rows are read after the wait, not before: they would be old by then.
 		return nil
 	}
-	if l.needsRead(a) {
+	if l.needsRead(now, a) {
 		return l.readRows(now, team, a)
 	}
 	if a.move != nil || !a.limitKnown {
@@ -42,8 +42,10 @@
 	return []Command{ReadRows{Team: team}}
 }
 
-func (l *Ledger) needsRead(a *allotment) bool {
-	return !a.known || a.move != nil || !l.rowsAt(a).After(a.lowered)
+// needsRead reports whether the rows have to be read before anything else. After a
+// limit change that nobody waits for, the next poll will do.
+func (l *Ledger) needsRead(now time.Time, a *allotment) bool {
+	return !a.known || a.move != nil || l.wants(now, a) && !l.rowsAt(a).After(a.lowered)
 }
 
 // draft is a move in the making.
@@ -57,14 +59,9 @@
 	worth bool
 }
 
-// plan drafts a move and opens it if it is worth a write.
+// plan opens the move that the rows call for if it is worth a write.
 func (l *Ledger) plan(now time.Time, team core.TeamID, a *allotment) []Command {
-	d := draft{team: a.team.clone(), zone: a.zone.clone(), part: a.part}
-	dropEnded(d.team.Wanted, now)
-	dropEnded(d.zone.Wanted, now)
-	l.reclaimEntries(now, &d)
-	l.reclaimZones(now, &d)
-	l.size(now, a, &d)
+	d := l.draft(now, a)
 	if !d.worth {
 		return nil
 	}
@@ -78,6 +75,17 @@
 	return l.open(team, a, d)
 }
 
+// draft returns the move that the rows call for.
+func (l *Ledger) draft(now time.Time, a *allotment) draft {
+	d := draft{team: a.team.clone(), zone: a.zone.clone(), part: a.part}
+	dropEnded(d.team.Wanted, now)
+	dropEnded(d.zone.Wanted, now)
+	l.reclaimEntries(now, &d)
+	l.reclaimZones(now, &d)
+	l.size(now, a, &d)
+	return d
+}
+
 // open makes the move of a draft the allotment's open one.
 func (l *Ledger) open(team core.TeamID, a *allotment, d draft) []Command {
 	teamKey, zoneKey := table.TeamAllotmentKey(team), table.ZoneAllotmentKey(team, l.Zone)
@@ -174,18 +182,28 @@
 		l.give(d, min(idle, -free))
 	case starving > 0:
 		l.share(d, idle, free, even, starving, wants)
+	case wants && d.part == 0:
+		l.takeFirst(now, a, d)
+	case wants && idle == 0:
+		l.take(d, min(free, l.step(now, a, d)))
 	case wants:
-		if idle == 0 {
-			l.take(d, min(free, l.step(now, a, d)))
-		}
 	case d.team.Short.After(now) && free <= 0:
 		l.give(d, min(idle, d.part-a.used.peak(now)))
-	case !now.Before(a.used.last.Add(unusedFor)):
-		l.give(d, idle)
+	case !now.Before(a.used.last.Add(l.unusedFor())):
+		// The least part stays. It would be asked for again as the first one, and the
+		// table would get both moves for every entry and team.
+		l.give(d, min(idle, d.part-reserve(a.limit)))
 	}
 	l.mark(now, wants && free <= 0 && d.part <= a.part, even, d)
 }
 
+// unusedFor returns how long a part stays that nobody asks for and nothing uses. It is
+// another for each entry: if all gave back at the same time, most moves would conflict.
+func (l *Ledger) unusedFor() time.Duration {
+	spread := l.place(int(unusedFor / time.Second))
+	return unusedFor + time.Duration(spread)*time.Second
+}
+
 // share makes room for others that have less than their even part.
 func (l *Ledger) share(d *draft, idle, free, even core.Slots, starving int, wants bool) {
 	switch {
--- a/core/limit/event.go
+++ b/core/limit/event.go
@@ -8,7 +8,7 @@
 )
 
 // Event is what a Ledger is told: Limits, RowsRead, Polled, Moved, Gone, ZoneDown,
-// Tick or Stop.
+// Members, Tick or Stop.
 type Event interface{ isEvent() }
 
 // Limits tells the upper limits in force. Teams without a row have limit 0.
@@ -16,7 +16,8 @@
 	// Head is the row of the configuration's head that the limits were computed at,
 	// or an empty row if the view isn't complete up to it: nothing is taken then.
 	Head table.Row
-	// Limits holds an entry for every team of Ledger.Teams.
+	// Limits holds an entry for every team of Ledger.Teams. With the Head of the event
+	// before, teams whose limit is the same may be left out.
 	Limits map[core.TeamID]core.Slots
 }
 
@@ -69,6 +70,13 @@
 	Since time.Time
 }
 
+// Members tells the own zone's entries as their rows name them, sorted, with this one
+// among them, and all zones. Entries that have ended may be among them.
+type Members struct {
+	Entries []core.EntryID
+	Zones   []core.ZoneID
+}
+
 // Tick lets time pass.
 type Tick struct{}
 
@@ -82,6 +90,7 @@
 func (Moved) isEvent()    {}
 func (Gone) isEvent()     {}
 func (ZoneDown) isEvent() {}
+func (Members) isEvent()  {}
 func (Tick) isEvent()     {}
 func (Stop) isEvent()     {}
 
--- a/core/limit/handle.go
+++ b/core/limit/handle.go
@@ -1,8 +1,6 @@
 package limit
 
 import (
-	"slices"
-	"strings"
 	"time"
 
 	"lavenderpond/core"
@@ -23,10 +21,13 @@
 	// idleFor is how long a part that isn't used stays, at least, when the limit is
 	// short. Demand rotates within seconds, and parts must not follow each turn.
 	idleFor = 2 * time.Minute
-	// unusedFor is how long a part stays that nobody asks for and nothing uses.
+	// unusedFor is how long a part stays, at least, that nobody asks for and nothing uses.
 	unusedFor = 30 * time.Minute
-	// lookEvery is the time between two looks at an allotment without news.
+	// lookEvery is the time between two looks at an allotment without news that time
+	// alone may change.
 	lookEvery = time.Second
+	// quietLookEvery is the time between two looks at any other allotment.
+	quietLookEvery = time.Minute
 	// conflictWait is the wait after a conflict. An entry that sees an old configuration
 	// fails until it hears of the new one, and must not keep the table busy till then.
 	conflictWait = 250 * time.Millisecond
@@ -48,64 +49,43 @@
 	case Moved:
 		return l.movedAnswer(now, e)
 	case Gone:
-		if l.ownZone(e.Entry) {
-			put(&l.gone, e.Entry, true)
-		}
+		l.entryGone(e.Entry)
 	case ZoneDown:
-		if e.Down {
-			put(&l.down, e.Zone, e.Since)
-		} else {
-			delete(l.down, e.Zone)
-		}
+		l.zoneDown(e)
+	case Members:
+		l.members = e
 	case Stop:
 		l.stopping = true
+		l.schedule.all()
 	case Tick:
 	}
 	return l.decideAll(now)
 }
 
-// ownZone reports whether e appears in a row of the own zone. Others never do, so
-// there is no list of the whole fleet's entries here.
-func (l *Ledger) ownZone(e core.EntryID) bool {
+// entryGone takes note of an entry that appears in a row of the own zone. Others never
+// do, so there is no list of the whole fleet's entries here.
+func (l *Ledger) entryGone(e core.EntryID) {
+	if e == l.Self {
+		return
+	}
 	for _, a := range l.teams {
-		if _, ok := a.zone.Entries[e]; ok && e != l.Self {
-			return true
+		if _, ok := a.zone.Entries[e]; ok {
+			put(&l.gone, e, true)
+			l.schedule.now(a)
 		}
 	}
-	return false
 }
 
-// decideAll looks at the allotments that have news, and at each other one once in
-// lookEvery: an entry may know hundreds of teams of which few have work.
-func (l *Ledger) decideAll(now time.Time) []Command {
-	var commands []Command
-	var forget []core.TeamID
-	for _, team := range l.order {
-		a := l.teams[team]
-		if now.Before(a.lookAt) && !l.hasNews(now, a) {
-			continue
-		}
-		a.lookAt = now.Add(lookEvery)
-		commands = append(commands, l.decide(now, team, a)...)
-		if l.forgettable(now, a) {
-			forget = append(forget, team)
-		}
+func (l *Ledger) zoneDown(e ZoneDown) {
+	since, down := l.down[e.Zone]
+	if down == e.Down && (!down || since.Equal(e.Since)) {
+		return
 	}
-	for _, team := range forget {
-		delete(l.teams, team)
-		i, _ := slices.BinarySearch(l.order, team)
-		l.order = slices.Delete(l.order, i, i+1)
+	delete(l.down, e.Zone)
+	if e.Down {
+		put(&l.down, e.Zone, e.Since)
 	}
-	return commands
-}
-
-func (l *Ledger) hasNews(now time.Time, a *allotment) bool {
-	return a.move != nil || !a.known || now.Before(a.wanted.Add(wantFor)) || l.stopping
-}
-
-func (l *Ledger) forgettable(now time.Time, a *allotment) bool {
-	return a.move == nil && a.part == 0 && a.running.count() == 0 && a.known &&
-		!now.Before(a.wanted.Add(forgetAfter)) && !now.Before(a.used.last.Add(forgetAfter))
+	l.schedule.all()
 }
 
 func (l *Ledger) limits(now time.Time, e Limits) []Command {
@@ -122,7 +102,8 @@
 		if !a.limitKnown || !sameHead || limit < a.limit {
 			a.lowered = now
 		}
-		a.lookAt = time.Time{}
+		l.schedule.now(a)
+		delete(l.unlimited, team)
 		a.limit, a.limitKnown = limit, true
 	}
 	return l.decideAll(now)
@@ -134,6 +115,7 @@
 		return nil
 	}
 	a.readSent = time.Time{}
+	l.schedule.now(a)
 	if !a.takeTeamRow(e.TeamRow) || !a.takeZoneRow(e.ZoneRow) {
 		return nil
 	}
@@ -146,13 +128,21 @@
 }
 
 func (l *Ledger) handlePolled(now time.Time, e Polled) []Command {
+	if e.First {
+		// Rows may have changed between their read and the first poll's start.
+		for _, a := range l.teams {
+			a.known = false
+		}
+		l.schedule.all()
+	}
+	learned := l.learn(e)
 	for _, row := range e.Rows {
-		team, zone := splitKey(row.Key)
+		team, zone, _ := table.SplitAllotmentKey(row.Key)
 		a, ok := l.teams[team]
 		if !ok || !a.known {
 			continue
 		}
-		a.lookAt = time.Time{}
+		l.schedule.now(a)
 		// A row that can't be decoded makes the rows unknown until a read succeeds.
 		switch zone {
 		case "":
@@ -161,11 +151,8 @@
 			a.known = a.takeZoneRow(row)
 		}
 	}
-	if e.First {
-		// Rows may have changed between their read and the first poll's start.
-		for _, a := range l.teams {
-			a.known = false
-		}
+	for _, a := range learned {
+		a.known = a.known && a.teamRow.Version > 0
 	}
 	if e.Sent.After(l.polled) {
 		l.polled = e.Sent
@@ -178,6 +165,26 @@
 	return l.decideAll(now)
 }
 
+// learn begins to keep track of the teams of whose limit another entry gave this one a
+// part. The poll brings both rows, since both were written at once.
+func (l *Ledger) learn(e Polled) []*allotment {
+	var learned []*allotment
+	for _, row := range e.Rows {
+		team, zone, _ := table.SplitAllotmentKey(row.Key)
+		if _, ok := l.teams[team]; ok || zone != l.Zone {
+			continue
+		}
+		var r ZoneRow
+		if row.Decode(&r) != nil || r.Entries[l.Self] <= 0 {
+			continue
+		}
+		a := l.allotment(team)
+		a.known, a.read = true, e.Sent
+		learned = append(learned, a)
+	}
+	return learned
+}
+
 // settle takes the own part from the rows once no move is open that could still
 // take effect after sent, when their read left.
 func (l *Ledger) settle(a *allotment, sent time.Time) {
@@ -188,7 +195,12 @@
 		delete(l.moves, m.ID)
 		a.move = nil
 	}
-	a.part = a.zone.Entries[l.Self]
+	part := a.zone.Entries[l.Self]
+	if part > a.part {
+		// A raise counts as use, so that it isn't given back before it could be used.
+		a.used.observe(sent, part)
+	}
+	a.part = part
 }
 
 func (l *Ledger) movedAnswer(now time.Time, e Moved) []Command {
@@ -198,6 +210,7 @@
 	}
 	a := l.teams[team]
 	m := a.move
+	l.schedule.now(a)
 	switch e.Result {
 	case ResultApplied:
 		a.applied(now, m)
@@ -277,11 +290,3 @@
 	a.zoneRow, a.zone = table.Row{Key: row.Key, Version: row.Version}, r
 	return true
 }
-
-// splitKey returns the team and zone of an allotment row; the zone is empty for a
-// team's row.
-func splitKey(key table.Key) (core.TeamID, core.ZoneID) {
-	rest := strings.TrimPrefix(string(key), table.PrefixAllotment)
-	team, zone, _ := strings.Cut(rest, "/")
-	return core.TeamID(team), core.ZoneID(zone)
-}
--- a/io/platform/allot.go
+++ b/io/platform/allot.go
@@ -9,7 +9,6 @@
 	"github.com/rs/zerolog"
 
 	"lavenderpond/core"
-	"lavenderpond/core/config"
 	"lavenderpond/core/limit"
 	"lavenderpond/core/table"
 	"lavenderpond/io/supervisor"
@@ -40,6 +39,9 @@
 	Config *Configuration
 	Now    func() time.Time
 	Log    zerolog.Logger
+	// Entries returns the entries of this zone as their rows name them, sorted. If nil,
+	// none is known.
+	Entries func() []core.EntryID
 	// Interval between rounds; 0 means DefaultAllotInterval.
 	Interval time.Duration
 	// OnChange is called without the lock after a move settled: work may start now.
@@ -50,12 +52,14 @@
 	mu     sync.Mutex
 
 	// The fields below belong to the driver's goroutine.
-	driver   sync.Mutex
-	since    table.Revision
-	polledAt time.Time
-	polled   bool
-	goneAt   time.Time
-	listed   map[string]bool
+	driver sync.Mutex
+	// The revisions up to which the zone's and the teams' rows were read.
+	zoneSince, teamSince table.Revision
+	polledAt             time.Time
+	polled               bool
+	goneAt               time.Time
+	told                 toldLimits
+	listed               map[string]bool
 	// pending are the commands that wait for the next round.
 	pending []limit.Command
 
@@ -74,6 +78,13 @@
 	return a.Ledger.Dump()
 }
 
+// NextFirstParts is the ledger's.
+func (a *Allotments) NextFirstParts(teams []core.TeamID, n int) []core.TeamID {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.Ledger.NextFirstParts(teams, n)
+}
+
 // Child returns the driver's part of the daemon's tree.
 func (a *Allotments) Child() supervisor.Child {
 	return supervisor.Child{Name: "allotments", Run: func(ctx context.Context) error {
@@ -145,6 +156,7 @@
 	now := a.Now()
 	if !now.Before(a.polledAt.Add(allotPollInterval)) {
 		a.polledAt = now
+		events = append(events, a.members())
 		events = append(events, a.poll(ctx)...)
 	}
 	if !now.Before(a.goneAt.Add(goneInterval)) {
@@ -154,48 +166,34 @@
 	return events
 }
 
-// readLimits returns the limits of the ledger's teams and the attested zones.
-func (a *Allotments) readLimits() []limit.Event {
-	now := a.Now()
-	a.mu.Lock()
-	teams := a.Ledger.Teams()
-	a.mu.Unlock()
-	limits := limit.Limits{Limits: make(map[core.TeamID]core.Slots, len(teams))}
-	events := make([]limit.Event, 0, 2)
-	a.Config.View(func(v *config.View) {
-		limits.Head = v.Head()
-		for _, t := range teams {
-			team, _ := v.Team(now, t)
-			limits.Limits[t] = team.Limit
-		}
-		for _, z := range a.Config.Zones {
-			d, down := v.ZoneDown(z)
-			events = append(events, limit.ZoneDown{Zone: z, Down: down, Since: d.Since})
-		}
-	})
-	return append(events, limits)
+func (a *Allotments) members() limit.Members {
+	m := limit.Members{Zones: a.Config.Zones}
+	if a.Entries != nil {
+		m.Entries = a.Entries()
+	}
+	return m
 }
 
 func (a *Allotments) poll(ctx context.Context) []limit.Event {
-	if len(a.ledgerTeams()) == 0 && !a.polled {
+	if !a.polled && len(a.ledgerTeams()) == 0 {
 		return nil
 	}
 	sent := a.Now()
-	rows, since, err := a.Table.Changes(ctx, table.PrefixAllotment, a.since)
+	// The team's rows are read last: whatever move the zone's rows show, the team's
+	// are as new.
+	zone, zoneSince, err := a.Table.Changes(ctx, table.PrefixZoneAllotment(a.Ledger.Zone), a.zoneSince)
+	if err != nil {
+		return nil
+	}
+	teams, teamSince, err := a.Table.Changes(ctx, table.PrefixTeamAllotment, a.teamSince)
 	if err != nil {
 		return nil
 	}
-	e := limit.Polled{Sent: sent, First: !a.polled, Rows: rows}
-	a.since, a.polled = since, true
+	e := limit.Polled{Sent: sent, First: !a.polled, Rows: append(zone, teams...)}
+	a.zoneSince, a.teamSince, a.polled = zoneSince, teamSince, true
 	return []limit.Event{e}
 }
 
-func (a *Allotments) ledgerTeams() []core.TeamID {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.Ledger.Teams()
-}
-
 // carryOut sends the commands to the table and returns the answers.
 func (a *Allotments) carryOut(ctx context.Context, commands []limit.Command) []limit.Event {
 	events := make([]limit.Event, len(commands))
