--- a/core/home/submit.go
+++ b/core/home/submit.go
@@ -107,7 +107,7 @@
 	return nil
 }
 
-// refuse is core.Refuse.
+// refuse says "not run" of a first attempt and "unknown" of a later one.
 func (h *Home) refuse(attempt core.Attempt, refusal core.NotRun) core.Answer {
 	if h.off.attempts {
 		return refusal
@@ -126,7 +126,8 @@
 	r, ok := h.records[e.Key]
 	switch {
 	case !ok:
-		// A former holder may have run it, so this is not a "not run".
+		// A fetch follows an attempt, which a former holder may have run: it is
+		// refused as a later attempt is, with "unknown".
 		h.reply(e.Waiter, e.Key, h.refuse(laterAttempt, core.NotRun{Code: core.CodeNotFound}))
 	case r.phase == ended:
 		h.reply(e.Waiter, e.Key, r.answer)
