Give the planner shared rows in place of copies

Cause: a view held each VM's row by value (about 370 B), and the planner copied them again for its candidates, once a tick: 600 B of garbage a VM. Rows are now replaced when they change and never changed themselves, so that views, candidates and the cache share one.

The experiment's world holds its rows by pointer too, as the view asks.

--- a/core/experiment/maintenance/world.go
+++ b/core/experiment/maintenance/world.go
@@ -36,7 +36,8 @@
 	// Reboots counts the reboots.
 	Reboots int
 
-	row fleet.VMRow
+	// row is replaced when it changes, and never changed itself.
+	row *fleet.VMRow
 	// fence is the highest version that a request for the VM carried.
 	fence core.Version
 }
@@ -133,7 +134,7 @@
 		n := len(w.order)
 		zone := core.ZoneID(fmt.Sprintf("z%d", i%size.Zones))
 		rack := core.RackID(fmt.Sprintf("%s-r%04d", zone, n/size.Zones/size.RackVMs))
-		m := &Machine{Ref: fleet.Ref{Zone: zone, VM: core.VMID(fmt.Sprintf("vm%05d", n))}, Rack: rack, Up: true}
+		m := &Machine{Ref: fleet.Ref{Zone: zone, VM: core.VMID(fmt.Sprintf("vm%05d", n))}, Rack: rack, Up: true, row: &fleet.VMRow{}}
 		w.order = append(w.order, m)
 		w.machines[m.Ref] = m
 		if w.racks[rack] == nil {
@@ -166,7 +167,7 @@
 // Row returns a VM's row as it stands in the table.
 func (w *World) Row(ref fleet.Ref) fleet.VMRow {
 	w.sync()
-	return w.machines[ref].row
+	return *w.machines[ref].row
 }
 
 // Transact applies t to the table.
@@ -197,7 +198,7 @@
 	switch {
 	case strings.HasPrefix(string(row.Key), table.PrefixVM):
 		if r, err := fleet.DecodeVM(row); err == nil && w.machines[r.Ref] != nil {
-			w.machines[r.Ref].row = r
+			w.machines[r.Ref].row = &r
 			w.changed[r.Zone]++
 		}
 	case strings.HasPrefix(string(row.Key), table.PrefixPool):
--- a/core/experiment/maintenance/zone.go
+++ b/core/experiment/maintenance/zone.go
@@ -28,7 +28,7 @@
 
 	vms []*Machine
 	// rows are the VMs' rows at that count of the world's changes.
-	rows    []fleet.VMRow
+	rows    []*fleet.VMRow
 	changed int
 }
 
@@ -71,7 +71,7 @@
 	}
 	if z.rows == nil || z.changed != w.changed[z.ID] {
 		z.changed = w.changed[z.ID]
-		z.rows = make([]fleet.VMRow, 0, len(z.vms))
+		z.rows = make([]*fleet.VMRow, 0, len(z.vms))
 		for _, m := range z.vms {
 			z.rows = append(z.rows, m.row)
 		}
@@ -88,7 +88,7 @@
 		}
 		for range stepsPerTick {
 			before := m.row.Row.Version
-			if err := z.step(m.row, m); ignore(err) != nil {
+			if err := z.step(*m.row, m); ignore(err) != nil {
 				return err
 			}
 			if m.row.Row.Version == before {
@@ -145,7 +145,7 @@
 	view := maintenance.View{Zone: z.ID, Wave: wave.Wave, Pools: z.pools()}
 	for _, m := range z.vms {
 		if refersTo(c, m.Ref) {
-			view.VMs = []fleet.VMRow{m.row}
+			view.VMs = []*fleet.VMRow{m.row}
 		}
 	}
 	t, err := z.Driver.Transaction(z.World.Now, view, wave, c)
--- a/core/maintenance/carry.go
+++ b/core/maintenance/carry.go
@@ -40,7 +40,7 @@
 func (v View) find(ref fleet.Ref) (fleet.VMRow, fleet.PoolRow, error) {
 	for _, r := range v.VMs {
 		if r.Ref == ref {
-			return r, v.Pools[r.VM.Pool], nil
+			return *r, v.Pools[r.VM.Pool], nil
 		}
 	}
 	return fleet.VMRow{}, fleet.PoolRow{}, core.Errorf(core.CodeNotFound, "no VM %s", ref)
--- a/core/maintenance/planner.go
+++ b/core/maintenance/planner.go
@@ -11,8 +11,9 @@
 type View struct {
 	Zone core.ZoneID
 	Wave Wave
-	// VMs are the zone's VMs, by name.
-	VMs []fleet.VMRow
+	// VMs are the zone's VMs, by name. They are shared: neither the slice nor the
+	// rows may be changed.
+	VMs []*fleet.VMRow
 	// Pools are the pools of those VMs. Their rows count VMs of every zone.
 	Pools map[core.PoolID]fleet.PoolRow
 }
--- a/core/maintenance/spread/repair.go
+++ b/core/maintenance/spread/repair.go
@@ -34,7 +34,7 @@
 	return commands
 }
 
-func (r *round) repair(to core.PoolID, vm fleet.VMRow) maintenance.Command {
+func (r *round) repair(to core.PoolID, vm *fleet.VMRow) maintenance.Command {
 	r.pools[r.spare].room--
 	change := core.ChangeID(fmt.Sprintf("repair/%s/%s/%d", to, vm.Ref.VM, vm.Row.Version))
 	return maintenance.Take{VM: vm.Ref, Permit: fleet.Permit{Change: change, MoveTo: to}}
@@ -70,25 +70,25 @@
 
 // spares returns the spare VMs that may leave, those that are not due first: one
 // that is due would need a planned stop in its new pool.
-func (r *round) spares() []fleet.VMRow {
-	var spares []fleet.VMRow
+func (r *round) spares() []*fleet.VMRow {
+	var spares []*fleet.VMRow
 	for _, vm := range r.view.VMs {
 		if vm.VM.Pool == r.spare && vm.VM.State == fleet.Serving {
 			spares = append(spares, vm)
 		}
 	}
-	slices.SortStableFunc(spares, func(a, b fleet.VMRow) int {
+	slices.SortStableFunc(spares, func(a, b *fleet.VMRow) int {
 		return b.VM.LastMaintained.Compare(a.VM.LastMaintained)
 	})
 	return spares
 }
 
 // chooseSpare prefers a VM of a rack in which nothing failed.
-func (r *round) chooseSpare(spares []fleet.VMRow) int {
+func (r *round) chooseSpare(spares []*fleet.VMRow) int {
 	if len(spares) == 0 || r.pools[r.spare].room < 1 {
 		return -1
 	}
-	i := slices.IndexFunc(spares, func(vm fleet.VMRow) bool { return r.racks[vm.VM.Rack].failed == 0 })
+	i := slices.IndexFunc(spares, func(vm *fleet.VMRow) bool { return r.racks[vm.VM.Rack].failed == 0 })
 	return max(i, 0)
 }
 
--- a/core/maintenance/spread/spread.go
+++ b/core/maintenance/spread/spread.go
@@ -89,7 +89,7 @@
 func newRound(p Planner, now time.Time, v maintenance.View) *round {
 	r := &round{
 		Planner: p, now: now, view: v, name: v.Wave.Name(v.Zone),
-		progress: maintenance.ProgressOf(now, v.Zone, v.Wave, v.VMs),
+		progress: v.Progress(now),
 		pools:    make(map[core.PoolID]*pool, len(v.Pools)),
 		racks:    make(map[core.RackID]rack),
 	}
@@ -106,13 +106,13 @@
 		}
 	}
 	for _, vm := range v.VMs {
-		r.count(vm.VM)
+		r.count(&vm.VM)
 		r.countRecovering(vm)
 	}
 	return r
 }
 
-func (r *round) count(vm fleet.VM) {
+func (r *round) count(vm *fleet.VM) {
 	if p := r.pools[vm.Pool]; p != nil && r.isDue(vm) {
 		p.due++
 	}
@@ -139,7 +139,7 @@
 	r.racks[vm.Rack] = k
 }
 
-func (r *round) countRecovering(vm fleet.VMRow) {
+func (r *round) countRecovering(vm *fleet.VMRow) {
 	p := r.pools[vm.VM.Pool]
 	if p == nil || vm.VM.State != fleet.Verifying {
 		return
@@ -149,7 +149,7 @@
 	}
 }
 
-func (r *round) isDue(vm fleet.VM) bool { return vm.LastMaintained.Before(r.view.Wave.Began) }
+func (r *round) isDue(vm *fleet.VM) bool { return vm.LastMaintained.Before(r.view.Wave.Began) }
 
 // takes chooses the VMs to take out now, those of the tightest pool first.
 func (r *round) takes() []maintenance.Command {
@@ -173,15 +173,15 @@
 	return commands
 }
 
-func (r *round) candidates() []fleet.VMRow {
-	var due []fleet.VMRow
+func (r *round) candidates() []*fleet.VMRow {
+	var due []*fleet.VMRow
 	for _, vm := range r.view.VMs {
 		p := r.pools[vm.VM.Pool]
-		if p != nil && p.room > 0 && vm.VM.State == fleet.Serving && r.isDue(vm.VM) {
+		if p != nil && p.room > 0 && vm.VM.State == fleet.Serving && r.isDue(&vm.VM) {
 			due = append(due, vm)
 		}
 	}
-	slices.SortStableFunc(due, func(a, b fleet.VMRow) int {
+	slices.SortStableFunc(due, func(a, b *fleet.VMRow) int {
 		pa, pb := r.pools[a.VM.Pool], r.pools[b.VM.Pool]
 		// due/max descending, compared without a division.
 		tighter := cmp.Compare(pb.due*max(pa.MaxUnavailable, 1), pa.due*max(pb.MaxUnavailable, 1))
@@ -228,6 +228,6 @@
 	return !r.noRacks && (k.planned > 0 || k.failed > 0 && !pressed)
 }
 
-func (r *round) change(vm fleet.VMRow) core.ChangeID {
+func (r *round) change(vm *fleet.VMRow) core.ChangeID {
 	return core.ChangeID(fmt.Sprintf("%s/%s/%d", r.name, vm.Ref.VM, vm.Row.Version))
 }
--- a/core/maintenance/wave.go
+++ b/core/maintenance/wave.go
@@ -176,16 +176,27 @@
 	Late int `json:"late"`
 }
 
+// Progress counts the VMs of the view.
+func (v View) Progress(now time.Time) Progress {
+	p := Progress{Total: len(v.VMs)}
+	name := v.Wave.Name(v.Zone)
+	for _, r := range v.VMs {
+		p.count(now, v.Wave, name, &r.VM)
+	}
+	return p
+}
+
 // ProgressOf counts the zone's VMs.
 func ProgressOf(now time.Time, zone core.ZoneID, w Wave, vms []fleet.VMRow) Progress {
 	p := Progress{Total: len(vms)}
-	for _, r := range vms {
-		p.count(now, w, w.Name(zone), r.VM)
+	name := w.Name(zone)
+	for i := range vms {
+		p.count(now, w, name, &vms[i].VM)
 	}
 	return p
 }
 
-func (p *Progress) count(now time.Time, w Wave, name string, vm fleet.VM) {
+func (p *Progress) count(now time.Time, w Wave, name string, vm *fleet.VM) {
 	maintained := !vm.LastMaintained.Before(w.Began)
 	switch {
 	case vm.State == fleet.Failed:
--- a/io/platform/controller.go
+++ b/io/platform/controller.go
@@ -158,16 +158,16 @@
 
 // toCheck returns the VMs that are out, those that something speaks against, and
 // a few others in turn.
-func (c *Controller) toCheck(ctx context.Context, vms []fleet.VMRow) []checked {
+func (c *Controller) toCheck(ctx context.Context, vms []*fleet.VMRow) []checked {
 	c.readList(ctx)
 	suspects := c.takeSuspects()
 	var list []checked
 	for i, vm := range vms {
 		id := vm.Ref.VM
 		turn := (i-c.next+len(vms))%len(vms) < checksPerTick
-		_, tell := c.Driver.Hold(c.Now(), vm)
+		_, tell := c.Driver.Hold(c.Now(), *vm)
 		if vm.VM.State != fleet.Serving || tell || c.leaving[id] || c.gone[id] || suspects[id] || turn {
-			list = append(list, checked{vm: vm, leaving: c.leaving[id]})
+			list = append(list, checked{vm: *vm, leaving: c.leaving[id]})
 		}
 	}
 	if len(vms) > 0 {
--- a/io/platform/controller_step.go
+++ b/io/platform/controller_step.go
@@ -22,7 +22,7 @@
 		if !ok || next.Row.Version == vm.Row.Version {
 			return nil
 		}
-		vm = next
+		vm = *next
 	}
 	return nil
 }
@@ -108,7 +108,7 @@
 	c.mu.Lock()
 	c.state.BadRows = len(c.rows.vms.bad) + len(c.rows.pools.bad)
 	c.state.Wave = wave.Wave
-	c.state.Progress = maintenance.ProgressOf(c.Now(), c.Zone, wave.Wave, view.VMs)
+	c.state.Progress = view.Progress(c.Now())
 	c.mu.Unlock()
 	return nil
 }
--- a/io/platform/fleet.go
+++ b/io/platform/fleet.go
@@ -84,7 +84,10 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	row, ok := w.pools.rows[table.PoolStateKey(id)]
-	return row.Pool, ok
+	if !ok {
+		return fleet.Pool{}, false
+	}
+	return row.Pool, true
 }
 
 // Refused tells that a VM answered that it is leaving.
--- a/io/platform/fleet_rows.go
+++ b/io/platform/fleet_rows.go
@@ -17,7 +17,8 @@
 	prefix string
 	decode func(table.Row) (T, error)
 	since  table.Revision
-	rows   map[table.Key]T
+	// rows are replaced when they change, and never changed themselves.
+	rows map[table.Key]*T
 	// bad holds the rows that could not be decoded.
 	bad map[table.Key]error
 	// changed is set whenever a row is put.
@@ -39,7 +40,7 @@
 
 func (c *rowCache[T]) put(row table.Row) {
 	if c.rows == nil {
-		c.rows, c.bad = make(map[table.Key]T), make(map[table.Key]error)
+		c.rows, c.bad = make(map[table.Key]*T), make(map[table.Key]error)
 	}
 	c.changed = true
 	delete(c.rows, row.Key)
@@ -52,7 +53,7 @@
 		c.bad[row.Key] = err
 		return
 	}
-	c.rows[row.Key] = v
+	c.rows[row.Key] = &v
 }
 
 // apply takes over the writes of t, which took effect: its checks tell the
@@ -76,7 +77,7 @@
 	vms   rowCache[fleet.VMRow]
 	pools rowCache[fleet.PoolRow]
 
-	sorted []fleet.VMRow
+	sorted []*fleet.VMRow
 	byID   map[core.PoolID]fleet.PoolRow
 }
 
@@ -94,17 +95,17 @@
 	z.pools.apply(t)
 }
 
-// allVMs returns the zone's VMs by name. The slice must not be changed.
-func (z *zoneRows) allVMs() []fleet.VMRow {
+// allVMs returns the zone's VMs by name. Neither slice nor rows may be changed.
+func (z *zoneRows) allVMs() []*fleet.VMRow {
 	if !z.vms.changed && z.sorted != nil {
 		return z.sorted
 	}
 	z.vms.changed = false
-	z.sorted = make([]fleet.VMRow, 0, len(z.vms.rows))
+	z.sorted = make([]*fleet.VMRow, 0, len(z.vms.rows))
 	for _, vm := range z.vms.rows {
 		z.sorted = append(z.sorted, vm)
 	}
-	slices.SortFunc(z.sorted, func(a, b fleet.VMRow) int { return strings.Compare(string(a.Ref.VM), string(b.Ref.VM)) })
+	slices.SortFunc(z.sorted, func(a, b *fleet.VMRow) int { return strings.Compare(string(a.Ref.VM), string(b.Ref.VM)) })
 	return z.sorted
 }
 
@@ -116,7 +117,7 @@
 	z.pools.changed = false
 	z.byID = make(map[core.PoolID]fleet.PoolRow, len(z.pools.rows))
 	for _, pool := range z.pools.rows {
-		z.byID[pool.ID] = pool
+		z.byID[pool.ID] = *pool
 	}
 	return z.byID
 }
