Look at many VMs in one call, in bounded ticks that keep the lease

Cause: a controller asked for each VM that is out, and told each VM that had returned for two minutes, one call after another in one tick. A zone of 1,430 VMs that returned cost 8% of a core and 195 KB/s (docs/CAPACITY.md), and with slow calls a tick outlasted the lease, so that a second entry began.

Now: POST /vms/{zone}/looks gives each VM its order and asks for its state, 128 VMs a call, and the stand-in offers it. What an answer leaves out is unknown, never down. maintenance.Looks says who is due: suspects first, then VMs that are out by plan, then the one that waits the longest; a failed VM after an eighth of its time out, once a minute at least, and at once when it is listed again. A tick takes 256 VMs, looks and planning an interval each; the rest comes first in the next, and while a suspect is left over nothing is planned. The lease is renewed between two VMs or commands. A VM that isn't listed any more stays suspect until it is, as the answer about it may be lost.

--- a/io/platform/controller.go
+++ b/io/platform/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -9,7 +10,6 @@
 	"github.com/rs/zerolog"
 
 	"lavenderpond/core"
-	"lavenderpond/core/fleet"
 	"lavenderpond/core/maintenance"
 	"lavenderpond/core/maintenance/spread"
 	"lavenderpond/core/table"
@@ -21,9 +21,6 @@
 	DefaultControlInterval = 5 * time.Second
 	// leaseIntervals is how many intervals a lease outlasts its renewal.
 	leaseIntervals = 4
-	// checksPerTick is how many serving VMs are looked at in each tick even though
-	// nothing speaks against them, because the live list may lag for long.
-	checksPerTick = 4
 	// stepsPerTick bounds the steps of one VM in a tick. A stop and its reboot
 	// belong into one: by the next tick the reboot's deadline may have passed.
 	stepsPerTick = 3
@@ -31,6 +28,9 @@
 	controlListRate = 1000
 )
 
+// errLeaseLost ends a tick of a controller that was paused for long.
+var errLeaseLost = errors.New("another entry is the zone's controller now")
+
 // Controller carries out a zone's maintenance. Every entry of the zone runs one;
 // the lease row lets one of them work. Two at once, or one that was paused for
 // any time, do no harm: each transaction checks the rows that it relies on, and
@@ -59,8 +59,9 @@
 	list listPace
 	// listed, leaving and gone are what the live list last said.
 	listed, leaving, gone map[core.VMID]bool
-	// next is the VM from which the checks in turn go on.
-	next int
+	looks                 maintenance.Looks
+	// renewAt is when the lease is to be renewed.
+	renewAt time.Time
 	// Test-only: switches the check of a reboot's deadline off.
 	noDeadline bool
 }
@@ -123,20 +124,37 @@
 	if err := c.refresh(ctx); err != nil {
 		return err
 	}
-	for _, vm := range c.toCheck(ctx, c.rows().VMs()) {
-		if err := c.steps(ctx, vm.vm, vm.leaving); err != nil {
-			return err
-		}
+	rest, err := c.attend(ctx)
+	if err != nil || slices.ContainsFunc(rest, func(d maintenance.Due) bool { return d.Suspect }) {
+		// A stop that is planned now might come on top of failures not yet recorded.
+		return err
 	}
 	return c.plan(ctx)
 }
 
+// keepLease renews the lease if that is due, or returns errLeaseLost.
+//
+// With slow calls a tick may outlast the lease. Another entry would then start and
+// do the same work again, while each is in the other's way: every second one of
+// their transactions fails.
+func (c *Controller) keepLease(ctx context.Context) error {
+	if c.Now().Before(c.renewAt) {
+		return nil
+	}
+	held, err := c.acquire(ctx)
+	if err == nil && !held {
+		return errLeaseLost
+	}
+	return err
+}
+
 func (c *Controller) acquire(ctx context.Context) (bool, error) {
 	row, err := c.Table.Read(ctx, maintenance.LeaseKey(c.Zone))
 	if err != nil {
 		return false, err
 	}
 	now := c.Now()
+	c.renewAt = now.Add(c.interval())
 	t, held, err := maintenance.Acquire(now, row, c.Self, now.Add(leaseIntervals*c.interval()))
 	if err == nil && held {
 		err = c.Table.Transact(ctx, t)
@@ -159,51 +177,33 @@
 	return c.Rows
 }
 
-// checked is a VM to look at in this tick.
-type checked struct {
-	vm      fleet.VMRow
-	leaving bool
-}
-
-// toCheck returns the VMs that are out, those that something speaks against, and
-// a few others in turn.
-func (c *Controller) toCheck(ctx context.Context, vms []*fleet.VMRow) []checked {
-	c.readList(ctx)
-	suspects := c.takeSuspects()
-	var list []checked
-	for i, vm := range vms {
-		id := vm.Ref.VM
-		turn := (i-c.next+len(vms))%len(vms) < checksPerTick
-		_, tell := c.Driver.Hold(c.Now(), *vm)
-		if vm.VM.State != fleet.Serving || tell || c.leaving[id] || c.gone[id] || suspects[id] || turn {
-			list = append(list, checked{vm: *vm, leaving: c.leaving[id]})
-		}
-	}
-	if len(vms) > 0 {
-		c.next = (c.next + checksPerTick) % len(vms)
-	}
-	return list
-}
-
 // readList reads the live list if it is due, and notes the VMs that are listed
-// as leaving, and those that were listed before and aren't any more. A list that
-// can't be read changes nothing.
+// as leaving, and those that were listed before and aren't any more. The latter
+// stay gone until they are listed again: the look that follows may be lost. A list
+// that can't be read changes nothing.
 func (c *Controller) readList(ctx context.Context) {
 	c.list.BytesPerSecond = controlListRate
 	live, due, err := c.list.poll(ctx, c.Now(), c.Live, c.Zone)
 	if err != nil || !due {
 		return
 	}
-	c.leaving, c.gone = make(map[core.VMID]bool), make(map[core.VMID]bool)
+	gone := make(map[core.VMID]bool)
+	c.leaving = make(map[core.VMID]bool)
 	listed := make(map[core.VMID]bool, len(live))
 	for _, l := range live {
-		listed[core.VMID(l.Name)] = true
-		c.leaving[core.VMID(l.Name)] = l.Leaving
+		id := core.VMID(l.Name)
+		listed[id], c.leaving[id] = true, l.Leaving
+		if !c.listed[id] {
+			c.looks.Expect(id) // It may be back.
+		}
 	}
-	for id := range c.listed {
-		c.gone[id] = !listed[id]
+	for _, vm := range c.rows().VMs() {
+		id := vm.Ref.VM
+		if (c.listed[id] || c.gone[id]) && !listed[id] {
+			gone[id] = true
+		}
 	}
-	c.listed = listed
+	c.listed, c.gone = listed, gone
 }
 
 func (c *Controller) takeSuspects() map[core.VMID]bool {
--- /dev/null
+++ b/io/platform/controller_look.go
@@ -0,0 +1,122 @@
+package platform
+
+import (
+	"context"
+	"time"
+
+	"lavenderpond/core"
+	"lavenderpond/core/fleet"
+	"lavenderpond/core/maintenance"
+)
+
+// Bounds of a tick's looks at VMs.
+const (
+	// looksPerTick bounds the VMs that are looked at in a tick; the others come first
+	// in the next one. A zone of 1,430 VMs that returns as a whole would else keep a
+	// controller from its planning and its network for minutes.
+	looksPerTick = 256
+	// looksPerCall bounds the VMs of one call, so that the platform can answer it
+	// within a request's timeout.
+	looksPerCall = 128
+)
+
+// attend looks at the VMs that are due and takes each as far as it can go now. It
+// returns those that it didn't come to: a tick is bounded in VMs and in time.
+func (c *Controller) attend(ctx context.Context) ([]maintenance.Due, error) {
+	c.readList(ctx)
+	suspects := c.takeSuspects()
+	for id := range suspects {
+		c.looks.Expect(id)
+	}
+	now := c.Now()
+	due := c.looks.Due(now, c.Driver, c.rows().VMs(), func(id core.VMID) bool {
+		return c.leaving[id] || c.gone[id] || suspects[id]
+	})
+	end := now.Add(c.interval())
+	for left := looksPerTick; left > 0 && len(due) > 0 && c.Now().Before(end); {
+		n, err := c.attendBatch(ctx, due[:min(left, looksPerCall, len(due))], end)
+		due, left = due[n:], left-n
+		if err != nil {
+			return due, err
+		}
+	}
+	for _, rest := range due {
+		if suspects[rest.VM.Ref.VM] {
+			c.Suspect(rest.VM.Ref.VM)
+		}
+	}
+	return due, nil
+}
+
+// attendBatch looks at VMs in one call, and takes them further until end, but one
+// at least. It returns how many it came to.
+func (c *Controller) attendBatch(ctx context.Context, batch []maintenance.Due, end time.Time) (int, error) {
+	if err := c.keepLease(ctx); err != nil {
+		return 0, err
+	}
+	seen := c.lookAll(ctx, batch)
+	for i, due := range batch {
+		if i > 0 && !c.Now().Before(end) {
+			return i, nil
+		}
+		if err := c.keepLease(ctx); err != nil {
+			return i, err
+		}
+		if due.Suspect && seen[i] == nil {
+			c.Suspect(due.VM.Ref.VM) // The answer was lost; the suspicion isn't.
+		}
+		if err := c.steps(ctx, due.VM, seen[i]); err != nil {
+			return i + 1, err
+		}
+	}
+	return len(batch), nil
+}
+
+// lookAll is look for many VMs in one call. A VM that the answer leaves out stays
+// nil: the platform didn't answer for it, which says nothing of the VM. Taken for
+// down, a partial or lost answer would take a fleet that works out of service.
+func (c *Controller) lookAll(ctx context.Context, batch []maintenance.Due) []*maintenance.Seen {
+	now := c.Now()
+	asks := make([]LookRequest, len(batch))
+	places := make(map[core.VMID]int, len(batch))
+	for i, due := range batch {
+		asks[i].VM, places[due.VM.Ref.VM] = due.VM.Ref.VM, i
+		if until, ok := c.Driver.Hold(now, *due.VM); ok {
+			asks[i].Drain = &DrainRequest{Until: until, Fence: due.VM.Row.Version}
+		}
+	}
+	seen := make([]*maintenance.Seen, len(batch))
+	looks, err := c.VMs.Look(ctx, c.Zone, asks)
+	if err != nil {
+		c.Log.Debug().Err(err).Int("vms", len(asks)).Msg("VMs not looked at")
+		return seen
+	}
+	for _, l := range looks {
+		i, asked := places[l.VM]
+		if !asked {
+			continue
+		}
+		seen[i] = &maintenance.Seen{Up: l.Up, Running: l.Running}
+		if drain := asks[i].Drain; drain != nil && l.Drained {
+			seen[i].RefusesUntil = drain.Until
+		}
+	}
+	return seen
+}
+
+// look tells the VM to refuse new work or to take it again, and then asks what
+// runs there: in this order, nothing can start after the answer was taken.
+func (c *Controller) look(ctx context.Context, vm *fleet.VMRow) *maintenance.Seen {
+	var refuses time.Time
+	if until, ok := c.Driver.Hold(c.Now(), *vm); ok {
+		err := c.VMs.Drain(ctx, vm.Ref, DrainRequest{Until: until, Fence: vm.Row.Version})
+		if err == nil {
+			refuses = until
+		}
+	}
+	status, err := c.VMs.Status(ctx, vm.Ref)
+	if err != nil {
+		return nil
+	}
+	return &maintenance.Seen{Up: status.Up, Running: status.Running, RefusesUntil: refuses}
+}
--- a/io/platform/controller_step.go
+++ b/io/platform/controller_step.go
@@ -12,31 +12,41 @@
 	"lavenderpond/core/table"
 )
 
-// steps takes a VM as many steps further as it can go now.
-func (c *Controller) steps(ctx context.Context, vm fleet.VMRow, leaving bool) error {
+// steps takes a VM as many steps further as it can go now. seen is what a look at
+// it just showed.
+func (c *Controller) steps(ctx context.Context, vm *fleet.VMRow, seen *maintenance.Seen) error {
 	for range stepsPerTick {
-		if err := c.step(ctx, vm, leaving); err != nil {
+		err := c.step(ctx, vm, seen)
+		c.looks.Looked(c.Now(), vm.Ref.VM, seen)
+		if err != nil {
 			return err
 		}
 		next, ok := c.rows().VM(vm.Key())
-		if !ok || next.Row.Version == vm.Row.Version {
+		if !ok || !goesOn(vm, next) {
 			return nil
 		}
-		vm = *next
+		vm, seen = next, c.look(ctx, next)
 	}
 	return nil
 }
 
+// goesOn reports whether a VM needs its next step in the same tick: the reboot
+// after a stop has a deadline, and a VM whose permit was withdrawn refuses work
+// until it is told otherwise. Other VMs wait for a look with many others.
+func goesOn(vm, next *fleet.VMRow) bool {
+	withdrawn := next.VM.State == fleet.Serving && vm.VM.State != fleet.Verifying
+	return next.Row.Version != vm.Row.Version && (next.VM.State == fleet.Stopped || withdrawn)
+}
+
 // step takes one VM a step further. A refusal by the rules or a lost race ends
 // this VM's step only; an unreachable table ends the tick.
-func (c *Controller) step(ctx context.Context, vm fleet.VMRow, leaving bool) error {
-	seen := c.look(ctx, vm)
+func (c *Controller) step(ctx context.Context, vm *fleet.VMRow, seen *maintenance.Seen) error {
 	if seen != nil {
-		seen.Leaving = leaving
+		seen.Leaving = c.leaving[vm.Ref.VM]
 	}
-	next, err := c.Driver.Next(c.Now(), vm, c.rows().Pools(), seen)
+	next, err := c.Driver.Next(c.Now(), *vm, c.rows().Pools(), seen)
 	if err != nil {
-		return c.settle(ctx, vm, err)
+		return c.settle(ctx, vm.Ref, err)
 	}
 	if next.Reboot && !c.reboot(ctx, vm, next.NotAfter) {
 		return nil
@@ -45,34 +55,17 @@
 		return nil
 	}
 	if err := c.transact(ctx, next.Transaction); err != nil {
-		return c.settle(ctx, vm, err)
+		return c.settle(ctx, vm.Ref, err)
 	}
 	c.Log.Info().Str("vm", vm.Ref.String()).Str("from", vm.VM.State.String()).Str("wave", vm.VM.Wave).Msg("maintenance step")
 	return nil
 }
 
-// look tells the VM to refuse new work or to take it again, and then asks what
-// runs there: in this order, nothing can start after the answer was taken.
-func (c *Controller) look(ctx context.Context, vm fleet.VMRow) *maintenance.Seen {
-	var refuses time.Time
-	if until, ok := c.Driver.Hold(c.Now(), vm); ok {
-		err := c.VMs.Drain(ctx, vm.Ref, DrainRequest{Until: until, Fence: vm.Row.Version})
-		if err == nil {
-			refuses = until
-		}
-	}
-	status, err := c.VMs.Status(ctx, vm.Ref)
-	if err != nil {
-		return nil
-	}
-	return &maintenance.Seen{Up: status.Up, Running: status.Running, RefusesUntil: refuses}
-}
-
 // reboot asks for a reboot if its deadline has not passed. The clock is read
 // right before the request is written, and the request ends at the deadline:
 // this process may have been paused since the decision, and another controller
 // may return the VM into service once the deadline has passed.
-func (c *Controller) reboot(ctx context.Context, vm fleet.VMRow, notAfter time.Time) bool {
+func (c *Controller) reboot(ctx context.Context, vm *fleet.VMRow, notAfter time.Time) bool {
 	left := notAfter.Sub(c.Now())
 	if c.noDeadline {
 		left = DefaultTimeout
@@ -89,7 +82,8 @@
 	return true
 }
 
-// plan carries out the planner's commands.
+// plan carries out the planner's commands, as many as fit into an interval: the
+// next tick plans the rest anew.
 func (c *Controller) plan(ctx context.Context) error {
 	row, err := c.Table.Read(ctx, maintenance.WaveKey(c.Zone))
 	if err != nil {
@@ -100,7 +94,14 @@
 		return err
 	}
 	view := c.view(wave)
-	for _, command := range c.planner().Plan(c.Now(), view) {
+	end := c.Now().Add(c.interval())
+	for i, command := range c.planner().Plan(c.Now(), view) {
+		if i > 0 && !c.Now().Before(end) {
+			break
+		}
+		if err := c.keepLease(ctx); err != nil {
+			return err
+		}
 		if err := c.carryOut(ctx, wave, command); err != nil {
 			return err
 		}
@@ -121,7 +122,7 @@
 		err = c.transact(ctx, t)
 	}
 	if err != nil {
-		return c.settle(ctx, fleet.VMRow{}, err)
+		return c.settle(ctx, fleet.Ref{}, err)
 	}
 	if halt, ok := command.(maintenance.Halt); ok {
 		c.Log.Error().Str("zone", string(c.Zone)).Str("reason", halt.Reason).Msg("maintenance halted")
@@ -143,11 +144,11 @@
 
 // settle decides what an error means for the tick. A lost answer needs no memory:
 // the rows tell whether the change took effect, and the next step starts there.
-func (c *Controller) settle(ctx context.Context, vm fleet.VMRow, err error) error {
+func (c *Controller) settle(ctx context.Context, vm fleet.Ref, err error) error {
 	var refusal *core.Error
 	switch {
 	case errors.As(err, &refusal):
-		c.Log.Debug().Err(err).Str("vm", vm.Ref.String()).Msg("maintenance step refused")
+		c.Log.Debug().Err(err).Str("vm", vm.String()).Msg("maintenance step refused")
 		return nil
 	case errors.Is(err, table.ErrConflict), errors.Is(err, table.ErrUnknown):
 		return c.refresh(ctx)
--- a/io/platform/controller_test.go
+++ b/io/platform/controller_test.go
@@ -29,6 +29,9 @@
 // faults are what a session goes through. Shares are per call.
 type faults struct {
 	lostAnswers, tableDown float64
+	// partialLooks is the share of VMs that an answer about many leaves out, half of
+	// them after their order took effect.
+	partialLooks float64
 	// pauses is the share of calls before which the caller is paused for up to
 	// two minutes, while the fleet and the other controllers go on.
 	pauses float64
@@ -282,6 +285,31 @@
 	return status, nil
 }
 
+// Look asks one VM after the other, so that pauses fall between any two.
+func (s *session) Look(ctx context.Context, zone core.ZoneID, asks []LookRequest) ([]VMLook, error) {
+	var looks []VMLook
+	for _, ask := range asks {
+		vm, left := fleet.Ref{Zone: zone, VM: ask.VM}, s.rand.Float64()
+		if left < s.faults.partialLooks/2 {
+			continue
+		}
+		l := VMLook{VM: ask.VM}
+		if ask.Drain != nil {
+			l.Drained = s.Drain(ctx, vm, *ask.Drain) == nil
+		}
+		l.VMStatus, _ = s.Status(ctx, vm)
+		if left >= s.faults.partialLooks {
+			looks = append(looks, l)
+		}
+	}
+	s.pause()
+	s.saw = fleet.Ref{}
+	if s.rand.Float64() < s.faults.lostAnswers {
+		return nil, table.ErrDown
+	}
+	return looks, nil
+}
+
 func (s *session) Reboot(_ context.Context, vm fleet.Ref, r RebootRequest) error {
 	s.pause()
 	s.pauseAt("sent", vm)
@@ -331,7 +359,7 @@
 }
 
 var hard = faults{
-	lostAnswers: 0.05, tableDown: 0.03, pauses: 0.01, listLag: 20 * time.Second, staleEntry: true, rackFails: true, moves: 0.02,
+	lostAnswers: 0.05, tableDown: 0.03, partialLooks: 0.05, pauses: 0.01, listLag: 20 * time.Second, staleEntry: true, rackFails: true, moves: 0.02,
 	vms: sim.Faults{PerVMDay: 0.5},
 }
 
--- a/io/platform/fleet_client.go
+++ b/io/platform/fleet_client.go
@@ -17,6 +17,7 @@
 // PathVMs is the HTTP path of the platform's control of VMs. Below it stand
 //
 //	GET  {zone}/{vm}         the VMStatus; 410 if there is no such VM any more
+//	POST {zone}/looks        with Looks: the VMLooks of many VMs
 //	POST {zone}/{vm}/drain   with a DrainRequest; 409 if its fence is too low
 //	POST {zone}/{vm}/reboot  with a RebootRequest; 409 also once NotAfter has passed
 const PathVMs = "/vms/"
@@ -45,6 +46,32 @@
 	Fence    core.Version `json:"fence"`
 }
 
+// LookRequest asks for the state of VM, after it got the order of Drain, if there
+// is one: in this order nothing can start on a VM that refuses work after its tasks
+// were counted.
+type LookRequest struct {
+	VM    core.VMID     `json:"vm"`
+	Drain *DrainRequest `json:"drain,omitempty"`
+}
+
+// VMLook answers a LookRequest.
+type VMLook struct {
+	VM core.VMID `json:"vm"`
+	VMStatus
+	// Drained says that the VM took the order of Drain.
+	Drained bool `json:"drained,omitempty"`
+}
+
+// Looks is the body of a request for the state of many VMs.
+type Looks struct {
+	VMs []LookRequest `json:"vms"`
+}
+
+// VMLooks is the reply to Looks. Nothing is known of a VM that isn't in it.
+type VMLooks struct {
+	VMs []VMLook `json:"vms"`
+}
+
 // VMControl is the platform's control of VMs.
 type VMControl interface {
 	// Drain makes vm refuse new work until the given time.
@@ -54,6 +81,10 @@
 	// Status returns what vm is doing. A VM that is gone is not up; of one that the
 	// platform doesn't know nothing is known, and that is an error.
 	Status(ctx context.Context, vm fleet.Ref) (VMStatus, error)
+	// Look does for many VMs of zone in one call what Drain and Status do for one. Of
+	// VMs that its answer leaves out nothing is known, and after an error of none; an
+	// order may have taken effect all the same.
+	Look(ctx context.Context, zone core.ZoneID, asks []LookRequest) ([]VMLook, error)
 }
 
 var _ VMControl = (*Client)(nil)
@@ -81,6 +112,23 @@
 	return s, errors.Wrap(json.Unmarshal(data, &s), "decode VM status")
 }
 
+// Look implements VMControl.
+func (c *Client) Look(ctx context.Context, zone core.ZoneID, asks []LookRequest) ([]VMLook, error) {
+	body, err := json.Marshal(Looks{VMs: asks})
+	if err != nil {
+		return nil, errors.Wrap(err, "encode looks")
+	}
+	data, status, err := c.do(ctx, http.MethodPost, c.BaseURL+PathVMs+url.PathEscape(string(zone))+"/looks", body)
+	if err := c.expectOK(data, status, err); err != nil {
+		return nil, err
+	}
+	var reply VMLooks
+	if err := json.Unmarshal(data, &reply); err != nil {
+		return nil, errors.Wrap(err, "decode looks")
+	}
+	return reply.VMs, nil
+}
+
 func (c *Client) postVM(ctx context.Context, vm fleet.Ref, verb string, request any) error {
 	body, err := json.Marshal(request)
 	if err != nil {
--- a/io/platform/fleet_client_test.go
+++ b/io/platform/fleet_client_test.go
@@ -74,3 +74,32 @@
 		assert.Equal(t, l.polls, want, "%d VMs", vms)
 	}
 }
+
+// A controller would take VMs out of service by an answer about many of them that
+// is none: from a platform that doesn't know the path, or cut off on its way. Each
+// is an error, and nothing is known of any VM.
+func TestLookReplies(t *testing.T) {
+	status, body, got := http.StatusOK, `{"vms":[{"vm":"a","up":true,"running":3,"drained":true}]}`, ""
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		data, _ := io.ReadAll(r.Body)
+		got = r.Method + " " + r.URL.Path + " " + string(data)
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, body)
+	}))
+	defer s.Close()
+	c, at := NewClient(s.URL), time.Date(2026, 1, 5, 0, 0, 0, 0, time.UTC)
+	asks := []LookRequest{{VM: "a", Drain: &DrainRequest{Until: at, Fence: 7}}, {VM: "b"}}
+
+	looks, err := c.Look(t.Context(), "z", asks)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, looks, []VMLook{{VM: "a", VMStatus: VMStatus{Up: true, Running: 3}, Drained: true}})
+	assert.Equal(t, got, `POST /vms/z/looks {"vms":[{"vm":"a","drain":{"until":"2026-01-05T00:00:00Z","fence":7}},{"vm":"b"}]}`)
+
+	body = body[:len(body)/2]
+	looks, err = c.Look(t.Context(), "z", asks)
+	assert.Assert(t, err != nil && looks == nil, "a cut answer")
+	for _, status = range []int{http.StatusGone, http.StatusNotFound, http.StatusInternalServerError} {
+		looks, err = c.Look(t.Context(), "z", asks)
+		assert.Assert(t, err != nil && looks == nil, "status %d says nothing of the VMs", status)
+	}
+}
--- /dev/null
+++ b/io/platform/standin/looks.go
@@ -0,0 +1,109 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lavenderpond/core"
+	"lavenderpond/io/platform"
+	"lavenderpond/io/supervisor"
+)
+
+// Bounds of an answer about many VMs.
+const (
+	// looksWithin is how long the answer waits for VMs. Those that did not answer by
+	// then are left out.
+	looksWithin = time.Second
+	// looksAtOnce bounds the VMs that are asked at the same time.
+	looksAtOnce = 16
+)
+
+// errNotTaken says that a VM refused an order.
+var errNotTaken = errors.New("the VM refused")
+
+// looks passes orders on to many VMs and asks each for its state.
+func (s *Server) looks(w http.ResponseWriter, r *http.Request) {
+	var asks platform.Looks
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxBody)).Decode(&asks); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), looksWithin)
+	defer cancel()
+	zone := core.ZoneID(r.PathValue("zone"))
+	var g supervisor.Group
+	var mu sync.Mutex
+	reply := platform.VMLooks{VMs: []platform.VMLook{}}
+	next := make(chan platform.LookRequest)
+	for range looksAtOnce {
+		g.Go(func() {
+			for ask := range next {
+				if look, ok := s.lookAt(ctx, zone, ask); ok {
+					mu.Lock()
+					reply.VMs = append(reply.VMs, look)
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	for _, ask := range asks.VMs {
+		next <- ask
+	}
+	close(next)
+	g.Wait()
+	writeJSON(w, reply)
+}
+
+// lookAt returns false for a VM that the platform doesn't know, or of which it has
+// no answer in time.
+func (s *Server) lookAt(ctx context.Context, zone core.ZoneID, ask platform.LookRequest) (platform.VMLook, bool) {
+	s.mu.Lock()
+	vm := s.live[liveKey(zone, string(ask.VM))]
+	s.mu.Unlock()
+	if vm == nil || vm.control == "" {
+		return platform.VMLook{}, false
+	}
+	look := platform.VMLook{VM: ask.VM}
+	if ask.Drain != nil {
+		look.Drained = askVM(ctx, http.MethodPost, vm.control+"/control/drain", ask.Drain, nil) == nil
+	}
+	var state VMState
+	err := askVM(ctx, http.MethodGet, vm.control+"/control/state", nil, &state)
+	if ctx.Err() != nil {
+		return look, false
+	}
+	// A VM that doesn't answer is not up.
+	look.Up, look.Running = err == nil && state.Up, int(state.Running)
+	return look, true
+}
+
+// askVM sends request to a VM and decodes its reply, if one is wanted.
+func askVM(ctx context.Context, method, url string, request, reply any) error {
+	body, err := json.Marshal(request)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return errNotTaken
+	}
+	if reply == nil {
+		return nil
+	}
+	return json.NewDecoder(resp.Body).Decode(reply)
+}
--- /dev/null
+++ b/io/platform/standin/looks_test.go
@@ -0,0 +1,57 @@
+package standin
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lavenderpond/core"
+	"lavenderpond/io/platform"
+)
+
+// A controller takes a VM for idle although a task started on it after its tasks
+// were counted, or for refusing work although it didn't take the order. The stand-in
+// orders first and counts then, tells for each VM whether it took its order, says
+// that a VM which doesn't answer is down, and leaves out one that it doesn't know.
+func TestLooks(t *testing.T) {
+	var calls []string
+	vm := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls = append(calls, r.URL.Path)
+		_, _ = io.WriteString(w, `{"up":true,"running":2}`)
+	}))
+	defer vm.Close()
+	refuses := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "/drain") {
+			w.WriteHeader(http.StatusConflict)
+		}
+		_, _ = io.WriteString(w, `{"up":true}`)
+	}))
+	defer refuses.Close()
+	dead := httptest.NewServer(http.NotFoundHandler())
+	dead.Close()
+
+	s := &Server{}
+	for name, control := range map[string]string{"drains": vm.URL, "refuses": refuses.URL, "dead": dead.URL} {
+		s.list(LivePost{Liveness: platform.Liveness{Name: name, Zone: "z"}, Control: control})
+	}
+	h := httptest.NewServer(s.Handler())
+	defer h.Close()
+	drain := &platform.DrainRequest{Until: time.Now().Add(time.Minute), Fence: 3}
+	looks, err := platform.NewClient(h.URL).Look(t.Context(), "z", []platform.LookRequest{
+		{VM: "drains", Drain: drain}, {VM: "refuses", Drain: drain}, {VM: "dead", Drain: drain}, {VM: "unknown"},
+	})
+	assert.NilError(t, err)
+	slices.SortFunc(looks, func(a, b platform.VMLook) int { return strings.Compare(string(a.VM), string(b.VM)) })
+	assert.DeepEqual(t, looks, []platform.VMLook{
+		{VM: core.VMID("dead")},
+		{VM: "drains", VMStatus: platform.VMStatus{Up: true, Running: 2}, Drained: true},
+		{VM: "refuses", VMStatus: platform.VMStatus{Up: true}},
+	})
+	assert.DeepEqual(t, calls, []string{"/control/drain", "/control/state"})
+}
--- a/io/platform/standin/server.go
+++ b/io/platform/standin/server.go
@@ -49,6 +49,7 @@
 	mux.HandleFunc("POST /vms/{zone}/{vm}/reboot", s.reboot)
 	mux.HandleFunc("POST /vms/{zone}/{vm}/drain", s.drain)
 	mux.HandleFunc("GET /vms/{zone}/{vm}", s.getVM)
+	mux.HandleFunc("POST /vms/{zone}/looks", s.looks)
 	return mux
 }
 
