Leave the controller's lease to an entry that is not the relay

Cause: relay and controller both fall to the entry of a zone that starts first, and with both roles it passed the bytes that a daemon may spend (docs/CAPACITY.md: 16.1 KB/s).

maintenance.Choice: an entry that is the first by id of several on the platform's list, so the relay, takes a free lease last, 10 s after the others could, and offers its own once it held it for a minute. If nobody takes the offer, it takes the lease back and keeps it until another has held it. The others need not know of the rule, and an entry that can't read the list, or is alone, takes the lease at once. Ruled out: that the relay never takes it (a zone whose others are frozen has no controller).

--- /dev/null
+++ b/core/maintenance/choice_test.go
@@ -0,0 +1,129 @@
+package maintenance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lavenderpond/core"
+	"lavenderpond/core/table"
+)
+
+// leaseEntry is an entry of the test: its controller ticks unless it is frozen.
+type leaseEntry struct {
+	id     core.EntryID
+	choice Choice
+	frozen bool
+}
+
+// leaseZone is a zone's entries and its lease row. Every entry ticks once in a step.
+type leaseZone struct {
+	t       *testing.T
+	now     time.Time
+	table   table.Memory
+	entries []*leaseEntry
+	// offers counts the leases given up, gap the steps without a holder in a row, and
+	// longest is the longest such gap.
+	offers, gap, longest int
+}
+
+const (
+	leaseStep     = 5 * time.Second
+	leasePatience = 2 * leaseStep
+	leaseLasts    = 4 * leaseStep
+)
+
+func newLeaseZone(t *testing.T, entries int) *leaseZone {
+	z := &leaseZone{t: t, now: time.Date(2026, 1, 5, 0, 0, 0, 0, time.UTC)}
+	for i := range entries {
+		z.entries = append(z.entries, &leaseEntry{id: core.EntryID(fmt.Sprintf("entry_%d", i))})
+	}
+	return z
+}
+
+func (z *leaseZone) step() {
+	z.now = z.now.Add(leaseStep)
+	var ids []core.EntryID
+	for _, e := range z.entries {
+		ids = append(ids, e.id)
+	}
+	for _, e := range z.entries {
+		if !e.frozen {
+			z.tick(e, ids)
+		}
+	}
+	z.gap++
+	if z.now.Before(z.lease().Until) {
+		z.gap = 0
+	}
+	z.longest = max(z.longest, z.gap)
+}
+
+func (z *leaseZone) tick(e *leaseEntry, ids []core.EntryID) {
+	row := z.table.Read(LeaseKey("z"))
+	switch e.choice.Next(z.now, z.lease(), e.id, ids, leasePatience) {
+	case TakeLease:
+		tx, held, err := Acquire(z.now, row, e.id, z.now.Add(leaseLasts))
+		assert.NilError(z.t, err)
+		assert.Assert(z.t, held)
+		assert.NilError(z.t, z.table.Transact(tx))
+	case OfferLease:
+		z.offers++
+		tx, err := Release(z.now, row)
+		assert.NilError(z.t, err)
+		assert.NilError(z.t, z.table.Transact(tx))
+	case LeaveLease:
+	}
+}
+
+func (z *leaseZone) lease() Lease {
+	l, err := DecodeLease(z.table.Read(LeaseKey("z")))
+	assert.NilError(z.t, err)
+	return l
+}
+
+func (z *leaseZone) steps(n int) {
+	for range n {
+		z.step()
+	}
+}
+
+// The relay starts first and takes the lease. Once others run it offers the lease,
+// and one of them has it from then on, in the very same round.
+func TestChoiceSparesRelay(t *testing.T) {
+	z := newLeaseZone(t, 1)
+	z.steps(20)
+	assert.Equal(t, z.lease().Holder, core.EntryID("entry_0"), "alone, the relay is the controller")
+	for i := range 2 {
+		z.entries = append(z.entries, &leaseEntry{id: core.EntryID(fmt.Sprintf("entry_%d", i+1))})
+	}
+	z.steps(100)
+	assert.Equal(t, z.lease().Holder, core.EntryID("entry_1"))
+	assert.Equal(t, z.offers, 1)
+	assert.Equal(t, z.longest, 0)
+}
+
+// VMs fail and nobody records it, since each entry leaves the lease to another: the
+// others are listed as running but are frozen, or cut off from the table. The relay
+// takes its lease back after its patience, and doesn't offer it again and again.
+func TestChoiceNeverLeavesZoneAlone(t *testing.T) {
+	z := newLeaseZone(t, 3)
+	z.entries[1].frozen, z.entries[2].frozen = true, true
+	z.steps(1000)
+	assert.Equal(t, z.lease().Holder, core.EntryID("entry_0"))
+	assert.Equal(t, z.offers, 1)
+	assert.Assert(t, z.longest <= int(leasePatience/leaseStep), "%d steps without a controller", z.longest)
+
+	// They come back; another holds it, freezes, and the relay steps in again.
+	z.entries[1].frozen = false
+	z.entries[0].frozen = true
+	z.steps(10)
+	assert.Equal(t, z.lease().Holder, core.EntryID("entry_1"))
+	z.entries[0].frozen, z.entries[1].frozen = false, true
+	z.steps(1000)
+	assert.Equal(t, z.lease().Holder, core.EntryID("entry_0"))
+	assert.Equal(t, z.offers, 2)
+	assert.Assert(t, z.longest <= int(leasePatience/leaseStep), "%d steps without a controller", z.longest)
+}
--- a/core/maintenance/lease.go
+++ b/core/maintenance/lease.go
@@ -20,11 +20,29 @@
 	return table.Key(table.PrefixWave + "controller/" + string(zone))
 }
 
+// DecodeLease reads a row of LeaseKey. A row that doesn't exist gives a free lease.
+func DecodeLease(row table.Row) (Lease, error) {
+	var l Lease
+	return l, row.Decode(&l)
+}
+
+// Release frees a lease that its holder gives up, as of now.
+func Release(now time.Time, row table.Row) (table.Transaction, error) {
+	l, err := DecodeLease(row)
+	if err != nil {
+		return table.Transaction{}, err
+	}
+	l.Until = now
+	var t table.Transaction
+	t.Check(row)
+	return t, t.Set(row.Key, l)
+}
+
 // Acquire takes or renews the lease for self until the given time. It returns
 // false if another entry holds it.
 func Acquire(now time.Time, row table.Row, self core.EntryID, until time.Time) (table.Transaction, bool, error) {
-	var l Lease
-	if err := row.Decode(&l); err != nil {
+	l, err := DecodeLease(row)
+	if err != nil {
 		return table.Transaction{}, false, err
 	}
 	if l.Holder != self {
--- a/io/platform/controller.go
+++ b/io/platform/controller.go
@@ -6,21 +6,17 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"lavenderpond/core"
 	"lavenderpond/core/maintenance"
 	"lavenderpond/core/maintenance/spread"
-	"lavenderpond/core/table"
 	"lavenderpond/io/supervisor"
 )
 
 // Defaults of Controller.
 const (
 	DefaultControlInterval = 5 * time.Second
-	// leaseIntervals is how many intervals a lease outlasts its renewal.
-	leaseIntervals = 4
 	// stepsPerTick bounds the steps of one VM in a tick. A stop and its reboot
 	// belong into one: by the next tick the reboot's deadline may have passed.
 	stepsPerTick = 3
@@ -28,9 +24,6 @@
 	controlListRate = 1000
 )
 
-// errLeaseLost ends a tick of a controller that was paused for long.
-var errLeaseLost = errors.New("another entry is the zone's controller now")
-
 // Controller carries out a zone's maintenance. Every entry of the zone runs one;
 // the lease row lets one of them work. Two at once, or one that was paused for
 // any time, do no harm: each transaction checks the rows that it relies on, and
@@ -62,6 +55,7 @@
 	looks                 maintenance.Looks
 	// renewAt is when the lease is to be renewed.
 	renewAt time.Time
+	choice  maintenance.Choice
 	// Test-only: switches the check of a reboot's deadline off.
 	noDeadline bool
 }
@@ -117,7 +111,7 @@
 // Tick acquires or renews the lease, takes every VM that is out a step further,
 // and takes out the VMs that the planner chooses.
 func (c *Controller) Tick(ctx context.Context) error {
-	held, err := c.acquire(ctx)
+	held, err := c.choose(ctx)
 	if err != nil || !held {
 		return err
 	}
@@ -132,42 +126,6 @@
 	return c.plan(ctx)
 }
 
-// keepLease renews the lease if that is due, or returns errLeaseLost.
-//
-// With slow calls a tick may outlast the lease. Another entry would then start and
-// do the same work again, while each is in the other's way: every second one of
-// their transactions fails.
-func (c *Controller) keepLease(ctx context.Context) error {
-	if c.Now().Before(c.renewAt) {
-		return nil
-	}
-	held, err := c.acquire(ctx)
-	if err == nil && !held {
-		return errLeaseLost
-	}
-	return err
-}
-
-func (c *Controller) acquire(ctx context.Context) (bool, error) {
-	row, err := c.Table.Read(ctx, maintenance.LeaseKey(c.Zone))
-	if err != nil {
-		return false, err
-	}
-	now := c.Now()
-	c.renewAt = now.Add(c.interval())
-	t, held, err := maintenance.Acquire(now, row, c.Self, now.Add(leaseIntervals*c.interval()))
-	if err == nil && held {
-		err = c.Table.Transact(ctx, t)
-	}
-	if errors.Is(err, table.ErrConflict) {
-		held, err = false, nil
-	}
-	c.mu.Lock()
-	c.state.Holds = held && err == nil
-	c.mu.Unlock()
-	return held, err
-}
-
 func (c *Controller) refresh(ctx context.Context) error { return c.rows().Poll(ctx, c.Table, c.Zone) }
 
 func (c *Controller) rows() *FleetRows {
@@ -220,10 +178,3 @@
 	}
 	return c.Planner
 }
-
-func (c *Controller) interval() time.Duration {
-	if c.Interval == 0 {
-		return DefaultControlInterval
-	}
-	return c.Interval
-}
--- /dev/null
+++ b/io/platform/controller_lease.go
@@ -0,0 +1,115 @@
+package platform
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lavenderpond/core"
+	"lavenderpond/core/maintenance"
+	"lavenderpond/core/table"
+)
+
+const (
+	// leaseIntervals is how many intervals a lease outlasts its renewal.
+	leaseIntervals = 4
+	// patienceIntervals is how many intervals another entry has to take a free lease
+	// before the relay does: it looks once in each.
+	patienceIntervals = 2
+)
+
+// errLeaseLost ends a tick of a controller that was paused for long.
+var errLeaseLost = errors.New("another entry is the zone's controller now")
+
+// choose takes or renews the lease at the start of a tick, or leaves it to another
+// entry. It returns false if this entry doesn't hold it.
+func (c *Controller) choose(ctx context.Context) (bool, error) {
+	row, err := c.Table.Read(ctx, maintenance.LeaseKey(c.Zone))
+	if err != nil {
+		return false, err
+	}
+	l, err := maintenance.DecodeLease(row)
+	if err != nil {
+		return false, err
+	}
+	now := c.Now()
+	switch c.choice.Next(now, l, c.Self, c.entries(ctx), patienceIntervals*c.interval()) {
+	case maintenance.TakeLease:
+		return c.acquire(ctx, row)
+	case maintenance.OfferLease:
+		c.setHolds(false)
+		t, err := maintenance.Release(now, row)
+		if err != nil {
+			return false, err
+		}
+		return false, c.Table.Transact(ctx, t)
+	case maintenance.LeaveLease:
+	}
+	c.setHolds(false)
+	return false, nil
+}
+
+// keepLease renews the lease if that is due, or returns errLeaseLost.
+//
+// With slow calls a tick may outlast the lease. Another entry would then start and
+// do the same work again, while each is in the other's way: every second one of
+// their transactions fails.
+func (c *Controller) keepLease(ctx context.Context) error {
+	if c.Now().Before(c.renewAt) {
+		return nil
+	}
+	row, err := c.Table.Read(ctx, maintenance.LeaseKey(c.Zone))
+	if err != nil {
+		return err
+	}
+	held, err := c.acquire(ctx, row)
+	if err == nil && !held {
+		return errLeaseLost
+	}
+	return err
+}
+
+// acquire takes or renews the lease, whose row was just read.
+func (c *Controller) acquire(ctx context.Context, row table.Row) (bool, error) {
+	now := c.Now()
+	c.renewAt = now.Add(c.interval())
+	t, held, err := maintenance.Acquire(now, row, c.Self, now.Add(leaseIntervals*c.interval()))
+	if err == nil && held {
+		err = c.Table.Transact(ctx, t)
+	}
+	if errors.Is(err, table.ErrConflict) {
+		held, err = false, nil
+	}
+	c.setHolds(held && err == nil)
+	return held, err
+}
+
+func (c *Controller) setHolds(holds bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state.Holds = holds
+}
+
+// entries returns the zone's entries that the live list has, none if it can't be
+// read: this entry then counts as the only one, and the zone has a controller.
+func (c *Controller) entries(ctx context.Context) []core.EntryID {
+	live, err := c.Live.Live(ctx, c.Zone)
+	if err != nil {
+		return nil
+	}
+	var entries []core.EntryID
+	for _, l := range live {
+		if !l.Started.IsZero() && !l.Leaving {
+			entries = append(entries, core.NewEntryID(l.Name, l.Started))
+		}
+	}
+	return entries
+}
+
+func (c *Controller) interval() time.Duration {
+	if c.Interval == 0 {
+		return DefaultControlInterval
+	}
+	return c.Interval
+}
