Keep suspicions over ticks that end early and changes of controller

Cause, found by reading: a VM that refused a connection was forgotten if the tick ended before its failure was recorded (table down, lost answer, lost race), and a controller that had just taken over knew no list on which a VM had been, so it found one that went before only by its looks in turn, 30 minutes in a zone of 1,430 VMs. Budgets counted both as serving.

Now a suspicion stands until the platform said that the VM is up or its failure is recorded, and a VM that isn't listed is suspect whether it was listed before or not; a list that is late costs a look. TestSuspicionKept was red for each: 0 of 1 and 1 of 2 failures recorded.

--- a/io/platform/controller.go
+++ b/io/platform/controller.go
@@ -136,8 +136,9 @@
 }
 
 // readList reads the live list if it is due, and notes the VMs that are listed
-// as leaving, and those that were listed before and aren't any more. The latter
-// stay gone until they are listed again: the look that follows may be lost. A list
+// as leaving, and those that aren't listed. The latter stay gone until they are: the
+// look that follows may be lost, and a controller that has just taken over hasn't seen
+// a list on which they were. One that the list is late to show costs a look. A list
 // that can't be read changes nothing.
 func (c *Controller) readList(ctx context.Context) {
 	c.list.BytesPerSecond = controlListRate
@@ -150,15 +151,17 @@
 	listed := make(map[core.VMID]bool, len(live))
 	for _, l := range live {
 		id := core.VMID(l.Name)
-		listed[id], c.leaving[id] = true, l.Leaving
+		listed[id] = true
+		if l.Leaving {
+			c.leaving[id] = true
+		}
 		if !c.listed[id] {
 			c.looks.Expect(id) // It may be back.
 		}
 	}
 	for _, vm := range c.rows().VMs() {
-		id := vm.Ref.VM
-		if (c.listed[id] || c.gone[id]) && !listed[id] {
-			gone[id] = true
+		if !listed[vm.Ref.VM] {
+			gone[vm.Ref.VM] = true
 		}
 	}
 	c.listed, c.gone = listed, gone
--- a/io/platform/controller_look.go
+++ b/io/platform/controller_look.go
@@ -33,19 +33,18 @@
 		return c.leaving[id] || c.gone[id] || suspects[id]
 	})
 	end := now.Add(c.interval())
-	for left := looksPerTick; left > 0 && len(due) > 0 && c.Now().Before(end); {
-		n, err := c.attendBatch(ctx, due[:min(left, looksPerCall, len(due))], end)
+	var err error
+	for left := looksPerTick; err == nil && left > 0 && len(due) > 0 && c.Now().Before(end); {
+		var n int
+		n, err = c.attendBatch(ctx, due[:min(left, looksPerCall, len(due))], end)
 		due, left = due[n:], left-n
-		if err != nil {
-			return due, err
-		}
 	}
 	for _, rest := range due {
 		if suspects[rest.VM.Ref.VM] {
 			c.Suspect(rest.VM.Ref.VM)
 		}
 	}
-	return due, nil
+	return due, err
 }
 
 // attendBatch looks at VMs in one call, and takes them further until end, but one
@@ -62,16 +61,26 @@
 		if err := c.keepLease(ctx); err != nil {
 			return i, err
 		}
-		if due.Suspect && seen[i] == nil {
-			c.Suspect(due.VM.Ref.VM) // The answer was lost; the suspicion isn't.
-		}
 		if err := c.steps(ctx, due.VM, seen[i]); err != nil {
-			return i + 1, err
+			return i, err
+		}
+		if due.Suspect && c.isUnsettled(due.VM, seen[i]) {
+			c.Suspect(due.VM.Ref.VM)
 		}
 	}
 	return len(batch), nil
 }
 
+// isUnsettled reports whether the suspicion against vm is still neither refuted nor
+// recorded: the platform's answer was lost, or the change of the row was.
+func (c *Controller) isUnsettled(vm *fleet.VMRow, seen *maintenance.Seen) bool {
+	if seen != nil && seen.Up {
+		return false
+	}
+	now, ok := c.rows().VM(vm.Key())
+	return ok && now.VM.State == fleet.Serving
+}
+
 // lookAll is look for many VMs in one call. A VM that the answer leaves out stays
 // nil: the platform didn't answer for it, which says nothing of the VM. Taken for
 // down, a partial or lost answer would take a fleet that works out of service.
--- a/io/platform/controller_return_test.go
+++ b/io/platform/controller_return_test.go
@@ -257,3 +257,28 @@
 	assert.Equal(t, z.count(fleet.Stopped)+z.count(fleet.Verifying), 0)
 	assert.Equal(t, len(z.world.CutOff), 0)
 }
+
+// A VM fails and its budget goes on as if it served: the one suspicion against it is
+// lost when the tick ends early, since the table can't be reached, or when another
+// entry takes over that hasn't seen a list on which the VM was.
+func TestSuspicionKept(t *testing.T) {
+	z := newSlowZone(t, time.Millisecond)
+	z.otherAt = z.world.Now.AddDate(1, 0, 0)
+	z.tick()
+	lost := z.world.Machines()[700:702]
+	z.world.FailAll(lost[:1], time.Hour)
+	z.controllers[0].Suspect(lost[0].Ref.VM)
+	z.answers = func(looks []VMLook) ([]VMLook, error) {
+		z.faults.tableDown = 1
+		return looks, nil
+	}
+	assert.ErrorIs(t, z.controllers[0].Tick(t.Context()), table.ErrDown)
+	z.answers, z.faults.tableDown = nil, 0
+	z.tick()
+	assert.Equal(t, z.count(fleet.Failed), 1, "after a tick that ended early")
+
+	z.world.FailAll(lost[1:], time.Hour)
+	z.world.Advance(leaseIntervals * testStep)
+	assert.NilError(t, z.controllers[1].Tick(t.Context()))
+	assert.Equal(t, z.count(fleet.Failed), 2, "at another controller")
+}
