Don't reboot a stopped VM again while its pool's budget is spent

The driver asked for the reboot again without a look at the budget, and so kept a VM out that could serve. It now counts as failed: it is verified and returned, and is still due, as whether it was rebooted isn't known. A reboot that is under way is still waited for (reboot_by stays in the row). Ruled out: to wait in stopped (it would stay out until back_by).

TestStoppedBeyondBudgetIsNotRebooted was red before the change.

--- a/core/maintenance/driver.go
+++ b/core/maintenance/driver.go
@@ -141,6 +141,10 @@
 
 // stopped reboots the VM, again after an answer that was lost: nothing runs
 // there, which is checked each time.
+//
+// VMs that failed since the stop may have spent the budget. A reboot would then keep
+// one more VM out that is up and could serve. It counts as failed, so that it is
+// verified and returned, and is still due: whether it was rebooted is not known.
 func (s *stepper) stopped() (Step, error) {
 	v := s.vm.VM
 	switch {
@@ -150,6 +154,8 @@
 		return transact(s.Rules.Fail(s.now, s.vm, s.pool))
 	case !s.isIdle():
 		return Step{}, nil
+	case s.pool.Pool.Headroom() < 0:
+		return transact(s.Rules.Fail(s.now, s.vm, s.pool))
 	case s.now.After(v.RebootBy):
 		return s.stop()
 	}
--- /dev/null
+++ b/core/maintenance/driver_test.go
@@ -0,0 +1,47 @@
+package maintenance_test
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lavenderpond/core"
+	"lavenderpond/core/fleet"
+	"lavenderpond/core/maintenance"
+	"lavenderpond/core/table"
+)
+
+// Callers lose one VM more than a budget allows, by a planned reboot. The answer to
+// the reboot was lost, so the VM's row still says stopped; the VM is back, and then
+// two others of its pool fail. It must not be rebooted again but return, and it is
+// still due for maintenance.
+func TestStoppedBeyondBudgetIsNotRebooted(t *testing.T) {
+	ref := fleet.Ref{Zone: "z", VM: "v0"}
+	pool := fleet.Pool{MaxUnavailable: 2, Size: 10, Members: 10, Out: []fleet.Out{
+		{Ref: ref, Planned: true}, {Ref: fleet.Ref{Zone: "z", VM: "v1"}}, {Ref: fleet.Ref{Zone: "z", VM: "v2"}},
+	}}
+	rebootBy := start.Add(time.Minute)
+	vm, err := fleet.DecodeVM(table.MustRow(ref.Key(), 3, fleet.VM{
+		Pool: "p", State: fleet.Stopped, RebootBy: rebootBy, BackBy: start.Add(time.Hour),
+	}))
+	assert.NilError(t, err)
+	seen := &maintenance.Seen{Up: true, RefusesUntil: start.Add(time.Hour)}
+	next := func() maintenance.Step {
+		row, err := fleet.DecodePool(table.MustRow(table.PoolStateKey("p"), 7, pool))
+		assert.NilError(t, err)
+		step, err := maintenance.Driver{}.Next(start, vm, map[core.PoolID]fleet.PoolRow{"p": row}, seen)
+		assert.NilError(t, err)
+		return step
+	}
+	step := next()
+	assert.Assert(t, !step.Reboot)
+	var after fleet.VM
+	assert.NilError(t, json.Unmarshal(step.Transaction.Writes[0].Value, &after))
+	assert.Equal(t, after.State, fleet.Failed)
+	assert.Assert(t, after.RebootBy.Equal(rebootBy), "a late reboot may still come until then")
+
+	pool.Out = pool.Out[:2]
+	assert.Assert(t, next().Reboot, "within the budget it is asked for again")
+}
--- a/io/platform/controller_test.go
+++ b/io/platform/controller_test.go
@@ -89,7 +89,7 @@
 	s := &session{t: t, faults: f, rand: rand.New(rand.NewPCG(seed, 4)), world: w, views: make([]map[fleet.Ref]fleet.State, 3), moving: make(map[fleet.Ref]core.PoolID)}
 	for i := range 2 {
 		s.controllers = append(s.controllers, &Controller{
-			Zone: "z0", Self: core.EntryID(fmt.Sprint("entry", i)), Table: s, Live: s, VMs: s,
+			Zone: "z0", Self: core.NewEntryID(fmt.Sprint("entry", i), w.Now), Table: s, Live: s, VMs: s,
 			Now: s.now, Interval: testStep,
 			Planner: spread.Planner{RepairAfter: 2 * time.Minute, StopTime: 2 * time.Minute},
 			Driver:  maintenance.Driver{Timing: testTiming},
@@ -153,6 +153,9 @@
 		}
 	}
 	l := listing{at: s.world.Now}
+	for _, c := range s.controllers {
+		l.vms = append(l.vms, Liveness{Name: c.Self.Name(), Zone: c.Zone, Started: c.Self.Started()})
+	}
 	for _, m := range s.world.Machines() {
 		if m.Up || m.Planned {
 			l.vms = append(l.vms, Liveness{Name: string(m.Ref.VM), Zone: m.Ref.Zone})
