Let the controller follow the live list as often as the daemon reads it

Cause: the controller read a list of 1,430 VMs every 69 s (1,000 B/s), from the time before one paced reading served all of a daemon's readers. A lost zone was noticed only then. TestZoneReturns, ticks until 1,430 lost VMs are recorded: 19 before, 9 now. It reads nothing more: the SharedList renews every 15 s for the other readers.

--- a/io/platform/controller.go
+++ b/io/platform/controller.go
@@ -20,8 +20,9 @@
 	// stepsPerTick bounds the steps of one VM in a tick. A stop and its reboot
 	// belong into one: by the next tick the reboot's deadline may have passed.
 	stepsPerTick = 3
-	// controlListRate bounds what is read of the live list, in bytes a second.
-	controlListRate = 1000
+	// controlListRate bounds what is read of the live list, in bytes a second. The
+	// daemon's SharedList reads it that often anyway, so that it costs nothing more.
+	controlListRate = sharedListRate
 )
 
 // Controller carries out a zone's maintenance. Every entry of the zone runs one;
