--- a/io/platform/controller.go
+++ b/io/platform/controller.go
@@ -2,33 +2,27 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"lavenderpond/core"
-	"lavenderpond/core/fleet"
 	"lavenderpond/core/maintenance"
 	"lavenderpond/core/maintenance/spread"
-	"lavenderpond/core/table"
 	"lavenderpond/io/supervisor"
 )
 
 // Defaults of Controller.
 const (
 	DefaultControlInterval = 5 * time.Second
-	// leaseIntervals is how many intervals a lease outlasts its renewal.
-	leaseIntervals = 4
-	// checksPerTick is how many serving VMs are looked at in each tick even though
-	// nothing speaks against them, because the live list may lag for long.
-	checksPerTick = 4
 	// stepsPerTick bounds the steps of one VM in a tick. A stop and its reboot
 	// belong into one: by the next tick the reboot's deadline may have passed.
 	stepsPerTick = 3
-	// controlListRate bounds what is read of the live list, in bytes a second.
-	controlListRate = 1000
+	// controlListRate bounds what is read of the live list, in bytes a second. The
+	// daemon's SharedList reads it that often anyway, so that it costs nothing more.
+	controlListRate = sharedListRate
 )
 
 // Controller carries out a zone's maintenance. Every entry of the zone runs one;
@@ -46,6 +40,8 @@
 	// Planner chooses the VMs to take out; nil means spread.Planner.
 	Planner maintenance.Planner
 	Driver  maintenance.Driver
+	// Rows are shared with the FleetWatcher; nil means rows of its own.
+	Rows *FleetRows
 	// Interval between ticks; 0 means DefaultControlInterval.
 	Interval time.Duration
 
@@ -53,12 +49,14 @@
 	suspects map[core.VMID]bool
 	state    ControllerState
 
-	rows zoneRows
+	own  FleetRows
 	list listPace
 	// listed, leaving and gone are what the live list last said.
 	listed, leaving, gone map[core.VMID]bool
-	// next is the VM from which the checks in turn go on.
-	next int
+	looks                 maintenance.Looks
+	// renewAt is when the lease is to be renewed.
+	renewAt time.Time
+	choice  maintenance.Choice
 	// Test-only: switches the check of a reboot's deadline off.
 	noDeadline bool
 }
@@ -114,87 +112,60 @@
 // Tick acquires or renews the lease, takes every VM that is out a step further,
 // and takes out the VMs that the planner chooses.
 func (c *Controller) Tick(ctx context.Context) error {
-	held, err := c.acquire(ctx)
+	held, err := c.choose(ctx)
 	if err != nil || !held {
 		return err
 	}
 	if err := c.refresh(ctx); err != nil {
 		return err
 	}
-	for _, vm := range c.toCheck(ctx, c.rows.allVMs()) {
-		if err := c.steps(ctx, vm.vm, vm.leaving); err != nil {
-			return err
-		}
+	rest, err := c.attend(ctx)
+	if err != nil || slices.ContainsFunc(rest, func(d maintenance.Due) bool { return d.Suspect }) {
+		// A stop that is planned now might come on top of failures not yet recorded.
+		return err
 	}
 	return c.plan(ctx)
 }
 
-func (c *Controller) acquire(ctx context.Context) (bool, error) {
-	row, err := c.Table.Read(ctx, maintenance.LeaseKey(c.Zone))
-	if err != nil {
-		return false, err
-	}
-	now := c.Now()
-	t, held, err := maintenance.Acquire(now, row, c.Self, now.Add(leaseIntervals*c.interval()))
-	if err == nil && held {
-		err = c.Table.Transact(ctx, t)
-	}
-	if errors.Is(err, table.ErrConflict) {
-		held, err = false, nil
-	}
-	c.mu.Lock()
-	c.state.Holds = held && err == nil
-	c.mu.Unlock()
-	return held, err
-}
-
-func (c *Controller) refresh(ctx context.Context) error { return c.rows.poll(ctx, c.Table, c.Zone) }
+func (c *Controller) refresh(ctx context.Context) error { return c.rows().Poll(ctx, c.Table, c.Zone) }
 
-// checked is a VM to look at in this tick.
-type checked struct {
-	vm      fleet.VMRow
-	leaving bool
-}
-
-// toCheck returns the VMs that are out, those that something speaks against, and
-// a few others in turn.
-func (c *Controller) toCheck(ctx context.Context, vms []fleet.VMRow) []checked {
-	c.readList(ctx)
-	suspects := c.takeSuspects()
-	var list []checked
-	for i, vm := range vms {
-		id := vm.Ref.VM
-		turn := (i-c.next+len(vms))%len(vms) < checksPerTick
-		_, tell := c.Driver.Hold(c.Now(), vm)
-		if vm.VM.State != fleet.Serving || tell || c.leaving[id] || c.gone[id] || suspects[id] || turn {
-			list = append(list, checked{vm: vm, leaving: c.leaving[id]})
-		}
+func (c *Controller) rows() *FleetRows {
+	if c.Rows == nil {
+		return &c.own
 	}
-	if len(vms) > 0 {
-		c.next = (c.next + checksPerTick) % len(vms)
-	}
-	return list
+	return c.Rows
 }
 
 // readList reads the live list if it is due, and notes the VMs that are listed
-// as leaving, and those that were listed before and aren't any more. A list that
-// can't be read changes nothing.
+// as leaving, and those that aren't listed. The latter stay gone until they are: the
+// look that follows may be lost, and a controller that has just taken over hasn't seen
+// a list on which they were. One that the list is late to show costs a look. A list
+// that can't be read changes nothing.
 func (c *Controller) readList(ctx context.Context) {
 	c.list.BytesPerSecond = controlListRate
 	live, due, err := c.list.poll(ctx, c.Now(), c.Live, c.Zone)
 	if err != nil || !due {
 		return
 	}
-	c.leaving, c.gone = make(map[core.VMID]bool), make(map[core.VMID]bool)
+	gone := make(map[core.VMID]bool)
+	c.leaving = make(map[core.VMID]bool)
 	listed := make(map[core.VMID]bool, len(live))
 	for _, l := range live {
-		listed[core.VMID(l.Name)] = true
-		c.leaving[core.VMID(l.Name)] = l.Leaving
+		id := core.VMID(l.Name)
+		listed[id] = true
+		if l.Leaving {
+			c.leaving[id] = true
+		}
+		if !c.listed[id] {
+			c.looks.Expect(id) // It may be back.
+		}
 	}
-	for id := range c.listed {
-		c.gone[id] = !listed[id]
+	for _, vm := range c.rows().VMs() {
+		if !listed[vm.Ref.VM] {
+			gone[vm.Ref.VM] = true
+		}
 	}
-	c.listed = listed
+	c.listed, c.gone = listed, gone
 }
 
 func (c *Controller) takeSuspects() map[core.VMID]bool {
@@ -211,10 +182,3 @@
 	}
 	return c.Planner
 }
-
-func (c *Controller) interval() time.Duration {
-	if c.Interval == 0 {
-		return DefaultControlInterval
-	}
-	return c.Interval
-}
