--- a/io/entry/daemon.go
+++ b/io/entry/daemon.go
@@ -138,7 +138,9 @@
 // show back to the fleet watcher.
 func (d *Daemon) buildFleet(router *least.Router) {
 	zone := d.settings.Entry.Zone
+	rows := &platform.FleetRows{}
 	d.fleet = &platform.FleetWatcher{
+		Rows: rows,
 		Zone: zone, Table: d.platform, Live: d.live, Now: d.now, Interval: d.settings.Platform.PollInterval,
 		Probe: d.probe,
 		OnChange: func(targets []route.Target) {
@@ -152,6 +154,7 @@
 		},
 	}
 	d.control = &platform.Controller{
+		Rows: rows,
 		Zone: zone, Self: d.id, Table: d.platform, Live: d.live, VMs: d.platform, Now: d.now, Log: d.log,
 	}
 	d.requests.Address = func(vm core.VMID) (string, bool) {
