Move no shard to an entry that stops

Cause: `scripts/faults rolling` (load average 17 to 40) ended 22 of 12,001 ids unknown, none of which had run: home_replaced to their first attempt, all of shards 1, 2 and 3 of zone_a. By the logs entry_1 released its shards 8 to 15 to entry_2 in its stop; entry_2 then held all 16 and, entry_1 being listed, answering and in sync, balanced 1, 2 and 3 to the run of entry_1 that was ending. Its callers waited for the take-over, 1.0 s later by the newer run and behind a horizon.

A released row now names the run that released it; balance moves nothing to such a run, and a move under way to it is dropped.

Ruled out: the Former of a row (a take-over names it too, and a frozen entry that woke would get no shards); a time limit (a stop may wait for minutes). Left: a move whose swap is under way at the moment of the release can still arrive.

TestStoppingGetsNothingBack, red before the change: 4 shards handed back to the entry that stops.

--- a/core/shard/balance.go
+++ b/core/shard/balance.go
@@ -77,7 +77,7 @@
 	}
 	least := k.p.Self
 	for _, id := range k.live {
-		if held[id] < held[least] && !k.gone[id] && !now.Before(k.refused[id]) {
+		if held[id] < held[least] && !k.gone[id] && !now.Before(k.refused[id]) && !k.stops(id) {
 			least = id
 		}
 	}
@@ -88,6 +88,20 @@
 	}
 }
 
+// stops reports whether the run of id hands its shards over to end, as a row that it
+// released says. Until it has ended it is listed, answers, and holds the fewest
+// shards: handed some back, it would end with them, and their callers would wait for
+// a take-over and be told "unknown" of ids that never ran. A run that stops never
+// goes back to serving, so the word of one row is enough.
+func (k *Keeper) stops(id core.EntryID) bool {
+	for i := range k.shards {
+		if k.shards[i].row.Released == id {
+			return true
+		}
+	}
+	return false
+}
+
 // moves counts the moves under way.
 func (k *Keeper) moves(now time.Time) int {
 	n := 0
@@ -146,9 +160,10 @@
 func (k *Keeper) handOverRow(now time.Time, s *state, to core.EntryID, inSync bool) Row {
 	row := Row{
 		Holder: to, Epoch: s.row.Epoch + 1, Successor: k.p.Self,
-		Former: k.p.Self, Mirrored: inSync, Horizon: s.row.Horizon,
+		Former: k.p.Self, Mirrored: inSync, Horizon: s.row.Horizon, Released: s.row.Released,
 	}
 	if !k.releaseBy.IsZero() {
+		row.Released = k.p.Self
 		row.Successor = k.chooseSuccessor(now, s, to)
 	}
 	if !inSync {
@@ -161,7 +176,7 @@
 	if !k.releaseBy.IsZero() {
 		return s.row.Successor
 	}
-	if now.Before(s.moveBy) {
+	if now.Before(s.moveBy) && !k.stops(s.moveTo) {
 		return s.moveTo
 	}
 	s.moveTo, s.moveBy = "", time.Time{}
--- a/core/shard/row.go
+++ b/core/shard/row.go
@@ -32,6 +32,8 @@
 	Former core.EntryID `json:"former,omitempty"`
 	// Mirrored says that Holder knew every start of Former when its epoch began.
 	Mirrored bool `json:"mirrored,omitempty"`
+	// Released is the last holder that handed the shard over because it stops.
+	Released core.EntryID `json:"released,omitempty"`
 }
 
 // VersionedRow is a shard's row as read from the table.
--- a/io/peer/shard_test.go
+++ b/io/peer/shard_test.go
@@ -58,6 +58,27 @@
 	}
 }
 
+// TestStoppingGetsNothingBack: one of a zone's two entries stops, and waits for work
+// that runs long. It has the fewest shards now, and is the other one's successor in
+// sync. Handed some back to even the numbers, it would end with them: their callers
+// wait for a take-over, and are told "unknown" of ids that never ran.
+func TestStoppingGetsNothingBack(t *testing.T) {
+	z := newShardZone(t, "a1", "a2")
+	z.run(20 * time.Second)
+	z.assertHeld(map[string]int{"a1": testShards / 2, "a2": testShards / 2})
+	z.keepers["a1"].handle(shard.Releasing{By: z.now.Add(5 * time.Second)})
+	for z.keepers["a1"].Holding() > 0 {
+		z.run(shardTick)
+	}
+	back := 0
+	for range 200 {
+		z.run(shardTick)
+		back = max(back, z.keepers["a1"].Holding())
+	}
+	assert.Equal(t, back, 0, "shards handed to an entry that stops")
+	assert.Equal(t, z.keepers["a2"].Holding(), testShards)
+}
+
 // TestTwoStopTogether: a zone's only entries stop at the same time. A shard goes to
 // the other entry once at most, and not back and forth until both are gone.
 func TestTwoStopTogether(t *testing.T) {
