Poll the teams' allotment rows every 3 s while nothing moves in the zone and nobody waits

The teams' rows are needed at once if the zone's rows moved (a move writes both), if a request waits here, or if a limit changed since the last poll, as nothing of the team starts until then. Else another zone's mark is all that they could bring, and it stands for 30 s.

TestPollBringsTheOwnZonesRows counts the polls; red in trials with every second, with every 3 s only, and without the rule for changed limits. It waits 4 s in place of 2 s for the mark to be heard, which may take 3 s now.

--- a/core/limit/handle.go
+++ b/core/limit/handle.go
@@ -100,7 +100,7 @@
 			continue
 		}
 		if !a.limitKnown || !sameHead || limit < a.limit {
-			a.lowered = now
+			a.lowered, l.lowered = now, now
 		}
 		l.schedule.now(a)
 		delete(l.unlimited, team)
--- a/core/limit/ledger.go
+++ b/core/limit/ledger.go
@@ -37,10 +37,12 @@
 	lastMove  MoveID
 	head      table.Row
 	polled    time.Time
-	gone      map[core.EntryID]bool
-	down      map[core.ZoneID]time.Time
-	members   Members
-	stopping  bool
+	// wanted and lowered are the latest of all teams.
+	wanted, lowered time.Time
+	gone            map[core.EntryID]bool
+	down            map[core.ZoneID]time.Time
+	members         Members
+	stopping        bool
 
 	// Switched on in tests only, to see the safeguards fail.
 	unsafe unsafe
@@ -148,7 +150,7 @@
 // Wanted implements Limiter.
 func (l *Ledger) Wanted(now time.Time, team core.TeamID) {
 	a := l.allotment(team)
-	a.wanted = now
+	a.wanted, l.wanted = now, now
 	l.schedule.now(a)
 }
 
@@ -162,6 +164,12 @@
 	return slices.Sorted(maps.Keys(l.unlimited))
 }
 
+// NeedsTeamRows reports whether what other zones do matters here at once: a request
+// waits, or a limit changed since the rows were polled.
+func (l *Ledger) NeedsTeamRows(now time.Time) bool {
+	return now.Before(l.wanted.Add(wantFor)) || !l.polled.After(l.lowered)
+}
+
 // Above returns by how much the team may still be above its limit, fleet-wide, as
 // the allotments say: an upper bound, since a part counts as running.
 func (l *Ledger) Above(team core.TeamID) core.Slots {
--- a/io/platform/allot.go
+++ b/io/platform/allot.go
@@ -20,6 +20,9 @@
 	DefaultAllotInterval = 100 * time.Millisecond
 	// allotPollInterval is the time between two polls of changed allotment rows.
 	allotPollInterval = time.Second
+	// quietTeamsInterval is the time between two polls of the teams' rows while nothing
+	// moves in the zone and nobody waits. A mark of another zone is heard that late.
+	quietTeamsInterval = 3 * time.Second
 	// goneInterval is the time between two looks at the list of live VMs.
 	goneInterval = 5 * time.Second
 	// listLag is longer than the platform's list ever lags: an entry that started
@@ -55,11 +58,13 @@
 	driver sync.Mutex
 	// The revisions up to which the zone's and the teams' rows were read.
 	zoneSince, teamSince table.Revision
-	polledAt             time.Time
-	polled               bool
-	goneAt               time.Time
-	told                 toldLimits
-	listed               map[string]bool
+	// teamsAt is when the poll left that last read the teams' rows.
+	teamsAt  time.Time
+	polledAt time.Time
+	polled   bool
+	goneAt   time.Time
+	told     toldLimits
+	listed   map[string]bool
 	// pending are the commands that wait for the next round.
 	pending []limit.Command
 
@@ -185,15 +190,26 @@
 	if err != nil {
 		return nil
 	}
+	if len(zone) == 0 && a.polled && sent.Before(a.teamsAt.Add(quietTeamsInterval)) && !a.needsTeamRows() {
+		a.zoneSince = zoneSince
+		return nil
+	}
 	teams, teamSince, err := a.Table.Changes(ctx, table.PrefixTeamAllotment, a.teamSince)
 	if err != nil {
 		return nil
 	}
+	a.teamsAt = sent
 	e := limit.Polled{Sent: sent, First: !a.polled, Rows: append(zone, teams...)}
 	a.zoneSince, a.teamSince, a.polled = zoneSince, teamSince, true
 	return []limit.Event{e}
 }
 
+func (a *Allotments) needsTeamRows() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.Ledger.NeedsTeamRows(a.Now())
+}
+
 // carryOut sends the commands to the table and returns the answers.
 func (a *Allotments) carryOut(ctx context.Context, commands []limit.Command) []limit.Event {
 	events := make([]limit.Event, len(commands))
--- a/io/platform/allot_news_test.go
+++ b/io/platform/allot_news_test.go
@@ -132,11 +132,13 @@
 // seenTable notes the rows that polls brought.
 type seenTable struct {
 	*lossyTable
-	seen map[table.Key]bool
+	seen  map[table.Key]bool
+	polls map[string]int
 }
 
 func (t *seenTable) Changes(ctx context.Context, prefix string, since table.Revision) ([]table.Row, table.Revision, error) {
 	rows, revision, err := t.lossyTable.Changes(ctx, prefix, since)
+	t.polls[prefix]++
 	for _, row := range rows {
 		t.seen[row.Key] = true
 	}
@@ -147,7 +149,7 @@
 // has for control. Another zone takes a part and leaves a mark; this zone's entry reads
 // the team's row, which holds both, and not the other zone's.
 func TestPollBringsTheOwnZonesRows(t *testing.T) {
-	x := &seenTable{lossyTable: &lossyTable{calm: true}, seen: make(map[table.Key]bool)}
+	x := &seenTable{lossyTable: &lossyTable{calm: true}, seen: make(map[table.Key]bool), polls: make(map[string]int)}
 	now := changeStart
 	e := newAllotEntry(x, "za", "a#1000", func() time.Time { return now })
 	var rows table.Transaction
@@ -166,12 +168,38 @@
 		assert.NilError(t, move.Set(table.ZoneAllotmentKey(team, "zb"), limit.ZoneRow{Entries: map[core.EntryID]core.Slots{"b#1000": 3}}))
 		assert.NilError(t, x.rows.Transact(move))
 	}
-	e.rounds(&now, 20)
+	e.rounds(&now, 40)
 	assert.Assert(t, x.seen[table.TeamAllotmentKey("frames")])
 	assert.Assert(t, x.seen[table.ZoneAllotmentKey("frames", "za")])
 	assert.Assert(t, !x.seen[table.ZoneAllotmentKey("frames", "zb")])
 	// The mark was heard: the idle part was given back.
 	assert.Equal(t, e.allotments.Dump()[0].Part, core.Slots(0))
+
+	// A minute without news, then one in which a request waits.
+	for _, polls := range []int{20, 60} {
+		clear(x.polls)
+		for range 60 {
+			if polls == 60 {
+				e.allotments.Limiter().Wanted(now, "frames")
+			}
+			e.rounds(&now, 10)
+		}
+		assert.Equal(t, x.polls[table.PrefixZoneAllotment("za")], 60)
+		assert.Equal(t, x.polls[table.PrefixTeamAllotment], polls)
+	}
+
+	// After a changed limit nothing of the team starts until the rows were read again.
+	e.rounds(&now, 30)
+	for clear(x.polls); x.polls[table.PrefixTeamAllotment] == 0; {
+		e.rounds(&now, 1)
+	}
+	var change table.Transaction
+	assert.NilError(t, change.Set(table.ConfigHead, config.Head{Version: 2}))
+	assert.NilError(t, change.Set(table.TeamKey("frames"), config.Team{Share: 1, Limit: 3}))
+	assert.NilError(t, x.rows.Transact(change))
+	assert.NilError(t, e.watcher.Poll(context.Background()))
+	e.rounds(&now, 10)
+	assert.Equal(t, x.polls[table.PrefixTeamAllotment], 2)
 }
 
 // rounds makes n rounds of the allotments' driver, 100 ms apart.
