Send to targets on the goroutine that dispatches, and in one write

Cause: net/http's Transport hands each exchange to two goroutines of the connection and back, and the wrapper that hid the body's reader made it flush the headers apart from the body: two writes a dispatch. In the processor profile of Path/holder the transport's loops were 18% of all samples, callers' side included, and makechan there grew each dispatch's new stack.

Change: a RoundTripper of io/target that writes with http.Request.Write and reads with http.ReadResponse on its caller's goroutine; at most as many connections to a VM as before, closed after a minute unused. Before an idle connection is used it is looked at (MSG_PEEK): a target that closed it would make a start that runs at most once unknown. Redirections are not followed. Clock check, task, dispatch and length checks are the same. The body's reader is plain: GetBody stays nil, and this transport has no second send. Direct callers in the benchmark and in lavenderpond-load keep http.Transport.

Tests seen red: TestTargetClosedIdleConnections by its switch; the others on a scratch copy: TestNeverSentTwice without noRedirect (10 starts, body empty), TestEarlyRefusal with no read after a failed write (lost), TestBoundOnConnections without the bound and with the place kept (both hang until the test's timeout), TestConnectionsAreUsedAgain with nothing kept (10 connections), TestUnusedConnectionsAreClosed with hosts never forgotten.

--- a/cmd/lavenderpond-load/targets.go
+++ b/cmd/lavenderpond-load/targets.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"net/netip"
 	"strings"
 	"time"
@@ -12,6 +13,9 @@
 	"lavenderpond/io/target"
 )
 
+// connections bounds the connections to each target.
+const connections = 64
+
 type targetsCommand struct {
 	shape
 	First netip.AddrPort `help:"Address of the first target; the others follow." required:""`
@@ -23,7 +27,9 @@
 	if err := loopbackOnly([]netip.AddrPort{c.First}); err != nil {
 		return err
 	}
-	client := target.NewClient(64, 1<<20)
+	client := target.NewClient(connections, 1<<20)
+	// Who calls targets directly has the standard library's transport.
+	client.HTTP = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: connections, MaxConnsPerHost: connections}}
 	run := time.Now().UnixNano()
 	return c.run(ctx, func(ctx context.Context, n int) string {
 		address := netip.AddrPortFrom(c.First.Addr(), c.First.Port()+uint16(n%c.Count))
--- a/io/target/client.go
+++ b/io/target/client.go
@@ -37,16 +37,9 @@
 // NewClient returns a client that keeps up to connections connections to each
 // target and reads at most maxAnswer bytes of an answer.
 func NewClient(connections int, maxAnswer int64) *Client {
-	dialer := &net.Dialer{Timeout: time.Second}
 	return &Client{
 		MaxAnswer: maxAnswer,
-		HTTP: &http.Client{Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
-			MaxIdleConnsPerHost: connections,
-			MaxConnsPerHost:     connections,
-			DisableCompression:  true,
-			IdleConnTimeout:     time.Minute,
-		}},
+		HTTP:      &http.Client{Transport: &transport{connections: connections}, CheckRedirect: noRedirect},
 	}
 }
 
@@ -55,14 +48,13 @@
 func (c *Client) Start(ctx context.Context, address string, d home.Dispatch) home.End {
 	ctx, cancel := context.WithDeadline(ctx, d.LeaseUntil.Add(leaseGrace))
 	defer cancel()
-	sent := &sentMark{Reader: bytes.NewReader(d.Request.Body)}
-	req, err := c.request(ctx, http.MethodPost, address, d.Request.Key, sent)
+	req, err := c.request(ctx, http.MethodPost, address, d.Request.Key, bytes.NewReader(d.Request.Body))
 	if err != nil {
 		return home.NotStarted{Reason: home.Unreachable}
 	}
-	req.ContentLength = int64(len(d.Request.Body))
-	// The body must not be sent again by the transport: a repeated write could
-	// start the task twice.
+	// The body must not be sent again by the HTTP library: a repeated write could
+	// start the task twice. Without GetBody it can't be had a second time, and the
+	// client's transport never tries.
 	req.GetBody = nil
 	req.Header.Set(HeaderAttempt, strconv.FormatUint(uint64(d.Number), 10))
 	setMillis(req.Header, HeaderStartBy, d.StartBy)
@@ -225,6 +217,6 @@
 	return home.NotStarted{Reason: r}
 }
 
-// sentMark hides the reader's other methods, so that the transport can't rewind
-// and send the body twice.
-type sentMark struct{ io.Reader }
+// noRedirect makes a redirection an answer like any other: to follow it would be to
+// send the task a second time.
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
