Take the HTTP library's transport back for targets; keep one write and no redirection

The house style has plumbing come from the standard library, even where that is slower, and HTTP by net/http on both sides.

Kept from it, since it mends a fault: redirections are not followed. Without that a target that redirects to itself was sent a start with an empty body 10 times (TestNeverSentTwice, red with noRedirect left out). TestEarlyRefusal is kept too.

--- a/cmd/lavenderpond-load/targets.go
+++ b/cmd/lavenderpond-load/targets.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"net/netip"
 	"strings"
 	"time"
@@ -13,9 +12,6 @@
 	"lavenderpond/io/target"
 )
 
-// connections bounds the connections to each target.
-const connections = 64
-
 type targetsCommand struct {
 	shape
 	First netip.AddrPort `help:"Address of the first target; the others follow." required:""`
@@ -27,9 +23,7 @@
 	if err := loopbackOnly([]netip.AddrPort{c.First}); err != nil {
 		return err
 	}
-	client := target.NewClient(connections, 1<<20)
-	// Who calls targets directly has the standard library's transport.
-	client.HTTP = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: connections, MaxConnsPerHost: connections}}
+	client := target.NewClient(64, 1<<20)
 	run := time.Now().UnixNano()
 	return c.run(ctx, func(ctx context.Context, n int) string {
 		address := netip.AddrPortFrom(c.First.Addr(), c.First.Port()+uint16(n%c.Count))
--- a/io/entry/bench_test.go
+++ b/io/entry/bench_test.go
@@ -26,9 +26,7 @@
 	f := newTestFleet(b, map[core.ZoneID]int{"zone_a": 2}, 8)
 	f.awaitServing()
 	b.Run("direct", func(b *testing.B) {
-		// Who calls targets directly has the standard library's transport.
 		c := target.NewClient(64, 1<<20)
-		c.HTTP = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, MaxConnsPerHost: 64, DisableCompression: true}}
 		measure(b, func(n int64) bool {
 			deadline := time.Now().Add(10 * time.Second)
 			end := c.Start(b.Context(), f.addresses[n%int64(len(f.addresses))], home.Dispatch{
--- a/io/target/client.go
+++ b/io/target/client.go
@@ -37,9 +37,16 @@
 // NewClient returns a client that keeps up to connections connections to each
 // target and reads at most maxAnswer bytes of an answer.
 func NewClient(connections int, maxAnswer int64) *Client {
+	dialer := &net.Dialer{Timeout: time.Second}
 	return &Client{
 		MaxAnswer: maxAnswer,
-		HTTP:      &http.Client{Transport: &transport{connections: connections}, CheckRedirect: noRedirect},
+		HTTP: &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{
+			DialContext:         dialer.DialContext,
+			MaxIdleConnsPerHost: connections,
+			MaxConnsPerHost:     connections,
+			DisableCompression:  true,
+			IdleConnTimeout:     time.Minute,
+		}},
 	}
 }
 
@@ -53,8 +60,9 @@
 		return home.NotStarted{Reason: home.Unreachable}
 	}
 	// The body must not be sent again by the HTTP library: a repeated write could
-	// start the task twice. Without GetBody it can't be had a second time, and the
-	// client's transport never tries.
+	// start the task twice. Without GetBody it can't be had a second time. The
+	// reader isn't wrapped: a body that the library takes for unknown is written
+	// apart from the headers, which cost a second system call a dispatch.
 	req.GetBody = nil
 	req.Header.Set(HeaderAttempt, strconv.FormatUint(uint64(d.Number), 10))
 	setMillis(req.Header, HeaderStartBy, d.StartBy)
--- a/io/target/client_test.go
+++ b/io/target/client_test.go
@@ -1,10 +1,12 @@
 package target
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -172,3 +174,40 @@
 func (stringBody) Close() error { return nil }
 
 func readCloser(s string) stringBody { return stringBody{strings.NewReader(s)} }
+
+// TestNeverSentTwice: a target answers with a redirection to itself, or breaks the
+// connection. The client must not follow or try again, with a body or without:
+// the task might run twice.
+func TestNeverSentTwice(t *testing.T) {
+	for _, body := range []string{"", "frames"} {
+		for _, status := range []int{http.StatusTemporaryRedirect, 0} {
+			var got atomic.Int64
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				got.Add(1)
+				if status == 0 {
+					panic(http.ErrAbortHandler)
+				}
+				http.Redirect(w, r, r.URL.Path, status)
+			}))
+			_ = startAt(NewClient(2, 1000), srv, body)
+			assert.Equal(t, got.Load(), int64(1), "body %q, status %d", body, status)
+			srv.Close()
+		}
+	}
+}
+
+// TestEarlyRefusal: a target refuses a task of some megabytes without reading it and
+// closes. The refusal arrives all the same: the task did not start.
+func TestEarlyRefusal(t *testing.T) {
+	srv := httptest.NewServer(reply{status: 503, notStarted: ReasonFull})
+	defer srv.Close()
+	end := startAt(NewClient(2, 1000), srv, strings.Repeat("x", 8<<20))
+	assert.DeepEqual(t, end, home.End(home.NotStarted{Reason: home.Full}))
+}
+
+func startAt(c *Client, srv *httptest.Server, body string) home.End {
+	deadline := time.Now().Add(time.Minute)
+	return c.Start(context.Background(), strings.TrimPrefix(srv.URL, "http://"), home.Dispatch{
+		Request: core.Request{Key: key, Body: []byte(body)}, Number: 2, StartBy: deadline, LeaseUntil: deadline,
+	})
+}
