Keep no slack of answers and nothing that only a running request needs

Cause: io.ReadAll begins with a buffer of 512 bytes, and the whole of it stays with a kept answer of 100; a record kept its key's digest (64 bytes) and the targets tried until the deadline too.

Change: an answer's buffer is as long as its runner stated, and one more byte is read to find one that is too long; a negative length is refused. An ended record drops the digest and the targets tried. What a further attempt needs (key, body's sum, answer) stays.

Tests seen red with the code before: TestAnswersKeepNoSlack (capacity 512 for 5 bytes), TestEndedRecordsAreSmall.

--- a/core/home/record.go
+++ b/core/home/record.go
@@ -94,7 +94,8 @@
 func (h *Home) finish(r *record, a core.Answer) {
 	r.phase = ended
 	r.answer = a
-	r.request.Body = nil
+	// What only a request that still runs needs is not kept until the deadline.
+	r.request.Body, r.request.KeyDigest, r.tried = nil, "", nil
 	delete(h.open, r.request.Key)
 	delete(h.asking, r.request.Key)
 	delete(h.waiting, r.request.Key)
--- /dev/null
+++ b/core/home/record_test.go
@@ -0,0 +1,25 @@
+package home
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"lavenderpond/core"
+)
+
+// TestEndedRecordsAreSmall: requests end one after the other, and each one's answer is
+// kept until its deadline. Only what a further attempt needs is kept with it.
+func TestEndedRecordsAreSmall(t *testing.T) {
+	h := &Home{}
+	req := core.Request{Key: core.RequestKey{Team: "lyra", ID: "frame-1"}, KeyDigest: "good", Body: []byte("frames")}
+	r := h.newRecord(req)
+	r.tried = []core.VMID{"vm_1"}
+	sum := r.body
+	answer := core.Done{VM: "vm_2", Body: []byte("plate")}
+	h.finish(r, answer)
+	assert.DeepEqual(t, r.request, core.Request{Key: req.Key})
+	assert.Assert(t, r.tried == nil)
+	assert.Equal(t, r.body, sum)
+	assert.DeepEqual(t, r.answer, core.Answer(answer))
+}
--- a/io/target/client.go
+++ b/io/target/client.go
@@ -190,10 +190,10 @@
 		return nil, errors.New("answer of another task")
 	}
 	length, err := strconv.ParseInt(resp.Header.Get(HeaderLength), 10, 64)
-	if err != nil || length > c.MaxAnswer {
+	if err != nil || length < 0 || length > c.MaxAnswer {
 		return nil, errors.New("answer without a usable length")
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, length+1))
+	body, err := readUpTo(resp.Body, length)
 	if err != nil {
 		return nil, errors.Wrap(err, "read answer")
 	}
@@ -203,6 +203,26 @@
 	return body, nil
 }
 
+// readUpTo reads r to its end, or one byte more than length. Answers are kept until
+// their requests' deadlines: io.ReadAll's buffer of 512 bytes cost five times what a
+// short answer needs.
+func readUpTo(r io.Reader, length int64) ([]byte, error) {
+	body := make([]byte, length)
+	n, err := io.ReadFull(r, body)
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		return body[:n], nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	var more [1]byte
+	n, err = io.ReadFull(r, more[:])
+	if errors.Is(err, io.EOF) {
+		return body, nil
+	}
+	return append(body, more[:n]...), err
+}
+
 func (c *Client) now() time.Time {
 	if c.Now == nil {
 		return time.Now()
--- a/io/target/client_test.go
+++ b/io/target/client_test.go
@@ -211,3 +211,14 @@
 		Request: core.Request{Key: key, Body: []byte(body)}, Number: 2, StartBy: deadline, LeaseUntil: deadline,
 	})
 }
+
+// TestAnswersKeepNoSlack: answers are kept until their requests' deadlines. The buffer
+// of a short one is as long as the answer.
+func TestAnswersKeepNoSlack(t *testing.T) {
+	srv := httptest.NewServer(whole)
+	defer srv.Close()
+	end := startAt(NewClient(2, 1000), srv, "frames")
+	a, ok := end.(home.Answered)
+	assert.Assert(t, ok, "%v", end)
+	assert.Equal(t, cap(a.Body), len(a.Body))
+}
