List the audit past a record that is missing

Cause: platform.Client.Get turned every status but 200 into table.ErrDown, so an object that the store doesn't have looked like an outage. `audit` ended with platform_down (exit 7) at the first such record, showed none of the others, and asked every entry in turn for nothing.

Now Get gives ErrNoObject for the store's own 404. The list holds record_missing under the version, goes on, and the command ends with partly_confirmed (8) and the versions. An outage still ends the list with platform_down, since a list with holes would be taken for a lost record. Ruled out: leaving the record out of the list, as the operator would have to count versions to see it. The exporter's readBack already stores the record again on any error of Get; unchanged.

The object stores faked in io/operator's tests now answer ErrNoObject for a missing object, where they said ErrDown.

Seen red with the two new branches switched off: TestGetMissingObject, TestListAuditDeleted and the golden session audit.txt fail. Green with them.

--- a/cmd/lavenderpond/audit.go
+++ b/cmd/lavenderpond/audit.go
@@ -1,7 +1,11 @@
 package main
 
 import (
+	"fmt"
+	"strings"
+
 	pb "lavenderpond/io/gen/lavenderpond/v1"
+	"lavenderpond/io/operator"
 )
 
 type auditCmd struct {
@@ -15,9 +19,19 @@
 		return err
 	}
 	var g grid
+	var missing []string
 	g.add("VERSION", "AT", "AUTHOR", "KIND", "ROW", "BEFORE", "AFTER", "REASON", "CHANGE")
 	for _, r := range reply.Records {
 		g.add(r.Version, when(r.At), r.Author, r.Kind, r.Row, r.Before, r.After, r.Reason, r.ChangeId)
+		if r.Kind == operator.KindMissing {
+			missing = append(missing, fmt.Sprint(r.Version))
+		}
+	}
+	if err := a.show(reply, g); err != nil {
+		return err
+	}
+	if len(missing) > 0 {
+		return failf(exitPartly, "neither the table nor the object store has the record of version %s", strings.Join(missing, ", "))
 	}
-	return a.show(reply, g)
+	return nil
 }
--- a/cmd/lavenderpond/fakes_test.go
+++ b/cmd/lavenderpond/fakes_test.go
@@ -9,10 +9,13 @@
 	"net/http/httptest"
 	"sync"
 	"syscall"
+	"testing"
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/pkg/errors"
 	"google.golang.org/protobuf/types/known/timestamppb"
+	"gotest.tools/v3/assert"
 
 	"lavenderpond/core"
 	"lavenderpond/core/config"
@@ -21,6 +24,7 @@
 	pb "lavenderpond/io/gen/lavenderpond/v1"
 	"lavenderpond/io/gen/lavenderpond/v1/lavenderpondv1connect"
 	"lavenderpond/io/operator"
+	"lavenderpond/io/platform"
 )
 
 // fakeTable is the platform's table with faults.
@@ -77,6 +81,22 @@
 	return err
 }
 
+// Put implements platform.Objects; nothing is kept.
+func (t *fakeTable) Put(context.Context, string, []byte) error { return nil }
+
+// Get implements platform.Objects: an empty store.
+func (t *fakeTable) Get(_ context.Context, name string) ([]byte, error) {
+	return nil, errors.Wrap(platform.ErrNoObject, name)
+}
+
+// dropAudit loses the audit record of v, which the object store has neither.
+func (f *fakeFleet) dropAudit(t *testing.T, v core.Version) {
+	row := f.table.rows.Read(table.AuditKey(v))
+	var tx table.Transaction
+	tx.Delete(row.Key)
+	assert.NilError(t, f.table.rows.Transact(tx))
+}
+
 // fakeEntry is a daemon behind the operators' and callers' services.
 type fakeEntry struct {
 	fleet   *fakeFleet
--- a/cmd/lavenderpond/session_test.go
+++ b/cmd/lavenderpond/session_test.go
@@ -15,6 +15,8 @@
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
+
+	"lavenderpond/core"
 )
 
 // session replays a script of commands and faults and writes down what a person
@@ -116,6 +118,10 @@
 			fmt.Fprintf(&s.out, "  (in between, bob: %s)\n", line)
 			s.run(t, "bob", line)
 		}
+	case "audit":
+		v, err := strconv.ParseUint(words[2], 10, 64)
+		assert.NilError(t, err)
+		s.fleet.dropAudit(t, core.Version(v))
 	case "advance":
 		d, err := time.ParseDuration(words[1])
 		assert.NilError(t, err)
--- a/io/operator/export_delete_test.go
+++ b/io/operator/export_delete_test.go
@@ -254,6 +254,19 @@
 	for i, record := range list() {
 		assert.Equal(t, record.String(), before[i].String())
 	}
+	// The store loses one of them: the list names it and goes on.
+	delete(r.store.objects, AuditObject(core.Version(before[2].Version)))
+	before[2] = &pb.AuditRecord{Version: before[2].Version, Kind: KindMissing}
+	for i, record := range list() {
+		assert.Equal(t, record.String(), before[i].String())
+	}
+	// An outage of the store is no missing record: the list fails, to be asked again.
+	r.s.Table = struct {
+		*faultyTable
+		*brokenObjects
+	}{r.t, &brokenObjects{}}
+	_, err := r.s.ListAudit(context.Background(), connect.NewRequest(&pb.ListAuditRequest{Last: 5}))
+	assert.ErrorIs(t, err, table.ErrDown)
 }
 
 // simultaneous lets the next exporter run right before each transaction takes effect,
--- a/io/operator/export_test.go
+++ b/io/operator/export_test.go
@@ -8,6 +8,7 @@
 
 	"lavenderpond/core"
 	"lavenderpond/core/table"
+	"lavenderpond/io/platform"
 )
 
 // fakeObjects is the object store: down at times, and answers are lost. It may also
@@ -33,9 +34,12 @@
 
 func (o *fakeObjects) Get(_ context.Context, name string) ([]byte, error) {
 	data, ok := o.objects[name]
-	if !ok || o.table.chance(20) {
+	if o.table.chance(20) {
 		return nil, table.ErrDown
 	}
+	if !ok {
+		return nil, platform.ErrNoObject
+	}
 	return []byte(data), nil
 }
 
--- a/io/operator/lists.go
+++ b/io/operator/lists.go
@@ -205,6 +205,11 @@
 	maxLast     = 1000
 )
 
+// KindMissing stands in an audit list for a change whose record neither the table nor
+// the object store has any more. Without it one lost record would end the whole list,
+// and an operator would wait for a platform that is up.
+const KindMissing = "record_missing"
+
 // ListAudit implements OperatorService.
 func (s *Server) ListAudit(ctx context.Context, r *connect.Request[pb.ListAuditRequest]) (*connect.Response[pb.ListAuditReply], error) {
 	var head config.Head
@@ -233,6 +238,9 @@
 
 func (s *Server) auditRecord(ctx context.Context, v core.Version) (*pb.AuditRecord, error) {
 	a, err := s.audit(ctx, v)
+	if errors.Is(err, platform.ErrNoObject) {
+		return &pb.AuditRecord{Version: uint64(v), Kind: KindMissing}, nil
+	}
 	return &pb.AuditRecord{
 		Version: uint64(v), ChangeId: string(a.Change), Author: a.Author, At: stamp(a.At), Kind: a.Kind, Reason: a.Reason,
 		Row: strings.TrimSpace(string(a.Key)), Before: string(a.Before), After: string(a.After),
--- a/io/platform/client.go
+++ b/io/platform/client.go
@@ -116,6 +116,9 @@
 // Get implements Objects.
 func (c *Client) Get(ctx context.Context, name string) ([]byte, error) {
 	data, status, err := c.do(ctx, http.MethodGet, c.BaseURL+PathObjects+url.PathEscape(name), nil)
+	if err == nil && status == http.StatusNotFound {
+		return nil, errors.Wrap(ErrNoObject, name)
+	}
 	return data, c.expectOK(data, status, err)
 }
 
--- a/io/platform/fleet_client_test.go
+++ b/io/platform/fleet_client_test.go
@@ -103,3 +103,18 @@
 		assert.Assert(t, err != nil && looks == nil, "status %d says nothing of the VMs", status)
 	}
 }
+
+// A monitor or operator asks for an object. The store's own 404 says that there is
+// none; any other refusal is an outage and worth another try. With both the same, one
+// lost audit record looked like a platform that is down.
+func TestGetMissingObject(t *testing.T) {
+	status := http.StatusNotFound
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) }))
+	defer s.Close()
+	_, err := NewClient(s.URL).Get(context.Background(), "audit-1.json")
+	assert.ErrorIs(t, err, ErrNoObject)
+	assert.Assert(t, !errors.Is(err, table.ErrDown))
+	status = http.StatusServiceUnavailable
+	_, err = NewClient(s.URL).Get(context.Background(), "audit-1.json")
+	assert.ErrorIs(t, err, table.ErrDown)
+}
--- a/io/platform/platform.go
+++ b/io/platform/platform.go
@@ -6,6 +6,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"lavenderpond/core"
 	"lavenderpond/core/table"
 )
@@ -24,11 +26,16 @@
 	Transact(ctx context.Context, t table.Transaction) error
 }
 
+// ErrNoObject is the object store's own word that it has no object of the name. It is
+// no outage: asking again doesn't help.
+var ErrNoObject = errors.New("object store: no such object")
+
 // Objects is the platform's object store. The monitor reads it.
 type Objects interface {
 	// Put stores data under name, replacing what was there.
 	Put(ctx context.Context, name string, data []byte) error
-	// Get returns the object, or table.ErrDown if the store can't be reached.
+	// Get returns the object, ErrNoObject if the store has none of that name, or
+	// table.ErrDown if it can't be reached. Both errors may be wrapped.
 	Get(ctx context.Context, name string) ([]byte, error)
 }
 
