End a submission that is too large with not_run

Cause: a body above the entry's bound is refused before it is read, by a connect error without a numbered detail. The command took it for a lost answer: a body of 2,000,000 bytes was offered nine times to three entries, and ended with outcome_unknown (4) where docs/operators/command-line.md says not_run (3) for too_large, and where every entry had said that it read nothing.

An error of the entry's own (connect.IsWireError) with resource_exhausted is now final if nothing was sent before that may have been taken; after a lost answer the outcome stays unknown. Ruled out: believing the HTTP status 413, which a proxy in between could give.

--- a/cmd/lavenderpond/fakes_test.go
+++ b/cmd/lavenderpond/fakes_test.go
@@ -21,6 +21,7 @@
 	"lavenderpond/core/config"
 	"lavenderpond/core/key"
 	"lavenderpond/core/table"
+	"lavenderpond/io/connectrpc"
 	pb "lavenderpond/io/gen/lavenderpond/v1"
 	"lavenderpond/io/gen/lavenderpond/v1/lavenderpondv1connect"
 	"lavenderpond/io/operator"
@@ -117,6 +118,9 @@
 	view    config.Delta
 }
 
+// requestLimit is how many bytes of a caller's request the fake entries read.
+const requestLimit = 2000
+
 const operatorKey = "operator-key-of-the-tests"
 
 func newFakeFleet() *fakeFleet {
@@ -174,7 +178,8 @@
 	mux := http.NewServeMux()
 	s := &operator.Server{Table: &e.fleet.table, Backend: e, Entry: e.status.Entry, KeyDigest: core.Digest(operatorKey), Now: func() time.Time { return e.fleet.now }}
 	mux.Handle(s.Handler())
-	mux.Handle(lavenderpondv1connect.NewCallerServiceHandler(e))
+	path, h := lavenderpondv1connect.NewCallerServiceHandler(e)
+	mux.Handle(path, connectrpc.LimitBody(h, requestLimit))
 	return mux
 }
 
--- a/cmd/lavenderpond/requests.go
+++ b/cmd/lavenderpond/requests.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"os"
+	"strings"
 	"time"
 
 	"connectrpc.com/connect"
@@ -136,6 +137,8 @@
 				stopping = answer
 			case err == nil:
 				return answer, nil
+			case unread(err) && !sent:
+				return nil, refusalOf(err)
 			default:
 				sent = sent || !notSent(err)
 				a.warnf("entry %s: %v\n", address, err)
@@ -152,6 +155,23 @@
 	}
 }
 
+// unread reports whether err is an entry's own word that it did not read the request
+// because of its size. Taken for a lost answer, it would be offered in vain to every
+// entry, and the caller told that a request may have run that no entry has read. A
+// refusal that only a proxy or a broken connection gave carries no such word.
+func unread(err error) bool {
+	return connect.IsWireError(err) && connect.CodeOf(err) == connect.CodeResourceExhausted
+}
+
+// refusalOf returns the numbered refusal of a request that was not read.
+func refusalOf(err error) error {
+	detail := err.Error()
+	if _, after, ok := strings.Cut(detail, core.CodeTooLarge.String()); ok {
+		_, detail, _ = strings.Cut(after, ": ")
+	}
+	return core.Errorf(core.CodeTooLarge, "%s", detail)
+}
+
 // answerOf returns the whole answer, or an error for one that was cut.
 func answerOf(r *connect.Response[pb.Answer], err error) (*pb.Answer, error) {
 	if err != nil {
