Note names under which nothing is set

On a fleet of 6 entries a key was granted for a team that didn't exist, a VM added in a zone without entries and a wave started there. Such a VM counts as serving, since no controller looks at it, and can't be removed, since nothing drains it.

Each now gives a note on standard error (`note` in JSON) and takes the change as before. Ruled out: refusing, since rows may be set in any order and a zone's VMs may be added before its entries run; asking all entries for the zones, which costs a call to each entry for each VM added. One read of the row named, or one scan of the zone's entry rows, after the change.

--- a/cmd/lavenderpond/fakes_test.go
+++ b/cmd/lavenderpond/fakes_test.go
@@ -132,6 +132,14 @@
 			Entry: core.EntryID(e.name), Zone: core.ZoneID(e.zone), Reachable: true, Shards: 16,
 			Teams: []operator.TeamLoad{{Team: "imaging", Running: 3, Queued: 1}},
 		}})
+		var tx table.Transaction
+		key := table.EntryKey(core.ZoneID(e.zone), e.name)
+		if err := tx.Set(key, e.address); err != nil {
+			panic(err)
+		}
+		if err := f.table.rows.Transact(tx); err != nil {
+			panic(err)
+		}
 	}
 	return f
 }
--- a/cmd/lavenderpond/keys.go
+++ b/cmd/lavenderpond/keys.go
@@ -48,6 +48,7 @@
 	Key     string `json:"key"`
 	Digest  string `json:"digest"`
 	Version uint64 `json:"version"`
+	Note    string `json:"note,omitempty"`
 }
 
 // Run grants a key. Only its digest leaves the command; the key is printed once the
@@ -66,7 +67,7 @@
 		return err
 	}
 	if a.Output == "json" {
-		data, err := json.Marshal(granted{c.Team, key, digest, reply.Version})
+		data, err := json.Marshal(granted{c.Team, key, digest, reply.Version, reply.Note})
 		if err != nil {
 			return errors.Wrap(err, "encode key")
 		}
@@ -74,6 +75,9 @@
 		return nil
 	}
 	a.printf("key      %s\ndigest   %s\nversion  %d\n", key, digest, reply.Version)
+	if reply.Note != "" {
+		a.warnf("note: %s\n", reply.Note)
+	}
 	a.warnf("the key is not stored and won't be shown again\n")
 	return nil
 }
--- a/io/operator/change.go
+++ b/io/operator/change.go
@@ -21,6 +21,9 @@
 	var err error
 	if a := s.adminOf(m); a != nil {
 		reply, err = s.applyAdmin(ctx, m, a)
+		if err == nil && reply.Note == "" {
+			reply.Note = s.noteOnZone(ctx, a)
+		}
 	} else {
 		reply, err = s.applyConfig(ctx, m)
 	}
--- a/io/operator/note.go
+++ b/io/operator/note.go
@@ -3,15 +3,20 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 
 	"lavenderpond/core"
 	"lavenderpond/core/config"
+	"lavenderpond/core/table"
 	pb "lavenderpond/io/gen/lavenderpond/v1"
 )
 
 // noteOn tells what an operator should know after c. A limit below what runs
 // stops nothing that runs; the note shows how far the team still is above it.
 func (s *Server) noteOn(ctx context.Context, c config.Change, m *pb.ApplyChangeRequest) string {
+	if note := s.unsetName(ctx, c); note != "" {
+		return note
+	}
 	t, ok := c.(config.SetTeam)
 	if !ok || m.GetSetTeam().Limit == nil || t.Value.Limit == 0 {
 		return ""
@@ -38,3 +43,55 @@
 	}
 	return note
 }
+
+// unsetName tells of a name in c that nothing is set under. It may be misspelt: the key,
+// queue or exception is then accepted, and has no effect that anybody sees. It is no
+// refusal, since rows may be set in any order.
+func (s *Server) unsetName(ctx context.Context, c config.Change) string {
+	switch c := c.(type) {
+	case config.GrantKey:
+		return s.noteUnset(ctx, table.TeamKey(c.Team), "the key works once it is")
+	case config.SetQueue:
+		if c.Value.Pool == "" {
+			return ""
+		}
+		return s.noteUnset(ctx, table.PoolConfigKey(c.Value.Pool), "the queue's requests find no VM until it is")
+	case config.AddException:
+		if c.Scope == table.ConfigDefaults {
+			return ""
+		}
+		return s.noteUnset(ctx, c.Scope, "the exception changes nothing until it is")
+	default:
+		return ""
+	}
+}
+
+// noteUnset returns a note if there is no row of key. One that can't be read gives none:
+// the change itself was made.
+func (s *Server) noteUnset(ctx context.Context, key table.Key, until string) string {
+	row, err := s.Table.Read(ctx, key)
+	if err != nil || row.Version > 0 {
+		return ""
+	}
+	return fmt.Sprintf("no %s is set; %s", strings.TrimPrefix(string(key), table.PrefixConfig), until)
+}
+
+// noteOnZone tells that no entry of the zone has ever stated its address. The zone may be
+// misspelt, and nothing would then drain, check or maintain its VMs.
+func (s *Server) noteOnZone(ctx context.Context, a admin) string {
+	zone := ""
+	switch a := a.(type) {
+	case addVM:
+		zone = a.Zone
+	case wave:
+		zone = a.zone
+	}
+	if zone == "" {
+		return ""
+	}
+	rows, _, err := s.Table.Scan(ctx, table.PrefixEntry+zone+"/")
+	if err != nil || len(rows) > 0 {
+		return ""
+	}
+	return fmt.Sprintf("no entry of zone %s is known; nothing is drained or maintained there until one runs", zone)
+}
