Refuse to withdraw what is no key's digest

Cause: Withdraw checked the digest's length only. A digest in upper case, as some tools print it, or 64 other characters went to every entry, and the report said "in force in 3 of 3 zones" (exit 8, since the table refused the form), with the advice to repeat it. On a fleet of 6 entries the key of that digest went on being taken: `submit` with it was done. The key itself in place of its digest was refused, but with a sentence that named three things at once.

Now 64 lower-case hex digits are needed before any entry is told; the refusal says that nothing was withdrawn and how a digest is made. Ruled out: lowering the case silently, as the record would name another digest than the command.

--- a/io/operator/withdraw.go
+++ b/io/operator/withdraw.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"regexp"
 
 	"connectrpc.com/connect"
 
@@ -13,15 +14,21 @@
 	"lavenderpond/io/platform"
 )
 
-// digestLength is the length of a key's digest, in hex digits.
-const digestLength = 64
+// digestPattern is the form of every digest that an entry compares keys with. The key
+// itself, or a digest in upper case, matches no key: taken, the report would say "in
+// force" at every entry while the leaked key goes on working.
+var digestPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
 
 // Withdraw implements OperatorService. The entries come before the table: a table
 // that is slow or down must not keep a leaked key working.
 func (s *Server) Withdraw(ctx context.Context, r *connect.Request[pb.WithdrawRequest]) (*connect.Response[pb.WithdrawReply], error) {
 	m := r.Msg
-	if m.ChangeId == "" || m.Author == "" || len(m.Digest) != digestLength {
-		return nil, core.Errorf(core.CodeMalformed, "change_id, author and the key's digest of %d hex digits are needed", digestLength)
+	if m.ChangeId == "" || m.Author == "" {
+		return nil, core.Errorf(core.CodeMalformed, "change_id and author: both are needed")
+	}
+	if !digestPattern.MatchString(m.Digest) {
+		return nil, core.Errorf(core.CodeMalformed,
+			"digest: 64 lower-case hex digits are needed, as 'keys list' shows them and 'printf %%s KEY | sha256sum' prints them; nothing was withdrawn")
 	}
 	w := key.Withdrawal{Digest: core.KeyDigest(m.Digest), Team: s.teamOf(m), Author: m.Author, Reason: m.Reason}
 	if s.tableFirst {
