Refuse a timeout of nothing or less

With 0s or less no call can be made, and the command said that no entry was reached (7), or, for a change, that it may have taken effect (4), after three rounds over all entries.

It is now a wrong command line (2).

--- a/cmd/lavenderpond/app.go
+++ b/cmd/lavenderpond/app.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/alecthomas/kong"
+	"github.com/pkg/errors"
 )
 
 // cli is the command line.
@@ -43,6 +44,15 @@
 	Config      configCmd      `cmd:"" help:"Settings files of the daemon."`
 }
 
+// Validate refuses a timeout that no call can meet: every entry would be reported as
+// not reached. Kong calls it.
+func (c *cli) Validate() error {
+	if c.Timeout <= 0 {
+		return errors.Errorf("--timeout: read %s, allowed is more than 0s", c.Timeout)
+	}
+	return nil
+}
+
 // app is what commands run with. Tests replace its fields.
 type app struct {
 	cli
