--- a/cmd/lavenderpond/exit.go
+++ b/cmd/lavenderpond/exit.go
@@ -36,8 +36,8 @@
 	name, meaning string
 }{
 	{exitDone, "done", "What was asked for is done."},
-	{exitInternal, "internal", "A fault of lavenderpond, or a local file that can't be read or written."},
-	{exitUsage, "usage", "The command line is wrong; see --help."},
+	{exitInternal, "internal", "A fault of lavenderpond, or standard input or output failed."},
+	{exitUsage, "usage", "The command line is wrong, see --help; or a key file or body file can't be read."},
 	{exitNotRun, "not_run", "The request did not run and won't. The detail says when to come back, if there is a point."},
 	{exitOutcomeUnknown, "outcome_unknown", "The request may have run, or the change may have taken effect. Fetch the request by its id; repeat the change with the same --change-id."},
 	{exitConflict, "conflict", "Another change came first, or the state of the VM, pool or zone doesn't allow this one. Read again, then repeat under a new change id."},
@@ -45,7 +45,7 @@
 	{exitUnreachable, "unreachable", "The platform's table is down or no entry was reached. Nothing was changed, nothing ran."},
 	{exitPartly, "partly_confirmed", "Done where it could be confirmed; the report names the zones and entries where it can't be."},
 	{exitPending, "pending", "The request is queued or running; fetch it again later."},
-	{exitRefused, "refused", "The change or the settings file is outside what is allowed: a reason is missing, a value is wrong, a budget is spent, a name is unknown."},
+	{exitRefused, "refused", "The change or the settings file is outside what is allowed: a reason is missing, a value is wrong, a budget is spent, a name is unknown, the settings file can't be read."},
 }
 
 // exitOf returns the exit code of a result code.
