--- a/cmd/lavenderpond/exceptions.go
+++ b/cmd/lavenderpond/exceptions.go
@@ -8,6 +8,7 @@
 
 	"google.golang.org/protobuf/types/known/timestamppb"
 
+	"lavenderpond/core/table"
 	pb "lavenderpond/io/gen/lavenderpond/v1"
 )
 
@@ -29,7 +30,7 @@
 	var g grid
 	g.add("ID", "SCOPE", "VALUE", "END", "ENDED", "AUTHOR", "REASON")
 	for _, e := range reply.Exceptions {
-		g.add(e.Id, e.Scope, values(e.Value), when(e.End), e.Ended, e.Author, e.Reason)
+		g.add(e.Id, strings.TrimPrefix(e.Scope, table.PrefixConfig), values(e.Value), when(e.End), e.Ended, e.Author, e.Reason)
 	}
 	return a.show(reply, g)
 }
