--- a/cmd/lavenderpond/fakes_test.go
+++ b/cmd/lavenderpond/fakes_test.go
@@ -9,18 +9,23 @@
 	"net/http/httptest"
 	"sync"
 	"syscall"
+	"testing"
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/pkg/errors"
 	"google.golang.org/protobuf/types/known/timestamppb"
+	"gotest.tools/v3/assert"
 
 	"lavenderpond/core"
 	"lavenderpond/core/config"
 	"lavenderpond/core/key"
 	"lavenderpond/core/table"
+	"lavenderpond/io/connectrpc"
 	pb "lavenderpond/io/gen/lavenderpond/v1"
 	"lavenderpond/io/gen/lavenderpond/v1/lavenderpondv1connect"
 	"lavenderpond/io/operator"
+	"lavenderpond/io/platform"
 )
 
 // fakeTable is the platform's table with faults.
@@ -77,6 +82,22 @@
 	return err
 }
 
+// Put implements platform.Objects; nothing is kept.
+func (t *fakeTable) Put(context.Context, string, []byte) error { return nil }
+
+// Get implements platform.Objects: an empty store.
+func (t *fakeTable) Get(_ context.Context, name string) ([]byte, error) {
+	return nil, errors.Wrap(platform.ErrNoObject, name)
+}
+
+// dropAudit loses the audit record of v, which the object store has neither.
+func (f *fakeFleet) dropAudit(t *testing.T, v core.Version) {
+	row := f.table.rows.Read(table.AuditKey(v))
+	var tx table.Transaction
+	tx.Delete(row.Key)
+	assert.NilError(t, f.table.rows.Transact(tx))
+}
+
 // fakeEntry is a daemon behind the operators' and callers' services.
 type fakeEntry struct {
 	fleet   *fakeFleet
@@ -97,6 +118,9 @@
 	view    config.Delta
 }
 
+// requestLimit is how many bytes of a caller's request the fake entries read.
+const requestLimit = 2000
+
 const operatorKey = "operator-key-of-the-tests"
 
 func newFakeFleet() *fakeFleet {
@@ -108,6 +132,14 @@
 			Entry: core.EntryID(e.name), Zone: core.ZoneID(e.zone), Reachable: true, Shards: 16,
 			Teams: []operator.TeamLoad{{Team: "imaging", Running: 3, Queued: 1}},
 		}})
+		var tx table.Transaction
+		key := table.EntryKey(core.ZoneID(e.zone), e.name)
+		if err := tx.Set(key, e.address); err != nil {
+			panic(err)
+		}
+		if err := f.table.rows.Transact(tx); err != nil {
+			panic(err)
+		}
 	}
 	return f
 }
@@ -154,7 +186,8 @@
 	mux := http.NewServeMux()
 	s := &operator.Server{Table: &e.fleet.table, Backend: e, Entry: e.status.Entry, KeyDigest: core.Digest(operatorKey), Now: func() time.Time { return e.fleet.now }}
 	mux.Handle(s.Handler())
-	mux.Handle(lavenderpondv1connect.NewCallerServiceHandler(e))
+	path, h := lavenderpondv1connect.NewCallerServiceHandler(e)
+	mux.Handle(path, connectrpc.LimitBody(h, requestLimit))
 	return mux
 }
 
