End the stand-in's links when their process is told to stop

Cause: serve asked for the link's state, not whether its context had ended, and listened again and again until an address happened to be in use. Seen as 33 s for the package's tests, 0.5 to 13 s a test of links in 16 runs; a stack at 2 s showed serve running.

TestLinkEnds, red with the line as before (trial, by an overlay of the file): runs into its time limit.

--- a/cmd/lavenderpond-standin/forwarder.go
+++ b/cmd/lavenderpond-standin/forwarder.go
@@ -87,12 +87,12 @@
 }
 
 // await returns the state once it is none of those given. It returns false if ctx
-// ends first.
+// has ended.
 func (l *link) await(ctx context.Context, not ...linkState) (linkState, bool) {
 	for {
 		state, _, changed := l.now()
 		if !contains(not, state) {
-			return state, true
+			return state, ctx.Err() == nil
 		}
 		select {
 		case <-changed:
--- a/cmd/lavenderpond-standin/link_test.go
+++ b/cmd/lavenderpond-standin/link_test.go
@@ -154,6 +154,16 @@
 	assert.Equal(t, pass(t, here, there, "words"), "late words")
 }
 
+// TestLinkEnds: the process is told to stop while its links are open. Each must end at
+// once; it used to listen again and again until an address was in use.
+func TestLinkEnds(t *testing.T) {
+	links, err := parseLinks([]string{"a.b=127.0.0.1:0=127.0.0.1:1"})
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	assert.NilError(t, links["a.b"].serve(ctx, links["a.b"].forwards[0]))
+}
+
 // TestLinkOrders: an order that would change nothing is refused, as are addresses
 // that aren't on loopback: a fault that isn't induced would look survived.
 func TestLinkOrders(t *testing.T) {
