Find out that a peer has fallen silent, and end the calls that wait for it

The sender can't tell silence from work that takes long by waiting.

Ruled out: TCP keepalive, which a frozen process answers and which doesn't run while bytes are unacknowledged; a bound on the call, which would cut long work off; marking peers by the live list, which lags.

Change: while a call waits, the connection is looked at once a second. If nothing came since the last look the peer is pinged; after the fourth such look in a row the connection is closed, and its calls end as "may have been sent". Looks are counted and not the time, so that a process that was paused itself doesn't take its peers for silent. An idle connection costs nothing.

--- a/io/peer/codec.go
+++ b/io/peer/codec.go
@@ -102,10 +102,12 @@
 	conn io.ReadWriteCloser
 	dec  *gob.Decoder
 	w    *writer
+	// onReply is called when a reply comes.
+	onReply func()
 }
 
-func newClientCodec(conn io.ReadWriteCloser) *clientCodec {
-	return &clientCodec{conn: conn, dec: gob.NewDecoder(bufio.NewReader(conn)), w: newWriter(conn)}
+func newClientCodec(conn io.ReadWriteCloser, onReply func()) *clientCodec {
+	return &clientCodec{conn: conn, dec: gob.NewDecoder(bufio.NewReader(conn)), w: newWriter(conn), onReply: onReply}
 }
 
 // WriteRequest implements rpc.ClientCodec.
@@ -119,7 +121,13 @@
 }
 
 // ReadResponseHeader implements rpc.ClientCodec.
-func (c *clientCodec) ReadResponseHeader(r *rpc.Response) error { return c.dec.Decode(r) }
+func (c *clientCodec) ReadResponseHeader(r *rpc.Response) error {
+	err := c.dec.Decode(r)
+	if err == nil {
+		c.onReply()
+	}
+	return err
+}
 
 // ReadResponseBody implements rpc.ClientCodec.
 func (c *clientCodec) ReadResponseBody(body any) error { return c.dec.Decode(body) }
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -30,8 +30,14 @@
 	rpc *rpc.Server
 }
 
-// NewServer returns a server without receivers.
-func NewServer() *Server { return &Server{rpc: rpc.NewServer()} }
+// NewServer returns a server that answers pings.
+func NewServer() *Server {
+	s := &Server{rpc: rpc.NewServer()}
+	if err := s.Register(AliveName, Alive{}); err != nil {
+		panic(err) // Its method has the form that net/rpc asks for.
+	}
+	return s
+}
 
 // Register adds a receiver under name.
 func (s *Server) Register(name string, receiver any) error {
@@ -70,6 +76,10 @@
 // Pool keeps one connection per peer address. Its zero value works. It is safe
 // for concurrent use.
 type Pool struct {
+	// LookEvery is the time between two looks at a peer that owes replies; 0 means one
+	// second. After four looks at which nothing was heard its connection is closed.
+	LookEvery time.Duration
+
 	mu      sync.Mutex
 	clients map[string]*client
 }
@@ -77,12 +87,51 @@
 // client is a connection to a peer.
 type client struct {
 	*rpc.Client
-	w *writer
+	w         *writer
+	pulse     pulse
+	lookEvery time.Duration
 }
 
-func newClient(conn net.Conn) *client {
-	codec := newClientCodec(conn)
-	return &client{Client: rpc.NewClientWithCodec(codec), w: codec.w}
+func newClient(conn net.Conn, lookEvery time.Duration) *client {
+	c := &client{lookEvery: lookEvery}
+	if lookEvery == 0 {
+		c.lookEvery = pulseInterval
+	}
+	codec := newClientCodec(conn, c.pulse.hear)
+	c.Client, c.w = rpc.NewClientWithCodec(codec), codec.w
+	return c
+}
+
+// call sends a call and returns when its reply has come, the connection has ended or
+// ctx has.
+func (c *client) call(ctx context.Context, method string, args, reply any) error {
+	if c.pulse.begin() {
+		time.AfterFunc(c.lookEvery, c.look)
+	}
+	defer c.pulse.end()
+	call := c.start(method, args, reply)
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-call.Done:
+		return call.Error
+	}
+}
+
+// look closes the connection of a peer that has fallen silent, so that all calls that
+// wait for it end. The next look is arranged before a ping is sent: writing to a peer
+// that takes no bytes blocks, until the connection is closed.
+func (c *client) look() {
+	switch c.pulse.look() {
+	case beatStop:
+	case beatSilent:
+		_ = c.Close()
+	case beatPing:
+		time.AfterFunc(c.lookEvery, c.look)
+		c.start(AliveName+".Ping", 1, new(int))
+	case beatWait:
+		time.AfterFunc(c.lookEvery, c.look)
+	}
 }
 
 // start sends a call. Nothing waits for a reply here.
@@ -98,20 +147,12 @@
 	if err != nil {
 		return err
 	}
-	call := c.start(method, args, reply)
-	select {
-	case <-ctx.Done():
-		return errors.Wrapf(ctx.Err(), "call %s", method)
-	case <-call.Done:
-	}
-	if call.Error == nil {
-		return nil
-	}
+	err = c.call(ctx, method, args, reply)
 	var remote rpc.ServerError
-	if !errors.As(call.Error, &remote) {
+	if err != nil && ctx.Err() == nil && !errors.As(err, &remote) {
 		p.drop(address, c)
 	}
-	return errors.Wrapf(call.Error, "call %s", method)
+	return errors.Wrapf(err, "call %s", method)
 }
 
 // Close ends all connections.
@@ -139,7 +180,7 @@
 	if err != nil {
 		return nil, errors.Wrap(ErrNotSent, err.Error())
 	}
-	return p.keep(address, newClient(conn)), nil
+	return p.keep(address, newClient(conn, p.LookEvery)), nil
 }
 
 // keep stores c, unless another goroutine was faster.
--- a/io/peer/serve_test.go
+++ b/io/peer/serve_test.go
@@ -117,7 +117,7 @@
 	c := newConnection(s, far)
 	var g supervisor.Group
 	g.Go(c.serve)
-	client := newClient(near)
+	client := newClient(near, 0)
 	const n = 3 * idleReaders
 	var calls []*rpc.Call
 	for range n {
