Give a wrong command line as JSON to whom asks for JSON

Cause: docs/operators/command-line.md promises an error as one JSON line with `--output json`, but a command line that kong refuses was reported as text, since kong sets no flag of it. A script got the one error that it couldn't read.

The flag is now looked for in the arguments, up to "--".

--- a/cmd/lavenderpond/app.go
+++ b/cmd/lavenderpond/app.go
@@ -107,7 +107,7 @@
 	}
 	command, err := parser.Parse(args)
 	if err != nil {
-		problemOf(failf(exitUsage, "%v", err)).show(a.stderr, false)
+		problemOf(failf(exitUsage, "%v", err)).show(a.stderr, wantsJSON(args))
 		return exitUsage
 	}
 	if err := command.Run(a); err != nil {
@@ -118,6 +118,23 @@
 	return exitDone
 }
 
+// wantsJSON reports whether args ask for JSON. Of a command line that it refuses, kong
+// sets no flags; a script would then get the one error that isn't JSON.
+func wantsJSON(args []string) bool {
+	asked := false
+	for i, arg := range args {
+		switch arg {
+		case "--":
+			return asked
+		case "-o", "--output":
+			asked = i+1 < len(args) && args[i+1] == "json"
+		case "-ojson", "--output=json":
+			asked = true
+		}
+	}
+	return asked
+}
+
 func newParser(a *app) (*kong.Kong, error) {
 	return kong.New(&a.cli,
 		kong.Name("lavenderpond"),
