Leave a pool's size alone when a VM is removed that never served

Cause: found by the walk through the commands.

TestRemoveVMBeforeItServed, red before the change: 3 places in place of 4. Green with it, whether the VM was being verified or had failed.

--- a/core/fleet/admin.go
+++ b/core/fleet/admin.go
@@ -88,7 +88,10 @@
 	}
 	p := pool.Pool.withoutOut(vm.Ref)
 	p.Members--
-	if shrink {
+	// The place of a VM that hasn't served yet isn't in Size: taken off, Size would lack
+	// another VM's place, and the budget would let one VM too many go.
+	placed := !vm.VM.Resize || vm.VM.MoveTo != ""
+	if shrink && placed {
 		p.Size--
 	}
 	t, err := write(change{pool: &pool, poolValue: p})
--- a/core/fleet/rules_test.go
+++ b/core/fleet/rules_test.go
@@ -307,3 +307,24 @@
 	r.commit(t)(r.rules.Return(r.now, r.vm(read, fresh), r.pool(read, "b"), time.Time{}))
 	assert.Equal(t, r.pool(read, "b").Pool.Unavailable(), 0)
 }
+
+// An operator adds a VM to be checked first, sees that it is the wrong one and removes
+// it with its place. The pool's size must be what it was: the place is counted only once
+// the VM serves. One less, and the budget would let one serving VM more be taken out.
+func TestRemoveVMBeforeItServed(t *testing.T) {
+	for _, fail := range []bool{false, true} {
+		r := newRace(t, 1, Rules{})
+		read := r.table.Read
+		fresh, before := Ref{"z", "b9"}, r.pool(read, "b").Pool
+		added := r.vm(read, fresh)
+		added.VM.State = Verifying
+		r.commit(t)(AddVM(r.now, added, r.pool(read, "b"), true))
+		if fail {
+			r.commit(t)(r.rules.Fail(r.now, r.vm(read, fresh), r.pool(read, "b")))
+		}
+		r.commit(t)(RemoveVM(r.vm(read, fresh), r.pool(read, "b"), true))
+		after := r.pool(read, "b").Pool
+		assert.Equal(t, after.Size, before.Size)
+		assert.Equal(t, after.Headroom(), before.Headroom())
+	}
+}
