--- a/core/home/home.go
+++ b/core/home/home.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"lavenderpond/core"
+	"lavenderpond/core/deadline"
 	"lavenderpond/core/limit"
 	"lavenderpond/core/queue"
 	"lavenderpond/core/retry"
@@ -81,7 +82,7 @@
 	// open holds the records without a final answer. Most have one, and what is done
 	// once a second or for each shard that moves must not walk over those.
 	open     map[core.RequestKey]*record
-	forget   forgetHeap
+	forget   deadline.Heap[*record]
 	asking   map[core.RequestKey]*record
 	waiting  map[core.RequestKey]*record
 	commands []Command
--- a/core/home/record.go
+++ b/core/home/record.go
@@ -1,7 +1,6 @@
 package home
 
 import (
-	"container/heap"
 	"crypto/sha256"
 	"time"
 
@@ -76,7 +75,7 @@
 	r.forgetAt = req.Deadline.Add(h.Times.Retention)
 	h.records[req.Key] = r
 	h.open[req.Key] = r
-	heap.Push(&h.forget, r)
+	h.forget.Push(r)
 	return r
 }
 
@@ -85,7 +84,7 @@
 	delete(h.open, r.request.Key)
 	delete(h.asking, r.request.Key)
 	delete(h.waiting, r.request.Key)
-	heap.Remove(&h.forget, r.index)
+	h.forget.Remove(r)
 }
 
 // finish gives r its final answer. It is kept, so that the id can't run again, but
@@ -120,33 +119,8 @@
 	h.finish(r, core.OutcomeUnknown{Code: core.CodeHomeReplaced, ComeBackAt: a.ComeBackAt})
 }
 
-// forgetHeap orders records by the time at which they are forgotten.
-type forgetHeap []*record
+// Deadline implements deadline.Item: when the record is forgotten.
+func (r *record) Deadline() time.Time { return r.forgetAt }
 
-// Len implements heap.Interface.
-func (f forgetHeap) Len() int { return len(f) }
-
-// Less implements heap.Interface.
-func (f forgetHeap) Less(i, j int) bool { return f[i].forgetAt.Before(f[j].forgetAt) }
-
-// Swap implements heap.Interface.
-func (f forgetHeap) Swap(i, j int) {
-	f[i], f[j] = f[j], f[i]
-	f[i].index, f[j].index = i, j
-}
-
-// Push implements heap.Interface.
-func (f *forgetHeap) Push(x any) {
-	r := x.(*record)
-	r.index = len(*f)
-	*f = append(*f, r)
-}
-
-// Pop implements heap.Interface.
-func (f *forgetHeap) Pop() any {
-	old := *f
-	r := old[len(old)-1]
-	old[len(old)-1] = nil
-	*f = old[:len(old)-1]
-	return r
-}
+// Place implements deadline.Item.
+func (r *record) Place() *int { return &r.index }
--- a/core/home/tick.go
+++ b/core/home/tick.go
@@ -1,7 +1,6 @@
 package home
 
 import (
-	"container/heap"
 	"sort"
 	"time"
 
@@ -46,11 +45,10 @@
 // forgetOld drops the records whose time is over. A record that still runs is
 // kept: its end has yet to be told.
 func (h *Home) forgetOld(now time.Time) {
-	for len(h.forget) > 0 && !now.Before(h.forget[0].forgetAt) {
-		r := h.forget[0]
+	for r, due := h.forget.Due(now); due; r, due = h.forget.Due(now) {
 		if r.phase != ended && r.phase != inherited {
 			r.forgetAt = now.Add(h.Times.Retention)
-			heap.Fix(&h.forget, 0)
+			h.forget.Fix(r)
 			continue
 		}
 		h.drop(r)
--- a/core/limit/running.go
+++ b/core/limit/running.go
@@ -1,16 +1,16 @@
 package limit
 
 import (
-	"container/heap"
 	"time"
 
 	"lavenderpond/core"
+	"lavenderpond/core/deadline"
 )
 
 // running counts the slots that a team holds at this entry. The zero value is
 // empty.
 type running struct {
-	byEnd endHeap
+	byEnd deadline.Heap[*slot]
 	byKey map[core.RequestKey][]*slot
 }
 
@@ -21,11 +21,17 @@
 	index int
 }
 
-func (r *running) count() core.Slots { return core.Slots(len(r.byEnd)) }
+// Deadline implements deadline.Item.
+func (s *slot) Deadline() time.Time { return s.end }
+
+// Place implements deadline.Item.
+func (s *slot) Place() *int { return &s.index }
+
+func (r *running) count() core.Slots { return core.Slots(r.byEnd.Len()) }
 
 func (r *running) add(key core.RequestKey, end time.Time) {
 	s := &slot{key: key, end: end}
-	heap.Push(&r.byEnd, s)
+	r.byEnd.Push(s)
 	put(&r.byKey, key, append(r.byKey[key], s))
 }
 
@@ -33,15 +39,15 @@
 // holds two.
 func (r *running) release(key core.RequestKey) {
 	for _, s := range r.byKey[key] {
-		heap.Remove(&r.byEnd, s.index)
+		r.byEnd.Remove(s)
 	}
 	delete(r.byKey, key)
 }
 
 // expire gives back the slots whose lease has ended by now.
 func (r *running) expire(now time.Time) {
-	for len(r.byEnd) > 0 && !r.byEnd[0].end.After(now) {
-		s := heap.Pop(&r.byEnd).(*slot)
+	for s, due := r.byEnd.Due(now); due; s, due = r.byEnd.Due(now) {
+		r.byEnd.Remove(s)
 		rest := r.byKey[s.key]
 		for i := range rest {
 			if rest[i] == s {
@@ -55,29 +61,3 @@
 		}
 	}
 }
-
-// endHeap is a heap.Interface with the earliest end first.
-type endHeap []*slot
-
-func (h endHeap) Len() int           { return len(h) }
-func (h endHeap) Less(i, j int) bool { return h[i].end.Before(h[j].end) }
-func (h endHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
-}
-
-// Push implements heap.Interface.
-func (h *endHeap) Push(x any) {
-	s := x.(*slot)
-	s.index = len(*h)
-	*h = append(*h, s)
-}
-
-// Pop implements heap.Interface.
-func (h *endHeap) Pop() any {
-	old := *h
-	s := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	return s
-}
--- a/core/limit/schedule.go
+++ b/core/limit/schedule.go
@@ -2,18 +2,18 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"slices"
 	"time"
 
 	"lavenderpond/core"
+	"lavenderpond/core/deadline"
 )
 
 // schedule keeps the allotments by when they are looked at next, so that a round
 // costs what it looks at and not what the entry holds. The zero value is empty.
-type schedule struct{ byLook lookHeap }
+type schedule struct{ byLook deadline.Heap[*allotment] }
 
-func (s *schedule) add(a *allotment) { heap.Push(&s.byLook, a) }
+func (s *schedule) add(a *allotment) { s.byLook.Push(a) }
 
 // now has a looked at in the next round.
 func (s *schedule) now(a *allotment) {
@@ -21,12 +21,12 @@
 		return
 	}
 	a.lookAt = time.Time{}
-	heap.Fix(&s.byLook, a.index)
+	s.byLook.Fix(a)
 }
 
 // all has every allotment looked at in the next round.
 func (s *schedule) all() {
-	for _, a := range s.byLook {
+	for _, a := range s.byLook.All() {
 		// Equal keys need no order.
 		a.lookAt = time.Time{}
 	}
@@ -36,38 +36,19 @@
 // the same commands in the same order. They have to be added again.
 func (s *schedule) due(now time.Time) []*allotment {
 	var due []*allotment
-	for len(s.byLook) > 0 && !s.byLook[0].lookAt.After(now) {
-		due = append(due, heap.Pop(&s.byLook).(*allotment))
+	for a, ok := s.byLook.Due(now); ok; a, ok = s.byLook.Due(now) {
+		s.byLook.Remove(a)
+		due = append(due, a)
 	}
 	slices.SortFunc(due, func(a, b *allotment) int { return cmp.Compare(a.id, b.id) })
 	return due
 }
 
-// lookHeap is a heap.Interface with the earliest look first.
-type lookHeap []*allotment
+// Deadline implements deadline.Item.
+func (a *allotment) Deadline() time.Time { return a.lookAt }
 
-func (h lookHeap) Len() int           { return len(h) }
-func (h lookHeap) Less(i, j int) bool { return h[i].lookAt.Before(h[j].lookAt) }
-func (h lookHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
-}
-
-// Push implements heap.Interface.
-func (h *lookHeap) Push(x any) {
-	a := x.(*allotment)
-	a.index = len(*h)
-	*h = append(*h, a)
-}
-
-// Pop implements heap.Interface.
-func (h *lookHeap) Pop() any {
-	old := *h
-	a := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	return a
-}
+// Place implements deadline.Item.
+func (a *allotment) Place() *int { return &a.index }
 
 // decideAll looks at the allotments that are due.
 func (l *Ledger) decideAll(now time.Time) []Command {
