--- /dev/null
+++ b/io/platform/session_test.go
@@ -0,0 +1,327 @@
+package platform
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lavenderpond/core"
+	sim "lavenderpond/core/experiment/maintenance"
+	"lavenderpond/core/fleet"
+	"lavenderpond/core/maintenance"
+	"lavenderpond/core/maintenance/spread"
+	"lavenderpond/core/table"
+)
+
+var testTiming = maintenance.Timing{
+	ViewAge: 10 * time.Second, Hold: 90 * time.Second, RebootWithin: 20 * time.Second, Skew: 5 * time.Second,
+	BackWithin: 3 * time.Minute, VerifyFor: 5 * time.Second, ListLag: 30 * time.Second, DrainFor: 10 * time.Minute,
+}
+
+const testStep = 5 * time.Second
+
+// faults are what a session goes through. Shares are per call.
+type faults struct {
+	lostAnswers, tableDown float64
+	// partialLooks is the share of VMs that an answer about many leaves out, half of
+	// them after their order took effect.
+	partialLooks float64
+	// pauses is the share of calls before which the caller is paused for up to
+	// two minutes, while the fleet and the other controllers go on.
+	pauses float64
+	// listLag is how old the live list is.
+	listLag time.Duration
+	// staleEntry keeps dispatching on the view that it had at the start.
+	staleEntry bool
+	// rackFails takes a rack down in the session.
+	rackFails bool
+	// moves is the share of steps in which an operator moves a VM.
+	moves float64
+	vms   sim.Faults
+}
+
+// unseen is how long a failure may stay unknown to the stop that it should
+// prevent: the list lags, the lease's holder may be paused, and so may the one
+// that asks for the reboot.
+func (f faults) unseen() time.Duration {
+	return f.listLag + leaseIntervals*testStep + testTiming.RebootWithin + 3*testStep
+}
+
+// session is one zone with two controllers and three entries, over a World.
+// Controllers reach the World only through fakes that fail and pause.
+type session struct {
+	t           *testing.T
+	faults      faults
+	rand        *rand.Rand
+	world       *sim.World
+	controllers []*Controller
+	views       []map[fleet.Ref]fleet.State
+	lists       []listing
+	// active is the controller that ticks; the other one goes on while it is paused.
+	active int
+	paused bool
+	// deaf VMs take work while they drain.
+	deaf bool
+	// pauseIn pauses the first controller once, for ten minutes, at a certain point.
+	pauseIn  func(point string, vm fleet.Ref) bool
+	sinceSaw int
+	saw      fleet.Ref
+	// moving holds the VMs that an operator moves, by the pool they come from.
+	moving map[fleet.Ref]core.PoolID
+	moves  int
+}
+
+type listing struct {
+	at  time.Time
+	vms []Liveness
+}
+
+func newSession(t *testing.T, seed uint64, f faults) *session {
+	size := sim.Size{Name: "test", Zones: 1, Pools: 4, PoolVMs: 10, SpareVMs: 6, RackVMs: 4, MaxUnavailable: 2}
+	w := sim.NewWorld(seed, time.Date(2026, 1, 5, 0, 0, 0, 0, time.UTC), size, size.MaxUnavailable)
+	w.RebootTime, w.Unseen, w.Faults = 30*time.Second, f.unseen(), f.vms
+	s := &session{t: t, faults: f, rand: rand.New(rand.NewPCG(seed, 4)), world: w, views: make([]map[fleet.Ref]fleet.State, 3), moving: make(map[fleet.Ref]core.PoolID)}
+	for i := range 2 {
+		s.controllers = append(s.controllers, &Controller{
+			Zone: "z0", Self: core.NewEntryID(fmt.Sprint("entry", i), w.Now), Table: s, Live: s, VMs: s,
+			Now: s.now, Interval: testStep,
+			Planner: spread.Planner{RepairAfter: 2 * time.Minute, StopTime: 2 * time.Minute},
+			Driver:  maintenance.Driver{Timing: testTiming},
+		})
+	}
+	order := func(build func(maintenance.WaveRow) (table.Transaction, error)) {
+		row, err := maintenance.DecodeWave("z0", w.Table.Read(maintenance.WaveKey("z0")))
+		assert.NilError(t, err)
+		tx, err := build(row)
+		assert.NilError(t, err)
+		assert.NilError(t, w.Transact(tx))
+	}
+	order(func(r maintenance.WaveRow) (table.Transaction, error) {
+		return maintenance.Plan(w.Now, r, maintenance.Order{Change: "plan"}, w.Now.Add(24*time.Hour), 3)
+	})
+	order(func(r maintenance.WaveRow) (table.Transaction, error) {
+		return maintenance.Start(r, maintenance.Order{Change: "start"})
+	})
+	return s
+}
+
+// run goes through up to four hours and returns when the maintenance ended.
+func (s *session) run() maintenance.Wave {
+	for n := range 4 * 720 {
+		if s.faults.rackFails && n == 60 {
+			s.world.FailAll(s.world.Rack(s.rand.IntN(8)), 10*time.Minute)
+		}
+		s.advance()
+		for i := range s.controllers {
+			s.tick(i)
+		}
+		if w := s.wave(); w.Status != maintenance.Running {
+			return w
+		}
+	}
+	return s.wave()
+}
+
+func (s *session) wave() maintenance.Wave {
+	row, err := maintenance.DecodeWave("z0", s.world.Table.Read(maintenance.WaveKey("z0")))
+	assert.NilError(s.t, err)
+	return row.Wave
+}
+
+// advance moves the world on and lets each entry dispatch by its own view.
+func (s *session) advance() {
+	s.world.Advance(testStep)
+	s.operate()
+	for i := range s.views {
+		if s.views[i] == nil || !s.faults.staleEntry || i > 0 {
+			s.views[i] = make(map[fleet.Ref]fleet.State)
+			for _, m := range s.world.Machines() {
+				s.views[i][m.Ref] = s.world.Row(m.Ref).VM.State
+			}
+		}
+	}
+	for _, m := range s.world.Machines() {
+		i := s.rand.IntN(len(s.views))
+		if s.views[i][m.Ref] == fleet.Serving && s.rand.IntN(4) == 0 {
+			s.world.Dispatch(m.Ref, time.Duration(s.rand.IntN(20))*time.Second)
+		}
+	}
+	l := listing{at: s.world.Now}
+	for _, c := range s.controllers {
+		l.vms = append(l.vms, Liveness{Name: c.Self.Name(), Zone: c.Zone, Started: c.Self.Started()})
+	}
+	for _, m := range s.world.Machines() {
+		if m.Up || m.Planned {
+			l.vms = append(l.vms, Liveness{Name: string(m.Ref.VM), Zone: m.Ref.Zone})
+		}
+	}
+	s.lists = append(s.lists, l)
+}
+
+// operate lets an operator move a VM with its place, in a race with drains, and
+// keeps the true sizes of the pools: a place leaves with the VM and counts in the
+// new pool once the VM serves there.
+func (s *session) operate() {
+	for ref, from := range s.moving {
+		vm := s.world.Row(ref).VM
+		switch {
+		case from != "" && vm.Pool != from:
+			s.world.Sizes[from]--
+			s.moving[ref] = ""
+		case vm.State == fleet.Serving && from == "":
+			s.world.Sizes[vm.Pool]++
+			s.moves++
+			delete(s.moving, ref)
+		case vm.State == fleet.Serving, vm.State == fleet.Failed && from != "":
+			delete(s.moving, ref)
+		}
+	}
+	if s.rand.Float64() >= s.faults.moves {
+		return
+	}
+	machines, pools := s.world.Machines(), s.world.Pools()
+	vm := s.world.Row(machines[s.rand.IntN(len(machines))].Ref)
+	to := core.PoolID(fmt.Sprintf("pool%03d", s.rand.IntN(4)))
+	tx, err := fleet.Rules{}.Permit(s.world.Now, vm, pools[vm.VM.Pool], fleet.Permit{
+		Change: core.ChangeID(s.world.Now.String()), MoveTo: to, Resize: true, DrainBy: s.world.Now.Add(10 * time.Minute),
+	})
+	if err == nil && s.world.Transact(tx) == nil {
+		s.moving[vm.Ref] = vm.VM.Pool
+	}
+}
+
+// checkPools compares the pools' counts with the VMs' rows: each VM is in one.
+func (s *session) checkPools() error {
+	members := make(map[core.PoolID]int)
+	for _, m := range s.world.Machines() {
+		members[s.world.Row(m.Ref).VM.Pool]++
+	}
+	for id, pool := range s.world.Pools() {
+		if pool.Pool.Members != members[id] {
+			return fmt.Errorf("pool %s counts %d members, rows name it %d times", id, pool.Pool.Members, members[id])
+		}
+	}
+	return nil
+}
+
+// pause stands between a controller's decision and its effect: for a while, the
+// world and the other controllers go on.
+func (s *session) pause() {
+	if s.paused || s.rand.Float64() >= s.faults.pauses {
+		return
+	}
+	s.paused = true
+	for range s.rand.IntN(24) {
+		s.advance()
+		s.tick(1 - s.active)
+	}
+	s.paused = false
+}
+
+// tick lets a controller work. Errors are lost answers and an unreachable table,
+// which the next tick has to cope with.
+func (s *session) tick(i int) {
+	before := s.active
+	s.active = i
+	_ = s.controllers[i].Tick(context.Background())
+	s.active = before
+}
+
+func (s *session) Read(_ context.Context, key table.Key) (table.Row, error) {
+	s.pause()
+	return s.world.Table.Read(key), s.down()
+}
+
+func (s *session) Scan(_ context.Context, prefix string) ([]table.Row, table.Revision, error) {
+	return s.world.Table.Scan(prefix), s.world.Table.Revision(), s.down()
+}
+
+func (s *session) Changes(_ context.Context, prefix string, since table.Revision) ([]table.Row, table.Revision, error) {
+	return s.world.Table.Changes(prefix, since), s.world.Table.Revision(), s.down()
+}
+
+func (s *session) Transact(_ context.Context, tx table.Transaction) error {
+	s.saw = fleet.Ref{}
+	s.pause()
+	if err := s.down(); err != nil {
+		return err
+	}
+	err := s.world.Transact(tx)
+	if s.rand.Float64() < s.faults.lostAnswers {
+		return table.ErrUnknown
+	}
+	return err
+}
+
+func (s *session) down() error {
+	if s.rand.Float64() < s.faults.tableDown {
+		return table.ErrDown
+	}
+	return nil
+}
+
+func (s *session) Live(context.Context, core.ZoneID) ([]Liveness, error) {
+	i, _ := slices.BinarySearchFunc(s.lists, s.world.Now.Add(-s.faults.listLag), func(l listing, at time.Time) int {
+		return l.at.Compare(at)
+	})
+	return s.lists[min(i, len(s.lists)-1)].vms, nil
+}
+
+func (s *session) Drain(_ context.Context, vm fleet.Ref, r DrainRequest) error {
+	s.pause()
+	if s.deaf {
+		return nil
+	}
+	return s.world.Drain(vm, r.Until, r.Fence)
+}
+
+func (s *session) Status(_ context.Context, vm fleet.Ref) (VMStatus, error) {
+	status := VMStatus{Up: s.world.Machine(vm).Up, Running: s.world.Running(vm)}
+	s.pause()
+	s.saw, s.sinceSaw = vm, 0
+	return status, nil
+}
+
+// Look asks one VM after the other, so that pauses fall between any two.
+func (s *session) Look(ctx context.Context, zone core.ZoneID, asks []LookRequest) ([]VMLook, error) {
+	var looks []VMLook
+	for _, ask := range asks {
+		vm, left := fleet.Ref{Zone: zone, VM: ask.VM}, s.rand.Float64()
+		if left < s.faults.partialLooks/2 {
+			continue
+		}
+		l := VMLook{VM: ask.VM}
+		if ask.Drain != nil {
+			l.Drained = s.Drain(ctx, vm, *ask.Drain) == nil
+		}
+		l.VMStatus, _ = s.Status(ctx, vm)
+		if left >= s.faults.partialLooks {
+			looks = append(looks, l)
+		}
+	}
+	s.pause()
+	s.saw = fleet.Ref{}
+	if s.rand.Float64() < s.faults.lostAnswers {
+		return nil, table.ErrDown
+	}
+	return looks, nil
+}
+
+func (s *session) Reboot(_ context.Context, vm fleet.Ref, r RebootRequest) error {
+	s.pause()
+	s.pauseAt("sent", vm)
+	if s.faults.staleEntry && s.rand.IntN(4) == 0 {
+		// The cut-off entry's task crosses the reboot.
+		s.world.Dispatch(vm, 10*time.Second)
+	}
+	err := s.world.Reboot(vm, r.NotAfter, r.Fence)
+	if err == nil && s.rand.Float64() < s.faults.lostAnswers {
+		return table.ErrUnknown
+	}
+	return err
+}
