--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -18,7 +18,8 @@
 // DialTimeout bounds the making of a connection to a peer.
 const DialTimeout = 500 * time.Millisecond
 
-// ErrNotSent says that the message certainly did not leave this process.
+// ErrNotSent says that the peer certainly did nothing with the message: it did not
+// leave this process, or the peer said that it did not take it.
 var ErrNotSent = errors.New("peer: not sent")
 
 // ErrRefused says that nothing listens at the peer's address: its process has
@@ -141,7 +142,7 @@
 }
 
 // Call sends args to the peer at address and waits for its reply until ctx ends.
-// An error that is ErrNotSent proves that the peer did not get the message.
+// An error that is ErrNotSent proves that the peer did nothing with the message.
 func (p *Pool) Call(ctx context.Context, address, method string, args, reply any) error {
 	c, err := p.client(ctx, address)
 	if err != nil {
