--- /dev/null
+++ b/cmd/lavenderpond-edge/main.go
@@ -0,0 +1,113 @@
+// Command lavenderpond-edge is the daemon on an entry VM of a deployment whose
+// platform runs the table and the VMs.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
+
+	"lavenderpond/io/node"
+	"lavenderpond/io/supervisor"
+	"lavenderpond/platform"
+)
+
+// Exit statuses.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+const (
+	// logLines is how many lines may wait for standard output; more are dropped
+	// and counted, so that a reader that stalls holds up no request.
+	logLines = 4096
+	// logPoll is how often waiting lines are written.
+	logPoll = 50 * time.Millisecond
+	// collectAt makes the garbage collector run earlier than by default: memory
+	// at its peak is dearer here than the processor time.
+	collectAt = 60
+	// memoryPart of the VM's memory, in percent, makes the collector work harder.
+	memoryPart = 60
+)
+
+type options struct {
+	Settings string `arg:"" optional:"" help:"Settings file; by default the one that the platform names." type:"path"`
+}
+
+func main() {
+	var o options
+	kong.Parse(&o, kong.Name("lavenderpond-edge"), kong.Description("The daemon on an entry VM of a deployment."))
+	os.Exit(run(o))
+}
+
+func run(o options) int {
+	out := diode.NewWriter(os.Stdout, logLines, logPoll, func(missed int) {
+		l := zerolog.New(os.Stderr)
+		l.Warn().Int("missed", missed).Str("event", "log_lines_dropped").Send()
+	})
+	defer out.Close() //nolint:errcheck // Standard output has nothing to report.
+	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
+	log := zerolog.New(out).With().Timestamp().Logger().Level(zerolog.InfoLevel)
+	path := o.Settings
+	if path == "" {
+		path = os.Getenv(platform.SettingsVariable)
+	}
+	settings, err := platform.LoadSettings(path)
+	if err != nil {
+		log.Error().Err(err).Str("event", "settings_refused").Str("path", path).Send()
+		return exitSettings
+	}
+	log = log.With().Str("node", settings.Node).Logger()
+	debug.SetGCPercent(collectAt)
+	debug.SetMemoryLimit(settings.MemoryMB << 20 * memoryPart / 100)
+	n, err := node.New(settings, log)
+	if err != nil {
+		log.Error().Err(err).Str("event", "start_failed").Send()
+		return exitFailed
+	}
+	log.Info().Str("event", "start").Str("zone", settings.Zone).Bool("fresh", settings.Fresh).Send()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var g supervisor.Group
+	g.Go(func() { watchSignals(ctx, cancel, n, log) })
+	err = n.Run(ctx)
+	cancel()
+	g.Wait()
+	log.Info().Err(err).Str("event", "stop").Send()
+	if err != nil {
+		return exitFailed
+	}
+	return exitOK
+}
+
+// watchSignals stops the process gracefully on the platform's signal. A changed
+// settings file needs nothing: what is read from it doesn't change in a life.
+func watchSignals(ctx context.Context, stop context.CancelFunc, n *node.Node, log zerolog.Logger) {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case s := <-signals:
+			if s == syscall.SIGHUP {
+				log.Info().Str("event", "reload").Str("reason", "nothing in the settings may change").Send()
+				continue
+			}
+			log.Info().Str("event", "stopping").Str("signal", s.String()).Send()
+			n.Stop()
+			stop()
+			return
+		}
+	}
+}
--- /dev/null
+++ b/core/job/configuration.go
@@ -0,0 +1,130 @@
+package job
+
+import (
+	"strings"
+	"time"
+)
+
+// ConfigVersion orders the configurations; a lower one never replaces a higher one.
+type ConfigVersion int64
+
+// Queue is where callers hand jobs in.
+type Queue struct {
+	Name     QueueName
+	Host     string
+	Prefix   string
+	Pool     PoolName
+	Priority int
+	Attempts int
+	Stretch  float64
+	// Latency is added to the stretched run time to give a job's objective.
+	Latency time.Duration
+	// Timeout bounds a call of the queue.
+	Timeout time.Duration
+	// Public queues need no key.
+	Public bool
+	// Advice is set when another service says which VMs may run a step.
+	Advice *Advice
+}
+
+// Advice bounds the answers of the service that approves VMs for a step.
+type Advice struct {
+	DecideTime  time.Duration
+	PerVM       time.Duration
+	ValidPeriod time.Duration
+}
+
+// Pool is a group of VMs.
+type Pool struct {
+	Name PoolName
+	// Standby pools hold machines that are off.
+	Standby bool
+	// Guarded VMs refuse what doesn't fit.
+	Guarded bool
+}
+
+// Account is a client account.
+type Account struct {
+	Name AccountName
+	Keys []string
+	// Weight is the account's share when all is full.
+	Weight float64
+	// Cap bounds what the account has running; a zero field means no bound.
+	Cap Room
+}
+
+// Limits bound the calls that callers make.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Configuration is one version of all that operators set.
+type Configuration struct {
+	Version  ConfigVersion
+	Queues   []Queue
+	Pools    []Pool
+	Accounts []Account
+	Limits   Limits
+
+	byHost map[string][]*Queue
+	byName map[QueueName]*Queue
+	byKey  map[string]AccountName
+	pools  map[PoolName]*Pool
+	caps   map[AccountName]*Account
+}
+
+// Index prepares the look-ups. It must be called once before them.
+func (c *Configuration) Index() {
+	c.byHost = map[string][]*Queue{}
+	c.byName = map[QueueName]*Queue{}
+	c.byKey = map[string]AccountName{}
+	c.pools = map[PoolName]*Pool{}
+	c.caps = map[AccountName]*Account{}
+	for i := range c.Queues {
+		q := &c.Queues[i]
+		c.byHost[q.Host] = append(c.byHost[q.Host], q)
+		c.byName[q.Name] = q
+	}
+	for i := range c.Pools {
+		c.pools[c.Pools[i].Name] = &c.Pools[i]
+	}
+	for i := range c.Accounts {
+		a := &c.Accounts[i]
+		c.caps[a.Name] = a
+		for _, k := range a.Keys {
+			c.byKey[k] = a.Name
+		}
+	}
+}
+
+// Route returns the queue whose prefix is the longest that path begins with, or
+// nil; rest is what follows the prefix.
+func (c *Configuration) Route(host, path string) (q *Queue, rest string) {
+	for _, o := range c.byHost[host] {
+		if strings.HasPrefix(path, o.Prefix) && (q == nil || len(o.Prefix) > len(q.Prefix)) {
+			q = o
+		}
+	}
+	if q == nil {
+		return nil, ""
+	}
+	return q, path[len(q.Prefix):]
+}
+
+// Queue returns the queue of that name, or nil.
+func (c *Configuration) Queue(n QueueName) *Queue { return c.byName[n] }
+
+// Pool returns the pool of that name, or nil.
+func (c *Configuration) Pool(n PoolName) *Pool { return c.pools[n] }
+
+// Account returns the account of that name, or nil.
+func (c *Configuration) Account(n AccountName) *Account { return c.caps[n] }
+
+// KeyHolder returns the account whose key it is.
+func (c *Configuration) KeyHolder(key string) (AccountName, bool) {
+	a, ok := c.byKey[key]
+	return a, ok
+}
--- /dev/null
+++ b/core/job/state.go
@@ -0,0 +1,58 @@
+package job
+
+// State is what a caller is shown of a job.
+type State int
+
+// The states of a job.
+const (
+	Pending State = iota
+	Running
+	Completed
+	Failed
+	Cancelled
+)
+
+// String returns the state in snake case.
+func (s State) String() string {
+	switch s {
+	case Pending:
+		return "pending"
+	case Running:
+		return "running"
+	case Completed:
+		return "completed"
+	case Failed:
+		return "failed"
+	case Cancelled:
+		return "cancelled"
+	}
+	return "unknown"
+}
+
+// Final tells whether the state can't change any more.
+func (s State) Final() bool { return s >= Completed }
+
+// Progress is what must outlast the process that runs a job.
+type Progress struct {
+	State State `json:"state"`
+	// Done lists, by occurrence and step, the tasks that have ended well.
+	Done []StepDone `json:"done,omitempty"`
+	// Failed lists the failed runs of tasks that have any.
+	Failed []TaskFailures `json:"failed,omitempty"`
+}
+
+// StepDone lists the finished tasks of a step.
+type StepDone struct {
+	Occurrence int   `json:"k,omitempty"`
+	Step       int   `json:"s"`
+	Tasks      []int `json:"t"`
+}
+
+// TaskFailures lists the failed runs of one task. It holds the attempts and not
+// their number: a new owner is told again of ends that the former one had stored.
+type TaskFailures struct {
+	Occurrence int       `json:"k,omitempty"`
+	Step       int       `json:"s"`
+	Task       int       `json:"t"`
+	Attempts   []Attempt `json:"a"`
+}
--- /dev/null
+++ b/core/lease/right.go
@@ -0,0 +1,58 @@
+// Package lease decides who owns the fleet's jobs and VMs, and how long what
+// runs on a VM may go on. Time comes in as an argument; it must be read from a
+// clock that also counts the time for which a machine stood still.
+package lease
+
+import "time"
+
+const (
+	// startPeriod is how long after its last proof the owner may start tasks:
+	// two renewals of half a second and a slow answer.
+	startPeriod = 1200 * time.Millisecond
+	// holdPeriod is how long after its last proof the owner may extend leases on
+	// VMs. It outlasts short outages of the table, so that they end no task, and
+	// has an end, so that a new owner knows when a VM it can't reach is free.
+	holdPeriod = 3 * time.Second
+	// silencePeriod is how long the owner's renewal may stand still before
+	// another takes over. It is longer than startPeriod: an owner that reaches
+	// the table again in time stays the owner.
+	silencePeriod = 1500 * time.Millisecond
+)
+
+// Right is the owner's proof that it still is the owner. Its zero value holds
+// no right.
+type Right struct {
+	startsUntil time.Time
+	holdsUntil  time.Time
+}
+
+// Prove notes that the table confirmed the ownership in answer to a call sent
+// at sent. The call's sending counts, not its answer: only up to then is it
+// certain that nobody else had taken over.
+func (r *Right) Prove(sent time.Time) {
+	if until := sent.Add(startPeriod); until.After(r.startsUntil) {
+		r.startsUntil = until
+		r.holdsUntil = sent.Add(holdPeriod)
+	}
+}
+
+// MayStart tells whether tasks may be started.
+func (r *Right) MayStart(now time.Time) bool { return now.Before(r.startsUntil) }
+
+// MayHold tells whether leases on VMs may be extended.
+func (r *Right) MayHold(now time.Time) bool { return now.Before(r.holdsUntil) }
+
+// ClockRate is the slowest rate of a VM's clock against true time.
+const ClockRate = 0.98
+
+// InheritedEnd returns when nothing can run any more that a former owner left
+// on a VM out of reach, if the ownership changed at changed: the former owner
+// may have gone on to extend its leases for holdPeriod, each of which lasts up
+// to longest on a slow clock.
+func InheritedEnd(changed time.Time, longest time.Duration) time.Time {
+	lease := time.Duration(float64(longest) / ClockRate)
+	return changed.Add(holdPeriod + lease + startSlack)
+}
+
+// startSlack covers a start order that was on its way when the right ended.
+const startSlack = time.Second
--- /dev/null
+++ b/core/schedule/assign.go
@@ -0,0 +1,259 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+
+	"lavenderpond/core/job"
+)
+
+// Assign starts what can start. wall is the time of day, for due times.
+func (s *Scheduler) Assign(now, wall time.Time) {
+	if !s.mayStart || s.conf == nil {
+		return
+	}
+	byPool := map[job.PoolName][]*jobState{}
+	for _, j := range s.jobs {
+		if !j.over() && j.hasWaiting() {
+			p := s.pool(j)
+			byPool[p] = append(byPool[p], j)
+		}
+	}
+	for p, jobs := range byPool {
+		a := s.newAssignment(now, wall, p)
+		if len(a.vms) == 0 {
+			continue
+		}
+		for _, c := range s.candidates(now, jobs) {
+			a.startJob(c.job)
+		}
+	}
+}
+
+// hasWaiting tells whether a task of the job has neither ended well nor a run.
+func (j *jobState) hasWaiting() bool {
+	for _, o := range j.occurrences {
+		for i := range o.steps {
+			if !o.steps[i].complete() {
+				for t := range o.steps[i].tasks {
+					if task := &o.steps[i].tasks[t]; !task.done && len(task.runs) == 0 {
+						return true
+					}
+				}
+			}
+		}
+	}
+	return false
+}
+
+// assignment is one round of starts in a pool.
+type assignment struct {
+	s         *Scheduler
+	now, wall time.Time
+	pool      job.PoolName
+	vms       []*vmState
+	// unheard is set while a VM of the pool may still run what a former owner started.
+	unheard bool
+}
+
+func (s *Scheduler) newAssignment(now, wall time.Time, p job.PoolName) *assignment {
+	a := &assignment{s: s, now: now, wall: wall, pool: p}
+	for _, v := range s.vms {
+		if v.pool != p {
+			continue
+		}
+		if !v.heldOnce && now.Before(v.inheritedUntil) {
+			a.unheard = true
+		}
+		if s.usable(now, v) {
+			a.vms = append(a.vms, v)
+		}
+	}
+	slices.SortFunc(a.vms, func(x, y *vmState) int {
+		if x.id < y.id {
+			return -1
+		}
+		return 1
+	})
+	return a
+}
+
+func (a *assignment) startJob(j *jobState) {
+	if j.inherited && a.unheard {
+		return
+	}
+	for _, o := range j.occurrences {
+		if !o.due.IsZero() && a.wall.Before(o.due.Add(dueSlack)) {
+			return
+		}
+		for i := range o.steps {
+			if !o.steps[i].complete() && o.ready(i) {
+				a.startStep(j, o, i)
+			}
+		}
+	}
+}
+
+// dueSlack keeps a start from coming before its due time by a coarse clock.
+const dueSlack = 20 * time.Millisecond
+
+// ready tells whether all steps that step i waits for are complete.
+func (o *occurrence) ready(i int) bool {
+	for _, after := range o.steps[i].def.After {
+		if !o.steps[after].complete() {
+			return false
+		}
+	}
+	return true
+}
+
+func (a *assignment) startStep(j *jobState, o *occurrence, i int) {
+	st := &o.steps[i]
+	if !a.approved(j, o, i) {
+		return
+	}
+	if st.def.Gang {
+		a.startGang(j, o, i)
+		return
+	}
+	for t := range st.tasks {
+		task := &st.tasks[t]
+		if task.done || len(task.runs) > 0 || a.now.Before(task.notBefore) {
+			continue
+		}
+		if !a.withinCap(j, st.def.Room) {
+			return
+		}
+		id := job.TaskID{Job: j.ID, Occurrence: o.number, Step: i, Index: t}
+		v := a.choose(st, id, task)
+		if v == nil {
+			// The other tasks of the step need the same room.
+			return
+		}
+		a.start(j, st, id, task, v, a.s.nextAttempt(task))
+	}
+}
+
+func (s *Scheduler) nextAttempt(t *taskState) job.Attempt {
+	t.attempt = max(t.attempt, s.settings.AttemptBase) + 1
+	return t.attempt
+}
+
+// withinCap tells whether the job's account may have more running. What may
+// still run counts.
+func (a *assignment) withinCap(j *jobState, more job.Room) bool {
+	account := a.s.conf.Account(j.Terms.Account)
+	if account == nil {
+		return true
+	}
+	after := a.s.running[j.Terms.Account].Plus(more)
+	limit := account.Cap
+	return (limit.CPU == 0 || after.CPU <= limit.CPU) &&
+		(limit.MemMB == 0 || after.MemMB <= limit.MemMB) &&
+		(limit.GPU == 0 || after.GPU <= limit.GPU)
+}
+
+func (a *assignment) start(j *jobState, st *stepState, id job.TaskID, t *taskState, v *vmState, n job.Attempt) {
+	s := a.s
+	deadline := v.clock.Likely(a.now) + job.VMClock(startWithin.Milliseconds())
+	v.leaseEnd = max(v.leaseEnd, deadline)
+	r := &run{
+		task: id, attempt: n, vm: v, claim: st.def.Claim(), cost: st.def.Room, account: j.Terms.Account,
+		startBy: deadline, orderedAt: a.now, pace: 100,
+	}
+	s.addRun(r, t)
+	if st.def.SameRack && st.rack == "" {
+		st.rack = v.rack
+	}
+	s.decided(Decision{
+		What: TaskOrdered, Job: j.ID, Task: id, Attempt: n, VM: v.id, Age: a.now.Sub(v.answered),
+		After: a.now.Sub(j.arrived),
+	})
+	s.emit(Start{VM: v.id, Order: job.StartOrder{
+		Task: id, Attempt: n, Spec: j.Body.Spec, Fence: s.settings.Fence, Checkpoint: t.saved,
+		Deadline: deadline, Ticket: st.tickets[v.id],
+	}})
+}
+
+// startGang starts all members of a gang, or none.
+func (a *assignment) startGang(j *jobState, o *occurrence, i int) {
+	st := &o.steps[i]
+	saved := job.Checkpoint("")
+	for t := range st.tasks {
+		task := &st.tasks[t]
+		if len(task.runs) > 0 || a.now.Before(task.notBefore) {
+			return
+		}
+		if task.saved != "" {
+			saved = task.saved
+		}
+	}
+	if !a.withinCap(j, st.def.Room.Times(len(st.tasks))) {
+		return
+	}
+	chosen := a.chooseGang(st)
+	if chosen == nil {
+		return
+	}
+	st.gangAttempt = max(st.gangAttempt, a.s.settings.AttemptBase) + 1
+	for t := range st.tasks {
+		task := &st.tasks[t]
+		task.saved, task.attempt = saved, st.gangAttempt
+		id := job.TaskID{Job: j.ID, Occurrence: o.number, Step: i, Index: t}
+		a.start(j, st, id, task, chosen[t], st.gangAttempt)
+	}
+}
+
+// approved tells whether the step may start, asking first where its queue needs that.
+func (a *assignment) approved(j *jobState, o *occurrence, i int) bool {
+	q := a.s.conf.Queue(j.Terms.Queue)
+	if q == nil || q.Advice == nil {
+		return true
+	}
+	st := &o.steps[i]
+	if len(st.tickets) > 0 && a.now.Before(st.ticketsT) {
+		return true
+	}
+	if st.asked && a.now.Before(st.askAt) {
+		return false
+	}
+	var vms []job.VMID
+	for _, v := range a.vms {
+		if len(vms) < adviceVMs && (st.def.Requires == "" || v.labels[st.def.Requires]) {
+			vms = append(vms, v.id)
+		}
+	}
+	if len(vms) == 0 {
+		return false
+	}
+	st.asked, st.askAt = true, a.now.Add(adviceRetry)
+	a.s.emit(Ask{Step: job.StepID{Job: j.ID, Occurrence: o.number, Step: i}, VMs: vms})
+	return false
+}
+
+const (
+	// adviceVMs bounds the VMs that one question names; each costs the service time.
+	adviceVMs = 30
+	// adviceRetry is the pause before a question without an answer is repeated.
+	adviceRetry = time.Second
+	// adviceMargin is how much earlier than they run out tickets are given up.
+	adviceMargin = 200 * time.Millisecond
+)
+
+// Advised takes in which VMs may run a step. No tickets stand for a failed question.
+func (s *Scheduler) Advised(now time.Time, id job.StepID, tickets map[job.VMID]string, valid time.Duration) {
+	_, _, st, _ := s.task(job.TaskID{Job: id.Job, Occurrence: id.Occurrence, Step: id.Step})
+	if st == nil {
+		return
+	}
+	st.asked = len(tickets) == 0
+	st.tickets = tickets
+	st.ticketsT = now.Add(valid - adviceMargin)
+}
+
+// dropTickets makes the step of a task ask anew.
+func (s *Scheduler) dropTickets(t job.TaskID) {
+	if _, _, st, _ := s.task(t); st != nil {
+		st.tickets, st.asked = nil, false
+	}
+}
--- /dev/null
+++ b/core/schedule/command.go
@@ -0,0 +1,167 @@
+package schedule
+
+import (
+	"time"
+
+	"lavenderpond/core/job"
+)
+
+// Command is what the scheduler wants done.
+type Command interface{ command() }
+
+// Start orders a task's start on a VM.
+type Start struct {
+	VM    job.VMID
+	Order job.StartOrder
+}
+
+// Stop orders a run's end on a VM.
+type Stop struct {
+	VM      job.VMID
+	Task    job.TaskID
+	Attempt job.Attempt
+}
+
+// Pace sets the share at which a task works.
+type Pace struct {
+	VM      job.VMID
+	Task    job.TaskID
+	Attempt job.Attempt
+	Percent int
+}
+
+// Hold extends a VM's lease and asks for its lists.
+type Hold struct {
+	VM    job.VMID
+	Order job.HoldOrder
+}
+
+// Save stores a job's progress. Saves must be stored in order of Sequence.
+type Save struct {
+	Sequence int64
+	Job      job.ID
+	Progress job.Progress
+}
+
+// SaveRoster stores which VMs may run tasks, in order with the other saves.
+type SaveRoster struct {
+	Sequence int64
+	Roster   Roster
+}
+
+// Ask asks which VMs may run a step.
+type Ask struct {
+	Step job.StepID
+	VMs  []job.VMID
+}
+
+// Move orders a machine into another pool.
+type Move struct {
+	Machine job.MachineID
+	Pool    job.PoolName
+}
+
+// Upkeep orders a machine's upkeep.
+type Upkeep struct {
+	Machine job.MachineID
+	Wave    int64
+}
+
+// ShowWave publishes a wave's state.
+type ShowWave struct {
+	Number int64
+	State  job.WaveState
+}
+
+func (Start) command()      {}
+func (Stop) command()       {}
+func (Pace) command()       {}
+func (Hold) command()       {}
+func (Save) command()       {}
+func (SaveRoster) command() {}
+func (Ask) command()        {}
+func (Move) command()       {}
+func (Upkeep) command()     {}
+func (ShowWave) command()   {}
+
+// Roster lists the VMs on which the owner may have started tasks.
+type Roster struct {
+	VMs []RosterVM `json:"vms"`
+}
+
+// RosterVM is one VM of a roster.
+type RosterVM struct {
+	ID      job.VMID     `json:"id"`
+	Address string       `json:"address"`
+	Pool    job.PoolName `json:"pool"`
+	Born    job.Born     `json:"born,omitempty"`
+}
+
+// Outcome is what came of an order to a VM.
+type Outcome int
+
+// The outcomes.
+const (
+	// Answered: the report holds the answer, which may be a refusal.
+	Answered Outcome = iota
+	// NotDone: the order wasn't carried out and can't be any more.
+	NotDone
+	// Unanswered: it may have been carried out, or may be later.
+	Unanswered
+	// Unhealthy: the VM refused to do anything.
+	Unhealthy
+	// OtherLife: another VM answers at the address.
+	OtherLife
+)
+
+// String returns the outcome in snake case.
+func (o Outcome) String() string {
+	return [...]string{"answered", "not_done", "unanswered", "unhealthy", "other_life"}[o]
+}
+
+// Observer is told of the scheduler's decisions, for logs and figures.
+type Observer interface {
+	// Decided is told of a decision about a task or job.
+	Decided(d Decision)
+}
+
+// Decision is one decision with what it rests on.
+type Decision struct {
+	What    What
+	Job     job.ID
+	Task    job.TaskID
+	Attempt job.Attempt
+	VM      job.VMID
+	Reason  string
+	// Age is how old the deciding knowledge is.
+	Age time.Duration
+	// After is how long after the job's arrival this happened.
+	After time.Duration
+}
+
+// What names a kind of decision.
+type What string
+
+// The kinds of decisions.
+const (
+	JobAdopted    What = "job_adopted"
+	JobEnded      What = "job_ended"
+	JobCancelled  What = "job_cancelled"
+	TaskOrdered   What = "task_ordered"
+	TaskNotBegun  What = "task_not_begun"
+	TaskStarted   What = "task_started"
+	TaskEnded     What = "task_ended"
+	TaskFreed     What = "task_freed"
+	TaskStopping  What = "task_stopping"
+	TaskFound     What = "task_found"
+	VMFound       What = "vm_found"
+	VMSilent      What = "vm_silent"
+	VMBack        What = "vm_back"
+	VMReborn      What = "vm_reborn"
+	VMGone        What = "vm_gone"
+	VMDraining    What = "vm_draining"
+	VMSuspected   What = "vm_suspected"
+	WaveChanged   What = "wave_changed"
+	MachineMoved  What = "machine_moved"
+	MachineUpkept What = "machine_upkept"
+)
--- /dev/null
+++ b/core/schedule/order.go
@@ -0,0 +1,94 @@
+package schedule
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// rank sorts jobs into groups, the first served first.
+type rank int
+
+const (
+	// rankLasting: tasks that serve users or run for long must be back at work
+	// within seconds of any end.
+	rankLasting rank = iota
+	// rankInTime: the job can be complete by its objective.
+	rankInTime
+	// rankLate: it can only be complete late, at a small part of its worth.
+	rankLate
+	// rankUseless: nobody waits for it any more, but it was accepted.
+	rankUseless
+)
+
+// candidate is a job that has tasks to start.
+type candidate struct {
+	job  *jobState
+	rank rank
+	// density is the worth of completing the job for each core-second that it
+	// still needs.
+	density float64
+}
+
+const (
+	// worthBase and worthOfWork make up a job's worth: a part for the job and a
+	// part in proportion to its work against the mean of its queue.
+	worthBase   = 0.3
+	worthOfWork = 0.7
+	// leastWork keeps the density of nearly finished jobs finite, in core-seconds.
+	leastWork = 0.05
+)
+
+// candidates returns the jobs of a pool in the order in which they get room.
+// When not all can be in time, those come first that bring the most for the
+// room that they still need; late ones come after all that are in time.
+func (s *Scheduler) candidates(now time.Time, jobs []*jobState) []candidate {
+	out := make([]candidate, 0, len(jobs))
+	for _, j := range jobs {
+		out = append(out, s.candidate(now, j))
+	}
+	slices.SortFunc(out, func(a, b candidate) int {
+		return cmp.Or(
+			cmp.Compare(a.rank, b.rank),
+			cmp.Compare(a.job.Terms.Priority, b.job.Terms.Priority),
+			cmp.Compare(b.density, a.density),
+			a.job.arrived.Compare(b.job.arrived),
+			cmp.Compare(a.job.ID, b.job.ID),
+		)
+	})
+	return out
+}
+
+func (s *Scheduler) candidate(now time.Time, j *jobState) candidate {
+	c := candidate{job: j}
+	if j.lasting {
+		return c
+	}
+	left, all := s.work(j)
+	mean := s.queue(j.Terms.Queue).meanWork
+	relative := 1.0
+	if mean > 0 {
+		relative = all / mean
+	}
+	c.density = (worthBase + worthOfWork*relative) / max(left, leastWork)
+	ready := now.Add(s.chain(j, j.current(now)))
+	switch {
+	case !ready.After(j.objective):
+		c.rank = rankInTime
+	case !ready.After(j.late):
+		c.rank = rankLate
+	default:
+		c.rank = rankUseless
+	}
+	return c
+}
+
+// current returns the first occurrence that isn't complete.
+func (j *jobState) current(_ time.Time) *occurrence {
+	for _, o := range j.occurrences {
+		if o.done < len(o.steps) {
+			return o
+		}
+	}
+	return j.occurrences[len(j.occurrences)-1]
+}
--- /dev/null
+++ b/core/schedule/place.go
@@ -0,0 +1,145 @@
+package schedule
+
+import (
+	"slices"
+
+	"lavenderpond/core/job"
+)
+
+// choose returns the VM for a task, or nil if none has room. Tasks are packed:
+// the VM with the least room left over takes the task, so that others stay
+// empty for wide tasks, upkeep and other pools. Lasting tasks are spread.
+func (a *assignment) choose(st *stepState, id job.TaskID, t *taskState) *vmState {
+	var best *vmState
+	var bestCost float64
+	for _, v := range a.vms {
+		if !a.fits(st, id.StepID(), v) || !a.s.usable(a.now, v) {
+			continue
+		}
+		c := a.cost(st, id, t, v)
+		if best == nil || c < bestCost {
+			best, bestCost = v, c
+		}
+	}
+	return best
+}
+
+// Costs of placing a task on a VM. Each outweighs all below it.
+const (
+	costShunned  = 1000.0
+	costFarRack  = 100.0
+	costDisturbs = 30.0
+	costShared   = 10.0
+)
+
+func (a *assignment) cost(st *stepState, id job.TaskID, t *taskState, v *vmState) float64 {
+	free := float64(v.room.CPU-v.used.CPU) / float64(max(1, v.room.CPU))
+	cost := free
+	if st.def.Lasting {
+		cost = 1 - free + costShared*float64(v.runsOfStep(id.StepID()))
+	}
+	if st.def.Fills || st.def.TailTarget > 0 {
+		cost += costDisturbs * float64(a.s.disturbed(st.def, v))
+	}
+	if t != nil && t.shunned == v.id {
+		cost += costShunned
+	}
+	if st.def.NearRack != "" && v.rack != st.def.NearRack {
+		cost += costFarRack
+	}
+	return cost
+}
+
+// disturbed counts the runs on the VM that a task of the step would disturb or
+// be disturbed by.
+func (s *Scheduler) disturbed(def *job.Step, v *vmState) int {
+	n := 0
+	for k := range v.runs {
+		_, _, st, _ := s.task(k.task)
+		if st == nil {
+			continue
+		}
+		if (def.Fills && st.def.TailTarget > 0) || (def.TailTarget > 0 && st.def.Fills) {
+			n++
+		}
+	}
+	return n
+}
+
+// fits tells whether a task of the step may run on the VM.
+func (a *assignment) fits(st *stepState, step job.StepID, v *vmState) bool {
+	if !st.def.Claim().Fits(v.room.Minus(v.used)) {
+		return false
+	}
+	if st.def.Requires != "" && !v.labels[st.def.Requires] {
+		return false
+	}
+	if st.def.MaxPerVM > 0 && v.runsOfStep(step) >= st.def.MaxPerVM {
+		return false
+	}
+	if st.tickets != nil && st.tickets[v.id] == "" {
+		return false
+	}
+	return true
+}
+
+// runsOfStep counts the runs of one step of one occurrence on the VM; what is
+// being stopped still counts.
+func (v *vmState) runsOfStep(step job.StepID) int {
+	n := 0
+	for k := range v.runs {
+		if k.task.StepID() == step {
+			n++
+		}
+	}
+	return n
+}
+
+// chooseGang returns a VM for each member of a gang, or nil if not all have room.
+// Members that want one rack get it if any rack has room for all.
+func (a *assignment) chooseGang(st *stepState) []*vmState {
+	if st.def.SameRack {
+		for _, rack := range a.racks() {
+			if chosen := a.packGang(st, rack); chosen != nil {
+				return chosen
+			}
+		}
+	}
+	return a.packGang(st, "")
+}
+
+func (a *assignment) racks() []job.Label {
+	var out []job.Label
+	for _, v := range a.vms {
+		if v.rack != "" && !slices.Contains(out, v.rack) {
+			out = append(out, v.rack)
+		}
+	}
+	return out
+}
+
+// packGang places all members on VMs of the rack (any if empty), or returns nil.
+func (a *assignment) packGang(st *stepState, rack job.Label) []*vmState {
+	var chosen []*vmState
+	for _, v := range a.vms {
+		if (rack != "" && v.rack != rack) || !a.s.usable(a.now, v) {
+			continue
+		}
+		if (st.def.Requires != "" && !v.labels[st.def.Requires]) || (st.tickets != nil && st.tickets[v.id] == "") {
+			continue
+		}
+		free := v.room.Minus(v.used)
+		claim := st.def.Claim()
+		for n := 0; len(chosen) < len(st.tasks) && claim.Fits(free); n++ {
+			if st.def.MaxPerVM > 0 && n >= st.def.MaxPerVM {
+				break
+			}
+			chosen = append(chosen, v)
+			free = free.Minus(claim)
+		}
+	}
+	if len(chosen) < len(st.tasks) {
+		return nil
+	}
+	return chosen
+}
--- /dev/null
+++ b/core/schedule/report.go
@@ -0,0 +1,228 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+
+	"lavenderpond/core/job"
+)
+
+// takeLists takes in a VM's lists of ends and of what runs.
+func (s *Scheduler) takeLists(now time.Time, v *vmState, r job.Report) {
+	v.reported = r.Clock
+	for _, e := range r.Finished {
+		if e.Number > v.seen {
+			s.takeEnd(now, v, e)
+		}
+	}
+	present := make(map[runKey]bool, len(r.Running))
+	for i := range r.Running {
+		t := &r.Running[i]
+		present[runKey{t.Task, t.Attempt}] = true
+		s.takeRunning(now, v, r.Clock, t)
+	}
+	for k, x := range v.runs {
+		if !present[k] {
+			s.takeMissing(now, x, r.Clock)
+		}
+	}
+}
+
+// takeEnd takes in the end of a run. An end that changes what is stored is
+// noted at the VM only once that is stored: the VM forgets noted ends.
+func (s *Scheduler) takeEnd(now time.Time, v *vmState, e job.End) {
+	v.seen = e.Number
+	save := int64(0)
+	if s.applyEnd(now, v, e) {
+		save = s.nextSave()
+	}
+	if save == 0 && len(v.unsure) == 0 {
+		v.noted = e.Number
+		return
+	}
+	v.unsure = append(v.unsure, unsavedEnd{number: e.Number, save: save})
+}
+
+// applyEnd applies an end to its task and tells whether it must be stored.
+func (s *Scheduler) applyEnd(now time.Time, v *vmState, e job.End) bool {
+	j, o, st, t := s.task(e.Task)
+	r := v.runs[runKey{e.Task, e.Attempt}]
+	ranFor := time.Duration(0)
+	if r != nil {
+		ranFor = now.Sub(r.confirmedAt)
+		if r.confirmedAt.IsZero() {
+			ranFor = now.Sub(r.orderedAt)
+		}
+		s.release(now, r)
+	}
+	if j == nil {
+		return false
+	}
+	s.decided(Decision{
+		What: TaskEnded, Job: j.ID, Task: e.Task, Attempt: e.Attempt, VM: v.id, Reason: e.How.String(),
+		Age: ranFor, After: now.Sub(j.arrived),
+	})
+	if e.Checkpoint != "" {
+		t.saved = e.Checkpoint
+	}
+	if j.over() {
+		s.forgetClosed()
+		return false
+	}
+	switch {
+	case e.How == job.EndedDone && !st.def.Lasting:
+		return s.taskDone(now, j, o, st, t, v, ranFor)
+	case e.How == job.EndedFailed:
+		if !st.def.Lasting {
+			s.judgeFailure(now, v)
+		}
+		return s.taskFailed(now, j, st, t, e, v)
+	}
+	return false
+}
+
+// taskDone takes in that a task has ended well.
+func (s *Scheduler) taskDone(now time.Time, j *jobState, o *occurrence, st *stepState, t *taskState, v *vmState, ranFor time.Duration) bool {
+	if t.done {
+		return false
+	}
+	s.judgeSuccess(v)
+	if ranFor > 0 {
+		s.learn(j, st, v, ranFor)
+	}
+	if st.def.Gang {
+		for i := range st.tasks {
+			st.tasks[i].done = true
+		}
+		st.done = len(st.tasks)
+	} else {
+		t.done = true
+		st.done++
+	}
+	s.markDirty(j)
+	for _, other := range slices.Clone(t.runs) {
+		s.stop(now, other, "another run is done")
+	}
+	if !st.complete() {
+		return true
+	}
+	o.done++
+	if o.done < len(o.steps) {
+		return true
+	}
+	j.doneCount++
+	if j.doneCount == len(j.occurrences) {
+		s.finish(now, j, job.Completed)
+	}
+	return true
+}
+
+// taskFailed takes in that a run has failed.
+func (s *Scheduler) taskFailed(now time.Time, j *jobState, st *stepState, t *taskState, e job.End, v *vmState) bool {
+	t.shunned = v.id
+	t.notBefore = now.Add(failurePause)
+	if st.def.Lasting {
+		t.notBefore = now
+		return false
+	}
+	if slices.Contains(t.failed, e.Attempt) {
+		return false
+	}
+	if st.def.Gang {
+		// A gang fails as one: one count stands for all members.
+		t = &st.tasks[0]
+		if slices.Contains(t.failed, e.Attempt) {
+			return false
+		}
+	}
+	t.failed = append(t.failed, e.Attempt)
+	s.markDirty(j)
+	if len(t.failed) >= s.attempts(j) {
+		s.finish(now, j, job.Failed)
+	}
+	return true
+}
+
+// failurePause keeps a task whose run has failed from starting again before a
+// VM that fails all that it starts is known as such.
+const failurePause = 50 * time.Millisecond
+
+// takeRunning takes in one entry of the list of what runs.
+func (s *Scheduler) takeRunning(now time.Time, v *vmState, clock job.VMClock, e *job.RunningTask) {
+	r := v.runs[runKey{e.Task, e.Attempt}]
+	if r == nil {
+		s.foundRun(now, v, clock, e)
+		return
+	}
+	if r.phase != runConfirmed {
+		s.confirm(now, r, clock)
+	}
+	r.confirmedClock = max(r.confirmedClock, clock)
+	if e.Percent != r.percent || r.percentAt.IsZero() {
+		r.percent, r.percentAt = e.Percent, now
+	}
+	r.load = e.Load
+	if e.Checkpoint != "" {
+		r.checkpoint = e.Checkpoint
+		if _, _, _, t := s.task(e.Task); t != nil {
+			t.saved = e.Checkpoint
+		}
+	}
+	s.seeAtWork(now, r)
+}
+
+// seeAtWork notes whether a lasting task is at work.
+func (s *Scheduler) seeAtWork(now time.Time, r *run) {
+	_, _, st, t := s.task(r.task)
+	if t == nil || !st.def.Lasting {
+		return
+	}
+	if r.percent >= 100 && !r.stopping {
+		r.atWorkAt = now
+		t.awaySince = time.Time{}
+		t.stoppedByUs = false
+	}
+}
+
+// foundRun takes in a run that this owner hasn't ordered: one of a former
+// owner, or one that is not wanted any more.
+func (s *Scheduler) foundRun(now time.Time, v *vmState, clock job.VMClock, e *job.RunningTask) {
+	j, _, st, t := s.task(e.Task)
+	r := &run{
+		task: e.Task, attempt: e.Attempt, vm: v, phase: runConfirmed, confirmedClock: clock,
+		orderedAt: now, confirmedAt: now, percent: e.Percent, percentAt: now, checkpoint: e.Checkpoint,
+		pace: 100, adopted: true,
+	}
+	if j != nil {
+		r.claim, r.cost, r.account = st.def.Claim(), st.def.Room, j.Terms.Account
+	}
+	wanted := j != nil && !j.over() && !t.done && (t.live() == nil || st.def.Speculative)
+	s.addRun(r, t)
+	s.decided(Decision{What: TaskFound, Job: e.Task.Job, Task: e.Task, Attempt: e.Attempt, VM: v.id})
+	if !wanted {
+		s.stop(now, r, "not wanted")
+		return
+	}
+	t.attempt = max(t.attempt, e.Attempt)
+	if st.def.Gang {
+		st.gangAttempt = max(st.gangAttempt, e.Attempt)
+	}
+	if e.Checkpoint != "" {
+		t.saved = e.Checkpoint
+	}
+	s.begin(j)
+	s.seeAtWork(now, r)
+}
+
+// takeMissing takes in that a list lacks a run, if the list is newer than all
+// that could still bring the run about.
+func (s *Scheduler) takeMissing(now time.Time, r *run, clock job.VMClock) {
+	switch {
+	case r.phase == runConfirmed && clock > r.confirmedClock+clockSlack:
+		s.free(now, r, "list lacks it")
+	case r.phase == runUnanswered && clock > r.startBy+clockSlack && !r.stopping:
+		s.free(now, r, "did not start in time")
+	case r.phase == runUnanswered && r.stopping && r.stopClock > 0 && clock >= r.stopClock:
+		s.free(now, r, "stopped before it began")
+	}
+}
--- /dev/null
+++ b/core/schedule/run.go
@@ -0,0 +1,164 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+
+	"lavenderpond/core/job"
+)
+
+// addRun books a run on its VM, its task (nil if unknown) and its account.
+func (s *Scheduler) addRun(r *run, t *taskState) {
+	r.vm.runs[runKey{r.task, r.attempt}] = r
+	r.vm.used = r.vm.used.Plus(r.claim)
+	s.running[r.account] = s.running[r.account].Plus(r.cost)
+	if t != nil {
+		t.runs = append(t.runs, r)
+	}
+}
+
+// release takes a run off its VM, task and account: nothing of it can run any more.
+func (s *Scheduler) release(now time.Time, r *run) {
+	k := runKey{r.task, r.attempt}
+	if r.vm.runs[k] != r {
+		return
+	}
+	delete(r.vm.runs, k)
+	r.vm.used = r.vm.used.Minus(r.claim)
+	s.running[r.account] = s.running[r.account].Minus(r.cost)
+	_, _, st, t := s.task(r.task)
+	if t == nil {
+		return
+	}
+	t.runs = slices.DeleteFunc(t.runs, func(o *run) bool { return o == r })
+	if st.def.Lasting && t.awaySince.IsZero() {
+		t.awaySince = now
+	}
+}
+
+// free releases a run that ended without a listed end.
+func (s *Scheduler) free(now time.Time, r *run, why string) {
+	s.decided(Decision{
+		What: TaskFreed, Job: r.task.Job, Task: r.task, Attempt: r.attempt, VM: r.vm.id, Reason: why,
+		Age: now.Sub(r.vm.answered),
+	})
+	s.release(now, r)
+	s.forgetClosed()
+}
+
+// stop orders a run's end, once.
+func (s *Scheduler) stop(now time.Time, r *run, why string) {
+	if r.stopping {
+		return
+	}
+	r.stopping = true
+	r.resendStop = now.Add(stopRetry)
+	if _, _, st, t := s.task(r.task); t != nil && st.def.Lasting {
+		t.stoppedByUs = true
+	}
+	s.decided(Decision{
+		What: TaskStopping, Job: r.task.Job, Task: r.task, Attempt: r.attempt, VM: r.vm.id, Reason: why,
+	})
+	s.emit(Stop{VM: r.vm.id, Task: r.task, Attempt: r.attempt})
+}
+
+// repeatStop orders the end again of a run that is still there.
+func (s *Scheduler) repeatStop(now time.Time, r *run) {
+	if !r.stopping || now.Before(r.resendStop) {
+		return
+	}
+	r.resendStop = now.Add(stopRetry)
+	if r.stopClock == 0 || r.phase == runConfirmed {
+		s.emit(Stop{VM: r.vm.id, Task: r.task, Attempt: r.attempt})
+	}
+}
+
+// begin notes that a job's first task has started.
+func (s *Scheduler) begin(j *jobState) {
+	if j.begun || j.over() {
+		return
+	}
+	j.begun = true
+	j.state = job.Running
+	s.markDirty(j)
+}
+
+// confirm notes that a run has started.
+func (s *Scheduler) confirm(now time.Time, r *run, clock job.VMClock) {
+	r.phase = runConfirmed
+	r.confirmedAt = now
+	r.confirmedClock = max(r.confirmedClock, clock)
+	j := s.jobs[r.task.Job]
+	if j == nil {
+		return
+	}
+	s.begin(j)
+	s.decided(Decision{
+		What: TaskStarted, Job: j.ID, Task: r.task, Attempt: r.attempt, VM: r.vm.id,
+		Age: now.Sub(r.orderedAt), After: now.Sub(j.arrived),
+	})
+}
+
+// StartAnswered takes in what came of a start.
+func (s *Scheduler) StartAnswered(now time.Time, c Start, out Outcome, rep job.Report) {
+	v := s.vms[c.VM]
+	if v == nil {
+		return
+	}
+	if out == Answered && !s.heard(now, v, rep) {
+		return
+	}
+	r := v.runs[runKey{c.Order.Task, c.Order.Attempt}]
+	if r == nil || r.phase == runConfirmed {
+		return
+	}
+	switch {
+	case out == Answered && rep.Refused == job.NotRefused:
+		s.confirm(now, r, rep.Clock)
+		return
+	case out == Unanswered:
+		r.phase = runUnanswered
+		v.suspect = now.Add(suspicion)
+		return
+	case out == Answered && rep.Refused == job.RefusedRoom:
+		v.fullUntil = now.Add(fullPause)
+	case out == Answered && rep.Refused == job.RefusedTicket:
+		s.dropTickets(c.Order.Task)
+	case out != Answered:
+		v.suspect = now.Add(suspicion)
+	}
+	s.notBegun(now, r, out, rep.Refused)
+}
+
+// fullPause keeps new tasks off a VM that said it is full until its next list.
+const fullPause = 200 * time.Millisecond
+
+// notBegun releases a run that is known not to have begun.
+func (s *Scheduler) notBegun(now time.Time, r *run, out Outcome, why job.Refusal) {
+	reason := out.String()
+	if out == Answered {
+		reason = why.String()
+	}
+	s.decided(Decision{
+		What: TaskNotBegun, Job: r.task.Job, Task: r.task, Attempt: r.attempt, VM: r.vm.id, Reason: reason,
+		Age: now.Sub(r.orderedAt),
+	})
+	s.release(now, r)
+	s.forgetClosed()
+}
+
+// StopAnswered takes in what came of a stop.
+func (s *Scheduler) StopAnswered(now time.Time, c Stop, out Outcome, rep job.Report) {
+	v := s.vms[c.VM]
+	if v == nil || out != Answered || !s.heard(now, v, rep) {
+		return
+	}
+	r := v.runs[runKey{c.Task, c.Attempt}]
+	if r != nil && rep.Refused == job.NotRefused {
+		r.stopClock = rep.Clock
+		if r.phase == runOrdered {
+			// The start was overtaken: it can't begin any more.
+			r.phase = runUnanswered
+		}
+	}
+}
--- /dev/null
+++ b/core/schedule/save.go
@@ -0,0 +1,109 @@
+package schedule
+
+import (
+	"cmp"
+	"slices"
+
+	"lavenderpond/core/job"
+)
+
+func (s *Scheduler) markDirty(j *jobState) {
+	if !j.dirty {
+		j.dirty = true
+		s.dirty = append(s.dirty, j)
+	}
+}
+
+// nextSave returns the sequence of the save that will hold what is dirty now.
+func (s *Scheduler) nextSave() int64 { return s.sequence + 1 }
+
+// flushSaves turns all that has changed into saves of one sequence.
+func (s *Scheduler) flushSaves() {
+	if len(s.dirty) == 0 && !s.rosterDirty {
+		return
+	}
+	s.sequence++
+	if s.rosterDirty {
+		s.rosterDirty = false
+		s.emit(SaveRoster{Sequence: s.sequence, Roster: s.roster()})
+	}
+	for _, j := range s.dirty {
+		j.dirty = false
+		s.emit(Save{Sequence: s.sequence, Job: j.ID, Progress: j.progress()})
+		if j.over() {
+			j.closing = s.sequence
+			s.closing = append(s.closing, j)
+		}
+	}
+	s.dirty = s.dirty[:0]
+}
+
+// Stored notes that all saves up to the sequence are stored.
+func (s *Scheduler) Stored(sequence int64) {
+	s.stored = max(s.stored, sequence)
+	for _, v := range s.vms {
+		v.noteStored(s.stored)
+	}
+	s.forgetClosed()
+}
+
+// forgetClosed drops jobs whose end is stored and of which nothing can run.
+func (s *Scheduler) forgetClosed() {
+	s.closing = slices.DeleteFunc(s.closing, func(j *jobState) bool {
+		if j.closing > s.stored || j.hasRuns() {
+			return false
+		}
+		delete(s.jobs, j.ID)
+		return true
+	})
+}
+
+func (j *jobState) hasRuns() bool {
+	for _, o := range j.occurrences {
+		for i := range o.steps {
+			for t := range o.steps[i].tasks {
+				if len(o.steps[i].tasks[t].runs) > 0 {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
+// progress returns what must be stored of the job. A job that is over needs no
+// details: nothing of it will ever start again.
+func (j *jobState) progress() job.Progress {
+	p := job.Progress{State: j.state}
+	if j.over() {
+		return p
+	}
+	for _, o := range j.occurrences {
+		for i := range o.steps {
+			d := job.StepDone{Occurrence: o.number, Step: i}
+			for t := range o.steps[i].tasks {
+				task := &o.steps[i].tasks[t]
+				if task.done {
+					d.Tasks = append(d.Tasks, t)
+				}
+				if len(task.failed) > 0 && !task.done {
+					f := job.TaskFailures{Occurrence: o.number, Step: i, Task: t, Attempts: slices.Clone(task.failed)}
+					p.Failed = append(p.Failed, f)
+				}
+			}
+			if len(d.Tasks) > 0 {
+				p.Done = append(p.Done, d)
+			}
+		}
+	}
+	return p
+}
+
+func (s *Scheduler) roster() Roster {
+	var r Roster
+	for _, v := range s.vms {
+		r.VMs = append(r.VMs, RosterVM{ID: v.id, Address: v.address, Pool: v.pool, Born: v.born})
+	}
+	slices.SortFunc(r.VMs, func(a, b RosterVM) int { return cmp.Compare(a.ID, b.ID) })
+	return r
+}
--- /dev/null
+++ b/core/schedule/scheduler.go
@@ -0,0 +1,233 @@
+// Package schedule decides which task runs on which VM, and keeps what is known
+// of both. It has no clock, network or goroutine: events come in with the time,
+// commands come out.
+package schedule
+
+import (
+	"time"
+
+	"lavenderpond/core/job"
+	"lavenderpond/core/lease"
+)
+
+// Settings are what a Scheduler starts from.
+type Settings struct {
+	// Fence guards VMs against former owners.
+	Fence job.Fence
+	// AttemptBase is below every attempt of this owner and above all of former ones.
+	AttemptBase job.Attempt
+	// TookOver is when this owner took over.
+	TookOver time.Time
+	// LeaseMax is the longest lease that a VM grants.
+	LeaseMax time.Duration
+	// TaskStop bounds how long a task takes to stop.
+	TaskStop time.Duration
+	// MissNotice is the period after which a lasting task that isn't at work
+	// counts as away.
+	MissNotice time.Duration
+	// MachineLease is how soon orders for a machine may follow a former holder's.
+	MachineLease time.Duration
+	// MachineMove and MachineUpkeep are how long a machine is away.
+	MachineMove   time.Duration
+	MachineUpkeep time.Duration
+	// Observer is told of decisions; nil for none.
+	Observer Observer
+}
+
+// Scheduler is the owner's knowledge of jobs and VMs.
+type Scheduler struct {
+	settings Settings
+	conf     *job.Configuration
+	jobs     map[job.ID]*jobState
+	vms      map[job.VMID]*vmState
+	// running is what each client account has running, or may have.
+	running  map[job.AccountName]job.Room
+	commands []Command
+	dirty    []*jobState
+	// sequence numbers the saves; stored is the last that is stored.
+	sequence    int64
+	stored      int64
+	closing     []*jobState
+	rosterDirty bool
+	mayStart    bool
+	mayHold     bool
+	queues      map[job.QueueName]*queueRecord
+	machines    map[job.MachineID]*machineState
+	waves       map[int64]*waveState
+}
+
+// New returns a scheduler that knows nothing yet.
+func New(s Settings) *Scheduler {
+	return &Scheduler{
+		settings: s,
+		jobs:     map[job.ID]*jobState{},
+		vms:      map[job.VMID]*vmState{},
+		running:  map[job.AccountName]job.Room{},
+		queues:   map[job.QueueName]*queueRecord{},
+		machines: map[job.MachineID]*machineState{},
+		waves:    map[int64]*waveState{},
+	}
+}
+
+// Configure puts a configuration in force; a lower version than the present one is ignored.
+func (s *Scheduler) Configure(c *job.Configuration) {
+	if s.conf != nil && c.Version < s.conf.Version {
+		return
+	}
+	s.conf = c
+}
+
+// SetRights says what the owner may still do at this moment.
+func (s *Scheduler) SetRights(mayStart, mayHold bool) { s.mayStart, s.mayHold = mayStart, mayHold }
+
+// Take returns the commands since the last call.
+func (s *Scheduler) Take() []Command {
+	s.flushSaves()
+	out := s.commands
+	s.commands = nil
+	return out
+}
+
+func (s *Scheduler) emit(c Command) { s.commands = append(s.commands, c) }
+
+func (s *Scheduler) decided(d Decision) {
+	if s.settings.Observer != nil {
+		s.settings.Observer.Decided(d)
+	}
+}
+
+// Inherit notes a VM on which the former owner may have started tasks.
+func (s *Scheduler) Inherit(r RosterVM) {
+	v := s.vm(r.ID)
+	if v.address == "" {
+		v.address, v.pool, v.born = r.Address, r.Pool, r.Born
+	}
+	v.inheritedUntil = lease.InheritedEnd(s.settings.TookOver, s.settings.LeaseMax)
+}
+
+// AddJob takes in a job and what is stored of its progress. inherited tells
+// that a former owner may have started tasks of it.
+func (s *Scheduler) AddJob(now time.Time, j job.Job, p *job.Progress, inherited bool) {
+	if s.jobs[j.ID] != nil || (p != nil && p.State.Final()) {
+		return
+	}
+	st := &jobState{Job: j, arrived: now, inherited: inherited, lasting: j.Body.Lasting()}
+	for k := range j.Body.Runs() {
+		o := &occurrence{number: k, due: j.Body.Due(k), steps: make([]stepState, len(j.Body.Steps))}
+		for i := range o.steps {
+			o.steps[i].def = &j.Body.Steps[i]
+			o.steps[i].tasks = make([]taskState, j.Body.Steps[i].Count)
+		}
+		st.occurrences = append(st.occurrences, o)
+	}
+	if p != nil {
+		st.restore(p)
+	}
+	st.objective, st.late = s.objective(st)
+	s.jobs[j.ID] = st
+	s.decided(Decision{What: JobAdopted, Job: j.ID, Reason: string(j.Terms.Queue)})
+}
+
+// restore applies stored progress.
+func (j *jobState) restore(p *job.Progress) {
+	j.state = p.State
+	j.begun = p.State != job.Pending
+	for _, d := range p.Done {
+		if d.Occurrence >= len(j.occurrences) || d.Step >= len(j.Body.Steps) {
+			continue
+		}
+		o := j.occurrences[d.Occurrence]
+		st := &o.steps[d.Step]
+		for _, t := range d.Tasks {
+			if t < len(st.tasks) && !st.tasks[t].done {
+				st.tasks[t].done = true
+				st.done++
+			}
+		}
+		if st.complete() {
+			o.done++
+		}
+	}
+	for _, o := range j.occurrences {
+		if o.done == len(o.steps) {
+			j.doneCount++
+		}
+	}
+	for _, f := range p.Failed {
+		if f.Occurrence < len(j.occurrences) && f.Step < len(j.Body.Steps) && f.Task < j.Body.Steps[f.Step].Count {
+			j.occurrences[f.Occurrence].steps[f.Step].tasks[f.Task].failed = f.Attempts
+		}
+	}
+}
+
+// Cancel ends a job on its caller's wish. An unknown job needs nothing.
+func (s *Scheduler) Cancel(now time.Time, id job.ID) {
+	j := s.jobs[id]
+	if j == nil || j.over() {
+		return
+	}
+	j.cancelled, j.cancelledAt = true, now
+	s.decided(Decision{What: JobCancelled, Job: id, After: now.Sub(j.arrived)})
+	s.finish(now, j, job.Cancelled)
+}
+
+// finish gives a job its final state and stops what still runs of it.
+func (s *Scheduler) finish(now time.Time, j *jobState, state job.State) {
+	j.state = state
+	s.markDirty(j)
+	s.decided(Decision{What: JobEnded, Job: j.ID, Reason: state.String(), After: now.Sub(j.arrived)})
+	for _, o := range j.occurrences {
+		for i := range o.steps {
+			for t := range o.steps[i].tasks {
+				for _, r := range o.steps[i].tasks[t].runs {
+					s.stop(now, r, "job "+state.String())
+				}
+			}
+		}
+	}
+}
+
+// Backlog counts the jobs of each queue that haven't begun.
+func (s *Scheduler) Backlog() map[job.QueueName]int {
+	out := map[job.QueueName]int{}
+	for _, j := range s.jobs {
+		if !j.over() && !j.begun {
+			out[j.Terms.Queue]++
+		}
+	}
+	return out
+}
+
+// pool returns the pool that runs a job's tasks: the one that the queue has
+// now, or if the queue is gone the one that it had.
+func (s *Scheduler) pool(j *jobState) job.PoolName {
+	if s.conf != nil {
+		if q := s.conf.Queue(j.Terms.Queue); q != nil {
+			return q.Pool
+		}
+	}
+	return j.Terms.Pool
+}
+
+// attempts returns how many failed runs end a job.
+func (s *Scheduler) attempts(j *jobState) int {
+	if s.conf != nil {
+		if q := s.conf.Queue(j.Terms.Queue); q != nil && q.Attempts > 0 {
+			return q.Attempts
+		}
+	}
+	return max(1, j.Terms.Attempts)
+}
+
+func (s *Scheduler) task(t job.TaskID) (*jobState, *occurrence, *stepState, *taskState) {
+	j := s.jobs[t.Job]
+	if j == nil || t.Occurrence >= len(j.occurrences) || t.Step >= len(j.Body.Steps) || t.Occurrence < 0 || t.Step < 0 {
+		return nil, nil, nil, nil
+	}
+	o := j.occurrences[t.Occurrence]
+	st := &o.steps[t.Step]
+	if t.Index < 0 || t.Index >= len(st.tasks) {
+		return nil, nil, nil, nil
+	}
+	return j, o, st, &st.tasks[t.Index]
+}
--- /dev/null
+++ b/core/schedule/state.go
@@ -0,0 +1,183 @@
+package schedule
+
+import (
+	"time"
+
+	"lavenderpond/core/job"
+	"lavenderpond/core/lease"
+)
+
+// runPhase is what is known of a run.
+type runPhase int
+
+const (
+	// runOrdered: the start is on its way.
+	runOrdered runPhase = iota
+	// runUnanswered: the start had no answer; it may run.
+	runUnanswered
+	// runConfirmed: the VM has said that it runs.
+	runConfirmed
+)
+
+// run is one start of a task on a VM, until nothing of it can run any more.
+type run struct {
+	task    job.TaskID
+	attempt job.Attempt
+	vm      *vmState
+	phase   runPhase
+	claim   job.Room
+	// account pays with cost, which counts CPU that fills gaps too.
+	account job.AccountName
+	cost    job.Room
+	// startBy is the start's deadline on the VM's clock.
+	startBy job.VMClock
+	// confirmedClock is the VM's clock when it confirmed the run.
+	confirmedClock job.VMClock
+	orderedAt      time.Time
+	confirmedAt    time.Time
+	percent        int
+	percentAt      time.Time
+	load           int64
+	atWorkAt       time.Time
+	pace           int
+	checkpoint     job.Checkpoint
+	// stopping is set once its end was ordered; resendStop is when to repeat that.
+	stopping   bool
+	resendStop time.Time
+	// stopClock is the VM's clock when it answered the stop; 0 if it hasn't.
+	stopClock job.VMClock
+	// adopted runs were started by a former owner.
+	adopted bool
+}
+
+type taskState struct {
+	done    bool
+	failed  []job.Attempt
+	runs    []*run
+	attempt job.Attempt
+	saved   job.Checkpoint
+	// notBefore delays the next start after a failure.
+	notBefore time.Time
+	// shunned is the VM where the last run failed.
+	shunned job.VMID
+	// awaySince is when a lasting task was last seen at work, or ended.
+	awaySince time.Time
+	// stoppedByUs is set while a lasting task is away because of our order.
+	stoppedByUs bool
+}
+
+// live returns the run of the task that isn't stopping, or nil.
+func (t *taskState) live() *run {
+	for _, r := range t.runs {
+		if !r.stopping {
+			return r
+		}
+	}
+	return nil
+}
+
+type stepState struct {
+	def   *job.Step
+	tasks []taskState
+	done  int
+	// tickets are the VMs that may run the step, where it needs advice.
+	tickets  map[job.VMID]string
+	ticketsT time.Time
+	asked    bool
+	askAt    time.Time
+	// rack is where the step's first task went, if its tasks should share one.
+	rack job.Label
+	// gangAttempt is the attempt that all members share.
+	gangAttempt job.Attempt
+}
+
+func (s *stepState) complete() bool { return s.done == len(s.tasks) }
+
+type occurrence struct {
+	number int
+	due    time.Time
+	steps  []stepState
+	done   int
+}
+
+// jobState is a job that isn't over.
+type jobState struct {
+	job.Job
+	arrived     time.Time
+	state       job.State
+	occurrences []*occurrence
+	doneCount   int
+	cancelled   bool
+	cancelledAt time.Time
+	begun       bool
+	inherited   bool
+	lasting     bool
+	// objective is when the job is due to be complete.
+	objective time.Time
+	late      time.Time
+	left      time.Duration
+	dirty     bool
+	// closing is the sequence of the save after which the job is forgotten.
+	closing int64
+}
+
+func (j *jobState) over() bool { return j.state.Final() }
+
+// vmState is one VM as this owner knows it.
+type vmState struct {
+	id      job.VMID
+	address string
+	pool    job.PoolName
+	zone    string
+	rack    job.Label
+	labels  map[job.Label]bool
+	room    job.Room
+	used    job.Room
+	machine job.MachineID
+	born    job.Born
+	// listed is set while the VM's entry stands in the directory.
+	listed   bool
+	draining bool
+	leavesAt time.Time
+
+	clock lease.Clock
+	// reported is the clock of the newest list.
+	reported job.VMClock
+	// leaseEnd is the latest deadline that any order carried.
+	leaseEnd job.VMClock
+	runs     map[runKey]*run
+
+	// seen is the last end taken in, noted the last one that is stored.
+	seen   int64
+	noted  int64
+	unsure []unsavedEnd
+
+	holding  bool
+	heldOnce bool
+	nextHold time.Time
+	answered time.Time
+	silent   bool
+	failures int
+	// failedRuns counts failed runs since the last that was done.
+	failedRuns int
+	suspect    time.Time
+	fullUntil  time.Time
+	// inRoster is the save after which tasks may start here.
+	inRoster int64
+	// cordoned VMs get no new tasks since their machine is due for upkeep.
+	cordoned bool
+	// inheritedUntil is when nothing of a former owner can run here any more,
+	// if the VM stays silent.
+	inheritedUntil time.Time
+}
+
+type runKey struct {
+	task    job.TaskID
+	attempt job.Attempt
+}
+
+// unsavedEnd is an end that may be noted once the save is stored.
+type unsavedEnd struct {
+	number int64
+	save   int64
+}
--- /dev/null
+++ b/core/schedule/tick.go
@@ -0,0 +1,32 @@
+package schedule
+
+import "time"
+
+// Tick does what is due: holds, repeated stops, leases that ran out, upkeep.
+func (s *Scheduler) Tick(now time.Time) {
+	for _, v := range s.vms {
+		s.expire(now, v)
+		for _, r := range v.runs {
+			s.repeatStop(now, r)
+		}
+		s.hold(now, v)
+	}
+	s.leaveDraining(now)
+	s.drive(now)
+}
+
+// leaveDraining moves lasting tasks off VMs that leave. Other tasks may end in
+// time; those that don't end with the VM.
+func (s *Scheduler) leaveDraining(now time.Time) {
+	for _, v := range s.vms {
+		if !v.draining {
+			continue
+		}
+		for _, r := range v.runs {
+			_, _, st, t := s.task(r.task)
+			if t != nil && st.def.Lasting && r.phase == runConfirmed && !v.silent {
+				s.stop(now, r, "VM leaves")
+			}
+		}
+	}
+}
--- /dev/null
+++ b/core/schedule/upkeep.go
@@ -0,0 +1,264 @@
+package schedule
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"lavenderpond/core/job"
+)
+
+// machineState is a machine as the platform lists it.
+type machineState struct {
+	job.Machine
+	// ordered is when an order was sent that isn't known to be over.
+	ordered time.Time
+	// waiting is set while an order has no answer yet.
+	waiting bool
+	// before is the VM that lived on the machine when the order was sent.
+	before job.VMID
+	bornAt job.Born
+	retry  time.Time
+}
+
+// waveState is a wave that isn't over.
+type waveState struct {
+	job.Wave
+	arrived   time.Time
+	done      map[job.MachineID]bool
+	away      map[job.MachineID]bool
+	shown     job.WaveState
+	shownOnce bool
+}
+
+const (
+	// upkeepAhead is how many machines beyond the wave's bound are emptied ahead,
+	// so that the next is empty when one comes back.
+	upkeepAhead = 1
+	// machineRetry is the pause before an order that wasn't carried out is repeated.
+	machineRetry = 500 * time.Millisecond
+)
+
+// Machines takes in the machines list.
+func (s *Scheduler) Machines(now time.Time, list []job.Machine) {
+	present := map[job.MachineID]bool{}
+	for _, m := range list {
+		present[m.ID] = true
+		x := s.machines[m.ID]
+		if x == nil {
+			x = &machineState{}
+			s.machines[m.ID] = x
+		}
+		x.Machine = m
+		if v := s.vms[m.VM]; v != nil {
+			v.machine = m.ID
+		}
+	}
+	for id := range s.machines {
+		if !present[id] {
+			delete(s.machines, id)
+		}
+	}
+}
+
+// AddWave takes in a wave; one that is known already is left as it is.
+func (s *Scheduler) AddWave(now time.Time, w job.Wave) {
+	if s.waves[w.Number] != nil {
+		return
+	}
+	s.waves[w.Number] = &waveState{
+		Wave: w, arrived: now, done: map[job.MachineID]bool{}, away: map[job.MachineID]bool{},
+	}
+	s.decided(Decision{What: WaveChanged, Reason: "begun"})
+}
+
+// HasWaves tells whether upkeep is going on.
+func (s *Scheduler) HasWaves() bool {
+	for _, w := range s.waves {
+		if w.shown != job.WaveCompleted {
+			return true
+		}
+	}
+	return false
+}
+
+// drive moves each wave on: empty machines, order their upkeep, wait for them.
+func (s *Scheduler) drive(now time.Time) {
+	cordoned := map[job.MachineID]bool{}
+	for _, w := range s.waves {
+		if w.shown != job.WaveCompleted || !w.shownOnce {
+			s.driveWave(now, w, cordoned)
+		}
+	}
+	for _, v := range s.vms {
+		v.cordoned = v.machine != "" && cordoned[v.machine]
+	}
+}
+
+func (s *Scheduler) driveWave(now time.Time, w *waveState, cordoned map[job.MachineID]bool) {
+	s.countBack(now, w)
+	if !w.shownOnce {
+		w.shownOnce = true
+		s.emit(ShowWave{Number: w.Number, State: job.WaveRunning})
+	}
+	var left []*machineState
+	for _, id := range w.Machines {
+		m := s.machines[id]
+		if w.done[id] || m == nil {
+			continue
+		}
+		if w.away[id] {
+			cordoned[id] = true
+			continue
+		}
+		left = append(left, m)
+	}
+	if len(left) == 0 && len(w.away) == 0 && len(s.machines) > 0 {
+		s.completeWave(now, w)
+		return
+	}
+	slices.SortFunc(left, func(a, b *machineState) int {
+		return cmp.Or(cmp.Compare(s.emptyCost(a), s.emptyCost(b)), cmp.Compare(a.ID, b.ID))
+	})
+	s.emptyNext(now, w, left, cordoned)
+}
+
+func (s *Scheduler) completeWave(now time.Time, w *waveState) {
+	w.shown = job.WaveCompleted
+	s.decided(Decision{What: WaveChanged, Reason: "completed", After: now.Sub(w.arrived)})
+	s.emit(ShowWave{Number: w.Number, State: job.WaveCompleted})
+}
+
+// emptyNext cordons the machines that are next, and orders upkeep for those
+// that are empty, never more than the wave's bound at a time.
+func (s *Scheduler) emptyNext(now time.Time, w *waveState, left []*machineState, cordoned map[job.MachineID]bool) {
+	slots := max(1, w.AtOnce)
+	emptying := 0
+	for _, m := range left {
+		if len(w.away)+emptying >= slots+upkeepAhead {
+			return
+		}
+		emptying++
+		cordoned[m.ID] = true
+		v := s.vms[m.VM]
+		if v != nil && len(v.runs) > 0 {
+			s.evacuate(now, v)
+			continue
+		}
+		if len(w.away) < slots && s.mayOrderMachines(now) && !now.Before(m.retry) {
+			s.orderUpkeep(now, w, m, v)
+		}
+	}
+}
+
+// mayOrderMachines tells whether a former owner's orders are long enough ago.
+func (s *Scheduler) mayOrderMachines(now time.Time) bool {
+	return s.mayStart && now.After(s.settings.TookOver.Add(s.settings.MachineLease+machineSlack))
+}
+
+// machineSlack covers orders that a former owner sent while its right lasted.
+const machineSlack = 1500 * time.Millisecond
+
+func (s *Scheduler) orderUpkeep(now time.Time, w *waveState, m *machineState, v *vmState) {
+	w.away[m.ID] = true
+	m.ordered, m.waiting, m.before = now, true, m.VM
+	m.bornAt = 0
+	if v != nil {
+		m.bornAt = v.born
+	}
+	s.emit(Upkeep{Machine: m.ID, Wave: w.Number})
+}
+
+// UpkeepAnswered takes in what came of an order for upkeep.
+func (s *Scheduler) UpkeepAnswered(now time.Time, c Upkeep, out Outcome, why job.MachineRefusal) {
+	m, w := s.machines[c.Machine], s.waves[c.Wave]
+	if m == nil || w == nil {
+		return
+	}
+	m.waiting = false
+	switch {
+	case out == Answered && why == job.MachineAccepted:
+		s.decided(Decision{What: MachineUpkept, VM: m.before, Reason: string(m.ID)})
+	case out == Unanswered:
+		// It may be carried out later: it is asked for again until that is known.
+		m.retry = now.Add(machineRetry)
+	default:
+		delete(w.away, m.ID)
+		m.retry = now.Add(machineRetry)
+	}
+}
+
+// countBack notes the machines that are back from their upkeep: another life
+// runs on them, or after an accepted order the list says that they are up again.
+func (s *Scheduler) countBack(now time.Time, w *waveState) {
+	for id := range w.away {
+		m := s.machines[id]
+		if m == nil {
+			delete(w.away, id)
+			continue
+		}
+		if m.waiting || now.Sub(m.ordered) < s.settings.MachineUpkeep {
+			continue
+		}
+		if !m.retry.IsZero() && now.After(m.retry) {
+			m.retry, m.waiting = time.Time{}, true
+			s.emit(Upkeep{Machine: id, Wave: w.Number})
+			continue
+		}
+		if m.State == job.MachineUp && m.retry.IsZero() {
+			delete(w.away, id)
+			w.done[id] = true
+		}
+	}
+}
+
+// emptyCost orders machines by what has to be moved off them.
+func (s *Scheduler) emptyCost(m *machineState) float64 {
+	v := s.vms[m.VM]
+	if v == nil {
+		return 0
+	}
+	cost := 0.0
+	for _, r := range v.runs {
+		cost++
+		if _, _, st, _ := s.task(r.task); st != nil && st.def.Lasting {
+			cost += 2
+		}
+	}
+	return cost
+}
+
+// evacuate moves lasting tasks off a VM, as far as their steps may miss tasks.
+func (s *Scheduler) evacuate(now time.Time, v *vmState) {
+	for _, r := range v.runs {
+		j, _, st, _ := s.task(r.task)
+		if j == nil || j.over() || !st.def.Lasting || r.stopping || r.phase != runConfirmed {
+			continue
+		}
+		if !s.mayMiss(now, st, r) {
+			continue
+		}
+		s.stop(now, r, "upkeep")
+	}
+}
+
+// mayMiss tells whether a lasting step can spare the run now: as long as fewer
+// other tasks are away than the step allows. A task counts as away from its
+// stop until it is seen at work again.
+func (s *Scheduler) mayMiss(_ time.Time, st *stepState, r *run) bool {
+	away := 0
+	for i := range st.tasks {
+		t := &st.tasks[i]
+		if i == r.task.Index {
+			continue
+		}
+		x := t.live()
+		if x == nil || x.percent < 100 || x.phase != runConfirmed {
+			away++
+		}
+	}
+	if !st.def.HasMayMiss {
+		return away == 0
+	}
+	return away < st.def.MayMiss
+}
--- /dev/null
+++ b/core/schedule/vm.go
@@ -0,0 +1,260 @@
+package schedule
+
+import (
+	"strings"
+	"time"
+
+	"lavenderpond/core/job"
+	"lavenderpond/core/lease"
+)
+
+const (
+	// busyWait is how long a VM that runs something may wait for an end before
+	// it answers a hold. The lease is renewed at least that often, so a VM that
+	// is cut off keeps its tasks for at least the longest lease less busyWait.
+	busyWait = 700 * time.Millisecond
+	// idleWait is the same for a VM without tasks; it is the longest that VMs allow.
+	idleWait = 2 * time.Second
+	// holdGap is the least time between two holds, so that a VM that answers at
+	// once isn't called without end.
+	holdGap = 20 * time.Millisecond
+	// holdRetry is the pause after a hold that had no answer.
+	holdRetry = 250 * time.Millisecond
+	// startWithin is how long after its sending a start may begin. It is short so
+	// that an order that is carried out late is refused, and long against the
+	// round trip to a slow VM.
+	startWithin = 600 * time.Millisecond
+	// stopRetry is the pause before a stop without an effect is repeated.
+	stopRetry = 600 * time.Millisecond
+	// clockSlack covers readings of VM clocks in whole milliseconds.
+	clockSlack job.VMClock = 5
+	// suspicion is how long a VM gets no new tasks after it left one unanswered.
+	suspicion = time.Second
+	// forgetAfter is how long a VM that isn't listed is still remembered.
+	forgetAfter = 3 * time.Second
+)
+
+// rackMark is what the labels of racks begin with.
+const rackMark = "r"
+
+func (s *Scheduler) vm(id job.VMID) *vmState {
+	v := s.vms[id]
+	if v == nil {
+		v = &vmState{id: id, labels: map[job.Label]bool{}, runs: map[runKey]*run{}}
+		s.vms[id] = v
+	}
+	return v
+}
+
+// VMSeen takes in a VM's entry in the directory.
+func (s *Scheduler) VMSeen(now time.Time, e job.VMEntry) {
+	v := s.vm(e.ID)
+	if v.inRoster == 0 {
+		s.decided(Decision{What: VMFound, VM: e.ID, Reason: string(e.Pool)})
+		s.enroll(v)
+		v.nextHold = now
+	}
+	if e.Born != 0 && v.born != 0 && e.Born > v.born {
+		s.reborn(now, v, e.Born)
+	}
+	if v.address != e.Address || v.pool != e.Pool {
+		s.enroll(v)
+	}
+	v.listed, v.address, v.pool, v.zone = true, e.Address, e.Pool, e.Zone
+	v.room, v.machine = e.Room, e.Machine
+	if v.born == 0 {
+		v.born = e.Born
+	}
+	v.setLabels(e.Labels)
+	if e.Draining && !v.draining {
+		s.decided(Decision{What: VMDraining, VM: v.id, Reason: e.LeavesIn.String()})
+		v.leavesAt = now.Add(e.LeavesIn)
+	}
+	v.draining = e.Draining
+}
+
+// enroll puts the VM into the roster; no task starts there before it is stored.
+func (s *Scheduler) enroll(v *vmState) {
+	s.rosterDirty = true
+	v.inRoster = s.nextSave()
+}
+
+func (v *vmState) setLabels(labels []job.Label) {
+	clear(v.labels)
+	for _, l := range labels {
+		v.labels[l] = true
+		if strings.HasPrefix(string(l), rackMark) && strings.ContainsAny(string(l), "0123456789") {
+			v.rack = l
+		}
+	}
+}
+
+// VMUnlisted notes that a VM's entry is gone. That is no proof that it runs
+// nothing: only its lease is.
+func (s *Scheduler) VMUnlisted(now time.Time, id job.VMID) {
+	v := s.vms[id]
+	if v == nil || !v.listed {
+		return
+	}
+	v.listed = false
+	v.answered = now
+	s.decided(Decision{What: VMGone, VM: id})
+}
+
+// VMs returns the IDs of the VMs that are listed now.
+func (s *Scheduler) VMs() []job.VMID {
+	var out []job.VMID
+	for id, v := range s.vms {
+		if v.listed {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// Address returns where a VM takes orders.
+func (s *Scheduler) Address(id job.VMID) string {
+	if v := s.vms[id]; v != nil {
+		return v.address
+	}
+	return ""
+}
+
+// reborn takes in that a VM has crashed and lives anew under the same ID: what
+// ran is gone, and its clock and numbers start anew. Starts without an answer
+// may still arrive and be carried out by the new life, whose clock is behind
+// their deadline; they are stopped by name before their tasks go elsewhere.
+func (s *Scheduler) reborn(now time.Time, v *vmState, born job.Born) {
+	s.decided(Decision{What: VMReborn, VM: v.id})
+	v.born = born
+	v.clock, v.reported, v.leaseEnd = lease.Clock{}, 0, 0
+	v.seen, v.noted, v.unsure = 0, 0, nil
+	v.heldOnce, v.nextHold = false, now
+	v.inheritedUntil = time.Time{}
+	s.enroll(v)
+	for _, r := range v.runs {
+		r.stopClock = 0
+		if r.phase == runConfirmed {
+			s.free(now, r, "VM lives anew")
+			continue
+		}
+		r.phase = runUnanswered
+		r.confirmedClock = 0
+		s.stop(now, r, "VM lives anew")
+	}
+}
+
+// usable tells whether new tasks may start on the VM.
+func (s *Scheduler) usable(now time.Time, v *vmState) bool {
+	return v.listed && !v.draining && !v.cordoned && v.heldOnce && !v.silent && v.clock.Known() &&
+		v.inRoster <= s.stored && !now.Before(v.suspect) && !now.Before(v.fullUntil)
+}
+
+// hold orders the next hold of a VM if it is due.
+func (s *Scheduler) hold(now time.Time, v *vmState) {
+	if v.holding || now.Before(v.nextHold) || !s.mayHold || v.address == "" {
+		return
+	}
+	o := job.HoldOrder{Fence: s.settings.Fence, Noted: v.noted}
+	if v.clock.Known() && len(v.runs) > 0 {
+		o.Deadline = v.clock.Likely(now) + job.VMClock(s.settings.LeaseMax.Milliseconds())
+		v.leaseEnd = max(v.leaseEnd, o.Deadline)
+	}
+	if v.heldOnce && !v.silent && len(v.unsure) == 0 {
+		o.Wait = busyWait
+		if len(v.runs) == 0 {
+			o.Wait = idleWait
+		}
+	}
+	v.holding = true
+	v.nextHold = now.Add(holdGap)
+	s.emit(Hold{VM: v.id, Order: o})
+}
+
+// HoldAnswered takes in what came of a hold.
+func (s *Scheduler) HoldAnswered(now time.Time, id job.VMID, out Outcome, r job.Report) {
+	v := s.vms[id]
+	if v == nil {
+		return
+	}
+	v.holding = false
+	if out != Answered || !r.Lists {
+		s.holdFailed(now, v, out, r)
+		return
+	}
+	if !s.heard(now, v, r) {
+		return
+	}
+	s.takeLists(now, v, r)
+	if !v.heldOnce {
+		v.heldOnce = true
+		v.inheritedUntil = time.Time{}
+	}
+	v.nextHold = now.Add(holdGap)
+	if len(v.unsure) > 0 {
+		// The VM would answer at once with the same ends: wait until they are stored.
+		v.nextHold = now.Add(busyWait)
+	}
+}
+
+// heard takes in that a VM has answered. It returns false if a former life did.
+func (s *Scheduler) heard(now time.Time, v *vmState, r job.Report) bool {
+	if r.Born != 0 && v.born != 0 && r.Born != v.born {
+		if r.Born < v.born {
+			return false
+		}
+		s.reborn(now, v, r.Born)
+	}
+	if v.born == 0 {
+		v.born = r.Born
+	}
+	if r.Clock > 0 {
+		v.clock.Read(r.Clock, now)
+	}
+	if v.silent {
+		s.decided(Decision{What: VMBack, VM: v.id, Age: now.Sub(v.answered)})
+	}
+	v.answered, v.silent, v.failures = now, false, 0
+	return true
+}
+
+func (s *Scheduler) holdFailed(now time.Time, v *vmState, out Outcome, r job.Report) {
+	if out == Answered {
+		s.heard(now, v, r)
+	} else if !v.silent {
+		v.silent = true
+		s.decided(Decision{What: VMSilent, VM: v.id, Reason: out.String(), Age: now.Sub(v.answered)})
+	}
+	v.failures++
+	v.nextHold = now.Add(holdRetry * time.Duration(min(v.failures, 4)))
+}
+
+// noteStored moves the last noted end up to what is stored.
+func (v *vmState) noteStored(stored int64) {
+	n := 0
+	for n < len(v.unsure) && v.unsure[n].save <= stored {
+		v.noted = v.unsure[n].number
+		n++
+	}
+	if n > 0 {
+		v.unsure = v.unsure[n:]
+		if len(v.unsure) == 0 {
+			v.nextHold = time.Time{}
+		}
+	}
+}
+
+// expire frees what ran on VMs whose leases have run out, and forgets VMs that
+// are gone.
+func (s *Scheduler) expire(now time.Time, v *vmState) {
+	if v.silent && v.clock.Known() && len(v.runs) > 0 && v.clock.Earliest(now) > v.leaseEnd+clockSlack {
+		for _, r := range v.runs {
+			s.free(now, r, "lease ran out")
+		}
+	}
+	gone := !v.listed && len(v.runs) == 0 && !now.Before(v.inheritedUntil) && now.Sub(v.answered) > forgetAfter
+	if gone && !v.holding {
+		delete(s.vms, v.id)
+		s.rosterDirty = true
+	}
+}
--- /dev/null
+++ b/io/node/commit.go
@@ -0,0 +1,290 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"lavenderpond/core/job"
+	"lavenderpond/core/lease"
+	"lavenderpond/core/schedule"
+	"lavenderpond/io/supervisor"
+	"lavenderpond/platform"
+)
+
+const (
+	// renewEvery is how often the owner renews its right if it has nothing to
+	// store: three times within the period for which a proof lasts.
+	renewEvery = 400 * time.Millisecond
+	// groupFor gathers saves into one transaction: transactions are priced and
+	// the table takes 300 of them a second.
+	groupFor = 12 * time.Millisecond
+	// rowsEach is the most rows that one save touches: progress, job, cancellation.
+	rowsEach = 3
+	// savesEach keeps a transaction below the table's bound on rows.
+	savesEach = (platform.MaxTransactionRows - 6) / rowsEach
+	// answerLeast bounds the wait for an answer from below; the table answers in
+	// about 4 ms. answerMost does so from above, for a table that is slow.
+	answerLeast = 250 * time.Millisecond
+	answerMost  = 1500 * time.Millisecond
+	// refusedPause is the pause after the table refused a transaction.
+	refusedPause = 60 * time.Millisecond
+)
+
+// errDeposed says that another process owns the jobs and VMs now.
+var errDeposed = errors.New("another process is the owner now")
+
+// tenure is one owner's time in office, as the table knows it.
+type tenure struct {
+	life  string
+	fence platform.Version
+	turn  int64
+
+	mu    sync.Mutex
+	right lease.Right
+}
+
+func (t *tenure) prove(sent time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.right.Prove(sent)
+}
+
+func (t *tenure) mayStart(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.right.MayStart(now)
+}
+
+func (t *tenure) mayHold(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.right.MayHold(now)
+}
+
+// committer stores what the scheduler wants stored, in order, and renews the
+// owner's right with the same transactions.
+type committer struct {
+	table   *platform.Table
+	tenure  *tenure
+	log     zerolog.Logger
+	renewal platform.Version
+	batch   int64
+	// typical is the smoothed time of an answer.
+	typical time.Duration
+	// stored is called after each transaction with the last sequence stored.
+	stored  func(sequence int64)
+	backlog func() map[job.QueueName]int
+	took    func(d time.Duration)
+
+	mu    sync.Mutex
+	queue []schedule.Command
+	wake  chan struct{}
+}
+
+// add queues saves.
+func (c *committer) add(saves []schedule.Command) {
+	c.mu.Lock()
+	c.queue = append(c.queue, saves...)
+	c.mu.Unlock()
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run stores and renews until ctx ends or the right is lost.
+func (c *committer) run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		c.awaitWork(ctx)
+		saves, last := c.next()
+		if err := c.store(ctx, saves); err != nil {
+			return err
+		}
+		if last > 0 {
+			c.stored(last)
+		}
+	}
+	return nil
+}
+
+// awaitWork waits for saves, but not longer than until the next renewal.
+func (c *committer) awaitWork(ctx context.Context) {
+	c.mu.Lock()
+	n := len(c.queue)
+	c.mu.Unlock()
+	if n >= savesEach {
+		return
+	}
+	if n == 0 {
+		t := time.NewTimer(renewEvery)
+		defer t.Stop()
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			return
+		case <-c.wake:
+		}
+	}
+	supervisor.Sleep(ctx, groupFor)
+}
+
+// next takes saves off the queue. last is the sequence up to which all are
+// stored once they are, or 0 if none is whole.
+func (c *committer) next() (saves []schedule.Command, last int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := min(len(c.queue), savesEach)
+	saves = c.queue[:n:n]
+	c.queue = c.queue[n:]
+	if n == 0 {
+		return nil, 0
+	}
+	last = sequenceOf(saves[n-1])
+	if len(c.queue) > 0 && sequenceOf(c.queue[0]) == last {
+		last--
+	}
+	return saves, last
+}
+
+func sequenceOf(c schedule.Command) int64 {
+	switch c := c.(type) {
+	case schedule.Save:
+		return c.Sequence
+	case schedule.SaveRoster:
+		return c.Sequence
+	}
+	return 0
+}
+
+// transaction builds what stores the saves. It expects the owner's row and the
+// last renewal unchanged: the first keeps a deposed owner from writing, the
+// second keeps an earlier transaction whose answer was lost from being carried
+// out after this one and undoing it.
+func (c *committer) transaction(saves []schedule.Command) (platform.Transaction, error) {
+	tx := platform.Transaction{Conditions: []platform.Condition{
+		{RowKey: ownerKey, Version: c.tenure.fence},
+		{RowKey: renewalKey, Version: c.renewal},
+	}}
+	value, err := encode(renewalRow{Life: c.tenure.life, Batch: c.batch, Backlog: c.backlog()})
+	if err != nil {
+		return tx, err
+	}
+	tx.Writes = append(tx.Writes, platform.Write{RowKey: renewalKey, Value: value})
+	for _, s := range latest(saves) {
+		if err := addSave(&tx, s); err != nil {
+			return tx, err
+		}
+	}
+	return tx, nil
+}
+
+// latest drops saves that a later one of the same row replaces: a transaction
+// may name a row once only.
+func latest(saves []schedule.Command) []schedule.Command {
+	var out []schedule.Command
+	seen := map[job.ID]bool{}
+	roster := false
+	for i := len(saves) - 1; i >= 0; i-- {
+		switch s := saves[i].(type) {
+		case schedule.Save:
+			if seen[s.Job] {
+				continue
+			}
+			seen[s.Job] = true
+		case schedule.SaveRoster:
+			if roster {
+				continue
+			}
+			roster = true
+		}
+		out = append(out, saves[i])
+	}
+	return out
+}
+
+func addSave(tx *platform.Transaction, c schedule.Command) error {
+	switch s := c.(type) {
+	case schedule.Save:
+		value, err := encode(s.Progress)
+		if err != nil {
+			return err
+		}
+		tx.Writes = append(tx.Writes, platform.Write{RowKey: progressKey(s.Job), Value: value})
+		if s.Progress.State.Final() {
+			tx.Removals = append(tx.Removals, jobKey(s.Job), cancelKey(s.Job))
+		}
+	case schedule.SaveRoster:
+		value, err := encode(s.Roster)
+		if err != nil {
+			return err
+		}
+		tx.Writes = append(tx.Writes, platform.Write{RowKey: rosterKey, Value: value})
+	}
+	return nil
+}
+
+// store carries out one transaction, however often it takes. It returns
+// errDeposed once the right is lost.
+func (c *committer) store(ctx context.Context, saves []schedule.Command) error {
+	c.batch++
+	tx, err := c.transaction(saves)
+	if err != nil {
+		return err
+	}
+	for ctx.Err() == nil {
+		sent := bootNow()
+		version, err := c.apply(ctx, tx)
+		var conflict *platform.ConflictError
+		switch {
+		case err == nil:
+			c.done(sent, version)
+			return nil
+		case errors.As(err, &conflict):
+			return c.settle(sent, conflict)
+		case errors.Is(err, platform.ErrBusy), errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrNotSent):
+			supervisor.Sleep(ctx, refusedPause)
+		}
+		c.log.Debug().Err(err).Int64("batch", c.batch).Msg("transaction is sent again")
+	}
+	return nil
+}
+
+func (c *committer) apply(ctx context.Context, tx platform.Transaction) (platform.Version, error) {
+	patience := min(max(4*c.typical, answerLeast), answerMost)
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	from := bootNow()
+	v, err := c.table.Apply(ctx, tx)
+	took := bootNow().Sub(from)
+	c.took(took)
+	c.typical += (took - c.typical) / 8
+	return v, err
+}
+
+// settle looks at why a condition failed: the transaction may have been carried
+// out already without an answer.
+func (c *committer) settle(sent time.Time, conflict *platform.ConflictError) error {
+	owner, renewal := conflict.Row(ownerKey), conflict.Row(renewalKey)
+	if owner == nil || owner.Version != c.tenure.fence || renewal == nil {
+		return errDeposed
+	}
+	r, err := decodeRow[renewalRow](renewal)
+	if err != nil {
+		return err
+	}
+	if r.Life != c.tenure.life || r.Batch != c.batch {
+		return errors.Wrapf(errDeposed, "renewal %d of %s stands in place of %d", r.Batch, r.Life, c.batch)
+	}
+	c.done(sent, renewal.Version)
+	return nil
+}
+
+func (c *committer) done(sent time.Time, version platform.Version) {
+	c.renewal = version
+	c.tenure.prove(sent)
+}
--- /dev/null
+++ b/io/node/decisions.go
@@ -0,0 +1,89 @@
+package node
+
+import (
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"lavenderpond/core/schedule"
+	"lavenderpond/platform"
+)
+
+const (
+	// linesPerSecond bounds the lines of one kind of decision. At the busiest
+	// each kind comes about 250 times a second.
+	linesPerSecond = 400
+)
+
+// decisionLog writes the scheduler's decisions, at most so many a second of each
+// kind; how many were left out stands in the first line after.
+type decisionLog struct {
+	log     zerolog.Logger
+	count   func(name string)
+	elapsed func(name string, d time.Duration)
+
+	mu      sync.Mutex
+	second  int64
+	written map[schedule.What]int
+	omitted map[schedule.What]int
+}
+
+// Decided implements schedule.Observer.
+func (l *decisionLog) Decided(d schedule.Decision) {
+	l.count(string(d.What))
+	switch d.What {
+	case schedule.TaskStarted:
+		l.elapsed("start_order", d.Age)
+	case schedule.JobEnded:
+		l.elapsed("job_"+d.Reason, d.After)
+	}
+	omitted, ok := l.admit(d.What)
+	if !ok {
+		return
+	}
+	e := l.log.Info().Str("event", string(d.What))
+	if d.Job != "" {
+		e.Str("job", string(d.Job))
+	}
+	if d.Task.Job != "" {
+		e.Str("task", platform.TaskName(d.Task)).Int64("attempt", int64(d.Attempt))
+	}
+	if d.VM != "" {
+		e.Str("vm", string(d.VM))
+	}
+	if d.Reason != "" {
+		e.Str("reason", d.Reason)
+	}
+	if d.Age != 0 {
+		e.Int64("age_ms", d.Age.Milliseconds())
+	}
+	if d.After != 0 {
+		e.Int64("after_ms", d.After.Milliseconds())
+	}
+	if omitted > 0 {
+		e.Int("omitted", omitted)
+	}
+	e.Send()
+}
+
+// admit tells whether a line may be written, and how many were left out before it.
+func (l *decisionLog) admit(w schedule.What) (omitted int, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now := bootNow().Unix(); now != l.second || l.written == nil {
+		l.second = now
+		l.written = map[schedule.What]int{}
+	}
+	if l.omitted == nil {
+		l.omitted = map[schedule.What]int{}
+	}
+	if l.written[w] >= linesPerSecond {
+		l.omitted[w]++
+		return 0, false
+	}
+	l.written[w]++
+	omitted = l.omitted[w]
+	delete(l.omitted, w)
+	return omitted, true
+}
--- /dev/null
+++ b/io/node/jobs.go
@@ -0,0 +1,223 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lavenderpond/core/job"
+	"lavenderpond/io/supervisor"
+	"lavenderpond/platform"
+)
+
+const (
+	// callLeast is the shortest wait for one answer of the table.
+	callLeast = 300 * time.Millisecond
+	// callPause is the pause before a call is tried again.
+	callPause = 40 * time.Millisecond
+	// refuseAfter is how long a refused or unreachable table is tried again
+	// before the caller is told to come back: it may be this entry VM alone that
+	// is turned away, and another one can serve.
+	refuseAfter = 400 * time.Millisecond
+)
+
+// errUnknown says that a request may or may not have been stored.
+var errUnknown = errors.New("it is not known whether the request was stored")
+
+// errNotStored says that a request was not stored and never will be.
+var errNotStored = errors.New("the request was not stored")
+
+// jobStore hands jobs in, shows and cancels them, in the table.
+type jobStore struct {
+	table *platform.Table
+	took  func(d time.Duration)
+}
+
+// attempt calls f until it succeeds, fails for good, or until is reached.
+// maybe tells whether an attempt without an answer may have been carried out.
+func (s *jobStore) attempt(ctx context.Context, until time.Time, f func(ctx context.Context) error) (maybe bool, err error) {
+	giveUp := bootNow().Add(refuseAfter)
+	for wait := callLeast; ; wait *= 2 {
+		now := bootNow()
+		if !now.Before(until) {
+			return maybe, errors.Wrap(errUnknown, "out of time")
+		}
+		callCtx, cancel := context.WithTimeout(ctx, min(wait, until.Sub(now)))
+		err = f(callCtx)
+		cancel()
+		s.took(bootNow().Sub(now))
+		refused := errors.Is(err, platform.ErrBusy) || errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrNotSent)
+		switch {
+		case refused && !maybe && bootNow().After(giveUp):
+			return false, errors.Wrap(errNotStored, err.Error())
+		case refused:
+		case errors.Is(err, platform.ErrNoAnswer):
+			maybe = true
+		default:
+			return maybe, err
+		}
+		if !supervisor.Sleep(ctx, callPause) {
+			return maybe, errors.Wrap(errUnknown, "stopping")
+		}
+	}
+}
+
+// submit stores a job once. A job that is there already, in any state, is not
+// stored again; that is no error.
+func (s *jobStore) submit(ctx context.Context, until time.Time, j job.Job) error {
+	value, err := encode(j)
+	if err != nil {
+		return err
+	}
+	tx := platform.Transaction{
+		Conditions: []platform.Condition{
+			{RowKey: jobKey(j.ID)}, {RowKey: cancelKey(j.ID)}, {RowKey: progressKey(j.ID)},
+		},
+		Writes: []platform.Write{{RowKey: jobKey(j.ID), Value: value}},
+	}
+	maybe, err := s.attempt(ctx, until, func(ctx context.Context) error {
+		_, err := s.table.Apply(ctx, tx)
+		return err
+	})
+	var conflict *platform.ConflictError
+	switch {
+	case err == nil, errors.As(err, &conflict):
+		return nil
+	case maybe:
+		return errors.Wrap(errUnknown, err.Error())
+	}
+	return err
+}
+
+// show returns a job's state; known is false if there is no such job.
+func (s *jobStore) show(ctx context.Context, until time.Time, id job.ID) (state job.State, known bool, err error) {
+	p, j, c, err := s.read(ctx, until, id)
+	switch {
+	case err != nil:
+		return 0, false, err
+	case p != nil:
+		progress, err := decodeRow[job.Progress](p)
+		return progress.State, true, err
+	case c != nil && j != nil:
+		return job.Cancelled, true, nil
+	}
+	return job.Pending, j != nil, nil
+}
+
+// read returns a job's rows. The progress is read first and the job after it,
+// then the progress once more: the job's row goes away when its end is stored.
+func (s *jobStore) read(ctx context.Context, until time.Time, id job.ID) (progress, handedIn, cancelled *platform.Row, err error) {
+	for range 2 {
+		if progress, err = s.get(ctx, until, progressKey(id)); err != nil || progress != nil {
+			return progress, nil, nil, err
+		}
+		if handedIn, cancelled, err = s.getJob(ctx, until, id); err != nil || handedIn != nil {
+			return nil, handedIn, cancelled, err
+		}
+	}
+	return nil, nil, cancelled, nil
+}
+
+func (s *jobStore) get(ctx context.Context, until time.Time, k platform.RowKey) (row *platform.Row, err error) {
+	_, err = s.attempt(ctx, until, func(ctx context.Context) error {
+		row, _, err = s.table.Get(ctx, k)
+		return err
+	})
+	return row, err
+}
+
+// getJob reads the job as handed in and its cancellation in one call.
+func (s *jobStore) getJob(ctx context.Context, until time.Time, id job.ID) (handedIn, cancelled *platform.Row, err error) {
+	r := platform.Range{
+		Table: jobTable, Part: part, From: cancelKey(id).Key, To: jobKey(id).Key + "\x00",
+	}
+	_, err = s.attempt(ctx, until, func(ctx context.Context) error {
+		snapshot, err := s.table.List(ctx, r)
+		if err != nil {
+			return err
+		}
+		for i := range snapshot.Rows {
+			switch row := &snapshot.Rows[i]; row.Key {
+			case jobKey(id).Key:
+				handedIn = row
+			case cancelKey(id).Key:
+				cancelled = row
+			}
+		}
+		return nil
+	})
+	return handedIn, cancelled, err
+}
+
+// cancel stores that a job is not wanted any more; known is false if there is
+// no such job. An unknown one is marked too, so that its submission can't be
+// stored later by a call that is still on its way.
+func (s *jobStore) cancel(ctx context.Context, until time.Time, id job.ID) (known bool, err error) {
+	for range cancelRounds {
+		p, j, c, err := s.read(ctx, until, id)
+		if err != nil {
+			return false, err
+		}
+		if c != nil {
+			return j != nil, nil
+		}
+		if p != nil {
+			progress, err := decodeRow[job.Progress](p)
+			if err != nil || progress.State.Final() {
+				return true, err
+			}
+			// The job runs: its row is there but wasn't read.
+			if j, c, err = s.getJob(ctx, until, id); err != nil {
+				return false, err
+			}
+			if c != nil {
+				return true, nil
+			}
+			if j == nil {
+				continue
+			}
+		}
+		stored, err := s.storeCancel(ctx, until, id, j)
+		if err != nil || stored {
+			return j != nil, err
+		}
+	}
+	return false, errors.Wrap(errUnknown, "the job changes all the time")
+}
+
+// cancelRounds bounds how often a cancellation starts anew when the job's rows
+// change between reading and writing: each job changes there once or twice.
+const cancelRounds = 4
+
+// storeCancel writes the cancellation if the job's row is still as read.
+func (s *jobStore) storeCancel(ctx context.Context, until time.Time, id job.ID, j *platform.Row) (bool, error) {
+	version := platform.Version(0)
+	if j != nil {
+		version = j.Version
+	}
+	tx := platform.Transaction{
+		Conditions: []platform.Condition{{RowKey: jobKey(id), Version: version}},
+		Writes:     []platform.Write{{RowKey: cancelKey(id), Value: []byte("{}")}},
+	}
+	_, err := s.attempt(ctx, until, func(ctx context.Context) error {
+		_, err := s.table.Apply(ctx, tx)
+		return err
+	})
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) {
+		return false, nil
+	}
+	return err == nil, err
+}
+
+// backlog returns the number of a queue's jobs that haven't begun, as the owner
+// last wrote it.
+func (s *jobStore) backlog(ctx context.Context, until time.Time) (renewalRow, platform.Version, error) {
+	row, err := s.get(ctx, until, renewalKey)
+	if err != nil || row == nil {
+		return renewalRow{}, 0, err
+	}
+	r, err := decodeRow[renewalRow](row)
+	return r, row.Version, err
+}
--- /dev/null
+++ b/io/node/lead.go
@@ -0,0 +1,157 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"lavenderpond/core/lease"
+	"lavenderpond/io/supervisor"
+	"lavenderpond/platform"
+)
+
+const (
+	// watchEvery is how often a process that isn't the owner looks at the owner's rows.
+	watchEvery = 300 * time.Millisecond
+	// watchTimeout bounds one look.
+	watchTimeout = time.Second
+	// swapTimeout bounds an attempt to take over.
+	swapTimeout = time.Second
+	// vacateTimeout bounds giving the right back at a planned stop.
+	vacateTimeout = 500 * time.Millisecond
+)
+
+// candidacy makes this process the owner when there is none.
+type candidacy struct {
+	table *platform.Table
+	node  string
+	life  string
+	log   zerolog.Logger
+	// serve runs a tenure until ctx ends or the right is lost.
+	serve func(ctx context.Context, t *tenure, renewal platform.Version) error
+}
+
+// run watches the owner and takes over when it must, until ctx ends.
+func (c *candidacy) run(ctx context.Context) error {
+	var w lease.Watch
+	for ctx.Err() == nil {
+		s, rows, err := c.look(ctx)
+		if err != nil {
+			c.log.Debug().Err(err).Msg("the owner's rows were not read")
+			supervisor.Sleep(ctx, watchEvery)
+			continue
+		}
+		if !w.Due(s) {
+			supervisor.Sleep(ctx, watchEvery)
+			continue
+		}
+		t, renewal, err := c.takeOver(ctx, rows)
+		if err != nil {
+			c.log.Info().Err(err).Str("event", "take_over_failed").Send()
+			supervisor.Sleep(ctx, watchEvery)
+			continue
+		}
+		c.log.Info().Str("event", "owner").Uint64("fence", uint64(t.fence)).Int64("turn", t.turn).
+			Str("former", rows.owner.Node).Bool("vacant", rows.owner.Vacant).Send()
+		err = c.serve(ctx, t, renewal)
+		c.log.Info().Err(err).Str("event", "owner_no_more").Uint64("fence", uint64(t.fence)).Send()
+		w = lease.Watch{}
+	}
+	return nil
+}
+
+// ownerRows are the owner's rows as read.
+type ownerRows struct {
+	owner          ownerRow
+	ownerVersion   platform.Version
+	renewalVersion platform.Version
+}
+
+func (c *candidacy) look(ctx context.Context) (lease.Sight, ownerRows, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+	var out ownerRows
+	s := lease.Sight{Sent: bootNow()}
+	snapshot, err := c.table.List(ctx, platform.Range{Table: ownerTable, Part: part, From: ownerKeyName, To: renewalKeyName + "\x00"})
+	if err != nil {
+		return s, out, err
+	}
+	s.Received = bootNow()
+	for i := range snapshot.Rows {
+		r := &snapshot.Rows[i]
+		switch r.Key {
+		case ownerKeyName:
+			if out.owner, err = decodeRow[ownerRow](r); err != nil {
+				return s, out, err
+			}
+			out.ownerVersion = r.Version
+		case renewalKeyName:
+			out.renewalVersion = r.Version
+		}
+	}
+	s.Owner, s.Renewal = uint64(out.ownerVersion), uint64(out.renewalVersion)
+	s.Vacant = out.owner.Vacant
+	s.FormerLife = out.owner.Node == c.node && out.owner.Life != c.life
+	return s, out, nil
+}
+
+// takeOver writes this process into the owner's row. It expects both rows as
+// they were read, so that a renewal in between wins.
+func (c *candidacy) takeOver(ctx context.Context, rows ownerRows) (*tenure, platform.Version, error) {
+	ctx, cancel := context.WithTimeout(ctx, swapTimeout)
+	defer cancel()
+	turn := rows.owner.Turn + 1
+	owner, err := encode(ownerRow{Node: c.node, Life: c.life, Turn: turn})
+	if err != nil {
+		return nil, 0, err
+	}
+	renewal, err := encode(renewalRow{Life: c.life})
+	if err != nil {
+		return nil, 0, err
+	}
+	tx := platform.Transaction{
+		Conditions: []platform.Condition{
+			{RowKey: ownerKey, Version: rows.ownerVersion}, {RowKey: renewalKey, Version: rows.renewalVersion},
+		},
+		Writes: []platform.Write{{RowKey: ownerKey, Value: owner}, {RowKey: renewalKey, Value: renewal}},
+	}
+	sent := bootNow()
+	version, err := c.table.Apply(ctx, tx)
+	if errors.Is(err, platform.ErrNoAnswer) {
+		version, err = c.adopt(turn)
+	}
+	if err != nil {
+		return nil, 0, err
+	}
+	t := &tenure{life: c.life, fence: version, turn: turn}
+	t.prove(sent)
+	return t, version, nil
+}
+
+// adopt looks whether a take-over without an answer was carried out.
+func (c *candidacy) adopt(turn int64) (platform.Version, error) {
+	_, rows, err := c.look(context.Background())
+	if err != nil {
+		return 0, err
+	}
+	if rows.owner.Life != c.life || rows.owner.Turn != turn || rows.renewalVersion != rows.ownerVersion {
+		return 0, errors.New("another process took over")
+	}
+	return rows.ownerVersion, nil
+}
+
+// vacate gives the right back, so that another process takes over at once.
+func (c *candidacy) vacate(t *tenure) {
+	ctx, cancel := context.WithTimeout(context.Background(), vacateTimeout)
+	defer cancel()
+	value, err := encode(ownerRow{Node: c.node, Life: c.life, Turn: t.turn, Vacant: true})
+	if err == nil {
+		_, err = c.table.Apply(ctx, platform.Transaction{
+			Conditions: []platform.Condition{{RowKey: ownerKey, Version: t.fence}},
+			Writes:     []platform.Write{{RowKey: ownerKey, Value: value}},
+		})
+	}
+	c.log.Info().Err(err).Str("event", "owner_vacates").Uint64("fence", uint64(t.fence)).Send()
+}
--- /dev/null
+++ b/io/node/orders.go
@@ -0,0 +1,220 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lavenderpond/core/job"
+	"lavenderpond/core/schedule"
+	"lavenderpond/platform"
+)
+
+const (
+	// orderTimeout bounds an order to a VM; it is a little longer than a start
+	// may take to begin, so that an answer in time isn't missed.
+	orderTimeout = 700 * time.Millisecond
+	// holdGrace is how much longer than its wait a hold may take.
+	holdGrace = 600 * time.Millisecond
+	// machineTimeout bounds an order for a machine.
+	machineTimeout = 2 * time.Second
+	// adviceTimeout bounds a question about VMs; the service decides one at a time.
+	adviceTimeout = 2 * time.Second
+	// statusTimeout bounds the publication of a wave's state.
+	statusTimeout = time.Second
+)
+
+// backlogCount passes the count from the loop to the committer.
+type backlogCount struct {
+	mu    sync.Mutex
+	count map[job.QueueName]int
+}
+
+func (b *backlogCount) set(c map[job.QueueName]int) {
+	b.mu.Lock()
+	b.count = c
+	b.mu.Unlock()
+}
+
+func (b *backlogCount) get() map[job.QueueName]int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.count
+}
+
+type vmClient struct {
+	address string
+	vm      *platform.VM
+}
+
+// orders carries out the scheduler's commands.
+type orders struct {
+	owner *owner
+	// clients is used by the owner's loop only.
+	clients map[job.VMID]*vmClient
+}
+
+func (x *orders) client(id job.VMID) *platform.VM {
+	address := x.owner.scheduler.Address(id)
+	c := x.clients[id]
+	if c == nil || c.address != address {
+		if c != nil {
+			c.vm.Close()
+		}
+		c = &vmClient{address: address, vm: platform.NewVM(id, address)}
+		x.clients[id] = c
+	}
+	return c.vm
+}
+
+func (x *orders) close() {
+	for _, c := range x.clients {
+		c.vm.Close()
+	}
+}
+
+// carryOut starts all commands; their answers come back as events.
+func (o *owner) carryOut(ctx context.Context, commands []schedule.Command) {
+	var saves []schedule.Command
+	for _, c := range commands {
+		switch c := c.(type) {
+		case schedule.Save, schedule.SaveRoster:
+			saves = append(saves, c)
+		case schedule.Start:
+			vm := o.orders.client(c.VM)
+			o.workers.Go(func() { o.start(ctx, vm, c) })
+		case schedule.Stop:
+			vm := o.orders.client(c.VM)
+			o.workers.Go(func() { o.stop(ctx, vm, c) })
+		case schedule.Pace:
+			vm := o.orders.client(c.VM)
+			o.workers.Go(func() { o.pace(ctx, vm, c) })
+		case schedule.Hold:
+			vm := o.orders.client(c.VM)
+			o.workers.Go(func() { o.hold(ctx, vm, c) })
+		case schedule.Ask:
+			o.workers.Go(func() { o.ask(ctx, c) })
+		case schedule.Upkeep:
+			o.workers.Go(func() { o.upkeep(ctx, c) })
+		case schedule.Move:
+			o.workers.Go(func() { o.move(ctx, c) })
+		case schedule.ShowWave:
+			o.workers.Go(func() { o.showWave(ctx, c) })
+		}
+	}
+	if len(saves) > 0 {
+		o.committer.add(saves)
+	}
+}
+
+// outcomeOf sorts the error of an order to a VM.
+func outcomeOf(err error) schedule.Outcome {
+	switch {
+	case err == nil:
+		return schedule.Answered
+	case errors.Is(err, platform.ErrNotSent):
+		return schedule.NotDone
+	case errors.Is(err, platform.ErrBusy), errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrMalformed):
+		return schedule.Unhealthy
+	case errors.Is(err, platform.ErrOtherLife):
+		return schedule.OtherLife
+	}
+	return schedule.Unanswered
+}
+
+func (o *owner) start(ctx context.Context, vm *platform.VM, c schedule.Start) {
+	// The right is looked at right before the order goes out: this process may
+	// have stood still since the scheduler decided.
+	if !o.tenure.mayStart(bootNow()) {
+		o.send(ctx, startAnswered{order: c, outcome: schedule.NotDone})
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	from := bootNow()
+	r, err := vm.Start(callCtx, c.Order)
+	o.node.metrics.elapsed("vm_start", bootNow().Sub(from))
+	o.send(ctx, startAnswered{c, outcomeOf(err), r})
+}
+
+func (o *owner) stop(ctx context.Context, vm *platform.VM, c schedule.Stop) {
+	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	r, err := vm.Stop(callCtx, c.Task, c.Attempt, job.Fence(o.tenure.fence))
+	o.send(ctx, stopAnswered{c, outcomeOf(err), r})
+}
+
+func (o *owner) pace(ctx context.Context, vm *platform.VM, c schedule.Pace) {
+	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	if _, err := vm.Pace(callCtx, c.Task, c.Attempt, c.Percent, job.Fence(o.tenure.fence)); err != nil {
+		o.log.Debug().Err(err).Str("vm", string(c.VM)).Msg("pace was not set")
+	}
+}
+
+func (o *owner) hold(ctx context.Context, vm *platform.VM, c schedule.Hold) {
+	if !o.tenure.mayHold(bootNow()) {
+		o.send(ctx, holdAnswered{vm: c.VM, outcome: schedule.NotDone})
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, c.Order.Wait+holdGrace)
+	defer cancel()
+	r, err := vm.Hold(callCtx, c.Order)
+	o.send(ctx, holdAnswered{c.VM, outcomeOf(err), r})
+}
+
+func (o *owner) ask(ctx context.Context, c schedule.Ask) {
+	callCtx, cancel := context.WithTimeout(ctx, adviceTimeout)
+	defer cancel()
+	a, err := o.node.advice.Ask(callCtx, c.Step, c.VMs)
+	if err != nil {
+		o.log.Warn().Err(err).Str("event", "advice_failed").Str("job", string(c.Step.Job)).Send()
+	}
+	o.send(ctx, advised{c.Step, a})
+}
+
+func (o *owner) holder() job.Holder {
+	return job.Holder{Node: o.node.settings.Node, Fence: job.Fence(o.tenure.fence)}
+}
+
+func (o *owner) upkeep(ctx context.Context, c schedule.Upkeep) {
+	if !o.tenure.mayStart(bootNow()) {
+		o.send(ctx, upkeepAnswered{order: c, outcome: schedule.NotDone})
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, machineTimeout)
+	defer cancel()
+	why, err := o.node.machines.Upkeep(callCtx, o.holder(), c.Machine, c.Wave)
+	o.log.Info().Err(err).Str("event", "upkeep_ordered").Str("machine", string(c.Machine)).
+		Int64("wave", c.Wave).Str("refused", string(why)).Send()
+	o.send(ctx, upkeepAnswered{c, outcomeOf(err), why})
+}
+
+func (o *owner) move(ctx context.Context, c schedule.Move) {
+	if !o.tenure.mayStart(bootNow()) {
+		o.send(ctx, moveAnswered{order: c, outcome: schedule.NotDone})
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, machineTimeout)
+	defer cancel()
+	why, err := o.node.machines.Move(callCtx, o.holder(), c.Machine, c.Pool)
+	o.log.Info().Err(err).Str("event", "move_ordered").Str("machine", string(c.Machine)).
+		Str("pool", string(c.Pool)).Str("refused", string(why)).Send()
+	o.send(ctx, moveAnswered{c, outcomeOf(err), why})
+}
+
+// showWave publishes a wave's state until it is stored.
+func (o *owner) showWave(ctx context.Context, c schedule.ShowWave) {
+	tx := platform.Transaction{Writes: []platform.Write{platform.WaveStatus(c.Number, c.State)}}
+	for ctx.Err() == nil {
+		callCtx, cancel := context.WithTimeout(ctx, statusTimeout)
+		_, err := o.node.table.Apply(callCtx, tx)
+		cancel()
+		if err == nil {
+			return
+		}
+		o.log.Warn().Err(err).Str("event", "wave_status_failed").Int64("wave", c.Number).Send()
+	}
+}
--- /dev/null
+++ b/io/node/owner.go
@@ -0,0 +1,321 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"lavenderpond/core/job"
+	"lavenderpond/core/schedule"
+	"lavenderpond/io/supervisor"
+	"lavenderpond/platform"
+)
+
+const (
+	// tickEvery is how often the owner looks for what is due.
+	tickEvery = 40 * time.Millisecond
+	// eventsAhead bounds the events that wait for the owner's loop; what brings
+	// them waits while it is full.
+	eventsAhead = 1024
+	// machinesEvery is how often the machines list is read while upkeep goes on,
+	// machinesIdle how often otherwise.
+	machinesEvery = 700 * time.Millisecond
+	machinesIdle  = 3 * time.Second
+	// attemptsPerTurn is more starts of one task than fit into one tenure.
+	attemptsPerTurn = 10_000
+	// loadTimeout bounds each reading when an owner starts.
+	loadTimeout = 2 * time.Second
+)
+
+// owner runs the scheduler for one tenure and carries out its commands.
+type owner struct {
+	node      *Node
+	tenure    *tenure
+	log       zerolog.Logger
+	scheduler *schedule.Scheduler
+	committer *committer
+	events    chan event
+	orders    *orders
+	workers   supervisor.Workers
+	jobsFrom  platform.Version
+	vmsFrom   platform.Version
+	backlog   backlogCount
+}
+
+// serve is the owner's life from take-over to the loss of its right.
+func (n *Node) serve(ctx context.Context, t *tenure, renewal platform.Version) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	o := &owner{node: n, tenure: t, log: n.log, events: make(chan event, eventsAhead)}
+	o.scheduler = schedule.New(schedule.Settings{
+		Fence:         job.Fence(t.fence),
+		AttemptBase:   job.Attempt(t.turn * attemptsPerTurn),
+		TookOver:      bootNow(),
+		LeaseMax:      n.settings.Bounds.LeaseMax,
+		TaskStop:      n.settings.Bounds.TaskStop,
+		MissNotice:    n.settings.Bounds.MissNotice,
+		MachineLease:  n.settings.Bounds.MachineLease,
+		MachineMove:   n.settings.Bounds.MachineMove,
+		MachineUpkeep: n.settings.Bounds.MachineUpkeep,
+		Observer:      n.observer,
+	})
+	o.orders = &orders{owner: o, clients: map[job.VMID]*vmClient{}}
+	o.committer = &committer{
+		table: n.table, tenure: t, log: n.log, renewal: renewal, wake: make(chan struct{}, 1),
+		stored:  func(s int64) { o.send(ctx, stored{s}) },
+		backlog: o.backlog.get,
+		took:    func(d time.Duration) { n.metrics.elapsed("table_commit", d) },
+	}
+	var g supervisor.Group
+	run := func(f func(ctx context.Context) error) {
+		g.Go(func() {
+			if err := f(ctx); err != nil {
+				cancel(err)
+			}
+		})
+	}
+	run(o.committer.run)
+	if err := o.load(ctx); err != nil {
+		cancel(err)
+	}
+	n.setOwner(o)
+	defer n.setOwner(nil)
+	run(o.followJobs)
+	run(o.followVMs)
+	run(o.followMachines)
+	o.loop(ctx)
+	g.Wait()
+	o.workers.Wait()
+	o.orders.close()
+	err := context.Cause(ctx)
+	if n.stopping() && !errors.Is(err, errDeposed) {
+		n.candidacy.vacate(t)
+	}
+	return err
+}
+
+// send hands an event to the loop, or drops it once the tenure is over.
+func (o *owner) send(ctx context.Context, e event) {
+	select {
+	case o.events <- e:
+	case <-ctx.Done():
+	}
+}
+
+// load reads what the former owner left. It is tried until the right is lost.
+func (o *owner) load(ctx context.Context) error {
+	for ctx.Err() == nil {
+		err := o.loadOnce(ctx)
+		if err == nil {
+			return nil
+		}
+		o.log.Warn().Err(err).Str("event", "load_failed").Send()
+		supervisor.Sleep(ctx, feedRetry)
+	}
+	return context.Cause(ctx)
+}
+
+func (o *owner) loadOnce(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	t := o.node.table
+	rosterRow, _, err := t.Get(ctx, rosterKey)
+	if err != nil {
+		return err
+	}
+	roster, err := decodeRow[schedule.Roster](rosterRow)
+	if err != nil {
+		return err
+	}
+	// The progress is read after the jobs: a job that ends in between is then
+	// known to be over.
+	jobs, jobsFrom, err := t.ListAll(ctx, jobTable, part)
+	if err != nil {
+		return err
+	}
+	progress, _, err := t.ListAll(ctx, progressTable, part)
+	if err != nil {
+		return err
+	}
+	o.jobsFrom = jobsFrom
+	o.restore(roster, jobs, progress)
+	return nil
+}
+
+func (o *owner) restore(roster schedule.Roster, jobs, progress []platform.Row) {
+	now := bootNow()
+	o.reconfigure(now)
+	for _, v := range roster.VMs {
+		o.scheduler.Inherit(v)
+	}
+	known := map[job.ID]*job.Progress{}
+	for i := range progress {
+		p, err := decodeRow[job.Progress](&progress[i])
+		if err != nil {
+			o.log.Error().Err(err).Msg("progress ignored")
+			continue
+		}
+		known[job.ID(progress[i].Key)] = &p
+	}
+	o.takeJobs(now, jobs, known)
+	o.log.Info().Str("event", "loaded").Int("jobs", len(jobs)).Int("vms", len(roster.VMs)).Send()
+}
+
+// takeJobs takes in rows of the job table.
+func (o *owner) takeJobs(now time.Time, rows []platform.Row, known map[job.ID]*job.Progress) {
+	var cancelled []job.ID
+	for i := range rows {
+		r := &rows[i]
+		if r.Removed {
+			continue
+		}
+		id, isCancel := splitJobKey(r.Key)
+		if isCancel {
+			cancelled = append(cancelled, id)
+			continue
+		}
+		j, err := decodeRow[job.Job](r)
+		if err != nil {
+			o.log.Error().Err(err).Msg("job ignored")
+			continue
+		}
+		o.scheduler.AddJob(now, j, known[j.ID], r.Version < o.tenure.fence)
+	}
+	for _, id := range cancelled {
+		o.scheduler.Cancel(now, id)
+	}
+}
+
+func splitJobKey(key string) (id job.ID, isCancel bool) {
+	if n := len(key) - len(cancelSuffix); n > 0 && key[n:] == cancelSuffix {
+		return job.ID(key[:n]), true
+	}
+	return job.ID(key[:max(0, len(key)-len(jobSuffix))]), false
+}
+
+// loop takes in events and carries out commands until ctx ends.
+func (o *owner) loop(ctx context.Context) {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case e := <-o.events:
+			o.take(bootNow(), e)
+		}
+		o.drain()
+		now := bootNow()
+		o.scheduler.SetRights(o.tenure.mayStart(now), o.tenure.mayHold(now))
+		o.scheduler.Tick(now)
+		o.scheduler.Assign(now, time.Now())
+		o.backlog.set(o.scheduler.Backlog())
+		o.carryOut(ctx, o.scheduler.Take())
+	}
+}
+
+// drain takes in the events that are there already.
+func (o *owner) drain() {
+	for {
+		select {
+		case e := <-o.events:
+			o.take(bootNow(), e)
+		default:
+			return
+		}
+	}
+}
+
+func (o *owner) take(now time.Time, e event) {
+	s := o.scheduler
+	switch e := e.(type) {
+	case rowsChanged:
+		o.takeJobs(now, e.rows, nil)
+	case vmsChanged:
+		o.takeVMs(now, e)
+	case stored:
+		s.Stored(e.sequence)
+	case startAnswered:
+		s.StartAnswered(now, e.order, e.outcome, e.report)
+	case stopAnswered:
+		s.StopAnswered(now, e.order, e.outcome, e.report)
+	case holdAnswered:
+		s.HoldAnswered(now, e.vm, e.outcome, e.report)
+	case machinesListed:
+		s.Machines(e.asked, e.machines)
+	case upkeepAnswered:
+		s.UpkeepAnswered(now, e.order, e.outcome, e.refusal)
+	case moveAnswered:
+	case advised:
+		s.Advised(now, e.step, e.approvals.Tickets, e.approvals.Valid)
+	case reconfigured:
+		o.reconfigure(now)
+	}
+}
+
+func (o *owner) reconfigure(now time.Time) {
+	if c := o.node.view.configuration(); c != nil {
+		o.scheduler.Configure(c)
+	}
+	for _, w := range o.node.view.allWaves() {
+		o.scheduler.AddWave(now, w)
+	}
+}
+
+func (o *owner) takeVMs(now time.Time, e vmsChanged) {
+	present := map[job.VMID]bool{}
+	for _, r := range e.rows {
+		if r.Removed {
+			o.scheduler.VMUnlisted(now, job.VMID(r.Key))
+			continue
+		}
+		v, err := platform.DecodeVM(r)
+		if err != nil {
+			o.log.Warn().Err(err).Str("event", "vm_entry_ignored").Send()
+			continue
+		}
+		present[v.ID] = true
+		o.scheduler.VMSeen(now, v)
+	}
+	if !e.whole {
+		return
+	}
+	for _, id := range o.scheduler.VMs() {
+		if !present[id] {
+			o.scheduler.VMUnlisted(now, id)
+		}
+	}
+}
+
+func (o *owner) followJobs(ctx context.Context) error {
+	f := feed{table: o.node.table, name: jobTable, part: part, log: o.log, from: o.jobsFrom}
+	return f.run(ctx, func(rows []platform.Row, _ bool) { o.send(ctx, rowsChanged{rows}) }, func() {})
+}
+
+func (o *owner) followVMs(ctx context.Context) error {
+	f := feed{table: o.node.table, name: platform.VMTable, log: o.log}
+	return f.run(ctx, func(rows []platform.Row, whole bool) { o.send(ctx, vmsChanged{rows, whole}) }, func() {})
+}
+
+func (o *owner) followMachines(ctx context.Context) error {
+	for ctx.Err() == nil {
+		asked := bootNow()
+		callCtx, cancel := context.WithTimeout(ctx, readTimeout)
+		list, err := o.node.machines.List(callCtx)
+		cancel()
+		if err != nil {
+			o.log.Debug().Err(err).Msg("machines were not listed")
+		} else {
+			o.send(ctx, machinesListed{list, asked})
+		}
+		pause := machinesIdle
+		if len(o.node.view.allWaves()) > 0 {
+			pause = machinesEvery
+		}
+		supervisor.Sleep(ctx, pause)
+	}
+	return nil
+}
