--- a/core/schedule/vm.go
+++ b/core/schedule/vm.go
@@ -156,7 +156,7 @@
 		return
 	}
 	o := job.HoldOrder{Fence: s.settings.Fence, Noted: v.noted}
-	if v.clock.Known() && len(v.runs) > 0 {
+	if v.clock.Known() {
 		o.Deadline = v.clock.Likely(now) + job.VMClock(s.settings.LeaseMax.Milliseconds())
 		v.leaseEnd = max(v.leaseEnd, o.Deadline)
 	}
