Let leases of silent VMs run out, spread jobs over parts, take machines' lives as evidence

Jobs lie in 16 parts by their ID now. - A new owner waited 10 s for VMs whose machines had had their upkeep. Ruled out: late orders (none near these starts).

--- a/core/schedule/command.go
+++ b/core/schedule/command.go
@@ -67,6 +67,14 @@
 	Wave    int64
 }
 
+// SaveWave stores which machines of a wave have had their upkeep, in order with
+// the other saves.
+type SaveWave struct {
+	Sequence int64
+	Number   int64
+	Done     []job.MachineID
+}
+
 // ShowWave publishes a wave's state.
 type ShowWave struct {
 	Number int64
@@ -79,6 +87,7 @@
 func (Hold) command()       {}
 func (Save) command()       {}
 func (SaveRoster) command() {}
+func (SaveWave) command()   {}
 func (Ask) command()        {}
 func (Move) command()       {}
 func (Upkeep) command()     {}
@@ -91,10 +100,11 @@
 
 // RosterVM is one VM of a roster.
 type RosterVM struct {
-	ID      job.VMID     `json:"id"`
-	Address string       `json:"address"`
-	Pool    job.PoolName `json:"pool"`
-	Born    job.Born     `json:"born,omitempty"`
+	ID      job.VMID      `json:"id"`
+	Machine job.MachineID `json:"machine,omitempty"`
+	Address string        `json:"address"`
+	Pool    job.PoolName  `json:"pool"`
+	Born    job.Born      `json:"born,omitempty"`
 }
 
 // Outcome is what came of an order to a VM.
@@ -162,6 +172,7 @@
 	VMDraining    What = "vm_draining"
 	VMSuspected   What = "vm_suspected"
 	WaveChanged   What = "wave_changed"
+	MachineSeen   What = "machine_seen"
 	MachineMoved  What = "machine_moved"
 	MachineUpkept What = "machine_upkept"
 )
--- a/core/schedule/save.go
+++ b/core/schedule/save.go
@@ -2,7 +2,9 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
+	"time"
 
 	"lavenderpond/core/job"
 )
@@ -19,7 +21,7 @@
 
 // flushSaves turns all that has changed into saves of one sequence.
 func (s *Scheduler) flushSaves() {
-	if len(s.dirty) == 0 && !s.rosterDirty {
+	if len(s.dirty) == 0 && !s.rosterDirty && len(s.dirtyWaves) == 0 {
 		return
 	}
 	s.sequence++
@@ -27,6 +29,10 @@
 		s.rosterDirty = false
 		s.emit(SaveRoster{Sequence: s.sequence, Roster: s.roster()})
 	}
+	for _, w := range s.dirtyWaves {
+		s.emit(SaveWave{Sequence: s.sequence, Number: w.Number, Done: slices.Sorted(maps.Keys(w.done))})
+	}
+	s.dirtyWaves = nil
 	for _, j := range s.dirty {
 		j.dirty = false
 		s.emit(Save{Sequence: s.sequence, Job: j.ID, Progress: j.progress()})
@@ -54,10 +60,24 @@
 			return false
 		}
 		delete(s.jobs, j.ID)
+		s.ended[j.ID] = j.arrived
 		return true
 	})
 }
 
+// rememberEnded is how long the IDs of ended jobs are kept: far longer than a feed
+// can be behind.
+const rememberEnded = 10 * time.Minute
+
+// forgetEnded drops the IDs of jobs that ended long ago.
+func (s *Scheduler) forgetEnded(now time.Time) {
+	if now.Before(s.forgetAt) {
+		return
+	}
+	s.forgetAt = now.Add(rememberEnded / 10)
+	maps.DeleteFunc(s.ended, func(_ job.ID, at time.Time) bool { return now.Sub(at) > rememberEnded })
+}
+
 func (j *jobState) hasRuns() bool {
 	for _, o := range j.occurrences {
 		for i := range o.steps {
@@ -102,7 +122,7 @@
 func (s *Scheduler) roster() Roster {
 	var r Roster
 	for _, v := range s.vms {
-		r.VMs = append(r.VMs, RosterVM{ID: v.id, Address: v.address, Pool: v.pool, Born: v.born})
+		r.VMs = append(r.VMs, RosterVM{ID: v.id, Address: v.address, Pool: v.pool, Born: v.born, Machine: v.machine})
 	}
 	slices.SortFunc(r.VMs, func(a, b RosterVM) int { return cmp.Compare(a.ID, b.ID) })
 	return r
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -40,6 +40,8 @@
 	conf     *job.Configuration
 	jobs     map[job.ID]*jobState
 	vms      map[job.VMID]*vmState
+	// ended remembers jobs that are over and stored, and since when.
+	ended map[job.ID]time.Time
 	// running is what each client account has running, or may have.
 	running  map[job.AccountName]job.Room
 	commands []Command
@@ -49,11 +51,14 @@
 	stored      int64
 	closing     []*jobState
 	rosterDirty bool
-	mayStart    bool
-	mayHold     bool
-	queues      map[job.QueueName]*queueRecord
-	machines    map[job.MachineID]*machineState
-	waves       map[int64]*waveState
+	dirtyWaves  []*waveState
+	// forgetAt is when to look next for ended jobs to forget.
+	forgetAt time.Time
+	mayStart bool
+	mayHold  bool
+	queues   map[job.QueueName]*queueRecord
+	machines map[job.MachineID]*machineState
+	waves    map[int64]*waveState
 }
 
 // New returns a scheduler that knows nothing yet.
@@ -62,6 +67,7 @@
 		settings: s,
 		jobs:     map[job.ID]*jobState{},
 		vms:      map[job.VMID]*vmState{},
+		ended:    map[job.ID]time.Time{},
 		running:  map[job.AccountName]job.Room{},
 		queues:   map[job.QueueName]*queueRecord{},
 		machines: map[job.MachineID]*machineState{},
@@ -100,7 +106,7 @@
 func (s *Scheduler) Inherit(r RosterVM) {
 	v := s.vm(r.ID)
 	if v.address == "" {
-		v.address, v.pool, v.born = r.Address, r.Pool, r.Born
+		v.address, v.pool, v.born, v.machine = r.Address, r.Pool, r.Born, r.Machine
 	}
 	v.inheritedUntil = lease.InheritedEnd(s.settings.TookOver, s.settings.LeaseMax)
 }
@@ -111,6 +117,10 @@
 	if s.jobs[j.ID] != nil || (p != nil && p.State.Final()) {
 		return
 	}
+	// A feed may tell of a job again that has been run and forgotten since.
+	if _, over := s.ended[j.ID]; over {
+		return
+	}
 	st := &jobState{Job: j, arrived: now, inherited: inherited, lasting: j.Body.Lasting()}
 	for k := range j.Body.Runs() {
 		o := &occurrence{number: k, due: j.Body.Due(k), steps: make([]stepState, len(j.Body.Steps))}
--- a/core/schedule/state.go
+++ b/core/schedule/state.go
@@ -152,12 +152,13 @@
 	noted  int64
 	unsure []unsavedEnd
 
-	holding  bool
-	heldOnce bool
-	nextHold time.Time
-	answered time.Time
-	silent   bool
-	failures int
+	firstSeen time.Time
+	holding   bool
+	heldOnce  bool
+	nextHold  time.Time
+	answered  time.Time
+	silent    bool
+	failures  int
 	// failedRuns counts failed runs since the last that was done.
 	failedRuns int
 	suspect    time.Time
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -12,6 +12,7 @@
 		s.hold(now, v)
 	}
 	s.leaveDraining(now)
+	s.forgetEnded(now)
 	s.drive(now)
 }
 
--- a/core/schedule/upkeep.go
+++ b/core/schedule/upkeep.go
@@ -11,6 +11,10 @@
 // machineState is a machine as the platform lists it.
 type machineState struct {
 	job.Machine
+	// listedAt is when the list was asked for that says so.
+	listedAt time.Time
+	// answeredAt is when the last order was answered.
+	answeredAt time.Time
 	// ordered is when an order was sent that isn't known to be over.
 	ordered time.Time
 	// waiting is set while an order has no answer yet.
@@ -39,8 +43,8 @@
 	machineRetry = 500 * time.Millisecond
 )
 
-// Machines takes in the machines list.
-func (s *Scheduler) Machines(now time.Time, list []job.Machine) {
+// Machines takes in the machines list that was asked for at asked.
+func (s *Scheduler) Machines(asked time.Time, list []job.Machine) {
 	present := map[job.MachineID]bool{}
 	for _, m := range list {
 		present[m.ID] = true
@@ -49,7 +53,10 @@
 			x = &machineState{}
 			s.machines[m.ID] = x
 		}
-		x.Machine = m
+		if x.State != m.State || x.VM != m.VM {
+			s.decided(Decision{What: MachineSeen, VM: m.VM, Reason: string(m.ID) + " " + string(m.State)})
+		}
+		x.Machine, x.listedAt = m, asked
 		if v := s.vms[m.VM]; v != nil {
 			v.machine = m.ID
 		}
@@ -59,16 +66,43 @@
 			delete(s.machines, id)
 		}
 	}
+	for _, v := range s.vms {
+		s.compareMachine(asked, v)
+	}
+}
+
+// compareMachine frees what ran on a VM whose machine is listed with another
+// life: a machine has one life at a time. This frees the tasks of a VM that
+// crashed seconds before its lease would.
+func (s *Scheduler) compareMachine(asked time.Time, v *vmState) {
+	m := s.machines[v.machine]
+	if m == nil || m.VM == "" || m.VM == v.id || !v.firstSeen.Before(asked) {
+		return
+	}
+	s.lifeOver(asked, v, "its machine has another life")
+}
+
+// lifeOver takes in a proof that a VM's life has ended.
+func (s *Scheduler) lifeOver(now time.Time, v *vmState, why string) {
+	v.inheritedUntil = time.Time{}
+	for _, r := range v.runs {
+		if r.phase == runConfirmed && r.confirmedAt.Before(now) {
+			s.free(now, r, why)
+		}
+	}
 }
 
-// AddWave takes in a wave; one that is known already is left as it is.
-func (s *Scheduler) AddWave(now time.Time, w job.Wave) {
+// AddWave takes in a wave and which of its machines are done already, as far as
+// that is stored; a wave that is known is left as it is.
+func (s *Scheduler) AddWave(now time.Time, w job.Wave, done []job.MachineID) {
 	if s.waves[w.Number] != nil {
 		return
 	}
-	s.waves[w.Number] = &waveState{
-		Wave: w, arrived: now, done: map[job.MachineID]bool{}, away: map[job.MachineID]bool{},
+	x := &waveState{Wave: w, arrived: now, done: map[job.MachineID]bool{}, away: map[job.MachineID]bool{}}
+	for _, id := range done {
+		x.done[id] = true
 	}
+	s.waves[w.Number] = x
 	s.decided(Decision{What: WaveChanged, Reason: "begun"})
 }
 
@@ -107,6 +141,11 @@
 		if w.done[id] || m == nil {
 			continue
 		}
+		if m.State == job.MachineUpkeep && !w.away[id] {
+			// A former owner has ordered it.
+			w.away[id] = true
+			m.ordered = m.listedAt
+		}
 		if w.away[id] {
 			cordoned[id] = true
 			continue
@@ -176,9 +215,13 @@
 		return
 	}
 	m.waiting = false
+	m.answeredAt = now
 	switch {
 	case out == Answered && why == job.MachineAccepted:
 		s.decided(Decision{What: MachineUpkept, VM: m.before, Reason: string(m.ID)})
+		if v := s.vms[m.before]; v != nil {
+			s.lifeOver(now, v, "its machine has its upkeep")
+		}
 	case out == Unanswered:
 		// It may be carried out later: it is asked for again until that is known.
 		m.retry = now.Add(machineRetry)
@@ -197,7 +240,7 @@
 			delete(w.away, id)
 			continue
 		}
-		if m.waiting || now.Sub(m.ordered) < s.settings.MachineUpkeep {
+		if m.waiting {
 			continue
 		}
 		if !m.retry.IsZero() && now.After(m.retry) {
@@ -205,9 +248,11 @@
 			s.emit(Upkeep{Machine: id, Wave: w.Number})
 			continue
 		}
-		if m.State == job.MachineUp && m.retry.IsZero() {
+		// A list that was asked for before the order's answer may be older than the order.
+		if m.State == job.MachineUp && m.retry.IsZero() && m.listedAt.After(m.answeredAt) {
 			delete(w.away, id)
 			w.done[id] = true
+			s.dirtyWaves = append(s.dirtyWaves, w)
 		}
 	}
 }
@@ -253,7 +298,7 @@
 			continue
 		}
 		x := t.live()
-		if x == nil || x.percent < 100 || x.phase != runConfirmed {
+		if x == nil || x.percent < 100 || x.phase != runConfirmed || x.vm.silent {
 			away++
 		}
 	}
--- a/core/schedule/vm.go
+++ b/core/schedule/vm.go
@@ -34,6 +34,11 @@
 	forgetAfter = 3 * time.Second
 )
 
+// lateOrder is how long after its sending an order without an answer may still be
+// carried out. A VM that crashes and lives anew under its ID starts its clock
+// anew, so that the start's deadline doesn't hold the order back there.
+const lateOrder = 13 * time.Second
+
 // rackMark is what the labels of racks begin with.
 const rackMark = "r"
 
@@ -52,7 +57,7 @@
 	if v.inRoster == 0 {
 		s.decided(Decision{What: VMFound, VM: e.ID, Reason: string(e.Pool)})
 		s.enroll(v)
-		v.nextHold = now
+		v.nextHold, v.firstSeen = now, now
 	}
 	if e.Born != 0 && v.born != 0 && e.Born > v.born {
 		s.reborn(now, v, e.Born)
@@ -61,7 +66,10 @@
 		s.enroll(v)
 	}
 	v.listed, v.address, v.pool, v.zone = true, e.Address, e.Pool, e.Zone
-	v.room, v.machine = e.Room, e.Machine
+	v.room = e.Room
+	if e.Machine != "" {
+		v.machine = e.Machine
+	}
 	if v.born == 0 {
 		v.born = e.Born
 	}
@@ -156,7 +164,9 @@
 		return
 	}
 	o := job.HoldOrder{Fence: s.settings.Fence, Noted: v.noted}
-	if v.clock.Known() {
+	// An unanswered hold may be carried out later. One to a silent VM therefore
+	// extends nothing: else the lease of a VM that is gone would never run out here.
+	if v.clock.Known() && !v.silent {
 		o.Deadline = v.clock.Likely(now) + job.VMClock(s.settings.LeaseMax.Milliseconds())
 		v.leaseEnd = max(v.leaseEnd, o.Deadline)
 	}
@@ -249,7 +259,9 @@
 func (s *Scheduler) expire(now time.Time, v *vmState) {
 	if v.silent && v.clock.Known() && len(v.runs) > 0 && v.clock.Earliest(now) > v.leaseEnd+clockSlack {
 		for _, r := range v.runs {
-			s.free(now, r, "lease ran out")
+			if r.phase == runConfirmed || now.Sub(r.orderedAt) > lateOrder {
+				s.free(now, r, "lease ran out")
+			}
 		}
 	}
 	gone := !v.listed && len(v.runs) == 0 && !now.Before(v.inheritedUntil) && now.Sub(v.answered) > forgetAfter
--- a/io/node/commit.go
+++ b/io/node/commit.go
@@ -22,10 +22,9 @@
 	// groupFor gathers saves into one transaction: transactions are priced and
 	// the table takes 300 of them a second.
 	groupFor = 12 * time.Millisecond
-	// rowsEach is the most rows that one save touches: progress, job, cancellation.
-	rowsEach = 3
-	// savesEach keeps a transaction below the table's bound on rows.
-	savesEach = (platform.MaxTransactionRows - 6) / rowsEach
+	// savesEach keeps a transaction, with its conditions and the renewal, below the
+	// table's bound on rows.
+	savesEach = platform.MaxTransactionRows - 10
 	// answerLeast bounds the wait for an answer from below; the table answers in
 	// about 4 ms. answerMost does so from above, for a table that is slow.
 	answerLeast = 250 * time.Millisecond
@@ -157,6 +156,8 @@
 		return c.Sequence
 	case schedule.SaveRoster:
 		return c.Sequence
+	case schedule.SaveWave:
+		return c.Sequence
 	}
 	return 0
 }
@@ -189,6 +190,7 @@
 	var out []schedule.Command
 	seen := map[job.ID]bool{}
 	roster := false
+	waves := map[int64]bool{}
 	for i := len(saves) - 1; i >= 0; i-- {
 		switch s := saves[i].(type) {
 		case schedule.Save:
@@ -201,6 +203,11 @@
 				continue
 			}
 			roster = true
+		case schedule.SaveWave:
+			if waves[s.Number] {
+				continue
+			}
+			waves[s.Number] = true
 		}
 		out = append(out, saves[i])
 	}
@@ -215,15 +222,18 @@
 			return err
 		}
 		tx.Writes = append(tx.Writes, platform.Write{RowKey: progressKey(s.Job), Value: value})
-		if s.Progress.State.Final() {
-			tx.Removals = append(tx.Removals, jobKey(s.Job), cancelKey(s.Job))
-		}
 	case schedule.SaveRoster:
 		value, err := encode(s.Roster)
 		if err != nil {
 			return err
 		}
 		tx.Writes = append(tx.Writes, platform.Write{RowKey: rosterKey, Value: value})
+	case schedule.SaveWave:
+		value, err := encode(waveRow{Done: s.Done})
+		if err != nil {
+			return err
+		}
+		tx.Writes = append(tx.Writes, platform.Write{RowKey: waveKey(s.Number), Value: value})
 	}
 	return nil
 }
--- a/io/node/event.go
+++ b/io/node/event.go
@@ -11,8 +11,12 @@
 type event interface{ event() }
 
 type (
-	// rowsChanged are changes of the job table.
-	rowsChanged struct{ rows []platform.Row }
+	// rowsChanged are changes of the job table. After a gap in the history they
+	// are all of it, with all progress.
+	rowsChanged struct {
+		rows     []platform.Row
+		progress []platform.Row
+	}
 	// vmsChanged are changes of the directory; whole tells that they are all of it.
 	vmsChanged struct {
 		rows  []platform.Row
--- a/io/node/jobs.go
+++ b/io/node/jobs.go
@@ -71,10 +71,8 @@
 		return err
 	}
 	tx := platform.Transaction{
-		Conditions: []platform.Condition{
-			{RowKey: jobKey(j.ID)}, {RowKey: cancelKey(j.ID)}, {RowKey: progressKey(j.ID)},
-		},
-		Writes: []platform.Write{{RowKey: jobKey(j.ID), Value: value}},
+		Conditions: []platform.Condition{{RowKey: jobKey(j.ID)}, {RowKey: cancelKey(j.ID)}},
+		Writes:     []platform.Write{{RowKey: jobKey(j.ID), Value: value}},
 	}
 	maybe, err := s.attempt(ctx, until, func(ctx context.Context) error {
 		_, err := s.table.Apply(ctx, tx)
@@ -105,18 +103,13 @@
 	return job.Pending, j != nil, nil
 }
 
-// read returns a job's rows. The progress is read first and the job after it,
-// then the progress once more: the job's row goes away when its end is stored.
+// read returns a job's rows, those as handed in only if there is no progress yet.
 func (s *jobStore) read(ctx context.Context, until time.Time, id job.ID) (progress, handedIn, cancelled *platform.Row, err error) {
-	for range 2 {
-		if progress, err = s.get(ctx, until, progressKey(id)); err != nil || progress != nil {
-			return progress, nil, nil, err
-		}
-		if handedIn, cancelled, err = s.getJob(ctx, until, id); err != nil || handedIn != nil {
-			return nil, handedIn, cancelled, err
-		}
+	if progress, err = s.get(ctx, until, progressKey(id)); err != nil || progress != nil {
+		return progress, nil, nil, err
 	}
-	return nil, nil, cancelled, nil
+	handedIn, cancelled, err = s.getJob(ctx, until, id)
+	return nil, handedIn, cancelled, err
 }
 
 func (s *jobStore) get(ctx context.Context, until time.Time, k platform.RowKey) (row *platform.Row, err error) {
@@ -130,7 +123,7 @@
 // getJob reads the job as handed in and its cancellation in one call.
 func (s *jobStore) getJob(ctx context.Context, until time.Time, id job.ID) (handedIn, cancelled *platform.Row, err error) {
 	r := platform.Range{
-		Table: jobTable, Part: part, From: cancelKey(id).Key, To: jobKey(id).Key + "\x00",
+		Table: jobTable, Part: jobPart(id), From: cancelKey(id).Key, To: jobKey(id).Key + "\x00",
 	}
 	_, err = s.attempt(ctx, until, func(ctx context.Context) error {
 		snapshot, err := s.table.List(ctx, r)
@@ -155,28 +148,22 @@
 // stored later by a call that is still on its way.
 func (s *jobStore) cancel(ctx context.Context, until time.Time, id job.ID) (known bool, err error) {
 	for range cancelRounds {
-		p, j, c, err := s.read(ctx, until, id)
+		p, err := s.get(ctx, until, progressKey(id))
 		if err != nil {
 			return false, err
 		}
-		if c != nil {
-			return j != nil, nil
-		}
 		if p != nil {
 			progress, err := decodeRow[job.Progress](p)
 			if err != nil || progress.State.Final() {
 				return true, err
 			}
-			// The job runs: its row is there but wasn't read.
-			if j, c, err = s.getJob(ctx, until, id); err != nil {
-				return false, err
-			}
-			if c != nil {
-				return true, nil
-			}
-			if j == nil {
-				continue
-			}
+		}
+		j, c, err := s.getJob(ctx, until, id)
+		if err != nil {
+			return false, err
+		}
+		if c != nil {
+			return j != nil, nil
 		}
 		stored, err := s.storeCancel(ctx, until, id, j)
 		if err != nil || stored {
@@ -187,8 +174,8 @@
 }
 
 // cancelRounds bounds how often a cancellation starts anew when the job's rows
-// change between reading and writing: each job changes there once or twice.
-const cancelRounds = 4
+// change between reading and writing: they are written once each.
+const cancelRounds = 3
 
 // storeCancel writes the cancellation if the job's row is still as read.
 func (s *jobStore) storeCancel(ctx context.Context, until time.Time, id job.ID, j *platform.Row) (bool, error) {
--- a/io/node/lead.go
+++ b/io/node/lead.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/pkg/errors"
@@ -20,7 +21,7 @@
 	// swapTimeout bounds an attempt to take over.
 	swapTimeout = time.Second
 	// vacateTimeout bounds giving the right back at a planned stop.
-	vacateTimeout = 500 * time.Millisecond
+	vacateTimeout = 1500 * time.Millisecond
 )
 
 // candidacy makes this process the owner when there is none.
@@ -50,7 +51,7 @@
 		t, renewal, err := c.takeOver(ctx, rows)
 		if err != nil {
 			c.log.Info().Err(err).Str("event", "take_over_failed").Send()
-			supervisor.Sleep(ctx, watchEvery)
+			supervisor.Sleep(ctx, watchEvery+rand.N(watchEvery))
 			continue
 		}
 		c.log.Info().Str("event", "owner").Uint64("fence", uint64(t.fence)).Int64("turn", t.turn).
@@ -144,14 +145,20 @@
 
 // vacate gives the right back, so that another process takes over at once.
 func (c *candidacy) vacate(t *tenure) {
+	value, err := encode(ownerRow{Node: c.node, Life: c.life, Turn: t.turn, Vacant: true})
+	tx := platform.Transaction{
+		Conditions: []platform.Condition{{RowKey: ownerKey, Version: t.fence}},
+		Writes:     []platform.Write{{RowKey: ownerKey, Value: value}},
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), vacateTimeout)
 	defer cancel()
-	value, err := encode(ownerRow{Node: c.node, Life: c.life, Turn: t.turn, Vacant: true})
-	if err == nil {
-		_, err = c.table.Apply(ctx, platform.Transaction{
-			Conditions: []platform.Condition{{RowKey: ownerKey, Version: t.fence}},
-			Writes:     []platform.Write{{RowKey: ownerKey, Value: value}},
-		})
+	for err == nil {
+		_, err = c.table.Apply(ctx, tx)
+		refused := errors.Is(err, platform.ErrBusy) || errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrNotSent)
+		if !refused || !supervisor.Sleep(ctx, refusedPause) {
+			break
+		}
+		err = nil
 	}
 	c.log.Info().Err(err).Str("event", "owner_vacates").Uint64("fence", uint64(t.fence)).Send()
 }
--- a/io/node/operator.go
+++ b/io/node/operator.go
@@ -125,6 +125,10 @@
 	table *platform.Table
 	name  string
 	part  string
+	// anyPart follows the rows of all parts; from and whole must then be set.
+	anyPart bool
+	// whole reads all rows; nil reads those of part.
+	whole func(ctx context.Context) ([]platform.Row, platform.Version, error)
 	log   zerolog.Logger
 	// from, if set, skips the first reading: changes after it are wanted only.
 	from platform.Version
@@ -172,7 +176,7 @@
 func (f *feed) ours(rows []platform.Row) []platform.Row {
 	out := rows[:0]
 	for _, r := range rows {
-		if r.Part == f.part {
+		if f.anyPart || r.Part == f.part {
 			out = append(out, r)
 		}
 	}
@@ -182,6 +186,9 @@
 func (f *feed) readAll(ctx context.Context) ([]platform.Row, platform.Version, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
+	if f.whole != nil {
+		return f.whole(ctx)
+	}
 	return f.table.ListAll(ctx, f.name, f.part)
 }
 
--- a/io/node/owner.go
+++ b/io/node/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -42,6 +43,9 @@
 	jobsFrom  platform.Version
 	vmsFrom   platform.Version
 	backlog   backlogCount
+	// doneInWaves are the machines that former owners saw back from their upkeep,
+	// by the key of the wave.
+	doneInWaves map[string][]job.MachineID
 }
 
 // serve is the owner's life from take-over to the loss of its right.
@@ -131,7 +135,7 @@
 	}
 	// The progress is read after the jobs: a job that ends in between is then
 	// known to be over.
-	jobs, jobsFrom, err := t.ListAll(ctx, jobTable, part)
+	jobs, jobsFrom, err := o.loadJobs(ctx)
 	if err != nil {
 		return err
 	}
@@ -139,28 +143,66 @@
 	if err != nil {
 		return err
 	}
+	waves, _, err := t.ListAll(ctx, waveTable, part)
+	if err != nil {
+		return err
+	}
 	o.jobsFrom = jobsFrom
-	o.restore(roster, jobs, progress)
+	o.restore(roster, jobs, progress, waves)
 	return nil
 }
 
-func (o *owner) restore(roster schedule.Roster, jobs, progress []platform.Row) {
+// loadJobs reads the jobs of all parts at once. The feed goes on from the oldest
+// of the readings.
+func (o *owner) loadJobs(ctx context.Context) ([]platform.Row, platform.Version, error) {
+	var parts [jobParts][]platform.Row
+	var versions [jobParts]platform.Version
+	var failed [jobParts]error
+	var g supervisor.Group
+	for i := range jobParts {
+		g.Go(func() {
+			parts[i], versions[i], failed[i] = o.node.table.ListAll(ctx, jobTable, jobPartName(i))
+		})
+	}
+	g.Wait()
+	for _, err := range failed {
+		if err != nil {
+			return nil, 0, err
+		}
+	}
+	return slices.Concat(parts[:]...), slices.Min(versions[:]), nil
+}
+
+func (o *owner) restore(roster schedule.Roster, jobs, progress, waves []platform.Row) {
 	now := bootNow()
+	o.doneInWaves = map[string][]job.MachineID{}
+	for i := range waves {
+		w, err := decodeRow[waveRow](&waves[i])
+		if err != nil {
+			o.log.Error().Err(err).Msg("wave ignored")
+			continue
+		}
+		o.doneInWaves[waves[i].Key] = w.Done
+	}
 	o.reconfigure(now)
 	for _, v := range roster.VMs {
 		o.scheduler.Inherit(v)
 	}
+	o.takeJobs(now, jobs, o.decodeProgress(progress))
+	o.log.Info().Str("event", "loaded").Int("jobs", len(jobs)).Int("vms", len(roster.VMs)).Send()
+}
+
+func (o *owner) decodeProgress(rows []platform.Row) map[job.ID]*job.Progress {
 	known := map[job.ID]*job.Progress{}
-	for i := range progress {
-		p, err := decodeRow[job.Progress](&progress[i])
+	for i := range rows {
+		p, err := decodeRow[job.Progress](&rows[i])
 		if err != nil {
 			o.log.Error().Err(err).Msg("progress ignored")
 			continue
 		}
-		known[job.ID(progress[i].Key)] = &p
+		known[job.ID(rows[i].Key)] = &p
 	}
-	o.takeJobs(now, jobs, known)
-	o.log.Info().Str("event", "loaded").Int("jobs", len(jobs)).Int("vms", len(roster.VMs)).Send()
+	return known
 }
 
 // takeJobs takes in rows of the job table.
@@ -233,7 +275,7 @@
 	s := o.scheduler
 	switch e := e.(type) {
 	case rowsChanged:
-		o.takeJobs(now, e.rows, nil)
+		o.takeJobs(now, e.rows, o.decodeProgress(e.progress))
 	case vmsChanged:
 		o.takeVMs(now, e)
 	case stored:
@@ -261,7 +303,7 @@
 		o.scheduler.Configure(c)
 	}
 	for _, w := range o.node.view.allWaves() {
-		o.scheduler.AddWave(now, w)
+		o.scheduler.AddWave(now, w, o.doneInWaves[waveKey(w.Number).Key])
 	}
 }
 
@@ -291,8 +333,24 @@
 }
 
 func (o *owner) followJobs(ctx context.Context) error {
-	f := feed{table: o.node.table, name: jobTable, part: part, log: o.log, from: o.jobsFrom}
-	return f.run(ctx, func(rows []platform.Row, _ bool) { o.send(ctx, rowsChanged{rows}) }, func() {})
+	// After a gap in the history the progress is read with the jobs: without it,
+	// jobs that have ended since would look new.
+	var progress []platform.Row
+	f := feed{
+		table: o.node.table, name: jobTable, anyPart: true, log: o.log, from: o.jobsFrom,
+		whole: func(ctx context.Context) ([]platform.Row, platform.Version, error) {
+			jobs, version, err := o.loadJobs(ctx)
+			if err != nil {
+				return nil, 0, err
+			}
+			progress, _, err = o.node.table.ListAll(ctx, progressTable, part)
+			return jobs, version, err
+		},
+	}
+	return f.run(ctx, func(rows []platform.Row, _ bool) {
+		o.send(ctx, rowsChanged{rows: rows, progress: progress})
+		progress = nil
+	}, func() {})
 }
 
 func (o *owner) followVMs(ctx context.Context) error {
--- a/io/node/rows.go
+++ b/io/node/rows.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"hash/fnv"
+	"strconv"
 
 	"github.com/pkg/errors"
 
@@ -9,13 +11,18 @@
 	"lavenderpond/platform"
 )
 
-// Tables and keys of lavenderpond's own rows. All lie in one part, so that one
-// transaction can check the owner and write a job.
+// Tables and keys of lavenderpond's own rows. What the owner writes lies in one
+// part, so that one transaction can check the owner and write many jobs'
+// progress. Jobs as handed in are spread over parts by their ID: a part carries
+// out one transaction after another, and when the table is slow the submissions
+// alone would fill a single one and keep the owner from renewing its right.
 const (
 	part          = "main"
+	jobParts      = 16
 	ownerTable    = "lavenderpond_owner"
 	jobTable      = "lavenderpond_job"
 	progressTable = "lavenderpond_progress"
+	waveTable     = "lavenderpond_wave"
 
 	ownerKeyName   = "owner"
 	renewalKeyName = "renewal"
@@ -32,12 +39,25 @@
 	rosterKey  = platform.RowKey{Table: ownerTable, Part: part, Key: rosterKeyName}
 )
 
+// jobPart returns the part of a job's rows. It depends on nothing but the ID.
+func jobPart(id job.ID) string {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id)) // A hash never fails.
+	return jobPartName(int(h.Sum32() % jobParts))
+}
+
+func jobPartName(n int) string { return "j" + strconv.Itoa(n) }
+
 func jobKey(id job.ID) platform.RowKey {
-	return platform.RowKey{Table: jobTable, Part: part, Key: string(id) + jobSuffix}
+	return platform.RowKey{Table: jobTable, Part: jobPart(id), Key: string(id) + jobSuffix}
 }
 
 func cancelKey(id job.ID) platform.RowKey {
-	return platform.RowKey{Table: jobTable, Part: part, Key: string(id) + cancelSuffix}
+	return platform.RowKey{Table: jobTable, Part: jobPart(id), Key: string(id) + cancelSuffix}
+}
+
+func waveKey(number int64) platform.RowKey {
+	return platform.RowKey{Table: waveTable, Part: part, Key: strconv.FormatInt(number, 10)}
 }
 
 func progressKey(id job.ID) platform.RowKey {
@@ -63,6 +83,11 @@
 	Backlog map[job.QueueName]int `json:"backlog,omitempty"`
 }
 
+// waveRow lists the machines of a wave that have had their upkeep.
+type waveRow struct {
+	Done []job.MachineID `json:"done"`
+}
+
 func encode(v any) ([]byte, error) {
 	b, err := json.Marshal(v)
 	return b, errors.Wrap(err, "encode row")
