--- a/core/schedule/place.go
+++ b/core/schedule/place.go
@@ -8,7 +8,7 @@
 
 // choose returns the VM for a task, or nil if none has room. Tasks are packed:
 // the VM with the least room left over takes the task, so that others stay
-// empty for wide tasks, upkeep and other pools. Lasting tasks are spread.
+// empty for wide tasks, upkeep and other pools.
 func (a *assignment) choose(st *stepState, id job.TaskID, t *taskState) *vmState {
 	var best *vmState
 	var bestCost float64
@@ -30,13 +30,20 @@
 	costFarRack  = 100.0
 	costDisturbs = 30.0
 	costShared   = 10.0
+	// costOpens keeps lasting tasks together: a VM with one can't be emptied
+	// without stopping it.
+	costOpens = 3.0
 )
 
 func (a *assignment) cost(st *stepState, id job.TaskID, t *taskState, v *vmState) float64 {
 	free := float64(v.room.CPU-v.used.CPU) / float64(max(1, v.room.CPU))
 	cost := free
 	if st.def.Lasting {
-		cost = 1 - free + costShared*float64(v.runsOfStep(id.StepID()))
+		cost = costShared * float64(v.runsOfStep(id.StepID()))
+		if !v.hasLasting(a.s) {
+			cost += costOpens
+		}
+		cost += free
 	}
 	if st.def.Fills || st.def.TailTarget > 0 {
 		cost += costDisturbs * float64(a.s.disturbed(st.def, v))
@@ -50,6 +57,16 @@
 	return cost
 }
 
+// hasLasting tells whether the VM runs a lasting task.
+func (v *vmState) hasLasting(s *Scheduler) bool {
+	for k := range v.runs {
+		if _, _, st, _ := s.task(k.task); st != nil && st.def.Lasting {
+			return true
+		}
+	}
+	return false
+}
+
 // disturbed counts the runs on the VM that a task of the step would disturb or
 // be disturbed by.
 func (s *Scheduler) disturbed(def *job.Step, v *vmState) int {
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -25,6 +25,7 @@
 	}
 	delete(r.vm.runs, k)
 	r.vm.used = r.vm.used.Minus(r.claim)
+	r.vm.idleSince = now
 	s.running[r.account] = s.running[r.account].Minus(r.cost)
 	_, _, st, t := s.task(r.task)
 	if t == nil {
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -59,6 +59,8 @@
 	queues   map[job.QueueName]*queueRecord
 	machines map[job.MachineID]*machineState
 	waves    map[int64]*waveState
+	pools    map[job.PoolName]*poolRecord
+	sizeAt   time.Time
 }
 
 // New returns a scheduler that knows nothing yet.
@@ -72,6 +74,7 @@
 		queues:   map[job.QueueName]*queueRecord{},
 		machines: map[job.MachineID]*machineState{},
 		waves:    map[int64]*waveState{},
+		pools:    map[job.PoolName]*poolRecord{},
 	}
 }
 
@@ -134,6 +137,10 @@
 		st.restore(p)
 	}
 	st.objective, st.late = s.objective(st)
+	if !st.lasting && !inherited {
+		left, _ := s.work(st)
+		s.poolRecord(s.pool(st)).arrive(now, left)
+	}
 	s.jobs[j.ID] = st
 	s.decided(Decision{What: JobAdopted, Job: j.ID, Reason: string(j.Terms.Queue)})
 }
--- /dev/null
+++ b/core/schedule/sizing/sizing.go
@@ -0,0 +1,163 @@
+// Package sizing decides which machines change their pool: queues burst in turn
+// to more than their own pool holds while the fleet as a whole has room, and a
+// machine that stands idle in a pool costs as much as one that works.
+package sizing
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"lavenderpond/core/job"
+)
+
+// Pool is what one pool needs and has.
+type Pool struct {
+	Name job.PoolName
+	// Standby pools hold machines that are off.
+	Standby bool
+	// Need is the CPU that the pool should have, in thousandths of a core.
+	Need int64
+	// Have is the CPU of its VMs that take tasks, and of machines on their way.
+	Have int64
+}
+
+// Machine is a machine that could move: it runs nothing.
+type Machine struct {
+	ID   job.MachineID
+	Pool job.PoolName
+	Zone string
+	CPU  int64
+	// IdleSince is when it last ran something.
+	IdleSince time.Time
+}
+
+// Move takes a machine into another pool.
+type Move struct {
+	Machine job.MachineID
+	From    job.PoolName
+	To      job.PoolName
+}
+
+const (
+	// parkAfter is how long a machine stands idle before it is switched off. A
+	// move costs as much as about 1.2 s in a pool, there and back twice that.
+	parkAfter = 1500 * time.Millisecond
+	// lendAfter is how long a machine stands idle before another pool may have it.
+	lendAfter = 150 * time.Millisecond
+)
+
+// Plan returns the moves to make now. Pools that lack the most come first. They
+// get idle machines that other pools can spare, and then machines that are off.
+// What is left over and idle for long is switched off.
+func Plan(now time.Time, pools []Pool, machines []Machine) []Move {
+	p := newPlan(pools, machines)
+	for _, lacking := range p.lacking() {
+		p.fill(now, lacking)
+	}
+	p.park(now)
+	return p.moves
+}
+
+type plan struct {
+	pools    map[job.PoolName]*Pool
+	machines []Machine
+	taken    map[job.MachineID]bool
+	moves    []Move
+}
+
+func newPlan(pools []Pool, machines []Machine) *plan {
+	p := &plan{pools: map[job.PoolName]*Pool{}, machines: slices.Clone(machines), taken: map[job.MachineID]bool{}}
+	for _, x := range pools {
+		p.pools[x.Name] = &x
+	}
+	// The longest idle go first; machines that are off stand last, since those
+	// that run cost something where they are.
+	slices.SortFunc(p.machines, func(a, b Machine) int {
+		return cmp.Or(
+			compareBool(p.off(a), p.off(b)),
+			a.IdleSince.Compare(b.IdleSince),
+			cmp.Compare(a.ID, b.ID),
+		)
+	})
+	return p
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
+// off tells whether the machine stands in a standby pool.
+func (p *plan) off(m Machine) bool {
+	x := p.pools[m.Pool]
+	return x != nil && x.Standby
+}
+
+// lacking returns the pools that need more than they have, the worst first.
+func (p *plan) lacking() []*Pool {
+	var out []*Pool
+	for _, x := range p.pools {
+		if !x.Standby && x.Need > x.Have {
+			out = append(out, x)
+		}
+	}
+	slices.SortFunc(out, func(a, b *Pool) int {
+		return cmp.Or(cmp.Compare(b.Need-b.Have, a.Need-a.Have), cmp.Compare(a.Name, b.Name))
+	})
+	return out
+}
+
+func (p *plan) fill(now time.Time, to *Pool) {
+	for _, m := range p.machines {
+		// A machine for less than half of its room isn't worth its move.
+		if to.Need-to.Have < m.CPU/2 {
+			return
+		}
+		if p.taken[m.ID] || m.Pool == to.Name || !p.spares(now, m, lendAfter) {
+			continue
+		}
+		p.move(m, to)
+	}
+}
+
+// spares tells whether the machine's pool can do without it.
+func (p *plan) spares(now time.Time, m Machine, idleFor time.Duration) bool {
+	if p.off(m) {
+		return true
+	}
+	from := p.pools[m.Pool]
+	return from != nil && now.Sub(m.IdleSince) >= idleFor && from.Have-m.CPU >= from.Need
+}
+
+func (p *plan) move(m Machine, to *Pool) {
+	p.taken[m.ID] = true
+	if from := p.pools[m.Pool]; !from.Standby {
+		from.Have -= m.CPU
+	}
+	to.Have += m.CPU
+	p.moves = append(p.moves, Move{Machine: m.ID, From: m.Pool, To: to.Name})
+}
+
+// park switches machines off that no pool needs.
+func (p *plan) park(now time.Time) {
+	var standby *Pool
+	for _, x := range p.pools {
+		if x.Standby && (standby == nil || x.Name < standby.Name) {
+			standby = x
+		}
+	}
+	if standby == nil {
+		return
+	}
+	for _, m := range p.machines {
+		if !p.taken[m.ID] && !p.off(m) && p.spares(now, m, parkAfter) {
+			p.move(m, standby)
+		}
+	}
+}
--- a/core/schedule/state.go
+++ b/core/schedule/state.go
@@ -153,6 +153,8 @@
 	unsure []unsavedEnd
 
 	firstSeen time.Time
+	// idleSince is when the VM last ran something.
+	idleSince time.Time
 	holding   bool
 	heldOnce  bool
 	nextHold  time.Time
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -14,6 +14,7 @@
 	s.leaveDraining(now)
 	s.forgetEnded(now)
 	s.drive(now)
+	s.size(now)
 }
 
 // leaveDraining moves lasting tasks off VMs that leave. Other tasks may end in
--- a/core/schedule/upkeep.go
+++ b/core/schedule/upkeep.go
@@ -21,8 +21,9 @@
 	waiting bool
 	// before is the VM that lived on the machine when the order was sent.
 	before job.VMID
-	bornAt job.Born
 	retry  time.Time
+	// to is the pool that the machine is on its way to; empty if it stays.
+	to job.PoolName
 }
 
 // waveState is a wave that isn't over.
@@ -125,7 +126,8 @@
 		}
 	}
 	for _, v := range s.vms {
-		v.cordoned = v.machine != "" && cordoned[v.machine]
+		m := s.machines[v.machine]
+		v.cordoned = m != nil && (cordoned[m.ID] || m.to != "")
 	}
 }
 
@@ -138,7 +140,7 @@
 	var left []*machineState
 	for _, id := range w.Machines {
 		m := s.machines[id]
-		if w.done[id] || m == nil {
+		if w.done[id] || m == nil || m.to != "" {
 			continue
 		}
 		if m.State == job.MachineUpkeep && !w.away[id] {
@@ -152,7 +154,7 @@
 		}
 		left = append(left, m)
 	}
-	if len(left) == 0 && len(w.away) == 0 && len(s.machines) > 0 {
+	if len(left) == 0 && len(w.away) == 0 && len(s.machines) > 0 && s.waveDone(w) {
 		s.completeWave(now, w)
 		return
 	}
@@ -162,6 +164,16 @@
 	s.emptyNext(now, w, left, cordoned)
 }
 
+// waveDone tells whether all machines of the wave that are still there are done.
+func (s *Scheduler) waveDone(w *waveState) bool {
+	for _, id := range w.Machines {
+		if s.machines[id] != nil && !w.done[id] {
+			return false
+		}
+	}
+	return true
+}
+
 func (s *Scheduler) completeWave(now time.Time, w *waveState) {
 	w.shown = job.WaveCompleted
 	s.decided(Decision{What: WaveChanged, Reason: "completed", After: now.Sub(w.arrived)})
@@ -185,7 +197,7 @@
 			continue
 		}
 		if len(w.away) < slots && s.mayOrderMachines(now) && !now.Before(m.retry) {
-			s.orderUpkeep(now, w, m, v)
+			s.orderUpkeep(now, w, m)
 		}
 	}
 }
@@ -198,13 +210,9 @@
 // machineSlack covers orders that a former owner sent while its right lasted.
 const machineSlack = 1500 * time.Millisecond
 
-func (s *Scheduler) orderUpkeep(now time.Time, w *waveState, m *machineState, v *vmState) {
+func (s *Scheduler) orderUpkeep(now time.Time, w *waveState, m *machineState) {
 	w.away[m.ID] = true
 	m.ordered, m.waiting, m.before = now, true, m.VM
-	m.bornAt = 0
-	if v != nil {
-		m.bornAt = v.born
-	}
 	s.emit(Upkeep{Machine: m.ID, Wave: w.Number})
 }
 
--- a/core/schedule/vm.go
+++ b/core/schedule/vm.go
@@ -57,7 +57,7 @@
 	if v.inRoster == 0 {
 		s.decided(Decision{What: VMFound, VM: e.ID, Reason: string(e.Pool)})
 		s.enroll(v)
-		v.nextHold, v.firstSeen = now, now
+		v.nextHold, v.firstSeen, v.idleSince = now, now, now
 	}
 	if e.Born != 0 && v.born != 0 && e.Born > v.born {
 		s.reborn(now, v, e.Born)
--- a/io/node/owner.go
+++ b/io/node/owner.go
@@ -20,10 +20,8 @@
 	// eventsAhead bounds the events that wait for the owner's loop; what brings
 	// them waits while it is full.
 	eventsAhead = 1024
-	// machinesEvery is how often the machines list is read while upkeep goes on,
-	// machinesIdle how often otherwise.
-	machinesEvery = 700 * time.Millisecond
-	machinesIdle  = 3 * time.Second
+	// machinesEvery is how often the machines list is read.
+	machinesEvery = 500 * time.Millisecond
 	// attemptsPerTurn is more starts of one task than fit into one tenure.
 	attemptsPerTurn = 10_000
 	// loadTimeout bounds each reading when an owner starts.
@@ -291,6 +289,7 @@
 	case upkeepAnswered:
 		s.UpkeepAnswered(now, e.order, e.outcome, e.refusal)
 	case moveAnswered:
+		s.MoveAnswered(now, e.order, e.outcome, e.refusal)
 	case advised:
 		s.Advised(now, e.step, e.approvals.Tickets, e.approvals.Valid)
 	case reconfigured:
@@ -369,11 +368,7 @@
 		} else {
 			o.send(ctx, machinesListed{list, asked})
 		}
-		pause := machinesIdle
-		if len(o.node.view.allWaves()) > 0 {
-			pause = machinesEvery
-		}
-		supervisor.Sleep(ctx, pause)
+		supervisor.Sleep(ctx, machinesEvery)
 	}
 	return nil
 }
