--- /dev/null
+++ b/core/emulator/table.go
@@ -0,0 +1,143 @@
+package emulator
+
+import (
+	"time"
+
+	"lavenderpond/core/job"
+	"lavenderpond/core/schedule"
+)
+
+// table is the platform's table, as far as the entry VMs use it: each method is
+// one call that is carried out at once; calls take time on their way.
+type table struct {
+	w       *World
+	version int64
+
+	owner          ownerRow
+	ownerVersion   int64
+	renewal        renewalRow
+	renewalVersion int64
+	progress       map[job.ID]job.Progress
+	roster         schedule.Roster
+	waves          map[int64][]job.MachineID
+	submitted      []submission
+	cancelled      []job.ID
+	vms            map[job.VMID]job.VMEntry
+	vmChanges      []vmChange
+
+	// down refuses calls, slow delays them, lost drops answers of writes, late
+	// carries some of these out later.
+	down bool
+	slow time.Duration
+	lost float64
+	late bool
+	// turnedAway are nodes that get no answer.
+	turnedAway map[*node]bool
+}
+
+type ownerRow struct {
+	node   string
+	life   int
+	turn   int64
+	vacant bool
+}
+
+type renewalRow struct {
+	life  int
+	node  string
+	batch int64
+}
+
+type submission struct {
+	job     job.Job
+	version int64
+}
+
+type vmChange struct {
+	entry   job.VMEntry
+	removed bool
+}
+
+func newTable(w *World) *table {
+	return &table{
+		w: w, progress: map[job.ID]job.Progress{}, waves: map[int64][]job.MachineID{},
+		vms: map[job.VMID]job.VMEntry{}, turnedAway: map[*node]bool{},
+	}
+}
+
+func (t *table) bump() int64 {
+	t.version++
+	return t.version
+}
+
+// swap makes a node the owner if both rows are as it read them.
+func (t *table) swap(owner, renewal int64, row ownerRow) (int64, bool) {
+	if owner != t.ownerVersion || renewal != t.renewalVersion {
+		return 0, false
+	}
+	v := t.bump()
+	t.owner, t.ownerVersion = row, v
+	t.renewal, t.renewalVersion = renewalRow{life: row.life, node: row.node}, v
+	t.w.Figures.TakeOvers++
+	return v, true
+}
+
+// commitResult is the answer to a commit.
+type commitResult struct {
+	ok             bool
+	version        int64
+	owner, renewal int64
+	row            renewalRow
+}
+
+// commit stores saves if the owner and its last renewal are as expected.
+func (t *table) commit(owner, renewal int64, row renewalRow, saves []schedule.Command) commitResult {
+	if owner != t.ownerVersion || renewal != t.renewalVersion {
+		return commitResult{owner: t.ownerVersion, renewal: t.renewalVersion, row: t.renewal}
+	}
+	v := t.bump()
+	t.renewal, t.renewalVersion = row, v
+	for _, c := range saves {
+		switch c := c.(type) {
+		case schedule.Save:
+			t.progress[c.Job] = c.Progress
+			t.w.judge.shown(c.Job, c.Progress.State)
+		case schedule.SaveRoster:
+			t.roster = c.Roster
+		case schedule.SaveWave:
+			t.waves[c.Number] = c.Done
+		}
+	}
+	return commitResult{ok: true, version: v, owner: owner, renewal: v}
+}
+
+// submit stores a job once.
+func (t *table) submit(j job.Job) {
+	t.submitted = append(t.submitted, submission{job: j, version: t.bump()})
+}
+
+func (t *table) cancel(id job.ID) {
+	t.bump()
+	t.cancelled = append(t.cancelled, id)
+}
+
+// putVM writes a VM's entry, if it can reach the table.
+func (t *table) putVM(v *vm) {
+	if !v.up || v.w.vms[v.id] != v {
+		return
+	}
+	e := job.VMEntry{
+		ID: v.id, Pool: v.pool, Address: string(v.id), Zone: v.machine.zone, Draining: v.drains,
+		Room: job.Room{CPU: vmCPU, MemMB: vmMemMB}, Labels: []job.Label{"a", v.machine.rack},
+		Born: job.Born(v.born.UnixMilli()), Machine: v.machine.id,
+	}
+	t.vms[v.id] = e
+	t.vmChanges = append(t.vmChanges, vmChange{entry: e})
+}
+
+func (t *table) dropVM(id job.VMID) {
+	if e, ok := t.vms[id]; ok {
+		delete(t.vms, id)
+		t.vmChanges = append(t.vmChanges, vmChange{entry: e, removed: true})
+	}
+}
--- a/core/schedule/assign.go
+++ b/core/schedule/assign.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -13,18 +14,18 @@
 		return
 	}
 	byPool := map[job.PoolName][]*jobState{}
-	for _, j := range s.jobs {
+	for _, j := range s.jobs.All() {
 		if !j.over() && j.hasWaiting() {
 			p := s.pool(j)
 			byPool[p] = append(byPool[p], j)
 		}
 	}
-	for p, jobs := range byPool {
+	for _, p := range slices.Sorted(maps.Keys(byPool)) {
 		a := s.newAssignment(now, wall, p)
 		if len(a.vms) == 0 {
 			continue
 		}
-		for _, c := range s.candidates(now, jobs) {
+		for _, c := range s.candidates(now, byPool[p]) {
 			a.startJob(c.job)
 		}
 	}
@@ -58,7 +59,7 @@
 
 func (s *Scheduler) newAssignment(now, wall time.Time, p job.PoolName) *assignment {
 	a := &assignment{s: s, now: now, wall: wall, pool: p}
-	for _, v := range s.vms {
+	for _, v := range s.vms.All() {
 		if v.pool != p {
 			continue
 		}
--- a/core/schedule/place.go
+++ b/core/schedule/place.go
@@ -59,7 +59,7 @@
 
 // hasLasting tells whether the VM runs a lasting task.
 func (v *vmState) hasLasting(s *Scheduler) bool {
-	for k := range v.runs {
+	for k := range v.runs.All() {
 		if _, _, st, _ := s.task(k.task); st != nil && st.def.Lasting {
 			return true
 		}
@@ -71,7 +71,7 @@
 // be disturbed by.
 func (s *Scheduler) disturbed(def *job.Step, v *vmState) int {
 	n := 0
-	for k := range v.runs {
+	for k := range v.runs.All() {
 		_, _, st, _ := s.task(k.task)
 		if st == nil {
 			continue
@@ -104,7 +104,7 @@
 // being stopped still counts.
 func (v *vmState) runsOfStep(step job.StepID) int {
 	n := 0
-	for k := range v.runs {
+	for k := range v.runs.All() {
 		if k.task.StepID() == step {
 			n++
 		}
--- a/core/schedule/pools.go
+++ b/core/schedule/pools.go
@@ -1,9 +1,7 @@
 package schedule
 
 import (
-	"maps"
 	"math"
-	"slices"
 	"time"
 
 	"lavenderpond/core/job"
@@ -79,7 +77,7 @@
 
 // size orders machines into other pools as demand moves on.
 func (s *Scheduler) size(now time.Time) {
-	if s.conf == nil || len(s.machines) == 0 || now.Before(s.sizeAt) {
+	if s.conf == nil || s.machines.Len() == 0 || now.Before(s.sizeAt) {
 		return
 	}
 	s.sizeAt = now.Add(sizeEvery)
@@ -131,7 +129,7 @@
 // of use, and what lasting tasks need.
 func (s *Scheduler) demand(now time.Time) (waiting map[job.PoolName]float64, lasting map[job.PoolName]lastingDemand) {
 	waiting, lasting = map[job.PoolName]float64{}, map[job.PoolName]lastingDemand{}
-	for _, j := range s.jobs {
+	for _, j := range s.jobs.All() {
 		if j.over() {
 			continue
 		}
@@ -191,13 +189,13 @@
 // that of the largest VM.
 func (s *Scheduler) poolRooms() (have map[job.PoolName]int64, vmCPU int64) {
 	have = map[job.PoolName]int64{}
-	for _, v := range s.vms {
+	for _, v := range s.vms.All() {
 		vmCPU = max(vmCPU, v.room.CPU)
 		if v.listed && !v.draining && !v.silent && !v.cordoned {
 			have[v.pool] += v.room.CPU
 		}
 	}
-	for _, m := range s.machines {
+	for _, m := range s.machines.All() {
 		switch {
 		case m.to != "":
 			have[m.to] += m.Room.CPU
@@ -211,15 +209,14 @@
 // idleMachines returns the machines that run nothing and are due for nothing.
 func (s *Scheduler) idleMachines(now time.Time) []sizing.Machine {
 	var out []sizing.Machine
-	for _, id := range slices.Sorted(maps.Keys(s.machines)) {
-		m := s.machines[id]
+	for id, m := range s.machines.All() {
 		if m.State != job.MachineUp || m.to != "" || now.Before(m.retry) || s.inUpkeep(id) {
 			continue
 		}
 		x := sizing.Machine{ID: id, Pool: m.Pool, Zone: m.Zone, CPU: m.Room.CPU}
 		if p := s.conf.Pool(m.Pool); p == nil || !p.Standby {
-			v := s.vms[m.VM]
-			if v == nil || len(v.runs) > 0 || !s.usable(now, v) || v.machine != id {
+			v := s.vms.Get(m.VM)
+			if v == nil || v.runs.Len() > 0 || !s.usable(now, v) || v.machine != id {
 				continue
 			}
 			x.IdleSince = v.idleSince
@@ -231,7 +228,7 @@
 
 // inUpkeep tells whether a wave has the machine's upkeep under way.
 func (s *Scheduler) inUpkeep(id job.MachineID) bool {
-	for _, w := range s.waves {
+	for _, w := range s.waves.All() {
 		if w.away[id] {
 			return true
 		}
@@ -240,10 +237,10 @@
 }
 
 func (s *Scheduler) orderMove(now time.Time, x sizing.Move) {
-	m := s.machines[x.Machine]
+	m := s.machines.Get(x.Machine)
 	m.to, m.ordered, m.waiting, m.before = x.To, now, true, m.VM
 	m.answeredAt = time.Time{}
-	if v := s.vms[m.VM]; v != nil {
+	if v := s.vms.Get(m.VM); v != nil {
 		v.cordoned = true
 	}
 	s.decided(Decision{What: MachineMoved, VM: m.VM, Reason: string(x.Machine) + " " + string(x.From) + " to " + string(x.To)})
@@ -252,7 +249,7 @@
 
 // MoveAnswered takes in what came of a move.
 func (s *Scheduler) MoveAnswered(now time.Time, c Move, out Outcome, why job.MachineRefusal) {
-	m := s.machines[c.Machine]
+	m := s.machines.Get(c.Machine)
 	if m == nil || m.to != c.Pool {
 		return
 	}
@@ -260,7 +257,7 @@
 	switch {
 	case out == Answered && why == job.MachineAccepted:
 		m.answeredAt = now
-		if v := s.vms[m.before]; v != nil {
+		if v := s.vms.Get(m.before); v != nil {
 			s.lifeOver(now, v, "its machine moves")
 		}
 	case out == Unanswered:
@@ -275,7 +272,7 @@
 // followMoves ends the moves that the list shows as done, and repeats those
 // without an answer.
 func (s *Scheduler) followMoves(now time.Time) {
-	for id, m := range s.machines {
+	for id, m := range s.machines.All() {
 		if m.to == "" || m.waiting {
 			continue
 		}
--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -21,7 +21,7 @@
 		present[runKey{t.Task, t.Attempt}] = true
 		s.takeRunning(now, v, r.Clock, t)
 	}
-	for k, x := range v.runs {
+	for k, x := range v.runs.All() {
 		if !present[k] {
 			s.takeMissing(now, x, r.Clock)
 		}
@@ -46,7 +46,7 @@
 // applyEnd applies an end to its task and tells whether it must be stored.
 func (s *Scheduler) applyEnd(now time.Time, v *vmState, e job.End) bool {
 	j, o, st, t := s.task(e.Task)
-	r := v.runs[runKey{e.Task, e.Attempt}]
+	r := v.runs.Get(runKey{e.Task, e.Attempt})
 	ranFor := time.Duration(0)
 	if r != nil {
 		ranFor = now.Sub(r.confirmedAt)
@@ -149,7 +149,7 @@
 
 // takeRunning takes in one entry of the list of what runs.
 func (s *Scheduler) takeRunning(now time.Time, v *vmState, clock job.VMClock, e *job.RunningTask) {
-	r := v.runs[runKey{e.Task, e.Attempt}]
+	r := v.runs.Get(runKey{e.Task, e.Attempt})
 	if r == nil {
 		s.foundRun(now, v, clock, e)
 		return
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -9,7 +9,7 @@
 
 // addRun books a run on its VM, its task (nil if unknown) and its account.
 func (s *Scheduler) addRun(r *run, t *taskState) {
-	r.vm.runs[runKey{r.task, r.attempt}] = r
+	r.vm.runs.Set(runKey{r.task, r.attempt}, r)
 	r.vm.used = r.vm.used.Plus(r.claim)
 	s.running[r.account] = s.running[r.account].Plus(r.cost)
 	if t != nil {
@@ -20,10 +20,10 @@
 // release takes a run off its VM, task and account: nothing of it can run any more.
 func (s *Scheduler) release(now time.Time, r *run) {
 	k := runKey{r.task, r.attempt}
-	if r.vm.runs[k] != r {
+	if r.vm.runs.Get(k) != r {
 		return
 	}
-	delete(r.vm.runs, k)
+	r.vm.runs.Delete(k)
 	r.vm.used = r.vm.used.Minus(r.claim)
 	r.vm.idleSince = now
 	s.running[r.account] = s.running[r.account].Minus(r.cost)
@@ -89,7 +89,7 @@
 	r.phase = runConfirmed
 	r.confirmedAt = now
 	r.confirmedClock = max(r.confirmedClock, clock)
-	j := s.jobs[r.task.Job]
+	j := s.jobs.Get(r.task.Job)
 	if j == nil {
 		return
 	}
@@ -102,14 +102,14 @@
 
 // StartAnswered takes in what came of a start.
 func (s *Scheduler) StartAnswered(now time.Time, c Start, out Outcome, rep job.Report) {
-	v := s.vms[c.VM]
+	v := s.vms.Get(c.VM)
 	if v == nil {
 		return
 	}
 	if out == Answered && !s.heard(now, v, rep) {
 		return
 	}
-	r := v.runs[runKey{c.Order.Task, c.Order.Attempt}]
+	r := v.runs.Get(runKey{c.Order.Task, c.Order.Attempt})
 	if r == nil || r.phase == runConfirmed {
 		return
 	}
@@ -150,11 +150,11 @@
 
 // StopAnswered takes in what came of a stop.
 func (s *Scheduler) StopAnswered(now time.Time, c Stop, out Outcome, rep job.Report) {
-	v := s.vms[c.VM]
+	v := s.vms.Get(c.VM)
 	if v == nil || out != Answered || !s.heard(now, v, rep) {
 		return
 	}
-	r := v.runs[runKey{c.Task, c.Attempt}]
+	r := v.runs.Get(runKey{c.Task, c.Attempt})
 	if r != nil && rep.Refused == job.NotRefused {
 		r.stopClock = rep.Clock
 		if r.phase == runOrdered {
--- a/core/schedule/save.go
+++ b/core/schedule/save.go
@@ -47,7 +47,7 @@
 // Stored notes that all saves up to the sequence are stored.
 func (s *Scheduler) Stored(sequence int64) {
 	s.stored = max(s.stored, sequence)
-	for _, v := range s.vms {
+	for _, v := range s.vms.All() {
 		v.noteStored(s.stored)
 	}
 	s.forgetClosed()
@@ -59,7 +59,7 @@
 		if j.closing > s.stored || j.hasRuns() {
 			return false
 		}
-		delete(s.jobs, j.ID)
+		s.jobs.Delete(j.ID)
 		s.ended[j.ID] = j.arrived
 		return true
 	})
@@ -121,7 +121,7 @@
 
 func (s *Scheduler) roster() Roster {
 	var r Roster
-	for _, v := range s.vms {
+	for _, v := range s.vms.All() {
 		r.VMs = append(r.VMs, RosterVM{ID: v.id, Address: v.address, Pool: v.pool, Born: v.born, Machine: v.machine})
 	}
 	slices.SortFunc(r.VMs, func(a, b RosterVM) int { return cmp.Compare(a.ID, b.ID) })
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -38,8 +38,8 @@
 type Scheduler struct {
 	settings Settings
 	conf     *job.Configuration
-	jobs     map[job.ID]*jobState
-	vms      map[job.VMID]*vmState
+	jobs     ordered[job.ID, *jobState]
+	vms      ordered[job.VMID, *vmState]
 	// ended remembers jobs that are over and stored, and since when.
 	ended map[job.ID]time.Time
 	// running is what each client account has running, or may have.
@@ -57,8 +57,8 @@
 	mayStart bool
 	mayHold  bool
 	queues   map[job.QueueName]*queueRecord
-	machines map[job.MachineID]*machineState
-	waves    map[int64]*waveState
+	machines ordered[job.MachineID, *machineState]
+	waves    ordered[int64, *waveState]
 	pools    map[job.PoolName]*poolRecord
 	sizeAt   time.Time
 }
@@ -67,13 +67,9 @@
 func New(s Settings) *Scheduler {
 	return &Scheduler{
 		settings: s,
-		jobs:     map[job.ID]*jobState{},
-		vms:      map[job.VMID]*vmState{},
 		ended:    map[job.ID]time.Time{},
 		running:  map[job.AccountName]job.Room{},
 		queues:   map[job.QueueName]*queueRecord{},
-		machines: map[job.MachineID]*machineState{},
-		waves:    map[int64]*waveState{},
 		pools:    map[job.PoolName]*poolRecord{},
 	}
 }
@@ -117,7 +113,7 @@
 // AddJob takes in a job and what is stored of its progress. inherited tells
 // that a former owner may have started tasks of it.
 func (s *Scheduler) AddJob(now time.Time, j job.Job, p *job.Progress, inherited bool) {
-	if s.jobs[j.ID] != nil || (p != nil && p.State.Final()) {
+	if s.jobs.Get(j.ID) != nil || (p != nil && p.State.Final()) {
 		return
 	}
 	// A feed may tell of a job again that has been run and forgotten since.
@@ -141,7 +137,7 @@
 		left, _ := s.work(st)
 		s.poolRecord(s.pool(st)).arrive(now, left)
 	}
-	s.jobs[j.ID] = st
+	s.jobs.Set(j.ID, st)
 	s.decided(Decision{What: JobAdopted, Job: j.ID, Reason: string(j.Terms.Queue)})
 }
 
@@ -179,7 +175,7 @@
 
 // Cancel ends a job on its caller's wish. An unknown job needs nothing.
 func (s *Scheduler) Cancel(now time.Time, id job.ID) {
-	j := s.jobs[id]
+	j := s.jobs.Get(id)
 	if j == nil || j.over() {
 		return
 	}
@@ -207,7 +203,7 @@
 // Backlog counts the jobs of each queue that haven't begun.
 func (s *Scheduler) Backlog() map[job.QueueName]int {
 	out := map[job.QueueName]int{}
-	for _, j := range s.jobs {
+	for _, j := range s.jobs.All() {
 		if !j.over() && !j.begun {
 			out[j.Terms.Queue]++
 		}
@@ -237,7 +233,7 @@
 }
 
 func (s *Scheduler) task(t job.TaskID) (*jobState, *occurrence, *stepState, *taskState) {
-	j := s.jobs[t.Job]
+	j := s.jobs.Get(t.Job)
 	if j == nil || t.Occurrence >= len(j.occurrences) || t.Step >= len(j.Body.Steps) || t.Occurrence < 0 || t.Step < 0 {
 		return nil, nil, nil, nil
 	}
--- a/core/schedule/state.go
+++ b/core/schedule/state.go
@@ -145,7 +145,7 @@
 	reported job.VMClock
 	// leaseEnd is the latest deadline that any order carried.
 	leaseEnd job.VMClock
-	runs     map[runKey]*run
+	runs     ordered[runKey, *run]
 
 	// seen is the last end taken in, noted the last one that is stored.
 	seen   int64
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -4,9 +4,9 @@
 
 // Tick does what is due: holds, repeated stops, leases that ran out, upkeep.
 func (s *Scheduler) Tick(now time.Time) {
-	for _, v := range s.vms {
+	for _, v := range s.vms.All() {
 		s.expire(now, v)
-		for _, r := range v.runs {
+		for _, r := range v.runs.All() {
 			s.repeatStop(now, r)
 		}
 		s.hold(now, v)
@@ -20,11 +20,11 @@
 // leaveDraining moves lasting tasks off VMs that leave. Other tasks may end in
 // time; those that don't end with the VM.
 func (s *Scheduler) leaveDraining(now time.Time) {
-	for _, v := range s.vms {
+	for _, v := range s.vms.All() {
 		if !v.draining {
 			continue
 		}
-		for _, r := range v.runs {
+		for _, r := range v.runs.All() {
 			_, _, st, t := s.task(r.task)
 			if t != nil && st.def.Lasting && r.phase == runConfirmed && !v.silent {
 				s.stop(now, r, "VM leaves")
--- a/core/schedule/upkeep.go
+++ b/core/schedule/upkeep.go
@@ -17,8 +17,9 @@
 	answeredAt time.Time
 	// ordered is when an order was sent that isn't known to be over.
 	ordered time.Time
-	// waiting is set while an order has no answer yet.
+	// waiting is set while an order has no answer yet, refused if it was refused.
 	waiting bool
+	refused bool
 	// before is the VM that lived on the machine when the order was sent.
 	before job.VMID
 	retry  time.Time
@@ -49,25 +50,25 @@
 	present := map[job.MachineID]bool{}
 	for _, m := range list {
 		present[m.ID] = true
-		x := s.machines[m.ID]
+		x := s.machines.Get(m.ID)
 		if x == nil {
 			x = &machineState{}
-			s.machines[m.ID] = x
+			s.machines.Set(m.ID, x)
 		}
 		if x.State != m.State || x.VM != m.VM {
 			s.decided(Decision{What: MachineSeen, VM: m.VM, Reason: string(m.ID) + " " + string(m.State)})
 		}
 		x.Machine, x.listedAt = m, asked
-		if v := s.vms[m.VM]; v != nil {
+		if v := s.vms.Get(m.VM); v != nil {
 			v.machine = m.ID
 		}
 	}
-	for id := range s.machines {
+	for id := range s.machines.All() {
 		if !present[id] {
-			delete(s.machines, id)
+			s.machines.Delete(id)
 		}
 	}
-	for _, v := range s.vms {
+	for _, v := range s.vms.All() {
 		s.compareMachine(asked, v)
 	}
 }
@@ -76,7 +77,7 @@
 // life: a machine has one life at a time. This frees the tasks of a VM that
 // crashed seconds before its lease would.
 func (s *Scheduler) compareMachine(asked time.Time, v *vmState) {
-	m := s.machines[v.machine]
+	m := s.machines.Get(v.machine)
 	if m == nil || m.VM == "" || m.VM == v.id || !v.firstSeen.Before(asked) {
 		return
 	}
@@ -86,7 +87,7 @@
 // lifeOver takes in a proof that a VM's life has ended.
 func (s *Scheduler) lifeOver(now time.Time, v *vmState, why string) {
 	v.inheritedUntil = time.Time{}
-	for _, r := range v.runs {
+	for _, r := range v.runs.All() {
 		if r.phase == runConfirmed && r.confirmedAt.Before(now) {
 			s.free(now, r, why)
 		}
@@ -96,20 +97,20 @@
 // AddWave takes in a wave and which of its machines are done already, as far as
 // that is stored; a wave that is known is left as it is.
 func (s *Scheduler) AddWave(now time.Time, w job.Wave, done []job.MachineID) {
-	if s.waves[w.Number] != nil {
+	if s.waves.Get(w.Number) != nil {
 		return
 	}
 	x := &waveState{Wave: w, arrived: now, done: map[job.MachineID]bool{}, away: map[job.MachineID]bool{}}
 	for _, id := range done {
 		x.done[id] = true
 	}
-	s.waves[w.Number] = x
+	s.waves.Set(w.Number, x)
 	s.decided(Decision{What: WaveChanged, Reason: "begun"})
 }
 
 // HasWaves tells whether upkeep is going on.
 func (s *Scheduler) HasWaves() bool {
-	for _, w := range s.waves {
+	for _, w := range s.waves.All() {
 		if w.shown != job.WaveCompleted {
 			return true
 		}
@@ -120,13 +121,13 @@
 // drive moves each wave on: empty machines, order their upkeep, wait for them.
 func (s *Scheduler) drive(now time.Time) {
 	cordoned := map[job.MachineID]bool{}
-	for _, w := range s.waves {
+	for _, w := range s.waves.All() {
 		if w.shown != job.WaveCompleted || !w.shownOnce {
 			s.driveWave(now, w, cordoned)
 		}
 	}
-	for _, v := range s.vms {
-		m := s.machines[v.machine]
+	for _, v := range s.vms.All() {
+		m := s.machines.Get(v.machine)
 		v.cordoned = m != nil && (cordoned[m.ID] || m.to != "")
 	}
 }
@@ -139,7 +140,7 @@
 	}
 	var left []*machineState
 	for _, id := range w.Machines {
-		m := s.machines[id]
+		m := s.machines.Get(id)
 		if w.done[id] || m == nil || m.to != "" {
 			continue
 		}
@@ -154,7 +155,7 @@
 		}
 		left = append(left, m)
 	}
-	if len(left) == 0 && len(w.away) == 0 && len(s.machines) > 0 && s.waveDone(w) {
+	if len(left) == 0 && len(w.away) == 0 && s.machines.Len() > 0 && s.waveDone(w) {
 		s.completeWave(now, w)
 		return
 	}
@@ -167,7 +168,7 @@
 // waveDone tells whether all machines of the wave that are still there are done.
 func (s *Scheduler) waveDone(w *waveState) bool {
 	for _, id := range w.Machines {
-		if s.machines[id] != nil && !w.done[id] {
+		if s.machines.Get(id) != nil && !w.done[id] {
 			return false
 		}
 	}
@@ -189,14 +190,18 @@
 		if len(w.away)+emptying >= slots+upkeepAhead {
 			return
 		}
+		v := s.vms.Get(m.VM)
+		if m.VM != "" && (v == nil || !v.heldOnce || v.silent) {
+			// What runs on a VM that hasn't been heard isn't known.
+			continue
+		}
 		emptying++
 		cordoned[m.ID] = true
-		v := s.vms[m.VM]
-		if v != nil && len(v.runs) > 0 {
+		if v != nil && v.runs.Len() > 0 {
 			s.evacuate(now, v)
 			continue
 		}
-		if len(w.away) < slots && s.mayOrderMachines(now) && !now.Before(m.retry) {
+		if len(w.away) < slots && m.State == job.MachineUp && s.mayOrderMachines(now) && !now.Before(m.retry) {
 			s.orderUpkeep(now, w, m)
 		}
 	}
@@ -213,12 +218,13 @@
 func (s *Scheduler) orderUpkeep(now time.Time, w *waveState, m *machineState) {
 	w.away[m.ID] = true
 	m.ordered, m.waiting, m.before = now, true, m.VM
+	m.retry, m.refused = time.Time{}, false
 	s.emit(Upkeep{Machine: m.ID, Wave: w.Number})
 }
 
 // UpkeepAnswered takes in what came of an order for upkeep.
 func (s *Scheduler) UpkeepAnswered(now time.Time, c Upkeep, out Outcome, why job.MachineRefusal) {
-	m, w := s.machines[c.Machine], s.waves[c.Wave]
+	m, w := s.machines.Get(c.Machine), s.waves.Get(c.Wave)
 	if m == nil || w == nil {
 		return
 	}
@@ -227,15 +233,19 @@
 	switch {
 	case out == Answered && why == job.MachineAccepted:
 		s.decided(Decision{What: MachineUpkept, VM: m.before, Reason: string(m.ID)})
-		if v := s.vms[m.before]; v != nil {
+		if v := s.vms.Get(m.before); v != nil {
 			s.lifeOver(now, v, "its machine has its upkeep")
 		}
 	case out == Unanswered:
 		// It may be carried out later: it is asked for again until that is known.
 		m.retry = now.Add(machineRetry)
-	default:
+	case why == job.MachineOtherWave:
 		delete(w.away, m.ID)
-		m.retry = now.Add(machineRetry)
+		w.done[m.ID] = true
+	default:
+		// A busy machine may be away on an earlier order whose answer was lost: it
+		// counts as away until the list says that it is up.
+		m.refused = true
 	}
 }
 
@@ -243,7 +253,7 @@
 // runs on them, or after an accepted order the list says that they are up again.
 func (s *Scheduler) countBack(now time.Time, w *waveState) {
 	for id := range w.away {
-		m := s.machines[id]
+		m := s.machines.Get(id)
 		if m == nil {
 			delete(w.away, id)
 			continue
@@ -257,22 +267,27 @@
 			continue
 		}
 		// A list that was asked for before the order's answer may be older than the order.
-		if m.State == job.MachineUp && m.retry.IsZero() && m.listedAt.After(m.answeredAt) {
-			delete(w.away, id)
-			w.done[id] = true
-			s.dirtyWaves = append(s.dirtyWaves, w)
+		if m.State != job.MachineUp || !m.retry.IsZero() || !m.listedAt.After(m.answeredAt) {
+			continue
+		}
+		delete(w.away, id)
+		if m.refused {
+			m.retry = now.Add(machineRetry)
+			continue
 		}
+		w.done[id] = true
+		s.dirtyWaves = append(s.dirtyWaves, w)
 	}
 }
 
 // emptyCost orders machines by what has to be moved off them.
 func (s *Scheduler) emptyCost(m *machineState) float64 {
-	v := s.vms[m.VM]
+	v := s.vms.Get(m.VM)
 	if v == nil {
 		return 0
 	}
 	cost := 0.0
-	for _, r := range v.runs {
+	for _, r := range v.runs.All() {
 		cost++
 		if _, _, st, _ := s.task(r.task); st != nil && st.def.Lasting {
 			cost += 2
@@ -283,7 +298,7 @@
 
 // evacuate moves lasting tasks off a VM, as far as their steps may miss tasks.
 func (s *Scheduler) evacuate(now time.Time, v *vmState) {
-	for _, r := range v.runs {
+	for _, r := range v.runs.All() {
 		j, _, st, _ := s.task(r.task)
 		if j == nil || j.over() || !st.def.Lasting || r.stopping || r.phase != runConfirmed {
 			continue
--- a/core/schedule/vm.go
+++ b/core/schedule/vm.go
@@ -43,10 +43,10 @@
 const rackMark = "r"
 
 func (s *Scheduler) vm(id job.VMID) *vmState {
-	v := s.vms[id]
+	v := s.vms.Get(id)
 	if v == nil {
-		v = &vmState{id: id, labels: map[job.Label]bool{}, runs: map[runKey]*run{}}
-		s.vms[id] = v
+		v = &vmState{id: id, labels: map[job.Label]bool{}}
+		s.vms.Set(id, v)
 	}
 	return v
 }
@@ -100,7 +100,7 @@
 // VMUnlisted notes that a VM's entry is gone. That is no proof that it runs
 // nothing: only its lease is.
 func (s *Scheduler) VMUnlisted(now time.Time, id job.VMID) {
-	v := s.vms[id]
+	v := s.vms.Get(id)
 	if v == nil || !v.listed {
 		return
 	}
@@ -112,7 +112,7 @@
 // VMs returns the IDs of the VMs that are listed now.
 func (s *Scheduler) VMs() []job.VMID {
 	var out []job.VMID
-	for id, v := range s.vms {
+	for id, v := range s.vms.All() {
 		if v.listed {
 			out = append(out, id)
 		}
@@ -122,7 +122,7 @@
 
 // Address returns where a VM takes orders.
 func (s *Scheduler) Address(id job.VMID) string {
-	if v := s.vms[id]; v != nil {
+	if v := s.vms.Get(id); v != nil {
 		return v.address
 	}
 	return ""
@@ -140,7 +140,7 @@
 	v.heldOnce, v.nextHold = false, now
 	v.inheritedUntil = time.Time{}
 	s.enroll(v)
-	for _, r := range v.runs {
+	for _, r := range v.runs.All() {
 		r.stopClock = 0
 		if r.phase == runConfirmed {
 			s.free(now, r, "VM lives anew")
@@ -172,7 +172,7 @@
 	}
 	if v.heldOnce && !v.silent && len(v.unsure) == 0 {
 		o.Wait = busyWait
-		if len(v.runs) == 0 {
+		if v.runs.Len() == 0 {
 			o.Wait = idleWait
 		}
 	}
@@ -183,7 +183,7 @@
 
 // HoldAnswered takes in what came of a hold.
 func (s *Scheduler) HoldAnswered(now time.Time, id job.VMID, out Outcome, r job.Report) {
-	v := s.vms[id]
+	v := s.vms.Get(id)
 	if v == nil {
 		return
 	}
@@ -257,16 +257,16 @@
 // expire frees what ran on VMs whose leases have run out, and forgets VMs that
 // are gone.
 func (s *Scheduler) expire(now time.Time, v *vmState) {
-	if v.silent && v.clock.Known() && len(v.runs) > 0 && v.clock.Earliest(now) > v.leaseEnd+clockSlack {
-		for _, r := range v.runs {
+	if v.silent && v.clock.Known() && v.runs.Len() > 0 && v.clock.Earliest(now) > v.leaseEnd+clockSlack {
+		for _, r := range v.runs.All() {
 			if r.phase == runConfirmed || now.Sub(r.orderedAt) > lateOrder {
 				s.free(now, r, "lease ran out")
 			}
 		}
 	}
-	gone := !v.listed && len(v.runs) == 0 && !now.Before(v.inheritedUntil) && now.Sub(v.answered) > forgetAfter
+	gone := !v.listed && v.runs.Len() == 0 && !now.Before(v.inheritedUntil) && now.Sub(v.answered) > forgetAfter
 	if gone && !v.holding {
-		delete(s.vms, v.id)
+		s.vms.Delete(v.id)
 		s.rosterDirty = true
 	}
 }
