--- a/core/emulator/node.go
+++ b/core/emulator/node.go
@@ -336,7 +336,7 @@
 		return
 	}
 	if w.chance(w.judge.lateShare) {
-		w.after(w.between(2*time.Second, 12*time.Second), func() { w.lateOrder(id, carryOut) })
+		w.after(w.between(2*time.Second, 12*time.Second), func() { w.lateOrder(v, carryOut) })
 		return
 	}
 	w.after(w.hop(), func() {
@@ -347,10 +347,10 @@
 	})
 }
 
-// lateOrder carries out an order that got no answer, at whatever life the VM
-// has by then.
-func (w *World) lateOrder(id job.VMID, carryOut func(v *vm, answer func(job.Report))) {
-	if v := w.vms[id]; v != nil && v.up {
+// lateOrder carries out an order that got no answer. The VM has kept it back; a
+// life that has crashed since knows nothing of it.
+func (w *World) lateOrder(v *vm, carryOut func(v *vm, answer func(job.Report))) {
+	if v.up {
 		carryOut(v, func(job.Report) {})
 	}
 }
--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -221,6 +221,7 @@
 	case r.phase == runConfirmed && clock > r.confirmedClock+clockSlack:
 		s.free(now, r, "list lacks it")
 	case r.phase == runUnanswered && clock > r.startBy+clockSlack && !r.stopping:
+		r.vm.lost = append(r.vm.lost, r)
 		s.free(now, r, "did not start in time")
 	case r.phase == runUnanswered && r.stopping && r.stopClock > 0 && clock >= r.stopClock:
 		s.free(now, r, "stopped before it began")
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -87,6 +87,10 @@
 // confirm notes that a run has started.
 func (s *Scheduler) confirm(now time.Time, r *run, clock job.VMClock) {
 	r.phase = runConfirmed
+	// A new life of the VM may have taken a start that was meant for the former
+	// one: its lease counts from here.
+	longest := clock + job.VMClock(s.settings.LeaseMax.Milliseconds())
+	r.vm.leaseEnd = max(r.vm.leaseEnd, min(r.startBy, longest))
 	r.confirmedAt = now
 	r.confirmedClock = max(r.confirmedClock, clock)
 	j := s.jobs.Get(r.task.Job)
--- a/core/schedule/state.go
+++ b/core/schedule/state.go
@@ -169,6 +169,9 @@
 	inRoster int64
 	// cordoned VMs get no new tasks since their machine is due for upkeep.
 	cordoned bool
+	// lost are starts without an answer that came too late for this life. A new
+	// life under the same ID would still carry them out.
+	lost []*run
 	// inheritedUntil is when nothing of a former owner can run here any more,
 	// if the VM stays silent.
 	inheritedUntil time.Time
--- a/core/schedule/vm.go
+++ b/core/schedule/vm.go
@@ -140,6 +140,12 @@
 	v.heldOnce, v.nextHold = false, now
 	v.inheritedUntil = time.Time{}
 	s.enroll(v)
+	for _, r := range v.lost {
+		if now.Sub(r.orderedAt) < lateOrder {
+			s.emit(Stop{VM: v.id, Task: r.task, Attempt: r.attempt})
+		}
+	}
+	v.lost = nil
 	for _, r := range v.runs.All() {
 		r.stopClock = 0
 		if r.phase == runConfirmed {
@@ -264,6 +270,9 @@
 			}
 		}
 	}
+	for len(v.lost) > 0 && now.Sub(v.lost[0].orderedAt) > lateOrder {
+		v.lost = v.lost[1:]
+	}
 	gone := !v.listed && v.runs.Len() == 0 && !now.Before(v.inheritedUntil) && now.Sub(v.answered) > forgetAfter
 	if gone && !v.holding {
 		s.vms.Delete(v.id)
