--- a/core/schedule/sizing/sizing.go
+++ b/core/schedule/sizing/sizing.go
@@ -49,13 +49,15 @@
 
 // Plan returns the moves to make now. Pools that lack the most come first. They
 // get idle machines that other pools can spare, and then machines that are off.
-// What is left over and idle for long is switched off.
-func Plan(now time.Time, pools []Pool, machines []Machine) []Move {
+// What is left over and idle for long is switched off, if machines may be parked.
+func Plan(now time.Time, pools []Pool, machines []Machine, mayPark bool) []Move {
 	p := newPlan(pools, machines)
 	for _, lacking := range p.lacking() {
 		p.fill(now, lacking)
 	}
-	p.park(now)
+	if mayPark {
+		p.park(now)
+	}
 	return p.moves
 }
 
--- a/io/node/front.go
+++ b/io/node/front.go
@@ -21,6 +21,11 @@
 	// comeBack is when a refused caller should try again: by then it reaches
 	// another entry VM, or the table is back.
 	comeBack = time.Second
+	// contactAge is how old the table's last word may be for a call to be tried. A
+	// submission that is sent to a table behind a partition can't be refused any
+	// more, since it may be carried out later; one that is refused before can go
+	// to another entry VM at once. It is a feed's wait and a slow answer.
+	contactAge = 700 * time.Millisecond
 	// backlogAge is how old the owner's count may be. Callers may be shown one
 	// that is two seconds old.
 	backlogAge = 1800 * time.Millisecond
@@ -57,6 +62,10 @@
 		f.deny(w, call, rest, platform.DeniedKey, "unknown key")
 		return
 	}
+	if age := from.Sub(f.view.lastContact()); age > contactAge {
+		f.deny(w, call, rest, platform.DeniedUnavailable, "no word of the table for "+age.String())
+		return
+	}
 	patience := call.Patience
 	if patience <= 0 {
 		patience = defaultPatience
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -21,8 +21,9 @@
 
 const (
 	// readyAge is how old the last word of the table may be while this process
-	// still says that it is ready: two waits of the feed.
-	readyAge = 2500 * time.Millisecond
+	// still says that it is ready. It is longer than contactAge: a short outage of
+	// the whole table must not take every entry VM out of the balancer.
+	readyAge = 1500 * time.Millisecond
 	// drainFor is how long callers are still served after the signal to stop:
 	// the balancer takes two misses of a second each to send no more.
 	drainFor = 2800 * time.Millisecond
--- a/io/node/operator.go
+++ b/io/node/operator.go
@@ -16,8 +16,9 @@
 const (
 	// feedWait is how long a feed waits for a change. A connection that fell
 	// silent is noticed after that and feedGrace, well within the two seconds in
-	// which a configuration must be in force.
-	feedWait  = 800 * time.Millisecond
+	// which a configuration must be in force. It is also how soon an entry VM that
+	// is cut off from the table knows it.
+	feedWait  = 400 * time.Millisecond
 	feedGrace = 700 * time.Millisecond
 	// feedRetry is the pause after a failed reading.
 	feedRetry = 100 * time.Millisecond
