--- a/core/schedule/pools.go
+++ b/core/schedule/pools.go
@@ -30,9 +30,6 @@
 	// waitingLong is how long a lasting task finds no room until its pool gets a
 	// VM for it.
 	waitingLong = 200 * time.Millisecond
-	// learnFor is how long an owner watches the demand before it switches machines
-	// off: it doesn't know yet which bursts will come.
-	learnFor = 20 * time.Second
 	// moveRetry is the pause before a move without an answer is ordered again.
 	moveRetry = 700 * time.Millisecond
 )
@@ -88,9 +85,7 @@
 	if !s.mayOrderMachines(now) {
 		return
 	}
-	pools := s.poolNeeds(now)
-	mayPark := now.Sub(s.settings.TookOver) >= learnFor
-	for _, m := range sizing.Plan(now, pools, s.idleMachines(now), mayPark) {
+	for _, m := range sizing.Plan(now, s.poolNeeds(now), s.idleMachines(now)) {
 		s.orderMove(now, m)
 	}
 }
--- a/core/schedule/sizing/sizing.go
+++ b/core/schedule/sizing/sizing.go
@@ -1,6 +1,5 @@
 // Package sizing decides which machines change their pool: queues burst in turn
-// to more than their own pool holds while the fleet as a whole has room, and a
-// machine that stands idle in a pool costs as much as one that works.
+// to more than their own pool holds while the fleet as a whole has room.
 package sizing
 
 import (
@@ -40,24 +39,19 @@
 }
 
 const (
-	// parkAfter is how long a machine stands idle before it is switched off. A
-	// move costs as much as about 1.2 s in a pool, there and back twice that.
-	parkAfter = 1500 * time.Millisecond
 	// lendAfter is how long a machine stands idle before another pool may have it.
 	lendAfter = 150 * time.Millisecond
 )
 
 // Plan returns the moves to make now. Pools that lack the most come first. They
 // get idle machines that other pools can spare, and then machines that are off.
-// What is left over and idle for long is switched off, if machines may be parked.
-func Plan(now time.Time, pools []Pool, machines []Machine, mayPark bool) []Move {
+// No machine is switched off again: the queues burst one after the other, and each
+// burst found its machines a move later than it needed them.
+func Plan(now time.Time, pools []Pool, machines []Machine) []Move {
 	p := newPlan(pools, machines)
 	for _, lacking := range p.lacking() {
 		p.fill(now, lacking)
 	}
-	if mayPark {
-		p.park(now)
-	}
 	return p.moves
 }
 
@@ -73,12 +67,12 @@
 	for _, x := range pools {
 		p.pools[x.Name] = &x
 	}
-	// The longest idle go first; machines that are off stand last, since those
-	// that run cost something where they are.
+	// The last to fall idle go first, so that the others stay as they are; machines
+	// that are off stand last, since those that run cost something where they are.
 	slices.SortFunc(p.machines, func(a, b Machine) int {
 		return cmp.Or(
 			compareBool(p.off(a), p.off(b)),
-			a.IdleSince.Compare(b.IdleSince),
+			b.IdleSince.Compare(a.IdleSince),
 			cmp.Compare(a.ID, b.ID),
 		)
 	})
@@ -121,7 +115,7 @@
 		if to.Need-to.Have < m.CPU/2 {
 			return
 		}
-		if p.taken[m.ID] || m.Pool == to.Name || !p.spares(now, m, lendAfter) {
+		if p.taken[m.ID] || m.Pool == to.Name || !p.spares(now, m) {
 			continue
 		}
 		p.move(m, to)
@@ -129,12 +123,12 @@
 }
 
 // spares tells whether the machine's pool can do without it.
-func (p *plan) spares(now time.Time, m Machine, idleFor time.Duration) bool {
+func (p *plan) spares(now time.Time, m Machine) bool {
 	if p.off(m) {
 		return true
 	}
 	from := p.pools[m.Pool]
-	return from != nil && now.Sub(m.IdleSince) >= idleFor && from.Have-m.CPU >= from.Need
+	return from != nil && now.Sub(m.IdleSince) >= lendAfter && from.Have-m.CPU >= from.Need
 }
 
 func (p *plan) move(m Machine, to *Pool) {
@@ -145,21 +139,3 @@
 	to.Have += m.CPU
 	p.moves = append(p.moves, Move{Machine: m.ID, From: m.Pool, To: to.Name})
 }
-
-// park switches machines off that no pool needs.
-func (p *plan) park(now time.Time) {
-	var standby *Pool
-	for _, x := range p.pools {
-		if x.Standby && (standby == nil || x.Name < standby.Name) {
-			standby = x
-		}
-	}
-	if standby == nil {
-		return
-	}
-	for _, m := range p.machines {
-		if !p.taken[m.ID] && !p.off(m) && p.spares(now, m, parkAfter) {
-			p.move(m, standby)
-		}
-	}
-}
