Store where a job's tasks may run, and which machines have orders, before either is sent

Cause: a new owner started no task of an earlier job while any VM of its pool was out of reach (10 s in each cut of a zone), and moved no machine for 4.5 s. Now only jobs and machines wait that may be concerned; the price is one transaction, about 17 ms, before the first task of a job on each VM. Ruled out: storing each start (more writes for nothing: the VMs' lists tell the rest).

--- a/core/emulator/node.go
+++ b/core/emulator/node.go
@@ -192,6 +192,7 @@
 func (o *owner) restore(t *table) {
 	now := o.n.w.now
 	o.scheduler = schedule.New(schedule.Settings{
+		Holder: o.n.name, OrderedBefore: t.orders,
 		Fence: job.Fence(o.fence), AttemptBase: job.Attempt(o.turn * 10_000), TookOver: now,
 		LeaseMax: leaseMax, TaskStop: taskStop, MissNotice: 4500 * time.Millisecond,
 		MachineLease: 3 * time.Second, MachineMove: movePeriod, MachineUpkeep: upkeepPeriod,
@@ -282,7 +283,7 @@
 func (o *owner) carryOut(c schedule.Command) {
 	w := o.n.w
 	switch c := c.(type) {
-	case schedule.Save, schedule.SaveRoster, schedule.SaveWave:
+	case schedule.Save, schedule.SaveRoster, schedule.SaveWave, schedule.SaveOrders:
 		o.queue = append(o.queue, c)
 	case schedule.Start:
 		w.Figures.Starts++
@@ -440,10 +441,12 @@
 			last = max(last, c.Sequence)
 		case schedule.SaveWave:
 			last = max(last, c.Sequence)
+		case schedule.SaveOrders:
+			last = max(last, c.Sequence)
 		}
 	}
 	if last > 0 {
-		o.scheduler.Stored(last)
+		o.scheduler.Stored(o.n.w.now, last)
 	}
 	o.act()
 }
--- a/core/emulator/table.go
+++ b/core/emulator/table.go
@@ -20,6 +20,7 @@
 	progress       map[job.ID]job.Progress
 	roster         schedule.Roster
 	waves          map[int64][]job.MachineID
+	orders         []schedule.MachineOrder
 	submitted      []submission
 	cancelled      []job.ID
 	vms            map[job.VMID]job.VMEntry
@@ -106,6 +107,8 @@
 			t.roster = c.Roster
 		case schedule.SaveWave:
 			t.waves[c.Number] = c.Done
+		case schedule.SaveOrders:
+			t.orders = c.Orders
 		}
 	}
 	return commitResult{ok: true, version: v, owner: owner, renewal: v}
--- a/core/job/state.go
+++ b/core/job/state.go
@@ -39,6 +39,8 @@
 	Done []StepDone `json:"done,omitempty"`
 	// Failed lists the failed runs of tasks that have any.
 	Failed []TaskFailures `json:"failed,omitempty"`
+	// VMs are all on which a task of the job may have been started.
+	VMs []VMID `json:"vms,omitempty"`
 }
 
 // StepDone lists the finished tasks of a step.
--- a/core/schedule/assign.go
+++ b/core/schedule/assign.go
@@ -13,6 +13,7 @@
 	if !s.mayStart || s.conf == nil {
 		return
 	}
+	s.countUnheard(now)
 	byPool := map[job.PoolName][]*jobState{}
 	for _, j := range s.jobs.All() {
 		if !j.over() && j.hasWaiting() {
@@ -53,8 +54,6 @@
 	now, wall time.Time
 	pool      job.PoolName
 	vms       []*vmState
-	// unheard is set while a VM of the pool may still run what a former owner started.
-	unheard bool
 }
 
 func (s *Scheduler) newAssignment(now, wall time.Time, p job.PoolName) *assignment {
@@ -63,9 +62,6 @@
 		if v.pool != p {
 			continue
 		}
-		if !v.heldOnce && now.Before(v.inheritedUntil) {
-			a.unheard = true
-		}
 		if s.usable(now, v) {
 			a.vms = append(a.vms, v)
 		}
@@ -80,7 +76,7 @@
 }
 
 func (a *assignment) startJob(j *jobState) {
-	if j.inherited && a.unheard {
+	if j.inherited && a.s.mayRunUnheard(a.now, j) {
 		return
 	}
 	for _, o := range j.occurrences {
@@ -140,6 +136,31 @@
 	return t.attempt
 }
 
+// countUnheard counts what each account may have running on VMs that this owner
+// hasn't heard yet: every task of a job that was started there and has no run
+// that is known.
+func (s *Scheduler) countUnheard(now time.Time) {
+	s.unheard = nil
+	for _, j := range s.jobs.All() {
+		if !j.inherited || !s.mayRunUnheard(now, j) {
+			continue
+		}
+		if s.unheard == nil {
+			s.unheard = map[job.AccountName]job.Room{}
+		}
+		for _, o := range j.occurrences {
+			for i := range o.steps {
+				st := &o.steps[i]
+				for t := range st.tasks {
+					if !st.tasks[t].done && len(st.tasks[t].runs) == 0 && o.ready(i) {
+						s.unheard[j.Terms.Account] = s.unheard[j.Terms.Account].Plus(st.def.Room)
+					}
+				}
+			}
+		}
+	}
+}
+
 // withinCap tells whether the job's account may have more running. What may
 // still run counts.
 func (a *assignment) withinCap(j *jobState, more job.Room) bool {
@@ -147,7 +168,7 @@
 	if account == nil {
 		return true
 	}
-	after := a.s.running[j.Terms.Account].Plus(more)
+	after := a.s.running[j.Terms.Account].Plus(a.s.unheard[j.Terms.Account]).Plus(more)
 	limit := account.Cap
 	return (limit.CPU == 0 || after.CPU <= limit.CPU) &&
 		(limit.MemMB == 0 || after.MemMB <= limit.MemMB) &&
@@ -156,24 +177,25 @@
 
 func (a *assignment) start(j *jobState, st *stepState, id job.TaskID, t *taskState, v *vmState, n job.Attempt) {
 	s := a.s
-	deadline := v.clock.Likely(a.now) + job.VMClock(startWithin.Milliseconds())
-	v.leaseEnd = max(v.leaseEnd, deadline)
+	if !j.places.Has(v.id) {
+		// A new owner must know where the job's tasks may run: else none of them
+		// could start again while any VM is out of reach.
+		j.places.Set(v.id, s.nextSave())
+		s.markDirty(j)
+	}
 	r := &run{
 		task: id, attempt: n, vm: v, claim: st.def.Claim(), cost: st.def.Room, account: j.Terms.Account,
-		startBy: deadline, orderedAt: a.now, pace: 100,
+		orderedAt: a.now, pace: 100, after: j.places.Get(v.id),
 	}
 	s.addRun(r, t)
 	if st.def.SameRack && st.rack == "" {
 		st.rack = v.rack
 	}
-	s.decided(Decision{
-		What: TaskOrdered, Job: j.ID, Task: id, Attempt: n, VM: v.id, Age: a.now.Sub(v.answered),
-		After: a.now.Sub(j.arrived),
-	})
-	s.emit(Start{VM: v.id, Order: job.StartOrder{
-		Task: id, Attempt: n, Spec: j.Body.Spec, Fence: s.settings.Fence, Checkpoint: t.saved,
-		Deadline: deadline, Ticket: st.tickets[v.id],
-	}})
+	if r.after <= s.stored {
+		s.send(a.now, r)
+		return
+	}
+	s.planned = append(s.planned, r)
 }
 
 // startGang starts all members of a gang, or none.
--- a/core/schedule/command.go
+++ b/core/schedule/command.go
@@ -75,6 +75,19 @@
 	Done     []job.MachineID
 }
 
+// SaveOrders stores which machines may have been given an order of late, in order
+// with the other saves.
+type SaveOrders struct {
+	Sequence int64
+	Orders   []MachineOrder
+}
+
+// MachineOrder says who gave a machine an order of late.
+type MachineOrder struct {
+	Machine job.MachineID `json:"machine"`
+	Holder  string        `json:"holder"`
+}
+
 // ShowWave publishes a wave's state.
 type ShowWave struct {
 	Number int64
@@ -88,6 +101,7 @@
 func (Save) command()       {}
 func (SaveRoster) command() {}
 func (SaveWave) command()   {}
+func (SaveOrders) command() {}
 func (Ask) command()        {}
 func (Move) command()       {}
 func (Upkeep) command()     {}
--- a/core/schedule/pools.go
+++ b/core/schedule/pools.go
@@ -82,9 +82,6 @@
 	}
 	s.sizeAt = now.Add(sizeEvery)
 	s.followMoves(now)
-	if !s.mayOrderMachines(now) {
-		return
-	}
 	for _, m := range sizing.Plan(now, s.poolNeeds(now), s.idleMachines(now)) {
 		s.orderMove(now, m)
 	}
@@ -209,7 +206,7 @@
 func (s *Scheduler) idleMachines(now time.Time) []sizing.Machine {
 	var out []sizing.Machine
 	for id, m := range s.machines.All() {
-		if m.State != job.MachineUp || m.to != "" || now.Before(m.retry) || s.inUpkeep(id) {
+		if m.State != job.MachineUp || m.to != "" || now.Before(m.retry) || s.inUpkeep(id) || !s.mayOrderMachine(now, id) {
 			continue
 		}
 		x := sizing.Machine{ID: id, Pool: m.Pool, Zone: m.Zone, CPU: m.Room.CPU}
@@ -243,7 +240,7 @@
 		v.cordoned = true
 	}
 	s.decided(Decision{What: MachineMoved, VM: m.VM, Reason: string(x.Machine) + " " + string(x.From) + " to " + string(x.To)})
-	s.emit(Move{Machine: x.Machine, Pool: x.To})
+	s.orderMachine(now, x.Machine, Move{Machine: x.Machine, Pool: x.To})
 }
 
 // MoveAnswered takes in what came of a move.
@@ -276,9 +273,9 @@
 			continue
 		}
 		if m.answeredAt.IsZero() {
-			if now.After(m.retry) && s.mayOrderMachines(now) {
+			if now.After(m.retry) {
 				m.waiting = true
-				s.emit(Move{Machine: id, Pool: m.to})
+				s.orderMachine(now, id, Move{Machine: id, Pool: m.to})
 			}
 			continue
 		}
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -7,6 +7,53 @@
 	"lavenderpond/core/job"
 )
 
+// sendPlanned sends the starts whose saves are stored.
+func (s *Scheduler) sendPlanned(now time.Time) {
+	s.planned = slices.DeleteFunc(s.planned, func(r *run) bool {
+		if r.after > s.stored {
+			return false
+		}
+		s.send(now, r)
+		return true
+	})
+}
+
+// send sends a planned start, if it can still be sent.
+func (s *Scheduler) send(now time.Time, r *run) {
+	v := r.vm
+	if v.runs.Get(runKey{r.task, r.attempt}) != r {
+		return
+	}
+	j, _, st, t := s.task(r.task)
+	if t == nil || j.over() || !s.mayStart || !v.takesTasks() {
+		s.release(now, r)
+		return
+	}
+	r.phase, r.orderedAt = runOrdered, now
+	r.startBy = v.clock.Likely(now) + job.VMClock(startWithin.Milliseconds())
+	v.leaseEnd = max(v.leaseEnd, r.startBy)
+	s.decided(Decision{
+		What: TaskOrdered, Job: j.ID, Task: r.task, Attempt: r.attempt, VM: v.id, Age: now.Sub(v.answered),
+		After: now.Sub(j.arrived),
+	})
+	s.emit(Start{VM: v.id, Order: job.StartOrder{
+		Task: r.task, Attempt: r.attempt, Spec: j.Body.Spec, Fence: s.settings.Fence, Checkpoint: t.saved,
+		Deadline: r.startBy, Ticket: st.tickets[v.id],
+	}})
+}
+
+// mayRunUnheard tells whether a task of the job may run on a VM that this owner
+// hasn't heard yet.
+func (s *Scheduler) mayRunUnheard(now time.Time, j *jobState) bool {
+	for id := range j.places.All() {
+		v := s.vms.Get(id)
+		if v != nil && !v.heldOnce && now.Before(v.inheritedUntil) {
+			return true
+		}
+	}
+	return false
+}
+
 // addRun books a run on its VM, its task (nil if unknown) and its account.
 func (s *Scheduler) addRun(r *run, t *taskState) {
 	r.vm.runs.Set(runKey{r.task, r.attempt}, r)
@@ -52,6 +99,10 @@
 	if r.stopping {
 		return
 	}
+	if r.phase == runPlanned {
+		s.release(now, r)
+		return
+	}
 	r.stopping = true
 	r.resendStop = now.Add(stopRetry)
 	if _, _, st, t := s.task(r.task); t != nil && st.def.Lasting {
--- a/core/schedule/save.go
+++ b/core/schedule/save.go
@@ -21,7 +21,7 @@
 
 // flushSaves turns all that has changed into saves of one sequence.
 func (s *Scheduler) flushSaves() {
-	if len(s.dirty) == 0 && !s.rosterDirty && len(s.dirtyWaves) == 0 {
+	if len(s.dirty) == 0 && !s.rosterDirty && !s.ordersDirty && len(s.dirtyWaves) == 0 {
 		return
 	}
 	s.sequence++
@@ -29,6 +29,10 @@
 		s.rosterDirty = false
 		s.emit(SaveRoster{Sequence: s.sequence, Roster: s.roster()})
 	}
+	if s.ordersDirty {
+		s.ordersDirty = false
+		s.emit(SaveOrders{Sequence: s.sequence, Orders: s.recentOrders()})
+	}
 	for _, w := range s.dirtyWaves {
 		s.emit(SaveWave{Sequence: s.sequence, Number: w.Number, Done: slices.Sorted(maps.Keys(w.done))})
 	}
@@ -44,9 +48,12 @@
 	s.dirty = s.dirty[:0]
 }
 
-// Stored notes that all saves up to the sequence are stored.
-func (s *Scheduler) Stored(sequence int64) {
+// Stored notes that all saves up to the sequence are stored, and sends what
+// waited for them.
+func (s *Scheduler) Stored(now time.Time, sequence int64) {
 	s.stored = max(s.stored, sequence)
+	s.sendPlanned(now)
+	s.sendHeld(now)
 	for _, v := range s.vms.All() {
 		v.noteStored(s.stored)
 	}
@@ -98,6 +105,7 @@
 	if j.over() {
 		return p
 	}
+	p.VMs = slices.Clone(j.places.keys)
 	for _, o := range j.occurrences {
 		for i := range o.steps {
 			d := job.StepDone{Occurrence: o.number, Step: i}
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -4,6 +4,7 @@
 package schedule
 
 import (
+	"slices"
 	"time"
 
 	"lavenderpond/core/job"
@@ -30,6 +31,11 @@
 	// MachineMove and MachineUpkeep are how long a machine is away.
 	MachineMove   time.Duration
 	MachineUpkeep time.Duration
+	// Holder signs this owner's orders for machines.
+	Holder string
+	// OrderedBefore are the machines that may have been given an order shortly
+	// before the take-over.
+	OrderedBefore []MachineOrder
 	// Observer is told of decisions; nil for none.
 	Observer Observer
 }
@@ -43,13 +49,21 @@
 	// ended remembers jobs that are over and stored, and since when.
 	ended map[job.ID]time.Time
 	// running is what each client account has running, or may have.
-	running  map[job.AccountName]job.Room
+	running map[job.AccountName]job.Room
+	// unheard is what each may have running beyond that, on VMs not heard yet.
+	unheard  map[job.AccountName]job.Room
 	commands []Command
 	dirty    []*jobState
 	// sequence numbers the saves; stored is the last that is stored.
-	sequence    int64
-	stored      int64
-	closing     []*jobState
+	sequence int64
+	stored   int64
+	closing  []*jobState
+	// planned are starts, and held machine orders, that wait for a save.
+	planned []*run
+	held    []heldOrder
+	// recent are the machines with an order of late.
+	recent      ordered[job.MachineID, recentOrder]
+	ordersDirty bool
 	rosterDirty bool
 	dirtyWaves  []*waveState
 	// forgetAt is when to look next for ended jobs to forget.
@@ -65,13 +79,18 @@
 
 // New returns a scheduler that knows nothing yet.
 func New(s Settings) *Scheduler {
-	return &Scheduler{
+	out := &Scheduler{
 		settings: s,
 		ended:    map[job.ID]time.Time{},
 		running:  map[job.AccountName]job.Room{},
 		queues:   map[job.QueueName]*queueRecord{},
 		pools:    map[job.PoolName]*poolRecord{},
 	}
+	// Kept among this owner's own, so that the next owner knows of them too.
+	for _, o := range s.OrderedBefore {
+		out.recent.Set(o.Machine, recentOrder{holder: o.Holder, at: s.TookOver})
+	}
+	return out
 }
 
 // Configure puts a configuration in force; a lower version than the present one is ignored.
@@ -145,6 +164,9 @@
 func (j *jobState) restore(p *job.Progress) {
 	j.state = p.State
 	j.begun = p.State != job.Pending
+	for _, v := range p.VMs {
+		j.places.Set(v, 0)
+	}
 	for _, d := range p.Done {
 		if d.Occurrence >= len(j.occurrences) || d.Step >= len(j.Body.Steps) {
 			continue
@@ -192,7 +214,7 @@
 	for _, o := range j.occurrences {
 		for i := range o.steps {
 			for t := range o.steps[i].tasks {
-				for _, r := range o.steps[i].tasks[t].runs {
+				for _, r := range slices.Clone(o.steps[i].tasks[t].runs) {
 					s.stop(now, r, "job "+state.String())
 				}
 			}
--- a/core/schedule/state.go
+++ b/core/schedule/state.go
@@ -11,8 +11,10 @@
 type runPhase int
 
 const (
+	// runPlanned: its room is taken; the start isn't sent yet.
+	runPlanned runPhase = iota
 	// runOrdered: the start is on its way.
-	runOrdered runPhase = iota
+	runOrdered
 	// runUnanswered: the start had no answer; it may run.
 	runUnanswered
 	// runConfirmed: the VM has said that it runs.
@@ -25,7 +27,9 @@
 	attempt job.Attempt
 	vm      *vmState
 	phase   runPhase
-	claim   job.Room
+	// after is the save that must be stored before the start is sent.
+	after int64
+	claim job.Room
 	// account pays with cost, which counts CPU that fills gaps too.
 	account job.AccountName
 	cost    job.Room
@@ -119,6 +123,9 @@
 	dirty     bool
 	// closing is the sequence of the save after which the job is forgotten.
 	closing int64
+	// places are the VMs on which a task may have been started, and the save that
+	// says so.
+	places ordered[job.VMID, int64]
 }
 
 func (j *jobState) over() bool { return j.state.Final() }
--- a/core/schedule/upkeep.go
+++ b/core/schedule/upkeep.go
@@ -88,7 +88,9 @@
 func (s *Scheduler) lifeOver(now time.Time, v *vmState, why string) {
 	v.inheritedUntil = time.Time{}
 	for _, r := range v.runs.All() {
-		if r.phase == runConfirmed && r.confirmedAt.Before(now) {
+		if r.phase == runPlanned {
+			s.release(now, r)
+		} else if r.phase == runConfirmed && r.confirmedAt.Before(now) {
 			s.free(now, r, why)
 		}
 	}
@@ -201,15 +203,85 @@
 			s.evacuate(now, v)
 			continue
 		}
-		if len(w.away) < slots && m.State == job.MachineUp && s.mayOrderMachines(now) && !now.Before(m.retry) {
+		if len(w.away) < slots && m.State == job.MachineUp && s.mayOrderMachine(now, m.ID) && !now.Before(m.retry) {
 			s.orderUpkeep(now, w, m)
 		}
 	}
 }
 
-// mayOrderMachines tells whether a former owner's orders are long enough ago.
-func (s *Scheduler) mayOrderMachines(now time.Time) bool {
-	return s.mayStart && now.After(s.settings.TookOver.Add(s.settings.MachineLease+machineSlack))
+// mayOrderMachine tells whether a former owner's order for the machine is long
+// enough ago.
+func (s *Scheduler) mayOrderMachine(now time.Time, id job.MachineID) bool {
+	if !s.mayStart {
+		return false
+	}
+	o := s.recent.Get(id)
+	return o.holder == "" || o.holder == s.settings.Holder || now.After(o.at.Add(s.settings.MachineLease+machineSlack))
+}
+
+// heldOrder is an order for a machine that waits until it is stored that the
+// machine has one: the next owner must know which machines to leave alone.
+type heldOrder struct {
+	after   int64
+	machine job.MachineID
+	command Command
+}
+
+// recentOrder is an order that was given to a machine not long ago.
+type recentOrder struct {
+	holder string
+	// at is when it was given, or if a former owner gave it the take-over.
+	at time.Time
+}
+
+// recentPeriod is how long an order counts as one of late. It covers the periods
+// for which the next owner waits.
+const recentPeriod = 8 * time.Second
+
+func (s *Scheduler) recentOrders() []MachineOrder {
+	var out []MachineOrder
+	for id, o := range s.recent.All() {
+		out = append(out, MachineOrder{Machine: id, Holder: o.holder})
+	}
+	return out
+}
+
+// orderMachine sends an order once it is stored that the machine has one.
+func (s *Scheduler) orderMachine(now time.Time, id job.MachineID, c Command) {
+	for old, o := range s.recent.All() {
+		if now.Sub(o.at) > recentPeriod {
+			s.recent.Delete(old)
+		}
+	}
+	s.recent.Set(id, recentOrder{holder: s.settings.Holder, at: now})
+	s.ordersDirty = true
+	s.held = append(s.held, heldOrder{after: s.nextSave(), machine: id, command: c})
+}
+
+// sendHeld sends the orders whose saves are stored. One for a machine on which
+// something has begun since counts as refused.
+func (s *Scheduler) sendHeld(now time.Time) {
+	s.held = slices.DeleteFunc(s.held, func(h heldOrder) bool {
+		if h.after > s.stored {
+			return false
+		}
+		m := s.machines.Get(h.machine)
+		if m == nil {
+			return true
+		}
+		v := s.vms.Get(m.VM)
+		if s.mayStart && (v == nil || v.runs.Len() == 0) {
+			s.emit(h.command)
+			return true
+		}
+		switch c := h.command.(type) {
+		case Move:
+			s.MoveAnswered(now, c, NotDone, job.MachineAccepted)
+		case Upkeep:
+			s.UpkeepAnswered(now, c, NotDone, job.MachineAccepted)
+		}
+		return true
+	})
 }
 
 // machineSlack covers orders that a former owner sent while its right lasted.
@@ -219,7 +291,7 @@
 	w.away[m.ID] = true
 	m.ordered, m.waiting, m.before = now, true, m.VM
 	m.retry, m.refused = time.Time{}, false
-	s.emit(Upkeep{Machine: m.ID, Wave: w.Number})
+	s.orderMachine(now, m.ID, Upkeep{Machine: m.ID, Wave: w.Number})
 }
 
 // UpkeepAnswered takes in what came of an order for upkeep.
@@ -239,6 +311,9 @@
 	case out == Unanswered:
 		// It may be carried out later: it is asked for again until that is known.
 		m.retry = now.Add(machineRetry)
+	case out == NotDone:
+		delete(w.away, m.ID)
+		m.retry = now.Add(machineRetry)
 	case why == job.MachineOtherWave:
 		delete(w.away, m.ID)
 		w.done[m.ID] = true
@@ -263,7 +338,7 @@
 		}
 		if !m.retry.IsZero() && now.After(m.retry) {
 			m.retry, m.waiting = time.Time{}, true
-			s.emit(Upkeep{Machine: id, Wave: w.Number})
+			s.orderMachine(now, id, Upkeep{Machine: id, Wave: w.Number})
 			continue
 		}
 		// A list that was asked for before the order's answer may be older than the order.
--- a/core/schedule/vm.go
+++ b/core/schedule/vm.go
@@ -147,6 +147,9 @@
 	}
 	v.lost = nil
 	for _, r := range v.runs.All() {
+		if r.phase == runPlanned {
+			continue
+		}
 		r.stopClock = 0
 		if r.phase == runConfirmed {
 			s.free(now, r, "VM lives anew")
@@ -160,8 +163,12 @@
 
 // usable tells whether new tasks may start on the VM.
 func (s *Scheduler) usable(now time.Time, v *vmState) bool {
-	return v.listed && !v.draining && !v.cordoned && v.heldOnce && !v.silent && v.clock.Known() &&
-		v.inRoster <= s.stored && !now.Before(v.suspect) && !now.Before(v.fullUntil)
+	return v.takesTasks() && !v.cordoned && v.inRoster <= s.stored && !now.Before(v.suspect) && !now.Before(v.fullUntil)
+}
+
+// takesTasks tells whether the VM is there for tasks, as far as is known.
+func (v *vmState) takesTasks() bool {
+	return v.listed && !v.draining && v.heldOnce && !v.silent && v.clock.Known()
 }
 
 // hold orders the next hold of a VM if it is due.
@@ -263,6 +270,13 @@
 // expire frees what ran on VMs whose leases have run out, and forgets VMs that
 // are gone.
 func (s *Scheduler) expire(now time.Time, v *vmState) {
+	if v.silent {
+		for _, r := range v.runs.All() {
+			if r.phase == runPlanned {
+				s.release(now, r)
+			}
+		}
+	}
 	if v.silent && v.clock.Known() && v.runs.Len() > 0 && v.clock.Earliest(now) > v.leaseEnd+clockSlack {
 		for _, r := range v.runs.All() {
 			if r.phase == runConfirmed || now.Sub(r.orderedAt) > lateOrder {
--- a/io/node/commit.go
+++ b/io/node/commit.go
@@ -158,6 +158,8 @@
 		return c.Sequence
 	case schedule.SaveWave:
 		return c.Sequence
+	case schedule.SaveOrders:
+		return c.Sequence
 	}
 	return 0
 }
@@ -177,7 +179,7 @@
 	}
 	tx.Writes = append(tx.Writes, platform.Write{RowKey: renewalKey, Value: value})
 	for _, s := range latest(saves) {
-		if err := addSave(&tx, s); err != nil {
+		if err := c.addSave(&tx, s); err != nil {
 			return tx, err
 		}
 	}
@@ -189,7 +191,7 @@
 func latest(saves []schedule.Command) []schedule.Command {
 	var out []schedule.Command
 	seen := map[job.ID]bool{}
-	roster := false
+	roster, orders := false, false
 	waves := map[int64]bool{}
 	for i := len(saves) - 1; i >= 0; i-- {
 		switch s := saves[i].(type) {
@@ -208,14 +210,19 @@
 				continue
 			}
 			waves[s.Number] = true
+		case schedule.SaveOrders:
+			if orders {
+				continue
+			}
+			orders = true
 		}
 		out = append(out, saves[i])
 	}
 	return out
 }
 
-func addSave(tx *platform.Transaction, c schedule.Command) error {
-	switch s := c.(type) {
+func (c *committer) addSave(tx *platform.Transaction, save schedule.Command) error {
+	switch s := save.(type) {
 	case schedule.Save:
 		value, err := encode(s.Progress)
 		if err != nil {
@@ -234,6 +241,12 @@
 			return err
 		}
 		tx.Writes = append(tx.Writes, platform.Write{RowKey: waveKey(s.Number), Value: value})
+	case schedule.SaveOrders:
+		value, err := encode(ordersRow{Orders: s.Orders})
+		if err != nil {
+			return err
+		}
+		tx.Writes = append(tx.Writes, platform.Write{RowKey: ordersKey, Value: value})
 	}
 	return nil
 }
--- a/io/node/owner.go
+++ b/io/node/owner.go
@@ -33,6 +33,7 @@
 	node      *Node
 	tenure    *tenure
 	log       zerolog.Logger
+	tookOver  time.Time
 	scheduler *schedule.Scheduler
 	committer *committer
 	events    chan event
@@ -50,19 +51,7 @@
 func (n *Node) serve(ctx context.Context, t *tenure, renewal platform.Version) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	o := &owner{node: n, tenure: t, log: n.log, events: make(chan event, eventsAhead)}
-	o.scheduler = schedule.New(schedule.Settings{
-		Fence:         job.Fence(t.fence),
-		AttemptBase:   job.Attempt(t.turn * attemptsPerTurn),
-		TookOver:      bootNow(),
-		LeaseMax:      n.settings.Bounds.LeaseMax,
-		TaskStop:      n.settings.Bounds.TaskStop,
-		MissNotice:    n.settings.Bounds.MissNotice,
-		MachineLease:  n.settings.Bounds.MachineLease,
-		MachineMove:   n.settings.Bounds.MachineMove,
-		MachineUpkeep: n.settings.Bounds.MachineUpkeep,
-		Observer:      n.observer,
-	})
+	o := &owner{node: n, tenure: t, log: n.log, events: make(chan event, eventsAhead), tookOver: bootNow()}
 	o.orders = &orders{owner: o, clients: map[job.VMID]*vmClient{}}
 	o.committer = &committer{
 		table: n.table, tenure: t, log: n.log, renewal: renewal, wake: make(chan struct{}, 1),
@@ -145,11 +134,39 @@
 	if err != nil {
 		return err
 	}
+	ordersRows, _, err := t.Get(ctx, ordersKey)
+	if err != nil {
+		return err
+	}
+	orders, err := decodeRow[ordersRow](ordersRows)
+	if err != nil {
+		return err
+	}
 	o.jobsFrom = jobsFrom
+	o.scheduler = o.newScheduler(orders)
 	o.restore(roster, jobs, progress, waves)
 	return nil
 }
 
+// newScheduler returns a scheduler for this tenure.
+func (o *owner) newScheduler(before ordersRow) *schedule.Scheduler {
+	b := o.node.settings.Bounds
+	return schedule.New(schedule.Settings{
+		Holder:        o.node.settings.Node,
+		OrderedBefore: before.Orders,
+		Fence:         job.Fence(o.tenure.fence),
+		AttemptBase:   job.Attempt(o.tenure.turn * attemptsPerTurn),
+		TookOver:      o.tookOver,
+		LeaseMax:      b.LeaseMax,
+		TaskStop:      b.TaskStop,
+		MissNotice:    b.MissNotice,
+		MachineLease:  b.MachineLease,
+		MachineMove:   b.MachineMove,
+		MachineUpkeep: b.MachineUpkeep,
+		Observer:      o.node.observer,
+	})
+}
+
 // loadJobs reads the jobs of all parts at once. The feed goes on from the oldest
 // of the readings.
 func (o *owner) loadJobs(ctx context.Context) ([]platform.Row, platform.Version, error) {
@@ -277,7 +294,7 @@
 	case vmsChanged:
 		o.takeVMs(now, e)
 	case stored:
-		s.Stored(e.sequence)
+		s.Stored(now, e.sequence)
 	case startAnswered:
 		s.StartAnswered(now, e.order, e.outcome, e.report)
 	case stopAnswered:
--- a/io/node/rows.go
+++ b/io/node/rows.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"lavenderpond/core/job"
+	"lavenderpond/core/schedule"
 	"lavenderpond/platform"
 )
 
@@ -27,6 +28,7 @@
 	ownerKeyName   = "owner"
 	renewalKeyName = "renewal"
 	rosterKeyName  = "roster"
+	ordersKeyName  = "orders"
 
 	// Suffixes of a job's keys: the job as handed in, and its cancellation.
 	jobSuffix    = "/job"
@@ -36,6 +38,7 @@
 var (
 	ownerKey   = platform.RowKey{Table: ownerTable, Part: part, Key: ownerKeyName}
 	renewalKey = platform.RowKey{Table: ownerTable, Part: part, Key: renewalKeyName}
+	ordersKey  = platform.RowKey{Table: ownerTable, Part: part, Key: ordersKeyName}
 	rosterKey  = platform.RowKey{Table: ownerTable, Part: part, Key: rosterKeyName}
 )
 
@@ -88,6 +91,11 @@
 	Done []job.MachineID `json:"done"`
 }
 
+// ordersRow lists the machines that the owner may have given an order of late.
+type ordersRow struct {
+	Orders []schedule.MachineOrder `json:"orders"`
+}
+
 func encode(v any) ([]byte, error) {
 	b, err := json.Marshal(v)
 	return b, errors.Wrap(err, "encode row")
