--- a/core/emulator/day.go
+++ b/core/emulator/day.go
@@ -67,6 +67,20 @@
 // was accepted must come to its end.
 const settleFor = 45 * time.Second
 
+// longestDay bounds a day on which an account asks more than its cap: its jobs
+// come to their end one after the other, long after the last fault.
+const longestDay = 4 * time.Minute
+
+// unfinished tells whether an accepted job isn't over.
+func (w *World) unfinished() bool {
+	for _, s := range w.table.submitted {
+		if !s.job.Body.Lasting() && !w.judge.states[s.job.ID].Final() {
+			return true
+		}
+	}
+	return false
+}
+
 // Play plays a day and returns what was broken and what happened.
 func Play(d Day) (faults []string, f Figures) {
 	w := build(d)
@@ -76,7 +90,12 @@
 			x.strike(w)
 		})
 	}
-	w.run(leadTime + d.Length + settleFor)
+	end := leadTime + d.Length + settleFor
+	w.run(end)
+	for end < longestDay && w.unfinished() {
+		end += settleFor
+		w.run(end)
+	}
 	w.checkEnd()
 	return w.judge.faults, w.Figures
 }
--- /dev/null
+++ b/core/lease/lease_test.go
@@ -0,0 +1,86 @@
+package lease_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lavenderpond/core/job"
+	"lavenderpond/core/lease"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+// An owner sends a renewal, stands still for seconds and gets the answer when it
+// wakes. The answer proves the right as of the sending only: by now another
+// process may own the fleet.
+func TestProofCountsFromItsSending(t *testing.T) {
+	var r lease.Right
+	r.Prove(start)
+	woken := start.Add(4 * time.Second)
+	assert.Assert(t, !r.MayStart(woken))
+	assert.Assert(t, !r.MayHold(woken))
+}
+
+func TestHoldsOutlastStarts(t *testing.T) {
+	var r lease.Right
+	assert.Assert(t, !r.MayStart(start), "the zero value holds no right")
+	r.Prove(start)
+	later := start.Add(2 * time.Second)
+	assert.Assert(t, !r.MayStart(later))
+	assert.Assert(t, r.MayHold(later))
+}
+
+// An older proof that is answered late doesn't shorten the right.
+func TestOlderProofChangesNothing(t *testing.T) {
+	var r lease.Right
+	r.Prove(start.Add(time.Second))
+	r.Prove(start)
+	assert.Assert(t, r.MayStart(start.Add(2*time.Second)))
+}
+
+// A watcher reads the same renewal again and again. It takes over only once that
+// has stood still for longer than the owner may start tasks after it.
+func TestTakeOverAfterSilence(t *testing.T) {
+	var w lease.Watch
+	sight := func(at time.Duration, renewal uint64) lease.Sight {
+		sent := start.Add(at)
+		return lease.Sight{Sent: sent, Received: sent.Add(5 * time.Millisecond), Owner: 7, Renewal: renewal}
+	}
+	assert.Assert(t, !w.Due(sight(0, 7)))
+	assert.Assert(t, !w.Due(sight(time.Second, 7)))
+	assert.Assert(t, !w.Due(sight(1400*time.Millisecond, 9)), "a renewal starts the wait anew")
+	assert.Assert(t, !w.Due(sight(2500*time.Millisecond, 9)))
+	assert.Assert(t, w.Due(sight(3*time.Second, 9)))
+}
+
+func TestTakeOverAtOnce(t *testing.T) {
+	for name, s := range map[string]lease.Sight{
+		"no owner":    {},
+		"vacant":      {Owner: 3, Renewal: 4, Vacant: true},
+		"former life": {Owner: 3, Renewal: 4, FormerLife: true},
+	} {
+		var w lease.Watch
+		assert.Assert(t, w.Due(s), name)
+	}
+}
+
+// A VM's clock runs up to 2% slow. Its lease is over for sure only when the
+// slowest clock has passed the deadline.
+func TestClockEarliest(t *testing.T) {
+	var c lease.Clock
+	assert.Assert(t, !c.Known())
+	c.Read(5000, start)
+	later := start.Add(10 * time.Second)
+	assert.Equal(t, c.Earliest(later), job.VMClock(14_800))
+	assert.Equal(t, c.Likely(later), job.VMClock(15_000))
+}
+
+// A new owner waits for a VM out of reach until the former one's last hold, the
+// longest lease on a slow clock and a start on its way are over.
+func TestInheritedEnd(t *testing.T) {
+	end := lease.InheritedEnd(start, 6*time.Second)
+	assert.Assert(t, end.Sub(start) > 3*time.Second+6122*time.Millisecond)
+	assert.Assert(t, end.Sub(start) < 11*time.Second)
+}
--- /dev/null
+++ b/core/schedule/harness_test.go
@@ -0,0 +1,136 @@
+package schedule
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lavenderpond/core/job"
+)
+
+// harness plays events against a scheduler, one VM after the other.
+type harness struct {
+	t   *testing.T
+	s   *Scheduler
+	now time.Time
+}
+
+var begin = time.Unix(1_800_000_000, 0)
+
+const (
+	poolA = job.PoolName("a")
+	off   = job.PoolName("off")
+)
+
+func newHarness(t *testing.T) *harness {
+	h := &harness{t: t, now: begin}
+	h.s = New(Settings{
+		Fence: 5, AttemptBase: 100, TookOver: begin, LeaseMax: 6 * time.Second, TaskStop: 400 * time.Millisecond,
+		MissNotice: 4500 * time.Millisecond, MachineLease: 3 * time.Second, MachineUpkeep: 2 * time.Second, Holder: "here",
+	})
+	c := &job.Configuration{
+		Version:  1,
+		Queues:   []job.Queue{{Name: "q", Pool: poolA, Attempts: 2, Stretch: 1.6, Latency: time.Second}},
+		Pools:    []job.Pool{{Name: poolA}, {Name: off, Standby: true}},
+		Accounts: []job.Account{{Name: "capped", Cap: job.Room{CPU: 5000}}, {Name: "free"}},
+	}
+	c.Index()
+	h.s.Configure(c)
+	h.s.SetRights(true, true)
+	return h
+}
+
+// step lets d pass and returns the commands of one turn. What is saved is stored
+// at once.
+func (h *harness) step(d time.Duration) []Command {
+	h.now = h.now.Add(d)
+	var out []Command
+	for range 3 {
+		h.s.Tick(h.now)
+		h.s.Assign(h.now, h.now)
+		commands := h.s.Take()
+		out = append(out, commands...)
+		for _, c := range commands {
+			h.store(c)
+		}
+	}
+	return out
+}
+
+func (h *harness) store(c Command) {
+	switch c := c.(type) {
+	case Save:
+		h.s.Stored(h.now, c.Sequence)
+	case SaveRoster:
+		h.s.Stored(h.now, c.Sequence)
+	case SaveWave:
+		h.s.Stored(h.now, c.Sequence)
+	case SaveOrders:
+		h.s.Stored(h.now, c.Sequence)
+	}
+}
+
+func (h *harness) seen(id string) {
+	h.s.VMSeen(h.now, job.VMEntry{
+		ID: job.VMID(id), Pool: poolA, Address: id, Room: job.Room{CPU: 8000, MemMB: 8000},
+		Machine: job.MachineID("m-" + id), Born: 1,
+	})
+}
+
+// clock is the reading of all VMs' clocks.
+func (h *harness) clock() job.VMClock { return job.VMClock(h.now.Sub(begin).Milliseconds()) + 1000 }
+
+func (h *harness) lists(id string, running []job.RunningTask, ended ...job.End) {
+	h.s.HoldAnswered(h.now, job.VMID(id), Answered, job.Report{
+		Clock: h.clock(), Born: 1, Lists: true, Running: running, Finished: ended,
+	})
+}
+
+// ready brings VMs up to the point where they take tasks.
+func (h *harness) ready(ids ...string) {
+	for _, id := range ids {
+		h.seen(id)
+	}
+	h.step(0)
+	for _, id := range ids {
+		h.lists(id, nil)
+	}
+	h.step(30 * time.Millisecond)
+}
+
+func (h *harness) job(id string, account job.AccountName, steps ...job.Step) {
+	j := job.Job{ID: job.ID(id), Body: job.Body{Spec: "x", Steps: steps}}
+	j.Terms = job.Terms{Queue: "q", Pool: poolA, Account: account, Attempts: 2, Stretch: 1.6, Latency: time.Second}
+	h.s.AddJob(h.now, j, nil, false)
+}
+
+// confirm answers a start.
+func (h *harness) confirm(c Start) {
+	h.s.StartAnswered(h.now, c, Answered, job.Report{Clock: h.clock(), Born: 1})
+}
+
+func running(c Start, percent int) job.RunningTask {
+	return job.RunningTask{Task: c.Order.Task, Attempt: c.Order.Attempt, Percent: percent}
+}
+
+func only[T Command](commands []Command) []T {
+	var out []T
+	for _, c := range commands {
+		if x, ok := c.(T); ok {
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
+// one returns the only command of its kind.
+func one[T Command](h *harness, commands []Command) T {
+	h.t.Helper()
+	out := only[T](commands)
+	assert.Equal(h.t, len(out), 1, "%s", fmt.Sprint(commands))
+	return out[0]
+}
+
+var small = job.Step{Count: 1, Room: job.Room{CPU: 1000, MemMB: 100}, Estimate: time.Second}
--- /dev/null
+++ b/core/schedule/sizing/sizing_test.go
@@ -0,0 +1,99 @@
+package sizing_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lavenderpond/core/job"
+	"lavenderpond/core/schedule/sizing"
+)
+
+var now = time.Unix(1_800_000_000, 0)
+
+const vmCPU = 32_000
+
+func idle(id, pool string, since time.Duration) sizing.Machine {
+	return sizing.Machine{ID: job.MachineID(id), Pool: job.PoolName(pool), CPU: vmCPU, IdleSince: now.Add(-since)}
+}
+
+// One queue bursts to more than its pool holds while the others are nearly
+// empty: their idle machines move, and then those that are off.
+func TestBurstTakesIdleMachines(t *testing.T) {
+	pools := []sizing.Pool{
+		{Name: "burst", Need: 6 * vmCPU, Have: 3 * vmCPU},
+		{Name: "quiet", Need: vmCPU, Have: 3 * vmCPU},
+		{Name: "off", Standby: true},
+	}
+	machines := []sizing.Machine{
+		idle("q1", "quiet", time.Second), idle("q2", "quiet", time.Second), idle("q3", "quiet", time.Second), idle("s1", "off", 0),
+	}
+	moves := sizing.Plan(now, pools, machines)
+	assert.Equal(t, fmt.Sprint(moves), "[{q1 quiet burst} {q2 quiet burst} {s1 off burst}]")
+}
+
+// A machine that ran something a moment ago isn't lent: its queue's next task is
+// likely on its way.
+func TestJustIdleStays(t *testing.T) {
+	pools := []sizing.Pool{{Name: "burst", Need: 3 * vmCPU}, {Name: "quiet", Have: 2 * vmCPU}}
+	moves := sizing.Plan(now, pools, []sizing.Machine{idle("q1", "quiet", 10*time.Millisecond)})
+	assert.Equal(t, len(moves), 0)
+}
+
+// Whatever the demand: no machine moves twice, into its own pool or out of a
+// pool that then lacks room, and no pool gets more than it lacks and one machine.
+// What a naive search over single moves would still find is nothing.
+func TestPlanAgainstNaive(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	for round := range 500 {
+		pools, machines := randomFleet(rng)
+		moves := sizing.Plan(now, pools, machines)
+		have := map[job.PoolName]int64{}
+		need := map[job.PoolName]int64{}
+		for _, p := range pools {
+			have[p.Name], need[p.Name] = p.Have, p.Need
+		}
+		moved := map[job.MachineID]bool{}
+		for _, m := range moves {
+			assert.Assert(t, !moved[m.Machine] && m.From != m.To, "round %d: %v", round, m)
+			moved[m.Machine] = true
+			if m.From != "off" {
+				have[m.From] -= vmCPU
+				assert.Assert(t, have[m.From] >= need[m.From], "round %d: %v leaves its pool short", round, m)
+			}
+			assert.Assert(t, have[m.To] < need[m.To], "round %d: %v isn't needed", round, m)
+			have[m.To] += vmCPU
+		}
+		for _, m := range machines {
+			if moved[m.ID] || (m.Pool != "off" && have[m.Pool]-vmCPU < need[m.Pool]) {
+				continue
+			}
+			for _, p := range pools {
+				lacks := need[p.Name]-have[p.Name] >= vmCPU/2
+				assert.Assert(t, p.Standby || p.Name == m.Pool || !lacks, "round %d: %s could go to %s", round, m.ID, p.Name)
+			}
+		}
+	}
+}
+
+func randomFleet(rng *rand.Rand) ([]sizing.Pool, []sizing.Machine) {
+	pools := []sizing.Pool{{Name: "off", Standby: true}}
+	var machines []sizing.Machine
+	for p := range 4 {
+		name := fmt.Sprintf("p%d", p)
+		n := rng.IntN(5)
+		pools = append(pools, sizing.Pool{
+			Name: job.PoolName(name), Need: rng.Int64N(8 * vmCPU), Have: int64(n+rng.IntN(4)) * vmCPU,
+		})
+		for i := range n {
+			machines = append(machines, idle(fmt.Sprintf("%s-%d", name, i), name, time.Second))
+		}
+	}
+	for i := range rng.IntN(4) {
+		machines = append(machines, idle(fmt.Sprintf("off-%d", i), "off", time.Second))
+	}
+	return pools, machines
+}
