--- a/core/schedule/failure_test.go
+++ b/core/schedule/failure_test.go
@@ -22,13 +22,14 @@
 	freed := false
 	h.s.HoldAnswered(h.now, start.VM, Unanswered, job.Report{})
 	for range 100 {
-		for _, c := range only[Hold](h.step(100 * time.Millisecond)) {
+		commands := h.step(100 * time.Millisecond)
+		for _, c := range only[Hold](commands) {
 			if c.VM == start.VM {
 				h.s.HoldAnswered(h.now, c.VM, Unanswered, job.Report{})
 			}
 		}
 		h.lists(other, nil)
-		if again := only[Start](h.step(0)); len(again) > 0 {
+		if again := only[Start](commands); len(again) > 0 {
 			freed = true
 			assert.Assert(t, again[0].Order.Attempt > start.Order.Attempt)
 			break
