--- /dev/null
+++ b/io/node/node_test.go
@@ -0,0 +1,204 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"lavenderpond/core/job"
+	"lavenderpond/core/schedule"
+	"lavenderpond/platform"
+)
+
+// fakeTable answers transactions one after the other as told.
+type fakeTable struct {
+	mu      sync.Mutex
+	answers []func(w http.ResponseWriter)
+	bodies  []platform.Transaction
+}
+
+func (f *fakeTable) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var tx platform.Transaction
+	_ = json.NewDecoder(r.Body).Decode(&tx)
+	f.mu.Lock()
+	f.bodies = append(f.bodies, tx)
+	answer := f.answers[0]
+	if len(f.answers) > 1 {
+		f.answers = f.answers[1:]
+	}
+	f.mu.Unlock()
+	answer(w)
+}
+
+func status(code int, body string) func(w http.ResponseWriter) {
+	return func(w http.ResponseWriter) {
+		w.WriteHeader(code)
+		_, _ = io.WriteString(w, body)
+	}
+}
+
+func lost(http.ResponseWriter) { panic(http.ErrAbortHandler) }
+
+func newFakeTable(t *testing.T, answers ...func(w http.ResponseWriter)) (*fakeTable, *platform.Table) {
+	f := &fakeTable{answers: answers}
+	s := httptest.NewServer(f)
+	t.Cleanup(s.Close)
+	return f, platform.NewTable(strings.TrimPrefix(s.URL, "http://"))
+}
+
+func newCommitter(table *platform.Table) *committer {
+	return &committer{
+		table: table, tenure: &tenure{life: "me", fence: 10}, log: zerolog.Nop(), renewal: 10,
+		backlog: func() map[job.QueueName]int { return nil }, took: func(time.Duration) {},
+	}
+}
+
+// ownRows is the answer to a failed condition, with the renewal as given.
+func ownRows(fence int, renewal string) string {
+	value := func(s string) string { b, _ := json.Marshal([]byte(s)); return string(b) }
+	return `{"rows":[{"table":"lavenderpond_owner","part":"main","key":"owner","value":"e30=","ver":` + number(fence) + `},` +
+		`{"table":"lavenderpond_owner","part":"main","key":"renewal","value":` + value(renewal) + `,"ver":21}]}`
+}
+
+func number(n int) string { b, _ := json.Marshal(n); return string(b) }
+
+// A transaction is carried out and its answer is lost. It is sent again, fails on
+// its own effect, and must be taken for done: the row shows this very batch.
+func TestLostAnswerIsSettled(t *testing.T) {
+	_, table := newFakeTable(t, lost, status(http.StatusPreconditionFailed, ownRows(10, `{"life":"me","batch":1}`)))
+	c := newCommitter(table)
+	assert.NilError(t, c.store(t.Context(), nil))
+	assert.Equal(t, c.renewal, platform.Version(21))
+	assert.Assert(t, c.tenure.mayStart(bootNow()))
+}
+
+// Another process has taken over. Whatever the clock says, the former owner's
+// writes fail, and it must go.
+func TestDeposedOwnerLeaves(t *testing.T) {
+	for name, rows := range map[string]string{
+		"other owner":   ownRows(30, `{"life":"me","batch":1}`),
+		"other renewal": ownRows(10, `{"life":"other","batch":1}`),
+		"other batch":   ownRows(10, `{"life":"me","batch":7}`),
+	} {
+		_, table := newFakeTable(t, status(http.StatusPreconditionFailed, rows))
+		err := newCommitter(table).store(t.Context(), nil)
+		assert.Assert(t, errors.Is(err, errDeposed), "%s: %v", name, err)
+	}
+}
+
+// Each transaction expects the last renewal. One whose answer was lost and that
+// is carried out seconds later can therefore not undo a later one.
+func TestEachTransactionExpectsTheLast(t *testing.T) {
+	f, table := newFakeTable(t, status(http.StatusOK, `{"ver":11}`), status(http.StatusOK, `{"ver":12}`))
+	c := newCommitter(table)
+	save := func(n int64) []schedule.Command {
+		return []schedule.Command{schedule.Save{Sequence: n, Job: "j", Progress: job.Progress{State: job.Running}}}
+	}
+	assert.NilError(t, c.store(t.Context(), save(1)))
+	assert.NilError(t, c.store(t.Context(), save(2)))
+	second := f.bodies[1].Conditions
+	assert.DeepEqual(t, second, []platform.Condition{
+		{RowKey: ownerKey, Version: 10}, {RowKey: renewalKey, Version: 11},
+	})
+}
+
+// A transaction may name a row once: of two saves of a job the later one counts.
+func TestLaterSaveReplacesEarlier(t *testing.T) {
+	saves := []schedule.Command{
+		schedule.Save{Sequence: 1, Job: "j", Progress: job.Progress{State: job.Running}},
+		schedule.Save{Sequence: 2, Job: "j", Progress: job.Progress{State: job.Completed}},
+	}
+	kept := latest(saves)
+	assert.Equal(t, len(kept), 1)
+	assert.Equal(t, kept[0].(schedule.Save).Progress.State, job.Completed)
+}
+
+func body() job.Job { return job.Job{ID: "0123456789abcdef"} }
+
+// The table doesn't answer a submission. It may be stored later, so the caller
+// must not be told that it never runs, even if later attempts are refused.
+func TestUnansweredSubmissionIsNeverRefused(t *testing.T) {
+	_, table := newFakeTable(t, lost, status(http.StatusServiceUnavailable, ""))
+	s := &jobStore{table: table, took: func(time.Duration) {}}
+	err := s.submit(t.Context(), bootNow().Add(700*time.Millisecond), body())
+	assert.Assert(t, errors.Is(err, errUnknown), "%v", err)
+}
+
+// A table that refuses from the beginning has stored nothing: the caller may go
+// elsewhere, long before its patience is over.
+func TestRefusedSubmissionIsRefusedSoon(t *testing.T) {
+	_, table := newFakeTable(t, status(http.StatusServiceUnavailable, ""))
+	s := &jobStore{table: table, took: func(time.Duration) {}}
+	from := bootNow()
+	err := s.submit(t.Context(), from.Add(3*time.Second), body())
+	assert.Assert(t, errors.Is(err, errNotStored), "%v", err)
+	assert.Assert(t, bootNow().Sub(from) < time.Second)
+}
+
+// The same submission arrives again, at another entry VM: it is one job.
+func TestSecondSubmissionIsAccepted(t *testing.T) {
+	_, table := newFakeTable(t, status(http.StatusPreconditionFailed, `{"rows":[]}`))
+	s := &jobStore{table: table, took: func(time.Duration) {}}
+	assert.NilError(t, s.submit(t.Context(), bootNow().Add(time.Second), body()))
+}
+
+func newFront(contact time.Time) *front {
+	conf := &job.Configuration{
+		Version: 1,
+		Queues:  []job.Queue{{Name: "q", Host: "h.example", Prefix: "/q/"}, {Name: "open", Host: "h.example", Prefix: "/open/", Public: true}},
+	}
+	conf.Index()
+	return &front{
+		view: &operatorView{conf: conf, contact: contact}, log: zerolog.Nop(),
+		count: func(string) {}, elapsed: func(string, time.Duration) {},
+	}
+}
+
+func answer(f *front, method, path string) *httptest.ResponseRecorder {
+	r := httptest.NewRequestWithContext(context.Background(), method, path, strings.NewReader("{}"))
+	r.Host = "h.example"
+	w := httptest.NewRecorder()
+	f.ServeHTTP(w, r)
+	return w
+}
+
+// An entry VM has had no word of the table for a while. A submission sent there
+// could not be refused any more; refused before, it goes to another entry VM.
+func TestNothingIsSentToASilentTable(t *testing.T) {
+	w := answer(newFront(bootNow().Add(-time.Second)), http.MethodPost, "/open/0123456789abcdef")
+	assert.Equal(t, w.Code, http.StatusServiceUnavailable)
+	assert.Equal(t, w.Header().Get("Retry-After"), "1")
+}
+
+func TestUnknownRoutesAndKeys(t *testing.T) {
+	f := newFront(bootNow())
+	assert.Equal(t, answer(f, http.MethodGet, "/none/x").Code, http.StatusNotFound)
+	assert.Equal(t, answer(f, http.MethodGet, "/q/0123456789abcdef").Code, http.StatusUnauthorized)
+	assert.Equal(t, answer(f, http.MethodGet, "/open/short").Code, http.StatusBadRequest)
+}
+
+// Decisions come faster than the bound. Lines are left out, and the next line of
+// the kind says how many.
+func TestLeftOutLinesAreCounted(t *testing.T) {
+	l := &decisionLog{log: zerolog.Nop(), count: func(string) {}, elapsed: func(string, time.Duration) {}}
+	left := 0
+	for range linesPerSecond + 10 {
+		if _, ok := l.admit(schedule.TaskStarted); !ok {
+			left++
+		}
+	}
+	assert.Assert(t, left > 0)
+	l.second--
+	omitted, ok := l.admit(schedule.TaskStarted)
+	assert.Assert(t, ok && omitted == left, "%d of %d", omitted, left)
+}
