--- a/cmd/lavenderpond/app.go
+++ b/cmd/lavenderpond/app.go
@@ -42,6 +42,7 @@
 	Fetch       fetchCmd       `cmd:"" help:"Fetch the answer of a request by its id."`
 	Cancel      cancelCmd      `cmd:"" help:"Give a request up."`
 	Config      configCmd      `cmd:"" help:"Settings files of the daemon."`
+	Trace       traceCmd       `cmd:"" help:"What the logs of several processes say of one job, in order."`
 }
 
 // Validate refuses a timeout that no call can meet: every entry would be reported as
--- /dev/null
+++ b/core/trace/trace.go
@@ -0,0 +1,142 @@
+// Package trace gathers what the logs of several processes say of one job, in
+// order.
+package trace
+
+import (
+	"bufio"
+	"cmp"
+	"encoding/json"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Line is one log line that concerns the job, or the belief it rested on.
+type Line struct {
+	At    time.Time
+	Node  string
+	Event string
+	// Fields are the line's other fields.
+	Fields map[string]any
+}
+
+// History is what the logs say of a job.
+type History struct {
+	Lines []Line
+	// Omitted counts lines of any job that the processes left out to bound their
+	// logs: some of them may have been this job's.
+	Omitted int
+	// Unreadable counts lines that aren't JSON.
+	Unreadable int
+}
+
+// maxLine bounds a log line.
+const maxLine = 1 << 20
+
+// beliefs are the events that touch every job: who owns the jobs, and which
+// configuration is in force.
+var beliefs = map[string]bool{
+	"owner": true, "owner_no_more": true, "owner_vacates": true, "configuration_in_force": true,
+	"start": true, "stop": true, "stopping": true, "feed_lost": true, "feed_regained": true, "loaded": true,
+}
+
+// vmEvents are the events of a VM that matter to a job once it ran there.
+var vmEvents = map[string]bool{
+	"vm_silent": true, "vm_back": true, "vm_reborn": true, "vm_gone": true, "vm_draining": true, "vm_suspected": true,
+	"machine_upkept": true, "machine_moved": true,
+}
+
+// Read gathers the job's history from logs.
+func Read(job string, logs ...io.Reader) (History, error) {
+	var h History
+	var all []Line
+	vms := map[string]bool{}
+	for _, r := range logs {
+		s := bufio.NewScanner(r)
+		s.Buffer(nil, maxLine)
+		for s.Scan() {
+			l, ok := parse(s.Text())
+			if !ok {
+				h.Unreadable++
+				continue
+			}
+			if n, ok := l.Fields["omitted"].(float64); ok {
+				h.Omitted += int(n)
+			}
+			if l.concerns(job) {
+				if vm, ok := l.Fields["vm"].(string); ok {
+					vms[vm] = true
+				}
+			}
+			all = append(all, l)
+		}
+		if err := s.Err(); err != nil {
+			return h, errors.Wrap(err, "read log")
+		}
+	}
+	h.Lines = around(job, all, vms)
+	return h, nil
+}
+
+// around keeps the job's own lines, and what was believed from its first line to its last.
+func around(job string, all []Line, vms map[string]bool) []Line {
+	slices.SortStableFunc(all, func(a, b Line) int { return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Node, b.Node)) })
+	first, last := -1, -1
+	for i, l := range all {
+		if l.concerns(job) {
+			if first < 0 {
+				first = i
+			}
+			last = i
+		}
+	}
+	if first < 0 {
+		return nil
+	}
+	var out []Line
+	for _, l := range all[first : last+1] {
+		vm, _ := l.Fields["vm"].(string)
+		if l.concerns(job) || beliefs[l.Event] || (vmEvents[l.Event] && vms[vm]) {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+// concerns tells whether the line is about the job itself.
+func (l Line) concerns(job string) bool {
+	if id, _ := l.Fields["job"].(string); id == job {
+		return true
+	}
+	task, _ := l.Fields["task"].(string)
+	return strings.HasPrefix(task, job+".")
+}
+
+// parse reads a line; anything before the first brace, such as a collector's
+// prefix, is skipped.
+func parse(text string) (Line, bool) {
+	i := strings.IndexByte(text, '{')
+	if i < 0 {
+		return Line{}, false
+	}
+	var fields map[string]any
+	if json.Unmarshal([]byte(text[i:]), &fields) != nil {
+		return Line{}, false
+	}
+	l := Line{Fields: fields}
+	if ms, ok := fields["time"].(float64); ok {
+		l.At = time.UnixMilli(int64(ms)).UTC()
+	}
+	l.Node, _ = fields["node"].(string)
+	l.Event, _ = fields["event"].(string)
+	if l.Event == "" {
+		l.Event, _ = fields["message"].(string)
+	}
+	for _, k := range []string{"time", "node", "event", "level"} {
+		delete(fields, k)
+	}
+	return l, true
+}
