Wait for the stops of a former owner before another task is stopped

Ruled out: the count of tasks without a run, which the same function makes. Test: red without the safeguard (a stop where none may be), green with it.

--- a/core/schedule/failure_test.go
+++ b/core/schedule/failure_test.go
@@ -309,3 +309,28 @@
 	commands := h.step(time.Second)
 	assert.Equal(t, len(only[Stop](commands))+len(only[Start](commands)), 0)
 }
+
+// A former owner has ordered a lasting task's end and is gone. Until it has
+// stopped, the VM lists the task as at work, and the new owner doesn't know of the
+// order. Another task of its step must not be stopped meanwhile.
+func TestUpkeepWaitsForStopsOfAFormerOwner(t *testing.T) {
+	h := newHarness(t)
+	h.ready("one", "two")
+	lasting := job.Step{Count: 2, Room: job.Room{CPU: 1000}, Lasting: true, MaxPerVM: 1, MayMiss: 1, HasMayMiss: true}
+	j := job.Job{ID: "j", Terms: job.Terms{Queue: "q", Pool: poolA}, Body: job.Body{Steps: []job.Step{lasting}}}
+	h.s.AddJob(h.now, j, &job.Progress{State: job.Running, VMs: []job.VMID{"one", "two"}}, true)
+	h.s.Machines(h.now, []job.Machine{{ID: "m-one", Pool: poolA, State: job.MachineUp, VM: "one"}})
+	h.s.AddWave(h.now, job.Wave{Number: 1, Machines: []job.MachineID{"m-one"}, AtOnce: 1}, nil)
+	list := func(ended ...job.End) {
+		h.lists("one", []job.RunningTask{{Task: job.TaskID{Job: "j"}, Attempt: 7, Percent: 100}})
+		var there []job.RunningTask
+		if len(ended) == 0 {
+			there = []job.RunningTask{{Task: job.TaskID{Job: "j", Index: 1}, Attempt: 7, Percent: 100}}
+		}
+		h.lists("two", there, ended...)
+	}
+	list()
+	assert.Equal(t, len(only[Stop](h.step(100*time.Millisecond))), 0)
+	list(job.End{Number: 1, Task: job.TaskID{Job: "j", Index: 1}, Attempt: 7, How: job.EndedStopped})
+	assert.Equal(t, len(only[Stop](h.step(2*time.Second))), 0, "the other task is away")
+}
--- a/core/schedule/state.go
+++ b/core/schedule/state.go
@@ -164,6 +164,8 @@
 	idleSince time.Time
 	holding   bool
 	heldOnce  bool
+	// heldFirst is when it was: from then on it refuses a former owner's orders.
+	heldFirst time.Time
 	nextHold  time.Time
 	answered  time.Time
 	silent    bool
--- a/core/schedule/upkeep.go
+++ b/core/schedule/upkeep.go
@@ -385,10 +385,16 @@
 	}
 }
 
+// mayBeStopping tells whether a former owner may have ordered the run's end. The
+// VM lists it as at work until it has stopped; by then that end is listed.
+func (s *Scheduler) mayBeStopping(now time.Time, r *run) bool {
+	return r.adopted && now.Before(r.vm.heldFirst.Add(s.settings.TaskStop+busyWait))
+}
+
 // mayMiss tells whether a lasting step can spare the run now: as long as fewer
 // other tasks are away than the step allows. A task counts as away from its
 // stop until it is seen at work again.
-func (s *Scheduler) mayMiss(_ time.Time, st *stepState, r *run) bool {
+func (s *Scheduler) mayMiss(now time.Time, st *stepState, r *run) bool {
 	away := 0
 	for i := range st.tasks {
 		t := &st.tasks[i]
@@ -396,7 +402,7 @@
 			continue
 		}
 		x := t.live()
-		if x == nil || x.percent < 100 || x.phase != runConfirmed || x.vm.silent {
+		if x == nil || x.percent < 100 || x.phase != runConfirmed || x.vm.silent || s.mayBeStopping(now, x) {
 			away++
 		}
 	}
--- a/core/schedule/vm.go
+++ b/core/schedule/vm.go
@@ -210,7 +210,7 @@
 	}
 	s.takeLists(now, v, r)
 	if !v.heldOnce {
-		v.heldOnce = true
+		v.heldOnce, v.heldFirst = true, now
 		v.inheritedUntil = time.Time{}
 	}
 	v.nextHold = now.Add(holdGap)
