--- a/core/emulator/judge.go
+++ b/core/emulator/judge.go
@@ -22,8 +22,6 @@
 	// away are the machines in upkeep.
 	away      map[job.MachineID]bool
 	waveState job.WaveState
-	maxGap    time.Duration
-	lastStart time.Time
 	stopped   map[job.TaskID]time.Time
 }
 
--- a/core/emulator/vm.go
+++ b/core/emulator/vm.go
@@ -61,7 +61,6 @@
 	task    job.TaskID
 	attempt job.Attempt
 	began   time.Time
-	ends    time.Time
 	fails   bool
 	room    job.Room
 	lasting bool
--- a/core/schedule/objective.go
+++ b/core/schedule/objective.go
@@ -44,6 +44,12 @@
 	return q
 }
 
+// arrive takes in the work of a new job, in core-seconds.
+func (q *queueRecord) arrive(work float64) {
+	q.jobs++
+	q.meanWork += max(learnWeight, 1/float64(q.jobs)) * (work - q.meanWork)
+}
+
 // learn takes in how long a task ran.
 func (s *Scheduler) learn(j *jobState, _ *stepState, _ *vmState, ranFor time.Duration) {
 	q := s.queue(j.Terms.Queue)
--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -60,7 +60,7 @@
 }
 
 func (s *Scheduler) candidate(now time.Time, j *jobState) candidate {
-	c := candidate{job: j}
+	c := candidate{job: j, rank: rankLasting}
 	if j.lasting {
 		return c
 	}
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -153,8 +153,9 @@
 	}
 	st.objective, st.late = s.objective(st)
 	if !st.lasting && !inherited {
-		left, _ := s.work(st)
+		left, all := s.work(st)
 		s.poolRecord(s.pool(st)).arrive(now, left)
+		s.queue(j.Terms.Queue).arrive(all)
 	}
 	s.jobs.Set(j.ID, st)
 	s.decided(Decision{What: JobAdopted, Job: j.ID, Reason: string(j.Terms.Queue)})
--- a/core/schedule/state.go
+++ b/core/schedule/state.go
@@ -119,7 +119,6 @@
 	// objective is when the job is due to be complete.
 	objective time.Time
 	late      time.Time
-	left      time.Duration
 	dirty     bool
 	// closing is the sequence of the save after which the job is forgotten.
 	closing int64
--- a/io/node/owner.go
+++ b/io/node/owner.go
@@ -40,7 +40,6 @@
 	orders    *orders
 	workers   supervisor.Workers
 	jobsFrom  platform.Version
-	vmsFrom   platform.Version
 	backlog   backlogCount
 	// doneInWaves are the machines that former owners saw back from their upkeep,
 	// by the key of the wave.
