--- a/core/schedule/state.go
+++ b/core/schedule/state.go
@@ -142,9 +142,10 @@
 	machine job.MachineID
 	born    job.Born
 	// listed is set while the VM's entry stands in the directory.
-	listed   bool
-	draining bool
-	leavesAt time.Time
+	listed     bool
+	unlistedAt time.Time
+	draining   bool
+	leavesAt   time.Time
 
 	clock lease.Clock
 	// reported is the clock of the newest list.
--- a/core/schedule/vm.go
+++ b/core/schedule/vm.go
@@ -104,8 +104,7 @@
 	if v == nil || !v.listed {
 		return
 	}
-	v.listed = false
-	v.answered = now
+	v.listed, v.unlistedAt = false, now
 	s.decided(Decision{What: VMGone, VM: id})
 }
 
@@ -287,7 +286,7 @@
 	for len(v.lost) > 0 && now.Sub(v.lost[0].orderedAt) > lateOrder {
 		v.lost = v.lost[1:]
 	}
-	gone := !v.listed && v.runs.Len() == 0 && !now.Before(v.inheritedUntil) && now.Sub(v.answered) > forgetAfter
+	gone := !v.listed && v.runs.Len() == 0 && !now.Before(v.inheritedUntil) && now.Sub(v.answered) > forgetAfter && now.Sub(v.unlistedAt) > forgetAfter
 	if gone && !v.holding {
 		s.vms.Delete(v.id)
 		s.rosterDirty = true
