--- a/core/emulator/node.go
+++ b/core/emulator/node.go
@@ -314,7 +314,7 @@
 		})
 	case schedule.ShowWave:
 		w.judge.waveShown(c.State)
-	case schedule.Pace, schedule.Ask:
+	case schedule.Pace, schedule.Ask, schedule.Forget:
 	}
 }
 
--- a/core/schedule/command.go
+++ b/core/schedule/command.go
@@ -88,6 +88,9 @@
 	Holder  string        `json:"holder"`
 }
 
+// Forget removes what is stored of a job that ended long ago.
+type Forget struct{ Job job.ID }
+
 // ShowWave publishes a wave's state.
 type ShowWave struct {
 	Number int64
@@ -102,6 +105,7 @@
 func (SaveRoster) command() {}
 func (SaveWave) command()   {}
 func (SaveOrders) command() {}
+func (Forget) command()     {}
 func (Ask) command()        {}
 func (Move) command()       {}
 func (Upkeep) command()     {}
--- a/core/schedule/failure_test.go
+++ b/core/schedule/failure_test.go
@@ -334,3 +334,13 @@
 	list(job.End{Number: 1, Task: job.TaskID{Job: "j", Index: 1}, Attempt: 7, How: job.EndedStopped})
 	assert.Equal(t, len(only[Stop](h.step(2*time.Second))), 0, "the other task is away")
 }
+
+// Rows of jobs that ended long ago go away, or each new owner would read all jobs
+// that there ever were. Until then a repeated submission is still the same job.
+func TestEndedJobsAreForgottenInTheEnd(t *testing.T) {
+	h := newHarness(t)
+	h.s.Ended(h.now, "old")
+	assert.Equal(t, len(only[Forget](h.step(5*time.Minute))), 0)
+	assert.Equal(t, one[Forget](h, h.step(7*time.Minute)).Job, job.ID("old"))
+	assert.Equal(t, len(only[Forget](h.step(7*time.Minute))), 0)
+}
--- a/core/schedule/save.go
+++ b/core/schedule/save.go
@@ -67,22 +67,30 @@
 			return false
 		}
 		s.jobs.Delete(j.ID)
-		s.ended[j.ID] = j.arrived
+		s.ended[j.ID] = j.closedAt
 		return true
 	})
 }
 
-// rememberEnded is how long the IDs of ended jobs are kept: far longer than a feed
-// can be behind.
+// rememberEnded is how long an ended job is remembered and its rows are kept: far
+// longer than a feed can be behind or a caller asks for its state.
 const rememberEnded = 10 * time.Minute
 
+// Ended notes a job that a former owner saw to its end.
+func (s *Scheduler) Ended(now time.Time, id job.ID) { s.ended[id] = now }
+
 // forgetEnded drops the IDs of jobs that ended long ago.
 func (s *Scheduler) forgetEnded(now time.Time) {
 	if now.Before(s.forgetAt) {
 		return
 	}
 	s.forgetAt = now.Add(rememberEnded / 10)
-	maps.DeleteFunc(s.ended, func(_ job.ID, at time.Time) bool { return now.Sub(at) > rememberEnded })
+	for _, id := range slices.Sorted(maps.Keys(s.ended)) {
+		if now.Sub(s.ended[id]) > rememberEnded {
+			delete(s.ended, id)
+			s.emit(Forget{Job: id})
+		}
+	}
 }
 
 func (j *jobState) hasRuns() bool {
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -209,7 +209,7 @@
 
 // finish gives a job its final state and stops what still runs of it.
 func (s *Scheduler) finish(now time.Time, j *jobState, state job.State) {
-	j.state = state
+	j.state, j.closedAt = state, now
 	s.markDirty(j)
 	s.decided(Decision{What: JobEnded, Job: j.ID, Reason: state.String(), After: now.Sub(j.arrived)})
 	for _, o := range j.occurrences {
--- a/core/schedule/state.go
+++ b/core/schedule/state.go
@@ -122,6 +122,8 @@
 	dirty     bool
 	// closing is the sequence of the save after which the job is forgotten.
 	closing int64
+	// closedAt is when the job was over.
+	closedAt time.Time
 	// places are the VMs on which a task may have been started, and the save that
 	// says so.
 	places ordered[job.VMID, int64]
--- a/io/node/orders.go
+++ b/io/node/orders.go
@@ -100,6 +100,8 @@
 			o.workers.Go(func() { o.upkeep(ctx, c) })
 		case schedule.Move:
 			o.workers.Go(func() { o.move(ctx, c) })
+		case schedule.Forget:
+			o.workers.Go(func() { o.forget(ctx, c) })
 		case schedule.ShowWave:
 			o.workers.Go(func() { o.showWave(ctx, c) })
 		}
@@ -218,3 +220,20 @@
 		o.log.Warn().Err(err).Str("event", "wave_status_failed").Int64("wave", c.Number).Send()
 	}
 }
+
+// forget removes a job's rows, those as handed in first: a job without progress
+// would look new to the next owner. What fails is tried again by that one.
+func (o *owner) forget(ctx context.Context, c schedule.Forget) {
+	callCtx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	_, err := o.node.table.Apply(callCtx, platform.Transaction{Removals: []platform.RowKey{jobKey(c.Job), cancelKey(c.Job)}})
+	if err == nil {
+		_, err = o.node.table.Apply(callCtx, platform.Transaction{
+			Conditions: []platform.Condition{{RowKey: ownerKey, Version: o.tenure.fence}},
+			Removals:   []platform.RowKey{progressKey(c.Job)},
+		})
+	}
+	if err != nil {
+		o.log.Warn().Err(err).Str("event", "forget_failed").Str("job", string(c.Job)).Send()
+	}
+}
--- a/io/node/owner.go
+++ b/io/node/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -202,7 +203,13 @@
 	for _, v := range roster.VMs {
 		o.scheduler.Inherit(v)
 	}
-	o.takeJobs(now, jobs, o.decodeProgress(progress))
+	known := o.decodeProgress(progress)
+	for _, id := range slices.Sorted(maps.Keys(known)) {
+		if known[id].State.Final() {
+			o.scheduler.Ended(now, id)
+		}
+	}
+	o.takeJobs(now, jobs, known)
 	o.log.Info().Str("event", "loaded").Int("jobs", len(jobs)).Int("vms", len(roster.VMs)).Send()
 }
 
