--- a/core/schedule/failure_test.go
+++ b/core/schedule/failure_test.go
@@ -355,9 +355,7 @@
 		{ID: "m-off", Pool: off, State: job.MachineUp, Room: job.Room{CPU: 8000}},
 	})
 	h.job("j", "free", job.Step{Count: 2, Room: job.Room{CPU: 1000}, Lasting: true, MaxPerVM: 1})
-	start := one[Start](h, h.step(0))
-	h.confirm(start)
-	h.lists("one", []job.RunningTask{running(start, 100)})
-	move := one[Move](h, h.step(500*time.Millisecond))
-	assert.Equal(t, move, Move{Machine: "m-off", Pool: poolA})
+	commands := h.step(0)
+	assert.Equal(t, len(only[Start](commands)), 1)
+	assert.Equal(t, one[Move](h, commands), Move{Machine: "m-off", Pool: poolA})
 }
