--- /dev/null
+++ b/core/schedule/order_test.go
@@ -0,0 +1,76 @@
+package schedule
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lavenderpond/core/job"
+)
+
+// comesBefore is the order as a person would state it.
+func comesBefore(a, b candidate) bool {
+	if a.rank != b.rank {
+		return a.rank < b.rank
+	}
+	if a.job.Terms.Priority != b.job.Terms.Priority {
+		return a.job.Terms.Priority < b.job.Terms.Priority
+	}
+	if a.density != b.density {
+		return a.density > b.density
+	}
+	if !a.job.arrived.Equal(b.job.arrived) {
+		return a.job.arrived.Before(b.job.arrived)
+	}
+	return a.job.ID < b.job.ID
+}
+
+// The sorted candidates against a naive selection, one by one, of the job that
+// comes before all others.
+func TestOrderAgainstNaive(t *testing.T) {
+	rng := rand.New(rand.NewPCG(3, 4))
+	for round := range 50 {
+		h := newHarness(t)
+		var jobs []*jobState
+		for i := range 20 {
+			h.now = h.now.Add(time.Duration(rng.IntN(300)) * time.Millisecond)
+			id := fmt.Sprintf("j%02d", i)
+			h.job(id, "free", job.Step{
+				Count: 1 + rng.IntN(9), Room: job.Room{CPU: rng.Int64N(4000)}, Lasting: rng.IntN(8) == 0,
+				Estimate: time.Duration(rng.IntN(3000)) * time.Millisecond,
+			})
+			j := h.s.jobs.Get(job.ID(id))
+			j.Terms.Priority = rng.IntN(2)
+			jobs = append(jobs, j)
+		}
+		h.now = h.now.Add(time.Duration(rng.IntN(4000)) * time.Millisecond)
+		sorted := h.s.candidates(h.now, jobs)
+		left := jobs
+		for _, got := range sorted {
+			best := 0
+			for i := range left {
+				if comesBefore(h.s.candidate(h.now, left[i]), h.s.candidate(h.now, left[best])) {
+					best = i
+				}
+			}
+			assert.Equal(t, got.job.ID, left[best].ID, "round %d", round)
+			left = append(left[:best:best], left[best+1:]...)
+		}
+	}
+}
+
+// A job that can't be in time any more comes after all that can, however little
+// it needs.
+func TestLateJobsComeLast(t *testing.T) {
+	h := newHarness(t)
+	h.job("late", "free", small)
+	late := h.s.jobs.Get("late")
+	h.now = h.now.Add(3 * time.Second)
+	h.job("fresh", "free", job.Step{Count: 9, Room: job.Room{CPU: 1000}, Estimate: time.Second})
+	out := h.s.candidates(h.now, []*jobState{late, h.s.jobs.Get("fresh")})
+	assert.Equal(t, out[0].job.ID, job.ID("fresh"))
+	assert.Equal(t, out[1].rank, rankLate)
+}
