Slow filling tasks beside serving ones; drop settings that nothing reads

Cause: tasks that fill were placed beside serving ones as a last resort and never paced; on sites where both come that harms users for seconds. They are kept apart now, and slowed as a serving task nears its target. Tests red without (no pace, a start beside).

--- a/core/emulator/node.go
+++ b/core/emulator/node.go
@@ -194,9 +194,9 @@
 	o.scheduler = schedule.New(schedule.Settings{
 		Holder: o.n.name, OrderedBefore: t.orders,
 		Fence: job.Fence(o.fence), AttemptBase: job.Attempt(o.turn * 10_000), TookOver: now,
-		LeaseMax: leaseMax, TaskStop: taskStop, MissNotice: 4500 * time.Millisecond,
-		MachineLease: 3 * time.Second, MachineMove: movePeriod, MachineUpkeep: upkeepPeriod,
-		Observer: o,
+		LeaseMax: leaseMax, TaskStop: taskStop,
+		MachineLease: 3 * time.Second,
+		Observer:     o,
 	})
 	s := o.scheduler
 	s.Configure(o.n.w.conf)
--- a/core/experiment/maintenance/zone.go
+++ b/core/experiment/maintenance/zone.go
@@ -1,11 +1,12 @@
 package maintenance
 
 import (
-	"errors"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"lavenderpond/core"
 	"lavenderpond/core/fleet"
 	"lavenderpond/core/maintenance"
--- a/core/schedule/failure_test.go
+++ b/core/schedule/failure_test.go
@@ -359,3 +359,37 @@
 	assert.Equal(t, len(only[Start](commands)), 1)
 	assert.Equal(t, one[Move](h, commands), Move{Machine: "m-off", Pool: poolA})
 }
+
+// A serving task finds room only beside a filling one. As its tail nears its
+// target the filling task is slowed, then halted, and sped up again once there is
+// room, before users have waited too long for seconds on end.
+func TestFillingTaskGivesWay(t *testing.T) {
+	h := newHarness(t)
+	h.ready("one")
+	h.job("fill", "free", job.Step{Count: 1, Room: job.Room{CPU: 4000}, Fills: true, Estimate: time.Minute})
+	fill := one[Start](h, h.step(0))
+	h.confirm(fill)
+	h.job("serve", "free", job.Step{Count: 1, Room: job.Room{CPU: 1000}, Lasting: true, TailTarget: 100 * time.Millisecond})
+	serve := one[Start](h, h.step(0))
+	h.confirm(serve)
+	for _, x := range []struct {
+		tail    int64
+		percent int
+	}{{75, 50}, {80, 25}, {95, 0}, {20, 20}, {20, 40}} {
+		busy := running(serve, 100)
+		busy.Load = x.tail
+		h.now = h.now.Add(600 * time.Millisecond)
+		h.lists("one", []job.RunningTask{busy, running(fill, 10)})
+		assert.Equal(t, one[Pace](h, h.step(0)).Percent, x.percent)
+	}
+}
+
+// Tasks that fill are not placed beside one that serves.
+func TestFillingTaskKeepsAway(t *testing.T) {
+	h := newHarness(t)
+	h.ready("one")
+	h.job("serve", "free", job.Step{Count: 1, Room: job.Room{CPU: 1000}, Lasting: true, TailTarget: 100 * time.Millisecond})
+	h.confirm(one[Start](h, h.step(0)))
+	h.job("fill", "free", job.Step{Count: 1, Room: job.Room{CPU: 4000}, Fills: true})
+	assert.Equal(t, len(only[Start](h.step(0))), 0)
+}
--- a/core/schedule/harness_test.go
+++ b/core/schedule/harness_test.go
@@ -28,7 +28,7 @@
 	h := &harness{t: t, now: begin}
 	h.s = New(Settings{
 		Fence: 5, AttemptBase: 100, TookOver: begin, LeaseMax: 6 * time.Second, TaskStop: 400 * time.Millisecond,
-		MissNotice: 4500 * time.Millisecond, MachineLease: 3 * time.Second, MachineUpkeep: 2 * time.Second, Holder: "here",
+		MachineLease: 3 * time.Second, Holder: "here",
 	})
 	c := &job.Configuration{
 		Version:  1,
--- a/core/schedule/objective.go
+++ b/core/schedule/objective.go
@@ -51,7 +51,7 @@
 }
 
 // learn takes in how long a task ran.
-func (s *Scheduler) learn(j *jobState, _ *stepState, _ *vmState, ranFor time.Duration) {
+func (s *Scheduler) learn(j *jobState, ranFor time.Duration) {
 	q := s.queue(j.Terms.Queue)
 	q.runs++
 	w := max(learnWeight, 1/float64(q.runs))
--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -71,7 +71,7 @@
 		relative = all / mean
 	}
 	c.density = (worthBase + worthOfWork*relative) / max(left, leastWork)
-	ready := now.Add(s.chain(j, j.current(now)))
+	ready := now.Add(s.chain(j, j.current()))
 	switch {
 	case !ready.After(j.objective):
 		c.rank = rankInTime
@@ -84,7 +84,7 @@
 }
 
 // current returns the first occurrence that isn't complete.
-func (j *jobState) current(_ time.Time) *occurrence {
+func (j *jobState) current() *occurrence {
 	for _, o := range j.occurrences {
 		if o.done < len(o.steps) {
 			return o
--- a/core/schedule/place.go
+++ b/core/schedule/place.go
@@ -97,7 +97,8 @@
 	if st.tickets != nil && st.tickets[v.id] == "" {
 		return false
 	}
-	return true
+	// A filling task has other places, or may wait; a serving one would suffer.
+	return !st.def.Fills || a.s.disturbed(st.def, v) == 0
 }
 
 // runsOfStep counts the runs of one step of one occurrence on the VM; what is
--- a/core/schedule/pools.go
+++ b/core/schedule/pools.go
@@ -140,7 +140,7 @@
 			s.addLasting(now, &l, j)
 			lasting[p] = l
 		case now.Before(j.late):
-			waiting[p] += s.waitingWork(now, j)
+			waiting[p] += s.waitingWork(j)
 		}
 	}
 	return waiting, lasting
@@ -165,7 +165,7 @@
 }
 
 // waitingWork returns the core-seconds of a job's tasks that could start now.
-func (s *Scheduler) waitingWork(_ time.Time, j *jobState) float64 {
+func (s *Scheduler) waitingWork(j *jobState) float64 {
 	sum := 0.0
 	for _, o := range j.occurrences {
 		for i := range o.steps {
--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -88,7 +88,7 @@
 	}
 	s.judgeSuccess(v)
 	if ranFor > 0 {
-		s.learn(j, st, v, ranFor)
+		s.learn(j, ranFor)
 	}
 	if st.def.Gang {
 		for i := range st.tasks {
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -23,14 +23,8 @@
 	LeaseMax time.Duration
 	// TaskStop bounds how long a task takes to stop.
 	TaskStop time.Duration
-	// MissNotice is the period after which a lasting task that isn't at work
-	// counts as away.
-	MissNotice time.Duration
 	// MachineLease is how soon orders for a machine may follow a former holder's.
 	MachineLease time.Duration
-	// MachineMove and MachineUpkeep are how long a machine is away.
-	MachineMove   time.Duration
-	MachineUpkeep time.Duration
 	// Holder signs this owner's orders for machines.
 	Holder string
 	// OrderedBefore are the machines that may have been given an order shortly
--- a/core/schedule/state.go
+++ b/core/schedule/state.go
@@ -169,9 +169,11 @@
 	// heldFirst is when it was: from then on it refuses a former owner's orders.
 	heldFirst time.Time
 	nextHold  time.Time
-	answered  time.Time
-	silent    bool
-	failures  int
+	// paceAt is when to look at the pace of filling tasks next.
+	paceAt   time.Time
+	answered time.Time
+	silent   bool
+	failures int
 	// failedRuns counts failed runs since the last that was done.
 	failedRuns int
 	suspect    time.Time
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -9,6 +9,7 @@
 		for _, r := range v.runs.All() {
 			s.repeatStop(now, r)
 		}
+		s.pace(now, v)
 		s.hold(now, v)
 	}
 	s.leaveDraining(now)
--- a/io/node/owner.go
+++ b/io/node/owner.go
@@ -159,10 +159,7 @@
 		TookOver:      o.tookOver,
 		LeaseMax:      b.LeaseMax,
 		TaskStop:      b.TaskStop,
-		MissNotice:    b.MissNotice,
 		MachineLease:  b.MachineLease,
-		MachineMove:   b.MachineMove,
-		MachineUpkeep: b.MachineUpkeep,
 		Observer:      o.node.observer,
 	})
 }
