--- /dev/null
+++ b/core/emulator/owner.go
@@ -0,0 +1,327 @@
+package emulator
+
+import (
+	"slices"
+	"time"
+
+	"lavenderpond/core/job"
+	"lavenderpond/core/lease"
+	"lavenderpond/core/schedule"
+)
+
+// owner is a tenure.
+type owner struct {
+	n         *node
+	life      int
+	fence     int64
+	renewal   int64
+	turn      int64
+	batch     int64
+	right     lease.Right
+	scheduler *schedule.Scheduler
+	queue     []schedule.Command
+	busy      bool
+	renewAt   time.Time
+	jobsSeen  int
+	cancels   int
+	vmsSeen   int
+	over      bool
+}
+
+// load reads what the former owner left.
+func (o *owner) load() {
+	n, t := o.n, o.n.w.table
+	n.call(2*time.Second, false, func() { o.restore(t) }, func(ok bool) {
+		if !ok || o.scheduler == nil {
+			o.n.w.after(100*time.Millisecond, func() { n.here(o.life, o.load) })
+			return
+		}
+		o.tick()
+		o.list()
+		o.commit()
+	})
+}
+
+func (o *owner) restore(t *table) {
+	now := o.n.w.now
+	o.scheduler = schedule.New(schedule.Settings{
+		Holder: o.n.name, OrderedBefore: t.orders,
+		Fence: job.Fence(o.fence), AttemptBase: job.Attempt(o.turn * 10_000), TookOver: now,
+		LeaseMax: leaseMax, TaskStop: taskStop,
+		MachineLease: 3 * time.Second,
+		Observer:     o,
+	})
+	s := o.scheduler
+	s.Configure(o.n.w.conf)
+	for _, v := range t.roster.VMs {
+		s.Inherit(v)
+	}
+	o.takeJobs(now)
+	o.takeVMs(now)
+	for number, w := range o.n.w.waves() {
+		s.AddWave(now, w, t.waves[number])
+	}
+}
+
+// takeJobs takes in what was submitted and cancelled since the last time.
+func (o *owner) takeJobs(now time.Time) {
+	t := o.n.w.table
+	for _, s := range t.submitted[o.jobsSeen:] {
+		var p *job.Progress
+		if o.jobsSeen == 0 || s.version < o.fence {
+			if known, ok := t.progress[s.job.ID]; ok {
+				p = &known
+			}
+		}
+		o.scheduler.AddJob(now, s.job, p, s.version < o.fence)
+	}
+	o.jobsSeen = len(t.submitted)
+	for _, id := range t.cancelled[o.cancels:] {
+		o.scheduler.Cancel(now, id)
+	}
+	o.cancels = len(t.cancelled)
+}
+
+func (o *owner) takeVMs(now time.Time) {
+	t := o.n.w.table
+	if o.vmsSeen == 0 {
+		for _, v := range o.n.w.order {
+			if e, ok := t.vms[v.id]; ok && o.n.w.vms[v.id] == v {
+				o.scheduler.VMSeen(now, e)
+			}
+		}
+		o.vmsSeen = len(t.vmChanges)
+		return
+	}
+	for _, c := range t.vmChanges[o.vmsSeen:] {
+		if c.removed {
+			o.scheduler.VMUnlisted(now, c.entry.ID)
+		} else {
+			o.scheduler.VMSeen(now, c.entry)
+		}
+	}
+	o.vmsSeen = len(t.vmChanges)
+}
+
+// tick is one turn of the owner's loop.
+func (o *owner) tick() {
+	o.n.here(o.life, func() {
+		if o.over {
+			return
+		}
+		o.n.w.after(tickEvery, o.tick)
+		if !o.n.cutFrom["table"] && !o.n.w.table.down && !o.n.w.table.turnedAway[o.n] {
+			o.takeJobs(o.n.w.now)
+			o.takeVMs(o.n.w.now)
+		}
+		o.act()
+	})
+}
+
+// act lets the scheduler decide and carries out what it wants.
+func (o *owner) act() {
+	now := o.n.w.now
+	if o.over {
+		return
+	}
+	o.scheduler.SetRights(o.right.MayStart(now), o.right.MayHold(now))
+	o.scheduler.Tick(now)
+	o.scheduler.Assign(now, now)
+	for _, c := range o.scheduler.Take() {
+		o.carryOut(c)
+	}
+	o.commit()
+}
+
+func (o *owner) carryOut(c schedule.Command) {
+	w := o.n.w
+	switch c := c.(type) {
+	case schedule.Save, schedule.SaveRoster, schedule.SaveWave, schedule.SaveOrders:
+		o.queue = append(o.queue, c)
+	case schedule.Start:
+		w.Figures.Starts++
+		o.order(c.VM, callTimeout, func(v *vm, answer func(job.Report)) {
+			answer(v.start(c.Order, o.n.name))
+		}, func(now time.Time, out schedule.Outcome, r job.Report) {
+			o.scheduler.StartAnswered(now, c, out, r)
+		})
+	case schedule.Stop:
+		o.order(c.VM, callTimeout, func(v *vm, answer func(job.Report)) {
+			answer(v.stop(c.Task, c.Attempt, job.Fence(o.fence)))
+		}, func(now time.Time, out schedule.Outcome, r job.Report) {
+			o.scheduler.StopAnswered(now, c, out, r)
+		})
+	case schedule.Hold:
+		o.order(c.VM, c.Order.Wait+holdGrace, func(v *vm, answer func(job.Report)) {
+			v.hold(c.Order, answer)
+		}, func(now time.Time, out schedule.Outcome, r job.Report) {
+			o.scheduler.HoldAnswered(now, c.VM, out, r)
+		})
+	case schedule.Upkeep:
+		o.machineOrder(c.Machine, func(m *machine) { w.upkeep(m) }, func(out schedule.Outcome, why job.MachineRefusal) {
+			o.scheduler.UpkeepAnswered(w.now, c, out, why)
+		})
+	case schedule.Move:
+		o.machineOrder(c.Machine, func(m *machine) { w.move(m, c.Pool) }, func(out schedule.Outcome, why job.MachineRefusal) {
+			o.scheduler.MoveAnswered(w.now, c, out, why)
+		})
+	case schedule.ShowWave:
+		w.judge.waveShown(c.State)
+	case schedule.Pace, schedule.Ask, schedule.Forget:
+	}
+}
+
+// order sends an order to a VM, unless the right is over.
+func (o *owner) order(id job.VMID, timeout time.Duration, carryOut func(v *vm, answer func(job.Report)), answer func(time.Time, schedule.Outcome, job.Report)) {
+	w, n := o.n.w, o.n
+	v := w.vms[id]
+	done := false
+	finish := func(out schedule.Outcome, r job.Report) {
+		n.here(o.life, func() {
+			if !done && !o.over {
+				done = true
+				answer(w.now, out, r)
+				o.act()
+			}
+		})
+	}
+	w.after(timeout, func() { finish(schedule.Unanswered, job.Report{}) })
+	if v == nil || n.cutFrom[v.machine.zone] {
+		return
+	}
+	if w.chance(w.judge.lateShare) {
+		w.after(w.between(2*time.Second, 12*time.Second), func() { w.lateOrder(v, carryOut) })
+		return
+	}
+	w.after(w.hop(), func() {
+		if v = w.vms[id]; v == nil || !v.up {
+			return
+		}
+		carryOut(v, func(r job.Report) { w.after(w.hop(), func() { finish(schedule.Answered, r) }) })
+	})
+}
+
+// lateOrder carries out an order that got no answer. The VM has kept it back; a
+// life that has crashed since knows nothing of it.
+func (w *World) lateOrder(v *vm, carryOut func(v *vm, answer func(job.Report))) {
+	if v.up {
+		carryOut(v, func(job.Report) {})
+	}
+}
+
+func (o *owner) machineOrder(id job.MachineID, carryOut func(m *machine), answer func(schedule.Outcome, job.MachineRefusal)) {
+	w, n := o.n.w, o.n
+	w.after(w.hop(), func() {
+		why := w.checkMachine(id, job.Fence(o.fence), n.name)
+		if why == job.MachineAccepted {
+			carryOut(w.machine(id))
+		}
+		w.after(w.hop(), func() {
+			n.here(o.life, func() {
+				if !o.over {
+					answer(schedule.Answered, why)
+				}
+			})
+		})
+	})
+}
+
+// list reads the machines list.
+func (o *owner) list() {
+	o.n.here(o.life, func() {
+		if o.over {
+			return
+		}
+		asked := o.n.w.now
+		list := o.n.w.machinesList()
+		o.n.w.after(4*time.Millisecond, func() {
+			o.n.here(o.life, func() {
+				if !o.over {
+					o.scheduler.Machines(asked, list)
+				}
+			})
+		})
+		o.n.w.after(listEvery, o.list)
+	})
+}
+
+// commit stores what waits, or renews the right.
+func (o *owner) commit() {
+	now := o.n.w.now
+	if o.busy || o.over || (len(o.queue) == 0 && now.Before(o.renewAt)) {
+		return
+	}
+	o.busy = true
+	o.n.w.after(groupFor, func() {
+		o.n.here(o.life, func() {
+			saves := o.queue
+			o.queue = nil
+			o.batch++
+			o.store(saves)
+		})
+	})
+}
+
+func (o *owner) store(saves []schedule.Command) {
+	n, t := o.n, o.n.w.table
+	sent := n.w.now
+	row := renewalRow{life: o.life, node: n.name, batch: o.batch}
+	expected := o.renewal
+	var got commitResult
+	n.call(commitLeast+t.slow*4, true, func() { got = t.commit(o.fence, expected, row, saves) }, func(ok bool) {
+		switch {
+		case !ok:
+			n.w.after(60*time.Millisecond, func() { n.here(o.life, func() { o.store(saves) }) })
+		case got.ok, got.owner == o.fence && got.row == row:
+			o.stored(sent, max(got.version, got.renewal), saves)
+		default:
+			o.leave()
+		}
+	})
+}
+
+func (o *owner) stored(sent time.Time, version int64, saves []schedule.Command) {
+	o.renewal = version
+	o.right.Prove(sent)
+	o.renewAt = o.n.w.now.Add(renewEvery)
+	o.busy = false
+	last := int64(0)
+	for _, c := range saves {
+		switch c := c.(type) {
+		case schedule.Save:
+			last = max(last, c.Sequence)
+		case schedule.SaveRoster:
+			last = max(last, c.Sequence)
+		case schedule.SaveWave:
+			last = max(last, c.Sequence)
+		case schedule.SaveOrders:
+			last = max(last, c.Sequence)
+		}
+	}
+	if last > 0 {
+		o.scheduler.Stored(o.n.w.now, last)
+	}
+	o.act()
+}
+
+// leave ends the tenure: another process is the owner.
+func (o *owner) leave() {
+	o.over = true
+	o.n.owner = nil
+	life := o.life
+	o.n.watch = lease.Watch{}
+	o.n.w.after(lookEvery, func() { o.n.look(life) })
+}
+
+func (w *World) machine(id job.MachineID) *machine {
+	i := slices.IndexFunc(w.machines, func(m *machine) bool { return m.id == id })
+	if i < 0 {
+		return nil
+	}
+	return w.machines[i]
+}
+
+// Decided implements schedule.Observer.
+func (o *owner) Decided(d schedule.Decision) {
+	o.n.w.tell("%s %s %v attempt %d vm %s: %s, age %s", o.n.name, d.What, d.Task, d.Attempt, d.VM, d.Reason, d.Age)
+}
--- /dev/null
+++ b/core/schedule/machine.go
@@ -0,0 +1,155 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+
+	"lavenderpond/core/job"
+)
+
+// machineState is a machine as the platform lists it.
+type machineState struct {
+	job.Machine
+	// listedAt is when the list was asked for that says so.
+	listedAt time.Time
+	// answeredAt is when the last order was answered.
+	answeredAt time.Time
+	// waiting is set while an order has no answer yet, refused if it was refused.
+	waiting bool
+	refused bool
+	// before is the VM that lived on the machine when the order was sent.
+	before job.VMID
+	// retry is when an order without an answer, or one refused, may be given again.
+	retry time.Time
+	// to is the pool that the machine is on its way to; empty if it stays.
+	to job.PoolName
+}
+
+// Machines takes in the machines list that was asked for at asked.
+func (s *Scheduler) Machines(asked time.Time, list []job.Machine) {
+	present := map[job.MachineID]bool{}
+	for _, m := range list {
+		present[m.ID] = true
+		x := s.machines.Get(m.ID)
+		if x == nil {
+			x = &machineState{}
+			s.machines.Set(m.ID, x)
+		}
+		if x.State != m.State || x.VM != m.VM {
+			s.decided(Decision{What: MachineSeen, VM: m.VM, Reason: string(m.ID) + " " + string(m.State)})
+		}
+		x.Machine, x.listedAt = m, asked
+		if v := s.vms.Get(m.VM); v != nil {
+			v.machine = m.ID
+		}
+	}
+	for id := range s.machines.All() {
+		if !present[id] {
+			s.machines.Delete(id)
+		}
+	}
+	for _, v := range s.vms.All() {
+		s.compareMachine(asked, v)
+	}
+}
+
+// compareMachine frees what ran on a VM whose machine is listed with another
+// life: a machine has one life at a time. This frees the tasks of a VM that
+// crashed seconds before its lease would.
+func (s *Scheduler) compareMachine(asked time.Time, v *vmState) {
+	m := s.machines.Get(v.machine)
+	if m == nil || m.VM == "" || m.VM == v.id || !v.firstSeen.Before(asked) {
+		return
+	}
+	s.lifeOver(asked, v, "its machine has another life")
+}
+
+// lifeOver takes in a proof that a VM's life has ended.
+func (s *Scheduler) lifeOver(now time.Time, v *vmState, why string) {
+	v.inheritedUntil = time.Time{}
+	for _, r := range v.runs.All() {
+		if r.phase == runPlanned {
+			s.release(now, r)
+		} else if r.phase == runConfirmed && r.confirmedAt.Before(now) {
+			s.free(now, r, why)
+		}
+	}
+}
+
+// mayOrderMachine tells whether a former owner's order for the machine is long
+// enough ago.
+func (s *Scheduler) mayOrderMachine(now time.Time, id job.MachineID) bool {
+	if !s.mayStart {
+		return false
+	}
+	o := s.recent.Get(id)
+	return o.holder == "" || o.holder == s.settings.Holder || now.After(o.at.Add(s.settings.MachineLease+machineSlack))
+}
+
+// heldOrder is an order for a machine that waits until it is stored that the
+// machine has one: the next owner must know which machines to leave alone.
+type heldOrder struct {
+	after   int64
+	machine job.MachineID
+	command Command
+}
+
+// recentOrder is an order that was given to a machine not long ago.
+type recentOrder struct {
+	holder string
+	// at is when it was given, or if a former owner gave it the take-over.
+	at time.Time
+}
+
+// recentPeriod is how long an order counts as one of late. It covers the periods
+// for which the next owner waits.
+const recentPeriod = 8 * time.Second
+
+func (s *Scheduler) recentOrders() []MachineOrder {
+	var out []MachineOrder
+	for id, o := range s.recent.All() {
+		out = append(out, MachineOrder{Machine: id, Holder: o.holder})
+	}
+	return out
+}
+
+// orderMachine sends an order once it is stored that the machine has one.
+func (s *Scheduler) orderMachine(now time.Time, id job.MachineID, c Command) {
+	for old, o := range s.recent.All() {
+		if now.Sub(o.at) > recentPeriod {
+			s.recent.Delete(old)
+		}
+	}
+	s.recent.Set(id, recentOrder{holder: s.settings.Holder, at: now})
+	s.ordersDirty = true
+	s.held = append(s.held, heldOrder{after: s.nextSave(), machine: id, command: c})
+}
+
+// sendHeld sends the orders whose saves are stored. One for a machine on which
+// something has begun since counts as refused.
+func (s *Scheduler) sendHeld(now time.Time) {
+	s.held = slices.DeleteFunc(s.held, func(h heldOrder) bool {
+		if h.after > s.stored {
+			return false
+		}
+		m := s.machines.Get(h.machine)
+		if m == nil {
+			return true
+		}
+		v := s.vms.Get(m.VM)
+		if s.mayStart && (v == nil || v.runs.Len() == 0) {
+			s.emit(h.command)
+			return true
+		}
+		switch c := h.command.(type) {
+		case Move:
+			s.MoveAnswered(now, c, NotDone, job.MachineAccepted)
+		case Upkeep:
+			s.UpkeepAnswered(now, c, NotDone, job.MachineAccepted)
+		}
+		return true
+	})
+}
+
+// machineSlack covers orders that a former owner sent while its right lasted.
+const machineSlack = 1500 * time.Millisecond
--- a/core/schedule/pools.go
+++ b/core/schedule/pools.go
@@ -238,7 +238,7 @@
 
 func (s *Scheduler) orderMove(now time.Time, x sizing.Move) {
 	m := s.machines.Get(x.Machine)
-	m.to, m.ordered, m.waiting, m.before = x.To, now, true, m.VM
+	m.to, m.waiting, m.before = x.To, true, m.VM
 	m.answeredAt = time.Time{}
 	if v := s.vms.Get(m.VM); v != nil {
 		v.cordoned = true
--- a/core/schedule/upkeep.go
+++ b/core/schedule/upkeep.go
@@ -8,25 +8,6 @@
 	"lavenderpond/core/job"
 )
 
-// machineState is a machine as the platform lists it.
-type machineState struct {
-	job.Machine
-	// listedAt is when the list was asked for that says so.
-	listedAt time.Time
-	// answeredAt is when the last order was answered.
-	answeredAt time.Time
-	// ordered is when an order was sent that isn't known to be over.
-	ordered time.Time
-	// waiting is set while an order has no answer yet, refused if it was refused.
-	waiting bool
-	refused bool
-	// before is the VM that lived on the machine when the order was sent.
-	before job.VMID
-	retry  time.Time
-	// to is the pool that the machine is on its way to; empty if it stays.
-	to job.PoolName
-}
-
 // waveState is a wave that isn't over.
 type waveState struct {
 	job.Wave
@@ -45,57 +26,6 @@
 	machineRetry = 500 * time.Millisecond
 )
 
-// Machines takes in the machines list that was asked for at asked.
-func (s *Scheduler) Machines(asked time.Time, list []job.Machine) {
-	present := map[job.MachineID]bool{}
-	for _, m := range list {
-		present[m.ID] = true
-		x := s.machines.Get(m.ID)
-		if x == nil {
-			x = &machineState{}
-			s.machines.Set(m.ID, x)
-		}
-		if x.State != m.State || x.VM != m.VM {
-			s.decided(Decision{What: MachineSeen, VM: m.VM, Reason: string(m.ID) + " " + string(m.State)})
-		}
-		x.Machine, x.listedAt = m, asked
-		if v := s.vms.Get(m.VM); v != nil {
-			v.machine = m.ID
-		}
-	}
-	for id := range s.machines.All() {
-		if !present[id] {
-			s.machines.Delete(id)
-		}
-	}
-	for _, v := range s.vms.All() {
-		s.compareMachine(asked, v)
-	}
-}
-
-// compareMachine frees what ran on a VM whose machine is listed with another
-// life: a machine has one life at a time. This frees the tasks of a VM that
-// crashed seconds before its lease would.
-func (s *Scheduler) compareMachine(asked time.Time, v *vmState) {
-	m := s.machines.Get(v.machine)
-	if m == nil || m.VM == "" || m.VM == v.id || !v.firstSeen.Before(asked) {
-		return
-	}
-	s.lifeOver(asked, v, "its machine has another life")
-}
-
-// lifeOver takes in a proof that a VM's life has ended.
-func (s *Scheduler) lifeOver(now time.Time, v *vmState, why string) {
-	v.inheritedUntil = time.Time{}
-	for _, r := range v.runs.All() {
-		if r.phase == runPlanned {
-			s.release(now, r)
-		} else if r.phase == runConfirmed && r.confirmedAt.Before(now) {
-			s.free(now, r, why)
-		}
-	}
-}
-
 // AddWave takes in a wave and which of its machines are done already, as far as
 // that is stored; a wave that is known is left as it is.
 func (s *Scheduler) AddWave(now time.Time, w job.Wave, done []job.MachineID) {
@@ -110,16 +40,6 @@
 	s.decided(Decision{What: WaveChanged, Reason: "begun"})
 }
 
-// HasWaves tells whether upkeep is going on.
-func (s *Scheduler) HasWaves() bool {
-	for _, w := range s.waves.All() {
-		if w.shown != job.WaveCompleted {
-			return true
-		}
-	}
-	return false
-}
-
 // drive moves each wave on: empty machines, order their upkeep, wait for them.
 func (s *Scheduler) drive(now time.Time) {
 	cordoned := map[job.MachineID]bool{}
@@ -149,7 +69,6 @@
 		if m.State == job.MachineUpkeep && !w.away[id] {
 			// A former owner has ordered it.
 			w.away[id] = true
-			m.ordered = m.listedAt
 		}
 		if w.away[id] {
 			cordoned[id] = true
@@ -209,87 +128,9 @@
 	}
 }
 
-// mayOrderMachine tells whether a former owner's order for the machine is long
-// enough ago.
-func (s *Scheduler) mayOrderMachine(now time.Time, id job.MachineID) bool {
-	if !s.mayStart {
-		return false
-	}
-	o := s.recent.Get(id)
-	return o.holder == "" || o.holder == s.settings.Holder || now.After(o.at.Add(s.settings.MachineLease+machineSlack))
-}
-
-// heldOrder is an order for a machine that waits until it is stored that the
-// machine has one: the next owner must know which machines to leave alone.
-type heldOrder struct {
-	after   int64
-	machine job.MachineID
-	command Command
-}
-
-// recentOrder is an order that was given to a machine not long ago.
-type recentOrder struct {
-	holder string
-	// at is when it was given, or if a former owner gave it the take-over.
-	at time.Time
-}
-
-// recentPeriod is how long an order counts as one of late. It covers the periods
-// for which the next owner waits.
-const recentPeriod = 8 * time.Second
-
-func (s *Scheduler) recentOrders() []MachineOrder {
-	var out []MachineOrder
-	for id, o := range s.recent.All() {
-		out = append(out, MachineOrder{Machine: id, Holder: o.holder})
-	}
-	return out
-}
-
-// orderMachine sends an order once it is stored that the machine has one.
-func (s *Scheduler) orderMachine(now time.Time, id job.MachineID, c Command) {
-	for old, o := range s.recent.All() {
-		if now.Sub(o.at) > recentPeriod {
-			s.recent.Delete(old)
-		}
-	}
-	s.recent.Set(id, recentOrder{holder: s.settings.Holder, at: now})
-	s.ordersDirty = true
-	s.held = append(s.held, heldOrder{after: s.nextSave(), machine: id, command: c})
-}
-
-// sendHeld sends the orders whose saves are stored. One for a machine on which
-// something has begun since counts as refused.
-func (s *Scheduler) sendHeld(now time.Time) {
-	s.held = slices.DeleteFunc(s.held, func(h heldOrder) bool {
-		if h.after > s.stored {
-			return false
-		}
-		m := s.machines.Get(h.machine)
-		if m == nil {
-			return true
-		}
-		v := s.vms.Get(m.VM)
-		if s.mayStart && (v == nil || v.runs.Len() == 0) {
-			s.emit(h.command)
-			return true
-		}
-		switch c := h.command.(type) {
-		case Move:
-			s.MoveAnswered(now, c, NotDone, job.MachineAccepted)
-		case Upkeep:
-			s.UpkeepAnswered(now, c, NotDone, job.MachineAccepted)
-		}
-		return true
-	})
-}
-
-// machineSlack covers orders that a former owner sent while its right lasted.
-const machineSlack = 1500 * time.Millisecond
-
 func (s *Scheduler) orderUpkeep(now time.Time, w *waveState, m *machineState) {
 	w.away[m.ID] = true
-	m.ordered, m.waiting, m.before = now, true, m.VM
+	m.waiting, m.before = true, m.VM
 	m.retry, m.refused = time.Time{}, false
 	s.orderMachine(now, m.ID, Upkeep{Machine: m.ID, Wave: w.Number})
 }
@@ -327,7 +168,10 @@
 // countBack notes the machines that are back from their upkeep: another life
 // runs on them, or after an accepted order the list says that they are up again.
 func (s *Scheduler) countBack(now time.Time, w *waveState) {
-	for id := range w.away {
+	for _, id := range w.Machines {
+		if !w.away[id] {
+			continue
+		}
 		m := s.machines.Get(id)
 		if m == nil {
 			delete(w.away, id)
--- a/io/node/orders.go
+++ b/io/node/orders.go
@@ -182,29 +182,29 @@
 }
 
 func (o *owner) upkeep(ctx context.Context, c schedule.Upkeep) {
-	if !o.tenure.mayStart(bootNow()) {
-		o.send(ctx, upkeepAnswered{order: c, outcome: schedule.NotDone})
-		return
-	}
-	callCtx, cancel := context.WithTimeout(ctx, machineTimeout)
-	defer cancel()
-	why, err := o.node.machines.Upkeep(callCtx, o.holder(), c.Machine, c.Wave)
-	o.log.Info().Err(err).Str("event", "upkeep_ordered").Str("machine", string(c.Machine)).
-		Int64("wave", c.Wave).Str("refused", string(why)).Send()
-	o.send(ctx, upkeepAnswered{c, outcomeOf(err), why})
+	out, why := o.orderMachine(ctx, "upkeep_ordered", c.Machine, func(ctx context.Context) (job.MachineRefusal, error) {
+		return o.node.machines.Upkeep(ctx, o.holder(), c.Machine, c.Wave)
+	})
+	o.send(ctx, upkeepAnswered{c, out, why})
 }
 
 func (o *owner) move(ctx context.Context, c schedule.Move) {
+	out, why := o.orderMachine(ctx, "move_ordered", c.Machine, func(ctx context.Context) (job.MachineRefusal, error) {
+		return o.node.machines.Move(ctx, o.holder(), c.Machine, c.Pool)
+	})
+	o.send(ctx, moveAnswered{c, out, why})
+}
+
+// orderMachine gives an order for a machine, if this process is still the owner.
+func (o *owner) orderMachine(ctx context.Context, event string, m job.MachineID, order func(ctx context.Context) (job.MachineRefusal, error)) (schedule.Outcome, job.MachineRefusal) {
 	if !o.tenure.mayStart(bootNow()) {
-		o.send(ctx, moveAnswered{order: c, outcome: schedule.NotDone})
-		return
+		return schedule.NotDone, job.MachineAccepted
 	}
 	callCtx, cancel := context.WithTimeout(ctx, machineTimeout)
 	defer cancel()
-	why, err := o.node.machines.Move(callCtx, o.holder(), c.Machine, c.Pool)
-	o.log.Info().Err(err).Str("event", "move_ordered").Str("machine", string(c.Machine)).
-		Str("pool", string(c.Pool)).Str("refused", string(why)).Send()
-	o.send(ctx, moveAnswered{c, outcomeOf(err), why})
+	why, err := order(callCtx)
+	o.log.Info().Err(err).Str("event", event).Str("machine", string(m)).Str("refused", string(why)).Send()
+	return outcomeOf(err), why
 }
 
 // showWave publishes a wave's state until it is stored.
