--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -9,7 +9,6 @@
 
 // takeLists takes in a VM's lists of ends and of what runs.
 func (s *Scheduler) takeLists(now time.Time, v *vmState, r job.Report) {
-	v.reported = r.Clock
 	for _, e := range r.Finished {
 		if e.Number > v.seen {
 			s.takeEnd(now, v, e)
@@ -158,29 +157,23 @@
 		s.confirm(now, r, clock)
 	}
 	r.confirmedClock = max(r.confirmedClock, clock)
-	if e.Percent != r.percent || r.percentAt.IsZero() {
-		r.percent, r.percentAt = e.Percent, now
-	}
-	r.load = e.Load
+	r.percent, r.load = e.Percent, e.Load
 	if e.Checkpoint != "" {
-		r.checkpoint = e.Checkpoint
 		if _, _, _, t := s.task(e.Task); t != nil {
 			t.saved = e.Checkpoint
 		}
 	}
-	s.seeAtWork(now, r)
+	s.seeAtWork(r)
 }
 
 // seeAtWork notes whether a lasting task is at work.
-func (s *Scheduler) seeAtWork(now time.Time, r *run) {
+func (s *Scheduler) seeAtWork(r *run) {
 	_, _, st, t := s.task(r.task)
 	if t == nil || !st.def.Lasting {
 		return
 	}
 	if r.percent >= 100 && !r.stopping {
-		r.atWorkAt = now
 		t.awaySince = time.Time{}
-		t.stoppedByUs = false
 	}
 }
 
@@ -190,7 +183,7 @@
 	j, _, st, t := s.task(e.Task)
 	r := &run{
 		task: e.Task, attempt: e.Attempt, vm: v, phase: runConfirmed, confirmedClock: clock,
-		orderedAt: now, confirmedAt: now, percent: e.Percent, percentAt: now, checkpoint: e.Checkpoint,
+		orderedAt: now, confirmedAt: now, percent: e.Percent, load: e.Load,
 		pace: 100, adopted: true,
 	}
 	if j != nil {
@@ -211,7 +204,7 @@
 		t.saved = e.Checkpoint
 	}
 	s.begin(j)
-	s.seeAtWork(now, r)
+	s.seeAtWork(r)
 }
 
 // takeMissing takes in that a list lacks a run, if the list is newer than all
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -105,9 +105,6 @@
 	}
 	r.stopping = true
 	r.resendStop = now.Add(stopRetry)
-	if _, _, st, t := s.task(r.task); t != nil && st.def.Lasting {
-		t.stoppedByUs = true
-	}
 	s.decided(Decision{
 		What: TaskStopping, Job: r.task.Job, Task: r.task, Attempt: r.attempt, VM: r.vm.id, Reason: why,
 	})
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -196,7 +196,6 @@
 	if j == nil || j.over() {
 		return
 	}
-	j.cancelled, j.cancelledAt = true, now
 	s.decided(Decision{What: JobCancelled, Job: id, After: now.Sub(j.arrived)})
 	s.finish(now, j, job.Cancelled)
 }
--- a/core/schedule/state.go
+++ b/core/schedule/state.go
@@ -40,11 +40,8 @@
 	orderedAt      time.Time
 	confirmedAt    time.Time
 	percent        int
-	percentAt      time.Time
 	load           int64
-	atWorkAt       time.Time
 	pace           int
-	checkpoint     job.Checkpoint
 	// stopping is set once its end was ordered; resendStop is when to repeat that.
 	stopping   bool
 	resendStop time.Time
@@ -66,8 +63,6 @@
 	shunned job.VMID
 	// awaySince is when a lasting task was last seen at work, or ended.
 	awaySince time.Time
-	// stoppedByUs is set while a lasting task is away because of our order.
-	stoppedByUs bool
 }
 
 // live returns the run of the task that isn't stopping, or nil.
@@ -111,8 +106,6 @@
 	state       job.State
 	occurrences []*occurrence
 	doneCount   int
-	cancelled   bool
-	cancelledAt time.Time
 	begun       bool
 	inherited   bool
 	lasting     bool
@@ -136,7 +129,6 @@
 	id      job.VMID
 	address string
 	pool    job.PoolName
-	zone    string
 	rack    job.Label
 	labels  map[job.Label]bool
 	room    job.Room
@@ -147,11 +139,8 @@
 	listed     bool
 	unlistedAt time.Time
 	draining   bool
-	leavesAt   time.Time
 
 	clock lease.Clock
-	// reported is the clock of the newest list.
-	reported job.VMClock
 	// leaseEnd is the latest deadline that any order carried.
 	leaseEnd job.VMClock
 	runs     ordered[runKey, *run]
--- a/core/schedule/vm.go
+++ b/core/schedule/vm.go
@@ -65,7 +65,7 @@
 	if v.address != e.Address || v.pool != e.Pool {
 		s.enroll(v)
 	}
-	v.listed, v.address, v.pool, v.zone = true, e.Address, e.Pool, e.Zone
+	v.listed, v.address, v.pool = true, e.Address, e.Pool
 	v.room = e.Room
 	if e.Machine != "" {
 		v.machine = e.Machine
@@ -76,7 +76,6 @@
 	v.setLabels(e.Labels)
 	if e.Draining && !v.draining {
 		s.decided(Decision{What: VMDraining, VM: v.id, Reason: e.LeavesIn.String()})
-		v.leavesAt = now.Add(e.LeavesIn)
 	}
 	v.draining = e.Draining
 }
@@ -134,7 +133,7 @@
 func (s *Scheduler) reborn(now time.Time, v *vmState, born job.Born) {
 	s.decided(Decision{What: VMReborn, VM: v.id})
 	v.born = born
-	v.clock, v.reported, v.leaseEnd = lease.Clock{}, 0, 0
+	v.clock, v.leaseEnd = lease.Clock{}, 0
 	v.seen, v.noted, v.unsure = 0, 0, nil
 	v.heldOnce, v.nextHold = false, now
 	v.inheritedUntil = time.Time{}
