Show no backlog before the owner has counted

Such a row says now that it isn't counted, and callers are told to come back. Ruled out: the count itself (jobs without a confirmed start, as before); the age of the row (it was fresh). Test red without the check.

--- a/io/node/commit.go
+++ b/io/node/commit.go
@@ -75,7 +75,8 @@
 	// typical is the smoothed time of an answer.
 	typical time.Duration
 	// stored is called after each transaction with the last sequence stored.
-	stored  func(sequence int64)
+	stored func(sequence int64)
+	// backlog returns the count of jobs that haven't begun, or nil before the first.
 	backlog func() map[job.QueueName]int
 	took    func(d time.Duration)
 
@@ -173,7 +174,8 @@
 		{RowKey: ownerKey, Version: c.tenure.fence},
 		{RowKey: renewalKey, Version: c.renewal},
 	}}
-	value, err := encode(renewalRow{Life: c.tenure.life, Batch: c.batch, Backlog: c.backlog()})
+	backlog := c.backlog()
+	value, err := encode(renewalRow{Life: c.tenure.life, Batch: c.batch, Counted: backlog != nil, Backlog: backlog})
 	if err != nil {
 		return tx, err
 	}
--- a/io/node/front.go
+++ b/io/node/front.go
@@ -162,8 +162,8 @@
 		f.failed(w, c, err)
 		return
 	}
-	if version == 0 || f.renewals.age(bootNow(), version) > backlogAge {
-		f.deny(w, c.call, "", platform.DeniedUnavailable, "the count is too old")
+	if !r.Counted || f.renewals.age(bootNow(), version) > backlogAge {
+		f.deny(w, c.call, "", platform.DeniedUnavailable, "no count that is new enough")
 		return
 	}
 	platform.WriteBacklog(w, r.Backlog[c.queue.Name])
--- a/io/node/node_test.go
+++ b/io/node/node_test.go
@@ -202,3 +202,36 @@
 	omitted, ok := l.admit(schedule.TaskStarted)
 	assert.Assert(t, ok && omitted == left, "%d of %d", omitted, left)
 }
+
+// A new owner renews its right before it has read the jobs. It hasn't counted
+// them yet; callers must not be told that none is waiting.
+func TestBacklogIsNotShownBeforeItIsCounted(t *testing.T) {
+	for renewal, want := range map[string]int{
+		`{"life":"new","batch":1}`:                                     http.StatusServiceUnavailable,
+		`{"life":"new","batch":2,"counted":true,"backlog":{"open":6}}`: http.StatusOK,
+	} {
+		value, err := json.Marshal([]byte(renewal))
+		assert.NilError(t, err)
+		_, table := newFakeTable(t, status(http.StatusOK,
+			`{"rows":[{"table":"lavenderpond_owner","part":"main","key":"renewal","value":`+string(value)+`,"ver":9}],"ver":9}`))
+		f := newFront(bootNow())
+		f.jobs = &jobStore{table: table, took: func(time.Duration) {}}
+		w := answer(f, http.MethodGet, "/open/")
+		assert.Equal(t, w.Code, want, renewal)
+		if want == http.StatusOK {
+			assert.Equal(t, w.Body.String(), `{"backlog":6}`)
+		}
+	}
+}
+
+// Before the owner has counted, its row says so.
+func TestUncountedRenewal(t *testing.T) {
+	c := newCommitter(nil)
+	tx, err := c.transaction(nil)
+	assert.NilError(t, err)
+	assert.Assert(t, !strings.Contains(string(tx.Writes[0].Value), "counted"))
+	c.backlog = func() map[job.QueueName]int { return map[job.QueueName]int{} }
+	tx, err = c.transaction(nil)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(string(tx.Writes[0].Value), `"counted":true`))
+}
--- a/io/node/rows.go
+++ b/io/node/rows.go
@@ -82,6 +82,9 @@
 type renewalRow struct {
 	Life  string `json:"life"`
 	Batch int64  `json:"batch"`
+	// Counted is set once the owner has counted: a new one renews its right before
+	// it has read the jobs.
+	Counted bool `json:"counted,omitempty"`
 	// Backlog counts the jobs of each queue that haven't begun.
 	Backlog map[job.QueueName]int `json:"backlog,omitempty"`
 }
