--- a/core/schedule/assign.go
+++ b/core/schedule/assign.go
@@ -185,7 +185,7 @@
 	}
 	r := &run{
 		task: id, attempt: n, vm: v, claim: st.def.Claim(), cost: st.def.Room, account: j.Terms.Account,
-		orderedAt: a.now, pace: 100, after: j.places.Get(v.id),
+		orderedAt: a.now, pace: 100, after: j.places.Get(v.id), fills: st.def.Fills,
 	}
 	s.addRun(r, t)
 	if st.def.SameRack && st.rack == "" {
--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -188,6 +188,7 @@
 	}
 	if j != nil {
 		r.claim, r.cost, r.account = st.def.Claim(), st.def.Room, j.Terms.Account
+		r.fills = st.def.Fills
 	}
 	wanted := j != nil && !j.over() && !t.done && (t.live() == nil || st.def.Speculative)
 	s.addRun(r, t)
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -58,6 +58,9 @@
 func (s *Scheduler) addRun(r *run, t *taskState) {
 	r.vm.runs.Set(runKey{r.task, r.attempt}, r)
 	r.vm.used = r.vm.used.Plus(r.claim)
+	if r.fills {
+		r.vm.fills++
+	}
 	s.running[r.account] = s.running[r.account].Plus(r.cost)
 	if t != nil {
 		t.runs = append(t.runs, r)
@@ -72,6 +75,12 @@
 	}
 	r.vm.runs.Delete(k)
 	r.vm.used = r.vm.used.Minus(r.claim)
+	if r.fills {
+		r.vm.fills--
+	}
+	if r.stopping {
+		r.vm.stopping--
+	}
 	r.vm.idleSince = now
 	s.running[r.account] = s.running[r.account].Minus(r.cost)
 	_, _, st, t := s.task(r.task)
@@ -104,6 +113,7 @@
 		return
 	}
 	r.stopping = true
+	r.vm.stopping++
 	r.resendStop = now.Add(stopRetry)
 	s.decided(Decision{
 		What: TaskStopping, Job: r.task.Job, Task: r.task, Attempt: r.attempt, VM: r.vm.id, Reason: why,
@@ -111,14 +121,16 @@
 	s.emit(Stop{VM: r.vm.id, Task: r.task, Attempt: r.attempt})
 }
 
-// repeatStop orders the end again of a run that is still there.
-func (s *Scheduler) repeatStop(now time.Time, r *run) {
-	if !r.stopping || now.Before(r.resendStop) {
-		return
-	}
-	r.resendStop = now.Add(stopRetry)
-	if r.stopClock == 0 || r.phase == runConfirmed {
-		s.emit(Stop{VM: r.vm.id, Task: r.task, Attempt: r.attempt})
+// repeatStops orders the end again of runs on the VM that are still there.
+func (s *Scheduler) repeatStops(now time.Time, v *vmState) {
+	for _, r := range v.runs.All() {
+		if !r.stopping || now.Before(r.resendStop) {
+			continue
+		}
+		r.resendStop = now.Add(stopRetry)
+		if r.stopClock == 0 || r.phase == runConfirmed {
+			s.emit(Stop{VM: v.id, Task: r.task, Attempt: r.attempt})
+		}
 	}
 }
 
--- a/core/schedule/state.go
+++ b/core/schedule/state.go
@@ -49,6 +49,8 @@
 	stopClock job.VMClock
 	// adopted runs were started by a former owner.
 	adopted bool
+	// fills is set for a task that uses what others leave over.
+	fills bool
 }
 
 type taskState struct {
@@ -144,6 +146,10 @@
 	// leaseEnd is the latest deadline that any order carried.
 	leaseEnd job.VMClock
 	runs     ordered[runKey, *run]
+	// fills and stopping count the runs that fill and those whose end is ordered. On
+	// most VMs there is neither, and their runs need not be looked at in each turn.
+	fills    int
+	stopping int
 
 	// seen is the last end taken in, noted the last one that is stored.
 	seen   int64
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -6,10 +6,12 @@
 func (s *Scheduler) Tick(now time.Time) {
 	for _, v := range s.vms.All() {
 		s.expire(now, v)
-		for _, r := range v.runs.All() {
-			s.repeatStop(now, r)
+		if v.stopping > 0 {
+			s.repeatStops(now, v)
+		}
+		if v.fills > 0 {
+			s.pace(now, v)
 		}
-		s.pace(now, v)
 		s.hold(now, v)
 	}
 	s.leaveDraining(now)
