Give each VM and each ordered machine a row of its own

The report says that the store refused a transaction: 'a table, key, version or value is missing or too long'. The roster of all VMs was one row of about 170 bytes a VM; with 349 VMs and those that had just moved it passed 64 KB, and from then on no transaction of any owner was taken. Ruled out: the processor (0.28 of a core), the table's rates (no 429). Test first red by construction: TestLargeFleetFitsTheTable (2,000 VMs; the row was 340 KB). Loading moved to a file of its own; the rows of saves are named in one place.

--- a/core/emulator/owner.go
+++ b/core/emulator/owner.go
@@ -1,6 +1,8 @@
 package emulator
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -45,7 +47,7 @@
 func (o *owner) restore(t *table) {
 	now := o.n.w.now
 	o.scheduler = schedule.New(schedule.Settings{
-		Holder: o.n.name, OrderedBefore: t.orders,
+		Holder: o.n.name, OrderedBefore: valuesByKey(t.orders),
 		Fence: job.Fence(o.fence), AttemptBase: job.Attempt(o.turn * 10_000), TookOver: now,
 		LeaseMax: leaseMax, TaskStop: taskStop,
 		MachineLease: 3 * time.Second,
@@ -53,7 +55,7 @@
 	})
 	s := o.scheduler
 	s.Configure(o.n.w.conf)
-	for _, v := range t.roster.VMs {
+	for _, v := range valuesByKey(t.roster) {
 		s.Inherit(v)
 	}
 	o.takeJobs(now)
@@ -63,6 +65,16 @@
 	}
 }
 
+// valuesByKey returns the values of m in the order of their keys, as the table
+// lists its rows.
+func valuesByKey[K cmp.Ordered, V any](m map[K]V) []V {
+	var out []V
+	for _, k := range slices.Sorted(maps.Keys(m)) {
+		out = append(out, m[k])
+	}
+	return out
+}
+
 // takeJobs takes in what was submitted and cancelled since the last time.
 func (o *owner) takeJobs(now time.Time) {
 	t := o.n.w.table
@@ -136,7 +148,7 @@
 func (o *owner) carryOut(c schedule.Command) {
 	w := o.n.w
 	switch c := c.(type) {
-	case schedule.Save, schedule.SaveRoster, schedule.SaveWave, schedule.SaveOrders:
+	case schedule.Save, schedule.SaveVM, schedule.DropVM, schedule.SaveWave, schedule.SaveOrder, schedule.DropOrder:
 		o.queue = append(o.queue, c)
 	case schedule.Start:
 		w.Figures.Starts++
@@ -287,16 +299,8 @@
 	o.busy = false
 	last := int64(0)
 	for _, c := range saves {
-		switch c := c.(type) {
-		case schedule.Save:
-			last = max(last, c.Sequence)
-		case schedule.SaveRoster:
-			last = max(last, c.Sequence)
-		case schedule.SaveWave:
-			last = max(last, c.Sequence)
-		case schedule.SaveOrders:
-			last = max(last, c.Sequence)
-		}
+		sequence, _ := schedule.SequenceOf(c)
+		last = max(last, sequence)
 	}
 	if last > 0 {
 		o.scheduler.Stored(o.n.w.now, last)
--- a/core/emulator/table.go
+++ b/core/emulator/table.go
@@ -18,9 +18,9 @@
 	renewal        renewalRow
 	renewalVersion int64
 	progress       map[job.ID]job.Progress
-	roster         schedule.Roster
+	roster         map[job.VMID]schedule.RosterVM
 	waves          map[int64][]job.MachineID
-	orders         []schedule.MachineOrder
+	orders         map[job.MachineID]schedule.MachineOrder
 	submitted      []submission
 	cancelled      []job.ID
 	vms            map[job.VMID]job.VMEntry
@@ -62,7 +62,8 @@
 func newTable(w *World) *table {
 	return &table{
 		w: w, progress: map[job.ID]job.Progress{}, waves: map[int64][]job.MachineID{},
-		vms: map[job.VMID]job.VMEntry{}, turnedAway: map[*node]bool{},
+		vms: map[job.VMID]job.VMEntry{}, roster: map[job.VMID]schedule.RosterVM{},
+		orders: map[job.MachineID]schedule.MachineOrder{}, turnedAway: map[*node]bool{},
 	}
 }
 
@@ -103,12 +104,16 @@
 		case schedule.Save:
 			t.progress[c.Job] = c.Progress
 			t.w.judge.shown(c.Job, c.Progress.State)
-		case schedule.SaveRoster:
-			t.roster = c.Roster
+		case schedule.SaveVM:
+			t.roster[c.VM.ID] = c.VM
+		case schedule.DropVM:
+			delete(t.roster, c.VM)
 		case schedule.SaveWave:
 			t.waves[c.Number] = c.Done
-		case schedule.SaveOrders:
-			t.orders = c.Orders
+		case schedule.SaveOrder:
+			t.orders[c.Order.Machine] = c.Order
+		case schedule.DropOrder:
+			delete(t.orders, c.Machine)
 		}
 	}
 	return commitResult{ok: true, version: v, owner: owner, renewal: v}
--- a/core/schedule/command.go
+++ b/core/schedule/command.go
@@ -43,10 +43,16 @@
 	Progress job.Progress
 }
 
-// SaveRoster stores which VMs may run tasks, in order with the other saves.
-type SaveRoster struct {
+// SaveVM stores that tasks may run on a VM, in order with the other saves.
+type SaveVM struct {
 	Sequence int64
-	Roster   Roster
+	VM       RosterVM
+}
+
+// DropVM stores that none can run there any more, in order with the other saves.
+type DropVM struct {
+	Sequence int64
+	VM       job.VMID
 }
 
 // Ask asks which VMs may run a step.
@@ -75,11 +81,17 @@
 	Done     []job.MachineID
 }
 
-// SaveOrders stores which machines may have been given an order of late, in order
+// SaveOrder stores that a machine may have been given an order of late, in order
 // with the other saves.
-type SaveOrders struct {
+type SaveOrder struct {
 	Sequence int64
-	Orders   []MachineOrder
+	Order    MachineOrder
+}
+
+// DropOrder stores that its last order was long ago, in order with the other saves.
+type DropOrder struct {
+	Sequence int64
+	Machine  job.MachineID
 }
 
 // MachineOrder says who gave a machine an order of late.
@@ -97,26 +109,42 @@
 	State  job.WaveState
 }
 
-func (Start) command()      {}
-func (Stop) command()       {}
-func (Pace) command()       {}
-func (Hold) command()       {}
-func (Save) command()       {}
-func (SaveRoster) command() {}
-func (SaveWave) command()   {}
-func (SaveOrders) command() {}
-func (Forget) command()     {}
-func (Ask) command()        {}
-func (Move) command()       {}
-func (Upkeep) command()     {}
-func (ShowWave) command()   {}
-
-// Roster lists the VMs on which the owner may have started tasks.
-type Roster struct {
-	VMs []RosterVM `json:"vms"`
-}
-
-// RosterVM is one VM of a roster.
+func (Start) command()     {}
+func (Stop) command()      {}
+func (Pace) command()      {}
+func (Hold) command()      {}
+func (Save) command()      {}
+func (SaveVM) command()    {}
+func (DropVM) command()    {}
+func (SaveWave) command()  {}
+func (SaveOrder) command() {}
+func (DropOrder) command() {}
+func (Forget) command()    {}
+func (Ask) command()       {}
+func (Move) command()      {}
+func (Upkeep) command()    {}
+func (ShowWave) command()  {}
+
+// SequenceOf returns the sequence of a save; ok is false if c is another command.
+func SequenceOf(c Command) (sequence int64, ok bool) {
+	switch c := c.(type) {
+	case Save:
+		return c.Sequence, true
+	case SaveVM:
+		return c.Sequence, true
+	case DropVM:
+		return c.Sequence, true
+	case SaveWave:
+		return c.Sequence, true
+	case SaveOrder:
+		return c.Sequence, true
+	case DropOrder:
+		return c.Sequence, true
+	}
+	return 0, false
+}
+
+// RosterVM is a VM on which the owner may have started tasks.
 type RosterVM struct {
 	ID      job.VMID      `json:"id"`
 	Machine job.MachineID `json:"machine,omitempty"`
--- a/core/schedule/harness_test.go
+++ b/core/schedule/harness_test.go
@@ -60,15 +60,8 @@
 }
 
 func (h *harness) store(c Command) {
-	switch c := c.(type) {
-	case Save:
-		h.s.Stored(h.now, c.Sequence)
-	case SaveRoster:
-		h.s.Stored(h.now, c.Sequence)
-	case SaveWave:
-		h.s.Stored(h.now, c.Sequence)
-	case SaveOrders:
-		h.s.Stored(h.now, c.Sequence)
+	if sequence, ok := SequenceOf(c); ok {
+		h.s.Stored(h.now, sequence)
 	}
 }
 
--- a/core/schedule/machine.go
+++ b/core/schedule/machine.go
@@ -105,23 +105,16 @@
 // for which the next owner waits.
 const recentPeriod = 8 * time.Second
 
-func (s *Scheduler) recentOrders() []MachineOrder {
-	var out []MachineOrder
-	for id, o := range s.recent.All() {
-		out = append(out, MachineOrder{Machine: id, Holder: o.holder})
-	}
-	return out
-}
-
 // orderMachine sends an order once it is stored that the machine has one.
 func (s *Scheduler) orderMachine(now time.Time, id job.MachineID, c Command) {
 	for old, o := range s.recent.All() {
 		if now.Sub(o.at) > recentPeriod {
 			s.recent.Delete(old)
+			s.dirtyOrders = append(s.dirtyOrders, old)
 		}
 	}
 	s.recent.Set(id, recentOrder{holder: s.settings.Holder, at: now})
-	s.ordersDirty = true
+	s.dirtyOrders = append(s.dirtyOrders, id)
 	s.held = append(s.held, heldOrder{after: s.nextSave(), machine: id, command: c})
 }
 
--- a/core/schedule/save.go
+++ b/core/schedule/save.go
@@ -1,7 +1,6 @@
 package schedule
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -21,18 +20,12 @@
 
 // flushSaves turns all that has changed into saves of one sequence.
 func (s *Scheduler) flushSaves() {
-	if len(s.dirty) == 0 && !s.rosterDirty && !s.ordersDirty && len(s.dirtyWaves) == 0 {
+	if len(s.dirty) == 0 && len(s.dirtyVMs) == 0 && len(s.dirtyOrders) == 0 && len(s.dirtyWaves) == 0 {
 		return
 	}
 	s.sequence++
-	if s.rosterDirty {
-		s.rosterDirty = false
-		s.emit(SaveRoster{Sequence: s.sequence, Roster: s.roster()})
-	}
-	if s.ordersDirty {
-		s.ordersDirty = false
-		s.emit(SaveOrders{Sequence: s.sequence, Orders: s.recentOrders()})
-	}
+	s.flushVMs()
+	s.flushOrders()
 	for _, w := range s.dirtyWaves {
 		s.emit(SaveWave{Sequence: s.sequence, Number: w.Number, Done: slices.Sorted(maps.Keys(w.done))})
 	}
@@ -135,11 +128,27 @@
 	return p
 }
 
-func (s *Scheduler) roster() Roster {
-	var r Roster
-	for _, v := range s.vms.All() {
-		r.VMs = append(r.VMs, RosterVM{ID: v.id, Address: v.address, Pool: v.pool, Born: v.born, Machine: v.machine})
+// flushVMs saves what has changed in the roster. Each VM has a row of its own: the
+// table bounds the size of a row, and one for 350 VMs is beyond it.
+func (s *Scheduler) flushVMs() {
+	for _, id := range s.dirtyVMs {
+		if v := s.vms.Get(id); v != nil {
+			s.emit(SaveVM{Sequence: s.sequence, VM: v.rostered})
+		} else {
+			s.emit(DropVM{Sequence: s.sequence, VM: id})
+		}
+	}
+	s.dirtyVMs = nil
+}
+
+// flushOrders saves which machines have been given an order of late.
+func (s *Scheduler) flushOrders() {
+	for _, id := range s.dirtyOrders {
+		if o := s.recent.Get(id); o.holder != "" {
+			s.emit(SaveOrder{Sequence: s.sequence, Order: MachineOrder{Machine: id, Holder: o.holder}})
+		} else {
+			s.emit(DropOrder{Sequence: s.sequence, Machine: id})
+		}
 	}
-	slices.SortFunc(r.VMs, func(a, b RosterVM) int { return cmp.Compare(a.ID, b.ID) })
-	return r
+	s.dirtyOrders = nil
 }
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -57,8 +57,8 @@
 	held    []heldOrder
 	// recent are the machines with an order of late.
 	recent      ordered[job.MachineID, recentOrder]
-	ordersDirty bool
-	rosterDirty bool
+	dirtyOrders []job.MachineID
+	dirtyVMs    []job.VMID
 	dirtyWaves  []*waveState
 	// forgetAt is when to look next for ended jobs to forget.
 	forgetAt time.Time
@@ -120,6 +120,7 @@
 	if v.address == "" {
 		v.address, v.pool, v.born, v.machine = r.Address, r.Pool, r.Born, r.Machine
 	}
+	v.rostered = r
 	v.inheritedUntil = lease.InheritedEnd(s.settings.TookOver, s.settings.LeaseMax)
 }
 
--- a/core/schedule/state.go
+++ b/core/schedule/state.go
@@ -173,7 +173,9 @@
 	failedRuns int
 	suspect    time.Time
 	fullUntil  time.Time
-	// inRoster is the save after which tasks may start here.
+	// rostered is what the roster says of the VM, inRoster the save of that: tasks may
+	// start here once it is stored.
+	rostered RosterVM
 	inRoster int64
 	// cordoned VMs get no new tasks since their machine is due for upkeep.
 	cordoned bool
--- a/core/schedule/vm.go
+++ b/core/schedule/vm.go
@@ -54,17 +54,13 @@
 // VMSeen takes in a VM's entry in the directory.
 func (s *Scheduler) VMSeen(now time.Time, e job.VMEntry) {
 	v := s.vm(e.ID)
-	if v.inRoster == 0 {
+	if v.firstSeen.IsZero() {
 		s.decided(Decision{What: VMFound, VM: e.ID, Reason: string(e.Pool)})
-		s.enroll(v)
 		v.nextHold, v.firstSeen, v.idleSince = now, now, now
 	}
 	if e.Born != 0 && v.born != 0 && e.Born > v.born {
 		s.reborn(now, v, e.Born)
 	}
-	if v.address != e.Address || v.pool != e.Pool {
-		s.enroll(v)
-	}
 	v.listed, v.address, v.pool = true, e.Address, e.Pool
 	v.room = e.Room
 	if e.Machine != "" {
@@ -73,6 +69,7 @@
 	if v.born == 0 {
 		v.born = e.Born
 	}
+	s.enroll(v)
 	v.setLabels(e.Labels)
 	if e.Draining && !v.draining {
 		s.decided(Decision{What: VMDraining, VM: v.id, Reason: e.LeavesIn.String()})
@@ -80,10 +77,16 @@
 	v.draining = e.Draining
 }
 
-// enroll puts the VM into the roster; no task starts there before it is stored.
+// enroll puts the VM into the roster, if that says something else of it; no task
+// starts there before it is stored.
 func (s *Scheduler) enroll(v *vmState) {
-	s.rosterDirty = true
+	r := RosterVM{ID: v.id, Address: v.address, Pool: v.pool, Born: v.born, Machine: v.machine}
+	if r == v.rostered {
+		return
+	}
+	v.rostered = r
 	v.inRoster = s.nextSave()
+	s.dirtyVMs = append(s.dirtyVMs, v.id)
 }
 
 func (v *vmState) setLabels(labels []job.Label) {
@@ -288,6 +291,6 @@
 	gone := !v.listed && v.runs.Len() == 0 && !now.Before(v.inheritedUntil) && now.Sub(v.answered) > forgetAfter && now.Sub(v.unlistedAt) > forgetAfter
 	if gone && !v.holding {
 		s.vms.Delete(v.id)
-		s.rosterDirty = true
+		s.dirtyVMs = append(s.dirtyVMs, v.id)
 	}
 }
--- a/io/node/commit.go
+++ b/io/node/commit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -144,27 +145,16 @@
 	if n == 0 {
 		return nil, 0
 	}
-	last = sequenceOf(saves[n-1])
-	if len(c.queue) > 0 && sequenceOf(c.queue[0]) == last {
+	last, _ = schedule.SequenceOf(saves[n-1])
+	if len(c.queue) == 0 {
+		return saves, last
+	}
+	if waits, _ := schedule.SequenceOf(c.queue[0]); waits == last {
 		last--
 	}
 	return saves, last
 }
 
-func sequenceOf(c schedule.Command) int64 {
-	switch c := c.(type) {
-	case schedule.Save:
-		return c.Sequence
-	case schedule.SaveRoster:
-		return c.Sequence
-	case schedule.SaveWave:
-		return c.Sequence
-	case schedule.SaveOrders:
-		return c.Sequence
-	}
-	return 0
-}
-
 // transaction builds what stores the saves. It expects the owner's row and the
 // last renewal unchanged: the first keeps a deposed owner from writing, the
 // second keeps an earlier transaction whose answer was lost from being carried
@@ -180,77 +170,58 @@
 		return tx, err
 	}
 	tx.Writes = append(tx.Writes, platform.Write{RowKey: renewalKey, Value: value})
-	for _, s := range latest(saves) {
-		if err := c.addSave(&tx, s); err != nil {
+	for _, change := range latest(saves) {
+		if change.value == nil {
+			tx.Removals = append(tx.Removals, change.key)
+			continue
+		}
+		value, err := encode(change.value)
+		if err != nil {
 			return tx, err
 		}
+		tx.Writes = append(tx.Writes, platform.Write{RowKey: change.key, Value: value})
 	}
 	return tx, nil
 }
 
-// latest drops saves that a later one of the same row replaces: a transaction
-// may name a row once only.
-func latest(saves []schedule.Command) []schedule.Command {
-	var out []schedule.Command
-	seen := map[job.ID]bool{}
-	roster, orders := false, false
-	waves := map[int64]bool{}
-	for i := len(saves) - 1; i >= 0; i-- {
-		switch s := saves[i].(type) {
-		case schedule.Save:
-			if seen[s.Job] {
-				continue
-			}
-			seen[s.Job] = true
-		case schedule.SaveRoster:
-			if roster {
-				continue
-			}
-			roster = true
-		case schedule.SaveWave:
-			if waves[s.Number] {
-				continue
-			}
-			waves[s.Number] = true
-		case schedule.SaveOrders:
-			if orders {
-				continue
-			}
-			orders = true
-		}
-		out = append(out, saves[i])
-	}
-	return out
+// rowChange is what a save does to a row; without a value it removes it.
+type rowChange struct {
+	key   platform.RowKey
+	value any
 }
 
-func (c *committer) addSave(tx *platform.Transaction, save schedule.Command) error {
-	switch s := save.(type) {
+// changeOf returns the row of a save.
+func changeOf(c schedule.Command) rowChange {
+	switch c := c.(type) {
 	case schedule.Save:
-		value, err := encode(s.Progress)
-		if err != nil {
-			return err
-		}
-		tx.Writes = append(tx.Writes, platform.Write{RowKey: progressKey(s.Job), Value: value})
-	case schedule.SaveRoster:
-		value, err := encode(s.Roster)
-		if err != nil {
-			return err
-		}
-		tx.Writes = append(tx.Writes, platform.Write{RowKey: rosterKey, Value: value})
+		return rowChange{progressKey(c.Job), c.Progress}
+	case schedule.SaveVM:
+		return rowChange{vmKey(c.VM.ID), c.VM}
+	case schedule.DropVM:
+		return rowChange{vmKey(c.VM), nil}
 	case schedule.SaveWave:
-		value, err := encode(waveRow{Done: s.Done})
-		if err != nil {
-			return err
-		}
-		tx.Writes = append(tx.Writes, platform.Write{RowKey: waveKey(s.Number), Value: value})
-	case schedule.SaveOrders:
-		value, err := encode(ordersRow{Orders: s.Orders})
-		if err != nil {
-			return err
+		return rowChange{waveKey(c.Number), waveRow{Done: c.Done}}
+	case schedule.SaveOrder:
+		return rowChange{orderKey(c.Order.Machine), c.Order}
+	case schedule.DropOrder:
+		return rowChange{orderKey(c.Machine), nil}
+	}
+	panic("not a save")
+}
+
+// latest drops saves that a later one of the same row replaces: a transaction
+// may name a row once only.
+func latest(saves []schedule.Command) []rowChange {
+	var out []rowChange
+	seen := map[platform.RowKey]bool{}
+	for _, c := range slices.Backward(saves) {
+		change := changeOf(c)
+		if !seen[change.key] {
+			seen[change.key] = true
+			out = append(out, change)
 		}
-		tx.Writes = append(tx.Writes, platform.Write{RowKey: ordersKey, Value: value})
 	}
-	return nil
+	return out
 }
 
 // store carries out one transaction, however often it takes. It returns
--- /dev/null
+++ b/io/node/commit_test.go
@@ -0,0 +1,58 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lavenderpond/core/job"
+	"lavenderpond/core/schedule"
+	"lavenderpond/platform"
+)
+
+// rowBytes is the largest row that the table takes, on all deployments so far.
+const rowBytes = 65_536
+
+// The owner of a large fleet finds its VMs and orders machines to move. One row
+// for all of them is too long: the table refuses the transaction as malformed,
+// every time, no right is renewed and nothing starts any more, whoever takes over.
+func TestLargeFleetFitsTheTable(t *testing.T) {
+	now := bootNow()
+	s := schedule.New(schedule.Settings{Fence: 5, TookOver: now, LeaseMax: 6 * time.Second, Holder: "edge-somewhere-1"})
+	for i := range 2000 {
+		s.VMSeen(now, job.VMEntry{
+			ID: job.VMID(fmt.Sprintf("%016x", i)), Pool: "some-service", Address: "10.100.200.30:8080",
+			Machine: job.MachineID(fmt.Sprintf("machine-%08d", i)), Born: job.Born(now.UnixMilli()),
+		})
+	}
+	c := newCommitter(nil)
+	c.add(s.Take())
+	rows := 0
+	for {
+		saves, _ := c.next()
+		if len(saves) == 0 {
+			break
+		}
+		tx, err := c.transaction(saves)
+		assert.NilError(t, err)
+		assert.Assert(t, len(tx.Writes)+len(tx.Conditions) <= platform.MaxTransactionRows)
+		for _, w := range tx.Writes {
+			assert.Assert(t, len(w.Value) < rowBytes/4, "%v has %d bytes", w.RowKey, len(w.Value))
+			rows++
+		}
+	}
+	assert.Assert(t, rows >= 2000, "%d rows", rows)
+}
+
+// A VM that is gone leaves the roster in the same order as it came.
+func TestDroppedRowIsRemoved(t *testing.T) {
+	c := newCommitter(nil)
+	tx, err := c.transaction([]schedule.Command{
+		schedule.SaveVM{Sequence: 1, VM: schedule.RosterVM{ID: "v"}}, schedule.DropVM{Sequence: 2, VM: "v"},
+	})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, tx.Removals, []platform.RowKey{vmKey("v")})
+	assert.Equal(t, len(tx.Writes), 1, "the renewal only")
+}
--- a/io/node/node_test.go
+++ b/io/node/node_test.go
@@ -120,7 +120,7 @@
 	}
 	kept := latest(saves)
 	assert.Equal(t, len(kept), 1)
-	assert.Equal(t, kept[0].(schedule.Save).Progress.State, job.Completed)
+	assert.Equal(t, kept[0].value.(job.Progress).State, job.Completed)
 }
 
 func body() job.Job { return job.Job{ID: "0123456789abcdef"} }
--- a/io/node/orders.go
+++ b/io/node/orders.go
@@ -80,7 +80,7 @@
 	var saves []schedule.Command
 	for _, c := range commands {
 		switch c := c.(type) {
-		case schedule.Save, schedule.SaveRoster, schedule.SaveWave, schedule.SaveOrders:
+		case schedule.Save, schedule.SaveVM, schedule.DropVM, schedule.SaveWave, schedule.SaveOrder, schedule.DropOrder:
 			saves = append(saves, c)
 		case schedule.Start:
 			vm := o.orders.client(c.VM)
--- a/io/node/owner.go
+++ b/io/node/owner.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -25,8 +23,6 @@
 	machinesEvery = 500 * time.Millisecond
 	// attemptsPerTurn is more starts of one task than fit into one tenure.
 	attemptsPerTurn = 10_000
-	// loadTimeout bounds each reading when an owner starts.
-	loadTimeout = 2 * time.Second
 )
 
 // owner runs the scheduler for one tenure and carries out its commands.
@@ -95,134 +91,6 @@
 	}
 }
 
-// load reads what the former owner left. It is tried until the right is lost.
-func (o *owner) load(ctx context.Context) error {
-	for ctx.Err() == nil {
-		err := o.loadOnce(ctx)
-		if err == nil {
-			return nil
-		}
-		o.log.Warn().Err(err).Str("event", "load_failed").Send()
-		supervisor.Sleep(ctx, feedRetry)
-	}
-	return context.Cause(ctx)
-}
-
-func (o *owner) loadOnce(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
-	defer cancel()
-	t := o.node.table
-	rosterRow, _, err := t.Get(ctx, rosterKey)
-	if err != nil {
-		return err
-	}
-	roster, err := decodeRow[schedule.Roster](rosterRow)
-	if err != nil {
-		return err
-	}
-	// The progress is read after the jobs: a job that ends in between is then
-	// known to be over.
-	jobs, jobsFrom, err := o.loadJobs(ctx)
-	if err != nil {
-		return err
-	}
-	progress, _, err := t.ListAll(ctx, progressTable, part)
-	if err != nil {
-		return err
-	}
-	waves, _, err := t.ListAll(ctx, waveTable, part)
-	if err != nil {
-		return err
-	}
-	ordersRows, _, err := t.Get(ctx, ordersKey)
-	if err != nil {
-		return err
-	}
-	orders, err := decodeRow[ordersRow](ordersRows)
-	if err != nil {
-		return err
-	}
-	o.jobsFrom = jobsFrom
-	o.scheduler = o.newScheduler(orders)
-	o.restore(roster, jobs, progress, waves)
-	return nil
-}
-
-// newScheduler returns a scheduler for this tenure.
-func (o *owner) newScheduler(before ordersRow) *schedule.Scheduler {
-	b := o.node.settings.Bounds
-	return schedule.New(schedule.Settings{
-		Holder:        o.node.settings.Node,
-		OrderedBefore: before.Orders,
-		Fence:         job.Fence(o.tenure.fence),
-		AttemptBase:   job.Attempt(o.tenure.turn * attemptsPerTurn),
-		TookOver:      o.tookOver,
-		LeaseMax:      b.LeaseMax,
-		TaskStop:      b.TaskStop,
-		MachineLease:  b.MachineLease,
-		Observer:      o.node.observer,
-	})
-}
-
-// loadJobs reads the jobs of all parts at once. The feed goes on from the oldest
-// of the readings.
-func (o *owner) loadJobs(ctx context.Context) ([]platform.Row, platform.Version, error) {
-	var parts [jobParts][]platform.Row
-	var versions [jobParts]platform.Version
-	var failed [jobParts]error
-	var g supervisor.Group
-	for i := range jobParts {
-		g.Go(func() {
-			parts[i], versions[i], failed[i] = o.node.table.ListAll(ctx, jobTable, jobPartName(i))
-		})
-	}
-	g.Wait()
-	for _, err := range failed {
-		if err != nil {
-			return nil, 0, err
-		}
-	}
-	return slices.Concat(parts[:]...), slices.Min(versions[:]), nil
-}
-
-func (o *owner) restore(roster schedule.Roster, jobs, progress, waves []platform.Row) {
-	now := bootNow()
-	o.doneInWaves = map[string][]job.MachineID{}
-	for i := range waves {
-		w, err := decodeRow[waveRow](&waves[i])
-		if err != nil {
-			o.log.Error().Err(err).Msg("wave ignored")
-			continue
-		}
-		o.doneInWaves[waves[i].Key] = w.Done
-	}
-	o.reconfigure(now)
-	for _, v := range roster.VMs {
-		o.scheduler.Inherit(v)
-	}
-	known := o.decodeProgress(progress)
-	for _, id := range slices.Sorted(maps.Keys(known)) {
-		if known[id].State.Final() {
-			o.scheduler.Ended(now, id)
-		}
-	}
-	o.takeJobs(now, jobs, known)
-	o.log.Info().Str("event", "loaded").Int("jobs", len(jobs)).Int("vms", len(roster.VMs)).Send()
-}
-
-func (o *owner) decodeProgress(rows []platform.Row) map[job.ID]*job.Progress {
-	known := map[job.ID]*job.Progress{}
-	for i := range rows {
-		p, err := decodeRow[job.Progress](&rows[i])
-		if err != nil {
-			o.log.Error().Err(err).Msg("progress ignored")
-			continue
-		}
-		known[job.ID(rows[i].Key)] = &p
-	}
-	return known
-}
-
 // takeJobs takes in rows of the job table.
 func (o *owner) takeJobs(now time.Time, rows []platform.Row, known map[job.ID]*job.Progress) {
 	var cancelled []job.ID
--- a/io/node/rows.go
+++ b/io/node/rows.go
@@ -8,7 +8,6 @@
 	"github.com/pkg/errors"
 
 	"lavenderpond/core/job"
-	"lavenderpond/core/schedule"
 	"lavenderpond/platform"
 )
 
@@ -24,11 +23,11 @@
 	jobTable      = "lavenderpond_job"
 	progressTable = "lavenderpond_progress"
 	waveTable     = "lavenderpond_wave"
+	vmTable       = "lavenderpond_vm"
+	orderTable    = "lavenderpond_machine"
 
 	ownerKeyName   = "owner"
 	renewalKeyName = "renewal"
-	rosterKeyName  = "roster"
-	ordersKeyName  = "orders"
 
 	// Suffixes of a job's keys: the job as handed in, and its cancellation.
 	jobSuffix    = "/job"
@@ -38,8 +37,6 @@
 var (
 	ownerKey   = platform.RowKey{Table: ownerTable, Part: part, Key: ownerKeyName}
 	renewalKey = platform.RowKey{Table: ownerTable, Part: part, Key: renewalKeyName}
-	ordersKey  = platform.RowKey{Table: ownerTable, Part: part, Key: ordersKeyName}
-	rosterKey  = platform.RowKey{Table: ownerTable, Part: part, Key: rosterKeyName}
 )
 
 // jobPart returns the part of a job's rows. It depends on nothing but the ID.
@@ -63,6 +60,16 @@
 	return platform.RowKey{Table: waveTable, Part: part, Key: strconv.FormatInt(number, 10)}
 }
 
+// vmKey names the row that says that tasks may run on a VM.
+func vmKey(id job.VMID) platform.RowKey {
+	return platform.RowKey{Table: vmTable, Part: part, Key: string(id)}
+}
+
+// orderKey names the row that says that a machine has been given an order of late.
+func orderKey(id job.MachineID) platform.RowKey {
+	return platform.RowKey{Table: orderTable, Part: part, Key: string(id)}
+}
+
 func progressKey(id job.ID) platform.RowKey {
 	return platform.RowKey{Table: progressTable, Part: part, Key: string(id)}
 }
@@ -94,11 +101,6 @@
 	Done []job.MachineID `json:"done"`
 }
 
-// ordersRow lists the machines that the owner may have given an order of late.
-type ordersRow struct {
-	Orders []schedule.MachineOrder `json:"orders"`
-}
-
 func encode(v any) ([]byte, error) {
 	b, err := json.Marshal(v)
 	return b, errors.Wrap(err, "encode row")
