Ask a VM that leaves a start unanswered, bar the start by name, and give it no more

A VM that answers others was suspected for a second too, after each lost order. Saves of one row now count once in a transaction (TestSavesOfOneRowAreWrittenOnce). Tests: look_test.go.

--- a/core/emulator/owner.go
+++ b/core/emulator/owner.go
@@ -167,7 +167,7 @@
 		o.order(c.VM, c.Order.Wait+holdGrace, func(v *vm, answer func(job.Report)) {
 			v.hold(c.Order, answer)
 		}, func(now time.Time, out schedule.Outcome, r job.Report) {
-			o.scheduler.HoldAnswered(now, c.VM, out, r)
+			o.scheduler.HoldAnswered(now, c, out, r)
 		})
 	case schedule.Upkeep:
 		o.machineOrder(c.Machine, func(m *machine) { w.upkeep(m) }, func(out schedule.Outcome, why job.MachineRefusal) {
--- a/core/schedule/command.go
+++ b/core/schedule/command.go
@@ -30,10 +30,12 @@
 	Percent int
 }
 
-// Hold extends a VM's lease and asks for its lists.
+// Hold extends a VM's lease and asks for its lists. A look asks for them beside
+// the hold that is on its way.
 type Hold struct {
 	VM    job.VMID
 	Order job.HoldOrder
+	Look  bool
 }
 
 // Save stores a job's progress. Saves must be stored in order of Sequence.
--- a/core/schedule/failure_test.go
+++ b/core/schedule/failure_test.go
@@ -20,12 +20,12 @@
 	h.confirm(start)
 	other := map[job.VMID]string{"one": "two", "two": "one"}[start.VM]
 	freed := false
-	h.s.HoldAnswered(h.now, start.VM, Unanswered, job.Report{})
+	h.s.HoldAnswered(h.now, Hold{VM: start.VM}, Unanswered, job.Report{})
 	for range 100 {
 		commands := h.step(100 * time.Millisecond)
 		for _, c := range only[Hold](commands) {
 			if c.VM == start.VM {
-				h.s.HoldAnswered(h.now, c.VM, Unanswered, job.Report{})
+				h.s.HoldAnswered(h.now, c, Unanswered, job.Report{})
 			}
 		}
 		h.lists(other, nil)
@@ -68,7 +68,7 @@
 	h.step(700 * time.Millisecond)
 	h.lists("one", nil)
 	h.step(0)
-	h.s.HoldAnswered(h.now, "one", Answered, job.Report{Clock: 3, Born: 2, Lists: true})
+	h.s.HoldAnswered(h.now, Hold{VM: "one"}, Answered, job.Report{Clock: 3, Born: 2, Lists: true})
 	stops := only[Stop](h.step(0))
 	assert.Assert(t, len(stops) > 0)
 	assert.Equal(t, stops[0].Attempt, start.Order.Attempt)
@@ -134,7 +134,7 @@
 		commands := h.step(100 * time.Millisecond)
 		assert.Equal(t, len(only[Upkeep](commands)), 0)
 		for range only[Hold](commands) {
-			h.s.HoldAnswered(h.now, "one", Unanswered, job.Report{})
+			h.s.HoldAnswered(h.now, Hold{VM: "one"}, Unanswered, job.Report{})
 		}
 	}
 	h.lists("one", nil)
@@ -197,7 +197,7 @@
 	h.s.Machines(h.now, []job.Machine{{ID: "m-one", Pool: poolA, State: job.MachineUp, VM: "one"}})
 	for _, c := range only[Hold](h.step(time.Second)) {
 		if c.VM == "two" {
-			h.s.HoldAnswered(h.now, "two", Unanswered, job.Report{})
+			h.s.HoldAnswered(h.now, Hold{VM: "two"}, Unanswered, job.Report{})
 		}
 	}
 	h.s.AddWave(h.now, job.Wave{Number: 1, Machines: []job.MachineID{"m-one"}, AtOnce: 1}, nil)
--- a/core/schedule/harness_test.go
+++ b/core/schedule/harness_test.go
@@ -76,7 +76,7 @@
 func (h *harness) clock() job.VMClock { return job.VMClock(h.now.Sub(begin).Milliseconds()) + 1000 }
 
 func (h *harness) lists(id string, running []job.RunningTask, ended ...job.End) {
-	h.s.HoldAnswered(h.now, job.VMID(id), Answered, job.Report{
+	h.s.HoldAnswered(h.now, Hold{VM: job.VMID(id)}, Answered, job.Report{
 		Clock: h.clock(), Born: 1, Lists: true, Running: running, Finished: ended,
 	})
 }
--- /dev/null
+++ b/core/schedule/look_test.go
@@ -0,0 +1,99 @@
+package schedule
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lavenderpond/core/job"
+)
+
+// looks returns the looks among commands.
+func looks(commands []Command) []Hold {
+	var out []Hold
+	for _, h := range only[Hold](commands) {
+		if h.Look {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+// answerLook answers a look with what runs on the VM.
+func (h *harness) answerLook(c Hold, running ...job.RunningTask) {
+	h.s.HoldAnswered(h.now, c, Answered, job.Report{Clock: h.clock(), Born: 1, Lists: true, Running: running})
+}
+
+// A VM keeps a start back and carries it out seconds later. The caller's job would
+// wait for the start's timeout, its deadline and the next list, about a second;
+// what is due in two is late then. The VM is asked, the start is barred by name,
+// and the task begins elsewhere within a few turns.
+func TestUnansweredStartGoesElsewhereSoon(t *testing.T) {
+	h := newHarness(t)
+	h.ready("one", "two")
+	h.job("j", "free", small)
+	lost := one[Start](h, h.step(10*time.Millisecond))
+	commands := h.step(answerDue + 10*time.Millisecond)
+	look := looks(commands)
+	assert.Equal(t, len(look), 1)
+	assert.Equal(t, look[0].Order.Deadline, job.VMClock(0), "a look extends nothing")
+	h.answerLook(look[0])
+	stop := one[Stop](h, h.step(time.Millisecond))
+	assert.Equal(t, stop.Attempt, lost.Order.Attempt)
+	assert.Equal(t, len(only[Start](h.step(time.Millisecond))), 0, "it may still begin")
+	h.s.StopAnswered(h.now, stop, Answered, job.Report{Clock: h.clock(), Born: 1})
+	look = looks(h.step(lookPause))
+	assert.Equal(t, len(look), 1)
+	h.answerLook(look[0])
+	again := one[Start](h, h.step(time.Millisecond))
+	assert.Assert(t, again.Order.Attempt > lost.Order.Attempt)
+}
+
+// The start was carried out and only its answer is lost: the list shows the run,
+// and it goes on.
+func TestLostAnswerOfAStartCostsNothing(t *testing.T) {
+	h := newHarness(t)
+	h.ready("one")
+	h.job("j", "free", small)
+	start := one[Start](h, h.step(10*time.Millisecond))
+	look := looks(h.step(answerDue + 10*time.Millisecond))
+	assert.Equal(t, len(look), 1)
+	h.answerLook(look[0], running(start, 10))
+	commands := h.step(time.Millisecond)
+	assert.Equal(t, len(only[Stop](commands)), 0)
+	assert.Equal(t, h.s.jobs.Get("j").state, job.Running)
+}
+
+// A VM goes dark. Each start that it is still given stays with it for the whole
+// lease, and the caller's job is late. After the first start without an answer it
+// gets no more, until it is heard again.
+func TestDarkVMGetsNoMoreStarts(t *testing.T) {
+	h := newHarness(t)
+	h.ready("one")
+	h.job("j", "free", small)
+	first := one[Start](h, h.step(10*time.Millisecond))
+	h.step(answerDue + 10*time.Millisecond)
+	h.job("k", "free", small)
+	assert.Equal(t, len(only[Start](h.step(50*time.Millisecond))), 0)
+	h.lists("one", []job.RunningTask{running(first, 10)})
+	assert.Equal(t, len(only[Start](h.step(time.Millisecond))), 1)
+}
+
+// A look is answered before a hold that was carried out earlier. The hold's list
+// is older: a run that has ended since must not come back to life with it.
+func TestOlderListIsNotTaken(t *testing.T) {
+	h := newHarness(t)
+	h.ready("one")
+	h.job("j", "free", small)
+	start := one[Start](h, h.step(10*time.Millisecond))
+	h.confirm(start)
+	older := h.clock()
+	h.step(100 * time.Millisecond)
+	end := job.End{Number: 1, Task: start.Order.Task, Attempt: start.Order.Attempt, How: job.EndedFailed}
+	h.lists("one", nil, end)
+	h.s.HoldAnswered(h.now, Hold{VM: "one"}, Answered, job.Report{
+		Clock: older, Born: 1, Lists: true, Running: []job.RunningTask{running(start, 50)},
+	})
+	assert.Equal(t, h.s.vms.Get("one").runs.Len(), 0)
+}
--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -14,6 +14,11 @@
 			s.takeEnd(now, v, e)
 		}
 	}
+	// A look may overtake a hold: what runs is taken from the newest list only.
+	if r.Clock < v.listClock {
+		return
+	}
+	v.listClock = r.Clock
 	present := make(map[runKey]bool, len(r.Running))
 	for i := range r.Running {
 		t := &r.Running[i]
@@ -218,6 +223,7 @@
 		r.vm.lost = append(r.vm.lost, r)
 		s.free(now, r, "did not start in time")
 	case r.phase == runUnanswered && r.stopping && r.stopClock > 0 && clock >= r.stopClock:
+		r.vm.lost = append(r.vm.lost, r)
 		s.free(now, r, "stopped before it began")
 	}
 }
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -29,7 +29,8 @@
 		s.release(now, r)
 		return
 	}
-	r.phase, r.orderedAt = runOrdered, now
+	r.enter(runOrdered)
+	r.orderedAt = now
 	r.startBy = v.clock.Likely(now) + job.VMClock(startWithin.Milliseconds())
 	v.leaseEnd = max(v.leaseEnd, r.startBy)
 	s.decided(Decision{
@@ -78,6 +79,9 @@
 	if r.fills {
 		r.vm.fills--
 	}
+	if r.phase == runOrdered {
+		r.vm.ordered--
+	}
 	if r.stopping {
 		r.vm.stopping--
 	}
@@ -146,7 +150,7 @@
 
 // confirm notes that a run has started.
 func (s *Scheduler) confirm(now time.Time, r *run, clock job.VMClock) {
-	r.phase = runConfirmed
+	r.enter(runConfirmed)
 	// A new life of the VM may have taken a start that was meant for the former
 	// one: its lease counts from here.
 	longest := clock + job.VMClock(s.settings.LeaseMax.Milliseconds())
@@ -182,8 +186,10 @@
 		s.confirm(now, r, rep.Clock)
 		return
 	case out == Unanswered:
-		r.phase = runUnanswered
-		v.suspect = now.Add(suspicion)
+		r.enter(runUnanswered)
+		if v.answered.Before(r.orderedAt) {
+			v.suspect = now.Add(suspicion)
+		}
 		return
 	case out == Answered && rep.Refused == job.RefusedRoom:
 		v.fullUntil = now.Add(fullPause)
@@ -223,7 +229,7 @@
 		r.stopClock = rep.Clock
 		if r.phase == runOrdered {
 			// The start was overtaken: it can't begin any more.
-			r.phase = runUnanswered
+			r.enter(runUnanswered)
 		}
 	}
 }
--- a/core/schedule/state.go
+++ b/core/schedule/state.go
@@ -53,6 +53,17 @@
 	fills bool
 }
 
+// enter moves the run to another phase.
+func (r *run) enter(p runPhase) {
+	if r.phase == runOrdered {
+		r.vm.ordered--
+	}
+	if p == runOrdered {
+		r.vm.ordered++
+	}
+	r.phase = p
+}
+
 type taskState struct {
 	done    bool
 	failed  []job.Attempt
@@ -150,6 +161,15 @@
 	// most VMs there is neither, and their runs need not be looked at in each turn.
 	fills    int
 	stopping int
+	// ordered counts the starts that wait for their answer.
+	ordered int
+	// doubtful VMs leave a start without an answer, and nothing was heard of them since.
+	doubtful bool
+	// looking is set while a look is on its way, which was sent at lookedAt.
+	looking  bool
+	lookedAt time.Time
+	// listClock is the VM's clock of the newest list taken in.
+	listClock job.VMClock
 
 	// seen is the last end taken in, noted the last one that is stored.
 	seen   int64
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -6,6 +6,7 @@
 func (s *Scheduler) Tick(now time.Time) {
 	for _, v := range s.vms.All() {
 		s.expire(now, v)
+		s.look(now, v)
 		if v.stopping > 0 {
 			s.repeatStops(now, v)
 		}
--- a/core/schedule/vm.go
+++ b/core/schedule/vm.go
@@ -137,7 +137,7 @@
 	s.decided(Decision{What: VMReborn, VM: v.id})
 	v.born = born
 	v.clock, v.leaseEnd = lease.Clock{}, 0
-	v.seen, v.noted, v.unsure = 0, 0, nil
+	v.seen, v.noted, v.unsure, v.listClock = 0, 0, nil, 0
 	v.heldOnce, v.nextHold = false, now
 	v.inheritedUntil = time.Time{}
 	s.enroll(v)
@@ -156,7 +156,7 @@
 			s.free(now, r, "VM lives anew")
 			continue
 		}
-		r.phase = runUnanswered
+		r.enter(runUnanswered)
 		r.confirmedClock = 0
 		s.stop(now, r, "VM lives anew")
 	}
@@ -164,7 +164,7 @@
 
 // usable tells whether new tasks may start on the VM.
 func (s *Scheduler) usable(now time.Time, v *vmState) bool {
-	return v.takesTasks() && !v.cordoned && v.inRoster <= s.stored && !now.Before(v.suspect) && !now.Before(v.fullUntil)
+	return v.takesTasks() && !v.cordoned && v.inRoster <= s.stored && !v.doubtful && !now.Before(v.suspect) && !now.Before(v.fullUntil)
 }
 
 // takesTasks tells whether the VM is there for tasks, as far as is known.
@@ -196,11 +196,15 @@
 }
 
 // HoldAnswered takes in what came of a hold.
-func (s *Scheduler) HoldAnswered(now time.Time, id job.VMID, out Outcome, r job.Report) {
-	v := s.vms.Get(id)
+func (s *Scheduler) HoldAnswered(now time.Time, c Hold, out Outcome, r job.Report) {
+	v := s.vms.Get(c.VM)
 	if v == nil {
 		return
 	}
+	if c.Look {
+		s.lookAnswered(now, v, out, r)
+		return
+	}
 	v.holding = false
 	if out != Answered || !r.Lists {
 		s.holdFailed(now, v, out, r)
--- a/io/node/commit.go
+++ b/io/node/commit.go
@@ -134,12 +134,26 @@
 	supervisor.Sleep(ctx, groupFor)
 }
 
+// fitting returns how many of the waiting saves fit into one transaction. Saves of
+// one row count once, since only the last of them is written: when the table is
+// slow, a job's saves pile up, and most of them needn't be written at all.
+func (c *committer) fitting() int {
+	rows := map[platform.RowKey]bool{}
+	for i, s := range c.queue {
+		rows[changeOf(s).key] = true
+		if len(rows) > savesEach {
+			return i
+		}
+	}
+	return len(c.queue)
+}
+
 // next takes saves off the queue. last is the sequence up to which all are
 // stored once they are, or 0 if none is whole.
 func (c *committer) next() (saves []schedule.Command, last int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	n := min(len(c.queue), savesEach)
+	n := c.fitting()
 	saves = c.queue[:n:n]
 	c.queue = c.queue[n:]
 	if n == 0 {
--- a/io/node/commit_test.go
+++ b/io/node/commit_test.go
@@ -56,3 +56,23 @@
 	assert.DeepEqual(t, tx.Removals, []platform.RowKey{vmKey("v")})
 	assert.Equal(t, len(tx.Writes), 1, "the renewal only")
 }
+
+// The table is slow and 90 jobs have changed ten times each. One transaction after
+// another for all 900 saves takes seconds, while tasks wait for them to start.
+func TestSavesOfOneRowAreWrittenOnce(t *testing.T) {
+	c := newCommitter(nil)
+	sequence := int64(0)
+	for round := range 10 {
+		for i := range savesEach {
+			sequence++
+			c.add([]schedule.Command{schedule.Save{
+				Sequence: sequence, Job: job.ID(fmt.Sprintf("%016x", i)), Progress: job.Progress{State: job.State(min(round, 1))},
+			}})
+		}
+	}
+	saves, last := c.next()
+	assert.Equal(t, last, sequence)
+	tx, err := c.transaction(saves)
+	assert.NilError(t, err)
+	assert.Equal(t, len(tx.Writes), savesEach+1)
+}
--- a/io/node/event.go
+++ b/io/node/event.go
@@ -36,7 +36,7 @@
 		report  job.Report
 	}
 	holdAnswered struct {
-		vm      job.VMID
+		order   schedule.Hold
 		outcome schedule.Outcome
 		report  job.Report
 	}
--- a/io/node/orders.go
+++ b/io/node/orders.go
@@ -158,13 +158,13 @@
 
 func (o *owner) hold(ctx context.Context, vm *platform.VM, c schedule.Hold) {
 	if !o.tenure.mayHold(bootNow()) {
-		o.send(ctx, holdAnswered{vm: c.VM, outcome: schedule.NotDone})
+		o.send(ctx, holdAnswered{order: c, outcome: schedule.NotDone})
 		return
 	}
 	callCtx, cancel := context.WithTimeout(ctx, c.Order.Wait+holdGrace)
 	defer cancel()
 	r, err := vm.Hold(callCtx, c.Order)
-	o.send(ctx, holdAnswered{c.VM, outcomeOf(err), r})
+	o.send(ctx, holdAnswered{c, outcomeOf(err), r})
 }
 
 func (o *owner) ask(ctx context.Context, c schedule.Ask) {
--- a/io/node/owner.go
+++ b/io/node/owner.go
@@ -179,7 +179,7 @@
 	case stopAnswered:
 		s.StopAnswered(now, e.order, e.outcome, e.report)
 	case holdAnswered:
-		s.HoldAnswered(now, e.vm, e.outcome, e.report)
+		s.HoldAnswered(now, e.order, e.outcome, e.report)
 	case machinesListed:
 		s.Machines(e.asked, e.machines)
 	case upkeepAnswered:
