Prefer VMs where the job has run tasks

Gain looked for: a job is late as soon as one of its tasks is, and the more VMs it touches the likelier one is dark, slow or cut off; and a VM that is new to the job costs a transaction before the start.

--- a/core/schedule/assign.go
+++ b/core/schedule/assign.go
@@ -122,7 +122,7 @@
 			return
 		}
 		id := job.TaskID{Job: j.ID, Occurrence: o.number, Step: i, Index: t}
-		v := a.choose(st, id, task)
+		v := a.choose(placement{job: j, step: st, task: task, id: id})
 		if v == nil {
 			// The other tasks of the step need the same room.
 			return
--- a/core/schedule/place.go
+++ b/core/schedule/place.go
@@ -6,17 +6,23 @@
 	"lavenderpond/core/job"
 )
 
-// choose returns the VM for a task, or nil if none has room. Tasks are packed:
-// the VM with the least room left over takes the task, so that others stay
-// empty for wide tasks, upkeep and other pools.
-func (a *assignment) choose(st *stepState, id job.TaskID, t *taskState) *vmState {
+// placement is a task that wants a VM.
+type placement struct {
+	job  *jobState
+	step *stepState
+	task *taskState
+	id   job.TaskID
+}
+
+// choose returns the VM for a task, or nil if none has room.
+func (a *assignment) choose(p placement) *vmState {
 	var best *vmState
 	var bestCost float64
 	for _, v := range a.vms {
-		if !a.fits(st, id.StepID(), v) || !a.s.usable(a.now, v) {
+		if !a.fits(p.step, p.id.StepID(), v) || !a.s.usable(a.now, v) {
 			continue
 		}
-		c := a.cost(st, id, t, v)
+		c := a.cost(p, v)
 		if best == nil || c < bestCost {
 			best, bestCost = v, c
 		}
@@ -33,30 +39,41 @@
 	// costOpens keeps lasting tasks together: a VM with one can't be emptied
 	// without stopping it.
 	costOpens = 3.0
+	// costNewPlace prefers VMs where the job has run tasks: that these are its places
+	// is stored already, so the task starts a transaction earlier.
+	costNewPlace = 0.2
 )
 
-func (a *assignment) cost(st *stepState, id job.TaskID, t *taskState, v *vmState) float64 {
-	free := float64(v.room.CPU-v.used.CPU) / float64(max(1, v.room.CPU))
-	cost := free
-	if st.def.Lasting {
-		cost = costShared * float64(v.runsOfStep(id.StepID()))
-		if !v.hasLasting(a.s) {
-			cost += costOpens
-		}
-		cost += free
-	}
-	if st.def.Fills || st.def.TailTarget > 0 {
-		cost += costDisturbs * float64(a.s.disturbed(st.def, v))
-	}
-	if t != nil && t.shunned == v.id {
+func (a *assignment) cost(p placement, v *vmState) float64 {
+	// Tasks are packed: of VMs that are equal else, the one with the least room left
+	// takes the task, so that others stay empty for wide tasks, upkeep and other pools.
+	cost := float64(v.room.CPU-v.used.CPU) / float64(max(1, v.room.CPU))
+	if p.step.def.Lasting {
+		cost += a.costOfLasting(p, v)
+	} else if p.job.places.Len() > 0 && !p.job.places.Has(v.id) {
+		cost += costNewPlace
+	}
+	if p.step.def.Fills || p.step.def.TailTarget > 0 {
+		cost += costDisturbs * float64(a.s.disturbed(p.step.def, v))
+	}
+	if p.task.shunned == v.id {
 		cost += costShunned
 	}
-	if st.def.NearRack != "" && v.rack != st.def.NearRack {
+	if p.step.def.NearRack != "" && v.rack != p.step.def.NearRack {
 		cost += costFarRack
 	}
 	return cost
 }
 
+// costOfLasting spreads the tasks of a lasting step over VMs.
+func (a *assignment) costOfLasting(p placement, v *vmState) float64 {
+	cost := costShared * float64(v.runsOfStep(p.id.StepID()))
+	if !v.hasLasting(a.s) {
+		cost += costOpens
+	}
+	return cost
+}
+
 // hasLasting tells whether the VM runs a lasting task.
 func (v *vmState) hasLasting(s *Scheduler) bool {
 	for k := range v.runs.All() {
