Take over after 0.95 s of silence in place of 1.5 s; one look for both owner and contact

Renewals every 0.25 s, looks every 0.15 s, starts end 0.75 s after the last proof. Weak entry VMs look every 0.45 s; since looks tell that the table answers, the feed of the configuration waits 1.2 s in place of 0.4 s, so calls fall. The rows of a take-over are read side by side.

--- a/core/emulator/node.go
+++ b/core/emulator/node.go
@@ -8,9 +8,9 @@
 
 // Periods of the emulated entry VMs; they match those of the real driver.
 const (
-	lookEvery   = 300 * time.Millisecond
+	lookEvery   = 150 * time.Millisecond
 	tickEvery   = 40 * time.Millisecond
-	renewEvery  = 400 * time.Millisecond
+	renewEvery  = 250 * time.Millisecond
 	groupFor    = 12 * time.Millisecond
 	callTimeout = 700 * time.Millisecond
 	commitLeast = 250 * time.Millisecond
--- a/core/lease/right.go
+++ b/core/lease/right.go
@@ -6,17 +6,18 @@
 import "time"
 
 const (
-	// startPeriod is how long after its last proof the owner may start tasks:
-	// two renewals of half a second and a slow answer.
-	startPeriod = 1200 * time.Millisecond
+	// startPeriod is how long after its last proof the owner may start tasks: two
+	// renewals of a quarter of a second and an answer of a slow table.
+	startPeriod = 750 * time.Millisecond
 	// holdPeriod is how long after its last proof the owner may extend leases on
 	// VMs. It outlasts short outages of the table, so that they end no task, and
 	// has an end, so that a new owner knows when a VM it can't reach is free.
 	holdPeriod = 3 * time.Second
 	// silencePeriod is how long the owner's renewal may stand still before
 	// another takes over. It is longer than startPeriod: an owner that reaches
-	// the table again in time stays the owner.
-	silencePeriod = 1500 * time.Millisecond
+	// the table again in time stays the owner. Nothing starts meanwhile, and jobs of
+	// two seconds are late: with 1.5 s nothing started for 2.0 s after a loss.
+	silencePeriod = 950 * time.Millisecond
 )
 
 // Right is the owner's proof that it still is the owner. Its zero value holds
--- a/io/node/commit.go
+++ b/io/node/commit.go
@@ -19,7 +19,7 @@
 const (
 	// renewEvery is how often the owner renews its right if it has nothing to
 	// store: three times within the period for which a proof lasts.
-	renewEvery = 400 * time.Millisecond
+	renewEvery = 250 * time.Millisecond
 	// groupFor gathers saves into one transaction: transactions are priced and
 	// the table takes 300 of them a second.
 	groupFor = 12 * time.Millisecond
@@ -80,6 +80,8 @@
 	// backlog returns the count of jobs that haven't begun, or nil before the first.
 	backlog func() map[job.QueueName]int
 	took    func(d time.Duration)
+	// heard is called when the table has taken a transaction.
+	heard func()
 
 	mu    sync.Mutex
 	queue []schedule.Command
@@ -297,4 +299,5 @@
 func (c *committer) done(sent time.Time, version platform.Version) {
 	c.renewal = version
 	c.tenure.prove(sent)
+	c.heard()
 }
--- a/io/node/lead.go
+++ b/io/node/lead.go
@@ -14,8 +14,13 @@
 )
 
 const (
-	// watchEvery is how often a process that isn't the owner looks at the owner's rows.
-	watchEvery = 300 * time.Millisecond
+	// watchEvery is how often a process that isn't the owner looks at the owner's rows,
+	// from one look to the next. A weak one does so more seldom, but often enough to
+	// know within contactAge that it is cut off from the table.
+	watchEvery     = 150 * time.Millisecond
+	weakWatchEvery = 450 * time.Millisecond
+	// watchPause is the least pause between two looks, for a table that is slow.
+	watchPause = 50 * time.Millisecond
 	// watchTimeout bounds one look.
 	watchTimeout = time.Second
 	// swapTimeout bounds an attempt to take over.
@@ -35,6 +40,8 @@
 	log   zerolog.Logger
 	// weak is set on an entry VM with too little processor time for a large fleet.
 	weak bool
+	// heard is called when the table has answered.
+	heard func()
 	// serve runs a tenure until ctx ends or the right is lost.
 	serve func(ctx context.Context, t *tenure, renewal platform.Version) error
 }
@@ -43,14 +50,13 @@
 func (c *candidacy) run(ctx context.Context) error {
 	w := lease.Watch{Weak: c.weak}
 	for ctx.Err() == nil {
+		next := bootNow().Add(c.every())
 		s, rows, err := c.look(ctx)
 		if err != nil {
 			c.log.Debug().Err(err).Msg("the owner's rows were not read")
-			supervisor.Sleep(ctx, watchEvery)
-			continue
 		}
-		if !w.Due(s) {
-			supervisor.Sleep(ctx, watchEvery)
+		if err != nil || !w.Due(s) {
+			supervisor.Sleep(ctx, max(watchPause, next.Sub(bootNow())))
 			continue
 		}
 		t, renewal, err := c.takeOver(ctx, rows)
@@ -68,6 +74,14 @@
 	return nil
 }
 
+// every returns the period of the looks.
+func (c *candidacy) every() time.Duration {
+	if c.weak {
+		return weakWatchEvery
+	}
+	return watchEvery
+}
+
 // ownerRows are the owner's rows as read.
 type ownerRows struct {
 	owner          ownerRow
@@ -85,6 +99,7 @@
 		return s, out, err
 	}
 	s.Received = bootNow()
+	c.heard()
 	for i := range snapshot.Rows {
 		r := &snapshot.Rows[i]
 		switch r.Key {
--- a/io/node/load.go
+++ b/io/node/load.go
@@ -43,21 +43,26 @@
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	var l legacy
-	var err error
-	// The progress is read after the jobs: a job that ends in between is then
-	// known to be over.
-	if l.jobs, l.jobsFrom, err = o.loadJobs(ctx); err != nil {
-		return l, err
+	var failed [4]error
+	var g supervisor.Group
+	read := func(err *error, rows *[]platform.Row, table string) {
+		g.Go(func() { *rows, _, *err = o.node.table.ListAll(ctx, table, part) })
 	}
-	for _, x := range []struct {
-		rows  *[]platform.Row
-		table string
-	}{{&l.progress, progressTable}, {&l.waves, waveTable}, {&l.vms, vmTable}, {&l.orders, orderTable}} {
-		if *x.rows, _, err = o.node.table.ListAll(ctx, x.table, part); err != nil {
+	read(&failed[0], &l.waves, waveTable)
+	read(&failed[1], &l.vms, vmTable)
+	read(&failed[2], &l.orders, orderTable)
+	l.jobs, l.jobsFrom, failed[3] = o.loadJobs(ctx)
+	g.Wait()
+	for _, err := range failed {
+		if err != nil {
 			return l, err
 		}
 	}
-	return l, nil
+	// The progress is read after the jobs: a job that ends in between is then
+	// known to be over.
+	var err error
+	l.progress, _, err = o.node.table.ListAll(ctx, progressTable, part)
+	return l, err
 }
 
 // loadJobs reads the jobs of all parts at once. The feed goes on from the oldest
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -75,7 +75,7 @@
 	}
 	n.candidacy = &candidacy{
 		table: n.table, node: s.Node, life: hex.EncodeToString(life), log: log, serve: n.serve,
-		weak: s.Cores > 0 && s.Cores < weakBelow,
+		weak: s.Cores > 0 && s.Cores < weakBelow, heard: n.view.heard,
 	}
 	return n, nil
 }
--- a/io/node/operator.go
+++ b/io/node/operator.go
@@ -15,11 +15,11 @@
 
 const (
 	// feedWait is how long a feed waits for a change. A connection that fell
-	// silent is noticed after that and feedGrace, well within the two seconds in
-	// which a configuration must be in force. It is also how soon an entry VM that
-	// is cut off from the table knows it.
-	feedWait  = 400 * time.Millisecond
-	feedGrace = 700 * time.Millisecond
+	// silent is noticed after that and feedGrace, within the two seconds in which a
+	// configuration must be in force. The looks at the owner's rows tell sooner that an
+	// entry VM is cut off from the table, so that feeds needn't: calls are priced.
+	feedWait  = 1200 * time.Millisecond
+	feedGrace = 600 * time.Millisecond
 	// feedRetry is the pause after a failed reading.
 	feedRetry = 100 * time.Millisecond
 	// readTimeout bounds the reading of a whole table.
@@ -63,16 +63,19 @@
 	return v.contact
 }
 
+// heard notes that the table has answered.
+func (v *operatorView) heard() {
+	v.mu.Lock()
+	v.contact = bootNow()
+	v.mu.Unlock()
+}
+
 // follow keeps the view up to date until ctx ends.
 func (v *operatorView) follow(ctx context.Context) error {
 	f := feed{table: v.table, name: platform.OperatorTable, log: v.log}
 	return f.run(ctx, func(rows []platform.Row, _ bool) {
 		v.take(rows)
-	}, func() {
-		v.mu.Lock()
-		v.contact = bootNow()
-		v.mu.Unlock()
-	})
+	}, v.heard)
 }
 
 func (v *operatorView) take(rows []platform.Row) {
