Know slow VMs by the progress of their tasks; take slow runs elsewhere

Cause: a job is late as soon as one of its tasks is on a VM that is slow or lets tasks stand still. A run that moves three times as slowly as its siblings' median is given up if a new one would end sooner, and its VM gets no tasks for 2 s. Found on the way: runs of a former owner seem to have taken no time and made sound ones look slow (TestFoundRunsAreNoMeasure, red without its check). The emulator's VMs tell their progress now.

--- a/core/emulator/vm.go
+++ b/core/emulator/vm.go
@@ -61,6 +61,8 @@
 	task    job.TaskID
 	attempt job.Attempt
 	began   time.Time
+	// takes is how long it runs; 0 if it stands still or lasts.
+	takes   time.Duration
 	fails   bool
 	room    job.Room
 	lasting bool
@@ -194,7 +196,8 @@
 	if r.lasting && !r.fails {
 		return
 	}
-	v.w.after(time.Duration(float64(work)*v.slow), func() {
+	r.takes = time.Duration(float64(work) * v.slow)
+	v.w.after(r.takes, func() {
 		if !v.up || !slices.Contains(v.runs, r) {
 			return
 		}
@@ -206,6 +209,18 @@
 	})
 }
 
+// percent is how far the run has come; a lasting one is at work after its startup.
+func (r *vmRun) percent(now time.Time) int {
+	ran := now.Sub(r.began)
+	switch {
+	case r.lasting && ran >= startup:
+		return 100
+	case r.lasting, r.takes <= 0:
+		return 0
+	}
+	return int(min(99, 100*ran/r.takes))
+}
+
 func (v *vm) stop(t job.TaskID, a job.Attempt, f job.Fence) job.Report {
 	if v.fenced(f) {
 		return v.report(job.RefusedFence)
@@ -256,14 +271,7 @@
 	r.Lists = true
 	r.Finished = slices.Clone(v.ended)
 	for _, x := range v.runs {
-		percent := 50
-		if x.lasting {
-			percent = 0
-			if v.w.now.Sub(x.began) >= startup {
-				percent = 100
-			}
-		}
-		r.Running = append(r.Running, job.RunningTask{Task: x.task, Attempt: x.attempt, Percent: percent})
+		r.Running = append(r.Running, job.RunningTask{Task: x.task, Attempt: x.attempt, Percent: x.percent(v.w.now)})
 	}
 	answer(r)
 }
--- a/core/schedule/command.go
+++ b/core/schedule/command.go
@@ -219,6 +219,7 @@
 	VMGone        What = "vm_gone"
 	VMDraining    What = "vm_draining"
 	VMSuspected   What = "vm_suspected"
+	VMSlow        What = "vm_slow"
 	WaveChanged   What = "wave_changed"
 	MachineSeen   What = "machine_seen"
 	MachineMoved  What = "machine_moved"
--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -53,10 +53,7 @@
 	r := v.runs.Get(runKey{e.Task, e.Attempt})
 	ranFor := time.Duration(0)
 	if r != nil {
-		ranFor = now.Sub(r.confirmedAt)
-		if r.confirmedAt.IsZero() {
-			ranFor = now.Sub(r.orderedAt)
-		}
+		ranFor = r.ranFor(now)
 		s.release(now, r)
 	}
 	if j == nil {
@@ -85,6 +82,21 @@
 	return false
 }
 
+// wholly tells whether this owner has seen all of the run's work: one that went on
+// from a checkpoint or under a former owner has done a part before.
+func (r *run) wholly() bool { return !r.resumed && !r.adopted }
+
+// ranFor returns how long the run took, or 0 if that isn't known of all of it.
+func (r *run) ranFor(now time.Time) time.Duration {
+	switch {
+	case !r.wholly():
+		return 0
+	case r.confirmedAt.IsZero():
+		return now.Sub(r.orderedAt)
+	}
+	return now.Sub(r.confirmedAt)
+}
+
 // taskDone takes in that a task has ended well.
 func (s *Scheduler) taskDone(now time.Time, j *jobState, o *occurrence, st *stepState, t *taskState, v *vmState, ranFor time.Duration) bool {
 	if t.done {
@@ -93,6 +105,7 @@
 	s.judgeSuccess(v)
 	if ranFor > 0 {
 		s.learn(j, ranFor)
+		st.took = append(st.took, ranFor)
 	}
 	if st.def.Gang {
 		for i := range st.tasks {
@@ -162,13 +175,14 @@
 		s.confirm(now, r, clock)
 	}
 	r.confirmedClock = max(r.confirmedClock, clock)
-	r.percent, r.load = e.Percent, e.Load
+	r.percent, r.load, r.listedAt = e.Percent, e.Load, now
 	if e.Checkpoint != "" {
 		if _, _, _, t := s.task(e.Task); t != nil {
 			t.saved = e.Checkpoint
 		}
 	}
 	s.seeAtWork(r)
+	s.watchPace(now, r)
 }
 
 // seeAtWork notes whether a lasting task is at work.
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -31,6 +31,7 @@
 	}
 	r.enter(runOrdered)
 	r.orderedAt = now
+	r.resumed = t.saved != ""
 	r.startBy = v.clock.Likely(now) + job.VMClock(startWithin.Milliseconds())
 	v.leaseEnd = max(v.leaseEnd, r.startBy)
 	s.decided(Decision{
@@ -156,6 +157,9 @@
 	longest := clock + job.VMClock(s.settings.LeaseMax.Milliseconds())
 	r.vm.leaseEnd = max(r.vm.leaseEnd, min(r.startBy, longest))
 	r.confirmedAt = now
+	if !r.resumed {
+		r.markAt = now
+	}
 	r.confirmedClock = max(r.confirmedClock, clock)
 	j := s.jobs.Get(r.task.Job)
 	if j == nil {
--- a/core/schedule/state.go
+++ b/core/schedule/state.go
@@ -51,6 +51,13 @@
 	adopted bool
 	// fills is set for a task that uses what others leave over.
 	fills bool
+	// resumed is set if it went on from a checkpoint.
+	resumed bool
+	// listedAt is when a list last showed its progress; markAt and markPercent are
+	// the reading with which the next one is compared.
+	listedAt    time.Time
+	markAt      time.Time
+	markPercent int
 }
 
 // enter moves the run to another phase.
@@ -76,6 +83,8 @@
 	shunned job.VMID
 	// awaySince is when a lasting task was last seen at work, or ended.
 	awaySince time.Time
+	// rescued counts the runs that were given up as slow.
+	rescued int
 }
 
 // live returns the run of the task that isn't stopping, or nil.
@@ -99,6 +108,8 @@
 	askAt    time.Time
 	// rack is where the step's first task went, if its tasks should share one.
 	rack job.Label
+	// took are the times of the runs that ended well.
+	took []time.Duration
 	// gangAttempt is the attempt that all members share.
 	gangAttempt job.Attempt
 }
@@ -192,7 +203,9 @@
 	// failedRuns counts failed runs since the last that was done.
 	failedRuns int
 	suspect    time.Time
-	fullUntil  time.Time
+	// slowUntil is when the VM may get tasks again after one was slow there.
+	slowUntil time.Time
+	fullUntil time.Time
 	// rostered is what the roster says of the VM, inRoster the save of that: tasks may
 	// start here once it is stored.
 	rostered RosterVM
--- a/core/schedule/vm.go
+++ b/core/schedule/vm.go
@@ -164,7 +164,7 @@
 
 // usable tells whether new tasks may start on the VM.
 func (s *Scheduler) usable(now time.Time, v *vmState) bool {
-	return v.takesTasks() && !v.cordoned && v.inRoster <= s.stored && !v.doubtful && !now.Before(v.suspect) && !now.Before(v.fullUntil)
+	return v.takesTasks() && !v.cordoned && v.inRoster <= s.stored && !v.doubtful && !v.slow(now) && !now.Before(v.suspect) && !now.Before(v.fullUntil)
 }
 
 // takesTasks tells whether the VM is there for tasks, as far as is known.
