Let the owner's transactions wait longer when they are sent again

The owner gave each attempt up after 250 ms, a moment before its answer, and the next one queued behind it; the wait grew by an eighth a time, so no renewal was seen for more than 0.95 s and another took over, which lost the fleet to a third in the same way. A new owner read 64 parts over 32 connections, two rounds of 0.35 s. Ruled out: refusals (no 429), the stops of entry VMs (the owner was stopped at 13.0 s, after it was deposed). Test: TestRenewalOutlastsATableThatTurnsSlow (red before: no such wait; with the old rule the answer comes after 1.3 s).

--- a/io/node/commit.go
+++ b/io/node/commit.go
@@ -248,9 +248,9 @@
 	if err != nil {
 		return err
 	}
-	for ctx.Err() == nil {
+	for attempt := 0; ctx.Err() == nil; attempt++ {
 		sent := bootNow()
-		version, err := c.apply(ctx, tx)
+		version, err := c.apply(ctx, tx, c.patience(attempt))
 		var conflict *platform.ConflictError
 		switch {
 		case err == nil:
@@ -266,18 +266,35 @@
 	return nil
 }
 
-func (c *committer) apply(ctx context.Context, tx platform.Transaction) (platform.Version, error) {
-	patience := min(max(4*c.typical, answerLeast), answerMost)
+func (c *committer) apply(ctx context.Context, tx platform.Transaction, patience time.Duration) (platform.Version, error) {
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	from := bootNow()
 	v, err := c.table.Apply(ctx, tx)
 	took := bootNow().Sub(from)
 	c.took(took)
-	c.typical += (took - c.typical) / 8
+	c.learn(took, !errors.Is(err, platform.ErrNoAnswer))
 	return v, err
 }
 
+// patience returns how long to wait for the answer to an attempt. It doubles with
+// each: a transaction that is given up and sent again takes the part as long as the
+// first. When the table turned slow (258 ms in place of 3 ms), a wait that grew by
+// an eighth each time kept the owner from renewing its right for 1.3 s.
+func (c *committer) patience(attempt int) time.Duration {
+	least := max(4*c.typical, answerLeast)
+	return min(least<<min(attempt, 3), answerMost)
+}
+
+// learn takes in how long an attempt took, with or without an answer.
+func (c *committer) learn(took time.Duration, answered bool) {
+	if answered {
+		c.typical += (took - c.typical) / 8
+		return
+	}
+	c.typical += max(0, took-c.typical) / 2
+}
+
 // settle looks at why a condition failed: the transaction may have been carried
 // out already without an answer.
 func (c *committer) settle(sent time.Time, conflict *platform.ConflictError) error {
--- a/io/node/commit_test.go
+++ b/io/node/commit_test.go
@@ -76,3 +76,25 @@
 	assert.NilError(t, err)
 	assert.Equal(t, len(tx.Writes), savesEach+1)
 }
+
+// The table turns slow while the owner renews its right: 258 ms for a transaction.
+// Each attempt that is given up too early is carried out all the same and holds up
+// the next one; the right runs out and nothing starts.
+func TestRenewalOutlastsATableThatTurnsSlow(t *testing.T) {
+	const slow = 258 * time.Millisecond
+	c := newCommitter(nil)
+	c.learn(4*time.Millisecond, true)
+	// The part carries out one attempt after the other.
+	waited, busyUntil := time.Duration(0), time.Duration(0)
+	for attempt := 0; ; attempt++ {
+		busyUntil = max(busyUntil, waited) + slow
+		patience := c.patience(attempt)
+		if busyUntil-waited <= patience {
+			break
+		}
+		waited += patience
+		c.learn(patience, false)
+	}
+	assert.Assert(t, busyUntil <= 600*time.Millisecond, "answered after %v", busyUntil)
+	assert.Assert(t, c.patience(0) > slow, "the next one waits long enough at once")
+}
