--- a/core/schedule/assign.go
+++ b/core/schedule/assign.go
@@ -188,6 +188,9 @@
 		orderedAt: a.now, pace: 100, after: j.places.Get(v.id), fills: st.def.Fills,
 	}
 	s.addRun(r, t)
+	if j.zone == "" {
+		j.zone = v.zone
+	}
 	if st.def.SameRack && st.rack == "" {
 		st.rack = v.rack
 	}
--- a/core/schedule/place.go
+++ b/core/schedule/place.go
@@ -39,6 +39,10 @@
 	// costOpens keeps lasting tasks together: a VM with one can't be emptied
 	// without stopping it.
 	costOpens = 3.0
+	// costOtherZone keeps the tasks of a job in one availability zone: a job is late
+	// as soon as one of its tasks is, and a zone that is cut off then holds up those
+	// jobs that run in it and not all that have a task there.
+	costOtherZone = 0.3
 	// costNewPlace prefers VMs where the job has run tasks: that these are its places
 	// is stored already, so the task starts a transaction earlier.
 	costNewPlace = 0.2
@@ -50,8 +54,8 @@
 	cost := float64(v.room.CPU-v.used.CPU) / float64(max(1, v.room.CPU))
 	if p.step.def.Lasting {
 		cost += a.costOfLasting(p, v)
-	} else if p.job.places.Len() > 0 && !p.job.places.Has(v.id) {
-		cost += costNewPlace
+	} else {
+		cost += costOfNewPlace(p.job, v)
 	}
 	if p.step.def.Fills || p.step.def.TailTarget > 0 {
 		cost += costDisturbs * float64(a.s.disturbed(p.step.def, v))
@@ -65,6 +69,18 @@
 	return cost
 }
 
+// costOfNewPlace keeps a job in one zone and on VMs where it has run tasks.
+func costOfNewPlace(j *jobState, v *vmState) float64 {
+	cost := 0.0
+	if j.zone != "" && j.zone != v.zone {
+		cost += costOtherZone
+	}
+	if j.places.Len() > 0 && !j.places.Has(v.id) {
+		cost += costNewPlace
+	}
+	return cost
+}
+
 // costOfLasting spreads the tasks of a lasting step over VMs.
 func (a *assignment) costOfLasting(p placement, v *vmState) float64 {
 	cost := costShared * float64(v.runsOfStep(p.id.StepID()))
--- a/core/schedule/state.go
+++ b/core/schedule/state.go
@@ -144,6 +144,8 @@
 	// places are the VMs on which a task may have been started, and the save that
 	// says so.
 	places ordered[job.VMID, int64]
+	// zone is where its first task went.
+	zone string
 }
 
 func (j *jobState) over() bool { return j.state.Final() }
@@ -154,6 +156,7 @@
 	address string
 	pool    job.PoolName
 	rack    job.Label
+	zone    string
 	labels  map[job.Label]bool
 	room    job.Room
 	used    job.Room
--- a/core/schedule/vm.go
+++ b/core/schedule/vm.go
@@ -61,7 +61,7 @@
 	if e.Born != 0 && v.born != 0 && e.Born > v.born {
 		s.reborn(now, v, e.Born)
 	}
-	v.listed, v.address, v.pool = true, e.Address, e.Pool
+	v.listed, v.address, v.pool, v.zone = true, e.Address, e.Pool, e.Zone
 	v.room = e.Room
 	if e.Machine != "" {
 		v.machine = e.Machine
