A randomized fault soak of real daemons

The program cmd/lavenderpond-soak starts daemons as processes of their own against stand-ins of the platform (platform/standin), carries their connections over links that delay, refuse, silence, hold back or cut in one direction (io/link, moved from the stand-ins' command), kills, stops and pauses them by signals, and lets table and VMs fail. It checks what callers and VMs see: no task twice or before its turn, nothing that was refused runs, what was accepted comes to its end, states are true.

--- /dev/null
+++ b/cmd/lavenderpond-soak/main.go
@@ -0,0 +1,74 @@
+// Command lavenderpond-soak runs daemons as processes of their own under seeded
+// faults and checks what callers and VMs see. It ends only processes that it started.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"lavenderpond/io/soak"
+)
+
+// Exit statuses.
+const (
+	exitOK     = 0
+	exitBroken = 1
+	exitFailed = 2
+)
+
+type options struct {
+	Binary   string        `help:"The daemon's program." default:"target/lavenderpond-edge" type:"path"`
+	Folder   string        `help:"Where settings and logs go; one folder below for each seed." default:"run/soak" type:"path"`
+	Seed     uint64        `help:"First seed; each run takes the next one." default:"1"`
+	Runs     int           `help:"How many runs, one after the other." default:"1"`
+	Trouble  time.Duration `help:"How long faults strike in each run." default:"20s"`
+	Entries  int           `help:"Number of daemons." default:"4"`
+	Machines int           `help:"Number of VMs." default:"6"`
+	Callers  int           `help:"Number of callers." default:"4"`
+	Quiet    bool          `help:"Don't print the faults."`
+}
+
+func main() {
+	var o options
+	kong.Parse(&o, kong.Name("lavenderpond-soak"), kong.Description("Seeded faults for real daemons."))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	os.Exit(run(ctx, o))
+}
+
+func run(ctx context.Context, o options) int {
+	status := exitOK
+	for i := range o.Runs {
+		if ctx.Err() != nil {
+			break
+		}
+		seed := o.Seed + uint64(i)
+		s := soak.Soak{
+			Seed: seed, Binary: o.Binary, Folder: filepath.Join(o.Folder, strconv.FormatUint(seed, 10)),
+			Entries: o.Entries, Machines: o.Machines, Callers: o.Callers, Trouble: o.Trouble,
+		}
+		if !o.Quiet {
+			began := time.Now()
+			s.Tell = func(line string) { fmt.Printf("%8.3f s  %s\n", time.Since(began).Seconds(), line) }
+		}
+		broken, figures, err := s.Run(ctx)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return exitFailed
+		}
+		fmt.Printf("seed %d: %d broken; %s\n", seed, len(broken), figures)
+		for _, b := range broken {
+			fmt.Println("  " + b)
+			status = exitBroken
+		}
+	}
+	return status
+}
--- a/cmd/lavenderpond-standin/link.go
+++ b/cmd/lavenderpond-standin/link.go
@@ -6,12 +6,14 @@
 	"net/http"
 	"net/netip"
 	"path"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"lavenderpond/io/link"
 	"lavenderpond/io/supervisor"
 )
 
@@ -27,10 +29,10 @@
 		return err
 	}
 	node := supervisor.Node{Name: "links", Log: log}
-	for _, l := range links {
-		for _, f := range l.forwards {
+	for name, l := range links {
+		for _, f := range l.Forwards {
 			node.Children = append(node.Children, supervisor.Child{
-				Name: l.name, Run: func(ctx context.Context) error { return l.serve(ctx, f) },
+				Name: name, Run: func(ctx context.Context) error { return l.Serve(ctx, f) },
 			})
 		}
 	}
@@ -42,7 +44,7 @@
 }
 
 // linkSet is the links of a process, by name.
-type linkSet map[string]*link
+type linkSet map[string]*link.Link
 
 func parseLinks(forwards []string) (linkSet, error) {
 	links := make(linkSet)
@@ -52,26 +54,26 @@
 			return nil, errors.Wrapf(err, "%q is not NAME=LISTEN=TARGET on loopback", text)
 		}
 		if links[name] == nil {
-			links[name] = newLink(name)
+			links[name] = link.New(name)
 		}
-		links[name].forwards = append(links[name].forwards, f)
+		links[name].Forwards = append(links[name].Forwards, f)
 	}
 	return links, nil
 }
 
-func parseForward(text string) (string, forward, error) {
+func parseForward(text string) (string, link.Forward, error) {
 	parts := strings.Split(text, "=")
 	if len(parts) != 3 {
-		return "", forward{}, errors.Errorf("%d parts", len(parts))
+		return "", link.Forward{}, errors.Errorf("%d parts", len(parts))
 	}
-	var f forward
-	for part, to := range map[string]*netip.AddrPort{parts[1]: &f.listen, parts[2]: &f.target} {
+	var f link.Forward
+	for part, to := range map[string]*netip.AddrPort{parts[1]: &f.Listen, parts[2]: &f.Target} {
 		address, err := netip.ParseAddrPort(part)
 		if err != nil {
-			return "", forward{}, errors.Wrap(err, "address")
+			return "", link.Forward{}, errors.Wrap(err, "address")
 		}
 		if !address.Addr().IsLoopback() {
-			return "", forward{}, errors.Errorf("%s is not a loopback address", part)
+			return "", link.Forward{}, errors.Errorf("%s is not a loopback address", part)
 		}
 		*to = address
 	}
@@ -81,8 +83,8 @@
 // linkOrder says what links should do from now on.
 type linkOrder struct {
 	// Links are patterns of names, as path.Match takes them.
-	Links []string  `json:"links"`
-	State linkState `json:"state"`
+	Links []string   `json:"links"`
+	State link.State `json:"state"`
 	// Delay is added to each direction of an open link.
 	Delay time.Duration `json:"delay"`
 }
@@ -105,7 +107,7 @@
 
 // apply changes the links that the order names; it must name some.
 func (s linkSet) apply(o linkOrder) error {
-	if !contains([]linkState{linkOpen, linkRefused, linkSilent, linkHeld}, o.State) {
+	if !slices.Contains([]link.State{link.Open, link.Refused, link.Silent, link.Held, link.Deaf}, o.State) {
 		return errors.Errorf("unknown state %q", o.State)
 	}
 	found := 0
@@ -114,7 +116,7 @@
 			if ok, err := path.Match(pattern, name); err != nil {
 				return errors.Wrap(err, pattern)
 			} else if ok {
-				l.set(o.State, o.Delay)
+				l.Set(o.State, o.Delay)
 				found++
 				break
 			}
--- a/cmd/lavenderpond-standin/link_test.go
+++ b/cmd/lavenderpond-standin/link_test.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
+	"lavenderpond/io/link"
 	"lavenderpond/io/platform"
 	"lavenderpond/io/supervisor"
 )
@@ -44,7 +45,7 @@
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	var g supervisor.Group
-	g.Go(func() { _ = l.links["a.b"].serve(ctx, l.links["a.b"].forwards[0]) })
+	g.Go(func() { _ = l.links["a.b"].Serve(ctx, l.links["a.b"].Forwards[0]) })
 	g.Go(func() {
 		for conn, err := behind.Accept(); err == nil; conn, err = behind.Accept() {
 			l.taken <- conn
@@ -58,7 +59,7 @@
 	return l
 }
 
-func (l *testLink) tell(state linkState) {
+func (l *testLink) tell(state link.State) {
 	l.t.Helper()
 	assert.NilError(l.t, l.links.apply(linkOrder{Links: []string{"a.*"}, State: state}))
 }
@@ -89,7 +90,7 @@
 // awaitTaken waits until the link has taken n bytes more than before.
 func (l *testLink) awaitTaken(before, n int64) {
 	l.t.Helper()
-	for until := time.Now().Add(linkPatience); l.links["a.b"].taken.Load() < before+n; time.Sleep(time.Millisecond) {
+	for until := time.Now().Add(linkPatience); l.links["a.b"].Taken() < before+n; time.Sleep(time.Millisecond) {
 		assert.Assert(l.t, time.Now().Before(until), "the link takes no bytes")
 	}
 }
@@ -111,12 +112,12 @@
 	here, there := l.connect()
 	assert.Equal(t, pass(t, here, there, "ping"), "ping")
 	assert.Equal(t, pass(t, there, here, "pong"), "pong")
-	l.tell(linkRefused)
+	l.tell(link.Refused)
 	_, err := io.ReadAll(there)
 	assert.Assert(t, err == nil || errors.Is(err, syscall.ECONNRESET), "%v", err)
 	_, err = net.Dial("tcp", l.address)
 	assert.Assert(t, errors.Is(err, syscall.ECONNREFUSED), "%v", err)
-	l.tell(linkOpen)
+	l.tell(link.Open)
 	here, there = l.connect()
 	assert.Equal(t, pass(t, here, there, "again"), "again")
 }
@@ -128,12 +129,12 @@
 	l := newTestLink(t)
 	here, there := l.connect()
 	assert.Equal(t, pass(t, here, there, "before"), "before")
-	l.tell(linkSilent)
-	taken := l.links["a.b"].taken.Load()
+	l.tell(link.Silent)
+	taken := l.links["a.b"].Taken()
 	_, err := io.WriteString(here, "during\n")
 	assert.NilError(t, err)
 	l.awaitTaken(taken, int64(len("during\n")))
-	l.tell(linkOpen)
+	l.tell(link.Open)
 	_, _ = io.WriteString(here, "after\n")
 	got, _ := io.ReadAll(there)
 	assert.Equal(t, string(got), "")
@@ -146,11 +147,11 @@
 func TestLinkHolds(t *testing.T) {
 	l := newTestLink(t)
 	here, there := l.connect()
-	l.tell(linkHeld)
+	l.tell(link.Held)
 	_, err := io.WriteString(here, "late ")
 	assert.NilError(t, err)
 	l.awaitTaken(0, int64(len("late ")))
-	l.tell(linkOpen)
+	l.tell(link.Open)
 	assert.Equal(t, pass(t, here, there, "words"), "late words")
 }
 
@@ -161,7 +162,7 @@
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	assert.NilError(t, links["a.b"].serve(ctx, links["a.b"].forwards[0]))
+	assert.NilError(t, links["a.b"].Serve(ctx, links["a.b"].Forwards[0]))
 }
 
 // TestLinkOrders: an order that would change nothing is refused, as are addresses
@@ -170,7 +171,7 @@
 	links, err := parseLinks([]string{"a.b=127.0.0.1:1=127.0.0.1:2", "a.b=127.0.0.1:3=127.0.0.1:4", "b.a=127.0.0.1:5=127.0.0.1:6"})
 	assert.NilError(t, err)
 	assert.Equal(t, len(links), 2)
-	assert.Equal(t, links["a.b"].forwards[1].target, netip.MustParseAddrPort("127.0.0.1:4"))
+	assert.Equal(t, links["a.b"].Forwards[1].Target, netip.MustParseAddrPort("127.0.0.1:4"))
 	for body, want := range map[string]int{
 		`{"links":["*.b"],"state":"silent"}`: http.StatusOK,
 		`{"links":["c.*"],"state":"silent"}`: http.StatusBadRequest,
@@ -181,8 +182,8 @@
 		links.handler().ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/links", strings.NewReader(body)))
 		assert.Equal(t, w.Code, want, body)
 	}
-	assert.Equal(t, links["a.b"].state, linkSilent)
-	assert.Equal(t, links["b.a"].state, linkOpen)
+	assert.Equal(t, links["a.b"].State(), link.Silent)
+	assert.Equal(t, links["b.a"].State(), link.Open)
 	for _, bad := range []string{"a=127.0.0.1:1", "a=10.0.0.1:1=127.0.0.1:2", "a=127.0.0.1:1=here"} {
 		_, err := parseLinks([]string{bad})
 		assert.Assert(t, err != nil, bad)
--- /dev/null
+++ b/io/soak/faults.go
@@ -0,0 +1,163 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"syscall"
+	"time"
+
+	"lavenderpond/io/link"
+	"lavenderpond/io/supervisor"
+	"lavenderpond/platform/standin"
+)
+
+// fault is one kind of trouble: it strikes and, after a while, heals.
+type fault struct {
+	name string
+	// strike begins it and returns what heals it.
+	strike func(f *fleet, rng *rand.Rand) (what string, heal func())
+}
+
+const (
+	// faultLeast and faultMost bound how long a fault lasts.
+	faultLeast = 300 * time.Millisecond
+	faultMost  = 5 * time.Second
+	// faultPause is the mean pause between the beginnings of two faults, so that
+	// about three go on at a time.
+	faultPause = 800 * time.Millisecond
+	// stopPatience is how long a daemon may take to stop: the platform kills it after
+	// six seconds.
+	stopPatience = 6 * time.Second
+)
+
+// harms are what can be done to a link.
+var harms = []link.State{link.Refused, link.Silent, link.Held, link.Deaf}
+
+// faults are all kinds. The order must not change: seeds choose by it.
+var faults = []fault{
+	{"kill", func(f *fleet, rng *rand.Rand) (string, func()) {
+		e := f.entries[rng.IntN(len(f.entries))]
+		e.signal(syscall.SIGKILL)
+		return e.name, func() { f.restart(e) }
+	}},
+	{"stop", func(f *fleet, rng *rand.Rand) (string, func()) {
+		e := f.entries[rng.IntN(len(f.entries))]
+		e.signal(syscall.SIGTERM)
+		return e.name, func() { f.restart(e) }
+	}},
+	{"pause", func(f *fleet, rng *rand.Rand) (string, func()) {
+		e := f.entries[rng.IntN(len(f.entries))]
+		e.signal(syscall.SIGSTOP)
+		return e.name, func() { e.signal(syscall.SIGCONT) }
+	}},
+	{"cut_from_table", func(f *fleet, rng *rand.Rand) (string, func()) {
+		e := f.entries[rng.IntN(len(f.entries))]
+		return harm(e.table, e.name, rng)
+	}},
+	{"cut_from_callers", func(f *fleet, rng *rand.Rand) (string, func()) {
+		e := f.entries[rng.IntN(len(f.entries))]
+		return harm(e.front, e.name, rng)
+	}},
+	{"cut_vm", func(f *fleet, rng *rand.Rand) (string, func()) {
+		m := f.machines[rng.IntN(len(f.machines))]
+		return harm(m.link, m.name, rng)
+	}},
+	{"cut_zone", func(f *fleet, rng *rand.Rand) (string, func()) {
+		zone := f.zone(rng.IntN(3))
+		for _, m := range f.machines {
+			if m.zone == zone {
+				m.link.Set(link.Silent, 0)
+			}
+		}
+		return zone, func() {
+			for _, m := range f.machines {
+				m.link.Set(link.Open, 0)
+			}
+		}
+	}},
+	{"delay", func(f *fleet, rng *rand.Rand) (string, func()) {
+		e := f.entries[rng.IntN(len(f.entries))]
+		e.table.Set(link.Open, time.Duration(rng.Int64N(int64(400*time.Millisecond))))
+		return e.name, func() { e.table.Set(link.Open, 0) }
+	}},
+	{"table", func(f *fleet, rng *rand.Rand) (string, func()) {
+		kind := standin.TableFault(1 + rng.IntN(int(standin.TableSlow)))
+		f.table.Suffer(kind)
+		return fmt.Sprint(int(kind)), func() { f.table.Suffer(standin.TableSound) }
+	}},
+	{"history", func(f *fleet, _ *rand.Rand) (string, func()) {
+		f.table.Forget()
+		return "", func() {}
+	}},
+	{"crash_vm", func(f *fleet, rng *rand.Rand) (string, func()) {
+		m := f.machines[rng.IntN(len(f.machines))]
+		same := rng.IntN(2) == 0
+		f.crash(m)
+		return fmt.Sprint(m.name, " same id ", same), func() { f.bear(m, same) }
+	}},
+	{"late_orders", func(f *fleet, rng *rand.Rand) (string, func()) {
+		share := 0.05 + 0.2*rng.Float64()
+		f.eachVM(func(v *standin.VM) { v.KeepBack(share) })
+		return fmt.Sprintf("%.2f", share), func() { f.eachVM(func(v *standin.VM) { v.KeepBack(0) }) }
+	}},
+	{"slow_vm", func(f *fleet, rng *rand.Rand) (string, func()) {
+		m := f.machines[rng.IntN(len(f.machines))]
+		m.mu.Lock()
+		vm := m.vm
+		m.mu.Unlock()
+		vm.Slow(2 + 6*rng.Float64())
+		return m.name, func() { vm.Slow(1) }
+	}},
+	{"configuration", func(f *fleet, _ *rand.Rand) (string, func()) {
+		f.reconfigure()
+		return "", func() {}
+	}},
+}
+
+func harm(l *link.Link, name string, rng *rand.Rand) (string, func()) {
+	s := harms[rng.IntN(len(harms))]
+	l.Set(s, 0)
+	return name + " " + string(s), func() { l.Set(link.Open, 0) }
+}
+
+func (f *fleet) eachVM(do func(v *standin.VM)) {
+	for _, m := range f.machines {
+		m.mu.Lock()
+		vm := m.vm
+		m.mu.Unlock()
+		do(vm)
+	}
+}
+
+// restart starts a daemon anew once it has ended.
+func (f *fleet) restart(e *entry) {
+	if !e.ended(stopPatience) {
+		e.signal(syscall.SIGCONT)
+		e.signal(syscall.SIGKILL)
+		e.ended(stopPatience)
+	}
+	if err := f.start(e); err != nil {
+		f.judge.mu.Lock()
+		f.judge.fail("%s: %v", e.name, err)
+		f.judge.mu.Unlock()
+	}
+}
+
+// trouble strikes with one fault after the other until ctx ends; it returns once
+// all are healed.
+func (f *fleet) trouble(ctx context.Context, rng *rand.Rand, tell func(string)) {
+	var g supervisor.Group
+	defer g.Wait()
+	for ctx.Err() == nil {
+		x := faults[rng.IntN(len(faults))]
+		lasts := faultLeast + time.Duration(rng.Int64N(int64(faultMost-faultLeast)))
+		what, heal := x.strike(f, rng)
+		tell(fmt.Sprintf("%s %s for %s", x.name, what, lasts.Round(time.Millisecond)))
+		g.Go(func() {
+			supervisor.Sleep(ctx, lasts)
+			heal()
+		})
+		supervisor.Sleep(ctx, time.Duration(rng.ExpFloat64()*float64(faultPause)))
+	}
+}
--- /dev/null
+++ b/io/soak/fleet.go
@@ -0,0 +1,321 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lavenderpond/core/job"
+	"lavenderpond/io/link"
+	"lavenderpond/io/supervisor"
+	"lavenderpond/platform/standin"
+)
+
+const (
+	// vmRoom is a VM's room in thousandths of a core.
+	vmRoom = 16_000
+	// tickEvery is how often VMs look at their tasks.
+	tickEvery = 10 * time.Millisecond
+	// heartbeatEvery is how often a VM writes its row.
+	heartbeatEvery = 1500 * time.Millisecond
+)
+
+// entry is one daemon and the links to and from it.
+type entry struct {
+	name     string
+	settings string
+	log      string
+	// front takes callers, table and machines carry the daemon's calls.
+	front, table, machines *link.Link
+	callers                netip.AddrPort
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	exited  chan struct{}
+}
+
+// machine is a VM's place; its life changes when it crashes.
+type machine struct {
+	name string
+	zone string
+	link *link.Link
+
+	mu      sync.Mutex
+	vm      *standin.VM
+	down    bool
+	lives   int
+	address string
+}
+
+// ServeHTTP implements http.Handler for the life that is there.
+func (m *machine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	m.mu.Lock()
+	vm, down := m.vm, m.down
+	m.mu.Unlock()
+	if down {
+		<-r.Context().Done()
+		return
+	}
+	vm.ServeHTTP(w, r)
+}
+
+// fleet is everything that a soak runs.
+type fleet struct {
+	binary   string
+	folder   string
+	table    *standin.Table
+	cloud    *standin.Machines
+	judge    *Judge
+	entries  []*entry
+	machines []*machine
+	rng      *rand.Rand
+	servers  []*http.Server
+	group    supervisor.Group
+	version  int
+}
+
+func (f *fleet) zone(i int) string { return string(rune('a' + i%3)) }
+
+// serve serves h at a free loopback address until the fleet closes.
+func (f *fleet) serve(h http.Handler) (netip.AddrPort, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return netip.AddrPort{}, errors.Wrap(err, "listen")
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	f.servers = append(f.servers, s)
+	f.group.Go(func() { _ = s.Serve(l) }) // It ends when the fleet closes it.
+	return netip.MustParseAddrPort(l.Addr().String()), nil
+}
+
+// freeAddress returns a loopback address that nobody listens at.
+func freeAddress() (netip.AddrPort, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return netip.AddrPort{}, errors.Wrap(err, "find a free port")
+	}
+	defer l.Close() //nolint:errcheck // Nothing was written.
+	return netip.MustParseAddrPort(l.Addr().String()), nil
+}
+
+// link carries connections from a free address to target.
+func (f *fleet) link(ctx context.Context, name string, target netip.AddrPort) (*link.Link, netip.AddrPort, error) {
+	at, err := freeAddress()
+	if err != nil {
+		return nil, at, err
+	}
+	l := link.New(name)
+	f.group.Go(func() { _ = l.Serve(ctx, link.Forward{Listen: at, Target: target}) })
+	return l, at, nil
+}
+
+// build lays out stand-ins, links and settings; nothing runs yet.
+func (f *fleet) build(ctx context.Context, entries, machines int) error {
+	table, err := f.serve(f.table)
+	if err != nil {
+		return err
+	}
+	cloud, err := f.serve(f.cloud)
+	if err != nil {
+		return err
+	}
+	f.reconfigure()
+	for i := range machines {
+		if err := f.addMachine(ctx, i); err != nil {
+			return err
+		}
+	}
+	f.list()
+	for i := range entries {
+		if err := f.addEntry(ctx, i, table, cloud); err != nil {
+			return err
+		}
+	}
+	f.group.Go(func() { _ = supervisor.Every(ctx, tickEvery, func(context.Context) { f.tick() }) })
+	f.group.Go(func() { _ = supervisor.Every(ctx, heartbeatEvery, func(context.Context) { f.heartbeat() }) })
+	return nil
+}
+
+func (f *fleet) addMachine(ctx context.Context, i int) error {
+	m := &machine{name: fmt.Sprintf("m-%d", i), zone: f.zone(i)}
+	at, err := f.serve(m)
+	if err != nil {
+		return err
+	}
+	l, address, err := f.link(ctx, m.name, at)
+	if err != nil {
+		return err
+	}
+	m.link, m.address = l, address.String()
+	f.machines = append(f.machines, m)
+	f.bear(m, false)
+	return nil
+}
+
+// bear gives a machine a new life, under its former ID or another.
+func (f *fleet) bear(m *machine, sameID bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.vm == nil || !sameID {
+		m.lives++
+	}
+	m.vm = standin.NewVM(job.VMID(fmt.Sprintf("vm-%s-%d", m.name, m.lives)), vmRoom, f.judge, f.rng)
+	m.down = false
+}
+
+// crash ends a machine's life.
+func (f *fleet) crash(m *machine) {
+	m.mu.Lock()
+	m.down = true
+	vm := m.vm
+	m.mu.Unlock()
+	vm.Die()
+}
+
+func (f *fleet) tick() {
+	for _, m := range f.machines {
+		m.mu.Lock()
+		vm, down := m.vm, m.down
+		m.mu.Unlock()
+		if !down {
+			vm.Tick(tickEvery)
+		}
+	}
+}
+
+// heartbeat writes the rows of the VMs that live, and removes those of others.
+func (f *fleet) heartbeat() {
+	for _, m := range f.machines {
+		m.mu.Lock()
+		row := standin.VMRow(m.vm.ID)
+		if m.down {
+			f.table.Put(row, nil)
+		} else {
+			f.table.Put(row, m.vm.Entry(standin.Pool, m.address, m.zone, m.name, time.Now().UnixMilli()))
+		}
+		m.mu.Unlock()
+	}
+	f.list()
+}
+
+func (f *fleet) list() {
+	var list []job.Machine
+	for _, m := range f.machines {
+		m.mu.Lock()
+		x := job.Machine{ID: job.MachineID(m.name), Pool: standin.Pool, State: job.MachineUp, Zone: m.zone, VM: m.vm.ID, Room: job.Room{CPU: vmRoom}}
+		if m.down {
+			x.State, x.VM = "down", ""
+		}
+		m.mu.Unlock()
+		list = append(list, x)
+	}
+	f.cloud.Set(list)
+}
+
+func (f *fleet) reconfigure() {
+	f.version++
+	f.table.Put(standin.ConfigurationRow, standin.Configuration(f.version))
+}
+
+func (f *fleet) addEntry(ctx context.Context, i int, table, cloud netip.AddrPort) error {
+	e := &entry{name: fmt.Sprintf("entry-%d", i), exited: make(chan struct{})}
+	close(e.exited)
+	front, err := freeAddress()
+	if err != nil {
+		return err
+	}
+	ready, err := freeAddress()
+	if err != nil {
+		return err
+	}
+	var tableAt, cloudAt netip.AddrPort
+	if e.table, tableAt, err = f.link(ctx, e.name+"-table", table); err != nil {
+		return err
+	}
+	if e.machines, cloudAt, err = f.link(ctx, e.name+"-machines", cloud); err != nil {
+		return err
+	}
+	if e.front, e.callers, err = f.link(ctx, e.name+"-front", front); err != nil {
+		return err
+	}
+	e.settings = filepath.Join(f.folder, e.name+".toml")
+	e.log = filepath.Join(f.folder, e.name+".log")
+	f.entries = append(f.entries, e)
+	text := standin.SettingsText(e.name, f.zone(i), front.String(), ready.String(), tableAt.String(), cloudAt.String())
+	return errors.Wrap(os.WriteFile(e.settings, []byte(text), 0o600), "write settings")
+}
+
+// start starts the daemon, if it doesn't run.
+func (f *fleet) start(e *entry) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	select {
+	case <-e.exited:
+	default:
+		return nil
+	}
+	out, err := os.OpenFile(e.log, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return errors.Wrap(err, "open log")
+	}
+	c := exec.Command(f.binary, e.settings)
+	c.Stdout, c.Stderr = out, out
+	if err := c.Start(); err != nil {
+		return errors.Wrap(err, "start daemon")
+	}
+	exited := make(chan struct{})
+	e.command, e.exited = c, exited
+	f.group.Go(func() {
+		_ = c.Wait() // A killed daemon has an exit status of its own.
+		_ = out.Close()
+		close(exited)
+	})
+	return nil
+}
+
+// signal sends a signal to the daemon, if it runs.
+func (e *entry) signal(s syscall.Signal) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	select {
+	case <-e.exited:
+	default:
+		_ = e.command.Process.Signal(s) // It may have just ended.
+	}
+}
+
+// ended waits until the daemon has ended, at most for patience.
+func (e *entry) ended(patience time.Duration) bool {
+	e.mu.Lock()
+	exited := e.exited
+	e.mu.Unlock()
+	select {
+	case <-exited:
+		return true
+	case <-time.After(patience):
+		return false
+	}
+}
+
+// close ends all daemons and servers.
+func (f *fleet) close() {
+	for _, e := range f.entries {
+		e.signal(syscall.SIGCONT)
+		e.signal(syscall.SIGKILL)
+	}
+	for _, s := range f.servers {
+		_ = s.Close()
+	}
+	f.group.Wait()
+}
--- /dev/null
+++ b/io/soak/judge.go
@@ -0,0 +1,218 @@
+// Package soak runs the real daemons as processes of their own against stand-ins
+// of the platform, injects seeded faults from outside them, and checks what
+// callers and VMs see.
+package soak
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"lavenderpond/core/job"
+	"lavenderpond/platform/standin"
+)
+
+// Judge checks the promises while a soak goes on. Use NewJudge.
+type Judge struct {
+	mu      sync.Mutex
+	began   time.Time
+	running map[job.TaskID]map[job.VMID]bool
+	// done are tasks with a run that ended well, noted those whose end was noted.
+	done, noted map[job.TaskID]bool
+	jobs        map[job.ID]*known
+	broken      []string
+	starts      int
+}
+
+// known is a job as its caller knows it.
+type known struct {
+	steps   []standin.StepBody
+	lasting bool
+	// accepted is set by a success, unknown by an answer that leaves it open,
+	// started by the first task.
+	accepted, unknown, started bool
+	cancelled                  bool
+	final                      string
+}
+
+// NewJudge returns a judge that knows of no job.
+func NewJudge() *Judge {
+	return &Judge{
+		began: time.Now(), running: map[job.TaskID]map[job.VMID]bool{}, done: map[job.TaskID]bool{},
+		noted: map[job.TaskID]bool{}, jobs: map[job.ID]*known{},
+	}
+}
+
+func (j *Judge) fail(format string, args ...any) {
+	at := time.Since(j.began).Seconds()
+	j.broken = append(j.broken, fmt.Sprintf("%8.3f s  ", at)+fmt.Sprintf(format, args...))
+}
+
+// Broken returns what was broken so far.
+func (j *Judge) Broken() []string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.broken
+}
+
+// Started implements standin.Observer.
+func (j *Judge) Started(vm job.VMID, t job.TaskID, n job.Attempt, _ string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.starts++
+	k := j.jobs[t.Job]
+	if k == nil || t.Step >= len(k.steps) {
+		j.fail("%v starts on %s: nobody handed it in", t, vm)
+		return
+	}
+	k.started = true
+	if others := j.running[t]; len(others) > 0 {
+		j.fail("%v starts on %s as attempt %d while it runs on %v", t, vm, n, others)
+	}
+	if j.noted[t] {
+		j.fail("%v starts on %s as attempt %d after it was noted as done", t, vm, n)
+	}
+	for _, s := range k.steps[t.Step].After {
+		if !j.stepDone(t.Job, s, k.steps[s].Count) {
+			j.fail("%v starts before step %d is done", t, s)
+		}
+	}
+	if j.running[t] == nil {
+		j.running[t] = map[job.VMID]bool{}
+	}
+	j.running[t][vm] = true
+}
+
+func (j *Judge) stepDone(id job.ID, step, count int) bool {
+	for i := range count {
+		if !j.done[job.TaskID{Job: id, Step: step, Index: i}] {
+			return false
+		}
+	}
+	return true
+}
+
+// Ended implements standin.Observer.
+func (j *Judge) Ended(vm job.VMID, t job.TaskID, _ job.Attempt, how string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	delete(j.running[t], vm)
+	if how == "done" {
+		j.done[t] = true
+	}
+}
+
+// Noted implements standin.Observer.
+func (j *Judge) Noted(t job.TaskID, how string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if how == "done" {
+		j.noted[t] = true
+	}
+}
+
+// Offered notes a job before its first submission.
+func (j *Judge) Offered(id job.ID, steps []standin.StepBody, lasting bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.jobs[id] = &known{steps: steps, lasting: lasting}
+}
+
+// Answered notes the status of a submission; 0 stands for no answer.
+func (j *Judge) Answered(id job.ID, status int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	switch {
+	case status == 200:
+		j.jobs[id].accepted = true
+	case status != 429 && status != 503:
+		j.jobs[id].unknown = true
+	}
+}
+
+// Cancelled notes that a caller cancels a job.
+func (j *Judge) Cancelled(id job.ID) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.jobs[id].cancelled = true
+}
+
+// Shown checks a state that a caller was shown.
+func (j *Judge) Shown(id job.ID, status int, state string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	k := j.jobs[id]
+	switch {
+	case status == 410 && k.accepted:
+		j.fail("%s was accepted and is not known any more", id)
+	case status != 200:
+		return
+	case state == "completed":
+		for s := range k.steps {
+			if !j.stepDone(id, s, k.steps[s].Count) {
+				j.fail("%s is shown as completed, and step %d isn't done", id, s)
+			}
+		}
+	case state == "cancelled" && !k.cancelled:
+		j.fail("%s is shown as cancelled, and nobody cancelled it", id)
+	case state == "failed":
+		j.fail("%s is shown as failed, and no task fails", id)
+	}
+	if state == "completed" || state == "cancelled" {
+		k.final = state
+	}
+}
+
+// Open returns the accepted jobs that aren't over, and the lasting tasks that
+// don't run.
+func (j *Judge) Open() []string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	var out []string
+	for id, k := range j.jobs {
+		switch {
+		case !k.accepted || k.cancelled:
+		case k.lasting:
+			for i := range k.steps[0].Count {
+				if t := (job.TaskID{Job: id, Index: i}); len(j.running[t]) == 0 {
+					out = append(out, fmt.Sprintf("%v is to last and doesn't run", t))
+				}
+			}
+		case k.final == "":
+			out = append(out, fmt.Sprintf("%s was accepted and isn't over", id))
+		}
+	}
+	return out
+}
+
+// Finish checks what can be told at the end only.
+func (j *Judge) Finish() {
+	for _, o := range j.Open() {
+		j.mu.Lock()
+		j.fail("at the end: %s", o)
+		j.mu.Unlock()
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for id, k := range j.jobs {
+		if k.started && !k.accepted && !k.unknown {
+			j.fail("%s has run, and all submissions were refused", id)
+		}
+	}
+}
+
+// Figures sums up what happened.
+func (j *Judge) Figures() string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	accepted, completed := 0, 0
+	for _, k := range j.jobs {
+		if k.accepted {
+			accepted++
+		}
+		if k.final == "completed" {
+			completed++
+		}
+	}
+	return fmt.Sprintf("%d jobs, %d accepted, %d completed, %d starts", len(j.jobs), accepted, completed, j.starts)
+}
--- /dev/null
+++ b/io/soak/soak.go
@@ -0,0 +1,93 @@
+package soak
+
+import (
+	"context"
+	"math/rand/v2"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lavenderpond/io/supervisor"
+	"lavenderpond/platform/standin"
+)
+
+// Soak says what a run is made of.
+type Soak struct {
+	Seed uint64
+	// Binary is the daemon's program, Folder takes settings and logs.
+	Binary, Folder string
+	// Entries, Machines and Callers are the numbers of each; 0 stands for a few.
+	Entries, Machines, Callers int
+	// Trouble is for how long faults strike and jobs come.
+	Trouble time.Duration
+	// Tell is told of each fault; nil for nobody.
+	Tell func(line string)
+}
+
+const (
+	// settleMost is how long after the last fault all that was accepted may take to
+	// come to its end: leases of VMs out of reach run out after ten seconds, and
+	// what waited for them runs then.
+	settleMost = 40 * time.Second
+	// settlePoll is how often that is looked at.
+	settlePoll = 200 * time.Millisecond
+	// leadTime is how long the daemons run before callers come.
+	leadTime = 1500 * time.Millisecond
+
+	fewEntries, fewMachines, fewCallers = 4, 6, 4
+)
+
+// Run runs a soak and returns what was broken and what happened.
+func (s Soak) Run(ctx context.Context) (broken []string, figures string, err error) {
+	if err := os.MkdirAll(s.Folder, 0o700); err != nil {
+		return nil, "", errors.Wrap(err, "make folder")
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	f := &fleet{
+		binary: s.Binary, folder: s.Folder, table: standin.NewTable(), cloud: &standin.Machines{},
+		judge: NewJudge(), rng: rand.New(rand.NewPCG(s.Seed, 1)),
+	}
+	defer f.close()
+	defer cancel()
+	if err := f.build(ctx, or(s.Entries, fewEntries), or(s.Machines, fewMachines)); err != nil {
+		return nil, "", err
+	}
+	for _, e := range f.entries {
+		if err := f.start(e); err != nil {
+			return nil, "", err
+		}
+	}
+	supervisor.Sleep(ctx, leadTime)
+	work, stop := context.WithTimeout(ctx, s.Trouble)
+	defer stop()
+	var g supervisor.Group
+	for i := range or(s.Callers, fewCallers) {
+		c := newCaller(f, i+1, rand.New(rand.NewPCG(s.Seed, uint64(i+2))))
+		if i == 0 {
+			c.submit(ctx, []standin.StepBody{{Count: 3, CPU: 1000, MemMB: 100, Lasting: true}}, true)
+		}
+		g.Go(func() { c.run(ctx, work) })
+	}
+	f.trouble(work, rand.New(rand.NewPCG(s.Seed, 0)), s.tell)
+	for until := time.Now().Add(settleMost); len(f.judge.Open()) > 0 && time.Now().Before(until); {
+		supervisor.Sleep(ctx, settlePoll)
+	}
+	cancel()
+	g.Wait()
+	f.judge.Finish()
+	return f.judge.Broken(), f.judge.Figures(), nil
+}
+
+func (s Soak) tell(line string) {
+	if s.Tell != nil {
+		s.Tell(line)
+	}
+}
+
+func or(n, few int) int {
+	if n > 0 {
+		return n
+	}
+	return few
+}
