--- /dev/null
+++ b/core/schedule/advice.go
@@ -0,0 +1,61 @@
+package schedule
+
+import (
+	"time"
+
+	"lavenderpond/core/job"
+)
+
+// approved tells whether the step may start, asking first where its queue needs that.
+func (a *assignment) approved(j *jobState, o *occurrence, i int) bool {
+	q := a.s.conf.Queue(j.Terms.Queue)
+	if q == nil || q.Advice == nil {
+		return true
+	}
+	st := &o.steps[i]
+	if len(st.tickets) > 0 && a.now.Before(st.ticketsT) {
+		return true
+	}
+	if st.asked && a.now.Before(st.askAt) {
+		return false
+	}
+	var vms []job.VMID
+	for _, v := range a.vms {
+		if len(vms) < adviceVMs && (st.def.Requires == "" || v.labels[st.def.Requires]) {
+			vms = append(vms, v.id)
+		}
+	}
+	if len(vms) == 0 {
+		return false
+	}
+	st.asked, st.askAt = true, a.now.Add(adviceRetry)
+	a.s.emit(Ask{Step: job.StepID{Job: j.ID, Occurrence: o.number, Step: i}, VMs: vms})
+	return false
+}
+
+const (
+	// adviceVMs bounds the VMs that one question names; each costs the service time.
+	adviceVMs = 30
+	// adviceRetry is the pause before a question without an answer is repeated.
+	adviceRetry = time.Second
+	// adviceMargin is how much earlier than they run out tickets are given up.
+	adviceMargin = 200 * time.Millisecond
+)
+
+// Advised takes in which VMs may run a step. No tickets stand for a failed question.
+func (s *Scheduler) Advised(now time.Time, id job.StepID, tickets map[job.VMID]string, valid time.Duration) {
+	_, _, st, _ := s.task(job.TaskID{Job: id.Job, Occurrence: id.Occurrence, Step: id.Step})
+	if st == nil {
+		return
+	}
+	st.asked = len(tickets) == 0
+	st.tickets = tickets
+	st.ticketsT = now.Add(valid - adviceMargin)
+}
+
+// dropTickets makes the step of a task ask anew.
+func (s *Scheduler) dropTickets(t job.TaskID) {
+	if _, _, st, _ := s.task(t); st != nil {
+		st.tickets, st.asked = nil, false
+	}
+}
--- /dev/null
+++ b/core/schedule/gang.go
@@ -0,0 +1,85 @@
+package schedule
+
+import (
+	"slices"
+
+	"lavenderpond/core/job"
+)
+
+// startGang starts all members of a gang, or none.
+func (a *assignment) startGang(j *jobState, o *occurrence, i int) {
+	st := &o.steps[i]
+	saved := job.Checkpoint("")
+	for t := range st.tasks {
+		task := &st.tasks[t]
+		if len(task.runs) > 0 || a.now.Before(task.notBefore) {
+			return
+		}
+		if task.saved != "" {
+			saved = task.saved
+		}
+	}
+	if !a.withinCap(j, st.def.Room.Times(len(st.tasks))) {
+		return
+	}
+	chosen := a.chooseGang(st)
+	if chosen == nil {
+		return
+	}
+	st.gangAttempt = max(st.gangAttempt, a.s.settings.AttemptBase) + 1
+	for t := range st.tasks {
+		task := &st.tasks[t]
+		task.saved, task.attempt = saved, st.gangAttempt
+		id := job.TaskID{Job: j.ID, Occurrence: o.number, Step: i, Index: t}
+		a.start(j, st, id, task, chosen[t], st.gangAttempt)
+	}
+}
+
+// chooseGang returns a VM for each member of a gang, or nil if not all have room.
+// Members that want one rack get it if any rack has room for all.
+func (a *assignment) chooseGang(st *stepState) []*vmState {
+	if st.def.SameRack {
+		for _, rack := range a.racks() {
+			if chosen := a.packGang(st, rack); chosen != nil {
+				return chosen
+			}
+		}
+	}
+	return a.packGang(st, "")
+}
+
+func (a *assignment) racks() []job.Label {
+	var out []job.Label
+	for _, v := range a.vms {
+		if v.rack != "" && !slices.Contains(out, v.rack) {
+			out = append(out, v.rack)
+		}
+	}
+	return out
+}
+
+// packGang places all members on VMs of the rack (any if empty), or returns nil.
+func (a *assignment) packGang(st *stepState, rack job.Label) []*vmState {
+	var chosen []*vmState
+	for _, v := range a.vms {
+		if (rack != "" && v.rack != rack) || !a.s.usable(a.now, v) {
+			continue
+		}
+		if (st.def.Requires != "" && !v.labels[st.def.Requires]) || (st.tickets != nil && st.tickets[v.id] == "") {
+			continue
+		}
+		free := v.room.Minus(v.used)
+		claim := st.def.Claim()
+		for n := 0; len(chosen) < len(st.tasks) && claim.Fits(free); n++ {
+			if st.def.MaxPerVM > 0 && n >= st.def.MaxPerVM {
+				break
+			}
+			chosen = append(chosen, v)
+			free = free.Minus(claim)
+		}
+	}
+	if len(chosen) < len(st.tasks) {
+		return nil
+	}
+	return chosen
+}
--- a/io/node/commit.go
+++ b/io/node/commit.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -10,7 +9,6 @@
 	"github.com/rs/zerolog"
 
 	"lavenderpond/core/job"
-	"lavenderpond/core/lease"
 	"lavenderpond/core/schedule"
 	"lavenderpond/io/supervisor"
 	"lavenderpond/platform"
@@ -34,37 +32,6 @@
 	refusedPause = 60 * time.Millisecond
 )
 
-// errDeposed says that another process owns the jobs and VMs now.
-var errDeposed = errors.New("another process is the owner now")
-
-// tenure is one owner's time in office, as the table knows it.
-type tenure struct {
-	life  string
-	fence platform.Version
-	turn  int64
-
-	mu    sync.Mutex
-	right lease.Right
-}
-
-func (t *tenure) prove(sent time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.right.Prove(sent)
-}
-
-func (t *tenure) mayStart(now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.right.MayStart(now)
-}
-
-func (t *tenure) mayHold(now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.right.MayHold(now)
-}
-
 // committer stores what the scheduler wants stored, in order, and renews the
 // owner's right with the same transactions.
 type committer struct {
@@ -200,46 +167,6 @@
 	return tx, nil
 }
 
-// rowChange is what a save does to a row; without a value it removes it.
-type rowChange struct {
-	key   platform.RowKey
-	value any
-}
-
-// changeOf returns the row of a save.
-func changeOf(c schedule.Command) rowChange {
-	switch c := c.(type) {
-	case schedule.Save:
-		return rowChange{progressKey(c.Job), c.Progress}
-	case schedule.SaveVM:
-		return rowChange{vmKey(c.VM.ID), c.VM}
-	case schedule.DropVM:
-		return rowChange{vmKey(c.VM), nil}
-	case schedule.SaveWave:
-		return rowChange{waveKey(c.Number), waveRow{Done: c.Done}}
-	case schedule.SaveOrder:
-		return rowChange{orderKey(c.Order.Machine), c.Order}
-	case schedule.DropOrder:
-		return rowChange{orderKey(c.Machine), nil}
-	}
-	panic("not a save")
-}
-
-// latest drops saves that a later one of the same row replaces: a transaction
-// may name a row once only.
-func latest(saves []schedule.Command) []rowChange {
-	var out []rowChange
-	seen := map[platform.RowKey]bool{}
-	for _, c := range slices.Backward(saves) {
-		change := changeOf(c)
-		if !seen[change.key] {
-			seen[change.key] = true
-			out = append(out, change)
-		}
-	}
-	return out
-}
-
 // store carries out one transaction, however often it takes. It returns
 // errDeposed once the right is lost.
 func (c *committer) store(ctx context.Context, saves []schedule.Command) error {
--- /dev/null
+++ b/io/node/tenure.go
@@ -0,0 +1,42 @@
+package node
+
+import (
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lavenderpond/core/lease"
+	"lavenderpond/platform"
+)
+
+// errDeposed says that another process owns the jobs and VMs now.
+var errDeposed = errors.New("another process is the owner now")
+
+// tenure is one owner's time in office, as the table knows it.
+type tenure struct {
+	life  string
+	fence platform.Version
+	turn  int64
+
+	mu    sync.Mutex
+	right lease.Right
+}
+
+func (t *tenure) prove(sent time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.right.Prove(sent)
+}
+
+func (t *tenure) mayStart(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.right.MayStart(now)
+}
+
+func (t *tenure) mayHold(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.right.MayHold(now)
+}
--- a/io/soak/faults.go
+++ b/io/soak/faults.go
@@ -138,9 +138,7 @@
 		e.ended(stopPatience)
 	}
 	if err := f.start(e); err != nil {
-		f.judge.mu.Lock()
-		f.judge.fail("%s: %v", e.name, err)
-		f.judge.mu.Unlock()
+		f.judge.Report("%s: %v", e.name, err)
 	}
 }
 
--- a/io/soak/judge.go
+++ b/io/soak/judge.go
@@ -48,6 +48,13 @@
 	j.broken = append(j.broken, fmt.Sprintf("%8.3f s  ", at)+fmt.Sprintf(format, args...))
 }
 
+// Report notes something else that was broken.
+func (j *Judge) Report(format string, args ...any) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.fail(format, args...)
+}
+
 // Broken returns what was broken so far.
 func (j *Judge) Broken() []string {
 	j.mu.Lock()
@@ -188,9 +195,7 @@
 // Finish checks what can be told at the end only.
 func (j *Judge) Finish() {
 	for _, o := range j.Open() {
-		j.mu.Lock()
-		j.fail("at the end: %s", o)
-		j.mu.Unlock()
+		j.Report("at the end: %s", o)
 	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
