--- a/core/schedule/slow_test.go
+++ b/core/schedule/slow_test.go
@@ -63,15 +63,15 @@
 	assert.Equal(t, one[Stop](h, h.step(time.Millisecond)).VM, starts[0].VM)
 }
 
-// The run times of a step differ. A task that takes twice as long as the others is
-// on a sound VM, and giving it up would throw its work away.
+// The run times of a step differ. A task that takes 2.7 times as long as the others
+// may be on a sound VM, and giving it up would throw its work away.
 func TestLongerRunGoesOn(t *testing.T) {
 	h, starts := fourTasks(t)
 	h.step(500 * time.Millisecond)
 	for _, c := range starts[1:] {
 		h.lists(string(c.VM), []job.RunningTask{running(c, 60)})
 	}
-	h.lists(string(starts[0].VM), []job.RunningTask{running(starts[0], 25)})
+	h.lists(string(starts[0].VM), []job.RunningTask{running(starts[0], 22)})
 	assert.Equal(t, len(only[Stop](h.step(time.Millisecond))), 0)
 }
 
