--- a/core/schedule/gang.go
+++ b/core/schedule/gang.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"lavenderpond/core/job"
 )
@@ -83,3 +84,20 @@
 	}
 	return chosen
 }
+
+// stopGang stops the other members of a gang of which one did not begin. They would
+// wait for it until they give up, seconds later, and the gang can't start again
+// before: stopped, it starts again within a second.
+func (s *Scheduler) stopGang(now time.Time, r *run) {
+	_, _, st, _ := s.task(r.task)
+	if st == nil || !st.def.Gang {
+		return
+	}
+	for i := range st.tasks {
+		for _, x := range slices.Clone(st.tasks[i].runs) {
+			if x != r && x.attempt == r.attempt {
+				s.stop(now, x, "a member of the gang did not begin")
+			}
+		}
+	}
+}
--- /dev/null
+++ b/core/schedule/gang_test.go
@@ -0,0 +1,34 @@
+package schedule
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lavenderpond/core/job"
+)
+
+// A VM refuses one member of a gang. The other one would wait for it for seconds and
+// end alone, its time wasted and the caller's job late. It is stopped at once, and
+// the gang begins anew when it has ended.
+func TestGangThatDoesNotBeginWholeIsStopped(t *testing.T) {
+	h := newHarness(t)
+	h.ready("one", "two", "three")
+	gang := small
+	gang.Count, gang.Gang, gang.Room.CPU = 2, true, 8000
+	h.job("j", "free", gang)
+	starts := only[Start](h.step(10 * time.Millisecond))
+	assert.Equal(t, len(starts), 2)
+	h.confirm(starts[0])
+	h.s.StartAnswered(h.now, starts[1], Answered, job.Report{Clock: h.clock(), Born: 1, Refused: job.RefusedRoom})
+	stop := one[Stop](h, h.step(time.Millisecond))
+	assert.Equal(t, stop.VM, starts[0].VM)
+	assert.Equal(t, stop.Attempt, starts[0].Order.Attempt)
+	c := starts[0]
+	h.lists(string(c.VM), nil, job.End{Number: 1, Task: c.Order.Task, Attempt: c.Order.Attempt, How: job.EndedStopped})
+	again := only[Start](h.step(time.Millisecond))
+	assert.Equal(t, len(again), 2)
+	assert.Assert(t, again[0].Order.Attempt > c.Order.Attempt)
+	assert.Equal(t, again[0].Order.Attempt, again[1].Order.Attempt)
+}
--- a/core/schedule/look.go
+++ b/core/schedule/look.go
@@ -58,6 +58,7 @@
 	for _, x := range v.runs.All() {
 		if x.phase == runOrdered && v.lookedAt.Sub(x.orderedAt) > answerDue {
 			s.stop(now, x, "start not answered")
+			s.stopGang(now, x)
 		}
 	}
 }
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -27,6 +27,7 @@
 	j, _, st, t := s.task(r.task)
 	if t == nil || j.over() || !s.mayStart || !v.takesTasks() {
 		s.release(now, r)
+		s.stopGang(now, r)
 		return
 	}
 	r.enter(runOrdered)
@@ -105,6 +106,7 @@
 		Age: now.Sub(r.vm.answered),
 	})
 	s.release(now, r)
+	s.stopGang(now, r)
 	s.forgetClosed()
 }
 
@@ -219,6 +221,7 @@
 		Age: now.Sub(r.orderedAt),
 	})
 	s.release(now, r)
+	s.stopGang(now, r)
 	s.forgetClosed()
 }
 
--- a/core/schedule/vm.go
+++ b/core/schedule/vm.go
@@ -179,6 +179,7 @@
 		for _, r := range v.runs.All() {
 			if r.phase == runPlanned {
 				s.release(now, r)
+				s.stopGang(now, r)
 			}
 		}
 	}
