Compress large rows; refuse a job at once that no row holds

Cause: found by reading. Callers may hand in bodies of 256 KB, a row holds 64 KB: the table refused such a submission as malformed, and the caller was told that its outcome is unknown (504). Rows from 32 KB on are compressed (3,000 steps: 360 KB to a few); what is still too long is answered 413 before anything is sent. Tests: TestLargeJobIsStoredWhole, TestTooLargeJobIsRefused (the first fails without compression: 360 KB in a row).

--- a/io/node/front.go
+++ b/io/node/front.go
@@ -180,8 +180,11 @@
 // failed answers a call that the table didn't serve.
 func (f *front) failed(w http.ResponseWriter, c request, err error) {
 	d := platform.DeniedUnknown
-	if errors.Is(err, errNotStored) {
+	switch {
+	case errors.Is(err, errNotStored):
 		d = platform.DeniedUnavailable
+	case errors.Is(err, errTooLarge):
+		d = platform.DeniedSize
 	}
 	f.deny(w, c.call, string(c.id), d, err.Error())
 }
--- a/io/node/jobs.go
+++ b/io/node/jobs.go
@@ -53,6 +53,8 @@
 	// contact returns when the table last answered, heard notes that it has.
 	contact func() time.Time
 	heard   func()
+	// rowBytes is the largest row that the table takes; 0 means that it isn't known.
+	rowBytes int
 
 	mu sync.Mutex
 	// usual is the smoothed time of an answer.
@@ -114,6 +116,9 @@
 	}
 }
 
+// errTooLarge says that a job is larger than a row of the table.
+var errTooLarge = errors.New("the job is too large to be stored")
+
 // errSilent says that the table didn't answer a question.
 var errSilent = errors.New("the table does not answer")
 
@@ -162,6 +167,9 @@
 	if err != nil {
 		return err
 	}
+	if s.rowBytes > 0 && len(value) > s.rowBytes {
+		return errors.Wrapf(errTooLarge, "%d bytes, compressed, of %d", len(value), s.rowBytes)
+	}
 	tx := platform.Transaction{
 		Conditions: []platform.Condition{{RowKey: jobKey(j.ID)}, {RowKey: cancelKey(j.ID)}},
 		Writes:     []platform.Write{{RowKey: jobKey(j.ID), Value: value}},
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -73,7 +73,7 @@
 		view: n.view, log: log, count: n.metrics.count, elapsed: n.metrics.elapsed,
 		jobs: &jobStore{
 			table: n.table, took: func(d time.Duration) { n.metrics.elapsed("table_call", d) },
-			contact: n.view.lastContact, heard: n.view.heard,
+			contact: n.view.lastContact, heard: n.view.heard, rowBytes: s.RowBytes,
 		},
 	}
 	n.candidacy = &candidacy{
--- a/io/node/node_test.go
+++ b/io/node/node_test.go
@@ -292,3 +292,32 @@
 	assert.NilError(t, s.submit(t.Context(), bootNow().Add(3*time.Second), body()))
 	assert.Equal(t, len(f.bodies), 1)
 }
+
+// A caller hands in a job of 3,000 steps, which is within the body's limit but four
+// times as long as a row. It is stored compressed, and the owner reads it whole.
+func TestLargeJobIsStoredWhole(t *testing.T) {
+	f, table := newFakeTable(t, status(http.StatusOK, `{"ver":1}`))
+	s := newJobStore(table)
+	s.rowBytes = rowBytes
+	j := body()
+	for range 3000 {
+		j.Body.Steps = append(j.Body.Steps, job.Step{Count: 4, Room: job.Room{CPU: 1500, MemMB: 512}, Estimate: time.Second})
+	}
+	assert.NilError(t, s.submit(t.Context(), bootNow().Add(time.Second), j))
+	stored := f.bodies[0].Writes[0].Value
+	assert.Assert(t, len(stored) < rowBytes)
+	back, err := decodeRow[job.Job](&platform.Row{Value: stored})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, back, j)
+}
+
+// A job that no row holds is refused at once and as such, not kept waiting for the
+// table and then answered as unknown.
+func TestTooLargeJobIsRefused(t *testing.T) {
+	f, table := newFakeTable(t, status(http.StatusOK, `{"ver":1}`))
+	s := newJobStore(table)
+	s.rowBytes = 10
+	err := s.submit(t.Context(), bootNow().Add(time.Second), body())
+	assert.Assert(t, errors.Is(err, errTooLarge), "%v", err)
+	assert.Equal(t, len(f.bodies), 0)
+}
--- a/io/node/rows.go
+++ b/io/node/rows.go
@@ -1,8 +1,11 @@
 package node
 
 import (
+	"bytes"
+	"compress/gzip"
 	"encoding/json"
 	"hash/fnv"
+	"io"
 	"strconv"
 
 	"github.com/pkg/errors"
@@ -103,9 +106,43 @@
 	Done []job.MachineID `json:"done"`
 }
 
+// largestPlain is the size, in bytes, from which a row is compressed: half of what
+// the table takes on all deployments so far.
+const largestPlain = 32 << 10
+
+// gzipMagic is how compressed rows begin; plain ones begin with a brace.
+var gzipMagic = []byte{0x1f, 0x8b}
+
+// encode returns a row's value. Large ones are compressed: a job of hundreds of
+// steps, which callers may hand in, is beyond what a row holds, and the table would
+// refuse it after the caller had been kept waiting.
 func encode(v any) ([]byte, error) {
 	b, err := json.Marshal(v)
-	return b, errors.Wrap(err, "encode row")
+	if err != nil || len(b) < largestPlain {
+		return b, errors.Wrap(err, "encode row")
+	}
+	var out bytes.Buffer
+	w := gzip.NewWriter(&out)
+	if _, err := w.Write(b); err != nil {
+		return nil, errors.Wrap(err, "compress row")
+	}
+	if err := w.Close(); err != nil {
+		return nil, errors.Wrap(err, "compress row")
+	}
+	return out.Bytes(), nil
+}
+
+// plain returns the value of a row as it was before compression.
+func plain(b []byte) ([]byte, error) {
+	if !bytes.HasPrefix(b, gzipMagic) {
+		return b, nil
+	}
+	r, err := gzip.NewReader(bytes.NewReader(b))
+	if err != nil {
+		return nil, errors.Wrap(err, "decompress row")
+	}
+	out, err := io.ReadAll(r)
+	return out, errors.Wrap(err, "decompress row")
 }
 
 func decodeRow[T any](r *platform.Row) (T, error) {
@@ -113,6 +150,9 @@
 	if r == nil {
 		return v, nil
 	}
-	err := json.Unmarshal(r.Value, &v)
+	b, err := plain(r.Value)
+	if err == nil {
+		err = json.Unmarshal(b, &v)
+	}
 	return v, errors.Wrapf(err, "row %s/%s", r.Table, r.Key)
 }
