One measure of the table's answers for callers and the owner; the constants of holds beside them

The wait for an answer was reckoned twice, with figures of their own that nothing named. No other change.

--- a/core/schedule/hold.go
+++ b/core/schedule/hold.go
@@ -6,6 +6,20 @@
 	"lavenderpond/core/job"
 )
 
+const (
+	// busyWait is how long a VM that runs something may wait for an end before
+	// it answers a hold. The lease is renewed at least that often, so a VM that
+	// is cut off keeps its tasks for at least the longest lease less busyWait.
+	busyWait = 700 * time.Millisecond
+	// idleWait is the same for a VM without tasks; it is the longest that VMs allow.
+	idleWait = 2 * time.Second
+	// holdGap is the least time between two holds, so that a VM that answers at
+	// once isn't called without end.
+	holdGap = 20 * time.Millisecond
+	// holdRetry is the pause after a hold that had no answer.
+	holdRetry = 250 * time.Millisecond
+)
+
 // hold orders the next hold of a VM if it is due.
 func (s *Scheduler) hold(now time.Time, v *vmState) {
 	if v.holding || now.Before(v.nextHold) || !s.mayHold || v.address == "" {
--- a/core/schedule/vm.go
+++ b/core/schedule/vm.go
@@ -9,17 +9,6 @@
 )
 
 const (
-	// busyWait is how long a VM that runs something may wait for an end before
-	// it answers a hold. The lease is renewed at least that often, so a VM that
-	// is cut off keeps its tasks for at least the longest lease less busyWait.
-	busyWait = 700 * time.Millisecond
-	// idleWait is the same for a VM without tasks; it is the longest that VMs allow.
-	idleWait = 2 * time.Second
-	// holdGap is the least time between two holds, so that a VM that answers at
-	// once isn't called without end.
-	holdGap = 20 * time.Millisecond
-	// holdRetry is the pause after a hold that had no answer.
-	holdRetry = 250 * time.Millisecond
 	// startWithin is how long after its sending a start may begin. It is short so
 	// that an order that is carried out late is refused, and long against the
 	// round trip to a slow VM.
--- a/io/node/commit.go
+++ b/io/node/commit.go
@@ -28,6 +28,8 @@
 	// about 4 ms. answerMost does so from above, for a table that is slow.
 	answerLeast = 250 * time.Millisecond
 	answerMost  = 1500 * time.Millisecond
+	// doublings bounds how often the wait doubles; it reaches answerMost before.
+	doublings = 3
 	// refusedPause is the pause after the table refused a transaction.
 	refusedPause = 60 * time.Millisecond
 )
@@ -40,8 +42,7 @@
 	log     zerolog.Logger
 	renewal platform.Version
 	batch   int64
-	// typical is the smoothed time of an answer.
-	typical time.Duration
+	answers answerTimes
 	// stored is called after each transaction with the last sequence stored.
 	stored func(sequence int64)
 	// backlog returns the count of jobs that haven't begun, or nil before the first.
@@ -200,7 +201,7 @@
 	v, err := c.table.Apply(ctx, tx)
 	took := bootNow().Sub(from)
 	c.took(took)
-	c.learn(took, !errors.Is(err, platform.ErrNoAnswer))
+	c.answers.learn(took, !errors.Is(err, platform.ErrNoAnswer))
 	return v, err
 }
 
@@ -209,17 +210,7 @@
 // first. When the table turned slow (258 ms in place of 3 ms), a wait that grew by
 // an eighth each time kept the owner from renewing its right for 1.3 s.
 func (c *committer) patience(attempt int) time.Duration {
-	least := max(4*c.typical, answerLeast)
-	return min(least<<min(attempt, 3), answerMost)
-}
-
-// learn takes in how long an attempt took, with or without an answer.
-func (c *committer) learn(took time.Duration, answered bool) {
-	if answered {
-		c.typical += (took - c.typical) / 8
-		return
-	}
-	c.typical += max(0, took-c.typical) / 2
+	return min(c.answers.patience(answerLeast)<<min(attempt, doublings), answerMost)
 }
 
 // settle looks at why a condition failed: the transaction may have been carried
--- a/io/node/commit_test.go
+++ b/io/node/commit_test.go
@@ -83,7 +83,7 @@
 func TestRenewalOutlastsATableThatTurnsSlow(t *testing.T) {
 	const slow = 258 * time.Millisecond
 	c := newCommitter(nil)
-	c.learn(4*time.Millisecond, true)
+	c.answers.learn(4*time.Millisecond, true)
 	// The part carries out one attempt after the other.
 	waited, busyUntil := time.Duration(0), time.Duration(0)
 	for attempt := 0; ; attempt++ {
@@ -93,7 +93,7 @@
 			break
 		}
 		waited += patience
-		c.learn(patience, false)
+		c.answers.learn(patience, false)
 	}
 	assert.Assert(t, busyUntil <= 600*time.Millisecond, "answered after %v", busyUntil)
 	assert.Assert(t, c.patience(0) > slow, "the next one waits long enough at once")
--- a/io/node/jobs.go
+++ b/io/node/jobs.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -16,15 +15,6 @@
 	// callLeast is the shortest wait for one answer of the table, which answers in
 	// about 4 ms.
 	callLeast = 300 * time.Millisecond
-	// callFactor is how many times the usual time of an answer a call waits. When the
-	// table is slow, each call that is given up and sent again takes its part as long
-	// as the first: with a fixed wait of 300 ms and answers after 140 ms, 154 of
-	// 174 submissions a second ended without a known outcome.
-	callFactor = 5
-	// unansweredWeight is the weight of a call without an answer, with the time that
-	// it waited, in the usual time of an answer; answerWeight that of an answer.
-	unansweredWeight = 0.3
-	answerWeight     = 0.1
 	// freshContact is how old the table's last word may be for a submission to be
 	// sent at once; before others the table is asked for the job.
 	freshContact = 100 * time.Millisecond
@@ -56,35 +46,14 @@
 	// rowBytes is the largest row that the table takes; 0 means that it isn't known.
 	rowBytes int
 
-	mu sync.Mutex
-	// usual is the smoothed time of an answer.
-	usual time.Duration
-}
-
-// patience returns how long to wait for the first answer.
-func (s *jobStore) patience() time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return max(callLeast, callFactor*s.usual)
-}
-
-// learn takes in how long a call took, with or without an answer.
-func (s *jobStore) learn(d time.Duration, answered bool) {
-	s.took(d)
-	weight := answerWeight
-	if !answered {
-		weight = unansweredWeight
-	}
-	s.mu.Lock()
-	s.usual += time.Duration(weight * float64(d-s.usual))
-	s.mu.Unlock()
+	answers answerTimes
 }
 
 // attempt calls f until it succeeds, fails for good, or until is reached.
 // maybe tells whether an attempt without an answer may have been carried out.
 func (s *jobStore) attempt(ctx context.Context, until time.Time, f func(ctx context.Context) error) (maybe bool, err error) {
 	giveUp := bootNow().Add(refuseAfter)
-	for wait := s.patience(); ; wait *= 2 {
+	for wait := s.answers.patience(callLeast); ; wait *= 2 {
 		now := bootNow()
 		if !now.Before(until) && !maybe {
 			// Nothing was sent, or all that was sent was refused.
@@ -96,7 +65,9 @@
 		callCtx, cancel := context.WithTimeout(ctx, min(wait, until.Sub(now)))
 		err = f(callCtx)
 		cancel()
-		s.learn(bootNow().Sub(now), !errors.Is(err, platform.ErrNoAnswer))
+		took := bootNow().Sub(now)
+		s.took(took)
+		s.answers.learn(took, !errors.Is(err, platform.ErrNoAnswer))
 		if err == nil {
 			s.heard()
 		}
@@ -128,10 +99,7 @@
 // again elsewhere: 44 of 3,400 jobs were lost so when a zone was cut off. After a
 // question without an answer nothing has been sent, and the caller goes elsewhere.
 func (s *jobStore) ask(ctx context.Context, id job.ID) (known bool, err error) {
-	s.mu.Lock()
-	slow := s.usual > askUnlessSlow
-	s.mu.Unlock()
-	if slow || bootNow().Sub(s.contact()) < freshContact {
+	if s.answers.slowerThan(askUnlessSlow) || bootNow().Sub(s.contact()) < freshContact {
 		return false, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, askWithin)
--- a/io/node/node_test.go
+++ b/io/node/node_test.go
@@ -257,15 +257,15 @@
 // submissions are what makes it slower still. Once it is known to be slow, one
 // call waits long enough.
 func TestSlowTableIsWaitedFor(t *testing.T) {
-	s := newJobStore(nil)
-	assert.Equal(t, s.patience(), callLeast)
+	s := &answerTimes{}
+	assert.Equal(t, s.patience(callLeast), callLeast)
 	s.learn(callLeast, false)
 	s.learn(400*time.Millisecond, true)
-	assert.Assert(t, s.patience() > 500*time.Millisecond, "%v", s.patience())
+	assert.Assert(t, s.patience(callLeast) > 500*time.Millisecond, "%v", s.patience(callLeast))
 	for range 50 {
 		s.learn(4*time.Millisecond, true)
 	}
-	assert.Equal(t, s.patience(), callLeast)
+	assert.Equal(t, s.patience(callLeast), callLeast)
 }
 
 // A zone is cut off a moment before a caller hands a job in there. The entry VM
