--- a/io/link/link.go
+++ b/io/link/link.go
@@ -1,4 +1,4 @@
-// Package link Forwards TCP connections over loopback and harms them when told to:
+// Package link forwards TCP connections over loopback and harms them when told to:
 // it delays, breaks off, holds back or swallows what they carry.
 package link
 
@@ -44,7 +44,7 @@
 // Forward is one address of a link and the one behind it.
 type Forward struct{ Listen, Target netip.AddrPort }
 
-// Link Forwards TCP connections from several addresses, until it is told otherwise.
+// Link forwards TCP connections from several addresses, until it is told otherwise.
 type Link struct {
 	name     string
 	Forwards []Forward
@@ -178,7 +178,7 @@
 	}
 }
 
-// carry Forwards one connection until either end closes it or the link breaks off.
+// carry forwards one connection until either end closes it or the link breaks off.
 func (l *Link) carry(ctx context.Context, caller net.Conn, target netip.AddrPort) {
 	defer l.forget(caller)
 	if !l.keep(caller) {
--- a/io/node/front.go
+++ b/io/node/front.go
@@ -24,7 +24,8 @@
 	// contactAge is how old the table's last word may be for a call to be tried. A
 	// submission that is sent to a table behind a partition can't be refused any
 	// more, since it may be carried out later; one that is refused before can go
-	// to another entry VM at once. It is a feed's wait and a slow answer.
+	// to another entry VM at once. It is the period of a weak entry VM's looks at the
+	// owner's rows and a slow answer.
 	contactAge = 700 * time.Millisecond
 	// backlogAge is how old the owner's count may be. Callers may be shown one
 	// that is two seconds old.
