Pools keep no reserve

Cause: a part of a pool's largest need stayed with it for the next burst.

The comment of clearWithin tells its reason only.

--- a/core/schedule/pools.go
+++ b/core/schedule/pools.go
@@ -15,19 +15,11 @@
 	// Bursts last some seconds; a shorter one takes single large jobs for a burst.
 	arrivalMemory = 900 * time.Millisecond
 	// clearWithin is how fast waiting work should be begun. A machine arrives 1.5 s
-	// after its order, when a burst of four seconds is already waiting: with 2.2 s,
-	// 1.2 s, 0.7 s and 0.4 s, 0.833, 0.850, 0.862 and 0.869 of the worth of the
-	// jobs of one site were served on days with trouble. Below that pools take
-	// machines from each other.
+	// after its order, when a burst of four seconds is already waiting; below this
+	// pools take machines from each other.
 	clearWithin = 400 * time.Millisecond
 	// packing is the part of a VM's room that tasks of mixed sizes fill.
 	packing = 0.85
-	// reservePart of a pool's largest need so far stays with it for the beginning of
-	// a burst. A large part keeps the bursting pool from getting enough: with half
-	// of it, 0.66 was served in place of 0.86.
-	reservePart = 0.1
-	// reserveMemory is the period over which that largest need is forgotten.
-	reserveMemory = 30 * time.Second
 	// sparesForLasting is how many VMs a pool has beyond what its lasting tasks
 	// need if they may not share VMs, so that one that ends can start elsewhere.
 	sparesForLasting = 1
@@ -43,9 +35,6 @@
 	// arrival is the work that arrives, in core-seconds a second.
 	arrival   float64
 	arrivalAt time.Time
-	// peak is the largest need of late, in thousandths of a core.
-	peak   float64
-	peakAt time.Time
 }
 
 func (s *Scheduler) poolRecord(p job.PoolName) *poolRecord {
@@ -70,15 +59,6 @@
 	r.arrivalAt = now
 }
 
-// note remembers the largest need.
-func (r *poolRecord) note(now time.Time, need float64) {
-	if !r.peakAt.IsZero() {
-		r.peak *= math.Exp(-now.Sub(r.peakAt).Seconds() / reserveMemory.Seconds())
-	}
-	r.peakAt = now
-	r.peak = max(r.peak, need)
-}
-
 // size orders machines into other pools as demand moves on.
 func (s *Scheduler) size(now time.Time) {
 	if s.conf == nil || s.machines.Len() == 0 || now.Before(s.sizeAt) {
@@ -103,8 +83,6 @@
 			r := s.poolRecord(p.Name)
 			r.fade(now)
 			need := (r.arrival + waiting[p.Name]/clearWithin.Seconds()) * 1000 / packing
-			r.note(now, need)
-			need = max(need, r.peak*reservePart)
 			l := lasting[p.Name]
 			x.Need = max(l.cpu+int64(need), int64(l.vms+sparesForLasting)*vmCPU) + int64(l.waiting)*vmCPU
 			if l.vms == 0 {
