Give machines to work that can start, and empty VMs for it

VMs of the cut zone that were listed but never heard counted as its room.

Change: jobs that may run on VMs not heard yet don't count as demand; VMs not heard within 0.3 s don't count as room; while a pool lacks machines, VMs of others with room to spare get tasks last, and their machines move as soon as they are idle.

Both tests were seen red without their part; that a VM not heard counts as room was not (its part has no test of its own).

--- a/core/schedule/place.go
+++ b/core/schedule/place.go
@@ -31,6 +31,7 @@
 	costShunned  = 1000.0
 	costFarRack  = 100.0
 	costDisturbs = 30.0
+	costVacating = 20.0
 	costShared   = 10.0
 	// costOpens keeps lasting tasks together: a VM with one can't be emptied
 	// without stopping it.
@@ -56,6 +57,9 @@
 	if p.step.def.Fills || p.step.def.TailTarget > 0 {
 		cost += costDisturbs * float64(a.s.disturbed(p.step.def, v))
 	}
+	if v.vacating {
+		cost += costVacating
+	}
 	if p.task.shunned == v.id {
 		cost += costShunned
 	}
--- a/core/schedule/pools.go
+++ b/core/schedule/pools.go
@@ -26,8 +26,6 @@
 	// waitingLong is how long a lasting task finds no room until its pool gets a
 	// VM for it.
 	waitingLong = 200 * time.Millisecond
-	// moveRetry is the pause before a move without an answer is ordered again.
-	moveRetry = 700 * time.Millisecond
 )
 
 // poolRecord is what was learned of a pool's demand.
@@ -66,25 +64,28 @@
 	}
 	s.sizeAt = now.Add(sizeEvery)
 	s.followMoves(now)
-	for _, m := range sizing.Plan(now, s.poolNeeds(now), s.idleMachines(now)) {
+	pools := s.poolNeeds(now)
+	for _, m := range sizing.Plan(now, pools, s.idleMachines(now)) {
 		s.orderMove(now, m)
 	}
+	s.vacate(pools)
 }
 
 // poolNeeds returns what each pool needs and has.
 func (s *Scheduler) poolNeeds(now time.Time) []sizing.Pool {
 	waiting, lasting := s.demand(now)
-	have, vmCPU := s.poolRooms()
+	rooms := s.poolRooms(now)
 	var out []sizing.Pool
 	for i := range s.conf.Pools {
 		p := &s.conf.Pools[i]
-		x := sizing.Pool{Name: p.Name, Standby: p.Standby, Have: have[p.Name]}
+		x := sizing.Pool{Name: p.Name, Standby: p.Standby, Have: rooms.have[p.Name]}
+		x.Used = int64(float64(rooms.used[p.Name]) / packing)
 		if !p.Standby {
 			r := s.poolRecord(p.Name)
 			r.fade(now)
 			need := (r.arrival + waiting[p.Name]/clearWithin.Seconds()) * 1000 / packing
 			l := lasting[p.Name]
-			x.Need = max(l.cpu+int64(need), int64(l.vms+sparesForLasting)*vmCPU) + int64(l.waiting)*vmCPU
+			x.Need = max(l.cpu+int64(need), int64(l.vms+sparesForLasting)*rooms.vmCPU) + int64(l.waiting)*rooms.vmCPU
 			if l.vms == 0 {
 				x.Need = int64(need)
 			}
@@ -104,7 +105,8 @@
 }
 
 // demand returns, for each pool, the waiting work in core-seconds that is still
-// of use, and what lasting tasks need.
+// of use, and what lasting tasks need. A job that may still run on a VM not heard yet
+// can't start anything: room for it would stand empty while other queues wait.
 func (s *Scheduler) demand(now time.Time) (waiting map[job.PoolName]float64, lasting map[job.PoolName]lastingDemand) {
 	waiting, lasting = map[job.PoolName]float64{}, map[job.PoolName]lastingDemand{}
 	for _, j := range s.jobs.All() {
@@ -112,34 +114,52 @@
 			continue
 		}
 		p := s.pool(j)
+		blocked := j.inherited && s.mayRunUnheard(now, j)
 		switch {
 		case j.lasting:
 			l := lasting[p]
-			s.addLasting(now, &l, j)
+			l.add(j)
+			if !blocked {
+				l.waiting += j.waitsLong(now)
+			}
 			lasting[p] = l
-		case now.Before(j.late):
+		case now.Before(j.late) && !blocked:
 			waiting[p] += s.waitingWork(j)
 		}
 	}
 	return waiting, lasting
 }
 
-func (s *Scheduler) addLasting(now time.Time, l *lastingDemand, j *jobState) {
+// add counts the tasks of a lasting job.
+func (l *lastingDemand) add(j *jobState) {
 	for _, o := range j.occurrences {
 		for i := range o.steps {
-			st := &o.steps[i]
-			l.cpu += st.def.Claim().CPU * int64(st.def.Count)
-			if st.def.MaxPerVM > 0 {
-				l.vms = max(l.vms, (st.def.Count+st.def.MaxPerVM-1)/st.def.MaxPerVM)
+			def := o.steps[i].def
+			l.cpu += def.Claim().CPU * int64(def.Count)
+			if def.MaxPerVM > 0 {
+				l.vms = max(l.vms, (def.Count+def.MaxPerVM-1)/def.MaxPerVM)
 			}
-			for t := range st.tasks {
-				task := &st.tasks[t]
-				if len(task.runs) == 0 && now.Sub(j.arrived) > waitingLong && (task.awaySince.IsZero() || now.Sub(task.awaySince) > waitingLong) {
-					l.waiting++
+		}
+	}
+}
+
+// waitsLong counts the tasks of a lasting job that have found no room for a while.
+func (j *jobState) waitsLong(now time.Time) int {
+	if now.Sub(j.arrived) <= waitingLong {
+		return 0
+	}
+	n := 0
+	for _, o := range j.occurrences {
+		for i := range o.steps {
+			for t := range o.steps[i].tasks {
+				task := &o.steps[i].tasks[t]
+				if len(task.runs) == 0 && (task.awaySince.IsZero() || now.Sub(task.awaySince) > waitingLong) {
+					n++
 				}
 			}
 		}
 	}
+	return n
 }
 
 // waitingWork returns the core-seconds of a job's tasks that could start now.
@@ -163,106 +183,57 @@
 	return sum
 }
 
-// poolRooms returns the CPU in each pool, machines on their way included, and
-// that of the largest VM.
-func (s *Scheduler) poolRooms() (have map[job.PoolName]int64, vmCPU int64) {
-	have = map[job.PoolName]int64{}
+// poolRooms is the CPU in pools, in thousandths of a core.
+type poolRooms struct {
+	// have counts the VMs that take tasks, and machines on their way.
+	have map[job.PoolName]int64
+	// used is what runs on those VMs.
+	used map[job.PoolName]int64
+	// vmCPU is that of the largest VM.
+	vmCPU int64
+}
+
+func (s *Scheduler) poolRooms(now time.Time) poolRooms {
+	r := poolRooms{have: map[job.PoolName]int64{}, used: map[job.PoolName]int64{}}
 	for _, v := range s.vms.All() {
-		vmCPU = max(vmCPU, v.room.CPU)
-		if v.listed && !v.draining && !v.silent && !v.cordoned {
-			have[v.pool] += v.room.CPU
+		r.vmCPU = max(r.vmCPU, v.room.CPU)
+		if v.counts(now) {
+			r.have[v.pool] += v.room.CPU
+			r.used[v.pool] += v.used.CPU
 		}
 	}
 	for _, m := range s.machines.All() {
 		switch {
 		case m.to != "":
-			have[m.to] += m.Room.CPU
+			r.have[m.to] += m.Room.CPU
 		case m.State == job.MachineMoving, m.State == job.MachineUpkeep:
-			have[m.Pool] += m.Room.CPU
+			r.have[m.Pool] += m.Room.CPU
 		}
 	}
-	return have, vmCPU
-}
-
-// idleMachines returns the machines that run nothing and are due for nothing.
-func (s *Scheduler) idleMachines(now time.Time) []sizing.Machine {
-	var out []sizing.Machine
-	for id, m := range s.machines.All() {
-		if m.State != job.MachineUp || m.to != "" || now.Before(m.retry) || s.inUpkeep(id) || !s.mayOrderMachine(now, id) {
-			continue
-		}
-		x := sizing.Machine{ID: id, Pool: m.Pool, Zone: m.Zone, CPU: m.Room.CPU}
-		if p := s.conf.Pool(m.Pool); p == nil || !p.Standby {
-			v := s.vms.Get(m.VM)
-			if v == nil || v.runs.Len() > 0 || !s.usable(now, v) || v.machine != id {
-				continue
-			}
-			x.IdleSince = v.idleSince
-		}
-		out = append(out, x)
-	}
-	return out
+	return r
 }
 
-// inUpkeep tells whether a wave has the machine's upkeep under way.
-func (s *Scheduler) inUpkeep(id job.MachineID) bool {
-	for _, w := range s.waves.All() {
-		if w.away[id] {
-			return true
-		}
-	}
-	return false
-}
+// unheardGrace is how long a VM counts as room before it is first heard.
+const unheardGrace = 300 * time.Millisecond
 
-func (s *Scheduler) orderMove(now time.Time, x sizing.Move) {
-	m := s.machines.Get(x.Machine)
-	m.to, m.waiting, m.before = x.To, true, m.VM
-	m.answeredAt = time.Time{}
-	if v := s.vms.Get(m.VM); v != nil {
-		v.cordoned = true
-	}
-	s.decided(Decision{What: MachineMoved, VM: m.VM, Reason: string(x.Machine) + " " + string(x.From) + " to " + string(x.To)})
-	s.orderMachine(now, x.Machine, Move{Machine: x.Machine, Pool: x.To})
+// counts tells whether the VM is room for its pool. After a take-over while a zone is
+// cut off, all its VMs are listed and none is heard: if they counted, their pools
+// would seem to have room and get no machines.
+func (v *vmState) counts(now time.Time) bool {
+	heard := v.heldOnce || now.Sub(v.firstSeen) < unheardGrace
+	return v.listed && !v.draining && !v.silent && !v.cordoned && heard
 }
 
-// MoveAnswered takes in what came of a move.
-func (s *Scheduler) MoveAnswered(now time.Time, c Move, out Outcome, why job.MachineRefusal) {
-	m := s.machines.Get(c.Machine)
-	if m == nil || m.to != c.Pool {
-		return
-	}
-	m.waiting = false
-	switch {
-	case out == Answered && why == job.MachineAccepted:
-		m.answeredAt = now
-		if v := s.vms.Get(m.before); v != nil {
-			s.lifeOver(now, v, "its machine moves")
+// vacate chooses the VMs that are to fall idle, so that their machines can move.
+func (s *Scheduler) vacate(pools []sizing.Pool) {
+	var vms []sizing.VM
+	for _, v := range s.vms.All() {
+		v.vacating = false
+		if v.takesTasks() && !v.cordoned && !v.hasLasting(s) {
+			vms = append(vms, sizing.VM{ID: v.id, Pool: v.pool, CPU: v.room.CPU, Used: v.used.CPU})
 		}
-	case out == Unanswered:
-		// It may be carried out at any time: the VM gets nothing until that is known.
-		m.retry = now.Add(moveRetry)
-	default:
-		m.to = ""
-		m.retry = now.Add(machineRetry)
 	}
-}
-
-// followMoves ends the moves that the list shows as done, and repeats those
-// without an answer.
-func (s *Scheduler) followMoves(now time.Time) {
-	for id, m := range s.machines.All() {
-		if m.to == "" || m.waiting {
-			continue
-		}
-		if m.answeredAt.IsZero() {
-			if now.After(m.retry) {
-				m.waiting = true
-				s.orderMachine(now, id, Move{Machine: id, Pool: m.to})
-			}
-			continue
-		}
-		if m.listedAt.After(m.answeredAt) && m.State == job.MachineUp && m.Pool == m.to {
-			m.to = ""
-		}
+	for _, id := range sizing.Vacate(pools, vms) {
+		s.vms.Get(id).vacating = true
 	}
 }
--- /dev/null
+++ b/core/schedule/pools_test.go
@@ -0,0 +1,141 @@
+package schedule
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lavenderpond/core/job"
+)
+
+const poolB = job.PoolName("b")
+
+// newPoolsHarness has two queues with a pool each, and machines that may move.
+func newPoolsHarness(t testing.TB) *harness {
+	h := newHarness(t)
+	c := &job.Configuration{
+		Version: 2,
+		Queues: []job.Queue{
+			{Name: "qa", Pool: poolA, Attempts: 2, Stretch: 1.6, Latency: time.Second},
+			{Name: "qb", Pool: poolB, Attempts: 2, Stretch: 1.6, Latency: time.Second},
+		},
+		Pools:    []job.Pool{{Name: poolA}, {Name: poolB}},
+		Accounts: []job.Account{{Name: "free"}},
+	}
+	c.Index()
+	h.s.Configure(c)
+	return h
+}
+
+// seenIn lists a VM of a pool and its machine.
+func (h *harness) seenIn(pool job.PoolName, ids ...string) {
+	for _, id := range ids {
+		h.s.VMSeen(h.now, job.VMEntry{
+			ID: job.VMID(id), Pool: pool, Address: id, Room: job.Room{CPU: 8000, MemMB: 8000},
+			Machine: job.MachineID("m-" + id), Born: 1, Zone: "z",
+		})
+	}
+}
+
+// listMachines tells of one machine for each VM.
+func (h *harness) listMachines() {
+	var list []job.Machine
+	for id, v := range h.s.vms.All() {
+		list = append(list, job.Machine{
+			ID: job.MachineID("m-" + string(id)), Pool: v.pool, State: job.MachineUp, Zone: "z", Room: v.room, VM: id,
+		})
+	}
+	h.s.Machines(h.now, list)
+}
+
+// jobIn hands a job of a queue in.
+func (h *harness) jobIn(queue job.QueueName, id string, steps ...job.Step) {
+	h.s.AddJob(h.now, h.jobOf(queue, id, steps...), nil, false)
+}
+
+func (h *harness) jobOf(queue job.QueueName, id string, steps ...job.Step) job.Job {
+	q := h.s.conf.Queue(queue)
+	j := job.Job{ID: job.ID(id), Body: job.Body{Spec: "x", Steps: steps}}
+	j.Terms = job.Terms{Queue: queue, Pool: q.Pool, Account: "free", Attempts: 2, Stretch: q.Stretch, Latency: q.Latency}
+	return j
+}
+
+// movesOf sorts moves by where they go.
+func movesOf(commands []Command) map[job.PoolName][]job.MachineID {
+	out := map[job.PoolName][]job.MachineID{}
+	for _, m := range only[Move](commands) {
+		out[m.Pool] = append(out[m.Pool], m.Machine)
+	}
+	return out
+}
+
+// An owner takes over while a zone is cut off. A wide job may still run there and
+// can't start again before that is known, so it has no use for room. If it counted,
+// the idle machines would go to its pool and stand there, while the callers of the
+// queue that bursts wait for them.
+func TestJobThatCannotStartTakesNoMachines(t *testing.T) {
+	h := newPoolsHarness(t)
+	wide := job.Step{Count: 40, Room: job.Room{CPU: 2000, MemMB: 100}, Estimate: 2 * time.Second}
+	h.s.Inherit(RosterVM{ID: "far", Address: "far", Pool: poolB, Born: 1})
+	h.s.AddJob(h.now, h.jobOf("qb", "cut", wide), &job.Progress{State: job.Running, VMs: []job.VMID{"far"}}, true)
+	h.seenIn(poolA, "a1")
+	h.seenIn(poolB, "b1", "b2", "b3", "b4", "far")
+	h.step(0)
+	for _, id := range []string{"a1", "b1", "b2", "b3", "b4"} {
+		h.lists(id, nil)
+	}
+	h.listMachines()
+	h.jobIn("qa", "burst", wide)
+	moves := movesOf(h.step(unheardGrace + 200*time.Millisecond))
+	assert.Equal(t, len(moves[poolB]), 0)
+	assert.Assert(t, len(moves[poolA]) >= 3, "%v", moves)
+}
+
+// A pool has more room than it uses, but a little runs on each of its VMs, and the
+// jobs there would go on with their next steps on them. None would ever be idle and
+// could help the queue that bursts. Their next steps share a VM instead, so that
+// another falls idle and moves at once.
+func TestVMIsVacatedForAPoolThatLacks(t *testing.T) {
+	h := newPoolsHarness(t)
+	h.seenIn(poolA, "a1")
+	h.seenIn(poolB, "b1", "b2")
+	h.step(0)
+	for _, id := range []string{"a1", "b1", "b2"} {
+		h.lists(id, nil)
+	}
+	h.listMachines()
+	h.step(30 * time.Millisecond)
+	first := job.Step{Count: 1, Room: job.Room{CPU: 1000, MemMB: 5000}, Estimate: time.Second}
+	next := job.Step{Count: 1, Room: job.Room{CPU: 1000, MemMB: 100}, Estimate: time.Second, After: []int{0}}
+	h.jobIn("qb", "j1", first, next)
+	h.jobIn("qb", "j2", first, next)
+	starts := only[Start](h.step(0))
+	assert.Equal(t, len(starts), 2)
+	for _, c := range starts {
+		h.confirm(c)
+	}
+	// The two ran on different VMs, since one hasn't the memory for both.
+	assert.Assert(t, starts[0].VM != starts[1].VM)
+	h.now = h.now.Add(2 * time.Second)
+	h.jobIn("qa", "burst", job.Step{Count: 60, Room: job.Room{CPU: 2000, MemMB: 100}, Estimate: 2 * time.Second})
+	h.step(sizeEvery)
+	var on []job.VMID
+	moved := 0
+	for i, c := range starts {
+		h.lists(string(c.VM), nil, job.End{Number: 1, Task: c.Order.Task, Attempt: c.Order.Attempt, How: job.EndedDone})
+		commands := h.step(sizeEvery)
+		for _, n := range only[Start](commands) {
+			if h.s.jobs.Get(n.Order.Task.Job).Terms.Pool == poolB {
+				on = append(on, n.VM)
+				h.confirm(n)
+			}
+		}
+		moved += len(only[Move](commands))
+		assert.Equal(t, len(on), i+1, fmt.Sprint(commands))
+	}
+	moved += len(only[Move](h.step(sizeEvery)))
+	assert.Equal(t, on[0], on[1], "the next steps keep both VMs of the pool")
+	assert.Equal(t, moved, 1, "no machine came free for the burst")
+}
--- a/core/schedule/sizing/sizing.go
+++ b/core/schedule/sizing/sizing.go
@@ -19,6 +19,8 @@
 	Need int64
 	// Have is the CPU of its VMs that take tasks, and of machines on their way.
 	Have int64
+	// Used is the CPU that its tasks fill, with the loss of packing.
+	Used int64
 }
 
 // Machine is a machine that could move: it runs nothing.
@@ -29,6 +31,8 @@
 	CPU  int64
 	// IdleSince is when it last ran something.
 	IdleSince time.Time
+	// Vacated is set if its VM was emptied so that it can move.
+	Vacated bool
 }
 
 // Move takes a machine into another pool.
@@ -128,7 +132,8 @@
 		return true
 	}
 	from := p.pools[m.Pool]
-	return from != nil && now.Sub(m.IdleSince) >= lendAfter && from.Have-m.CPU >= from.Need
+	rested := m.Vacated || now.Sub(m.IdleSince) >= lendAfter
+	return from != nil && rested && from.Have-m.CPU >= from.Need
 }
 
 func (p *plan) move(m Machine, to *Pool) {
--- a/core/schedule/sizing/sizing_test.go
+++ b/core/schedule/sizing/sizing_test.go
@@ -97,3 +97,52 @@
 	}
 	return pools, machines
 }
+
+// Whatever the fleet: the VMs vacated are no more than other pools lack, leave each
+// pool what it needs and uses, and no VM with less on it stays instead.
+func TestVacateAgainstNaive(t *testing.T) {
+	rng := rand.New(rand.NewPCG(3, 4))
+	for round := range 500 {
+		pools, vms := randomLoad(rng)
+		out := map[job.VMID]bool{}
+		for _, id := range sizing.Vacate(pools, vms) {
+			out[id] = true
+		}
+		lack, vacated := int64(0), int64(0)
+		for _, p := range pools {
+			lack += max(0, p.Need-p.Have)
+			left, heaviest, lightest := p.Have, int64(-1), int64(vmCPU+1)
+			for _, v := range vms {
+				switch {
+				case v.Pool != p.Name:
+				case out[v.ID]:
+					left -= v.CPU
+					vacated += v.CPU
+					heaviest = max(heaviest, v.Used)
+				default:
+					lightest = min(lightest, v.Used)
+				}
+			}
+			assert.Assert(t, heaviest < 0 || left >= max(p.Need, p.Used), "round %d: %s is left short", round, p.Name)
+			assert.Assert(t, heaviest <= lightest, "round %d: %s keeps a VM with less on it", round, p.Name)
+		}
+		assert.Assert(t, vacated <= lack+vmCPU/2, "round %d: %d vacated, %d lacked", round, vacated, lack)
+	}
+}
+
+func randomLoad(rng *rand.Rand) ([]sizing.Pool, []sizing.VM) {
+	var pools []sizing.Pool
+	var vms []sizing.VM
+	for p := range 4 {
+		name := job.PoolName(fmt.Sprintf("p%d", p))
+		n := rng.IntN(12)
+		used := int64(0)
+		for i := range n {
+			v := sizing.VM{ID: job.VMID(fmt.Sprintf("%s-%d", name, i)), Pool: name, CPU: vmCPU, Used: rng.Int64N(vmCPU)}
+			used += v.Used
+			vms = append(vms, v)
+		}
+		pools = append(pools, sizing.Pool{Name: name, Need: rng.Int64N(12 * vmCPU), Have: int64(n) * vmCPU, Used: used})
+	}
+	return pools, vms
+}
--- /dev/null
+++ b/core/schedule/sizing/vacate.go
@@ -0,0 +1,49 @@
+package sizing
+
+import (
+	"cmp"
+	"slices"
+
+	"lavenderpond/core/job"
+)
+
+// VM is a VM that runs no lasting task, with the CPU that its tasks fill.
+type VM struct {
+	ID   job.VMID
+	Pool job.PoolName
+	CPU  int64
+	Used int64
+}
+
+// Vacate returns the VMs that should get no more tasks while others of their pool have
+// room. Only an idle machine can move. After a burst its pool's tasks lie scattered over
+// twenty VMs or more, half empty, and go on with their next steps where they are; the
+// queue that bursts next waits for seconds. No more VMs are vacated than other pools
+// lack, and none that its pool needs for what it runs.
+func Vacate(pools []Pool, vms []VM) []job.VMID {
+	lack := int64(0)
+	for _, p := range pools {
+		if !p.Standby {
+			lack += max(0, p.Need-p.Have)
+		}
+	}
+	byLoad := slices.SortedFunc(slices.Values(vms), func(a, b VM) int {
+		return cmp.Or(cmp.Compare(a.Used, b.Used), cmp.Compare(a.ID, b.ID))
+	})
+	var out []job.VMID
+	for _, p := range pools {
+		if p.Standby {
+			continue
+		}
+		spare := p.Have - max(p.Need, p.Used)
+		for _, v := range byLoad {
+			if v.Pool != p.Name || spare < v.CPU || lack < v.CPU/2 {
+				continue
+			}
+			out = append(out, v.ID)
+			spare -= v.CPU
+			lack -= v.CPU
+		}
+	}
+	return out
+}
--- a/core/schedule/state.go
+++ b/core/schedule/state.go
@@ -215,6 +215,8 @@
 	inRoster int64
 	// cordoned VMs get no new tasks since their machine is due for upkeep.
 	cordoned bool
+	// vacating VMs get tasks only if no other has room.
+	vacating bool
 	// lost are starts without an answer that came too late for this life. A new
 	// life under the same ID would still carry them out.
 	lost []*run
