Start tasks for 2.9 s after the last proof of ownership

Why it is safe to start after another may have taken over: the new owner's first hold bars all later starts on a VM; jobs whose stored places lie on VMs that it hasn't heard wait until what a former owner may have held or started there is over; and no start goes to a place that isn't stored, which needs the table. What nothing fences keeps the short right, now by its own name: orders for machines, and stops of lasting tasks for an upkeep. A new owner counts against an account's cap what the former one may go on to start: also later steps of jobs that may run out of its reach, since the former owner knows ends that it doesn't.

Seen red: the rights' periods set wrong, the evacuation without its right, the cap with the next steps only. That starts end with their right isn't red on its own: the owner's process looks again right before it sends.

--- a/core/emulator/owner.go
+++ b/core/emulator/owner.go
@@ -136,7 +136,7 @@
 	if o.over {
 		return
 	}
-	o.scheduler.SetRights(o.right.MayStart(now), o.right.MayHold(now))
+	o.scheduler.SetRights(schedule.Rights{Order: o.right.MayOrder(now), Start: o.right.MayStart(now), Hold: o.right.MayHold(now)})
 	o.scheduler.Tick(now)
 	o.scheduler.Assign(now, now)
 	for _, c := range o.scheduler.Take() {
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -19,17 +19,29 @@
 	var r lease.Right
 	r.Prove(start)
 	woken := start.Add(4 * time.Second)
+	assert.Assert(t, !r.MayOrder(woken))
 	assert.Assert(t, !r.MayStart(woken))
 	assert.Assert(t, !r.MayHold(woken))
 }
 
-func TestHoldsOutlastStarts(t *testing.T) {
+// Machines know no fence, so that nobody may order them any more once another can take
+// over. Starts go on: VMs fence them. Holds outlast them, since what was started must
+// be held.
+func TestRightsEndInTurn(t *testing.T) {
 	var r lease.Right
-	assert.Assert(t, !r.MayStart(start), "the zero value holds no right")
+	assert.Assert(t, !r.MayOrder(start) && !r.MayStart(start) && !r.MayHold(start), "the zero value holds no right")
 	r.Prove(start)
-	later := start.Add(2 * time.Second)
-	assert.Assert(t, !r.MayStart(later))
-	assert.Assert(t, r.MayHold(later))
+	var w lease.Watch
+	s := lease.Sight{Sent: start, Received: start, Owner: 7, Renewal: 7}
+	assert.Assert(t, !w.Due(s))
+	for s.Sent = start; !w.Due(s); s.Sent = s.Sent.Add(time.Millisecond) {
+		assert.Assert(t, r.MayStart(s.Sent))
+	}
+	assert.Assert(t, !r.MayOrder(s.Sent))
+	for at := start; at.Before(start.Add(5 * time.Second)); at = at.Add(10 * time.Millisecond) {
+		assert.Assert(t, !r.MayStart(at) || r.MayHold(at))
+	}
+	assert.Assert(t, !r.MayHold(start.Add(5*time.Second)))
 }
 
 // An older proof that is answered late doesn't shorten the right.
@@ -37,7 +49,8 @@
 	var r lease.Right
 	r.Prove(start.Add(time.Second))
 	r.Prove(start)
-	assert.Assert(t, r.MayStart(start.Add(1600*time.Millisecond)))
+	assert.Assert(t, r.MayOrder(start.Add(1600*time.Millisecond)))
+	assert.Assert(t, r.MayStart(start.Add(3600*time.Millisecond)))
 }
 
 // A watcher reads the same renewal again and again. It takes over only once that
--- a/core/lease/right.go
+++ b/core/lease/right.go
@@ -6,23 +6,31 @@
 import "time"
 
 const (
-	// startPeriod is how long after its last proof the owner may start tasks: two
-	// renewals of a quarter of a second and an answer of a slow table.
-	startPeriod = 750 * time.Millisecond
+	// orderPeriod is how long after its last proof the owner may order machines and
+	// move lasting tasks off VMs: two renewals of a quarter of a second and an answer
+	// of a slow table. Nothing guards these orders against a former owner's, so it ends
+	// before another may take over.
+	orderPeriod = 750 * time.Millisecond
+	// startPeriod is how long after its last proof the owner may start tasks. It goes
+	// on after another may have taken over: that one's fence bars the starts on all VMs
+	// that it has reached, and for jobs that may run on the others it waits until what
+	// is started there is over. While the table is out of reach for all, nobody takes
+	// over, and callers' jobs go on.
+	startPeriod = 2900 * time.Millisecond
 	// holdPeriod is how long after its last proof the owner may extend leases on
 	// VMs. It outlasts short outages of the table, so that they end no task, and
 	// has an end, so that a new owner knows when a VM it can't reach is free.
 	holdPeriod = 3 * time.Second
 	// silencePeriod is how long the owner's renewal may stand still before
-	// another takes over. It is longer than startPeriod: an owner that reaches
-	// the table again in time stays the owner. Nothing starts meanwhile, and jobs of
-	// two seconds are late: with 1.5 s nothing started for 2.0 s after a loss.
+	// another takes over. It is longer than orderPeriod: an owner that reaches
+	// the table again in time stays the owner. New jobs don't start meanwhile.
 	silencePeriod = 950 * time.Millisecond
 )
 
 // Right is the owner's proof that it still is the owner. Its zero value holds
 // no right.
 type Right struct {
+	ordersUntil time.Time
 	startsUntil time.Time
 	holdsUntil  time.Time
 }
@@ -31,12 +39,16 @@
 // at sent. The call's sending counts, not its answer: only up to then is it
 // certain that nobody else had taken over.
 func (r *Right) Prove(sent time.Time) {
-	if until := sent.Add(startPeriod); until.After(r.startsUntil) {
-		r.startsUntil = until
+	if until := sent.Add(orderPeriod); until.After(r.ordersUntil) {
+		r.ordersUntil = until
+		r.startsUntil = sent.Add(startPeriod)
 		r.holdsUntil = sent.Add(holdPeriod)
 	}
 }
 
+// MayOrder tells whether machines may be ordered, and lasting tasks moved.
+func (r *Right) MayOrder(now time.Time) bool { return now.Before(r.ordersUntil) }
+
 // MayStart tells whether tasks may be started.
 func (r *Right) MayStart(now time.Time) bool { return now.Before(r.startsUntil) }
 
--- a/core/schedule/assign.go
+++ b/core/schedule/assign.go
@@ -10,7 +10,7 @@
 
 // Assign starts what can start. wall is the time of day, for due times.
 func (s *Scheduler) Assign(now, wall time.Time) {
-	if !s.mayStart || s.conf == nil {
+	if !s.rights.Start || s.conf == nil {
 		return
 	}
 	s.countUnheard(now)
@@ -137,8 +137,9 @@
 }
 
 // countUnheard counts what each account may have running on VMs that this owner
-// hasn't heard yet: every task of a job that was started there and has no run
-// that is known.
+// hasn't heard yet: the tasks of jobs that were started there and have no run that is
+// known. The former owner may still go on with their later steps, since it knows ends
+// that this one doesn't.
 func (s *Scheduler) countUnheard(now time.Time) {
 	s.unheard = nil
 	for _, j := range s.jobs.All() {
@@ -149,16 +150,30 @@
 			s.unheard = map[job.AccountName]job.Room{}
 		}
 		for _, o := range j.occurrences {
-			for i := range o.steps {
-				st := &o.steps[i]
-				for t := range st.tasks {
-					if !st.tasks[t].done && len(st.tasks[t].runs) == 0 && o.ready(i) {
-						s.unheard[j.Terms.Account] = s.unheard[j.Terms.Account].Plus(st.def.Room)
-					}
-				}
+			s.unheard[j.Terms.Account] = s.unheard[j.Terms.Account].Plus(o.mostUnknown())
+		}
+	}
+}
+
+// mostUnknown returns the most that tasks without a known run can take up at a time.
+// Steps that wait for one another run one after the other.
+func (o *occurrence) mostUnknown() job.Room {
+	var sum, largest job.Room
+	inTurn := true
+	for i := range o.steps {
+		var r job.Room
+		for t := range o.steps[i].tasks {
+			if task := &o.steps[i].tasks[t]; !task.done && len(task.runs) == 0 {
+				r = r.Plus(o.steps[i].def.Room)
 			}
 		}
+		sum, largest = sum.Plus(r), largest.Most(r)
+		inTurn = inTurn && (i == 0 || slices.Contains(o.steps[i].def.After, i-1))
+	}
+	if inTurn {
+		return largest
 	}
+	return sum
 }
 
 // withinCap tells whether the job's account may have more running. What may
--- a/core/schedule/failure_test.go
+++ b/core/schedule/failure_test.go
@@ -258,6 +258,45 @@
 	assert.Equal(t, len(only[Start](h.step(0))), 1, "4 of 5 cores may be in use already")
 }
 
+// A former owner is cut off from the table but not from its VMs. It has seen the end of
+// a step that the new owner hasn't, and starts the next one, which is wider. An account
+// would have more running than it may if only the steps counted that the new owner
+// knows to be next.
+func TestLaterUnheardStepsCountAgainstTheCap(t *testing.T) {
+	h := newHarness(t)
+	h.s.Inherit(RosterVM{ID: "dark", Address: "dark", Pool: poolA})
+	h.ready("one")
+	room := job.Room{CPU: 1000}
+	j := job.Job{ID: "there", Terms: job.Terms{Queue: "q", Pool: poolA, Account: "capped"}, Body: job.Body{Steps: []job.Step{
+		{Count: 1, Room: room, Estimate: time.Second},
+		{Count: 4, Room: room, Estimate: time.Second, After: []int{0}},
+	}}}
+	h.s.AddJob(h.now, j, &job.Progress{State: job.Running, VMs: []job.VMID{"dark"}}, true)
+	h.job("new", "capped", job.Step{Count: 4, Room: room, Estimate: time.Second})
+	assert.Equal(t, len(only[Start](h.step(0))), 1, "4 of 5 cores may be in use already")
+}
+
+// An owner doesn't reach the table for a second; another may have taken over and move
+// lasting tasks for the same upkeep. If both did, more tasks of a step would be away
+// than it may miss. What is to start still starts.
+func TestOldProofMovesNoLastingTask(t *testing.T) {
+	h := newHarness(t)
+	h.ready("one", "two")
+	lasting := job.Step{Count: 1, Room: job.Room{CPU: 1000}, Lasting: true, MayMiss: 1, HasMayMiss: true}
+	h.job("j", "free", lasting)
+	start := one[Start](h, h.step(0))
+	h.confirm(start)
+	h.lists(string(start.VM), []job.RunningTask{running(start, 100)})
+	h.listMachinesOf("one", "two")
+	h.s.AddWave(h.now, job.Wave{Number: 1, Machines: []job.MachineID{job.MachineID("m-" + start.VM)}, AtOnce: 1}, nil)
+	h.s.SetRights(Rights{Start: true, Hold: true})
+	assert.Equal(t, len(only[Stop](h.step(time.Second))), 0)
+	h.job("new", "free", small)
+	assert.Equal(t, len(only[Start](h.step(0))), 1)
+	h.s.SetRights(Rights{Order: true, Start: true, Hold: true})
+	assert.Equal(t, len(only[Stop](h.step(0))), 1)
+}
+
 // The same machine gets orders from two owners in a row. The second one waits
 // until the first one's orders are long enough ago; other machines don't wait.
 func TestMachineOfAFormerHolderWaits(t *testing.T) {
@@ -266,7 +305,7 @@
 		Fence: 5, TookOver: begin, MachineLease: 3 * time.Second, Holder: "here",
 		OrderedBefore: []MachineOrder{{Machine: "m-1", Holder: "there"}},
 	})
-	h.s.SetRights(true, true)
+	h.s.SetRights(Rights{Order: true, Start: true, Hold: true})
 	h.s.Machines(h.now, []job.Machine{{ID: "m-1", State: job.MachineUp}, {ID: "m-2", State: job.MachineUp}})
 	h.s.AddWave(h.now, job.Wave{Number: 1, Machines: []job.MachineID{"m-1", "m-2"}, AtOnce: 2}, nil)
 	assert.Equal(t, one[Upkeep](h, h.step(time.Second)).Machine, job.MachineID("m-2"))
--- a/core/schedule/harness_test.go
+++ b/core/schedule/harness_test.go
@@ -38,7 +38,7 @@
 	}
 	c.Index()
 	h.s.Configure(c)
-	h.s.SetRights(true, true)
+	h.s.SetRights(Rights{Order: true, Start: true, Hold: true})
 	return h
 }
 
--- a/core/schedule/hold.go
+++ b/core/schedule/hold.go
@@ -22,7 +22,7 @@
 
 // hold orders the next hold of a VM if it is due.
 func (s *Scheduler) hold(now time.Time, v *vmState) {
-	if v.holding || now.Before(v.nextHold) || !s.mayHold || v.address == "" {
+	if v.holding || now.Before(v.nextHold) || !s.rights.Hold || v.address == "" {
 		return
 	}
 	o := job.HoldOrder{Fence: s.settings.Fence, Noted: v.noted}
--- a/core/schedule/look.go
+++ b/core/schedule/look.go
@@ -35,7 +35,7 @@
 			wanted = true
 		}
 	}
-	if !wanted || v.looking || now.Before(v.lookedAt.Add(lookPause)) || !s.mayHold {
+	if !wanted || v.looking || now.Before(v.lookedAt.Add(lookPause)) || !s.rights.Hold {
 		return
 	}
 	v.looking, v.lookedAt = true, now
--- a/core/schedule/machine.go
+++ b/core/schedule/machine.go
@@ -79,7 +79,7 @@
 // mayOrderMachine tells whether a former owner's order for the machine is long
 // enough ago.
 func (s *Scheduler) mayOrderMachine(now time.Time, id job.MachineID) bool {
-	if !s.mayStart {
+	if !s.rights.Order {
 		return false
 	}
 	o := s.recent.Get(id)
@@ -130,7 +130,7 @@
 			return true
 		}
 		v := s.vms.Get(m.VM)
-		if s.mayStart && (v == nil || v.runs.Len() == 0) {
+		if s.rights.Order && (v == nil || v.runs.Len() == 0) {
 			s.emit(h.command)
 			return true
 		}
--- a/core/schedule/pools_test.go
+++ b/core/schedule/pools_test.go
@@ -41,10 +41,21 @@
 
 // listMachines tells of one machine for each VM.
 func (h *harness) listMachines() {
+	var ids []string
+	for id := range h.s.vms.All() {
+		ids = append(ids, string(id))
+	}
+	h.listMachinesOf(ids...)
+}
+
+// listMachinesOf tells of the machines of these VMs.
+func (h *harness) listMachinesOf(ids ...string) {
 	var list []job.Machine
-	for id, v := range h.s.vms.All() {
+	for _, n := range ids {
+		id := job.VMID(n)
+		v := h.s.vms.Get(id)
 		list = append(list, job.Machine{
-			ID: job.MachineID("m-" + string(id)), Pool: v.pool, State: job.MachineUp, Zone: "z", Room: v.room, VM: id,
+			ID: job.MachineID("m-" + n), Pool: v.pool, State: job.MachineUp, Zone: "z", Room: v.room, VM: id,
 		})
 	}
 	h.s.Machines(h.now, list)
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -62,8 +62,7 @@
 	dirtyWaves  []*waveState
 	// forgetAt is when to look next for ended jobs to forget.
 	forgetAt time.Time
-	mayStart bool
-	mayHold  bool
+	rights   Rights
 	queues   map[job.QueueName]*queueRecord
 	machines ordered[job.MachineID, *machineState]
 	waves    ordered[int64, *waveState]
@@ -95,8 +94,16 @@
 	s.conf = c
 }
 
+// Rights are what the owner may still do, by the age of its last proof.
+type Rights struct {
+	// Order is for machines, and for moving lasting tasks.
+	Order bool
+	// Start is for tasks, Hold for extending leases on VMs.
+	Start, Hold bool
+}
+
 // SetRights says what the owner may still do at this moment.
-func (s *Scheduler) SetRights(mayStart, mayHold bool) { s.mayStart, s.mayHold = mayStart, mayHold }
+func (s *Scheduler) SetRights(r Rights) { s.rights = r }
 
 // Take returns the commands since the last call.
 func (s *Scheduler) Take() []Command {
--- a/core/schedule/upkeep.go
+++ b/core/schedule/upkeep.go
@@ -215,8 +215,13 @@
 	return cost
 }
 
-// evacuate moves lasting tasks off a VM, as far as their steps may miss tasks.
+// evacuate moves lasting tasks off a VM, as far as their steps may miss tasks. A new
+// owner may do the same at the same time, each counting only its own stops, so it
+// takes the right that ends before another can take over.
 func (s *Scheduler) evacuate(now time.Time, v *vmState) {
+	if !s.rights.Order {
+		return
+	}
 	for _, r := range v.runs.All() {
 		j, _, st, _ := s.task(r.task)
 		if j == nil || j.over() || !st.def.Lasting || r.stopping || r.phase != runConfirmed {
--- a/io/node/orders.go
+++ b/io/node/orders.go
@@ -197,7 +197,7 @@
 
 // orderMachine gives an order for a machine, if this process is still the owner.
 func (o *owner) orderMachine(ctx context.Context, event string, m job.MachineID, order func(ctx context.Context) (job.MachineRefusal, error)) (schedule.Outcome, job.MachineRefusal) {
-	if !o.tenure.mayStart(bootNow()) {
+	if !o.tenure.mayOrder(bootNow()) {
 		return schedule.NotDone, job.MachineAccepted
 	}
 	callCtx, cancel := context.WithTimeout(ctx, machineTimeout)
--- a/io/node/owner.go
+++ b/io/node/owner.go
@@ -147,7 +147,9 @@
 
 // turn decides on all that was taken in and carries out what was decided.
 func (o *owner) turn(ctx context.Context, now time.Time) {
-	o.scheduler.SetRights(o.tenure.mayStart(now), o.tenure.mayHold(now))
+	o.scheduler.SetRights(schedule.Rights{
+		Order: o.tenure.mayOrder(now), Start: o.tenure.mayStart(now), Hold: o.tenure.mayHold(now),
+	})
 	o.scheduler.Tick(now)
 	o.scheduler.Assign(now, time.Now())
 	o.backlog.set(o.scheduler.Backlog())
--- a/io/node/tenure.go
+++ b/io/node/tenure.go
@@ -29,6 +29,12 @@
 	t.right.Prove(sent)
 }
 
+func (t *tenure) mayOrder(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.right.MayOrder(now)
+}
+
 func (t *tenure) mayStart(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
