Jobs beyond an account's share come last

Change: an account's share is its weight in jobs a second, with five seconds' worth at once; jobs beyond it come after all late ones of others, before the useless. Nothing is held back or refused: while there is room they run like any other. Jobs that a new owner reads count for nobody's share.

--- a/core/job/configuration.go
+++ b/core/job/configuration.go
@@ -47,7 +47,8 @@
 type Account struct {
 	Name AccountName
 	Keys []string
-	// Weight is the account's share when all is full.
+	// Weight is the account's share when all is full, in jobs a second; 0 means that
+	// none is set.
 	Weight float64
 	// Cap bounds what the account has running; a zero field means no bound.
 	Cap Room
--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -17,6 +17,8 @@
 	rankInTime
 	// rankLate: it can only be complete late, at a small part of its worth.
 	rankLate
+	// rankExcess: its account has handed in more than its share.
+	rankExcess
 	// rankUseless: nobody waits for it any more, but it was accepted.
 	rankUseless
 )
@@ -80,6 +82,9 @@
 	default:
 		c.rank = rankUseless
 	}
+	if j.excess {
+		c.rank = max(c.rank, rankExcess)
+	}
 	return c
 }
 
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -67,6 +67,7 @@
 	machines ordered[job.MachineID, *machineState]
 	waves    ordered[int64, *waveState]
 	pools    map[job.PoolName]*poolRecord
+	shares   shares
 	sizeAt   time.Time
 }
 
@@ -78,6 +79,7 @@
 		running:  map[job.AccountName]job.Room{},
 		queues:   map[job.QueueName]*queueRecord{},
 		pools:    map[job.PoolName]*poolRecord{},
+		shares:   shares{},
 	}
 	// Kept among this owner's own, so that the next owner knows of them too.
 	for _, o := range s.OrderedBefore {
@@ -155,6 +157,7 @@
 	}
 	st.objective, st.late = s.objective(st)
 	if !st.lasting && !inherited {
+		st.excess = s.conf != nil && s.shares.exceeds(now, s.conf.Account(j.Terms.Account))
 		left, all := s.work(st)
 		s.poolRecord(s.pool(st)).arrive(now, left)
 		s.queue(j.Terms.Queue).arrive(all)
--- /dev/null
+++ b/core/schedule/share_test.go
@@ -0,0 +1,99 @@
+package schedule
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lavenderpond/core/job"
+)
+
+// newSharesHarness has two accounts with a share of two jobs a second each.
+func newSharesHarness(t testing.TB) *harness {
+	h := newHarness(t)
+	c := &job.Configuration{
+		Version:  2,
+		Queues:   []job.Queue{{Name: "q", Pool: poolA, Attempts: 2, Stretch: 1.6, Latency: time.Second}},
+		Pools:    []job.Pool{{Name: poolA}},
+		Accounts: []job.Account{{Name: "hot", Weight: 2}, {Name: "quiet", Weight: 2}},
+	}
+	c.Index()
+	h.s.Configure(c)
+	return h
+}
+
+// One account sends forty jobs at once, another a single one a moment later. The VM
+// takes eight tasks at a time. The single job's caller is served with the next task
+// that ends; in the order of arrival it would wait for four rounds and be late.
+func TestHotAccountDoesNotHoldUpOthers(t *testing.T) {
+	h := newSharesHarness(t)
+	h.ready("one")
+	for i := range 40 {
+		h.job(fmt.Sprintf("hot%02d", i), "hot", small)
+	}
+	first := only[Start](h.step(0))
+	assert.Equal(t, len(first), 8)
+	h.job("single", "quiet", small)
+	for _, c := range first {
+		h.confirm(c)
+	}
+	h.step(time.Second)
+	var ends []job.End
+	for i, c := range first {
+		ends = append(ends, job.End{Number: int64(i + 1), Task: c.Order.Task, Attempt: c.Order.Attempt, How: job.EndedDone})
+	}
+	h.lists("one", nil, ends...)
+	next := only[Start](h.step(0))
+	assert.Equal(t, len(next), 8, "room is not left empty for it")
+	place := -1
+	for i, c := range next {
+		if c.Order.Task.Job == "single" {
+			place = i
+		}
+	}
+	assert.Assert(t, place >= 0, "%v", next)
+}
+
+// What an account hands in beyond its share runs like any other job while there is
+// room: nothing is held back.
+func TestExcessRunsWhileThereIsRoom(t *testing.T) {
+	h := newSharesHarness(t)
+	h.ready("one", "two", "three", "four", "five")
+	for i := range 40 {
+		h.job(fmt.Sprintf("hot%02d", i), "hot", small)
+	}
+	assert.Equal(t, len(only[Start](h.step(0))), 40)
+}
+
+// Over a long time an account gets its share and no more, however it spreads its jobs,
+// but for what it may use at once.
+func TestSharesAgainstNaive(t *testing.T) {
+	a := &job.Account{Name: "a", Weight: 3}
+	for _, pause := range []time.Duration{10 * time.Millisecond, 100 * time.Millisecond, 330 * time.Millisecond, time.Second} {
+		s := shares{}
+		within, n := 0, 0
+		for at := time.Duration(0); at < time.Minute; at += pause {
+			n++
+			if !s.exceeds(begin.Add(at), a) {
+				within++
+			}
+		}
+		most := int(a.Weight * (time.Minute + shareWindow).Seconds())
+		assert.Assert(t, within <= most, "%d of %d", within, n)
+		assert.Assert(t, within >= min(n, most-2), "%d of %d", within, n)
+	}
+}
+
+// A new owner reads hundreds of jobs in a moment. They were handed in over a long time,
+// and nobody is beyond its share by that.
+func TestInheritedJobsExceedNoShare(t *testing.T) {
+	h := newSharesHarness(t)
+	for i := range 100 {
+		j := job.Job{ID: job.ID(fmt.Sprintf("j%02d", i)), Body: job.Body{Steps: []job.Step{small}}}
+		j.Terms = job.Terms{Queue: "q", Pool: poolA, Account: "hot"}
+		h.s.AddJob(h.now, j, nil, true)
+		assert.Assert(t, !h.s.jobs.Get(j.ID).excess)
+	}
+}
--- a/core/schedule/state.go
+++ b/core/schedule/state.go
@@ -133,6 +133,8 @@
 	begun       bool
 	inherited   bool
 	lasting     bool
+	// excess is set if its account had handed in more than its share.
+	excess bool
 	// objective is when the job is due to be complete.
 	objective time.Time
 	late      time.Time
