Judge the table's parts by themselves; send refused callers elsewhere sooner

And in a cut zone callers kept their connection to a process that refused each of their tries, while the balancer took 2.9 s and more to leave it out.

Change: core/contact knows for each part whether its last call was answered. A part that wasn't, and the table as a whole after 0.7 s without a word, is asked by one call in a while, which is refused as soon as a question of 0.4 s has no answer; the others are refused at once. A process says that it isn't ready 0.45 s after its last look, in place of 0.9 s, and closes the connections of callers that it refuses for lack of the table.

TestNothingIsSentToASilentTable asked that a first call be refused without a question; it now asks that of five calls at most one asks, and none sends a submission.

--- a/io/node/commit.go
+++ b/io/node/commit.go
@@ -48,8 +48,7 @@
 	// backlog returns the count of jobs that haven't begun, or nil before the first.
 	backlog func() map[job.QueueName]int
 	took    func(d time.Duration)
-	// heard is called when the table has taken a transaction.
-	heard func()
+	reach   *reach
 
 	mu    sync.Mutex
 	queue []schedule.Command
@@ -234,5 +233,5 @@
 func (c *committer) done(sent time.Time, version platform.Version) {
 	c.renewal = version
 	c.tenure.prove(sent)
-	c.heard()
+	c.reach.heard(part)
 }
--- a/io/node/front.go
+++ b/io/node/front.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"lavenderpond/core/contact"
 	"lavenderpond/core/job"
 	"lavenderpond/platform"
 )
@@ -21,12 +22,6 @@
 	// comeBack is when a refused caller should try again: by then it reaches
 	// another entry VM, or the table is back.
 	comeBack = time.Second
-	// contactAge is how old the table's last word may be for a call to be tried. A
-	// submission that is sent to a table behind a partition can't be refused any
-	// more, since it may be carried out later; one that is refused before can go
-	// to another entry VM at once. It is the period of a weak entry VM's looks at the
-	// owner's rows and a slow answer.
-	contactAge = 700 * time.Millisecond
 	// backlogAge is how old the owner's count may be. Callers may be shown one
 	// that is two seconds old.
 	backlogAge = 1800 * time.Millisecond
@@ -35,6 +30,7 @@
 // front answers callers.
 type front struct {
 	view    *operatorView
+	reach   *reach
 	jobs    *jobStore
 	log     zerolog.Logger
 	count   func(name string)
@@ -63,8 +59,10 @@
 		f.deny(w, call, rest, platform.DeniedKey, "unknown key")
 		return
 	}
-	if age := from.Sub(f.view.lastContact()); age > contactAge {
-		f.deny(w, call, rest, platform.DeniedUnavailable, "no word of the table for "+age.String())
+	p := partOf(call.Method, job.ID(rest))
+	verdict := f.reach.decide(p)
+	if verdict == contact.Refuse {
+		f.deny(w, call, rest, platform.DeniedUnavailable, "no word of part "+p+" of the table, none of any for "+f.reach.age().String())
 		return
 	}
 	patience := call.Patience
@@ -74,7 +72,10 @@
 	if q.Timeout > 0 {
 		patience = min(patience, q.Timeout)
 	}
-	c := request{call: call, queue: q, account: account, id: job.ID(rest), until: from.Add(patience - answerMargin), conf: conf}
+	if verdict == contact.Probe && call.Method != platform.CallSubmit {
+		patience = min(patience, probeWithin+answerMargin)
+	}
+	c := request{call: call, queue: q, account: account, id: job.ID(rest), until: from.Add(patience - answerMargin), conf: conf, verdict: verdict}
 	f.serve(r.Context(), w, r, c)
 	f.elapsed("call_"+call.Method.String(), bootNow().Sub(from))
 }
@@ -87,6 +88,15 @@
 	id      job.ID
 	until   time.Time
 	conf    *job.Configuration
+	verdict contact.Verdict
+}
+
+// partOf returns the part of the table that a call needs first.
+func partOf(m platform.CallMethod, id job.ID) string {
+	if m == platform.CallSubmit {
+		return jobPart(id)
+	}
+	return part
 }
 
 func (f *front) serve(ctx context.Context, w http.ResponseWriter, r *http.Request, c request) {
@@ -124,7 +134,7 @@
 		Queue: q.Name, Pool: q.Pool, Account: c.account, Priority: q.Priority, Attempts: q.Attempts,
 		Stretch: q.Stretch, Latency: q.Latency,
 	}}
-	err = f.jobs.submit(ctx, c.until, j)
+	err = f.jobs.submit(ctx, c.until, j, c.verdict)
 	if err != nil {
 		f.failed(w, c, err)
 		return
@@ -198,6 +208,11 @@
 	if d == platform.DeniedUnavailable || d == platform.DeniedBusy {
 		pause = comeBack
 	}
+	if d == platform.DeniedUnavailable {
+		// The balancer leaves an open connection where it is: a caller that keeps it comes
+		// back to this process for as long as its zone is cut off. A new one goes elsewhere.
+		w.Header().Set("Connection", "close")
+	}
 	platform.WriteDenial(w, d, pause)
 }
 
--- a/io/node/jobs.go
+++ b/io/node/jobs.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"lavenderpond/core/contact"
 	"lavenderpond/core/job"
 	"lavenderpond/io/supervisor"
 	"lavenderpond/platform"
@@ -22,6 +23,9 @@
 	// from which on it would cost more than it saves.
 	askWithin     = 250 * time.Millisecond
 	askUnlessSlow = 50 * time.Millisecond
+	// probeWithin bounds a call that finds out whether the table is back; its caller
+	// can go to another entry VM meanwhile. It covers an answer of a slow table.
+	probeWithin = 400 * time.Millisecond
 	// callPause is the pause before a call is tried again.
 	callPause = 40 * time.Millisecond
 	// refuseAfter is how long a refused or unreachable table is tried again
@@ -40,18 +44,17 @@
 type jobStore struct {
 	table *platform.Table
 	took  func(d time.Duration)
-	// contact returns when the table last answered, heard notes that it has.
-	contact func() time.Time
-	heard   func()
+	reach *reach
 	// rowBytes is the largest row that the table takes; 0 means that it isn't known.
 	rowBytes int
 
 	answers answerTimes
 }
 
-// attempt calls f until it succeeds, fails for good, or until is reached.
-// maybe tells whether an attempt without an answer may have been carried out.
-func (s *jobStore) attempt(ctx context.Context, until time.Time, f func(ctx context.Context) error) (maybe bool, err error) {
+// attempt calls f, which needs a part of the table, until it succeeds, fails for good,
+// or until is reached. maybe tells whether an attempt without an answer may have been
+// carried out.
+func (s *jobStore) attempt(ctx context.Context, until time.Time, part string, f func(ctx context.Context) error) (maybe bool, err error) {
 	giveUp := bootNow().Add(refuseAfter)
 	for wait := s.answers.patience(callLeast); ; wait *= 2 {
 		now := bootNow()
@@ -68,8 +71,9 @@
 		took := bootNow().Sub(now)
 		s.took(took)
 		s.answers.learn(took, !errors.Is(err, platform.ErrNoAnswer))
-		if err == nil {
-			s.heard()
+		if err == nil || until.Sub(now) >= wait {
+			// A call that ended with its caller's patience says nothing of the part.
+			s.note(part, err)
 		}
 		refused := errors.Is(err, platform.ErrBusy) || errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrNotSent)
 		switch {
@@ -87,6 +91,17 @@
 	}
 }
 
+// note takes in what came of a call to a part. A table that is busy is there.
+func (s *jobStore) note(part string, err error) {
+	var conflict *platform.ConflictError
+	switch {
+	case err == nil, errors.As(err, &conflict):
+		s.reach.heard(part)
+	case errors.Is(err, platform.ErrNoAnswer), errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrNotSent):
+		s.reach.failed(part)
+	}
+}
+
 // errTooLarge says that a job is larger than a row of the table.
 var errTooLarge = errors.New("the job is too large to be stored")
 
@@ -98,15 +113,20 @@
 // refused any more, since it may be carried out later, and its caller can't try
 // again elsewhere: 44 of 3,400 jobs were lost so when a zone was cut off. After a
 // question without an answer nothing has been sent, and the caller goes elsewhere.
-func (s *jobStore) ask(ctx context.Context, id job.ID) (known bool, err error) {
-	if s.answers.slowerThan(askUnlessSlow) || bootNow().Sub(s.contact()) < freshContact {
+func (s *jobStore) ask(ctx context.Context, id job.ID, v contact.Verdict) (known bool, err error) {
+	if v == contact.Call && (s.reach.age() < freshContact || s.answers.slowerThan(askUnlessSlow)) {
 		return false, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, askWithin)
+	within := askWithin
+	if v == contact.Probe {
+		within = probeWithin
+	}
+	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	from := bootNow()
 	snapshot, err := s.table.List(ctx, rowsOf(id))
 	s.took(bootNow().Sub(from))
+	s.note(jobPart(id), err)
 	switch {
 	case errors.Is(err, platform.ErrNoAnswer):
 		return false, errors.Wrap(errNotStored, errSilent.Error())
@@ -114,7 +134,6 @@
 		// A refusal says that the table can be reached.
 		return false, nil //nolint:nilerr // The submission itself will be refused, and tries again.
 	}
-	s.heard()
 	return len(snapshot.Rows) > 0, nil
 }
 
@@ -127,8 +146,8 @@
 
 // submit stores a job once. A job that is there already, in any state, is not
 // stored again; that is no error.
-func (s *jobStore) submit(ctx context.Context, until time.Time, j job.Job) error {
-	if known, err := s.ask(ctx, j.ID); known || err != nil {
+func (s *jobStore) submit(ctx context.Context, until time.Time, j job.Job, v contact.Verdict) error {
+	if known, err := s.ask(ctx, j.ID, v); known || err != nil {
 		return err
 	}
 	value, err := encode(j)
@@ -142,7 +161,7 @@
 		Conditions: []platform.Condition{{RowKey: jobKey(j.ID)}, {RowKey: cancelKey(j.ID)}},
 		Writes:     []platform.Write{{RowKey: jobKey(j.ID), Value: value}},
 	}
-	maybe, err := s.attempt(ctx, until, func(ctx context.Context) error {
+	maybe, err := s.attempt(ctx, until, jobPart(j.ID), func(ctx context.Context) error {
 		_, err := s.table.Apply(ctx, tx)
 		return err
 	})
@@ -181,7 +200,7 @@
 }
 
 func (s *jobStore) get(ctx context.Context, until time.Time, k platform.RowKey) (row *platform.Row, err error) {
-	_, err = s.attempt(ctx, until, func(ctx context.Context) error {
+	_, err = s.attempt(ctx, until, k.Part, func(ctx context.Context) error {
 		row, _, err = s.table.Get(ctx, k)
 		return err
 	})
@@ -190,7 +209,7 @@
 
 // getJob reads the job as handed in and its cancellation in one call.
 func (s *jobStore) getJob(ctx context.Context, until time.Time, id job.ID) (handedIn, cancelled *platform.Row, err error) {
-	_, err = s.attempt(ctx, until, func(ctx context.Context) error {
+	_, err = s.attempt(ctx, until, jobPart(id), func(ctx context.Context) error {
 		snapshot, err := s.table.List(ctx, rowsOf(id))
 		if err != nil {
 			return err
@@ -252,7 +271,7 @@
 		Conditions: []platform.Condition{{RowKey: jobKey(id), Version: version}},
 		Writes:     []platform.Write{{RowKey: cancelKey(id), Value: []byte("{}")}},
 	}
-	_, err := s.attempt(ctx, until, func(ctx context.Context) error {
+	_, err := s.attempt(ctx, until, jobPart(id), func(ctx context.Context) error {
 		_, err := s.table.Apply(ctx, tx)
 		return err
 	})
--- a/io/node/lead.go
+++ b/io/node/lead.go
@@ -16,7 +16,7 @@
 const (
 	// watchEvery is how often a process that isn't the owner looks at the owner's rows,
 	// from one look to the next. A weak one does so more seldom, but often enough to
-	// know within contactAge that it is cut off from the table.
+	// know soon that it is cut off from the table.
 	watchEvery     = 150 * time.Millisecond
 	weakWatchEvery = 450 * time.Millisecond
 	// watchPause is the least pause between two looks, for a table that is slow.
@@ -39,9 +39,8 @@
 	life  string
 	log   zerolog.Logger
 	// weak is set on an entry VM with too little processor time for a large fleet.
-	weak bool
-	// heard is called when the table has answered.
-	heard func()
+	weak  bool
+	reach *reach
 	// serve runs a tenure until ctx ends or the right is lost.
 	serve func(ctx context.Context, t *tenure, renewal platform.Version) error
 }
@@ -96,10 +95,11 @@
 	s := lease.Sight{Sent: bootNow()}
 	snapshot, err := c.table.List(ctx, platform.Range{Table: ownerTable, Part: part, From: ownerKeyName, To: renewalKeyName + "\x00"})
 	if err != nil {
+		c.reach.failed(part)
 		return s, out, err
 	}
 	s.Received = bootNow()
-	c.heard()
+	c.reach.heard(part)
 	for i := range snapshot.Rows {
 		r := &snapshot.Rows[i]
 		switch r.Key {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -20,10 +20,12 @@
 )
 
 const (
-	// readyAge is how old the last word of the table may be while this process
-	// still says that it is ready. It is longer than contactAge: a short outage of
-	// the whole table must not take every entry VM out of the balancer.
-	readyAge = 900 * time.Millisecond
+	// readySlack is how much older than its last look at the owner's rows the table's
+	// last word may be while this process still says that it is ready. The balancer asks
+	// once a second and takes two misses: each tenth of a second is one more in which
+	// callers are refused here. It covers an answer of a slow table. While the whole
+	// table is out of reach no entry VM is ready, and callers stay where they are.
+	readySlack = 450 * time.Millisecond
 	// drainFor is how long callers are still served after the signal to stop:
 	// the balancer takes two misses of a second each to send no more.
 	drainFor = 2800 * time.Millisecond
@@ -49,6 +51,7 @@
 	candidacy *candidacy
 	metrics   *figures
 	observer  *decisionLog
+	reach     reach
 	owner     atomic.Pointer[owner]
 	stop      atomic.Bool
 }
@@ -68,17 +71,17 @@
 		n.advice = platform.NewAdvice(s.AdviceAddress)
 	}
 	n.observer = &decisionLog{log: log, count: n.metrics.count, elapsed: n.metrics.elapsed}
-	n.view = &operatorView{table: n.table, log: log, changed: n.reconfigured}
+	n.view = &operatorView{table: n.table, log: log, changed: n.reconfigured, reach: &n.reach}
 	n.front = &front{
-		view: n.view, log: log, count: n.metrics.count, elapsed: n.metrics.elapsed,
+		view: n.view, reach: &n.reach, log: log, count: n.metrics.count, elapsed: n.metrics.elapsed,
 		jobs: &jobStore{
 			table: n.table, took: func(d time.Duration) { n.metrics.elapsed("table_call", d) },
-			contact: n.view.lastContact, heard: n.view.heard, rowBytes: s.RowBytes,
+			reach: &n.reach, rowBytes: s.RowBytes,
 		},
 	}
 	n.candidacy = &candidacy{
 		table: n.table, node: s.Node, life: hex.EncodeToString(life), log: log, serve: n.serve,
-		weak: s.Cores > 0 && s.Cores < weakBelow, heard: n.view.heard,
+		weak: s.Cores > 0 && s.Cores < weakBelow, reach: &n.reach,
 	}
 	return n, nil
 }
@@ -158,7 +161,7 @@
 }
 
 func (n *Node) ready() bool {
-	return !n.stopping() && n.view.configuration() != nil && bootNow().Sub(n.view.lastContact()) < readyAge
+	return !n.stopping() && n.view.configuration() != nil && n.reach.age() < readySlack+n.candidacy.every()
 }
 
 func (n *Node) probes() http.Handler {
--- a/io/node/node_test.go
+++ b/io/node/node_test.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
+	"lavenderpond/core/contact"
 	"lavenderpond/core/job"
 	"lavenderpond/core/schedule"
 	"lavenderpond/platform"
@@ -59,7 +60,7 @@
 func newCommitter(table *platform.Table) *committer {
 	return &committer{
 		table: table, tenure: &tenure{life: "me", fence: 10}, log: zerolog.Nop(), renewal: 10,
-		backlog: func() map[job.QueueName]int { return nil }, took: func(time.Duration) {}, heard: func() {},
+		backlog: func() map[job.QueueName]int { return nil }, took: func(time.Duration) {}, reach: &reach{},
 	}
 }
 
@@ -125,7 +126,14 @@
 
 // newJobStore returns a store that has just heard of the table.
 func newJobStore(table *platform.Table) *jobStore {
-	return &jobStore{table: table, took: func(time.Duration) {}, contact: bootNow, heard: func() {}}
+	return &jobStore{table: table, took: func(time.Duration) {}, reach: heardBefore(0)}
+}
+
+// heardBefore knows a table whose last word is so old.
+func heardBefore(d time.Duration) *reach {
+	var r reach
+	r.table.HeardAny(bootNow().Add(-d))
+	return &r
 }
 
 func body() job.Job { return job.Job{ID: "0123456789abcdef"} }
@@ -135,7 +143,7 @@
 func TestUnansweredSubmissionIsNeverRefused(t *testing.T) {
 	_, table := newFakeTable(t, lost, status(http.StatusServiceUnavailable, ""))
 	s := newJobStore(table)
-	err := s.submit(t.Context(), bootNow().Add(700*time.Millisecond), body())
+	err := s.submit(t.Context(), bootNow().Add(700*time.Millisecond), body(), contact.Call)
 	assert.Assert(t, errors.Is(err, errUnknown), "%v", err)
 }
 
@@ -145,7 +153,7 @@
 	_, table := newFakeTable(t, status(http.StatusServiceUnavailable, ""))
 	s := newJobStore(table)
 	from := bootNow()
-	err := s.submit(t.Context(), from.Add(3*time.Second), body())
+	err := s.submit(t.Context(), from.Add(3*time.Second), body(), contact.Call)
 	assert.Assert(t, errors.Is(err, errNotStored), "%v", err)
 	assert.Assert(t, bootNow().Sub(from) < time.Second)
 }
@@ -154,23 +162,23 @@
 func TestSecondSubmissionIsAccepted(t *testing.T) {
 	_, table := newFakeTable(t, status(http.StatusPreconditionFailed, `{"rows":[]}`))
 	s := newJobStore(table)
-	assert.NilError(t, s.submit(t.Context(), bootNow().Add(time.Second), body()))
+	assert.NilError(t, s.submit(t.Context(), bootNow().Add(time.Second), body(), contact.Call))
 }
 
-func newFront(contact time.Time) *front {
+func newFront(r *reach) *front {
 	conf := &job.Configuration{
 		Version: 1,
 		Queues:  []job.Queue{{Name: "q", Host: "h.example", Prefix: "/q/"}, {Name: "open", Host: "h.example", Prefix: "/open/", Public: true}},
 	}
 	conf.Index()
 	return &front{
-		view: &operatorView{conf: conf, contact: contact}, log: zerolog.Nop(),
+		view: &operatorView{conf: conf}, reach: r, log: zerolog.Nop(),
 		count: func(string) {}, elapsed: func(string, time.Duration) {},
 	}
 }
 
 func answer(f *front, method, path string) *httptest.ResponseRecorder {
-	r := httptest.NewRequestWithContext(context.Background(), method, path, strings.NewReader("{}"))
+	r := httptest.NewRequestWithContext(context.Background(), method, path, strings.NewReader(`{"spec":"x","steps":[{"count":1,"cpu":100}]}`))
 	r.Host = "h.example"
 	w := httptest.NewRecorder()
 	f.ServeHTTP(w, r)
@@ -178,15 +186,52 @@
 }
 
 // An entry VM has had no word of the table for a while. A submission sent there
-// could not be refused any more; refused before, it goes to another entry VM.
+// could not be refused any more; refused before, it goes to another entry VM. One call
+// in a while asks whether the table is back; the others send nothing.
 func TestNothingIsSentToASilentTable(t *testing.T) {
-	w := answer(newFront(bootNow().Add(-time.Second)), http.MethodPost, "/open/0123456789abcdef")
+	f, table := newFakeTable(t, lost)
+	front := newFront(heardBefore(time.Second))
+	front.jobs = newJobStore(table)
+	front.jobs.reach = front.reach
+	for range 5 {
+		w := answer(front, http.MethodPost, "/open/0123456789abcdef")
+		assert.Equal(t, w.Code, http.StatusServiceUnavailable)
+		assert.Equal(t, w.Header().Get("Retry-After"), "1")
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	assert.Equal(t, len(f.bodies), 1, "only the question")
+	assert.Equal(t, len(f.bodies[0].Writes), 0)
+}
+
+// The part with the owner's rows is out of reach, the part of a caller's job is not:
+// the job is stored.
+func TestJobIsStoredWhileTheOwnersPartIsDown(t *testing.T) {
+	_, table := newFakeTable(t, status(http.StatusOK, `{"ver":1}`))
+	front := newFront(heardBefore(0))
+	front.jobs = newJobStore(table)
+	front.jobs.reach = front.reach
+	front.reach.failed(part)
+	w := answer(front, http.MethodPost, "/open/0123456789abcdef")
+	assert.Equal(t, w.Code, http.StatusOK)
+	w = answer(front, http.MethodGet, "/open/")
+	assert.Equal(t, w.Code, http.StatusServiceUnavailable)
+}
+
+// A caller whose zone is cut off keeps its connection and would be refused at each try.
+// It is told to open a new one; callers who are refused for what they sent keep theirs.
+func TestCallerRefusedByACutProcessReconnects(t *testing.T) {
+	r := heardBefore(time.Second)
+	assert.Equal(t, r.decide(jobPart("0123456789abcdef")), contact.Probe)
+	f := newFront(r)
+	w := answer(f, http.MethodPost, "/open/0123456789abcdef")
 	assert.Equal(t, w.Code, http.StatusServiceUnavailable)
-	assert.Equal(t, w.Header().Get("Retry-After"), "1")
+	assert.Equal(t, w.Header().Get("Connection"), "close")
+	assert.Equal(t, answer(f, http.MethodGet, "/none/x").Header().Get("Connection"), "")
 }
 
 func TestUnknownRoutesAndKeys(t *testing.T) {
-	f := newFront(bootNow())
+	f := newFront(heardBefore(0))
 	assert.Equal(t, answer(f, http.MethodGet, "/none/x").Code, http.StatusNotFound)
 	assert.Equal(t, answer(f, http.MethodGet, "/q/0123456789abcdef").Code, http.StatusUnauthorized)
 	assert.Equal(t, answer(f, http.MethodGet, "/open/short").Code, http.StatusBadRequest)
@@ -219,7 +264,7 @@
 		assert.NilError(t, err)
 		_, table := newFakeTable(t, status(http.StatusOK,
 			`{"rows":[{"table":"lavenderpond_owner","part":"main","key":"renewal","value":`+string(value)+`,"ver":9}],"ver":9}`))
-		f := newFront(bootNow())
+		f := newFront(heardBefore(0))
 		f.jobs = newJobStore(table)
 		w := answer(f, http.MethodGet, "/open/")
 		assert.Equal(t, w.Code, want, renewal)
@@ -247,7 +292,7 @@
 func TestCallWithoutTimeIsRefused(t *testing.T) {
 	f, table := newFakeTable(t, status(http.StatusOK, `{"ver":1}`))
 	s := newJobStore(table)
-	err := s.submit(t.Context(), bootNow().Add(-time.Millisecond), body())
+	err := s.submit(t.Context(), bootNow().Add(-time.Millisecond), body(), contact.Call)
 	assert.Assert(t, errors.Is(err, errNotStored), "%v", err)
 	assert.Equal(t, len(f.bodies), 0)
 }
@@ -274,8 +319,8 @@
 func TestSubmissionIntoAPartitionIsRefused(t *testing.T) {
 	f, table := newFakeTable(t, lost)
 	s := newJobStore(table)
-	s.contact = func() time.Time { return bootNow().Add(-300 * time.Millisecond) }
-	err := s.submit(t.Context(), bootNow().Add(3*time.Second), body())
+	s.reach = heardBefore(300 * time.Millisecond)
+	err := s.submit(t.Context(), bootNow().Add(3*time.Second), body(), contact.Call)
 	assert.Assert(t, errors.Is(err, errNotStored), "%v", err)
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -288,8 +333,8 @@
 func TestAskedForJobIsKnown(t *testing.T) {
 	f, table := newFakeTable(t, status(http.StatusOK, `{"rows":[{"key":"0123456789abcdef/job","value":"e30=","ver":3}],"ver":9}`))
 	s := newJobStore(table)
-	s.contact = func() time.Time { return bootNow().Add(-300 * time.Millisecond) }
-	assert.NilError(t, s.submit(t.Context(), bootNow().Add(3*time.Second), body()))
+	s.reach = heardBefore(300 * time.Millisecond)
+	assert.NilError(t, s.submit(t.Context(), bootNow().Add(3*time.Second), body(), contact.Call))
 	assert.Equal(t, len(f.bodies), 1)
 }
 
@@ -303,7 +348,7 @@
 	for range 3000 {
 		j.Body.Steps = append(j.Body.Steps, job.Step{Count: 4, Room: job.Room{CPU: 1500, MemMB: 512}, Estimate: time.Second})
 	}
-	assert.NilError(t, s.submit(t.Context(), bootNow().Add(time.Second), j))
+	assert.NilError(t, s.submit(t.Context(), bootNow().Add(time.Second), j, contact.Call))
 	stored := f.bodies[0].Writes[0].Value
 	assert.Assert(t, len(stored) < rowBytes)
 	back, err := decodeRow[job.Job](&platform.Row{Value: stored})
@@ -317,7 +362,7 @@
 	f, table := newFakeTable(t, status(http.StatusOK, `{"ver":1}`))
 	s := newJobStore(table)
 	s.rowBytes = 10
-	err := s.submit(t.Context(), bootNow().Add(time.Second), body())
+	err := s.submit(t.Context(), bootNow().Add(time.Second), body(), contact.Call)
 	assert.Assert(t, errors.Is(err, errTooLarge), "%v", err)
 	assert.Equal(t, len(f.bodies), 0)
 }
--- a/io/node/operator.go
+++ b/io/node/operator.go
@@ -33,10 +33,12 @@
 	// changed is called after each change.
 	changed func()
 
-	mu      sync.Mutex
-	conf    *job.Configuration
-	waves   map[int64]job.Wave
-	contact time.Time
+	// reach is told of the table's answers.
+	reach *reach
+
+	mu    sync.Mutex
+	conf  *job.Configuration
+	waves map[int64]job.Wave
 }
 
 // configuration returns the configuration in force, or nil.
@@ -56,26 +58,12 @@
 	return out
 }
 
-// lastContact returns when the table last answered.
-func (v *operatorView) lastContact() time.Time {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.contact
-}
-
-// heard notes that the table has answered.
-func (v *operatorView) heard() {
-	v.mu.Lock()
-	v.contact = bootNow()
-	v.mu.Unlock()
-}
-
 // follow keeps the view up to date until ctx ends.
 func (v *operatorView) follow(ctx context.Context) error {
 	f := feed{table: v.table, name: platform.OperatorTable, log: v.log}
 	return f.run(ctx, func(rows []platform.Row, _ bool) {
 		v.take(rows)
-	}, v.heard)
+	}, v.reach.heardAny)
 }
 
 func (v *operatorView) take(rows []platform.Row) {
--- a/io/node/owner.go
+++ b/io/node/owner.go
@@ -54,7 +54,7 @@
 		stored:  func(s int64) { o.send(ctx, stored{s}) },
 		backlog: o.backlog.get,
 		took:    func(d time.Duration) { n.metrics.elapsed("table_commit", d) },
-		heard:   n.view.heard,
+		reach:   &n.reach,
 	}
 	var g supervisor.Group
 	run := func(f func(ctx context.Context) error) {
--- /dev/null
+++ b/io/node/reach.go
@@ -0,0 +1,50 @@
+package node
+
+import (
+	"sync"
+	"time"
+
+	"lavenderpond/core/contact"
+)
+
+// reach is what this process knows of the table, for all that call it. Its zero
+// value has heard nothing.
+type reach struct {
+	mu    sync.Mutex
+	table contact.Table
+}
+
+// heard notes that a part of the table has answered.
+func (r *reach) heard(part string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.table.Heard(bootNow(), contact.Part(part))
+}
+
+// heardAny notes an answer that is of no part.
+func (r *reach) heardAny() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.table.HeardAny(bootNow())
+}
+
+// failed notes that a part didn't answer.
+func (r *reach) failed(part string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.table.Failed(bootNow(), contact.Part(part))
+}
+
+// decide says what to do with a call to a part.
+func (r *reach) decide(part string) contact.Verdict {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table.Decide(bootNow(), contact.Part(part))
+}
+
+// age returns how old the table's last word is.
+func (r *reach) age() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table.Age(bootNow())
+}
