Read whether a transaction was carried out once its answer is overdue

Cause: the owner waited at least 0.25 s for the answer to each of its transactions before it sent it again. With 35% of the answers lost, every third start waited for that, and two losses in a row ended its right.

Change: after 30 ms, or three times the usual time of an answer, it reads its renewal. The batch is there: it goes on. It isn't, and the reading was answered soon: the transaction is lost or late and is sent again; its conditions keep it from being carried out twice. The reading was slow: it waits, since the same transaction would only take its part's time once more.

Found on the way, by reading: when a repeated transaction is told to have been carried out before, the right counted from the repetition. The others may have seen the renewal since the first attempt and take over 0.95 s after that, so that two owners might have ordered machines at a time. The right to order machines now counts from the first unanswered attempt; that to start and hold from the call that confirmed the ownership. A renewal that is old when it is known is followed by the next at once.

--- a/core/emulator/node.go
+++ b/core/emulator/node.go
@@ -147,7 +147,7 @@
 			return
 		}
 		o := &owner{n: n, life: life, fence: version, renewal: version, turn: turn, renewAt: n.w.now}
-		o.right.Prove(sent)
+		o.right.Prove(sent, sent)
 		n.owner = o
 		o.load()
 	})
--- a/core/emulator/owner.go
+++ b/core/emulator/owner.go
@@ -259,7 +259,7 @@
 
 // commit stores what waits, or renews the right.
 func (o *owner) commit() {
-	now := o.n.w.now
+	n, now := o.n, o.n.w.now
 	if o.busy || o.over || (len(o.queue) == 0 && now.Before(o.renewAt)) {
 		return
 	}
@@ -269,12 +269,14 @@
 			saves := o.queue
 			o.queue = nil
 			o.batch++
-			o.store(saves)
+			o.store(saves, n.w.now)
 		})
 	})
 }
 
-func (o *owner) store(saves []schedule.Command) {
+// store carries out a transaction, however often it takes; first is when it was sent
+// for the first time.
+func (o *owner) store(saves []schedule.Command, first time.Time) {
 	n, t := o.n, o.n.w.table
 	sent := n.w.now
 	row := renewalRow{life: o.life, node: n.name, batch: o.batch}
@@ -283,18 +285,18 @@
 	n.call(commitLeast+t.slow*4, true, func() { got = t.commit(o.fence, expected, row, saves) }, func(ok bool) {
 		switch {
 		case !ok:
-			n.w.after(60*time.Millisecond, func() { n.here(o.life, func() { o.store(saves) }) })
+			n.w.after(60*time.Millisecond, func() { n.here(o.life, func() { o.store(saves, first) }) })
 		case got.ok, got.owner == o.fence && got.row == row:
-			o.stored(sent, max(got.version, got.renewal), saves)
+			o.stored(first, sent, max(got.version, got.renewal), saves)
 		default:
 			o.leave()
 		}
 	})
 }
 
-func (o *owner) stored(sent time.Time, version int64, saves []schedule.Command) {
+func (o *owner) stored(first, sent time.Time, version int64, saves []schedule.Command) {
 	o.renewal = version
-	o.right.Prove(sent)
+	o.right.Prove(first, sent)
 	o.renewAt = o.n.w.now.Add(renewEvery)
 	o.busy = false
 	last := int64(0)
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -17,7 +17,7 @@
 // process may own the fleet.
 func TestProofCountsFromItsSending(t *testing.T) {
 	var r lease.Right
-	r.Prove(start)
+	r.Prove(start, start)
 	woken := start.Add(4 * time.Second)
 	assert.Assert(t, !r.MayOrder(woken))
 	assert.Assert(t, !r.MayStart(woken))
@@ -30,7 +30,7 @@
 func TestRightsEndInTurn(t *testing.T) {
 	var r lease.Right
 	assert.Assert(t, !r.MayOrder(start) && !r.MayStart(start) && !r.MayHold(start), "the zero value holds no right")
-	r.Prove(start)
+	r.Prove(start, start)
 	var w lease.Watch
 	s := lease.Sight{Sent: start, Received: start, Owner: 7, Renewal: 7}
 	assert.Assert(t, !w.Due(s))
@@ -44,11 +44,22 @@
 	assert.Assert(t, !r.MayHold(start.Add(5*time.Second)))
 }
 
+// A renewal is carried out and its answer lost. Its repetition is told so 0.9 s later.
+// The others have seen the renewal stand still all the while and take over at any
+// moment: no machine may be ordered, though this process was the owner just now.
+func TestRepeatedRenewalCountsFromTheFirst(t *testing.T) {
+	var r lease.Right
+	asked := start.Add(900 * time.Millisecond)
+	r.Prove(start, asked)
+	assert.Assert(t, !r.MayOrder(asked))
+	assert.Assert(t, r.MayStart(asked.Add(2*time.Second)))
+}
+
 // An older proof that is answered late doesn't shorten the right.
 func TestOlderProofChangesNothing(t *testing.T) {
 	var r lease.Right
-	r.Prove(start.Add(time.Second))
-	r.Prove(start)
+	r.Prove(start.Add(time.Second), start.Add(time.Second))
+	r.Prove(start, start)
 	assert.Assert(t, r.MayOrder(start.Add(1600*time.Millisecond)))
 	assert.Assert(t, r.MayStart(start.Add(3600*time.Millisecond)))
 }
--- a/core/lease/right.go
+++ b/core/lease/right.go
@@ -35,14 +35,21 @@
 	holdsUntil  time.Time
 }
 
-// Prove notes that the table confirmed the ownership in answer to a call sent
-// at sent. The call's sending counts, not its answer: only up to then is it
-// certain that nobody else had taken over.
-func (r *Right) Prove(sent time.Time) {
-	if until := sent.Add(orderPeriod); until.After(r.ordersUntil) {
-		r.ordersUntil = until
-		r.startsUntil = sent.Add(startPeriod)
-		r.holdsUntil = sent.Add(holdPeriod)
+// Prove notes that the table confirmed a renewal. seen is when the call was sent whose
+// answer says that this process is the owner: only up to then is it certain that nobody
+// else had taken over. renewed is when the first call was sent that may have brought the
+// renewal about: from then on others may have seen it, and take over once it has stood
+// still for silencePeriod, whatever was confirmed since.
+func (r *Right) Prove(renewed, seen time.Time) {
+	extend(&r.ordersUntil, renewed.Add(orderPeriod))
+	extend(&r.startsUntil, seen.Add(startPeriod))
+	extend(&r.holdsUntil, seen.Add(holdPeriod))
+}
+
+// extend moves a deadline on, never back: answers may overtake each other.
+func extend(deadline *time.Time, until time.Time) {
+	if until.After(*deadline) {
+		*deadline = until
 	}
 }
 
--- a/io/node/answers.go
+++ b/io/node/answers.go
@@ -49,3 +49,10 @@
 	defer a.mu.Unlock()
 	return a.usual > d
 }
+
+// typical returns how long an answer usually takes.
+func (a *answerTimes) typical() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.usual
+}
--- a/io/node/commit.go
+++ b/io/node/commit.go
@@ -86,7 +86,8 @@
 	c.mu.Lock()
 	n := len(c.queue)
 	c.mu.Unlock()
-	if n >= savesEach {
+	if n >= savesEach || !c.tenure.mayOrder(bootNow()) {
+		// A renewal that took many attempts is old when it is known.
 		return
 	}
 	if n == 0 {
@@ -175,18 +176,26 @@
 	if err != nil {
 		return err
 	}
+	renewed := time.Time{}
 	for attempt := 0; ctx.Err() == nil; attempt++ {
 		sent := bootNow()
 		version, err := c.apply(ctx, tx, c.patience(attempt))
+		refused := errors.Is(err, platform.ErrBusy) || errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrNotSent)
+		if renewed.IsZero() && !refused {
+			renewed = sent
+		}
 		var conflict *platform.ConflictError
 		switch {
 		case err == nil:
-			c.done(sent, version)
+			c.done(renewed, sent, version)
 			return nil
 		case errors.As(err, &conflict):
-			return c.settle(sent, conflict)
-		case errors.Is(err, platform.ErrBusy), errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrNotSent):
+			return c.settle(renewed, sent, conflict)
+		case refused:
 			supervisor.Sleep(ctx, refusedPause)
+		case bootNow().Sub(sent) < overdueLeast:
+			// The connection was reset: the next one would be as soon.
+			supervisor.Sleep(ctx, overdueLeast)
 		}
 		c.log.Debug().Err(err).Int64("batch", c.batch).Msg("transaction is sent again")
 	}
@@ -197,7 +206,7 @@
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	from := bootNow()
-	v, err := c.table.Apply(ctx, tx)
+	v, err := c.applyOrSee(ctx, tx)
 	took := bootNow().Sub(from)
 	c.took(took)
 	c.answers.learn(took, !errors.Is(err, platform.ErrNoAnswer))
@@ -214,7 +223,7 @@
 
 // settle looks at why a condition failed: the transaction may have been carried
 // out already without an answer.
-func (c *committer) settle(sent time.Time, conflict *platform.ConflictError) error {
+func (c *committer) settle(renewed, sent time.Time, conflict *platform.ConflictError) error {
 	owner, renewal := conflict.Row(ownerKey), conflict.Row(renewalKey)
 	if owner == nil || owner.Version != c.tenure.fence || renewal == nil {
 		return errDeposed
@@ -226,12 +235,14 @@
 	if r.Life != c.tenure.life || r.Batch != c.batch {
 		return errors.Wrapf(errDeposed, "renewal %d of %s stands in place of %d", r.Batch, r.Life, c.batch)
 	}
-	c.done(sent, renewal.Version)
+	c.done(renewed, sent, renewal.Version)
 	return nil
 }
 
-func (c *committer) done(sent time.Time, version platform.Version) {
+// done takes in that the transaction was carried out, by a call sent at renewed at the
+// earliest, and that a call sent at sent has said so.
+func (c *committer) done(renewed, sent time.Time, version platform.Version) {
 	c.renewal = version
-	c.tenure.prove(sent)
+	c.tenure.prove(renewed, sent)
 	c.reach.heard(part)
 }
--- a/io/node/lead.go
+++ b/io/node/lead.go
@@ -147,7 +147,7 @@
 		return nil, 0, err
 	}
 	t := &tenure{life: c.life, fence: version, turn: turn}
-	t.prove(sent)
+	t.prove(sent, sent)
 	return t, version, nil
 }
 
--- a/io/node/tenure.go
+++ b/io/node/tenure.go
@@ -23,10 +23,10 @@
 	right lease.Right
 }
 
-func (t *tenure) prove(sent time.Time) {
+func (t *tenure) prove(renewed, seen time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.right.Prove(sent)
+	t.right.Prove(renewed, seen)
 }
 
 func (t *tenure) mayOrder(now time.Time) bool {
