--- a/core/contact/contact.go
+++ b/core/contact/contact.go
@@ -49,10 +49,12 @@
 	probeAt time.Time
 }
 
-// Heard notes that a part has answered.
-func (t *Table) Heard(now time.Time, p Part) {
+// Heard notes that a part has answered. It tells whether it hadn't before.
+func (t *Table) Heard(now time.Time, p Part) (regained bool) {
 	t.HeardAny(now)
+	regained = t.parts[p] != nil
 	delete(t.parts, p)
+	return regained
 }
 
 // HeardAny notes an answer that is of no part.
@@ -63,14 +65,17 @@
 	t.probeAt = time.Time{}
 }
 
-// Failed notes that a part was asked and did not answer, or refused.
-func (t *Table) Failed(now time.Time, p Part) {
+// Failed notes that a part was asked and did not answer, or refused. It tells whether
+// it had answered before.
+func (t *Table) Failed(now time.Time, p Part) (lost bool) {
 	if t.parts == nil {
 		t.parts = map[Part]*part{}
 	}
-	if t.parts[p] == nil {
-		t.parts[p] = &part{probeAt: now.Add(probePart)}
+	if t.parts[p] != nil {
+		return false
 	}
+	t.parts[p] = &part{probeAt: now.Add(probePart)}
+	return true
 }
 
 // Age returns how old the table's last word is.
--- a/core/schedule/command.go
+++ b/core/schedule/command.go
@@ -203,6 +203,7 @@
 // The kinds of decisions.
 const (
 	JobAdopted    What = "job_adopted"
+	JobExcess     What = "job_beyond_share"
 	JobEnded      What = "job_ended"
 	JobCancelled  What = "job_cancelled"
 	TaskOrdered   What = "task_ordered"
@@ -220,6 +221,7 @@
 	VMDraining    What = "vm_draining"
 	VMSuspected   What = "vm_suspected"
 	VMSlow        What = "vm_slow"
+	VMVacated     What = "vm_vacated"
 	WaveChanged   What = "wave_changed"
 	MachineSeen   What = "machine_seen"
 	MachineMoved  What = "machine_moved"
--- a/core/schedule/pools.go
+++ b/core/schedule/pools.go
@@ -227,13 +227,19 @@
 // vacate chooses the VMs that are to fall idle, so that their machines can move.
 func (s *Scheduler) vacate(pools []sizing.Pool) {
 	var vms []sizing.VM
+	before := map[job.VMID]bool{}
 	for _, v := range s.vms.All() {
+		before[v.id] = v.vacating
 		v.vacating = false
 		if v.takesTasks() && !v.cordoned && !v.hasLasting(s) {
 			vms = append(vms, sizing.VM{ID: v.id, Pool: v.pool, CPU: v.room.CPU, Used: v.used.CPU})
 		}
 	}
 	for _, id := range sizing.Vacate(pools, vms) {
-		s.vms.Get(id).vacating = true
+		v := s.vms.Get(id)
+		v.vacating = true
+		if !before[id] {
+			s.decided(Decision{What: VMVacated, VM: id, Reason: string(v.pool)})
+		}
 	}
 }
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -164,6 +164,9 @@
 	}
 	s.jobs.Set(j.ID, st)
 	s.decided(Decision{What: JobAdopted, Job: j.ID, Reason: string(j.Terms.Queue)})
+	if st.excess {
+		s.decided(Decision{What: JobExcess, Job: j.ID, Reason: string(j.Terms.Account)})
+	}
 }
 
 // restore applies stored progress.
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -70,6 +70,7 @@
 	if s.AdviceAddress != "" {
 		n.advice = platform.NewAdvice(s.AdviceAddress)
 	}
+	n.reach.log = log
 	n.observer = &decisionLog{log: log, count: n.metrics.count, elapsed: n.metrics.elapsed}
 	n.view = &operatorView{table: n.table, log: log, changed: n.reconfigured, reach: &n.reach}
 	n.front = &front{
--- a/io/node/reach.go
+++ b/io/node/reach.go
@@ -4,12 +4,16 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"lavenderpond/core/contact"
 )
 
 // reach is what this process knows of the table, for all that call it. Its zero
 // value has heard nothing.
 type reach struct {
+	log zerolog.Logger
+
 	mu    sync.Mutex
 	table contact.Table
 }
@@ -18,7 +22,9 @@
 func (r *reach) heard(part string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.table.Heard(bootNow(), contact.Part(part))
+	if r.table.Heard(bootNow(), contact.Part(part)) {
+		r.log.Info().Str("event", "table_part_regained").Str("part", part).Send()
+	}
 }
 
 // heardAny notes an answer that is of no part.
@@ -32,7 +38,9 @@
 func (r *reach) failed(part string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.table.Failed(bootNow(), contact.Part(part))
+	if r.table.Failed(bootNow(), contact.Part(part)) {
+		r.log.Info().Str("event", "table_part_lost").Str("part", part).Send()
+	}
 }
 
 // decide says what to do with a call to a part.
