Spread idle machines over the pools that burst

Change: while no pool lacks machines, those idle for a second go to the pools short of their part by a machine and a half or more; parts follow the pools' largest needs of the last half minute. They may be taken away at any time: it is no reserve.

Seen red without it, and without its threshold.

--- a/core/schedule/pools.go
+++ b/core/schedule/pools.go
@@ -20,6 +20,9 @@
 	clearWithin = 400 * time.Millisecond
 	// packing is the part of a VM's room that tasks of mixed sizes fill.
 	packing = 0.85
+	// peakMemory is the period over which a pool's largest need is forgotten: longer than
+	// queues take to burst in turn.
+	peakMemory = 30 * time.Second
 	// sparesForLasting is how many VMs a pool has beyond what its lasting tasks
 	// need if they may not share VMs, so that one that ends can start elsewhere.
 	sparesForLasting = 1
@@ -33,6 +36,9 @@
 	// arrival is the work that arrives, in core-seconds a second.
 	arrival   float64
 	arrivalAt time.Time
+	// peak is the largest need of late, in thousandths of a core, no more than the fleet.
+	peak   float64
+	peakAt time.Time
 }
 
 func (s *Scheduler) poolRecord(p job.PoolName) *poolRecord {
@@ -57,6 +63,15 @@
 	r.arrivalAt = now
 }
 
+// note remembers the largest need.
+func (r *poolRecord) note(now time.Time, need float64) {
+	if !r.peakAt.IsZero() {
+		r.peak *= math.Exp(-now.Sub(r.peakAt).Seconds() / peakMemory.Seconds())
+	}
+	r.peakAt = now
+	r.peak = max(r.peak, need)
+}
+
 // size orders machines into other pools as demand moves on.
 func (s *Scheduler) size(now time.Time) {
 	if s.conf == nil || s.machines.Len() == 0 || now.Before(s.sizeAt) {
@@ -84,6 +99,8 @@
 			r := s.poolRecord(p.Name)
 			r.fade(now)
 			need := (r.arrival + waiting[p.Name]/clearWithin.Seconds()) * 1000 / packing
+			r.note(now, min(need, float64(rooms.whole())))
+			x.Wish = r.peak
 			l := lasting[p.Name]
 			x.Need = max(l.cpu+int64(need), int64(l.vms+sparesForLasting)*rooms.vmCPU) + int64(l.waiting)*rooms.vmCPU
 			if l.vms == 0 {
@@ -213,6 +230,15 @@
 	return r
 }
 
+// whole returns the CPU of all pools.
+func (r *poolRooms) whole() int64 {
+	sum := int64(0)
+	for _, cpu := range r.have {
+		sum += cpu
+	}
+	return sum
+}
+
 // unheardGrace is how long a VM counts as room before it is first heard.
 const unheardGrace = 300 * time.Millisecond
 
--- a/core/schedule/sizing/sizing.go
+++ b/core/schedule/sizing/sizing.go
@@ -21,6 +21,8 @@
 	Have int64
 	// Used is the CPU that its tasks fill, with the loss of packing.
 	Used int64
+	// Wish is the pool's claim to machines that no pool needs, against those of the others.
+	Wish float64
 }
 
 // Machine is a machine that could move: it runs nothing.
@@ -48,13 +50,18 @@
 )
 
 // Plan returns the moves to make now. Pools that lack the most come first. They
-// get idle machines that other pools can spare, and then machines that are off.
+// get idle machines that other pools can spare, and then machines that are off. If none
+// lacks any, idle machines go where they may be needed next.
 // No machine is switched off again: the queues burst one after the other, and each
 // burst found its machines a move later than it needed them.
 func Plan(now time.Time, pools []Pool, machines []Machine) []Move {
 	p := newPlan(pools, machines)
-	for _, lacking := range p.lacking() {
-		p.fill(now, lacking)
+	lacking := p.lacking()
+	for _, x := range lacking {
+		p.fill(now, x)
+	}
+	if len(lacking) == 0 {
+		p.spread(now)
 	}
 	return p.moves
 }
--- a/core/schedule/sizing/sizing_test.go
+++ b/core/schedule/sizing/sizing_test.go
@@ -43,6 +43,42 @@
 	assert.Equal(t, len(moves), 0)
 }
 
+// A burst is over and its pool's machines stand idle. The queues burst in turn: the next
+// one's first callers would find one VM there, and the others a second and a half later.
+// The idle machines go to all pools that have burst of late, and then stay there.
+func TestIdleMachinesSpread(t *testing.T) {
+	pools := []sizing.Pool{
+		{Name: "after", Need: vmCPU, Have: 13 * vmCPU, Wish: 12 * vmCPU},
+		{Name: "next", Need: vmCPU, Have: vmCPU, Wish: 12 * vmCPU},
+		{Name: "third", Need: vmCPU, Have: vmCPU, Wish: 12 * vmCPU},
+		{Name: "never", Need: vmCPU, Have: vmCPU},
+		{Name: "off", Standby: true},
+	}
+	var machines []sizing.Machine
+	for i := range 12 {
+		machines = append(machines, idle(fmt.Sprintf("m%02d", i), "after", 2*time.Second))
+	}
+	to := map[job.PoolName]int{}
+	for _, m := range sizing.Plan(now, pools, machines) {
+		to[m.To]++
+		for i := range machines {
+			if machines[i].ID == m.Machine {
+				machines[i].Pool = m.To
+			}
+		}
+		for i := range pools {
+			switch pools[i].Name {
+			case m.To:
+				pools[i].Have += vmCPU
+			case m.From:
+				pools[i].Have -= vmCPU
+			}
+		}
+	}
+	assert.Equal(t, fmt.Sprint(to), "map[next:3 third:3]")
+	assert.Equal(t, len(sizing.Plan(now, pools, machines)), 0, "they go on moving")
+}
+
 // Whatever the demand: no machine moves twice, into its own pool or out of a
 // pool that then lacks room, and no pool gets more than it lacks and one machine.
 // What a naive search over single moves would still find is nothing.
