Placing looks at the VMs that may have room, turns at what has changed

Change: the VMs of a pool stand in order of their free room, and a choice stops at the first that no other can be better than; a claim that no VM had room for refuses all larger ones; steps count their open tasks; a VM whose hold is on its way and that owes no answer is passed over; the order of jobs is worked out anew each 50 ms or when a task ends; the backlog is counted each 100 ms.

--- a/core/schedule/assign.go
+++ b/core/schedule/assign.go
@@ -16,63 +16,57 @@
 	s.countUnheard(now)
 	byPool := map[job.PoolName][]*jobState{}
 	for _, j := range s.jobs.All() {
-		if !j.over() && j.hasWaiting() {
+		if !j.over() && j.canStart() {
 			p := s.pool(j)
 			byPool[p] = append(byPool[p], j)
 		}
 	}
+	if len(byPool) == 0 {
+		return
+	}
+	vms := s.usableVMs(now, byPool)
 	for _, p := range slices.Sorted(maps.Keys(byPool)) {
-		a := s.newAssignment(now, wall, p)
-		if len(a.vms) == 0 {
+		if len(vms[p]) == 0 {
 			continue
 		}
+		a := assignment{s: s, now: now, wall: wall, vms: vms[p], rooms: newRooms(vms[p])}
 		for _, c := range s.candidates(now, byPool[p]) {
 			a.startJob(c.job)
 		}
 	}
 }
 
-// hasWaiting tells whether a task of the job has neither ended well nor a run.
-func (j *jobState) hasWaiting() bool {
+// canStart tells whether a task of the job waits for nothing but room.
+func (j *jobState) canStart() bool {
 	for _, o := range j.occurrences {
 		for i := range o.steps {
-			if !o.steps[i].complete() {
-				for t := range o.steps[i].tasks {
-					if task := &o.steps[i].tasks[t]; !task.done && len(task.runs) == 0 {
-						return true
-					}
-				}
+			if o.steps[i].open > 0 && o.ready(i) {
+				return true
 			}
 		}
 	}
 	return false
 }
 
+// usableVMs returns the VMs that may get tasks of the pools in which some wait.
+func (s *Scheduler) usableVMs(now time.Time, waiting map[job.PoolName][]*jobState) map[job.PoolName][]*vmState {
+	out := make(map[job.PoolName][]*vmState, len(waiting))
+	for _, v := range s.vms.All() {
+		if len(waiting[v.pool]) > 0 && s.usable(now, v) {
+			out[v.pool] = append(out[v.pool], v)
+		}
+	}
+	return out
+}
+
 // assignment is one round of starts in a pool.
 type assignment struct {
 	s         *Scheduler
 	now, wall time.Time
-	pool      job.PoolName
 	vms       []*vmState
-}
-
-func (s *Scheduler) newAssignment(now, wall time.Time, p job.PoolName) *assignment {
-	a := &assignment{s: s, now: now, wall: wall, pool: p}
-	for _, v := range s.vms.All() {
-		if v.pool != p {
-			continue
-		}
-		if s.usable(now, v) {
-			a.vms = append(a.vms, v)
-		}
-	}
-	slices.SortFunc(a.vms, func(x, y *vmState) int {
-		if x.id < y.id {
-			return -1
-		}
-		return 1
-	})
-	return a
+	rooms     rooms
+	// byRack are the VMs of each rack, once they were asked for.
+	byRack map[job.Label][]*vmState
 }
 
 func (a *assignment) startJob(j *jobState) {
@@ -84,7 +78,7 @@
 			return
 		}
 		for i := range o.steps {
-			if !o.steps[i].complete() && o.ready(i) {
+			if o.steps[i].open > 0 && o.ready(i) {
 				a.startStep(j, o, i)
 			}
 		}
@@ -122,12 +116,13 @@
 			return
 		}
 		id := job.TaskID{Job: j.ID, Occurrence: o.number, Step: i, Index: t}
-		v := a.choose(placement{job: j, step: st, task: task, id: id})
-		if v == nil {
+		n := a.choose(placement{job: j, step: st, task: task, id: id})
+		if n < 0 {
 			// The other tasks of the step need the same room.
 			return
 		}
-		a.start(j, st, id, task, v, a.s.nextAttempt(task))
+		a.start(j, st, id, task, a.rooms.slots[n].vm, a.s.nextAttempt(task))
+		a.rooms.moved(n)
 	}
 }
 
@@ -142,6 +137,9 @@
 // that this one doesn't.
 func (s *Scheduler) countUnheard(now time.Time) {
 	s.unheard = nil
+	if !s.anyUnheard {
+		return
+	}
 	for _, j := range s.jobs.All() {
 		if !j.inherited || !s.mayRunUnheard(now, j) {
 			continue
@@ -197,9 +195,10 @@
 	}
 	r := &run{
 		task: id, attempt: n, vm: v, claim: st.def.Claim(), cost: st.def.Room, account: j.Terms.Account,
-		orderedAt: a.now, pace: 100, after: j.places.Get(v.id), fills: st.def.Fills,
+		orderedAt: a.now, pace: 100, after: j.places.Get(v.id),
 	}
-	s.addRun(r, t)
+	r.setKind(st.def)
+	s.addRun(r, st, t)
 	if j.zone == "" {
 		j.zone = v.zone
 	}
@@ -221,10 +220,23 @@
 func (a *assignment) addPlaces(j *jobState, v *vmState) {
 	save := a.s.nextSave()
 	j.places.Set(v.id, save)
-	for _, n := range a.vms {
-		if n.rack == v.rack && n.rack != "" && !j.places.Has(n.id) {
+	for _, n := range a.rack(v.rack) {
+		if !j.places.Has(n.id) {
 			j.places.Set(n.id, save)
 		}
 	}
 	a.s.markDirty(j)
 }
+
+// rack returns the VMs of a rack; those without one share none.
+func (a *assignment) rack(rack job.Label) []*vmState {
+	if a.byRack == nil {
+		a.byRack = map[job.Label][]*vmState{}
+		for _, v := range a.vms {
+			if v.rack != "" {
+				a.byRack[v.rack] = append(a.byRack[v.rack], v)
+			}
+		}
+	}
+	return a.byRack[rack]
+}
--- a/core/schedule/gang.go
+++ b/core/schedule/gang.go
@@ -27,6 +27,7 @@
 	if chosen == nil {
 		return
 	}
+	defer func() { a.rooms = newRooms(a.vms) }()
 	st.gangAttempt = max(st.gangAttempt, a.s.settings.AttemptBase) + 1
 	for t := range st.tasks {
 		task := &st.tasks[t]
--- a/core/schedule/machine.go
+++ b/core/schedule/machine.go
@@ -49,6 +49,7 @@
 		}
 	}
 	for _, v := range s.vms.All() {
+		s.setMachine(v, v.machine)
 		s.compareMachine(asked, v)
 	}
 }
@@ -57,7 +58,7 @@
 // life: a machine has one life at a time. This frees the tasks of a VM that
 // crashed seconds before its lease would.
 func (s *Scheduler) compareMachine(asked time.Time, v *vmState) {
-	m := s.machines.Get(v.machine)
+	m := v.host
 	if m == nil || m.VM == "" || m.VM == v.id || !v.firstSeen.Before(asked) {
 		return
 	}
@@ -107,17 +108,30 @@
 
 // orderMachine sends an order once it is stored that the machine has one.
 func (s *Scheduler) orderMachine(now time.Time, id job.MachineID, c Command) {
-	for old, o := range s.recent.All() {
-		if now.Sub(o.at) > recentPeriod {
-			s.recent.Delete(old)
-			s.dirtyOrders = append(s.dirtyOrders, old)
-		}
-	}
+	s.pruneOrders(now)
 	s.recent.Set(id, recentOrder{holder: s.settings.Holder, at: now})
 	s.dirtyOrders = append(s.dirtyOrders, id)
 	s.held = append(s.held, heldOrder{after: s.nextSave(), machine: id, command: c})
 }
 
+// pruneOrdersEvery is how often machine orders are looked through for those that are
+// long ago.
+const pruneOrdersEvery = time.Second
+
+// pruneOrders forgets the orders that are long ago.
+func (s *Scheduler) pruneOrders(now time.Time) {
+	if now.Before(s.pruneOrdersAt) {
+		return
+	}
+	s.pruneOrdersAt = now.Add(pruneOrdersEvery)
+	for id, o := range s.recent.All() {
+		if now.Sub(o.at) > recentPeriod {
+			s.recent.Delete(id)
+			s.dirtyOrders = append(s.dirtyOrders, id)
+		}
+	}
+}
+
 // sendHeld sends the orders whose saves are stored. One for a machine on which
 // something has begun since counts as refused.
 func (s *Scheduler) sendHeld(now time.Time) {
--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -47,7 +47,7 @@
 func (s *Scheduler) candidates(now time.Time, jobs []*jobState) []candidate {
 	out := make([]candidate, 0, len(jobs))
 	for _, j := range jobs {
-		out = append(out, s.candidate(now, j))
+		out = append(out, s.rate(now, j))
 	}
 	slices.SortFunc(out, func(a, b candidate) int {
 		return cmp.Or(
@@ -61,6 +61,18 @@
 	return out
 }
 
+// rateEvery is how often a job's place in the order is worked out anew if none of its
+// tasks has ended.
+const rateEvery = 50 * time.Millisecond
+
+// rate returns the job's place in the order, which may be as old as rateEvery.
+func (s *Scheduler) rate(now time.Time, j *jobState) candidate {
+	if j.ratedAt.IsZero() || now.Sub(j.ratedAt) >= rateEvery {
+		j.rating, j.ratedAt = s.candidate(now, j), now
+	}
+	return j.rating
+}
+
 func (s *Scheduler) candidate(now time.Time, j *jobState) candidate {
 	c := candidate{job: j, rank: rankLasting}
 	if j.lasting {
--- a/core/schedule/ordered.go
+++ b/core/schedule/ordered.go
@@ -5,53 +5,89 @@
 // ordered is a map that is walked in the order of insertion: the same events
 // must always bring about the same commands. Its zero value is empty.
 type ordered[K comparable, V any] struct {
-	values map[K]V
-	keys   []K
+	index   map[K]*entry[K, V]
+	entries []*entry[K, V]
 }
 
+// entry is one key and its value. A walk that goes on sees that it was deleted.
+type entry[K comparable, V any] struct {
+	key     K
+	value   V
+	deleted bool
+}
+
+// compactFrom is the number of entries from which deleted ones are gathered before
+// they are taken out.
+const compactFrom = 32
+
 // Get returns the value of k, or the zero value.
-func (o *ordered[K, V]) Get(k K) V { return o.values[k] }
+func (o *ordered[K, V]) Get(k K) V {
+	if e := o.index[k]; e != nil {
+		return e.value
+	}
+	var none V
+	return none
+}
 
 // Has tells whether there is a value of k.
-func (o *ordered[K, V]) Has(k K) bool {
-	_, ok := o.values[k]
-	return ok
-}
+func (o *ordered[K, V]) Has(k K) bool { return o.index[k] != nil }
 
 // Len returns the number of values.
-func (o *ordered[K, V]) Len() int { return len(o.keys) }
+func (o *ordered[K, V]) Len() int { return len(o.index) }
 
 // Set sets the value of k.
 func (o *ordered[K, V]) Set(k K, v V) {
-	if o.values == nil {
-		o.values = map[K]V{}
+	if e := o.index[k]; e != nil {
+		e.value = v
+		return
 	}
-	if !o.Has(k) {
-		o.keys = append(o.keys, k)
+	if o.index == nil {
+		o.index = map[K]*entry[K, V]{}
 	}
-	o.values[k] = v
+	e := &entry[K, V]{key: k, value: v}
+	o.index[k] = e
+	o.entries = append(o.entries, e)
 }
 
-// Delete takes k out. It copies the keys, so that a walk that is going on holds.
+// Delete takes k out.
 func (o *ordered[K, V]) Delete(k K) {
-	if !o.Has(k) {
+	e := o.index[k]
+	if e == nil {
 		return
 	}
-	delete(o.values, k)
-	keys := make([]K, 0, len(o.keys))
-	for _, x := range o.keys {
-		if x != k {
-			keys = append(keys, x)
+	e.deleted = true
+	delete(o.index, k)
+	if n := len(o.entries); n < compactFrom || n > 2*len(o.index) {
+		o.compact()
+	}
+}
+
+// compact takes the deleted entries out. It copies, so that a walk that is going
+// on holds.
+func (o *ordered[K, V]) compact() {
+	live := make([]*entry[K, V], 0, len(o.index))
+	for _, e := range o.entries {
+		if !e.deleted {
+			live = append(live, e)
 		}
 	}
-	o.keys = keys
+	o.entries = live
+}
+
+// Keys returns the keys in order.
+func (o *ordered[K, V]) Keys() []K {
+	out := make([]K, 0, len(o.index))
+	for k := range o.All() {
+		out = append(out, k)
+	}
+	return out
 }
 
 // All walks keys and values. Values may be set and deleted meanwhile.
 func (o *ordered[K, V]) All() iter.Seq2[K, V] {
 	return func(yield func(K, V) bool) {
-		for _, k := range o.keys {
-			if v, ok := o.values[k]; ok && !yield(k, v) {
+		for _, e := range o.entries {
+			if !e.deleted && !yield(e.key, e.value) {
 				return
 			}
 		}
--- a/core/schedule/place.go
+++ b/core/schedule/place.go
@@ -10,22 +10,6 @@
 	id   job.TaskID
 }
 
-// choose returns the VM for a task, or nil if none has room.
-func (a *assignment) choose(p placement) *vmState {
-	var best *vmState
-	var bestCost float64
-	for _, v := range a.vms {
-		if !a.fits(p.step, p.id.StepID(), v) || !a.s.usable(a.now, v) {
-			continue
-		}
-		c := a.cost(p, v)
-		if best == nil || c < bestCost {
-			best, bestCost = v, c
-		}
-	}
-	return best
-}
-
 // Costs of placing a task on a VM. Each outweighs all below it.
 const (
 	costShunned  = 1000.0
@@ -48,14 +32,14 @@
 func (a *assignment) cost(p placement, v *vmState) float64 {
 	// Tasks are packed: of VMs that are equal else, the one with the least room left
 	// takes the task, so that others stay empty for wide tasks, upkeep and other pools.
-	cost := float64(v.room.CPU-v.used.CPU) / float64(max(1, v.room.CPU))
+	cost := v.freeShare()
 	if p.step.def.Lasting {
 		cost += a.costOfLasting(p, v)
 	} else {
 		cost += costOfNewPlace(p.job, v)
 	}
 	if p.step.def.Fills || p.step.def.TailTarget > 0 {
-		cost += costDisturbs * float64(a.s.disturbed(p.step.def, v))
+		cost += costDisturbs * float64(v.disturbed(p.step.def))
 	}
 	if v.vacating {
 		cost += costVacating
@@ -69,6 +53,11 @@
 	return cost
 }
 
+// freeShare is the part of the VM's CPU that nothing has taken.
+func (v *vmState) freeShare() float64 {
+	return float64(v.room.CPU-v.used.CPU) / float64(max(1, v.room.CPU))
+}
+
 // costOfNewPlace keeps a job in one zone and on VMs where it has run tasks.
 func costOfNewPlace(j *jobState, v *vmState) float64 {
 	cost := 0.0
@@ -84,43 +73,27 @@
 // costOfLasting spreads the tasks of a lasting step over VMs.
 func (a *assignment) costOfLasting(p placement, v *vmState) float64 {
 	cost := costShared * float64(v.runsOfStep(p.id.StepID()))
-	if !v.hasLasting(a.s) {
+	if v.lasting == 0 {
 		cost += costOpens
 	}
 	return cost
 }
 
-// hasLasting tells whether the VM runs a lasting task.
-func (v *vmState) hasLasting(s *Scheduler) bool {
-	for k := range v.runs.All() {
-		if _, _, st, _ := s.task(k.task); st != nil && st.def.Lasting {
-			return true
-		}
-	}
-	return false
-}
-
 // disturbed counts the runs on the VM that a task of the step would disturb or
 // be disturbed by.
-func (s *Scheduler) disturbed(def *job.Step, v *vmState) int {
+func (v *vmState) disturbed(def *job.Step) int {
 	n := 0
-	for k := range v.runs.All() {
-		_, _, st, _ := s.task(k.task)
-		if st == nil {
-			continue
-		}
-		if (def.Fills && st.def.TailTarget > 0) || (def.TailTarget > 0 && st.def.Fills) {
-			n++
-		}
+	if def.Fills {
+		n += v.serving
+	}
+	if def.TailTarget > 0 {
+		n += v.fills
 	}
 	return n
 }
 
-// fits tells whether a task of the step may run on the VM.
-func (a *assignment) fits(st *stepState, step job.StepID, v *vmState) bool {
-	if !st.def.Claim().Fits(v.room.Minus(v.used)) {
-		return false
-	}
+// suits tells whether a task of the step may run on the VM if that has room.
+func (a *assignment) suits(st *stepState, step job.StepID, v *vmState) bool {
 	if st.def.Requires != "" && !v.labels[st.def.Requires] {
 		return false
 	}
@@ -131,7 +104,7 @@
 		return false
 	}
 	// A filling task has other places, or may wait; a serving one would suffer.
-	return !st.def.Fills || a.s.disturbed(st.def, v) == 0
+	return !st.def.Fills || v.disturbed(st.def) == 0
 }
 
 // runsOfStep counts the runs of one step of one occurrence on the VM; what is
--- a/core/schedule/pools.go
+++ b/core/schedule/pools.go
@@ -185,16 +185,10 @@
 	for _, o := range j.occurrences {
 		for i := range o.steps {
 			st := &o.steps[i]
-			if st.complete() || !o.ready(i) {
+			if st.open == 0 || !o.ready(i) {
 				continue
 			}
-			n := 0
-			for t := range st.tasks {
-				if !st.tasks[t].done && len(st.tasks[t].runs) == 0 {
-					n++
-				}
-			}
-			sum += float64(n) * float64(st.def.Claim().CPU) / 1000 * s.runTime(j, st.def).Seconds()
+			sum += float64(st.open) * float64(st.def.Claim().CPU) / 1000 * s.runTime(j, st.def).Seconds()
 		}
 	}
 	return sum
@@ -257,7 +251,7 @@
 	for _, v := range s.vms.All() {
 		before[v.id] = v.vacating
 		v.vacating = false
-		if v.takesTasks() && !v.cordoned && !v.hasLasting(s) {
+		if v.takesTasks() && !v.cordoned && v.lasting == 0 {
 			vms = append(vms, sizing.VM{ID: v.id, Pool: v.pool, CPU: v.room.CPU, Used: v.used.CPU})
 		}
 	}
--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -116,6 +116,8 @@
 		t.done = true
 		st.done++
 	}
+	st.recount()
+	j.ratedAt = time.Time{}
 	s.markDirty(j)
 	for _, other := range slices.Clone(t.runs) {
 		s.stop(now, other, "another run is done")
@@ -207,10 +209,10 @@
 	}
 	if j != nil {
 		r.claim, r.cost, r.account = st.def.Claim(), st.def.Room, j.Terms.Account
-		r.fills = st.def.Fills
+		r.setKind(st.def)
 	}
 	wanted := j != nil && !j.over() && !t.done && (t.live() == nil || st.def.Speculative)
-	s.addRun(r, t)
+	s.addRun(r, st, t)
 	s.decided(Decision{What: TaskFound, Job: e.Task.Job, Task: e.Task, Attempt: e.Attempt, VM: v.id})
 	if !wanted {
 		s.stop(now, r, "not wanted")
--- /dev/null
+++ b/core/schedule/rooms_test.go
@@ -0,0 +1,89 @@
+package schedule
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"lavenderpond/core/job"
+)
+
+// chooseNaively looks at all VMs of the pool.
+func chooseNaively(a *assignment, p placement) *vmState {
+	var best *vmState
+	for _, x := range a.rooms.slots {
+		fits := p.step.def.Claim().Fits(x.vm.room.Minus(x.vm.used))
+		if !fits || !a.suits(p.step, p.id.StepID(), x.vm) || !a.s.usable(a.now, x.vm) {
+			continue
+		}
+		if best == nil || a.cost(p, x.vm) < a.cost(p, best) {
+			best = x.vm
+		}
+	}
+	return best
+}
+
+func randomVM(rng *rand.Rand, i int) *vmState {
+	sizes := []int64{8000, 16000, 32000}
+	v := &vmState{
+		id: job.VMID(fmt.Sprintf("vm-%02d", i)), zone: string(rune('a' + i%3)), rack: job.Label(fmt.Sprintf("r%d", i/4)),
+		room: job.Room{CPU: sizes[rng.IntN(3)], MemMB: 16000}, labels: map[job.Label]bool{}, listed: true, heldOnce: true,
+		vacating: rng.IntN(6) == 0, lasting: rng.IntN(2), serving: rng.IntN(2), fills: rng.IntN(2),
+	}
+	v.clock.Read(1, begin)
+	v.used = job.Room{CPU: rng.Int64N(v.room.CPU + 1), MemMB: rng.Int64N(v.room.MemMB)}
+	if rng.IntN(3) == 0 {
+		v.labels["fast"] = true
+	}
+	if rng.IntN(8) == 0 {
+		v.suspect = begin.Add(1)
+	}
+	return v
+}
+
+func randomStep(rng *rand.Rand) job.Step {
+	st := job.Step{Count: 1, Room: job.Room{CPU: 100 + rng.Int64N(12000), MemMB: rng.Int64N(8000)}}
+	switch rng.IntN(6) {
+	case 0:
+		st.Lasting = true
+	case 1:
+		st.Fills = true
+	case 2:
+		st.TailTarget = 1
+	case 3:
+		st.Requires = "fast"
+	case 4:
+		st.NearRack = "r1"
+	}
+	return st
+}
+
+// Guards against an index of room that passes over the best VM, or over the only one.
+func TestChooseAgainstNaive(t *testing.T) {
+	rng := rand.New(rand.NewPCG(5, 6))
+	for round := range 400 {
+		var vms []*vmState
+		for i := range 1 + rng.IntN(30) {
+			vms = append(vms, randomVM(rng, i))
+		}
+		a := &assignment{s: New(Settings{}), now: begin, vms: vms, rooms: newRooms(vms)}
+		for range 40 {
+			def := randomStep(rng)
+			p := placement{job: &jobState{zone: "b"}, step: &stepState{def: &def}, task: &taskState{}}
+			p.job.places.Set(vms[0].id, 1)
+			want := chooseNaively(a, p)
+			n := a.choose(p)
+			if want == nil {
+				assert.Equal(t, n, -1, "round %d", round)
+				continue
+			}
+			assert.Assert(t, n >= 0, "round %d: %s has room", round, want.id)
+			got := a.rooms.slots[n].vm
+			assert.Equal(t, a.cost(p, got), a.cost(p, want), "round %d", round)
+			got.used = got.used.Plus(def.Claim())
+			a.rooms.moved(n)
+		}
+	}
+}
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -48,25 +48,40 @@
 // mayRunUnheard tells whether a task of the job may run on a VM that this owner
 // hasn't heard yet.
 func (s *Scheduler) mayRunUnheard(now time.Time, j *jobState) bool {
+	if !s.anyUnheard {
+		return false
+	}
 	for id := range j.places.All() {
 		v := s.vms.Get(id)
-		if v != nil && !v.heldOnce && now.Before(v.inheritedUntil) {
+		if v != nil && v.unheard(now) {
 			return true
 		}
 	}
 	return false
 }
 
-// addRun books a run on its VM, its task (nil if unknown) and its account.
-func (s *Scheduler) addRun(r *run, t *taskState) {
+// addRun books a run on its VM, its step and task (nil if unknown) and its account.
+func (s *Scheduler) addRun(r *run, st *stepState, t *taskState) {
 	r.vm.runs.Set(runKey{r.task, r.attempt}, r)
 	r.vm.used = r.vm.used.Plus(r.claim)
-	if r.fills {
-		r.vm.fills++
-	}
+	r.vm.countKind(r, 1)
 	s.running[r.account] = s.running[r.account].Plus(r.cost)
 	if t != nil {
 		t.runs = append(t.runs, r)
+		st.recount()
+	}
+}
+
+// countKind adds n to the counts of the VM's runs of this kind.
+func (v *vmState) countKind(r *run, n int) {
+	if r.lasting {
+		v.lasting += n
+	}
+	if r.serving {
+		v.serving += n
+	}
+	if r.fills {
+		v.fills += n
 	}
 }
 
@@ -78,9 +93,7 @@
 	}
 	r.vm.runs.Delete(k)
 	r.vm.used = r.vm.used.Minus(r.claim)
-	if r.fills {
-		r.vm.fills--
-	}
+	r.vm.countKind(r, -1)
 	if r.phase == runOrdered {
 		r.vm.ordered--
 	}
@@ -94,6 +107,7 @@
 		return
 	}
 	t.runs = slices.DeleteFunc(t.runs, func(o *run) bool { return o == r })
+	st.recount()
 	if st.def.Lasting && t.awaySince.IsZero() {
 		t.awaySince = now
 	}
--- a/core/schedule/save.go
+++ b/core/schedule/save.go
@@ -106,7 +106,7 @@
 	if j.over() {
 		return p
 	}
-	p.VMs = slices.Clone(j.places.keys)
+	p.VMs = j.places.Keys()
 	for _, o := range j.occurrences {
 		for i := range o.steps {
 			d := job.StepDone{Occurrence: o.number, Step: i}
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -69,6 +69,13 @@
 	pools    map[job.PoolName]*poolRecord
 	shares   shares
 	sizeAt   time.Time
+	// anyUnheard is set while a VM hasn't been heard on which a former owner may
+	// still run tasks.
+	anyUnheard bool
+	// pruneOrdersAt is when to look next for machine orders that are long ago.
+	pruneOrdersAt time.Time
+	backlog       map[job.QueueName]int
+	backlogAt     time.Time
 }
 
 // New returns a scheduler that knows nothing yet.
@@ -127,10 +134,12 @@
 func (s *Scheduler) Inherit(r RosterVM) {
 	v := s.vm(r.ID)
 	if v.address == "" {
-		v.address, v.pool, v.born, v.machine = r.Address, r.Pool, r.Born, r.Machine
+		v.address, v.pool, v.born = r.Address, r.Pool, r.Born
+		s.setMachine(v, r.Machine)
 	}
 	v.rostered = r
 	v.inheritedUntil = lease.InheritedEnd(s.settings.TookOver, s.settings.LeaseMax)
+	s.anyUnheard = true
 }
 
 // AddJob takes in a job and what is stored of its progress. inherited tells
@@ -149,6 +158,7 @@
 		for i := range o.steps {
 			o.steps[i].def = &j.Body.Steps[i]
 			o.steps[i].tasks = make([]taskState, j.Body.Steps[i].Count)
+			o.steps[i].open = j.Body.Steps[i].Count
 		}
 		st.occurrences = append(st.occurrences, o)
 	}
@@ -188,6 +198,7 @@
 				st.done++
 			}
 		}
+		st.recount()
 		if st.complete() {
 			o.done++
 		}
@@ -230,8 +241,20 @@
 	}
 }
 
-// Backlog counts the jobs of each queue that haven't begun.
-func (s *Scheduler) Backlog() map[job.QueueName]int {
+// backlogEvery is how often the backlog is counted.
+const backlogEvery = 100 * time.Millisecond
+
+// Backlog counts the jobs of each queue that haven't begun. The count is as old as
+// backlogEvery at the most, and must not be changed.
+func (s *Scheduler) Backlog(now time.Time) map[job.QueueName]int {
+	if s.backlog != nil && now.Before(s.backlogAt) {
+		return s.backlog
+	}
+	s.backlog, s.backlogAt = s.countBacklog(), now.Add(backlogEvery)
+	return s.backlog
+}
+
+func (s *Scheduler) countBacklog() map[job.QueueName]int {
 	out := map[job.QueueName]int{}
 	for _, j := range s.jobs.All() {
 		if !j.over() && !j.begun {
--- a/core/schedule/state.go
+++ b/core/schedule/state.go
@@ -49,8 +49,8 @@
 	stopClock job.VMClock
 	// adopted runs were started by a former owner.
 	adopted bool
-	// fills is set for a task that uses what others leave over.
-	fills bool
+	// lasting, serving and fills tell what kind of task it is.
+	lasting, serving, fills bool
 	// resumed is set if it went on from a checkpoint.
 	resumed bool
 	// listedAt is when a list last showed its progress; markAt and markPercent are
@@ -60,6 +60,11 @@
 	markPercent int
 }
 
+// setKind notes what kind of task runs.
+func (r *run) setKind(def *job.Step) {
+	r.lasting, r.serving, r.fills = def.Lasting, def.TailTarget > 0, def.Fills
+}
+
 // enter moves the run to another phase.
 func (r *run) enter(p runPhase) {
 	if r.phase == runOrdered {
@@ -101,6 +106,8 @@
 	def   *job.Step
 	tasks []taskState
 	done  int
+	// open counts the tasks that have neither ended well nor a run.
+	open int
 	// tickets are the VMs that may run the step, where it needs advice.
 	tickets  map[job.VMID]string
 	ticketsT time.Time
@@ -116,6 +123,16 @@
 
 func (s *stepState) complete() bool { return s.done == len(s.tasks) }
 
+// recount counts the open tasks after one has changed.
+func (s *stepState) recount() {
+	s.open = 0
+	for i := range s.tasks {
+		if t := &s.tasks[i]; !t.done && len(t.runs) == 0 {
+			s.open++
+		}
+	}
+}
+
 type occurrence struct {
 	number int
 	due    time.Time
@@ -148,6 +165,9 @@
 	places ordered[job.VMID, int64]
 	// zone is where its first task went.
 	zone string
+	// rating is the job's place in the order of its pool, as of ratedAt.
+	rating  candidate
+	ratedAt time.Time
 }
 
 func (j *jobState) over() bool { return j.state.Final() }
@@ -163,7 +183,9 @@
 	room    job.Room
 	used    job.Room
 	machine job.MachineID
-	born    job.Born
+	// host is that machine as it is listed, or nil.
+	host *machineState
+	born job.Born
 	// listed is set while the VM's entry stands in the directory.
 	listed     bool
 	unlistedAt time.Time
@@ -173,10 +195,10 @@
 	// leaseEnd is the latest deadline that any order carried.
 	leaseEnd job.VMClock
 	runs     ordered[runKey, *run]
-	// fills and stopping count the runs that fill and those whose end is ordered. On
-	// most VMs there is neither, and their runs need not be looked at in each turn.
-	fills    int
-	stopping int
+	// lasting, serving and fills count the runs of each kind, stopping those whose end
+	// is ordered: their runs need not be looked at in each turn.
+	lasting, serving, fills int
+	stopping                int
 	// ordered counts the starts that wait for their answer.
 	ordered int
 	// doubtful VMs leave a start without an answer, and nothing was heard of them since.
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -4,7 +4,12 @@
 
 // Tick does what is due: holds, repeated stops, leases that ran out, upkeep.
 func (s *Scheduler) Tick(now time.Time) {
+	s.anyUnheard = false
 	for _, v := range s.vms.All() {
+		s.anyUnheard = s.anyUnheard || v.unheard(now)
+		if v.settled() {
+			continue
+		}
 		s.expire(now, v)
 		s.look(now, v)
 		if v.stopping > 0 {
@@ -21,6 +26,18 @@
 	s.size(now)
 }
 
+// unheard tells whether a former owner's tasks may run on the VM, which hasn't been
+// heard yet.
+func (v *vmState) unheard(now time.Time) bool {
+	return !v.heldOnce && now.Before(v.inheritedUntil)
+}
+
+// settled tells whether nothing can be due on the VM: its hold is on its way, and no
+// start or stop waits for its answer.
+func (v *vmState) settled() bool {
+	return v.holding && v.listed && !v.silent && !v.doubtful && v.ordered == 0 && v.stopping == 0 && v.fills == 0 && len(v.lost) == 0
+}
+
 // leaveDraining moves lasting tasks off VMs that leave. Other tasks may end in
 // time; those that don't end with the VM.
 func (s *Scheduler) leaveDraining(now time.Time) {
--- a/core/schedule/turn_bench_test.go
+++ b/core/schedule/turn_bench_test.go
@@ -53,13 +53,15 @@
 // BenchmarkTurn is one turn of the owner's loop on a fleet that is full, with
 // jobs that wait.
 func BenchmarkTurn(b *testing.B) {
-	for _, n := range []struct{ vms, waiting int }{{50, 0}, {50, 100}, {350, 0}, {350, 500}} {
+	for _, n := range []struct{ vms, waiting int }{
+		{50, 0}, {50, 100}, {350, 0}, {350, 500}, {1100, 0}, {1100, 1000}, {3000, 0}, {3000, 3000},
+	} {
 		b.Run(fmt.Sprintf("%d VMs, %d waiting", n.vms, n.waiting), func(b *testing.B) {
 			h := fleetOf(b, n.vms, n.waiting)
 			for b.Loop() {
 				h.s.Tick(h.now)
 				h.s.Assign(h.now, h.now)
-				h.s.Backlog()
+				h.s.Backlog(h.now)
 				h.s.Take()
 			}
 		})
--- a/core/schedule/upkeep.go
+++ b/core/schedule/upkeep.go
@@ -49,8 +49,8 @@
 		}
 	}
 	for _, v := range s.vms.All() {
-		m := s.machines.Get(v.machine)
-		v.cordoned = m != nil && (cordoned[m.ID] || m.to != "")
+		m := v.host
+		v.cordoned = m != nil && (m.to != "" || (len(cordoned) > 0 && cordoned[m.ID]))
 	}
 }
 
@@ -208,7 +208,7 @@
 	cost := 0.0
 	for _, r := range v.runs.All() {
 		cost++
-		if _, _, st, _ := s.task(r.task); st != nil && st.def.Lasting {
+		if r.lasting {
 			cost += 2
 		}
 	}
--- a/core/schedule/vm.go
+++ b/core/schedule/vm.go
@@ -53,7 +53,7 @@
 	v.listed, v.address, v.pool, v.zone = true, e.Address, e.Pool, e.Zone
 	v.room = e.Room
 	if e.Machine != "" {
-		v.machine = e.Machine
+		s.setMachine(v, e.Machine)
 	}
 	if v.born == 0 {
 		v.born = e.Born
@@ -66,6 +66,11 @@
 	v.draining = e.Draining
 }
 
+// setMachine notes which machine the VM lives on.
+func (s *Scheduler) setMachine(v *vmState, id job.MachineID) {
+	v.machine, v.host = id, s.machines.Get(id)
+}
+
 // enroll puts the VM into the roster, if that says something else of it; no task
 // starts there before it is stored.
 func (s *Scheduler) enroll(v *vmState) {
--- a/io/node/owner.go
+++ b/io/node/owner.go
@@ -152,7 +152,7 @@
 	})
 	o.scheduler.Tick(now)
 	o.scheduler.Assign(now, time.Now())
-	o.backlog.set(o.scheduler.Backlog())
+	o.backlog.set(o.scheduler.Backlog(now))
 	o.carryOut(ctx, o.scheduler.Take())
 }
 
