--- a/cmd/lavenderpond-edge/main.go
+++ b/cmd/lavenderpond-edge/main.go
@@ -32,9 +32,6 @@
 	logLines = 4096
 	// logPoll is how often waiting lines are written.
 	logPoll = 50 * time.Millisecond
-	// collectAt makes the garbage collector run earlier than by default: memory
-	// at its peak is dearer here than the processor time.
-	collectAt = 60
 	// memoryPart of the VM's memory, in percent, makes the collector work harder.
 	memoryPart = 60
 )
@@ -67,7 +64,7 @@
 		return exitSettings
 	}
 	log = log.With().Str("node", settings.Node).Logger()
-	debug.SetGCPercent(collectAt)
+	debug.SetGCPercent(node.CollectLeast)
 	debug.SetMemoryLimit(settings.MemoryMB << 20 * memoryPart / 100)
 	n, err := node.New(settings, log)
 	if err != nil {
--- /dev/null
+++ b/io/node/collect_test.go
@@ -0,0 +1,17 @@
+package node
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a heap that grows without bound, or for a process that has time enough.
+func TestHeapGrowthFollowsItsCost(t *testing.T) {
+	assert.Equal(t, nextGrowth(60, 0.2, 0.8), 120)
+	assert.Equal(t, nextGrowth(480, 0.2, 0.8), 480)
+	assert.Equal(t, nextGrowth(120, 0.03, 0.97), 120)
+	assert.Equal(t, nextGrowth(120, 0, 1), 60)
+	assert.Equal(t, nextGrowth(60, 0, 1), 60)
+	assert.Equal(t, nextGrowth(240, 0, 0), 240)
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -124,6 +124,7 @@
 		{Name: "candidacy", Run: func(context.Context) error { return n.candidacy.run(ctx) }},
 		{Name: "callers", Run: func(context.Context) error { return served(front.Serve(callers)) }},
 		{Name: "probes", Run: func(context.Context) error { return served(ready.Serve(probes)) }},
+		{Name: "collector", Run: (&collector{log: n.log}).run},
 		{Name: "figures", Run: func(context.Context) error { return n.metrics.run(life) }},
 	}}
 	var g supervisor.Group
--- a/io/node/pace.go
+++ b/io/node/pace.go
@@ -9,6 +9,9 @@
 	// more fell behind, the more jobs waited and the longer turns took. Paced, turns
 	// take a fifth of the processor at most, and the answers are taken in together.
 	turnPause = 4
+	// turnPauseLeast lets answers gather: a turn for each of them would sort the same
+	// VMs and jobs thousands of times a second.
+	turnPauseLeast = 4 * time.Millisecond
 	// turnPauseMost bounds the wait after a turn in which the process stood still.
 	turnPauseMost = 30 * time.Millisecond
 )
@@ -18,7 +21,7 @@
 
 // took notes a turn.
 func (p *turnPacer) took(begun, ended time.Time) {
-	p.next = ended.Add(min(turnPause*ended.Sub(begun), turnPauseMost))
+	p.next = ended.Add(min(max(turnPause*ended.Sub(begun), turnPauseLeast), turnPauseMost))
 }
 
 // pause returns how long the next turn has to wait.
