Move the connections between daemons out of io/peer into io/netrpc

A pure move: Server, Pool, their codec and the watch over silent peers know nothing of what is said over them, and the daemon of the deployments is to use them without the rest of io/peer. ForwardTo takes the pool as an argument. Tests of io/netrpc, io/peer and io/entry green.

--- a/io/entry/daemon.go
+++ b/io/entry/daemon.go
@@ -20,6 +20,7 @@
 	"lavenderpond/core/route/least"
 	"lavenderpond/io/caller"
 	"lavenderpond/io/ini"
+	"lavenderpond/io/netrpc"
 	"lavenderpond/io/operator"
 	"lavenderpond/io/peer"
 	"lavenderpond/io/platform"
@@ -56,7 +57,7 @@
 
 	platform  *platform.Client
 	live      *platform.SharedList
-	peers     *peer.Pool
+	peers     *netrpc.Pool
 	directory Directory
 	config    *configuration
 	shards    *peer.ShardKeeper
@@ -78,7 +79,7 @@
 
 // New binds the daemon's addresses and puts its parts together.
 func New(settings ini.Settings, log zerolog.Logger) (*Daemon, error) {
-	d := &Daemon{settings: settings, log: log, now: time.Now, peers: &peer.Pool{}, metrics: metrics.NewRegistry()}
+	d := &Daemon{settings: settings, log: log, now: time.Now, peers: &netrpc.Pool{}, metrics: metrics.NewRegistry()}
 	d.started = d.now()
 	d.aborted, d.abort = context.WithCancel(context.Background())
 	d.id = core.NewEntryID(settings.Entry.Name, d.started)
--- a/io/entry/front.go
+++ b/io/entry/front.go
@@ -10,6 +10,7 @@
 	"lavenderpond/core"
 	"lavenderpond/core/shard"
 	"lavenderpond/io/caller"
+	"lavenderpond/io/netrpc"
 	"lavenderpond/io/peer"
 	"lavenderpond/io/supervisor"
 )
@@ -50,7 +51,7 @@
 	Gate      Gate
 	Requests  *Requests
 	Directory *Directory
-	Peers     *peer.Pool
+	Peers     *netrpc.Pool
 
 	forwarded   atomic.Int64
 	handingOver atomic.Bool
@@ -130,7 +131,7 @@
 		if err == nil {
 			return answer
 		}
-		sent = sent || !errors.Is(err, peer.ErrNotSent)
+		sent = sent || !errors.Is(err, netrpc.ErrNotSent)
 		if errors.Is(err, peer.ErrHandingOver) {
 			until = f.searchUntil(args)
 		}
@@ -245,10 +246,10 @@
 func (f *Front) toEntry(ctx context.Context, id core.EntryID, args peer.ForwardArgs) (core.Answer, error) {
 	a, ok := f.Directory.Find(f.Zone, id)
 	if !ok {
-		return nil, errors.Wrapf(peer.ErrNotSent, "no address of %s", id)
+		return nil, errors.Wrapf(netrpc.ErrNotSent, "no address of %s", id)
 	}
 	args.Stage = peer.ToHolder
-	return f.Peers.ForwardTo(ctx, a.Peer.String(), args)
+	return peer.ForwardTo(ctx, f.Peers, a.Peer.String(), args)
 }
 
 // toZone sends a call to an entry of its home zone, and to the next one if no
@@ -265,11 +266,11 @@
 	offset := int(args.Request.Key.Shard(1 << 16))
 	for i := range entries {
 		a := entries[(i+offset)%len(entries)]
-		answer, err := f.Peers.ForwardTo(ctx, a.Peer.String(), args)
+		answer, err := peer.ForwardTo(ctx, f.Peers, a.Peer.String(), args)
 		if err == nil {
 			return answer
 		}
-		sent = sent || !errors.Is(err, peer.ErrNotSent)
+		sent = sent || !errors.Is(err, netrpc.ErrNotSent)
 		if ctx.Err() != nil {
 			break
 		}
--- a/io/entry/front_test.go
+++ b/io/entry/front_test.go
@@ -15,6 +15,7 @@
 	"lavenderpond/core/home"
 	"lavenderpond/core/shard"
 	"lavenderpond/core/table"
+	"lavenderpond/io/netrpc"
 	"lavenderpond/io/peer"
 	"lavenderpond/io/supervisor"
 )
@@ -82,7 +83,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			f := &Front{
 				Zone: "zone_a", Zones: []core.ZoneID{"zone_a", "zone_b"}, Now: time.Now,
-				Holders: nobody{}, Gate: openGate{}, Directory: &Directory{}, Peers: &peer.Pool{},
+				Holders: nobody{}, Gate: openGate{}, Directory: &Directory{}, Peers: &netrpc.Pool{},
 			}
 			defer f.Peers.Close()
 			f.Directory.entries = map[table.Key]Address{
@@ -153,12 +154,12 @@
 	clock := steppedClock{began: time.Now()}
 	f := &Front{
 		Zone: "zone_a", Zones: []core.ZoneID{"zone_a"}, Now: clock.now, Holders: &scripted{verdicts: verdicts},
-		Gate: openGate{}, Requests: NewRequests(&home.Home{}), Directory: &Directory{}, Peers: &peer.Pool{},
+		Gate: openGate{}, Requests: NewRequests(&home.Home{}), Directory: &Directory{}, Peers: &netrpc.Pool{},
 	}
 	f.Requests.Now = time.Now
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	s := peer.NewServer()
+	s := netrpc.NewServer()
 	assert.NilError(t, s.Register(peer.ForwardName, &peer.Forward{Context: t.Context(), Handler: f.HandleForwarded}))
 	ctx, cancel := context.WithCancel(t.Context())
 	var g supervisor.Group
--- a/io/entry/peers.go
+++ b/io/entry/peers.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"lavenderpond/core/fleet"
+	"lavenderpond/io/netrpc"
 	"lavenderpond/io/peer"
 	"lavenderpond/io/supervisor"
 )
@@ -18,7 +19,7 @@
 }
 
 func (d *Daemon) servePeers(ctx context.Context) error {
-	s := peer.NewServer()
+	s := netrpc.NewServer()
 	receivers := map[string]any{
 		peer.ForwardName: &peer.Forward{Context: ctx, Handler: d.front.HandleForwarded},
 		peer.SpreadName:  d.config.spread.Receiver(),
--- a/io/peer/peer.go
+++ b/io/netrpc/netrpc.go
@@ -1,7 +1,7 @@
-// Package peer carries the messages between lavenderpond's own daemons, by
-// net/rpc. Each concern registers a receiver of its own: Forward (requests to
-// their home), Shard (acks, mirrored starts), Spread (configuration and keys).
-package peer
+// Package netrpc keeps connections between lavenderpond's own daemons and makes
+// net/rpc calls over them. Many calls share one connection, and a peer that owes
+// replies and falls silent is given up.
+package netrpc
 
 import (
 	"context"
@@ -63,12 +63,12 @@
 		if err != nil {
 			return errors.Wrap(err, "accept peer")
 		}
-		g.Go(func() { s.serveConn(ctx, conn) })
+		g.Go(func() { s.ServeConn(ctx, conn) })
 	}
 }
 
-// serveConn serves one connection and closes it when ctx ends.
-func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
+// ServeConn serves one connection and closes it when ctx ends.
+func (s *Server) ServeConn(ctx context.Context, conn net.Conn) {
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
 	newConnection(s.rpc, conn).serve()
--- a/io/peer/serve.go
+++ b/io/netrpc/serve.go
@@ -1,4 +1,4 @@
-package peer
+package netrpc
 
 import (
 	"net"
--- a/io/peer/forward.go
+++ b/io/peer/forward.go
@@ -1,3 +1,6 @@
+// Package peer is what lavenderpond's own daemons tell each other. Each concern has a
+// receiver of its own: Forward (requests to their home), Shard (acks, mirrored starts),
+// Spread (configuration and keys).
 package peer
 
 import (
@@ -8,6 +11,8 @@
 	"github.com/pkg/errors"
 
 	"lavenderpond/core"
+
+	"lavenderpond/io/netrpc"
 )
 
 // ForwardName is the name under which a Forward is registered.
@@ -53,9 +58,9 @@
 // call, so they are also ErrNotSent.
 var (
 	// ErrNotHolder says that the peer may not decide about the id now.
-	ErrNotHolder = errors.Wrap(ErrNotSent, "not the holder")
+	ErrNotHolder = errors.Wrap(netrpc.ErrNotSent, "not the holder")
 	// ErrHandingOver says that the peer stops and hands its rights over just now.
-	ErrHandingOver = errors.Wrap(ErrNotSent, "handing over")
+	ErrHandingOver = errors.Wrap(netrpc.ErrNotSent, "handing over")
 )
 
 // ForwardResult says whether a peer took a call.
@@ -107,7 +112,7 @@
 
 // ForwardTo sends a call to the peer at address. Besides the errors of Call, it
 // returns ErrNotHolder or ErrHandingOver if the peer did not take the call.
-func (p *Pool) ForwardTo(ctx context.Context, address string, args ForwardArgs) (core.Answer, error) {
+func ForwardTo(ctx context.Context, p *netrpc.Pool, address string, args ForwardArgs) (core.Answer, error) {
 	var reply ForwardReply
 	if err := p.Call(ctx, address, ForwardName+".Call", args, &reply); err != nil {
 		return nil, err
--- a/io/peer/shard_send.go
+++ b/io/peer/shard_send.go
@@ -7,6 +7,8 @@
 
 	"lavenderpond/core"
 	"lavenderpond/core/shard"
+
+	"lavenderpond/io/netrpc"
 )
 
 // outbox gathers what waits for one peer. While one exchange is under way all
@@ -63,7 +65,7 @@
 	var reply ShardBatch
 	err := k.cfg.Peers.Call(ctx, address, ShardName+".Exchange", batch, &reply)
 	switch {
-	case errors.Is(err, ErrRefused):
+	case errors.Is(err, netrpc.ErrRefused):
 		k.handle(shard.Refused{Entry: batch.To})
 	case err == nil && reply.From == batch.To:
 		k.receive(reply)
--- a/io/peer/shard_test.go
+++ b/io/peer/shard_test.go
@@ -13,6 +13,7 @@
 
 	"lavenderpond/core"
 	"lavenderpond/core/shard"
+	"lavenderpond/io/netrpc"
 	"lavenderpond/io/platform"
 	"lavenderpond/io/supervisor"
 )
@@ -250,12 +251,12 @@
 func benchmarkExchange(b *testing.B, batch, reply ShardBatch) {
 	batch.From, batch.To = "entry-a-1#1000000000000", "entry-a-2#1000000000000"
 	reply.From, reply.To = batch.To, batch.From
-	server := NewServer()
+	server := netrpc.NewServer()
 	assert.NilError(b, server.Register(ShardName, &fixedReply{reply}))
 	here, there := net.Pipe()
 	conn := &countingConn{Conn: here}
 	var g supervisor.Group
-	g.Go(func() { server.serveConn(context.Background(), there) })
+	g.Go(func() { server.ServeConn(context.Background(), there) })
 	client := rpc.NewClient(conn)
 	exchange := func() { assert.NilError(b, client.Call(ShardName+".Exchange", batch, &ShardBatch{})) }
 	exchange() // The first one carries the types.
--- a/io/peer/shard_zone_test.go
+++ b/io/peer/shard_zone_test.go
@@ -15,6 +15,7 @@
 	"lavenderpond/core"
 	"lavenderpond/core/shard"
 	"lavenderpond/core/table"
+	"lavenderpond/io/netrpc"
 	"lavenderpond/io/platform"
 	"lavenderpond/io/supervisor"
 )
@@ -43,7 +44,7 @@
 	*ShardKeeper
 	id   core.EntryID
 	zone *shardZone
-	pool Pool
+	pool netrpc.Pool
 	cut  bool
 	end  context.CancelFunc
 
@@ -84,7 +85,7 @@
 			}
 		},
 	})
-	server := NewServer()
+	server := netrpc.NewServer()
 	assert.NilError(z.t, server.Register(ShardName, k.Receiver()))
 	ctx, cancel := context.WithCancel(context.Background())
 	k.end = cancel
@@ -158,7 +159,7 @@
 // Call implements Caller: a cut entry reaches nobody.
 func (k *testKeeper) Call(ctx context.Context, address, method string, args, reply any) error {
 	if k.cut {
-		return ErrNotSent
+		return netrpc.ErrNotSent
 	}
 	batch, ok := args.(ShardBatch)
 	if !ok || !k.zone.forgets {
--- a/io/peer/spread_test.go
+++ b/io/peer/spread_test.go
@@ -14,6 +14,7 @@
 	"lavenderpond/core/config"
 	"lavenderpond/core/key"
 	"lavenderpond/core/table"
+	"lavenderpond/io/netrpc"
 	"lavenderpond/io/platform"
 )
 
@@ -115,7 +116,7 @@
 		return err
 	}
 	if f.entries[i].dead {
-		return ErrNotSent
+		return netrpc.ErrNotSent
 	}
 	if f.wires != nil {
 		return f.wires[address].Call(method, args, reply)
@@ -126,7 +127,7 @@
 	}
 	told, answer := args.(SpreadArgs), reply.(*SpreadReply)
 	if f.lost != nil && f.lost(f.entries[i], told.Told) {
-		return ErrNotSent
+		return netrpc.ErrNotSent
 	}
 	f.redate(&told.Told)
 	err := r.Exchange(told, answer)
