Other entry VMs carry the owner's orders to VMs on a large fleet

Weighed: a transport of our own (plumbing by hand; the owner's connections stay), several owners (accounts' caps, waves and machines would have to be shared out; the decisions are not what takes the time), relays: the owner decides, two entry VMs a zone carry starts and holds, over one net/rpc connection each. Nothing they do rests on their own state: a VM refuses a former owner's order by its fence and a late start by its deadline, and the deadline of a hold is absolute. Each entry VM writes a row with its address; the owner takes the strongest that answer, gives one up when it is silent for four looks of 0.1 s, and calls the VM itself where nothing was sent. Looks, stops and paces go to the VM as before. An owner whose right isn't fresh (0.75 s) uses no relay, since its knowledge may be old. Below 150 VMs nothing changes.

--- a/core/schedule/vm.go
+++ b/core/schedule/vm.go
@@ -115,14 +115,17 @@
 	return out
 }
 
-// Address returns where a VM takes orders.
-func (s *Scheduler) Address(id job.VMID) string {
+// Location returns where a VM takes orders, and its availability zone.
+func (s *Scheduler) Location(id job.VMID) (address, zone string) {
 	if v := s.vms.Get(id); v != nil {
-		return v.address
+		return v.address, v.zone
 	}
-	return ""
+	return "", ""
 }
 
+// VMCount returns the number of VMs that are known.
+func (s *Scheduler) VMCount() int { return s.vms.Len() }
+
 // reborn takes in that a VM has crashed and lives anew under the same ID: what
 // ran is gone, and its clock and numbers start anew. Starts without an answer
 // may still arrive and be carried out by the new life, whose clock is behind
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -106,11 +106,11 @@
 // Run serves until ctx ends, and then until the callers that are there have
 // their answers.
 func (n *Node) Run(ctx context.Context) error {
-	callers, err := net.Listen("tcp4", n.settings.CallerAddress)
+	callers, err := listen(n.settings.CallerAddress)
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
-	probes, err := net.Listen("tcp4", n.settings.ReadyAddress)
+	probes, err := listen(n.settings.ReadyAddress)
 	if err != nil {
 		return errors.Wrap(err, "listen for the balancer")
 	}
@@ -127,6 +127,7 @@
 		{Name: "collector", Run: (&collector{log: n.log}).run},
 		{Name: "figures", Run: func(context.Context) error { return n.metrics.run(life) }},
 	}}
+	tree.Children = append(tree.Children, n.relaying(ctx, life)...)
 	var g supervisor.Group
 	g.Go(func() {
 		<-ctx.Done()
@@ -139,6 +140,23 @@
 	return err
 }
 
+// relaying returns the parts that carry orders for the owner. The row goes at once when
+// this process is to stop; orders are taken until its end.
+func (n *Node) relaying(ctx, life context.Context) []supervisor.Child {
+	if n.settings.PeerAddress == "" {
+		return nil
+	}
+	m := membership{table: n.table, node: n.settings.Node, log: n.log, row: memberRow{
+		Zone: n.settings.Zone, Address: n.settings.PeerAddress, Cores: n.settings.Cores, Life: n.candidacy.life,
+	}}
+	return []supervisor.Child{
+		{Name: "relay", Run: func(context.Context) error { return (&Relay{}).run(life, n.settings.PeerAddress) }},
+		{Name: "membership", Run: func(context.Context) error { return m.run(ctx) }},
+	}
+}
+
+func listen(address string) (net.Listener, error) { return net.Listen("tcp4", address) }
+
 // Stop makes the process say that it isn't ready and give its rights back. The
 // context of Run has to end right after.
 func (n *Node) Stop() { n.stop.Store(true) }
--- a/io/node/orders.go
+++ b/io/node/orders.go
@@ -56,8 +56,9 @@
 	clients map[job.VMID]*vmClient
 }
 
+// client returns the owner's own client of a VM.
 func (x *orders) client(id job.VMID) *platform.VM {
-	address := x.owner.scheduler.Address(id)
+	address, _ := x.owner.scheduler.Location(id)
 	c := x.clients[id]
 	if c == nil || c.address != address {
 		if c != nil {
@@ -69,6 +70,31 @@
 	return c.vm
 }
 
+// route returns the way for orders to a VM. Relays are used only by an owner that has
+// proved its right of late: one that is cut off from the table or slow would have its
+// orders, which rest on old knowledge, carried out by a process that is neither.
+func (x *orders) route(now time.Time, id job.VMID) vmOrders {
+	direct := directOrders{x.client(id)}
+	if !x.owner.tenure.mayOrder(now) {
+		return direct
+	}
+	address, zone := x.owner.scheduler.Location(id)
+	relay := x.owner.relays.of(zone, id)
+	if relay == "" {
+		return direct
+	}
+	return relayedOrders{relays: x.owner.relays, relay: relay, vm: id, address: address, direct: direct}
+}
+
+// holdRoute returns the way for a hold. A look goes to the VM itself: it finds out about
+// an order without an answer, for which the relay may be to blame.
+func (x *orders) holdRoute(now time.Time, c schedule.Hold) vmOrders {
+	if c.Look {
+		return directOrders{x.client(c.VM)}
+	}
+	return x.route(now, c.VM)
+}
+
 func (x *orders) close() {
 	for _, c := range x.clients {
 		c.vm.Close()
@@ -78,12 +104,13 @@
 // carryOut starts all commands; their answers come back as events.
 func (o *owner) carryOut(ctx context.Context, commands []schedule.Command) {
 	var saves []schedule.Command
+	now := bootNow()
 	for _, c := range commands {
 		switch c := c.(type) {
 		case schedule.Save, schedule.SaveVM, schedule.DropVM, schedule.SaveWave, schedule.SaveOrder, schedule.DropOrder:
 			saves = append(saves, c)
 		case schedule.Start:
-			vm := o.orders.client(c.VM)
+			vm := o.orders.route(now, c.VM)
 			o.workers.Go(func() { o.start(ctx, vm, c) })
 		case schedule.Stop:
 			vm := o.orders.client(c.VM)
@@ -92,7 +119,7 @@
 			vm := o.orders.client(c.VM)
 			o.workers.Go(func() { o.pace(ctx, vm, c) })
 		case schedule.Hold:
-			vm := o.orders.client(c.VM)
+			vm := o.orders.holdRoute(now, c)
 			o.workers.Go(func() { o.hold(ctx, vm, c) })
 		case schedule.Ask:
 			o.workers.Go(func() { o.ask(ctx, c) })
@@ -126,19 +153,17 @@
 	return schedule.Unanswered
 }
 
-func (o *owner) start(ctx context.Context, vm *platform.VM, c schedule.Start) {
+func (o *owner) start(ctx context.Context, vm vmOrders, c schedule.Start) {
 	// The right is looked at right before the order goes out: this process may
 	// have stood still since the scheduler decided.
 	if !o.tenure.mayStart(bootNow()) {
 		o.send(ctx, startAnswered{order: c, outcome: schedule.NotDone})
 		return
 	}
-	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
 	from := bootNow()
-	r, err := vm.Start(callCtx, c.Order)
+	r, out := vm.Start(ctx, c.Order)
 	o.node.metrics.elapsed("vm_start", bootNow().Sub(from))
-	o.send(ctx, startAnswered{c, outcomeOf(err), r})
+	o.send(ctx, startAnswered{c, out, r})
 }
 
 func (o *owner) stop(ctx context.Context, vm *platform.VM, c schedule.Stop) {
@@ -156,15 +181,13 @@
 	}
 }
 
-func (o *owner) hold(ctx context.Context, vm *platform.VM, c schedule.Hold) {
+func (o *owner) hold(ctx context.Context, vm vmOrders, c schedule.Hold) {
 	if !o.tenure.mayHold(bootNow()) {
 		o.send(ctx, holdAnswered{order: c, outcome: schedule.NotDone})
 		return
 	}
-	callCtx, cancel := context.WithTimeout(ctx, c.Order.Wait+holdGrace)
-	defer cancel()
-	r, err := vm.Hold(callCtx, c.Order)
-	o.send(ctx, holdAnswered{c, outcomeOf(err), r})
+	r, out := vm.Hold(ctx, c.Order)
+	o.send(ctx, holdAnswered{c, out, r})
 }
 
 func (o *owner) ask(ctx context.Context, c schedule.Ask) {
--- a/io/node/owner.go
+++ b/io/node/owner.go
@@ -35,6 +35,7 @@
 	committer *committer
 	events    chan event
 	orders    *orders
+	relays    *relays
 	workers   supervisor.Workers
 	jobsFrom  platform.Version
 	backlog   backlogCount
@@ -64,7 +65,10 @@
 			}
 		})
 	}
+	o.relays = newRelays(n.settings.PeerAddress, n.log)
 	run(o.committer.run)
+	run(func(ctx context.Context) error { return o.relays.follow(ctx, n.table) })
+	run(o.relays.run)
 	if err := o.load(ctx); err != nil {
 		cancel(err)
 	}
@@ -150,6 +154,7 @@
 	o.scheduler.SetRights(schedule.Rights{
 		Order: o.tenure.mayOrder(now), Start: o.tenure.mayStart(now), Hold: o.tenure.mayHold(now),
 	})
+	o.relays.wanted.Store(o.scheduler.VMCount() >= relayFrom)
 	o.scheduler.Tick(now)
 	o.scheduler.Assign(now, time.Now())
 	o.backlog.set(o.scheduler.Backlog(now))
--- /dev/null
+++ b/io/node/relays.go
@@ -0,0 +1,238 @@
+package node
+
+import (
+	"cmp"
+	"context"
+	"hash/fnv"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"lavenderpond/core/job"
+	"lavenderpond/io/netrpc"
+	"lavenderpond/io/supervisor"
+	"lavenderpond/platform"
+)
+
+const (
+	// relayFrom is the number of VMs from which the owner has its orders carried by
+	// others. Each order is a call of its own: the owner of a thousand VMs would spend
+	// most of its processor time, and all of its connections, on carrying them itself.
+	relayFrom = 150
+	// relaysEach is how many entry VMs carry orders in each zone.
+	relaysEach = 2
+	// relayCheck is how often the choice of relays is looked at.
+	relayCheck = 250 * time.Millisecond
+	// relayPing bounds the first sign of life of a relay.
+	relayPing = 300 * time.Millisecond
+	// relayLook is how often a relay that owes answers is asked for a sign of life;
+	// four looks without one end its calls.
+	relayLook = 100 * time.Millisecond
+	// relayPause is how long a relay that has failed is left alone.
+	relayPause = 3 * time.Second
+)
+
+// relays knows which entry VMs carry orders for the owner. Its zero value knows none,
+// so that the owner carries all of them.
+type relays struct {
+	// self is the address at which this process would take orders itself.
+	self string
+	log  zerolog.Logger
+	pool netrpc.Pool
+	// wanted is set while the fleet is large enough for relays.
+	wanted atomic.Bool
+	// changed tells that the list of members has.
+	changed chan struct{}
+
+	mu      sync.Mutex
+	members map[string]memberRow
+	failed  map[string]time.Time
+	ready   map[string][]string
+}
+
+func newRelays(self string, log zerolog.Logger) *relays {
+	return &relays{self: self, log: log, pool: netrpc.Pool{LookEvery: relayLook}, changed: make(chan struct{}, 1)}
+}
+
+// follow keeps the list of members up to date until ctx ends.
+func (x *relays) follow(ctx context.Context, table *platform.Table) error {
+	f := feed{table: table, name: memberTable, part: memberPart, log: x.log}
+	return f.run(ctx, x.take, func() {})
+}
+
+// take takes in rows of the member table.
+func (x *relays) take(rows []platform.Row, whole bool) {
+	x.merge(rows, whole)
+	select {
+	case x.changed <- struct{}{}:
+	default:
+	}
+}
+
+func (x *relays) merge(rows []platform.Row, whole bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if whole || x.members == nil {
+		x.members = map[string]memberRow{}
+	}
+	for i := range rows {
+		r := &rows[i]
+		if r.Removed {
+			delete(x.members, r.Key)
+			continue
+		}
+		m, err := decodeRow[memberRow](r)
+		if err != nil {
+			x.log.Error().Err(err).Str("event", "row_ignored").Send()
+			continue
+		}
+		x.members[r.Key] = m
+	}
+}
+
+// run chooses relays until ctx ends.
+func (x *relays) run(ctx context.Context) error {
+	defer x.pool.Close()
+	for ctx.Err() == nil {
+		x.check(ctx)
+		t := time.NewTimer(relayCheck)
+		select {
+		case <-ctx.Done():
+		case <-x.changed:
+		case <-t.C:
+		}
+		t.Stop()
+	}
+	return nil
+}
+
+// check gives each zone its relays: the strongest members that answer.
+func (x *relays) check(ctx context.Context) {
+	var g supervisor.Group
+	for zone, candidates := range x.candidates(bootNow()) {
+		g.Go(func() { x.set(zone, x.answering(ctx, candidates)) })
+	}
+	g.Wait()
+}
+
+// answering returns the first members that carry orders, as many as a zone needs.
+func (x *relays) answering(ctx context.Context, candidates []string) []string {
+	candidates = candidates[:min(len(candidates), 2*relaysEach)]
+	alive := make([]bool, len(candidates))
+	var g supervisor.Group
+	for i, address := range candidates {
+		g.Go(func() { alive[i] = x.alive(ctx, address) })
+	}
+	g.Wait()
+	var out []string
+	for i, address := range candidates {
+		if alive[i] && len(out) < relaysEach {
+			out = append(out, address)
+		}
+	}
+	return out
+}
+
+// candidates returns the addresses of each zone's members that have not failed of
+// late, the strongest first.
+func (x *relays) candidates(now time.Time) map[string][]string {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	byZone := map[string][]memberRow{}
+	for _, name := range slices.Sorted(maps.Keys(x.members)) {
+		m := x.members[name]
+		list := byZone[m.Zone]
+		if m.Address != x.self && !now.Before(x.failed[m.Address]) {
+			list = append(list, m)
+		}
+		byZone[m.Zone] = list
+	}
+	out := map[string][]string{}
+	for zone := range x.ready {
+		// A zone that has lost all of its members has no relays any more.
+		out[zone] = nil
+	}
+	for zone, list := range byZone {
+		slices.SortStableFunc(list, func(a, b memberRow) int { return cmp.Compare(b.Cores, a.Cores) })
+		out[zone] = nil
+		for _, m := range list {
+			out[zone] = append(out[zone], m.Address)
+		}
+	}
+	return out
+}
+
+// alive tells whether a member carries orders; one that does already is not asked.
+func (x *relays) alive(ctx context.Context, address string) bool {
+	x.mu.Lock()
+	for _, list := range x.ready {
+		if slices.Contains(list, address) {
+			x.mu.Unlock()
+			return true
+		}
+	}
+	x.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, relayPing)
+	defer cancel()
+	var reply int
+	if err := x.pool.Call(ctx, address, netrpc.AliveName+".Ping", 1, &reply); err != nil {
+		x.fail(address, err)
+		return false
+	}
+	return true
+}
+
+// set makes the list of ready relays of a zone what it is now.
+func (x *relays) set(zone string, ready []string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	now := bootNow()
+	// One may have failed meanwhile.
+	ready = slices.DeleteFunc(ready, func(a string) bool { return now.Before(x.failed[a]) })
+	if x.ready == nil {
+		x.ready = map[string][]string{}
+	}
+	if !slices.Equal(x.ready[zone], ready) {
+		x.log.Info().Str("event", "relays_chosen").Str("zone", zone).Strs("relays", ready).Send()
+	}
+	x.ready[zone] = ready
+}
+
+// fail gives up a relay for a while.
+func (x *relays) fail(address string, err error) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for zone, list := range x.ready {
+		x.ready[zone] = slices.DeleteFunc(slices.Clone(list), func(a string) bool { return a == address })
+	}
+	now := bootNow()
+	if now.Before(x.failed[address]) {
+		// Many calls fail with one relay.
+		return
+	}
+	if x.failed == nil {
+		x.failed = map[string]time.Time{}
+	}
+	x.failed[address] = now.Add(relayPause)
+	x.log.Warn().Err(err).Str("event", "relay_failed").Str("relay", address).Send()
+}
+
+// of returns the relay for a VM, or none.
+func (x *relays) of(zone string, id job.VMID) string {
+	if !x.wanted.Load() {
+		return ""
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	list := x.ready[zone]
+	if len(list) == 0 {
+		return ""
+	}
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id)) // A hash never fails.
+	return list[int(h.Sum32()%uint32(len(list)))]
+}
--- a/io/soak/fleet.go
+++ b/io/soak/fleet.go
@@ -252,7 +252,11 @@
 	e.settings = filepath.Join(f.folder, e.name+".toml")
 	e.log = filepath.Join(f.folder, e.name+".log")
 	f.entries = append(f.entries, e)
-	text := standin.SettingsText(e.name, f.zone(i), front.String(), ready.String(), tableAt.String(), cloudAt.String())
+	peer, err := freeAddress()
+	if err != nil {
+		return err
+	}
+	text := standin.SettingsText(e.name, f.zone(i), peer, front.String(), ready.String(), tableAt.String(), cloudAt.String())
 	return errors.Wrap(os.WriteFile(e.settings, []byte(text), 0o600), "write settings")
 }
 
