--- a/io/node/collect.go
+++ b/io/node/collect.go
@@ -20,6 +20,9 @@
 	// less far.
 	collectMuch   = 0.06
 	collectLittle = 0.01
+	// collectWorth is the processor time, in seconds of each period, from which collecting
+	// is worth more memory. Most processes use less than that for all that they do.
+	collectWorth = 0.01
 	// CollectLeast and collectMost bound the growth of the heap, in percent.
 	CollectLeast = 60
 	collectMost  = 480
@@ -67,7 +70,7 @@
 	case collecting <= 0 && working <= 0:
 		// The figures are of the last collection: nothing has been collected since.
 		return percent
-	case share > collectMuch:
+	case share > collectMuch && collecting > collectWorth:
 		return min(2*percent, collectMost)
 	case share < collectLittle:
 		return max(percent/2, CollectLeast)
--- a/io/node/collect_test.go
+++ b/io/node/collect_test.go
@@ -10,6 +10,7 @@
 func TestHeapGrowthFollowsItsCost(t *testing.T) {
 	assert.Equal(t, nextGrowth(60, 0.2, 0.8), 120)
 	assert.Equal(t, nextGrowth(480, 0.2, 0.8), 480)
+	assert.Equal(t, nextGrowth(60, 0.002, 0.008), 60)
 	assert.Equal(t, nextGrowth(120, 0.03, 0.97), 120)
 	assert.Equal(t, nextGrowth(120, 0, 1), 60)
 	assert.Equal(t, nextGrowth(60, 0, 1), 60)
--- a/io/node/relay_test.go
+++ b/io/node/relay_test.go
@@ -195,3 +195,20 @@
 	assert.Equal(t, len(x.ready["a"]), 0)
 	assert.Equal(t, x.of("a", "vm-1"), "")
 }
+
+// Guards against an owner that tries each member of a zone that is cut off, one after the
+// other and for as long as the cut lasts.
+func TestUnreachableZoneIsLeftAlone(t *testing.T) {
+	x := newRelays("127.0.0.1:1", zerolog.Nop())
+	defer x.pool.Close()
+	x.members = map[string]memberRow{}
+	for i := range 12 {
+		x.members[fmt.Sprintf("entry-%02d", i)] = memberRow{Zone: "a", Address: freeAddress(t), Cores: 1}
+	}
+	x.check(t.Context())
+	x.check(t.Context())
+	assert.Equal(t, len(x.failed), 2*relaysEach)
+	assert.Equal(t, len(x.candidates(bootNow())["a"]), 0)
+	later := bootNow().Add(zonePause)
+	assert.Equal(t, len(x.candidates(later)["a"]), 12-2*relaysEach)
+}
--- a/io/node/relays.go
+++ b/io/node/relays.go
@@ -34,6 +34,9 @@
 	relayLook = 100 * time.Millisecond
 	// relayPause is how long a relay that has failed is left alone.
 	relayPause = 3 * time.Second
+	// zonePause is the same for a zone of which no member has answered: it is cut off, and
+	// each of its members would be tried in turn.
+	zonePause = time.Second
 )
 
 // relays knows which entry VMs carry orders for the owner. Its zero value knows none,
@@ -52,6 +55,9 @@
 	members map[string]memberRow
 	failed  map[string]time.Time
 	ready   map[string][]string
+	// unreachable are the zones of which no member has answered, and until when they are
+	// left alone.
+	unreachable map[string]time.Time
 }
 
 func newRelays(self string, log zerolog.Logger) *relays {
@@ -114,11 +120,28 @@
 func (x *relays) check(ctx context.Context) {
 	var g supervisor.Group
 	for zone, candidates := range x.candidates(bootNow()) {
-		g.Go(func() { x.set(zone, x.answering(ctx, candidates)) })
+		g.Go(func() {
+			ready := x.answering(ctx, candidates)
+			x.set(zone, ready)
+			if len(candidates) > 0 && len(ready) == 0 {
+				x.pauseZone(zone)
+			}
+		})
 	}
 	g.Wait()
 }
 
+// pauseZone leaves the members of a zone alone for a while.
+func (x *relays) pauseZone(zone string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.unreachable == nil {
+		x.unreachable = map[string]time.Time{}
+	}
+	x.unreachable[zone] = bootNow().Add(zonePause)
+	x.log.Info().Str("event", "zone_without_relays").Str("zone", zone).Send()
+}
+
 // answering returns the first members that carry orders, as many as a zone needs.
 func (x *relays) answering(ctx context.Context, candidates []string) []string {
 	candidates = candidates[:min(len(candidates), 2*relaysEach)]
@@ -145,6 +168,9 @@
 	byZone := map[string][]memberRow{}
 	for _, name := range slices.Sorted(maps.Keys(x.members)) {
 		m := x.members[name]
+		if now.Before(x.unreachable[m.Zone]) {
+			continue
+		}
 		list := byZone[m.Zone]
 		if m.Address != x.self && !now.Before(x.failed[m.Address]) {
 			list = append(list, m)
--- a/io/supervisor/workers.go
+++ b/io/supervisor/workers.go
@@ -3,7 +3,7 @@
 import "sync"
 
 // idleWorkers bounds the goroutines that Workers keeps for further work.
-const idleWorkers = 32
+const idleWorkers = 512
 
 // Workers is a Group for many short functions: a goroutine that is done takes the
 // next function. A new goroutine begins with a small stack, and each dispatch of a
