A new owner reads the directory and the machines beside the jobs, and holds listed VMs first

Each turn asked again of each inherited job whether it may run on a VM not heard yet.

Change: directory and machines are read while the jobs are; VMs that the directory doesn't list are held 0.7 s later; a job that may run on no such VM is not asked again.

--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -48,7 +48,7 @@
 // mayRunUnheard tells whether a task of the job may run on a VM that this owner
 // hasn't heard yet.
 func (s *Scheduler) mayRunUnheard(now time.Time, j *jobState) bool {
-	if !s.anyUnheard {
+	if !j.inherited || !s.anyUnheard {
 		return false
 	}
 	for id := range j.places.All() {
@@ -57,6 +57,8 @@
 			return true
 		}
 	}
+	// A VM that has been heard, or is free, stays so.
+	j.inherited = false
 	return false
 }
 
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -139,9 +139,14 @@
 	}
 	v.rostered = r
 	v.inheritedUntil = lease.InheritedEnd(s.settings.TookOver, s.settings.LeaseMax)
+	v.nextHold = s.settings.TookOver.Add(unlistedPause)
 	s.anyUnheard = true
 }
 
+// unlistedPause is how long after a take-over the VMs are left alone that the directory
+// doesn't list: those that it lists are held first.
+const unlistedPause = 700 * time.Millisecond
+
 // AddJob takes in a job and what is stored of its progress. inherited tells
 // that a former owner may have started tasks of it.
 func (s *Scheduler) AddJob(now time.Time, j job.Job, p *job.Progress, inherited bool) {
--- a/io/node/owner.go
+++ b/io/node/owner.go
@@ -69,14 +69,16 @@
 	run(o.committer.run)
 	run(func(ctx context.Context) error { return o.relays.follow(ctx, n.table) })
 	run(o.relays.run)
+	// The directory and the machines are read beside what former owners left: no task
+	// starts before both are known, and jobs that may run on a VM that is gone wait.
+	run(o.followVMs)
+	run(o.followMachines)
 	if err := o.load(ctx); err != nil {
 		cancel(err)
 	}
 	n.setOwner(o)
 	defer n.setOwner(nil)
 	run(o.followJobs)
-	run(o.followVMs)
-	run(o.followMachines)
 	o.loop(ctx)
 	g.Wait()
 	o.workers.Wait()
