A relay's orders end with its process

A hold that a relay carries waits up to two seconds at a VM, bound to nothing, and the process waited for it after its drain of 2.8 s and the last callers: more than the six seconds it has.

Change: orders that a relay carries end when the process does; the owner takes them as unanswered and has already left the relay, whose row went with the signal. The new test hangs on the code before.

--- a/io/node/relay.go
+++ b/io/node/relay.go
@@ -47,6 +47,9 @@
 // owner by their fence and starts that come too late by their deadline, whoever
 // carries them.
 type Relay struct {
+	// life ends with the process: an order that waits at a VM must not hold up its end.
+	life context.Context
+
 	mu  sync.Mutex
 	vms map[job.VMID]*relayedVM
 }
@@ -59,7 +62,7 @@
 
 // Start carries out a start.
 func (x *Relay) Start(args StartArgs, reply *OrderReply) error {
-	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+	ctx, cancel := context.WithTimeout(x.life, orderTimeout)
 	defer cancel()
 	r, err := x.vm(args.VM, args.Address).Start(ctx, args.Order)
 	*reply = OrderReply{Outcome: outcomeOf(err), Report: r}
@@ -68,7 +71,7 @@
 
 // Hold carries out a hold.
 func (x *Relay) Hold(args HoldArgs, reply *OrderReply) error {
-	ctx, cancel := context.WithTimeout(context.Background(), args.Order.Wait+holdGrace)
+	ctx, cancel := context.WithTimeout(x.life, args.Order.Wait+holdGrace)
 	defer cancel()
 	r, err := x.vm(args.VM, args.Address).Hold(ctx, args.Order)
 	*reply = OrderReply{Outcome: outcomeOf(err), Report: r}
@@ -112,6 +115,7 @@
 	if err != nil {
 		return err
 	}
+	x.life = ctx
 	s := netrpc.NewServer()
 	if err := s.Register(relayName, x); err != nil {
 		return err
--- a/io/node/relay_test.go
+++ b/io/node/relay_test.go
@@ -212,3 +212,37 @@
 	later := bootNow().Add(zonePause)
 	assert.Equal(t, len(x.candidates(later)["a"]), 12-2*relaysEach)
 }
+
+// Guards against a process that is killed at the end of its grace time, since a hold that
+// it carries waits at a VM.
+func TestRelayEndsWhileAHoldWaits(t *testing.T) {
+	entered := make(chan struct{})
+	address, _ := vmServer(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		close(entered)
+		<-r.Context().Done()
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	relay := &Relay{}
+	at := freeAddress(t)
+	var g supervisor.Group
+	g.Go(func() { _ = relay.run(ctx, at) })
+	x := newRelays("127.0.0.1:1", zerolog.Nop())
+	defer x.pool.Close()
+	for c, err := net.Dial("tcp4", at); ; c, err = net.Dial("tcp4", at) {
+		if err == nil {
+			assert.NilError(t, c.Close())
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	var caller supervisor.Group
+	caller.Go(func() {
+		o := relayedOrders{relays: x, relay: at, vm: "vm-1", address: address, direct: directOrders{platform.NewVM("vm-1", address)}}
+		o.Hold(ctx, job.HoldOrder{Wait: time.Minute})
+	})
+	<-entered
+	cancel()
+	g.Wait()
+	caller.Wait()
+}
