A machine counts as ordered of late for as long as its next owner has to wait, and no longer

A new owner waits 4.5 s for each machine with an order of late (the lease of 3 s and 1.5 s for orders on their way), and orders were kept as of late for 8 s: by then nearly each of the 1,100 machines had one.

Change: an order is of late for 5 s, counted from its sending and not from its decision (in a slow table seconds lie between, which the 8 s may have been for); rows are dropped each second, also while nothing is ordered.

--- a/core/schedule/machine.go
+++ b/core/schedule/machine.go
@@ -102,9 +102,16 @@
 	at time.Time
 }
 
-// recentPeriod is how long an order counts as one of late. It covers the periods
-// for which the next owner waits.
-const recentPeriod = 8 * time.Second
+// recentPeriod is how long an order counts as one of late. The next owner may order the
+// machine at once after that, so it covers all for which it waits else. It is no longer
+// than that: a new owner can't move machines with an order of late, and on a fleet whose
+// queues burst in turn most have one within eight seconds.
+func (s *Scheduler) recentPeriod() time.Duration {
+	return s.settings.MachineLease + machineSlack + onItsWay
+}
+
+// onItsWay covers an order that takes long to be sent.
+const onItsWay = 500 * time.Millisecond
 
 // orderMachine sends an order once it is stored that the machine has one.
 func (s *Scheduler) orderMachine(now time.Time, id job.MachineID, c Command) {
@@ -125,7 +132,7 @@
 	}
 	s.pruneOrdersAt = now.Add(pruneOrdersEvery)
 	for id, o := range s.recent.All() {
-		if now.Sub(o.at) > recentPeriod {
+		if now.Sub(o.at) > s.recentPeriod() {
 			s.recent.Delete(id)
 			s.dirtyOrders = append(s.dirtyOrders, id)
 		}
@@ -145,6 +152,9 @@
 		}
 		v := s.vms.Get(m.VM)
 		if s.rights.Order && (v == nil || v.runs.Len() == 0) {
+			// The order is as old as its sending, not as its decision: in a slow table
+			// seconds lie between.
+			s.recent.Set(h.machine, recentOrder{holder: s.settings.Holder, at: now})
 			s.emit(h.command)
 			return true
 		}
--- a/core/schedule/takeover_test.go
+++ b/core/schedule/takeover_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+
+	"lavenderpond/core/job"
 )
 
 // Guards against a new owner that calls hundreds of VMs that are gone before those that
@@ -21,3 +24,24 @@
 	}
 	assert.Assert(t, held["gone"], "it may still run tasks, and is asked a little later")
 }
+
+// Guards against a machine that gets orders of two owners within its lease, though the
+// former one's waited for the table, and against one that is barred for longer.
+func TestOrderIsOfLateFromItsSending(t *testing.T) {
+	h := newHarness(t)
+	h.s.Machines(h.now, []job.Machine{{ID: "m-1", Pool: off, State: job.MachineUp}})
+	h.s.AddWave(h.now, job.Wave{Number: 1, Machines: []job.MachineID{"m-1"}, AtOnce: 1}, nil)
+	h.s.Tick(h.now)
+	saves := h.s.Take()
+	h.now = h.now.Add(4 * time.Second)
+	for _, c := range saves {
+		h.store(c)
+	}
+	one[Upkeep](h, h.s.Take())
+	h.now = h.now.Add(h.s.recentPeriod() - time.Second)
+	h.s.pruneOrders(h.now)
+	assert.Assert(t, h.s.recent.Has("m-1"))
+	h.now = h.now.Add(2 * time.Second)
+	h.s.pruneOrders(h.now)
+	assert.Assert(t, !h.s.recent.Has("m-1"))
+}
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -22,6 +22,7 @@
 	}
 	s.leaveDraining(now)
 	s.forgetEnded(now)
+	s.pruneOrders(now)
 	s.drive(now)
 	s.size(now)
 }
