--- a/io/node/relays.go
+++ b/io/node/relays.go
@@ -51,10 +51,13 @@
 	// changed tells that the list of members has.
 	changed chan struct{}
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// members are the rows of entry VMs, by their names.
 	members map[string]memberRow
-	failed  map[string]time.Time
-	ready   map[string][]string
+	// failed is until when an address is left alone, ready the addresses of each zone that
+	// carry orders now.
+	failed map[string]time.Time
+	ready  map[string][]string
 	// unreachable are the zones of which no member has answered, and until when they are
 	// left alone.
 	unreachable map[string]time.Time
@@ -79,6 +82,7 @@
 	}
 }
 
+// merge applies rows to the members.
 func (x *relays) merge(rows []platform.Row, whole bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
