--- a/io/node/load.go
+++ b/io/node/load.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -14,8 +15,12 @@
 	"lavenderpond/platform"
 )
 
-// loadTimeout bounds each reading when an owner starts.
-const loadTimeout = 2 * time.Second
+// loadTimeout bounds the reading of whole tables. One that stands still ends sooner.
+const loadTimeout = 12 * time.Second
+
+// readsAtOnce is how many parts of the job table are read at a time. Over a slow link more
+// of them starve one another, and the renewals of the owner's right with them.
+const readsAtOnce = 8
 
 // legacy is what former owners left in the table.
 type legacy struct {
@@ -65,16 +70,19 @@
 	return l, err
 }
 
-// loadJobs reads the jobs of all parts at once. The feed goes on from the oldest
+// loadJobs reads the jobs of all parts. The feed goes on from the oldest
 // of the readings.
 func (o *owner) loadJobs(ctx context.Context) ([]platform.Row, platform.Version, error) {
 	var parts [jobParts][]platform.Row
 	var versions [jobParts]platform.Version
 	var failed [jobParts]error
+	var next atomic.Int32
 	var g supervisor.Group
-	for i := range jobParts {
+	for range readsAtOnce {
 		g.Go(func() {
-			parts[i], versions[i], failed[i] = o.node.table.ListAll(ctx, jobTable, jobPartName(i))
+			for i := int(next.Add(1)) - 1; i < jobParts; i = int(next.Add(1)) - 1 {
+				parts[i], versions[i], failed[i] = o.node.table.ListAll(ctx, jobTable, jobPartName(i))
+			}
 		})
 	}
 	g.Wait()
--- /dev/null
+++ b/io/node/load_test.go
@@ -0,0 +1,41 @@
+package node
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lavenderpond/platform"
+)
+
+// Guards against a new owner on a slow link whose readings starve one another, so that
+// each is given up, and its renewals with them.
+func TestNewOwnerReadsFewPartsAtATime(t *testing.T) {
+	var mu sync.Mutex
+	read, now, most := map[string]int{}, 0, 0
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		read[r.URL.Query().Get("part")]++
+		now++
+		most = max(most, now)
+		mu.Unlock()
+		time.Sleep(2 * time.Millisecond)
+		mu.Lock()
+		now--
+		mu.Unlock()
+		_, _ = w.Write([]byte(`{"ver":5,"rows":[{"table":"t","part":"p","key":"k","ver":3}]}`))
+	}))
+	defer s.Close()
+	o := &owner{node: &Node{table: platform.NewTable(strings.TrimPrefix(s.URL, "http://"))}}
+	rows, from, err := o.loadJobs(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, len(rows), jobParts)
+	assert.Equal(t, from, platform.Version(5))
+	assert.Equal(t, len(read), jobParts)
+	assert.Assert(t, most <= readsAtOnce, "%d at a time", most)
+}
--- a/io/node/operator.go
+++ b/io/node/operator.go
@@ -22,7 +22,7 @@
 	feedGrace = 600 * time.Millisecond
 	// feedRetry is the pause after a failed reading.
 	feedRetry = 100 * time.Millisecond
-	// readTimeout bounds the reading of a whole table.
+	// readTimeout bounds the reading of the machines list.
 	readTimeout = 1500 * time.Millisecond
 )
 
@@ -176,7 +176,7 @@
 }
 
 func (f *feed) readAll(ctx context.Context) ([]platform.Row, platform.Version, error) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	if f.whole != nil {
 		return f.whole(ctx)
