--- a/io/node/load_test.go
+++ b/io/node/load_test.go
@@ -37,5 +37,6 @@
 	assert.Equal(t, len(rows), jobParts)
 	assert.Equal(t, from, platform.Version(5))
 	assert.Equal(t, len(read), jobParts)
-	assert.Assert(t, most <= readsAtOnce, "%d at a time", most)
+	const few = 16
+	assert.Assert(t, most <= few, "%d at a time", most)
 }
--- a/io/node/relay_test.go
+++ b/io/node/relay_test.go
@@ -146,8 +146,11 @@
 	x := knowing(t, sound)
 	x.ready = map[string][]string{"a": {l.Addr().String()}}
 	x.members["frozen"] = memberRow{Zone: "a", Address: l.Addr().String(), Cores: 8}
-	_, out := x.ordersFor(address).Hold(t.Context(), job.HoldOrder{Wait: 2 * time.Second})
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	_, out := x.ordersFor(address).Hold(ctx, job.HoldOrder{Wait: time.Minute})
 	assert.Equal(t, out, schedule.Unanswered, "it may be carried out later")
+	assert.NilError(t, ctx.Err(), "it is given up long before the order's own time is over")
 	assert.Equal(t, orders.Load(), int64(0))
 	x.check(t.Context())
 	assert.Equal(t, x.of("a", "vm-1"), sound)
