A machines list that lags frees no VM: only a newer life in the directory does

The list lags, and shows the life before for a while. A VM that the owner had seen only after asking for the list was spared, but since the directory and the machines are read beside the jobs the list may be taken in first, and then no VM has been seen yet.

Change: another life on a machine proves the end of a VM only if the directory lists it and it was born later.

--- a/core/schedule/machine.go
+++ b/core/schedule/machine.go
@@ -54,7 +54,7 @@
 	}
 }
 
-// compareMachine frees what ran on a VM whose machine is listed with another
+// compareMachine frees what ran on a VM whose machine is listed with a newer
 // life: a machine has one life at a time. This frees the tasks of a VM that
 // crashed seconds before its lease would.
 func (s *Scheduler) compareMachine(asked time.Time, v *vmState) {
@@ -62,7 +62,12 @@
 	if m == nil || m.VM == "" || m.VM == v.id || !v.firstSeen.Before(asked) {
 		return
 	}
-	s.lifeOver(asked, v, "its machine has another life")
+	// The list lags: it may show the life before this one. The directory knows which of
+	// them is newer.
+	if other := s.vms.Get(m.VM); other == nil || !other.listed || other.born <= v.born {
+		return
+	}
+	s.lifeOver(asked, v, "its machine has a newer life")
 }
 
 // lifeOver takes in a proof that a VM's life has ended.
--- a/core/schedule/takeover_test.go
+++ b/core/schedule/takeover_test.go
@@ -45,3 +45,44 @@
 	h.s.pruneOrders(h.now)
 	assert.Assert(t, !h.s.recent.Has("m-1"))
 }
+
+// Guards against a second run of a task: a machines list that lags shows the life before
+// the one on which a former owner has started it.
+func TestLaggingListFreesNoVM(t *testing.T) {
+	old := job.Machine{ID: "m-one", Pool: poolA, State: job.MachineUp, VM: "former"}
+	for name, order := range map[string][]string{
+		"before the directory": {"machines", "directory"},
+		"after it":             {"directory", "machines"},
+	} {
+		h := newHarness(t)
+		h.s.Inherit(RosterVM{ID: "one", Address: "one", Pool: poolA, Machine: "m-one"})
+		h.ready("two")
+		j := job.Job{ID: "j", Body: job.Body{Spec: "x", Steps: []job.Step{small}}, Terms: job.Terms{Queue: "q", Pool: poolA, Account: "free"}}
+		h.s.AddJob(h.now, j, &job.Progress{State: job.Running, VMs: []job.VMID{"one"}}, true)
+		for _, what := range order {
+			h.now = h.now.Add(100 * time.Millisecond)
+			if what == "machines" {
+				h.s.Machines(h.now, []job.Machine{old})
+			} else {
+				h.seen("one")
+			}
+			h.now = h.now.Add(100 * time.Millisecond)
+		}
+		assert.Equal(t, len(only[Start](h.step(0))), 0, name)
+	}
+}
+
+// Guards against a job that waits out the lease of a VM whose machine has a newer life.
+func TestNewerLifeFreesAVM(t *testing.T) {
+	h := newHarness(t)
+	h.s.Inherit(RosterVM{ID: "one", Address: "one", Pool: poolA, Machine: "m-one", Born: 1})
+	h.ready("two")
+	j := job.Job{ID: "j", Body: job.Body{Spec: "x", Steps: []job.Step{small}}, Terms: job.Terms{Queue: "q", Pool: poolA, Account: "free"}}
+	h.s.AddJob(h.now, j, &job.Progress{State: job.Running, VMs: []job.VMID{"one"}}, true)
+	h.seen("one")
+	h.s.VMSeen(h.now, job.VMEntry{ID: "next", Pool: poolA, Address: "next", Machine: "m-one", Born: 2, Room: job.Room{CPU: 8000, MemMB: 8000}})
+	assert.Equal(t, len(only[Start](h.step(0))), 0)
+	h.now = h.now.Add(100 * time.Millisecond)
+	h.s.Machines(h.now, []job.Machine{{ID: "m-one", Pool: poolA, State: job.MachineUp, VM: "next"}})
+	assert.Equal(t, len(only[Start](h.step(0))), 1)
+}
