--- a/core/schedule/machine.go
+++ b/core/schedule/machine.go
@@ -108,9 +108,9 @@
 }
 
 // recentPeriod is how long an order counts as one of late. The next owner may order the
-// machine at once after that, so it covers all for which it waits else. It is no longer
-// than that: a new owner can't move machines with an order of late, and on a fleet whose
-// queues burst in turn most have one within eight seconds.
+// machine at once after that, so it covers all for which it waits else, and not more: a
+// new owner can't move machines with an order of late, and on a fleet whose queues burst
+// in turn most have one within eight seconds.
 func (s *Scheduler) recentPeriod() time.Duration {
 	return s.settings.MachineLease + machineSlack + onItsWay
 }
