Evacuation of availability zones: nothing starts there until the request is taken back

Cause: the operators' request (op/evacuate/ZONE on this platform) was read nowhere.

Change: the operators' view knows evacuated zones and its own age; the scheduler takes their VMs as no room and moves lasting tasks out, within what their steps may miss and only where there is room; each start looks at the zone and at the age of the view right before it leaves; a turn sees changes whose event was dropped. Zones are a named type.

Not measured: leaving lasting tasks where they are.

--- a/core/emulator/day.go
+++ b/core/emulator/day.go
@@ -24,6 +24,8 @@
 	Lasting int
 	// Wave is the number of machines that are due for upkeep.
 	Wave int
+	// Evacuations are what operators ask for.
+	Evacuations []Evacuation
 	// Faults are what goes wrong.
 	Faults []Fault
 	// LateShare of the orders get no answer and are carried out later.
@@ -90,6 +92,9 @@
 			x.strike(w)
 		})
 	}
+	for _, e := range d.Evacuations {
+		w.at(leadTime+e.At, func() { e.begin(w) })
+	}
 	end := leadTime + d.Length + settleFor
 	w.run(end)
 	for end < longestDay && w.unfinished() {
@@ -106,11 +111,16 @@
 func build(d Day) *World {
 	w := &World{
 		now: epoch, rng: rand.New(rand.NewPCG(d.Seed, 1)), vms: map[job.VMID]*vm{}, jobs: map[job.ID]*truth{},
+		evacuated: map[job.ZoneName]time.Time{},
 	}
 	w.trace = d.Trace
 	w.table = newTable(w)
 	w.judge = newJudge(w)
 	w.judge.lateShare = d.LateShare
+	w.judge.evacuateWithin = evacuateWithin
+	if len(d.Faults) == 0 {
+		w.judge.evacuateWithin = evacuateCalmly
+	}
 	w.conf = &job.Configuration{
 		Version: 1,
 		Queues: []job.Queue{
@@ -123,7 +133,7 @@
 	w.conf.Index()
 	w.addMachines(d)
 	for i := range d.Nodes {
-		n := &node{w: w, name: fmt.Sprintf("entry-%d", i), zone: zoneName(i), cutFrom: map[string]bool{}}
+		n := &node{w: w, name: fmt.Sprintf("entry-%d", i), zone: zoneName(i), cutFrom: map[job.ZoneName]bool{}}
 		w.nodes = append(w.nodes, n)
 		w.after(w.between(0, 300*time.Millisecond), n.boot)
 	}
@@ -134,7 +144,9 @@
 	return w
 }
 
-func zoneName(i int) string { return string(rune('a' + i%3)) }
+func zoneName(i int) job.ZoneName { return job.ZoneName(rune('a' + i%zoneCount)) }
+
+const zoneCount = 3
 
 func (w *World) addMachines(d Day) {
 	add := func(pool job.PoolName, n int) {
--- a/core/emulator/day_test.go
+++ b/core/emulator/day_test.go
@@ -32,10 +32,11 @@
 
 // Ranges of seeds, so that a seed alone says what kind of day it is.
 const (
-	troubledFrom = 1000
-	lateFrom     = 2000
-	cappedFrom   = 3000
-	seedRange    = 1000
+	troubledFrom  = 1000
+	lateFrom      = 2000
+	cappedFrom    = 3000
+	evacuatedFrom = 4000
+	seedRange     = 1000
 )
 
 // dayOf returns the day of a seed.
@@ -50,6 +51,9 @@
 	case cappedFrom:
 		d.Cap = 40_000
 		d.Faults = emulator.RandomFaults(seed, d.Length, 3)
+	case evacuatedFrom:
+		d.Evacuations = emulator.RandomEvacuations(seed, d.Length, 3)
+		d.Faults = emulator.RandomFaults(seed, d.Length, int(seed%4))
 	}
 	return d
 }
@@ -97,6 +101,11 @@
 // An account with a small cap never has more running, whoever owns the fleet.
 func TestCapHolds(t *testing.T) { playFrom(t, cappedFrom, 6) }
 
+// Availability zones are evacuated, one, several or all at a time, while owners are
+// lost, zones cut and the table is out of reach: no start there once the request has
+// had its time, by whichever process, and all that was accepted still comes to its end.
+func TestDaysWithEvacuations(t *testing.T) { playFrom(t, evacuatedFrom, 16) }
+
 // Days that once failed:
 //   - 1050: an upkeep that was refused as busy, after an earlier order for the
 //     machine was carried out, let the wave take one machine too many away;
--- a/core/emulator/fault.go
+++ b/core/emulator/fault.go
@@ -105,14 +105,14 @@
 }
 
 func (x Fault) cutZone(w *World) {
-	zone := zoneName(w.rng.IntN(3))
+	zone := zoneName(w.rng.IntN(zoneCount))
 	for _, n := range w.nodes {
 		if n.zone != zone {
 			n.cutFrom[zone] = true
 			w.after(x.For, func() { delete(n.cutFrom, zone) })
 			continue
 		}
-		for i := range 3 {
+		for i := range zoneCount {
 			if other := zoneName(i); other != zone {
 				n.cutFrom[other] = true
 				w.after(x.For, func() { delete(n.cutFrom, other) })
--- a/core/emulator/judge.go
+++ b/core/emulator/judge.go
@@ -14,11 +14,13 @@
 	faults []string
 	// lateShare of the orders get no answer and are carried out later.
 	lateShare float64
-	running   map[job.TaskID][]*vmRun
-	doneAt    map[job.TaskID]time.Time
-	notedDone map[job.TaskID]bool
-	ends      map[job.TaskID]int
-	states    map[job.ID]job.State
+	// evacuateWithin bounds the starts in an availability zone after its evacuation.
+	evacuateWithin time.Duration
+	running        map[job.TaskID][]*vmRun
+	doneAt         map[job.TaskID]time.Time
+	notedDone      map[job.TaskID]bool
+	ends           map[job.TaskID]int
+	states         map[job.ID]job.State
 	// away are the machines in upkeep.
 	away      map[job.MachineID]bool
 	waveState job.WaveState
@@ -50,6 +52,9 @@
 	if g.notedDone[r.task] && !step.Speculative {
 		g.broken("%v attempt %d on %s after its end was noted", r.task, r.attempt, v.id)
 	}
+	if asked, ok := g.w.evacuated[v.machine.zone]; ok && g.w.now.Sub(asked) > g.evacuateWithin {
+		g.broken("%v starts on %s in zone %s, which is evacuated since %.3f s", r.task, v.id, v.machine.zone, asked.Sub(epoch).Seconds())
+	}
 	if step.Lasting {
 		g.w.after(startup, func() { g.atWork(r) })
 	}
--- a/core/emulator/node.go
+++ b/core/emulator/node.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"lavenderpond/core/job"
 	"lavenderpond/core/lease"
 )
 
@@ -22,7 +23,7 @@
 type node struct {
 	w    *World
 	name string
-	zone string
+	zone job.ZoneName
 	// life tells apart the processes; 0 stands for none.
 	life   int
 	lives  int
@@ -32,7 +33,7 @@
 	watch   lease.Watch
 	owner   *owner
 	// cutFrom are the VMs out of reach, by zone.
-	cutFrom map[string]bool
+	cutFrom map[job.ZoneName]bool
 }
 
 // here runs f on the node's process, if the one that asked still lives; a frozen
--- a/core/emulator/owner.go
+++ b/core/emulator/owner.go
@@ -55,6 +55,7 @@
 	})
 	s := o.scheduler
 	s.Configure(o.n.w.conf)
+	s.Evacuate(o.n.w.evacuations())
 	for _, v := range valuesByKey(t.roster) {
 		s.Inherit(v)
 	}
@@ -125,6 +126,7 @@
 		if !o.n.cutFrom["table"] && !o.n.w.table.down && !o.n.w.table.turnedAway[o.n] {
 			o.takeJobs(o.n.w.now)
 			o.takeVMs(o.n.w.now)
+			o.scheduler.Evacuate(o.n.w.evacuations())
 		}
 		o.act()
 	})
--- a/core/emulator/vm.go
+++ b/core/emulator/vm.go
@@ -23,7 +23,7 @@
 type machine struct {
 	id    job.MachineID
 	pool  job.PoolName
-	zone  string
+	zone  job.ZoneName
 	rack  job.Label
 	state job.MachineState
 	life  *vm
--- a/core/emulator/world.go
+++ b/core/emulator/world.go
@@ -27,12 +27,14 @@
 	machines []*machine
 	jobs     map[job.ID]*truth
 	conf     *job.Configuration
-	judge    *judge
-	nextVM   int
-	trace    func(line string)
-	Figures  Figures
-	wave     job.Wave
-	hasWave  bool
+	// evacuated are the availability zones in which nothing may start, and since when.
+	evacuated map[job.ZoneName]time.Time
+	judge     *judge
+	nextVM    int
+	trace     func(line string)
+	Figures   Figures
+	wave      job.Wave
+	hasWave   bool
 	// failuresLikely is set on days on which VMs fail all that they start.
 	failuresLikely bool
 }
--- a/core/job/job.go
+++ b/core/job/job.go
@@ -16,6 +16,9 @@
 // AccountName names a client account.
 type AccountName string
 
+// ZoneName names an availability zone.
+type ZoneName string
+
 // Label is a property of a VM, such as its kind or its rack.
 type Label string
 
--- a/core/job/machine.go
+++ b/core/job/machine.go
@@ -40,7 +40,7 @@
 	ID     MachineID
 	Pool   PoolName
 	State  MachineState
-	Zone   string
+	Zone   ZoneName
 	Labels []Label
 	Room   Room
 	// VM is the machine's present life; empty if it is off.
--- a/core/job/vm.go
+++ b/core/job/vm.go
@@ -117,7 +117,7 @@
 	ID      VMID
 	Pool    PoolName
 	Address string
-	Zone    string
+	Zone    ZoneName
 	// Draining VMs leave soon; LeavesIn is the least time that is left.
 	Draining bool
 	LeavesIn time.Duration
--- a/core/schedule/command.go
+++ b/core/schedule/command.go
@@ -9,9 +9,10 @@
 // Command is what the scheduler wants done.
 type Command interface{ command() }
 
-// Start orders a task's start on a VM.
+// Start orders a task's start on a VM in an availability zone.
 type Start struct {
 	VM    job.VMID
+	Zone  job.ZoneName
 	Order job.StartOrder
 }
 
@@ -222,6 +223,8 @@
 	VMSuspected   What = "vm_suspected"
 	VMSlow        What = "vm_slow"
 	VMVacated     What = "vm_vacated"
+	ZoneEvacuated What = "zone_evacuated"
+	ZoneReopened  What = "zone_reopened"
 	WaveChanged   What = "wave_changed"
 	MachineSeen   What = "machine_seen"
 	MachineMoved  What = "machine_moved"
--- /dev/null
+++ b/core/schedule/evacuation.go
@@ -0,0 +1,81 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+
+	"lavenderpond/core/job"
+)
+
+// evacuations is a set of availability zones. Its zero value is empty.
+type evacuations map[job.ZoneName]struct{}
+
+func (e evacuations) has(z job.ZoneName) bool {
+	_, ok := e[z]
+	return ok
+}
+
+// Evacuate says which availability zones are evacuated: no task starts there. What runs
+// there goes on to its end, except for lasting tasks, which move elsewhere.
+func (s *Scheduler) Evacuate(zones []job.ZoneName) {
+	next := evacuations{}
+	for _, z := range zones {
+		next[z] = struct{}{}
+		if !s.evacuations.has(z) {
+			s.decided(Decision{What: ZoneEvacuated, Reason: string(z)})
+		}
+	}
+	for z := range s.evacuations {
+		if !next.has(z) {
+			s.decided(Decision{What: ZoneReopened, Reason: string(z)})
+		}
+	}
+	s.evacuations = next
+	for _, v := range s.vms.All() {
+		v.evacuated = next.has(v.zone)
+	}
+}
+
+// leaveEvacuated moves lasting tasks out of evacuated zones, each once a VM elsewhere
+// has room for it.
+func (s *Scheduler) leaveEvacuated(now time.Time) {
+	if len(s.evacuations) == 0 || s.conf == nil {
+		return
+	}
+	var free map[job.PoolName][]*vmState
+	for _, v := range s.vms.All() {
+		if !v.evacuated || v.lasting == 0 || v.silent {
+			continue
+		}
+		if free == nil {
+			free = s.usableByPool(now)
+		}
+		for _, r := range v.runs.All() {
+			if to := s.roomElsewhere(r, free[v.pool]); to >= 0 && s.mayMove(now, r) {
+				s.stop(now, r, "availability zone evacuated")
+				free[v.pool] = slices.Delete(free[v.pool], to, to+1)
+			}
+		}
+	}
+}
+
+func (s *Scheduler) usableByPool(now time.Time) map[job.PoolName][]*vmState {
+	out := map[job.PoolName][]*vmState{}
+	for _, v := range s.vms.All() {
+		if s.usable(now, v) {
+			out[v.pool] = append(out[v.pool], v)
+		}
+	}
+	return out
+}
+
+// roomElsewhere returns the index of a VM that could take the run's task, or -1.
+func (s *Scheduler) roomElsewhere(r *run, vms []*vmState) int {
+	_, _, st, _ := s.task(r.task)
+	if st == nil {
+		return -1
+	}
+	return slices.IndexFunc(vms, func(v *vmState) bool {
+		return r.claim.Fits(v.room.Minus(v.used)) && st.suits(r.task.StepID(), v)
+	})
+}
--- /dev/null
+++ b/core/schedule/evacuation_test.go
@@ -0,0 +1,121 @@
+package schedule
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lavenderpond/core/job"
+)
+
+// readyIn brings up a VM in an availability zone and returns what that led to.
+func (h *harness) readyIn(zone job.ZoneName, id string) []Command {
+	h.seenInZone(id, zone)
+	h.step(0)
+	h.lists(id, nil)
+	return h.step(30 * time.Millisecond)
+}
+
+// Guards against starts in an evacuated zone, also on VMs that are listed there later.
+func TestNothingStartsInAnEvacuatedZone(t *testing.T) {
+	h := newHarness(t)
+	h.readyIn("east", "one")
+	h.s.Evacuate([]job.ZoneName{"east"})
+	h.readyIn("east", "two")
+	h.job("j", "free", small)
+	assert.Equal(t, len(only[Start](h.step(time.Second))), 0)
+	assert.Equal(t, one[Start](h, h.readyIn("west", "three")).VM, job.VMID("three"))
+	h.s.Evacuate(nil)
+	h.job("k", "free", job.Step{Count: 1, Room: job.Room{CPU: 8000, MemMB: 100}})
+	assert.Equal(t, len(only[Start](h.step(0))), 1, "the zone is not open again")
+}
+
+// Guards against a start that was decided before the evacuation and waits for its save.
+func TestPlannedStartIsNotSentIntoAnEvacuatedZone(t *testing.T) {
+	h := newHarness(t)
+	h.readyIn("east", "one")
+	h.job("j", "free", small)
+	h.s.Tick(h.now)
+	h.s.Assign(h.now, h.now)
+	commands := h.s.Take()
+	assert.Equal(t, len(only[Start](commands)), 0, "the place is stored first")
+	h.s.Evacuate([]job.ZoneName{"east"})
+	for _, c := range commands {
+		h.store(c)
+	}
+	assert.Equal(t, len(only[Start](h.step(0))), 0)
+	assert.Equal(t, one[Start](h, h.readyIn("west", "two")).VM, job.VMID("two"))
+}
+
+// Guards against lasting tasks that stay in an evacuated zone, that leave it before there
+// is room elsewhere, or more at a time than their step may miss.
+func TestLastingTasksLeaveAnEvacuatedZone(t *testing.T) {
+	h := newHarness(t)
+	h.readyIn("east", "one")
+	h.readyIn("east", "two")
+	h.job("l", "free", job.Step{
+		Count: 2, Room: job.Room{CPU: 6000, MemMB: 100}, Lasting: true, MaxPerVM: 1, MayMiss: 1, HasMayMiss: true,
+	})
+	starts := only[Start](h.step(0))
+	assert.Equal(t, len(starts), 2)
+	for _, c := range starts {
+		h.confirm(c)
+		h.lists(string(c.VM), []job.RunningTask{running(c, 100)})
+	}
+	h.s.Evacuate([]job.ZoneName{"east"})
+	assert.Equal(t, len(only[Stop](h.step(100*time.Millisecond))), 0, "there is no room elsewhere")
+	h.readyIn("west", "three")
+	h.readyIn("west", "four")
+	first := h.stopping()
+	assert.Equal(t, len(first), 1, "one task may be away")
+	h.step(300 * time.Millisecond)
+	h.lists(string(first[0].vm.id), nil, job.End{Number: 1, Task: first[0].task, Attempt: first[0].attempt, How: job.EndedStopped})
+	again := one[Start](h, h.step(0))
+	assert.Assert(t, again.VM == "three" || again.VM == "four", again.VM)
+	h.confirm(again)
+	h.lists(string(again.VM), []job.RunningTask{running(again, 40)})
+	h.step(50 * time.Millisecond)
+	assert.Equal(t, len(h.stopping()), 0, "the first isn't at work yet")
+	h.lists(string(again.VM), []job.RunningTask{running(again, 100)})
+	h.step(50 * time.Millisecond)
+	assert.Equal(t, len(h.stopping()), 1)
+}
+
+// stopping returns the runs whose end was ordered.
+func (h *harness) stopping() []*run {
+	var out []*run
+	for _, v := range h.s.vms.All() {
+		for _, r := range v.runs.All() {
+			if r.stopping {
+				out = append(out, r)
+			}
+		}
+	}
+	return out
+}
+
+// Guards against pools that count on VMs of an evacuated zone, and against moves of its
+// machines, which bring no room.
+func TestEvacuatedZoneBringsNoRoom(t *testing.T) {
+	h := newHarness(t)
+	h.readyIn("east", "one")
+	h.readyIn("west", "two")
+	h.s.Machines(h.now, []job.Machine{
+		{ID: "m-one", Pool: poolA, State: job.MachineUp, Zone: "east", VM: "one", Room: job.Room{CPU: 8000}},
+		{ID: "m-two", Pool: poolA, State: job.MachineUp, Zone: "west", VM: "two", Room: job.Room{CPU: 8000}},
+		{ID: "m-off-east", Pool: off, State: job.MachineUp, Zone: "east", Room: job.Room{CPU: 8000}},
+		{ID: "m-off-west", Pool: off, State: job.MachineUp, Zone: "west", Room: job.Room{CPU: 8000}},
+	})
+	h.s.Evacuate([]job.ZoneName{"east"})
+	rooms := h.s.poolRooms(h.now)
+	assert.Equal(t, rooms.have[poolA], int64(8000))
+	h.job("j", "free", job.Step{Count: 40, Room: job.Room{CPU: 1000, MemMB: 10}, Estimate: time.Second})
+	var moved []job.MachineID
+	for range 10 {
+		for _, m := range only[Move](h.step(100 * time.Millisecond)) {
+			moved = append(moved, m.Machine)
+		}
+	}
+	assert.DeepEqual(t, moved, []job.MachineID{"m-off-west"})
+}
--- a/core/schedule/harness_test.go
+++ b/core/schedule/harness_test.go
@@ -65,9 +65,11 @@
 	}
 }
 
-func (h *harness) seen(id string) {
+func (h *harness) seen(id string) { h.seenInZone(id, "") }
+
+func (h *harness) seenInZone(id string, zone job.ZoneName) {
 	h.s.VMSeen(h.now, job.VMEntry{
-		ID: job.VMID(id), Pool: poolA, Address: id, Room: job.Room{CPU: 8000, MemMB: 8000},
+		ID: job.VMID(id), Pool: poolA, Address: id, Zone: zone, Room: job.Room{CPU: 8000, MemMB: 8000},
 		Machine: job.MachineID("m-" + id), Born: 1,
 	})
 }
--- a/core/schedule/move.go
+++ b/core/schedule/move.go
@@ -14,7 +14,7 @@
 func (s *Scheduler) idleMachines(now time.Time) []sizing.Machine {
 	var out []sizing.Machine
 	for id, m := range s.machines.All() {
-		if m.State != job.MachineUp || m.to != "" || now.Before(m.retry) || s.inUpkeep(id) || !s.mayOrderMachine(now, id) {
+		if m.State != job.MachineUp || m.to != "" || now.Before(m.retry) || s.evacuations.has(m.Zone) || s.inUpkeep(id) || !s.mayOrderMachine(now, id) {
 			continue
 		}
 		x := sizing.Machine{ID: id, Pool: m.Pool, Zone: m.Zone, CPU: m.Room.CPU}
--- a/core/schedule/place.go
+++ b/core/schedule/place.go
@@ -93,7 +93,7 @@
 }
 
 // suits tells whether a task of the step may run on the VM if that has room.
-func (a *assignment) suits(st *stepState, step job.StepID, v *vmState) bool {
+func (st *stepState) suits(step job.StepID, v *vmState) bool {
 	if st.def.Requires != "" && !v.labels[st.def.Requires] {
 		return false
 	}
--- a/core/schedule/pools.go
+++ b/core/schedule/pools.go
@@ -215,6 +215,7 @@
 	}
 	for _, m := range s.machines.All() {
 		switch {
+		case s.evacuations.has(m.Zone):
 		case m.to != "":
 			r.have[m.to] += m.Room.CPU
 		case m.State == job.MachineMoving, m.State == job.MachineUpkeep:
@@ -241,7 +242,7 @@
 // would seem to have room and get no machines.
 func (v *vmState) counts(now time.Time) bool {
 	heard := v.heldOnce || now.Sub(v.firstSeen) < unheardGrace
-	return v.listed && !v.draining && !v.silent && !v.cordoned && heard
+	return v.listed && !v.draining && !v.evacuated && !v.silent && !v.cordoned && heard
 }
 
 // vacate chooses the VMs that are to fall idle, so that their machines can move.
--- a/core/schedule/rooms_test.go
+++ b/core/schedule/rooms_test.go
@@ -15,7 +15,7 @@
 	var best *vmState
 	for _, x := range a.rooms.slots {
 		fits := p.step.def.Claim().Fits(x.vm.room.Minus(x.vm.used))
-		if !fits || !a.suits(p.step, p.id.StepID(), x.vm) || !a.s.usable(a.now, x.vm) {
+		if !fits || !p.step.suits(p.id.StepID(), x.vm) || !a.s.usable(a.now, x.vm) {
 			continue
 		}
 		if best == nil || a.cost(p, x.vm) < a.cost(p, best) {
@@ -28,7 +28,7 @@
 func randomVM(rng *rand.Rand, i int) *vmState {
 	sizes := []int64{8000, 16000, 32000}
 	v := &vmState{
-		id: job.VMID(fmt.Sprintf("vm-%02d", i)), zone: string(rune('a' + i%3)), rack: job.Label(fmt.Sprintf("r%d", i/4)),
+		id: job.VMID(fmt.Sprintf("vm-%02d", i)), zone: job.ZoneName(rune('a' + i%3)), rack: job.Label(fmt.Sprintf("r%d", i/4)),
 		room: job.Room{CPU: sizes[rng.IntN(3)], MemMB: 16000}, labels: map[job.Label]bool{}, listed: true, heldOnce: true,
 		vacating: rng.IntN(6) == 0, lasting: rng.IntN(2), serving: rng.IntN(2), fills: rng.IntN(2),
 	}
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -39,7 +39,7 @@
 		What: TaskOrdered, Job: j.ID, Task: r.task, Attempt: r.attempt, VM: v.id, Age: now.Sub(v.answered),
 		After: now.Sub(j.arrived),
 	})
-	s.emit(Start{VM: v.id, Order: job.StartOrder{
+	s.emit(Start{VM: v.id, Zone: v.zone, Order: job.StartOrder{
 		Task: r.task, Attempt: r.attempt, Spec: j.Body.Spec, Fence: s.settings.Fence, Checkpoint: t.saved,
 		Deadline: r.startBy, Ticket: st.tickets[v.id],
 	}})
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -66,9 +66,11 @@
 	queues   map[job.QueueName]*queueRecord
 	machines ordered[job.MachineID, *machineState]
 	waves    ordered[int64, *waveState]
-	pools    map[job.PoolName]*poolRecord
-	shares   shares
-	sizeAt   time.Time
+	// evacuations are the availability zones in which nothing may start.
+	evacuations evacuations
+	pools       map[job.PoolName]*poolRecord
+	shares      shares
+	sizeAt      time.Time
 	// anyUnheard is set while a VM hasn't been heard on which a former owner may
 	// still run tasks.
 	anyUnheard bool
--- a/core/schedule/sizing/sizing.go
+++ b/core/schedule/sizing/sizing.go
@@ -29,7 +29,7 @@
 type Machine struct {
 	ID   job.MachineID
 	Pool job.PoolName
-	Zone string
+	Zone job.ZoneName
 	CPU  int64
 	// IdleSince is when it last ran something.
 	IdleSince time.Time
--- a/core/schedule/state.go
+++ b/core/schedule/state.go
@@ -166,7 +166,7 @@
 	// says so.
 	places ordered[job.VMID, int64]
 	// zone is where its first task went.
-	zone string
+	zone job.ZoneName
 	// rating is the job's place in the order of its pool, as of ratedAt.
 	rating  candidate
 	ratedAt time.Time
@@ -180,7 +180,7 @@
 	address string
 	pool    job.PoolName
 	rack    job.Label
-	zone    string
+	zone    job.ZoneName
 	labels  map[job.Label]bool
 	room    job.Room
 	used    job.Room
@@ -192,6 +192,8 @@
 	listed     bool
 	unlistedAt time.Time
 	draining   bool
+	// evacuated is set while the VM's availability zone is.
+	evacuated bool
 
 	clock lease.Clock
 	// leaseEnd is the latest deadline that any order carried.
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -21,6 +21,7 @@
 		s.hold(now, v)
 	}
 	s.leaveDraining(now)
+	s.leaveEvacuated(now)
 	s.forgetEnded(now)
 	s.pruneOrders(now)
 	s.drive(now)
--- a/core/schedule/upkeep.go
+++ b/core/schedule/upkeep.go
@@ -119,7 +119,7 @@
 		emptying++
 		cordoned[m.ID] = true
 		if v != nil && v.runs.Len() > 0 {
-			s.evacuate(now, v)
+			s.moveLasting(now, v, "upkeep")
 			continue
 		}
 		if len(w.away) < slots && m.State == job.MachineUp && s.mayOrderMachine(now, m.ID) && !now.Before(m.retry) {
@@ -215,25 +215,26 @@
 	return cost
 }
 
-// evacuate moves lasting tasks off a VM, as far as their steps may miss tasks. A new
-// owner may do the same at the same time, each counting only its own stops, so it
-// takes the right that ends before another can take over.
-func (s *Scheduler) evacuate(now time.Time, v *vmState) {
-	if !s.rights.Order {
-		return
-	}
+// moveLasting moves lasting tasks off a VM, as far as their steps may miss tasks.
+func (s *Scheduler) moveLasting(now time.Time, v *vmState, why string) {
 	for _, r := range v.runs.All() {
-		j, _, st, _ := s.task(r.task)
-		if j == nil || j.over() || !st.def.Lasting || r.stopping || r.phase != runConfirmed {
-			continue
-		}
-		if !s.mayMiss(now, st, r) {
-			continue
+		if s.mayMove(now, r) {
+			s.stop(now, r, why)
 		}
-		s.stop(now, r, "upkeep")
 	}
 }
 
+// mayMove tells whether a lasting task may be stopped to start again elsewhere. A new
+// owner may do the same at the same time, each counting only its own stops, so it
+// takes the right that ends before another can take over.
+func (s *Scheduler) mayMove(now time.Time, r *run) bool {
+	if !s.rights.Order || r.stopping || r.phase != runConfirmed {
+		return false
+	}
+	j, _, st, _ := s.task(r.task)
+	return j != nil && !j.over() && st.def.Lasting && s.mayMiss(now, st, r)
+}
+
 // mayBeStopping tells whether a former owner may have ordered the run's end. The
 // VM lists it as at work until it has stopped; by then that end is listed.
 func (s *Scheduler) mayBeStopping(now time.Time, r *run) bool {
--- a/core/schedule/vm.go
+++ b/core/schedule/vm.go
@@ -52,6 +52,7 @@
 	}
 	v.listed, v.address, v.pool, v.zone = true, e.Address, e.Pool, e.Zone
 	v.room = e.Room
+	v.evacuated = s.evacuations.has(v.zone)
 	if e.Machine != "" {
 		s.setMachine(v, e.Machine)
 	}
@@ -116,7 +117,7 @@
 }
 
 // Location returns where a VM takes orders, and its availability zone.
-func (s *Scheduler) Location(id job.VMID) (address, zone string) {
+func (s *Scheduler) Location(id job.VMID) (address string, zone job.ZoneName) {
 	if v := s.vms.Get(id); v != nil {
 		return v.address, v.zone
 	}
@@ -166,7 +167,7 @@
 
 // takesTasks tells whether the VM is there for tasks, as far as is known.
 func (v *vmState) takesTasks() bool {
-	return v.listed && !v.draining && v.heldOnce && !v.silent && v.clock.Known()
+	return v.listed && !v.draining && !v.evacuated && v.heldOnce && !v.silent && v.clock.Known()
 }
 
 // expire frees what ran on VMs whose leases have run out, and forgets VMs that
--- a/io/node/event.go
+++ b/io/node/event.go
@@ -59,7 +59,7 @@
 		step      job.StepID
 		approvals platform.Approvals
 	}
-	// reconfigured tells that another configuration or wave is in force.
+	// reconfigured tells that the operators' view has changed.
 	reconfigured struct{}
 )
 
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -95,7 +95,7 @@
 		select {
 		case o.events <- reconfigured{}:
 		default:
-			// The loop is far behind; it looks again with its next tenure or change.
+			// The loop is far behind; its next turn sees the change.
 			n.log.Warn().Str("event", "owner_behind").Send()
 		}
 	}
--- a/io/node/operator.go
+++ b/io/node/operator.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,6 +41,13 @@
 	mu    sync.Mutex
 	conf  *job.Configuration
 	waves map[int64]job.Wave
+	// evacuated are the availability zones in which no task may start.
+	evacuated map[job.ZoneName]struct{}
+	// generation counts the changes.
+	generation uint64
+	// asOf is when the newest reading was asked for: the view holds all that was
+	// acknowledged before.
+	asOf time.Time
 }
 
 // configuration returns the configuration in force, or nil.
@@ -58,20 +67,56 @@
 	return out
 }
 
+// evacuations returns the availability zones that are evacuated, in order.
+func (v *operatorView) evacuations() []job.ZoneName {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return slices.Sorted(maps.Keys(v.evacuated))
+}
+
+// open tells whether tasks may start in an availability zone.
+func (v *operatorView) open(z job.ZoneName) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	_, evacuated := v.evacuated[z]
+	return !evacuated
+}
+
+// changes counts the changes so far.
+func (v *operatorView) changes() uint64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.generation
+}
+
+// age returns how long ago the newest reading was asked for.
+func (v *operatorView) age(now time.Time) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return now.Sub(v.asOf)
+}
+
 // follow keeps the view up to date until ctx ends.
 func (v *operatorView) follow(ctx context.Context) error {
 	f := feed{table: v.table, name: platform.OperatorTable, log: v.log}
-	return f.run(ctx, func(rows []platform.Row, _ bool) {
-		v.take(rows)
-	}, v.reach.heardAny)
+	return f.run(ctx, v.take, v.heard)
 }
 
-func (v *operatorView) take(rows []platform.Row) {
+// heard notes that the table has answered a reading.
+func (v *operatorView) heard(asked time.Time) {
+	v.reach.heardAny()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.asOf = asked
+}
+
+// take takes in rows; whole tells that they are all there are.
+func (v *operatorView) take(rows []platform.Row, whole bool) {
 	touched := false
+	if whole {
+		touched = v.endMissing(rows)
+	}
 	for _, r := range rows {
-		if r.Removed {
-			continue
-		}
 		c, err := platform.DecodeOperatorRow(r)
 		if err != nil {
 			v.log.Error().Err(err).Str("row", r.Key).Msg("operator row ignored")
@@ -84,9 +129,38 @@
 	}
 }
 
+// endMissing ends the evacuations that a whole reading lacks: they ended while changes
+// were missed.
+func (v *operatorView) endMissing(rows []platform.Row) bool {
+	present := map[job.ZoneName]bool{}
+	for _, r := range rows {
+		if c, err := platform.DecodeOperatorRow(r); err == nil {
+			if e, ok := c.(platform.EvacuationChange); ok {
+				present[e.Zone] = true
+			}
+		}
+	}
+	touched := false
+	for _, z := range v.evacuations() {
+		if !present[z] {
+			touched = v.apply(platform.EvacuationChange{Zone: z, Ended: true}) || touched
+		}
+	}
+	return touched
+}
+
+// apply takes in a change and tells whether it is news.
 func (v *operatorView) apply(c platform.OperatorChange) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if !v.applyChange(c) {
+		return false
+	}
+	v.generation++
+	return true
+}
+
+func (v *operatorView) applyChange(c platform.OperatorChange) bool {
 	switch c := c.(type) {
 	case platform.ConfigurationChange:
 		if v.conf != nil && c.Version <= v.conf.Version {
@@ -107,6 +181,23 @@
 		v.log.Info().Str("event", "wave_known").Int64("wave", c.Number).Int("machines", len(c.Machines)).
 			Int("at_once", c.AtOnce).Dur("within_ms", c.Within).Send()
 		return true
+	case platform.EvacuationChange:
+		if _, evacuated := v.evacuated[c.Zone]; evacuated != c.Ended {
+			return false
+		}
+		if v.evacuated == nil {
+			v.evacuated = map[job.ZoneName]struct{}{}
+		}
+		event := "evacuation_in_force"
+		if c.Ended {
+			delete(v.evacuated, c.Zone)
+			event = "evacuation_ended"
+		} else {
+			v.evacuated[c.Zone] = struct{}{}
+		}
+		v.log.Info().Str("event", event).Str("zone", string(c.Zone)).
+			Int64("view_age_ms", bootNow().Sub(v.asOf).Milliseconds()).Send()
+		return true
 	}
 	return false
 }
@@ -126,20 +217,21 @@
 	from platform.Version
 }
 
-// run calls take with rows, whole if they are the whole table, and contact
-// after each answer, until ctx ends.
-func (f *feed) run(ctx context.Context, take func(rows []platform.Row, whole bool), contact func()) error {
+// run calls take with rows, whole if they are the whole table, and contact after each
+// answer with the time when it was asked for, until ctx ends.
+func (f *feed) run(ctx context.Context, take func(rows []platform.Row, whole bool), contact func(asked time.Time)) error {
 	after := f.from
 	lost := false
 	for ctx.Err() == nil {
+		asked := bootNow()
 		if after == 0 {
 			rows, version, err := f.readAll(ctx)
 			if err != nil {
 				lost = f.failed(ctx, err, lost)
 				continue
 			}
-			contact()
 			take(rows, true)
+			contact(asked)
 			after = version
 			continue
 		}
@@ -156,10 +248,10 @@
 			lost = false
 			f.log.Info().Str("event", "feed_regained").Str("table", f.name).Send()
 		}
-		contact()
 		if len(s.Rows) > 0 {
 			take(f.ours(s.Rows), false)
 		}
+		contact(asked)
 		after = max(after, s.Version)
 	}
 	return nil
--- a/io/node/orders.go
+++ b/io/node/orders.go
@@ -79,7 +79,7 @@
 		return direct
 	}
 	address, zone := x.owner.scheduler.Location(id)
-	relay := x.owner.relays.of(zone, id)
+	relay := x.owner.relays.of(string(zone), id)
 	if relay == "" {
 		return direct
 	}
@@ -154,9 +154,9 @@
 }
 
 func (o *owner) start(ctx context.Context, vm vmOrders, c schedule.Start) {
-	// The right is looked at right before the order goes out: this process may
+	// Right and zone are looked at right before the order goes out: this process may
 	// have stood still since the scheduler decided.
-	if !o.tenure.mayStart(bootNow()) {
+	if !o.mayStart(bootNow()) || !o.node.view.open(c.Zone) {
 		o.send(ctx, startAnswered{order: c, outcome: schedule.NotDone})
 		return
 	}
--- a/io/node/owner.go
+++ b/io/node/owner.go
@@ -39,6 +39,8 @@
 	workers   supervisor.Workers
 	jobsFrom  platform.Version
 	backlog   backlogCount
+	// view counts the changes of the operators' view that the scheduler knows.
+	view uint64
 	// doneInWaves are the machines that former owners saw back from their upkeep,
 	// by the key of the wave.
 	doneInWaves map[string][]job.MachineID
@@ -157,8 +159,11 @@
 
 // turn decides on all that was taken in and carries out what was decided.
 func (o *owner) turn(ctx context.Context, now time.Time) {
+	if o.node.view.changes() != o.view {
+		o.reconfigure(now)
+	}
 	o.scheduler.SetRights(schedule.Rights{
-		Order: o.tenure.mayOrder(now), Start: o.tenure.mayStart(now), Hold: o.tenure.mayHold(now),
+		Order: o.tenure.mayOrder(now), Start: o.mayStart(now), Hold: o.tenure.mayHold(now),
 	})
 	o.relays.wanted.Store(o.scheduler.VMCount() >= relayFrom)
 	o.scheduler.Tick(now)
@@ -203,11 +208,14 @@
 	case advised:
 		s.Advised(now, e.step, e.approvals.Tickets, e.approvals.Valid)
 	case reconfigured:
-		o.reconfigure(now)
+		// The turn looks at the view.
 	}
 }
 
+// reconfigure passes the operators' view to the scheduler.
 func (o *owner) reconfigure(now time.Time) {
+	o.view = o.node.view.changes()
+	o.scheduler.Evacuate(o.node.view.evacuations())
 	if c := o.node.view.configuration(); c != nil {
 		o.scheduler.Configure(c)
 	}
@@ -216,6 +224,19 @@
 	}
 }
 
+// evacuationMargin covers a start that was decided on an old view: on its way to the VM
+// it may still be carried out for so long.
+const evacuationMargin = time.Second
+
+// mayStart tells whether tasks may be started. An owner that renews its right while its
+// feed of the operators' rows is silent would start tasks in a zone that was evacuated
+// since.
+func (o *owner) mayStart(now time.Time) bool {
+	within := o.node.settings.Bounds.Evacuate
+	current := within == 0 || o.node.view.age(now) < within-evacuationMargin
+	return current && o.tenure.mayStart(now)
+}
+
 func (o *owner) takeVMs(now time.Time, e vmsChanged) {
 	present := map[job.VMID]bool{}
 	for _, r := range e.rows {
@@ -259,12 +280,12 @@
 	return f.run(ctx, func(rows []platform.Row, _ bool) {
 		o.send(ctx, rowsChanged{rows: rows, progress: progress})
 		progress = nil
-	}, func() {})
+	}, func(time.Time) {})
 }
 
 func (o *owner) followVMs(ctx context.Context) error {
 	f := feed{table: o.node.table, name: platform.VMTable, log: o.log}
-	return f.run(ctx, func(rows []platform.Row, whole bool) { o.send(ctx, vmsChanged{rows, whole}) }, func() {})
+	return f.run(ctx, func(rows []platform.Row, whole bool) { o.send(ctx, vmsChanged{rows, whole}) }, func(time.Time) {})
 }
 
 func (o *owner) followMachines(ctx context.Context) error {
--- a/io/node/relays.go
+++ b/io/node/relays.go
@@ -70,7 +70,7 @@
 // follow keeps the list of members up to date until ctx ends.
 func (x *relays) follow(ctx context.Context, table *platform.Table) error {
 	f := feed{table: table, name: memberTable, part: memberPart, log: x.log}
-	return f.run(ctx, x.take, func() {})
+	return f.run(ctx, x.take, func(time.Time) {})
 }
 
 // take takes in rows of the member table.
--- a/io/soak/faults.go
+++ b/io/soak/faults.go
@@ -17,6 +17,8 @@
 	name string
 	// strike begins it and returns what heals it.
 	strike func(f *fleet, rng *rand.Rand) (what string, heal func())
+	// longer is how much longer than others it lasts.
+	longer time.Duration
 }
 
 const (
@@ -36,72 +38,72 @@
 
 // faults are all kinds. The order must not change: seeds choose by it.
 var faults = []fault{
-	{"kill", func(f *fleet, rng *rand.Rand) (string, func()) {
+	{name: "kill", strike: func(f *fleet, rng *rand.Rand) (string, func()) {
 		e := f.entries[rng.IntN(len(f.entries))]
 		e.signal(syscall.SIGKILL)
 		return e.name, func() { f.restart(e) }
 	}},
-	{"stop", func(f *fleet, rng *rand.Rand) (string, func()) {
+	{name: "stop", strike: func(f *fleet, rng *rand.Rand) (string, func()) {
 		e := f.entries[rng.IntN(len(f.entries))]
 		e.signal(syscall.SIGTERM)
 		return e.name, func() { f.restart(e) }
 	}},
-	{"pause", func(f *fleet, rng *rand.Rand) (string, func()) {
+	{name: "pause", strike: func(f *fleet, rng *rand.Rand) (string, func()) {
 		e := f.entries[rng.IntN(len(f.entries))]
 		e.signal(syscall.SIGSTOP)
 		return e.name, func() { e.signal(syscall.SIGCONT) }
 	}},
-	{"cut_from_table", func(f *fleet, rng *rand.Rand) (string, func()) {
+	{name: "cut_from_table", strike: func(f *fleet, rng *rand.Rand) (string, func()) {
 		e := f.entries[rng.IntN(len(f.entries))]
 		return harm(e.table, e.name, rng)
 	}},
-	{"cut_from_callers", func(f *fleet, rng *rand.Rand) (string, func()) {
+	{name: "cut_from_callers", strike: func(f *fleet, rng *rand.Rand) (string, func()) {
 		e := f.entries[rng.IntN(len(f.entries))]
 		return harm(e.front, e.name, rng)
 	}},
-	{"cut_vm", func(f *fleet, rng *rand.Rand) (string, func()) {
+	{name: "cut_vm", strike: func(f *fleet, rng *rand.Rand) (string, func()) {
 		m := f.machines[rng.IntN(len(f.machines))]
 		return harm(m.link, m.name, rng)
 	}},
-	{"cut_zone", func(f *fleet, rng *rand.Rand) (string, func()) {
+	{name: "cut_zone", strike: func(f *fleet, rng *rand.Rand) (string, func()) {
 		zone := f.zone(rng.IntN(3))
 		for _, m := range f.machines {
 			if m.zone == zone {
 				m.link.Set(link.Silent, 0)
 			}
 		}
-		return zone, func() {
+		return string(zone), func() {
 			for _, m := range f.machines {
 				m.link.Set(link.Open, 0)
 			}
 		}
 	}},
-	{"delay", func(f *fleet, rng *rand.Rand) (string, func()) {
+	{name: "delay", strike: func(f *fleet, rng *rand.Rand) (string, func()) {
 		e := f.entries[rng.IntN(len(f.entries))]
 		e.table.Set(link.Open, time.Duration(rng.Int64N(int64(400*time.Millisecond))))
 		return e.name, func() { e.table.Set(link.Open, 0) }
 	}},
-	{"table", func(f *fleet, rng *rand.Rand) (string, func()) {
+	{name: "table", strike: func(f *fleet, rng *rand.Rand) (string, func()) {
 		kind := standin.TableFault(1 + rng.IntN(int(standin.TableSlow)))
 		f.table.Suffer(kind)
 		return fmt.Sprint(int(kind)), func() { f.table.Suffer(standin.TableSound) }
 	}},
-	{"history", func(f *fleet, _ *rand.Rand) (string, func()) {
+	{name: "history", strike: func(f *fleet, _ *rand.Rand) (string, func()) {
 		f.table.Forget()
 		return "", func() {}
 	}},
-	{"crash_vm", func(f *fleet, rng *rand.Rand) (string, func()) {
+	{name: "crash_vm", strike: func(f *fleet, rng *rand.Rand) (string, func()) {
 		m := f.machines[rng.IntN(len(f.machines))]
 		same := rng.IntN(2) == 0
 		f.crash(m)
 		return fmt.Sprint(m.name, " same id ", same), func() { f.bear(m, same) }
 	}},
-	{"late_orders", func(f *fleet, rng *rand.Rand) (string, func()) {
+	{name: "late_orders", strike: func(f *fleet, rng *rand.Rand) (string, func()) {
 		share := 0.05 + 0.2*rng.Float64()
 		f.eachVM(func(v *standin.VM) { v.KeepBack(share) })
 		return fmt.Sprintf("%.2f", share), func() { f.eachVM(func(v *standin.VM) { v.KeepBack(0) }) }
 	}},
-	{"slow_vm", func(f *fleet, rng *rand.Rand) (string, func()) {
+	{name: "slow_vm", strike: func(f *fleet, rng *rand.Rand) (string, func()) {
 		m := f.machines[rng.IntN(len(f.machines))]
 		m.mu.Lock()
 		vm := m.vm
@@ -109,10 +111,15 @@
 		vm.Slow(2 + 6*rng.Float64())
 		return m.name, func() { vm.Slow(1) }
 	}},
-	{"configuration", func(f *fleet, _ *rand.Rand) (string, func()) {
+	{name: "configuration", strike: func(f *fleet, _ *rand.Rand) (string, func()) {
 		f.reconfigure()
 		return "", func() {}
 	}},
+	{name: "evacuate", longer: evacuateWithin, strike: func(f *fleet, rng *rand.Rand) (string, func()) {
+		zone := f.zone(rng.IntN(3))
+		f.evacuate(zone)
+		return string(zone), func() { f.reopen(zone) }
+	}},
 }
 
 func harm(l *link.Link, name string, rng *rand.Rand) (string, func()) {
@@ -149,7 +156,7 @@
 	defer g.Wait()
 	for ctx.Err() == nil {
 		x := faults[rng.IntN(len(faults))]
-		lasts := faultLeast + time.Duration(rng.Int64N(int64(faultMost-faultLeast)))
+		lasts := x.longer + faultLeast + time.Duration(rng.Int64N(int64(faultMost-faultLeast)))
 		what, heal := x.strike(f, rng)
 		tell(fmt.Sprintf("%s %s for %s", x.name, what, lasts.Round(time.Millisecond)))
 		g.Go(func() {
--- a/io/soak/fleet.go
+++ b/io/soak/fleet.go
@@ -48,7 +48,7 @@
 // machine is a VM's place; its life changes when it crashes.
 type machine struct {
 	name string
-	zone string
+	zone job.ZoneName
 	link *link.Link
 
 	mu      sync.Mutex
@@ -83,9 +83,12 @@
 	servers  []*http.Server
 	group    supervisor.Group
 	version  int
+	// evacuated counts the requests in force for each availability zone.
+	evacuated map[job.ZoneName]int
+	mu        sync.Mutex
 }
 
-func (f *fleet) zone(i int) string { return string(rune('a' + i%3)) }
+func (f *fleet) zone(i int) job.ZoneName { return job.ZoneName(rune('a' + i%3)) }
 
 // serve serves h at a free loopback address until the fleet closes.
 func (f *fleet) serve(h http.Handler) (netip.AddrPort, error) {
@@ -172,6 +175,7 @@
 	}
 	m.vm = standin.NewVM(job.VMID(fmt.Sprintf("vm-%s-%d", m.name, m.lives)), vmRoom, f.judge, f.rng)
 	m.down = false
+	f.judge.Placed(m.vm.ID, m.zone)
 }
 
 // crash ends a machine's life.
@@ -202,7 +206,7 @@
 		if m.down {
 			f.table.Put(row, nil)
 		} else {
-			f.table.Put(row, m.vm.Entry(standin.Pool, m.address, m.zone, m.name, time.Now().UnixMilli()))
+			f.table.Put(row, m.vm.Entry(standin.Pool, m.address, string(m.zone), m.name, time.Now().UnixMilli()))
 		}
 		m.mu.Unlock()
 	}
@@ -228,6 +232,31 @@
 	f.table.Put(standin.ConfigurationRow, standin.Configuration(f.version))
 }
 
+// evacuate asks that nothing start in the zone.
+func (f *fleet) evacuate(z job.ZoneName) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.evacuated == nil {
+		f.evacuated = map[job.ZoneName]int{}
+	}
+	f.evacuated[z]++
+	if f.evacuated[z] == 1 {
+		f.table.Put(standin.EvacuationRow(z), []byte("{}"))
+		f.judge.Evacuated(z)
+	}
+}
+
+// reopen takes one request back.
+func (f *fleet) reopen(z job.ZoneName) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.evacuated[z]--
+	if f.evacuated[z] == 0 {
+		f.judge.Reopened(z)
+		f.table.Put(standin.EvacuationRow(z), nil)
+	}
+}
+
 func (f *fleet) addEntry(ctx context.Context, i int, table, cloud netip.AddrPort) error {
 	e := &entry{name: fmt.Sprintf("entry-%d", i), exited: make(chan struct{})}
 	close(e.exited)
@@ -256,7 +285,7 @@
 	if err != nil {
 		return err
 	}
-	text := standin.SettingsText(e.name, f.zone(i), peer, front.String(), ready.String(), tableAt.String(), cloudAt.String())
+	text := standin.SettingsText(e.name, string(f.zone(i)), peer, front.String(), ready.String(), tableAt.String(), cloudAt.String())
 	return errors.Wrap(os.WriteFile(e.settings, []byte(text), 0o600), "write settings")
 }
 
--- a/io/soak/judge.go
+++ b/io/soak/judge.go
@@ -22,8 +22,16 @@
 	jobs        map[job.ID]*known
 	broken      []string
 	starts      int
+	// zones are the availability zones of VMs, evacuated those in which nothing may
+	// start, and since when.
+	zones     map[job.VMID]job.ZoneName
+	evacuated map[job.ZoneName]time.Time
 }
 
+// evacuateWithin is how long after the request for it no task starts in an availability
+// zone any more.
+const evacuateWithin = 5 * time.Second
+
 // known is a job as its caller knows it.
 type known struct {
 	steps   []standin.StepBody
@@ -40,6 +48,7 @@
 	return &Judge{
 		began: time.Now(), running: map[job.TaskID]map[job.VMID]bool{}, done: map[job.TaskID]bool{},
 		noted: map[job.TaskID]bool{}, jobs: map[job.ID]*known{},
+		zones: map[job.VMID]job.ZoneName{}, evacuated: map[job.ZoneName]time.Time{},
 	}
 }
 
@@ -62,6 +71,28 @@
 	return j.broken
 }
 
+// Placed notes in which availability zone a VM is.
+func (j *Judge) Placed(vm job.VMID, z job.ZoneName) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.zones[vm] = z
+}
+
+// Evacuated notes that nothing may start in the zone from now on, once the request has
+// had its time.
+func (j *Judge) Evacuated(z job.ZoneName) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.evacuated[z] = time.Now()
+}
+
+// Reopened notes that tasks may start in the zone again.
+func (j *Judge) Reopened(z job.ZoneName) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	delete(j.evacuated, z)
+}
+
 // Started implements standin.Observer.
 func (j *Judge) Started(vm job.VMID, t job.TaskID, n job.Attempt, _ string) {
 	j.mu.Lock()
@@ -73,6 +104,9 @@
 		return
 	}
 	k.started = true
+	if asked, ok := j.evacuated[j.zones[vm]]; ok && time.Since(asked) > evacuateWithin {
+		j.fail("%v starts on %s in a zone that is evacuated for %s", t, vm, time.Since(asked))
+	}
 	if others := j.running[t]; len(others) > 0 {
 		j.fail("%v starts on %s as attempt %d while it runs on %v", t, vm, n, others)
 	}
