Relays by strength: as many members of a zone as carry its orders, VMs dealt out in proportion

Cause: each zone had its two strongest members as relays, equally loaded. Where the strong ones own the fleet or are being restarted, two weak ones (0.19 cores, 10 Mbit/s) got all starts, holds and reports of a zone: their links choked in a burst, starts went unanswered for 150 ms, were stopped and ordered again over the same relays.

Change: core/relay. Strength is the scarcer of cores and link; a zone gets two relays or more until their strengths make one; weighted rendezvous hashing, so that a loss moves the lost relay's VMs only. /dump shows relays and beliefs.

--- /dev/null
+++ b/io/node/dump.go
@@ -0,0 +1,62 @@
+package node
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"lavenderpond/core/job"
+	"lavenderpond/platform"
+)
+
+// processDump is what a process believes at this moment.
+type processDump struct {
+	Node          string            `json:"node"`
+	Zone          string            `json:"zone"`
+	Life          string            `json:"life"`
+	Ready         bool              `json:"ready"`
+	Configuration job.ConfigVersion `json:"configuration,omitempty"`
+	Evacuated     []job.ZoneName    `json:"evacuated"`
+	// ViewAgeMS and TableAgeMS are the ages of the operators' rows and of the table's last word.
+	ViewAgeMS  int64      `json:"view_age_ms"`
+	TableAgeMS int64      `json:"table_age_ms"`
+	Owner      *ownerDump `json:"owner,omitempty"`
+}
+
+// ownerDump is what the owner believes beyond that.
+type ownerDump struct {
+	Fence    platform.Version      `json:"fence"`
+	Turn     int64                 `json:"turn"`
+	MayStart bool                  `json:"may_start"`
+	MayOrder bool                  `json:"may_order"`
+	Waiting  map[job.QueueName]int `json:"waiting"`
+	Relays   map[string][]string   `json:"relays"`
+}
+
+func (n *Node) dump(now time.Time) processDump {
+	d := processDump{
+		Node: n.settings.Node, Zone: n.settings.Zone, Life: n.candidacy.life, Ready: n.ready(),
+		Evacuated: n.view.evacuations(), ViewAgeMS: n.view.age(now).Milliseconds(), TableAgeMS: n.reach.age().Milliseconds(),
+	}
+	if c := n.view.configuration(); c != nil {
+		d.Configuration = c.Version
+	}
+	if o := n.owner.Load(); o != nil {
+		d.Owner = o.dump(now)
+	}
+	return d
+}
+
+func (o *owner) dump(now time.Time) *ownerDump {
+	return &ownerDump{
+		Fence: o.tenure.fence, Turn: o.tenure.turn, MayStart: o.mayStart(now), MayOrder: o.tenure.mayOrder(now),
+		Waiting: o.backlog.get(), Relays: o.relays.addresses(),
+	}
+}
+
+func (n *Node) serveDump(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(n.dump(bootNow())); err != nil {
+		n.log.Debug().Err(err).Msg("dump was not written")
+	}
+}
--- /dev/null
+++ b/io/node/dump_test.go
@@ -0,0 +1,37 @@
+package node
+
+import (
+	"net/http/httptest"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"lavenderpond/core/job"
+	"lavenderpond/core/relay"
+	"lavenderpond/platform"
+)
+
+// The dump tells what the process believes, and of the owner what it may do and by which
+// relays.
+func TestDumpShowsBeliefs(t *testing.T) {
+	n, err := New(platform.Settings{Node: "entry-1", Zone: "east", TableAddress: "127.0.0.1:1", MachinesAddress: "127.0.0.1:1"}, zerolog.Nop())
+	assert.NilError(t, err)
+	n.view.take([]platform.Row{evacuationRow("west", false)}, true)
+	now := bootNow()
+	n.view.heard(now)
+	o := &owner{node: n, tenure: &tenure{fence: 7, turn: 2}, relays: newRelays("", zerolog.Nop())}
+	o.tenure.prove(now, now)
+	o.relays.set("west", []relay.Member{{Address: "10.2.0.1:7000", Strength: 1}})
+	o.backlog.set(map[job.QueueName]int{"frames": 3})
+	n.setOwner(o)
+	d := n.dump(now)
+	assert.DeepEqual(t, d.Evacuated, []job.ZoneName{"west"})
+	assert.Assert(t, d.Owner.MayStart && d.Owner.MayOrder && d.Owner.Fence == 7)
+	assert.Equal(t, d.Owner.Waiting["frames"], 3)
+	assert.DeepEqual(t, d.Owner.Relays, map[string][]string{"west": {"10.2.0.1:7000"}})
+	w := httptest.NewRecorder()
+	n.probes().ServeHTTP(w, httptest.NewRequest("GET", "/dump", nil))
+	assert.Equal(t, w.Code, 200)
+	assert.Equal(t, w.Header().Get("Content-Type"), "application/json")
+}
--- a/io/node/member.go
+++ b/io/node/member.go
@@ -31,6 +31,8 @@
 	// Address takes orders, by net/rpc.
 	Address string  `json:"address"`
 	Cores   float64 `json:"cores"`
+	// LinkMbps is its link in Mbit/s; 0 if that isn't known.
+	LinkMbps float64 `json:"link_mbps,omitempty"`
 	// Life tells apart the processes of one entry VM.
 	Life string `json:"life"`
 }
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -147,7 +147,7 @@
 		return nil
 	}
 	m := membership{table: n.table, node: n.settings.Node, log: n.log, row: memberRow{
-		Zone: n.settings.Zone, Address: n.settings.PeerAddress, Cores: n.settings.Cores, Life: n.candidacy.life,
+		Zone: n.settings.Zone, Address: n.settings.PeerAddress, Cores: n.settings.Cores, LinkMbps: n.settings.LinkMbps, Life: n.candidacy.life,
 	}}
 	return []supervisor.Child{
 		{Name: "relay", Run: func(context.Context) error { return (&Relay{}).run(life, n.settings.PeerAddress) }},
@@ -192,5 +192,6 @@
 		}
 	})
 	mux.HandleFunc("GET /metrics", n.metrics.serve)
+	mux.HandleFunc("GET /dump", n.serveDump)
 	return mux
 }
--- a/io/node/relay_test.go
+++ b/io/node/relay_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"lavenderpond/core/job"
+	"lavenderpond/core/relay"
 	"lavenderpond/core/schedule"
 	"lavenderpond/io/supervisor"
 	"lavenderpond/platform"
@@ -128,7 +129,7 @@
 	gone := freeAddress(t)
 	x := knowing(t, gone)
 	assert.Equal(t, x.of("a", "vm-1"), "", "a member that doesn't answer carries nothing")
-	x.ready = map[string][]string{"a": {gone}}
+	x.ready = map[string][]relay.Member{"a": {{Address: gone}}}
 	_, out := x.ordersFor(address).Start(t.Context(), someStart)
 	assert.Equal(t, out, schedule.Answered, "the owner carries it itself")
 	assert.Equal(t, orders.Load(), int64(1))
@@ -144,7 +145,7 @@
 	defer l.Close() //nolint:errcheck // It takes connections and says nothing.
 	sound := startRelay(t)
 	x := knowing(t, sound)
-	x.ready = map[string][]string{"a": {l.Addr().String()}}
+	x.ready = map[string][]relay.Member{"a": {{Address: l.Addr().String()}}}
 	x.members["frozen"] = memberRow{Zone: "a", Address: l.Addr().String(), Cores: 8}
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
@@ -189,10 +190,10 @@
 	}
 	x.take([]platform.Row{{RowKey: memberKey("bad"), Value: []byte("{")}, row("one", first), row("self", "127.0.0.1:1")}, true)
 	x.check(t.Context())
-	assert.DeepEqual(t, x.ready["a"], []string{first})
+	assert.DeepEqual(t, addresses(x.ready["a"]), []string{first})
 	x.take([]platform.Row{row("two", second)}, false)
 	x.check(t.Context())
-	assert.DeepEqual(t, x.ready["a"], []string{first, second})
+	assert.DeepEqual(t, addresses(x.ready["a"]), []string{first, second})
 	x.take([]platform.Row{{RowKey: memberKey("one"), Removed: true}, {RowKey: memberKey("two"), Removed: true}}, false)
 	x.check(t.Context())
 	assert.Equal(t, len(x.ready["a"]), 0)
@@ -208,12 +209,13 @@
 	for i := range 12 {
 		x.members[fmt.Sprintf("entry-%02d", i)] = memberRow{Zone: "a", Address: freeAddress(t), Cores: 1}
 	}
+	tried := 2 * relay.Enough(x.candidates(bootNow())["a"])
 	x.check(t.Context())
 	x.check(t.Context())
-	assert.Equal(t, len(x.failed), 2*relaysEach)
+	assert.Equal(t, len(x.failed), tried)
 	assert.Equal(t, len(x.candidates(bootNow())["a"]), 0)
 	later := bootNow().Add(zonePause)
-	assert.Equal(t, len(x.candidates(later)["a"]), 12-2*relaysEach)
+	assert.Equal(t, len(x.candidates(later)["a"]), 12-tried)
 }
 
 // Guards against a process that is killed at the end of its grace time, since a hold that
@@ -226,10 +228,10 @@
 		<-r.Context().Done()
 	})
 	ctx, cancel := context.WithCancel(context.Background())
-	relay := &Relay{}
+	carrier := &Relay{}
 	at := freeAddress(t)
 	var g supervisor.Group
-	g.Go(func() { _ = relay.run(ctx, at) })
+	g.Go(func() { _ = carrier.run(ctx, at) })
 	x := newRelays("127.0.0.1:1", zerolog.Nop())
 	defer x.pool.Close()
 	for c, err := net.Dial("tcp4", at); ; c, err = net.Dial("tcp4", at) {
@@ -249,3 +251,15 @@
 	g.Wait()
 	caller.Wait()
 }
+
+// Guards against orders of an owner whose tenure has ended that a relay still carries out.
+func TestEndedOwnerSendsNothingByRelay(t *testing.T) {
+	address, orders := vmServer(t, answered(200, `{"clock_ms":12,"born":7}`))
+	x := knowing(t, startRelay(t))
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, out := x.ordersFor(address).Start(ctx, someStart)
+	assert.Assert(t, out != schedule.Answered)
+	time.Sleep(100 * time.Millisecond)
+	assert.Equal(t, orders.Load(), int64(0))
+}
--- a/io/node/relays.go
+++ b/io/node/relays.go
@@ -1,9 +1,7 @@
 package node
 
 import (
-	"cmp"
 	"context"
-	"hash/fnv"
 	"maps"
 	"slices"
 	"sync"
@@ -13,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"lavenderpond/core/job"
+	"lavenderpond/core/relay"
 	"lavenderpond/io/netrpc"
 	"lavenderpond/io/supervisor"
 	"lavenderpond/platform"
@@ -23,8 +22,6 @@
 	// others. Each order is a call of its own: the owner of a thousand VMs would spend
 	// most of its processor time, and all of its connections, on carrying them itself.
 	relayFrom = 150
-	// relaysEach is how many entry VMs carry orders in each zone.
-	relaysEach = 2
 	// relayCheck is how often the choice of relays is looked at.
 	relayCheck = 250 * time.Millisecond
 	// relayPing bounds the first sign of life of a relay.
@@ -57,7 +54,7 @@
 	// failed is until when an address is left alone, ready the addresses of each zone that
 	// carry orders now.
 	failed map[string]time.Time
-	ready  map[string][]string
+	ready  map[string][]relay.Member
 	// unreachable are the zones of which no member has answered, and until when they are
 	// left alone.
 	unreachable map[string]time.Time
@@ -147,51 +144,46 @@
 }
 
 // answering returns the first members that carry orders, as many as a zone needs.
-func (x *relays) answering(ctx context.Context, candidates []string) []string {
-	candidates = candidates[:min(len(candidates), 2*relaysEach)]
+func (x *relays) answering(ctx context.Context, candidates []relay.Member) []relay.Member {
+	candidates = candidates[:min(len(candidates), 2*relay.Enough(candidates))]
 	alive := make([]bool, len(candidates))
 	var g supervisor.Group
-	for i, address := range candidates {
-		g.Go(func() { alive[i] = x.alive(ctx, address) })
+	for i, m := range candidates {
+		g.Go(func() { alive[i] = x.alive(ctx, m.Address) })
 	}
 	g.Wait()
-	var out []string
-	for i, address := range candidates {
-		if alive[i] && len(out) < relaysEach {
-			out = append(out, address)
+	var out []relay.Member
+	for i, m := range candidates {
+		if alive[i] {
+			out = append(out, m)
 		}
 	}
-	return out
+	return out[:relay.Enough(out)]
 }
 
 // candidates returns the addresses of each zone's members that have not failed of
 // late, the strongest first.
-func (x *relays) candidates(now time.Time) map[string][]string {
+func (x *relays) candidates(now time.Time) map[string][]relay.Member {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	byZone := map[string][]memberRow{}
+	out := map[string][]relay.Member{}
+	for zone := range x.ready {
+		// A zone that has lost all of its members has no relays any more.
+		out[zone] = nil
+	}
 	for _, name := range slices.Sorted(maps.Keys(x.members)) {
 		m := x.members[name]
 		if now.Before(x.unreachable[m.Zone]) {
 			continue
 		}
-		list := byZone[m.Zone]
+		list := out[m.Zone]
 		if m.Address != x.self && !now.Before(x.failed[m.Address]) {
-			list = append(list, m)
+			list = append(list, relay.Member{Address: m.Address, Strength: relay.Strength(m.Cores, m.LinkMbps)})
 		}
-		byZone[m.Zone] = list
-	}
-	out := map[string][]string{}
-	for zone := range x.ready {
-		// A zone that has lost all of its members has no relays any more.
-		out[zone] = nil
+		out[m.Zone] = list
 	}
-	for zone, list := range byZone {
-		slices.SortStableFunc(list, func(a, b memberRow) int { return cmp.Compare(b.Cores, a.Cores) })
-		out[zone] = nil
-		for _, m := range list {
-			out[zone] = append(out[zone], m.Address)
-		}
+	for _, list := range out {
+		relay.Sort(list)
 	}
 	return out
 }
@@ -200,7 +192,7 @@
 func (x *relays) alive(ctx context.Context, address string) bool {
 	x.mu.Lock()
 	for _, list := range x.ready {
-		if slices.Contains(list, address) {
+		if slices.ContainsFunc(list, func(m relay.Member) bool { return m.Address == address }) {
 			x.mu.Unlock()
 			return true
 		}
@@ -217,27 +209,46 @@
 }
 
 // set makes the list of ready relays of a zone what it is now.
-func (x *relays) set(zone string, ready []string) {
+func (x *relays) set(zone string, ready []relay.Member) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	now := bootNow()
 	// One may have failed meanwhile.
-	ready = slices.DeleteFunc(ready, func(a string) bool { return now.Before(x.failed[a]) })
+	ready = slices.DeleteFunc(ready, func(m relay.Member) bool { return now.Before(x.failed[m.Address]) })
 	if x.ready == nil {
-		x.ready = map[string][]string{}
+		x.ready = map[string][]relay.Member{}
 	}
 	if !slices.Equal(x.ready[zone], ready) {
-		x.log.Info().Str("event", "relays_chosen").Str("zone", zone).Strs("relays", ready).Send()
+		x.log.Info().Str("event", "relays_chosen").Str("zone", zone).Strs("relays", addresses(ready)).Send()
 	}
 	x.ready[zone] = ready
 }
 
+func addresses(members []relay.Member) []string {
+	var out []string
+	for _, m := range members {
+		out = append(out, m.Address)
+	}
+	return out
+}
+
+// addresses returns the addresses of each zone's relays.
+func (x *relays) addresses() map[string][]string {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	out := map[string][]string{}
+	for zone, list := range x.ready {
+		out[zone] = addresses(list)
+	}
+	return out
+}
+
 // fail gives up a relay for a while.
 func (x *relays) fail(address string, err error) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	for zone, list := range x.ready {
-		x.ready[zone] = slices.DeleteFunc(slices.Clone(list), func(a string) bool { return a == address })
+		x.ready[zone] = slices.DeleteFunc(slices.Clone(list), func(m relay.Member) bool { return m.Address == address })
 	}
 	now := bootNow()
 	if now.Before(x.failed[address]) {
@@ -258,11 +269,5 @@
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	list := x.ready[zone]
-	if len(list) == 0 {
-		return ""
-	}
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(id)) // A hash never fails.
-	return list[int(h.Sum32()%uint32(len(list)))]
+	return relay.Of(x.ready[zone], id)
 }
