Run times of whole steps and of a job's own tasks; logs say how a job was ranked and how it ended

Cause: a job's chain was predicted from the typical task of its queue. A step lasts as long as its longest task, so chains and objectives were too short: of calibrations that callers had in time 55% ended late by our reckoning; jobs that had a third of a second to spare by it came late three times of four.

Change: the queue learns how much longer a step's longest task runs than a typical one; once a step is complete its own run times stand for the job's later steps, and the objective is reckoned anew. job_begun (rank, slack) and the slack in job_ended show beliefs against ends.

--- a/core/schedule/assign.go
+++ b/core/schedule/assign.go
@@ -201,6 +201,13 @@
 
 func (a *assignment) start(j *jobState, st *stepState, id job.TaskID, t *taskState, v *vmState, n job.Attempt) {
 	s := a.s
+	if !j.placed && !j.lasting {
+		j.placed = true
+		s.decided(Decision{
+			What: JobBegun, Job: j.ID, Reason: j.rating.rank.String(), After: a.now.Sub(j.arrived),
+			Slack: j.objective.Sub(a.now.Add(s.chain(j, j.current()))),
+		})
+	}
 	if !j.places.Has(v.id) {
 		a.addPlaces(j, v)
 	}
--- a/core/schedule/objective.go
+++ b/core/schedule/objective.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"lavenderpond/core/job"
@@ -12,6 +13,10 @@
 	// logRun is the running mean of the logarithm of run times in seconds.
 	logRun float64
 	runs   int
+	// spread is the running mean of how much longer the longest task of a step runs than
+	// a typical one, over so many steps.
+	spread float64
+	steps  int
 	// meanWork is the running mean of jobs' work in core-seconds.
 	meanWork float64
 	jobs     int
@@ -26,6 +31,8 @@
 	guessWeight = 0.25
 	// learnedAfter is how many run times make what was learned usable.
 	learnedAfter = 10
+	// leastRun keeps logarithms of run times finite, in seconds.
+	leastRun = 0.01
 	// defaultRun is assumed of a task without an estimate.
 	defaultRun = time.Second
 	// lateFactor is how many times its objective a job may take and still be of
@@ -55,11 +62,42 @@
 	q := s.queue(j.Terms.Queue)
 	q.runs++
 	w := max(learnWeight, 1/float64(q.runs))
-	q.logRun += w * (math.Log(max(ranFor.Seconds(), 0.01)) - q.logRun)
+	q.logRun += w * (math.Log(max(ranFor.Seconds(), leastRun)) - q.logRun)
 }
 
-// runTime predicts how long a task of the step runs.
+// learnStep takes in the run times of all tasks of a step.
+func (s *Scheduler) learnStep(j *jobState, st *stepState) {
+	if len(st.took) < len(st.tasks) {
+		// Some ran unseen, under a former owner or from a checkpoint.
+		return
+	}
+	sum := 0.0
+	for _, d := range st.took {
+		sum += math.Log(max(d.Seconds(), leastRun))
+	}
+	typical := math.Exp(sum / float64(len(st.took)))
+	st.longest = slices.Max(st.took)
+	j.typical = time.Duration(typical * float64(time.Second))
+	q := s.queue(j.Terms.Queue)
+	q.steps++
+	q.spread += max(learnWeight, 1/float64(q.steps)) * (st.longest.Seconds()/typical - q.spread)
+}
+
+// stepTime predicts how long a step takes: as long as its longest task.
+func (s *Scheduler) stepTime(j *jobState, st *job.Step) time.Duration {
+	d := s.runTime(j, st)
+	if q := s.queue(j.Terms.Queue); q.steps >= learnedAfter {
+		d = time.Duration(float64(d) * q.spread)
+	}
+	return d
+}
+
+// runTime predicts how long a task of the step runs: as long as those of the job's
+// earlier steps if they are known, else as those of the queue and the caller's guess say.
 func (s *Scheduler) runTime(j *jobState, st *job.Step) time.Duration {
+	if j.typical > 0 {
+		return j.typical
+	}
 	guess := st.Estimate
 	if guess <= 0 {
 		guess = defaultRun
@@ -85,7 +123,28 @@
 		}
 		ends[i] = from
 		if !o.steps[i].complete() {
-			ends[i] += s.runTime(j, st)
+			ends[i] += s.stepTime(j, st)
+		}
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// wholeChain predicts how long the job's first occurrence takes from its beginning if
+// nothing holds it up.
+func (s *Scheduler) wholeChain(j *jobState) time.Duration {
+	o := j.occurrences[0]
+	ends := make([]time.Duration, len(j.Body.Steps))
+	longest := time.Duration(0)
+	for i := range j.Body.Steps {
+		st := &j.Body.Steps[i]
+		for _, a := range st.After {
+			ends[i] = max(ends[i], ends[a])
+		}
+		if known := o.steps[i].longest; known > 0 {
+			ends[i] += known
+		} else {
+			ends[i] += s.stepTime(j, st)
 		}
 		longest = max(longest, ends[i])
 	}
@@ -98,7 +157,7 @@
 	if stretch <= 0 {
 		stretch = defaultStretch
 	}
-	chain := s.chain(j, j.occurrences[0])
+	chain := s.wholeChain(j)
 	allowed := time.Duration(stretch*float64(chain)) + j.Terms.Latency
 	return j.arrived.Add(allowed), j.arrived.Add(lateFactor * allowed)
 }
--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -23,6 +23,11 @@
 	rankUseless
 )
 
+// String returns the rank in snake case.
+func (r rank) String() string {
+	return [...]string{"lasting", "in_time", "late", "excess", "useless"}[r]
+}
+
 // candidate is a job that has tasks to start.
 type candidate struct {
 	job  *jobState
@@ -89,6 +94,7 @@
 		relative = all / mean
 	}
 	c.density = (worthBase + worthOfWork*relative) / max(left, leastWork)
+	j.objective, j.late = s.objective(j)
 	ready := now.Add(s.chain(j, j.current()))
 	switch {
 	case !ready.After(j.objective):
--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -123,6 +123,7 @@
 	if !st.complete() {
 		return true
 	}
+	s.learnStep(j, st)
 	o.done++
 	if o.done < len(o.steps) {
 		return true
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -236,7 +236,9 @@
 func (s *Scheduler) finish(now time.Time, j *jobState, state job.State) {
 	j.state, j.closedAt = state, now
 	s.markDirty(j)
-	s.decided(Decision{What: JobEnded, Job: j.ID, Reason: state.String(), After: now.Sub(j.arrived)})
+	s.decided(Decision{
+		What: JobEnded, Job: j.ID, Reason: state.String(), After: now.Sub(j.arrived), Slack: j.objective.Sub(now),
+	})
 	for _, o := range j.occurrences {
 		for i := range o.steps {
 			for t := range o.steps[i].tasks {
--- a/core/schedule/state.go
+++ b/core/schedule/state.go
@@ -119,6 +119,8 @@
 	rack job.Label
 	// took are the times of the runs that ended well.
 	took []time.Duration
+	// longest is the longest of them, once all tasks have ended.
+	longest time.Duration
 	// gangAttempt is the attempt that all members share.
 	gangAttempt job.Attempt
 }
@@ -150,8 +152,10 @@
 	occurrences []*occurrence
 	doneCount   int
 	begun       bool
-	inherited   bool
-	lasting     bool
+	// placed is set once its first task has been given a VM.
+	placed    bool
+	inherited bool
+	lasting   bool
 	// excess is set if its account had handed in more than its share.
 	excess bool
 	// objective is when the job is due to be complete.
@@ -165,6 +169,8 @@
 	// places are the VMs on which a task may have been started, and the save that
 	// says so.
 	places ordered[job.VMID, int64]
+	// typical is the typical run time of its last complete step; 0 if none is.
+	typical time.Duration
 	// zone is where its first task went.
 	zone job.ZoneName
 	// rating is the job's place in the order of its pool, as of ratedAt.
--- a/io/node/decisions.go
+++ b/io/node/decisions.go
@@ -61,6 +61,9 @@
 	if d.After != 0 {
 		e.Int64("after_ms", d.After.Milliseconds())
 	}
+	if d.Slack != 0 {
+		e.Int64("slack_ms", d.Slack.Milliseconds())
+	}
 	if omitted > 0 {
 		e.Int("omitted", omitted)
 	}
