--- a/core/schedule/assign.go
+++ b/core/schedule/assign.go
@@ -201,13 +201,7 @@
 
 func (a *assignment) start(j *jobState, st *stepState, id job.TaskID, t *taskState, v *vmState, n job.Attempt) {
 	s := a.s
-	if !j.placed && !j.lasting {
-		j.placed = true
-		s.decided(Decision{
-			What: JobBegun, Job: j.ID, Reason: j.rating.rank.String(), After: a.now.Sub(j.arrived),
-			Slack: j.objective.Sub(a.now.Add(s.chain(j, j.current()))),
-		})
-	}
+	s.notePlaced(a.now, j)
 	if !j.places.Has(v.id) {
 		a.addPlaces(j, v)
 	}
@@ -230,6 +224,18 @@
 	s.planned = append(s.planned, r)
 }
 
+// notePlaced tells how the job was ranked when its first task was given a VM.
+func (s *Scheduler) notePlaced(now time.Time, j *jobState) {
+	if j.placed || j.lasting {
+		return
+	}
+	j.placed = true
+	s.decided(Decision{
+		What: JobPlaced, Job: j.ID, Reason: j.rating.rank.String(), After: now.Sub(j.arrived),
+		Slack: j.objective.Sub(now.Add(s.chain(j, j.current()))),
+	})
+}
+
 // addPlaces stores that the job's tasks may run on the VM and on the others of its
 // rack. A new owner must know where they may run: else none of them could start
 // again while any VM is out of reach. Each place of its own costs a transaction
--- a/core/schedule/command.go
+++ b/core/schedule/command.go
@@ -196,7 +196,7 @@
 	Age time.Duration
 	// After is how long after the job's arrival this happened.
 	After time.Duration
-	// Slack is the time left to the job's objective, less what it is predicted to need.
+	// Slack is the time left to the job's objective, less what the job is predicted to need.
 	Slack time.Duration
 }
 
@@ -207,7 +207,7 @@
 const (
 	JobAdopted    What = "job_adopted"
 	JobExcess     What = "job_beyond_share"
-	JobBegun      What = "job_begun"
+	JobPlaced     What = "job_placed"
 	JobEnded      What = "job_ended"
 	JobCancelled  What = "job_cancelled"
 	TaskOrdered   What = "task_ordered"
--- a/core/schedule/objective.go
+++ b/core/schedule/objective.go
@@ -113,39 +113,35 @@
 // chain predicts how long the job takes if nothing holds it up, counting only
 // steps that aren't complete.
 func (s *Scheduler) chain(j *jobState, o *occurrence) time.Duration {
-	ends := make([]time.Duration, len(j.Body.Steps))
-	longest := time.Duration(0)
-	for i := range j.Body.Steps {
-		st := &j.Body.Steps[i]
-		from := time.Duration(0)
-		for _, a := range st.After {
-			from = max(from, ends[a])
-		}
-		ends[i] = from
-		if !o.steps[i].complete() {
-			ends[i] += s.stepTime(j, st)
+	return longestPath(j.Body.Steps, func(i int) time.Duration {
+		if o.steps[i].complete() {
+			return 0
 		}
-		longest = max(longest, ends[i])
-	}
-	return longest
+		return s.stepTime(j, &j.Body.Steps[i])
+	})
 }
 
-// wholeChain predicts how long the job's first occurrence takes from its beginning if
-// nothing holds it up.
+// wholeChain predicts the same for the job's first occurrence from its beginning: what
+// its complete steps took counts as it was.
 func (s *Scheduler) wholeChain(j *jobState) time.Duration {
-	o := j.occurrences[0]
-	ends := make([]time.Duration, len(j.Body.Steps))
+	return longestPath(j.Body.Steps, func(i int) time.Duration {
+		if known := j.occurrences[0].steps[i].longest; known > 0 {
+			return known
+		}
+		return s.stepTime(j, &j.Body.Steps[i])
+	})
+}
+
+// longestPath returns how long the steps take if each begins as soon as those that it
+// waits for are over.
+func longestPath(steps []job.Step, takes func(i int) time.Duration) time.Duration {
+	ends := make([]time.Duration, len(steps))
 	longest := time.Duration(0)
-	for i := range j.Body.Steps {
-		st := &j.Body.Steps[i]
-		for _, a := range st.After {
+	for i := range steps {
+		for _, a := range steps[i].After {
 			ends[i] = max(ends[i], ends[a])
 		}
-		if known := o.steps[i].longest; known > 0 {
-			ends[i] += known
-		} else {
-			ends[i] += s.stepTime(j, st)
-		}
+		ends[i] += takes(i)
 		longest = max(longest, ends[i])
 	}
 	return longest
@@ -157,8 +153,7 @@
 	if stretch <= 0 {
 		stretch = defaultStretch
 	}
-	chain := s.wholeChain(j)
-	allowed := time.Duration(stretch*float64(chain)) + j.Terms.Latency
+	allowed := time.Duration(stretch*float64(s.wholeChain(j))) + j.Terms.Latency
 	return j.arrived.Add(allowed), j.arrived.Add(lateFactor * allowed)
 }
 
