--- a/core/schedule/evacuation.go
+++ b/core/schedule/evacuation.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -25,7 +26,7 @@
 			s.decided(Decision{What: ZoneEvacuated, Reason: string(z)})
 		}
 	}
-	for z := range s.evacuations {
+	for _, z := range slices.Sorted(maps.Keys(s.evacuations)) {
 		if !next.has(z) {
 			s.decided(Decision{What: ZoneReopened, Reason: string(z)})
 		}
--- a/core/schedule/move.go
+++ b/core/schedule/move.go
@@ -14,7 +14,7 @@
 func (s *Scheduler) idleMachines(now time.Time) []sizing.Machine {
 	var out []sizing.Machine
 	for id, m := range s.machines.All() {
-		if m.State != job.MachineUp || m.to != "" || now.Before(m.retry) || s.evacuations.has(m.Zone) || s.inUpkeep(id) || !s.mayOrderMachine(now, id) {
+		if !s.mayLend(now, m) {
 			continue
 		}
 		x := sizing.Machine{ID: id, Pool: m.Pool, Zone: m.Zone, CPU: m.Room.CPU}
@@ -30,6 +30,13 @@
 	return out
 }
 
+// mayLend tells whether the machine can be ordered into another pool, and would bring
+// room there.
+func (s *Scheduler) mayLend(now time.Time, m *machineState) bool {
+	stays := m.State == job.MachineUp && m.to == "" && !s.inUpkeep(m.ID)
+	return stays && !now.Before(m.retry) && !s.evacuations.has(m.Zone) && s.mayOrderMachine(now, m.ID)
+}
+
 // inUpkeep tells whether a wave has the machine's upkeep under way.
 func (s *Scheduler) inUpkeep(id job.MachineID) bool {
 	for _, w := range s.waves.All() {
--- a/core/schedule/objective.go
+++ b/core/schedule/objective.go
@@ -76,11 +76,17 @@
 		sum += math.Log(max(d.Seconds(), leastRun))
 	}
 	typical := math.Exp(sum / float64(len(st.took)))
-	st.longest = slices.Max(st.took)
 	j.typical = time.Duration(typical * float64(time.Second))
+	longest := slices.Max(st.took)
+	spread := longest.Seconds() / typical
+	if spread >= slowFactor {
+		// A slow VM: objectives are meant for sound ones.
+		return
+	}
+	st.longest = longest
 	q := s.queue(j.Terms.Queue)
 	q.steps++
-	q.spread += max(learnWeight, 1/float64(q.steps)) * (st.longest.Seconds()/typical - q.spread)
+	q.spread += max(learnWeight, 1/float64(q.steps)) * (spread - q.spread)
 }
 
 // stepTime predicts how long a step takes: as long as its longest task.
--- a/core/schedule/objective_test.go
+++ b/core/schedule/objective_test.go
@@ -60,6 +60,17 @@
 	near(t, due.Sub(j.arrived), 8*time.Second*16/10+time.Second)
 }
 
+// Guards against objectives that grow with the VMs' slowness: callers expect sound ones.
+func TestSlowRunsTeachNoSpread(t *testing.T) {
+	h := newHarness(t)
+	for i := range 2 * learnedAfter {
+		h.ran(h.newJob(string(rune('a'+i)), wide), 0, time.Second, time.Second, time.Second, 9*time.Second)
+	}
+	assert.Equal(t, h.s.queue("q").steps, 0)
+}
+
+var wide = job.Step{Count: 4, Room: job.Room{CPU: 1000, MemMB: 100}, Estimate: time.Second}
+
 // A step with a run that this owner hasn't seen whole teaches nothing.
 func TestUnseenRunsTeachNothing(t *testing.T) {
 	h := newHarness(t)
--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -77,6 +77,7 @@
 // rate returns the job's place in the order, which may be as old as rateEvery.
 func (s *Scheduler) rate(now time.Time, j *jobState) candidate {
 	if j.ratedAt.IsZero() || now.Sub(j.ratedAt) >= rateEvery {
+		j.objective, j.late = s.objective(j)
 		j.rating, j.ratedAt = s.candidate(now, j), now
 	}
 	return j.rating
@@ -94,7 +95,6 @@
 		relative = all / mean
 	}
 	c.density = (worthBase + worthOfWork*relative) / max(left, leastWork)
-	j.objective, j.late = s.objective(j)
 	ready := now.Add(s.chain(j, j.current()))
 	switch {
 	case !ready.After(j.objective):
