Looks at the owner's rows leave the table its reads

Change: the owner's renewal tells how many entry VMs there are; each looks so often that all together take a fifth of the table's reads at most (core/lease/look.go). Up to 60 entry VMs at 2,000 reads a second, and on all sites at their own size, the period stays.

--- a/io/node/commit.go
+++ b/io/node/commit.go
@@ -47,6 +47,8 @@
 	stored func(sequence int64)
 	// backlog returns the count of jobs that haven't begun, or nil before the first.
 	backlog func() map[job.QueueName]int
+	// entries returns the number of entry VMs; nil stands for not known.
+	entries func() int
 	took    func(d time.Duration)
 	reach   *reach
 
@@ -139,6 +141,13 @@
 	return saves, last
 }
 
+func (c *committer) entryCount() int {
+	if c.entries == nil {
+		return 0
+	}
+	return c.entries()
+}
+
 // transaction builds what stores the saves. It expects the owner's row and the
 // last renewal unchanged: the first keeps a deposed owner from writing, the
 // second keeps an earlier transaction whose answer was lost from being carried
@@ -149,7 +158,7 @@
 		{RowKey: renewalKey, Version: c.renewal},
 	}}
 	backlog := c.backlog()
-	value, err := encode(renewalRow{Life: c.tenure.life, Batch: c.batch, Counted: backlog != nil, Backlog: backlog})
+	value, err := encode(renewalRow{Life: c.tenure.life, Batch: c.batch, Counted: backlog != nil, Backlog: backlog, Entries: c.entryCount()})
 	if err != nil {
 		return tx, err
 	}
--- a/io/node/lead.go
+++ b/io/node/lead.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -41,6 +42,10 @@
 	// weak is set on an entry VM with too little processor time for a large fleet.
 	weak  bool
 	reach *reach
+	// readsPerSecond is what the table serves; 0 if that isn't known.
+	readsPerSecond float64
+	// entries is the number of entry VMs that the owner knew of at the last look.
+	entries atomic.Int64
 	// serve runs a tenure until ctx ends or the right is lost.
 	serve func(ctx context.Context, t *tenure, renewal platform.Version) error
 }
@@ -75,10 +80,11 @@
 
 // every returns the period of the looks.
 func (c *candidacy) every() time.Duration {
+	least := watchEvery
 	if c.weak {
-		return weakWatchEvery
+		least = weakWatchEvery
 	}
-	return watchEvery
+	return lease.LookEvery(least, int(c.entries.Load()), c.readsPerSecond)
 }
 
 // ownerRows are the owner's rows as read.
@@ -110,6 +116,7 @@
 			out.ownerVersion = r.Version
 		case renewalKeyName:
 			out.renewalVersion = r.Version
+			c.learnEntries(r)
 		}
 	}
 	s.Owner, s.Renewal = uint64(out.ownerVersion), uint64(out.renewalVersion)
@@ -118,6 +125,17 @@
 	return s, out, nil
 }
 
+// learnEntries takes in how many entry VMs there are. A renewal that can't be read still
+// is one.
+func (c *candidacy) learnEntries(r *platform.Row) {
+	renewal, err := decodeRow[renewalRow](r)
+	if err != nil {
+		c.log.Error().Err(err).Str("event", "row_ignored").Send()
+		return
+	}
+	c.entries.Store(int64(renewal.Entries))
+}
+
 // takeOver writes this process into the owner's row. It expects both rows as
 // they were read, so that a renewal in between wins.
 func (c *candidacy) takeOver(ctx context.Context, rows ownerRows) (*tenure, platform.Version, error) {
@@ -128,7 +146,7 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	renewal, err := encode(renewalRow{Life: c.life})
+	renewal, err := encode(renewalRow{Life: c.life, Entries: int(c.entries.Load())})
 	if err != nil {
 		return nil, 0, err
 	}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -82,7 +82,7 @@
 	}
 	n.candidacy = &candidacy{
 		table: n.table, node: s.Node, life: hex.EncodeToString(life), log: log, serve: n.serve,
-		weak: s.Cores > 0 && s.Cores < weakBelow, reach: &n.reach,
+		weak: s.Cores > 0 && s.Cores < weakBelow, reach: &n.reach, readsPerSecond: s.TableReadsPerSecond,
 	}
 	return n, nil
 }
--- a/io/node/owner.go
+++ b/io/node/owner.go
@@ -56,6 +56,7 @@
 		table: n.table, tenure: t, log: n.log, renewal: renewal, wake: make(chan struct{}, 1),
 		stored:  func(s int64) { o.send(ctx, stored{s}) },
 		backlog: o.backlog.get,
+		entries: func() int { return o.relays.memberCount() },
 		took:    func(d time.Duration) { n.metrics.elapsed("table_commit", d) },
 		reach:   &n.reach,
 	}
--- a/io/node/relay_test.go
+++ b/io/node/relay_test.go
@@ -263,3 +263,19 @@
 	time.Sleep(100 * time.Millisecond)
 	assert.Equal(t, orders.Load(), int64(0))
 }
+
+// Guards against looks that use up the table's reads: the owner's renewal tells all entry
+// VMs how many they are, and a take-over in between doesn't lose that.
+func TestRenewalTellsHowManyLook(t *testing.T) {
+	c := newCommitter(nil)
+	c.entries = func() int { return 300 }
+	tx, err := c.transaction(nil)
+	assert.NilError(t, err)
+	row := platform.Row{RowKey: renewalKey, Value: tx.Writes[0].Value}
+	w := &candidacy{log: zerolog.Nop(), readsPerSecond: 2000}
+	assert.Equal(t, w.every(), watchEvery)
+	w.learnEntries(&row)
+	assert.Equal(t, w.every(), 750*time.Millisecond)
+	w.learnEntries(&platform.Row{RowKey: renewalKey, Value: []byte("{")})
+	assert.Equal(t, w.every(), 750*time.Millisecond, "a damaged row tells nothing")
+}
--- a/io/node/relays.go
+++ b/io/node/relays.go
@@ -232,6 +232,13 @@
 	return out
 }
 
+// memberCount returns the number of entry VMs that are known.
+func (x *relays) memberCount() int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return len(x.members)
+}
+
 // addresses returns the addresses of each zone's relays.
 func (x *relays) addresses() map[string][]string {
 	x.mu.Lock()
--- a/io/node/rows.go
+++ b/io/node/rows.go
@@ -99,6 +99,8 @@
 	Counted bool `json:"counted,omitempty"`
 	// Backlog counts the jobs of each queue that haven't begun.
 	Backlog map[job.QueueName]int `json:"backlog,omitempty"`
+	// Entries is the number of entry VMs, as far as the owner knows.
+	Entries int `json:"entries,omitempty"`
 }
 
 // waveRow lists the machines of a wave that have had their upkeep.
