Soak: no address is handed out twice, and a link that can't listen says so

Cause: freeAddress closes the port that it found, and until its link or daemon listens the kernel gives it to the other soak that runs beside it; the link's error was dropped. The ids in the lines are those of the other soak's callers. Ruled out: the daemons (each line names a job, VM or state of the other fleet).

No check of the soak changed.

--- a/io/soak/fleet.go
+++ b/io/soak/fleet.go
@@ -92,9 +92,9 @@
 
 // serve serves h at a free loopback address until the fleet closes.
 func (f *fleet) serve(h http.Handler) (netip.AddrPort, error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	l, err := listen()
 	if err != nil {
-		return netip.AddrPort{}, errors.Wrap(err, "listen")
+		return netip.AddrPort{}, err
 	}
 	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
 	f.servers = append(f.servers, s)
@@ -102,11 +102,30 @@
 	return netip.MustParseAddrPort(l.Addr().String()), nil
 }
 
+// handedOut are the addresses given to any fleet of this process. A fleet listens at some
+// of its own only later: another one that got the same would be taken for a part of it.
+var handedOut sync.Map
+
+// listen listens at a loopback address that was not handed out before.
+func listen() (net.Listener, error) {
+	for {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			return nil, errors.Wrap(err, "listen")
+		}
+		if _, before := handedOut.LoadOrStore(l.Addr().String(), true); !before {
+			return l, nil
+		}
+		// It stays open meanwhile, so that the next one is another.
+		defer l.Close() //nolint:errcheck // Nothing was written.
+	}
+}
+
 // freeAddress returns a loopback address that nobody listens at.
 func freeAddress() (netip.AddrPort, error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	l, err := listen()
 	if err != nil {
-		return netip.AddrPort{}, errors.Wrap(err, "find a free port")
+		return netip.AddrPort{}, err
 	}
 	defer l.Close() //nolint:errcheck // Nothing was written.
 	return netip.MustParseAddrPort(l.Addr().String()), nil
@@ -119,10 +138,28 @@
 		return nil, at, err
 	}
 	l := link.New(name)
-	f.group.Go(func() { _ = l.Serve(ctx, link.Forward{Listen: at, Target: target}) })
+	f.group.Go(func() { f.carry(ctx, l, link.Forward{Listen: at, Target: target}) })
 	return l, at, nil
 }
 
+const (
+	// linkTries and linkRetry bound how long a link waits for its port, which a
+	// connection may hold while the link refuses callers.
+	linkTries = 100
+	linkRetry = 50 * time.Millisecond
+)
+
+// carry serves a link until ctx ends.
+func (f *fleet) carry(ctx context.Context, l *link.Link, x link.Forward) {
+	var err error
+	for range linkTries {
+		if err = l.Serve(ctx, x); err == nil || !supervisor.Sleep(ctx, linkRetry) {
+			return
+		}
+	}
+	f.judge.Report("%v", err)
+}
+
 // build lays out stand-ins, links and settings; nothing runs yet.
 func (f *fleet) build(ctx context.Context, entries, machines int) error {
 	table, err := f.serve(f.table)
