Logs tell redundant ends, unstored saves of an owner that ends, and what was noted of a VM's former life

Each is rare, so that the lines cost next to nothing: a redundant end comes with a failed job, a gang or a second run, the two others with the loss of an owner or of a VM. No decision changes.

--- a/core/schedule/command.go
+++ b/core/schedule/command.go
@@ -214,6 +214,7 @@
 	TaskNotBegun  What = "task_not_begun"
 	TaskStarted   What = "task_started"
 	TaskEnded     What = "task_ended"
+	EndRedundant  What = "end_redundant"
 	TaskFreed     What = "task_freed"
 	TaskStopping  What = "task_stopping"
 	TaskFound     What = "task_found"
--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -37,6 +37,8 @@
 	save := int64(0)
 	if s.applyEnd(now, v, e) {
 		save = s.nextSave()
+	} else {
+		s.tellRedundant(v, e)
 	}
 	if save == 0 && len(v.unsure) == 0 {
 		v.noted = e.Number
@@ -45,6 +47,23 @@
 	v.unsure = append(v.unsure, unsavedEnd{number: e.Number, save: save})
 }
 
+// tellRedundant logs an end that decides nothing any more, though it would have if it had
+// come first.
+func (s *Scheduler) tellRedundant(v *vmState, e job.End) {
+	j, _, st, t := s.task(e.Task)
+	if j == nil || st.def.Lasting || (e.How != job.EndedDone && e.How != job.EndedFailed) {
+		return
+	}
+	why := "already counted"
+	switch {
+	case j.over():
+		why = "job is " + j.state.String()
+	case t.done:
+		why = "task is done"
+	}
+	s.decided(Decision{What: EndRedundant, Job: j.ID, Task: e.Task, Attempt: e.Attempt, VM: v.id, Reason: why})
+}
+
 // applyEnd applies an end to its task and tells whether it must be stored.
 func (s *Scheduler) applyEnd(now time.Time, v *vmState, e job.End) bool {
 	j, o, st, t := s.task(e.Task)
--- a/core/schedule/vm.go
+++ b/core/schedule/vm.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"fmt"
 	"strings"
 	"time"
 
@@ -132,7 +133,7 @@
 // may still arrive and be carried out by the new life, whose clock is behind
 // their deadline; they are stopped by name before their tasks go elsewhere.
 func (s *Scheduler) reborn(now time.Time, v *vmState, born job.Born) {
-	s.decided(Decision{What: VMReborn, VM: v.id})
+	s.decided(Decision{What: VMReborn, VM: v.id, Reason: fmt.Sprintf("%d ends of the former life are noted", v.noted)})
 	v.born = born
 	v.clock, v.leaseEnd = lease.Clock{}, 0
 	v.seen, v.noted, v.unsure, v.listClock = 0, 0, nil, 0
--- a/io/node/commit.go
+++ b/io/node/commit.go
@@ -74,6 +74,7 @@
 		c.awaitWork(ctx)
 		saves, last := c.next()
 		if err := c.store(ctx, saves); err != nil {
+			c.tellUnstored(saves)
 			return err
 		}
 		if last > 0 {
@@ -83,6 +84,16 @@
 	return nil
 }
 
+// tellUnstored logs how many saves an owner that ends leaves unstored.
+func (c *committer) tellUnstored(saves []schedule.Command) {
+	c.mu.Lock()
+	waiting := len(c.queue)
+	c.mu.Unlock()
+	if n := len(saves) + waiting; n > 0 {
+		c.log.Info().Str("event", "saves_unstored").Int("saves", n).Uint64("fence", uint64(c.tenure.fence)).Send()
+	}
+}
+
 // awaitWork waits for saves, but not longer than until the next renewal.
 func (c *committer) awaitWork(ctx context.Context) {
 	c.mu.Lock()
