Tests of an end that is noted before the job's own state is stored, red

An owner that is lost before the save leaves rows that show the job as running and a VM that has forgotten the end: the next owner starts the task again.

--- /dev/null
+++ b/core/schedule/noted_test.go
@@ -0,0 +1,75 @@
+package schedule
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lavenderpond/core/job"
+)
+
+// end is the end of a run that was ordered.
+func end(number int64, c Start, how job.Ending) job.End {
+	return job.End{Number: number, Task: c.Order.Task, Attempt: c.Order.Attempt, How: how}
+}
+
+// notedAt returns the highest number that a hold or look among the commands notes at the VM.
+func notedAt(commands []Command, vm job.VMID) int64 {
+	noted := int64(0)
+	for _, c := range only[Hold](commands) {
+		if c.VM == vm {
+			noted = max(noted, c.Order.Noted)
+		}
+	}
+	return noted
+}
+
+// Guards against a VM that forgets a task's end while the rows still show the task's job as
+// running: a job fails, and its save is on its way when the end of a sibling is listed.
+func TestEndOfAFailedJobIsNotedOnceTheFailureIsStored(t *testing.T) {
+	h := newHarness(t)
+	h.ready("one", "two")
+	h.job("j", "free", job.Step{Count: 2, Room: job.Room{CPU: 5000, MemMB: 100}, Estimate: time.Second})
+	starts := only[Start](h.step(0))
+	assert.Equal(t, len(starts), 2)
+	bad, good := starts[0], starts[1]
+	h.confirm(bad)
+	h.confirm(good)
+	h.lists(string(bad.VM), nil, end(1, bad, job.EndedFailed))
+	bad = one[Start](h, h.step(100*time.Millisecond))
+	h.confirm(bad)
+	h.lists(string(bad.VM), nil, end(2, bad, job.EndedFailed))
+	failure := one[Save](h, h.turn(100*time.Millisecond))
+	assert.Equal(t, failure.Progress.State, job.Failed)
+	h.lists(string(good.VM), nil, end(1, good, job.EndedDone))
+	for range 20 {
+		assert.Equal(t, notedAt(h.turn(100*time.Millisecond), good.VM), int64(0))
+	}
+	h.store(failure)
+	h.lists(string(good.VM), nil)
+	assert.Equal(t, notedAt(h.turn(100*time.Millisecond), good.VM), int64(1))
+}
+
+// Guards against VMs that forget the ends of a gang while the one end that stands for all
+// is not stored.
+func TestEndsOfAGangAreNotedOnceOneIsStored(t *testing.T) {
+	h := newHarness(t)
+	h.ready("one", "two")
+	h.job("j", "free", job.Step{Count: 2, Room: job.Room{CPU: 5000, MemMB: 100}, Estimate: time.Second, Gang: true})
+	starts := only[Start](h.step(0))
+	assert.Equal(t, len(starts), 2)
+	for _, c := range starts {
+		h.confirm(c)
+	}
+	first, second := starts[0], starts[1]
+	h.lists(string(first.VM), nil, end(1, first, job.EndedDone))
+	done := one[Save](h, h.turn(time.Second))
+	h.lists(string(second.VM), nil, end(1, second, job.EndedDone))
+	for range 20 {
+		assert.Equal(t, notedAt(h.turn(100*time.Millisecond), second.VM), int64(0))
+	}
+	h.store(done)
+	h.lists(string(second.VM), nil)
+	assert.Equal(t, notedAt(h.turn(100*time.Millisecond), second.VM), int64(1))
+}
