An end is noted at its VM once all that is known of its job is stored

Cause: an end that decides nothing any more was noted at once, since there was nothing to store for it. If the owner was lost in between, its successor found the job running in the rows and the end forgotten by the VM, and started the task again. The class of fault: an acknowledgement that rests on state which isn't durable yet.

Change: takeEnd no longer asks whether the end changed something but which save holds all that is known of the job, and waits for that one. A job remembers the sequence of its last save, which also says when it can be forgotten, so one field serves both. Ruled out as a price: ends of jobs with nothing to store are noted as soon as before.

--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -30,17 +30,16 @@
 	}
 }
 
-// takeEnd takes in the end of a run. An end that changes what is stored is
-// noted at the VM only once that is stored: the VM forgets noted ends.
+// takeEnd takes in the end of a run. It is noted at the VM, which then forgets it, only
+// once all that is known of its job is stored. That holds for an end that changes nothing
+// as well: what makes it redundant may not be stored yet.
 func (s *Scheduler) takeEnd(now time.Time, v *vmState, e job.End) {
 	v.seen = e.Number
-	save := int64(0)
-	if s.applyEnd(now, v, e) {
-		save = s.nextSave()
-	} else {
+	if !s.applyEnd(now, v, e) {
 		s.tellRedundant(v, e)
 	}
-	if save == 0 && len(v.unsure) == 0 {
+	save := s.saveOf(e.Task.Job)
+	if save <= s.stored && len(v.unsure) == 0 {
 		v.noted = e.Number
 		return
 	}
--- a/core/schedule/save.go
+++ b/core/schedule/save.go
@@ -18,6 +18,19 @@
 // nextSave returns the sequence of the save that will hold what is dirty now.
 func (s *Scheduler) nextSave() int64 { return s.sequence + 1 }
 
+// saveOf returns the sequence of the save that holds all that is known of a job; 0 if
+// nothing of it needs one.
+func (s *Scheduler) saveOf(id job.ID) int64 {
+	j := s.jobs.Get(id)
+	switch {
+	case j == nil:
+		return 0
+	case j.dirty:
+		return s.nextSave()
+	}
+	return j.saved
+}
+
 // flushSaves turns all that has changed into saves of one sequence.
 func (s *Scheduler) flushSaves() {
 	if len(s.dirty) == 0 && len(s.dirtyVMs) == 0 && len(s.dirtyOrders) == 0 && len(s.dirtyWaves) == 0 {
@@ -31,10 +44,9 @@
 	}
 	s.dirtyWaves = nil
 	for _, j := range s.dirty {
-		j.dirty = false
+		j.dirty, j.saved = false, s.sequence
 		s.emit(Save{Sequence: s.sequence, Job: j.ID, Progress: j.progress()})
 		if j.over() {
-			j.closing = s.sequence
 			s.closing = append(s.closing, j)
 		}
 	}
@@ -56,7 +68,7 @@
 // forgetClosed drops jobs whose end is stored and of which nothing can run.
 func (s *Scheduler) forgetClosed() {
 	s.closing = slices.DeleteFunc(s.closing, func(j *jobState) bool {
-		if j.closing > s.stored || j.hasRuns() {
+		if j.saved > s.stored || j.hasRuns() {
 			return false
 		}
 		s.jobs.Delete(j.ID)
--- a/core/schedule/state.go
+++ b/core/schedule/state.go
@@ -161,9 +161,9 @@
 	// objective is when the job is due to be complete.
 	objective time.Time
 	late      time.Time
-	dirty     bool
-	// closing is the sequence of the save after which the job is forgotten.
-	closing int64
+	// dirty is set while a save of the job is due; saved is the sequence of the last one.
+	dirty bool
+	saved int64
 	// closedAt is when the job was over.
 	closedAt time.Time
 	// places are the VMs on which a task may have been started, and the save that
