Test of a hold that may reach a new life with the former life's number, red

VMs that crash start again under the same ID and number their ends from 1, so that a hold which arrives there notes ends that nobody has seen (sent 1, wanted 0).

--- a/core/schedule/noted_test.go
+++ b/core/schedule/noted_test.go
@@ -73,3 +73,26 @@
 	h.lists(string(second.VM), nil)
 	assert.Equal(t, notedAt(h.turn(100*time.Millisecond), second.VM), int64(1))
 }
+
+// Guards against a new life of a VM that forgets its first ends: a hold that was sent
+// before the owner knew of that life carries a number of the former one.
+func TestHoldToASilentVMNotesNothing(t *testing.T) {
+	h := newHarness(t)
+	h.ready("one")
+	h.job("j", "free", small)
+	start := one[Start](h, h.step(0))
+	h.confirm(start)
+	h.lists("one", nil, end(1, start, job.EndedDone))
+	h.lists("one", nil)
+	assert.Equal(t, notedAt(h.step(100*time.Millisecond), "one"), int64(1))
+	h.s.HoldAnswered(h.now, Hold{VM: "one"}, Unanswered, job.Report{})
+	sent := 0
+	for range 20 {
+		for _, c := range only[Hold](h.step(100 * time.Millisecond)) {
+			sent++
+			assert.Equal(t, c.Order.Noted, int64(0))
+			h.s.HoldAnswered(h.now, c, Unanswered, job.Report{})
+		}
+	}
+	assert.Assert(t, sent > 0)
+}
