A hold to a silent VM notes no end

Cause: ends are numbered from 1 in each life of a VM, and a VM that crashed may be back under its ID. After a hold without an answer the owner sent the last noted number of the former life until it heard of the new one, so that a hold could note ends of the new life that nobody had seen; their tasks would run again.

The VM lists its last ends once more when it is back, and those that were taken in are passed over by their number. What remains: a hold that was sent before the VM fell silent and is carried out by the new life.

--- a/core/schedule/hold.go
+++ b/core/schedule/hold.go
@@ -25,7 +25,7 @@
 	if v.holding || now.Before(v.nextHold) || !s.rights.Hold || v.address == "" {
 		return
 	}
-	o := job.HoldOrder{Fence: s.settings.Fence, Noted: v.noted}
+	o := job.HoldOrder{Fence: s.settings.Fence, Noted: v.mayForget()}
 	// An unanswered hold may be carried out later. One to a silent VM therefore
 	// extends nothing: else the lease of a VM that is gone would never run out here.
 	if v.clock.Known() && !v.silent {
@@ -43,6 +43,15 @@
 	s.emit(Hold{VM: v.id, Order: o})
 }
 
+// mayForget returns the number of the last end that the VM may forget. A silent VM may have
+// crashed: its new life under the same ID numbers its ends from 1 again.
+func (v *vmState) mayForget() int64 {
+	if v.silent {
+		return 0
+	}
+	return v.noted
+}
+
 // HoldAnswered takes in what came of a hold.
 func (s *Scheduler) HoldAnswered(now time.Time, c Hold, out Outcome, r job.Report) {
 	v := s.vms.Get(c.VM)
