--- /dev/null
+++ b/core/schedule/crash_test.go
@@ -0,0 +1,303 @@
+package schedule
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lavenderpond/core/job"
+)
+
+// crashing plays VMs that crash and live anew under their IDs.
+type crashing struct {
+	*harness
+	lives map[job.VMID]*life
+	// full VMs have no room for the moment.
+	full bool
+}
+
+// life is the present life of a VM.
+type life struct {
+	born  job.Born
+	since time.Time
+}
+
+// newCrashing returns VMs that take tasks.
+func newCrashing(t *testing.T, ids ...string) *crashing {
+	c := &crashing{harness: newHarness(t), lives: map[job.VMID]*life{}}
+	for _, id := range ids {
+		c.lives[job.VMID(id)] = &life{born: 1, since: c.now.Add(-time.Second)}
+	}
+	c.ready(ids...)
+	return c
+}
+
+func (c *crashing) report(vm job.VMID) job.Report {
+	l := c.lives[vm]
+	return job.Report{Clock: job.VMClock(c.now.Sub(l.since).Milliseconds()), Born: l.born}
+}
+
+// confirm answers a start.
+func (c *crashing) confirm(o Start) { c.s.StartAnswered(c.now, o, Answered, c.report(o.VM)) }
+
+// list answers a hold.
+func (c *crashing) list(vm job.VMID, running []job.RunningTask, ended ...job.End) {
+	r := c.report(vm)
+	r.Lists, r.Running, r.Finished = true, running, ended
+	c.s.HoldAnswered(c.now, Hold{VM: vm}, Answered, r)
+}
+
+// listAll answers a hold of each VM but those left out, all of which run nothing.
+func (c *crashing) listAll(without ...job.VMID) {
+	for _, id := range c.s.VMs() {
+		out := false
+		for _, w := range without {
+			out = out || w == id
+		}
+		if !out {
+			c.list(id, nil)
+		}
+		if c.full {
+			c.s.vms.Get(id).fullUntil = c.now.Add(time.Second)
+		}
+	}
+}
+
+// crash ends a VM's life; it is back three seconds later, under the same ID.
+func (c *crashing) crash(vm job.VMID) {
+	c.step(30 * time.Millisecond)
+	c.goDark(vm, 3*time.Second)
+	c.revive(vm)
+}
+
+// goDark makes a VM silent for a while, in which no task starts elsewhere.
+func (c *crashing) goDark(vm job.VMID, d time.Duration) {
+	c.s.HoldAnswered(c.now, Hold{VM: vm}, Unanswered, job.Report{})
+	for until := c.now.Add(d); c.now.Before(until); {
+		c.listAll(vm)
+		assert.Equal(c.t, len(only[Start](c.step(100*time.Millisecond))), 0, "started while it may run elsewhere")
+	}
+}
+
+// revive brings a VM back under the same ID.
+func (c *crashing) revive(vm job.VMID) {
+	l := c.lives[vm]
+	l.born++
+	l.since = c.now.Add(-10 * time.Millisecond)
+	c.list(vm, nil)
+}
+
+// startOf returns the next start of a task; false if there is none within 5 s. All VMs
+// answer with empty lists meanwhile, which ends nothing: the task has no run.
+func (c *crashing) startOf(task job.TaskID) (Start, bool) {
+	for range 50 {
+		for _, o := range only[Start](c.step(100 * time.Millisecond)) {
+			if o.Order.Task == task {
+				return o, true
+			}
+		}
+		c.listAll()
+	}
+	return Start{}, false
+}
+
+// startsUntilGivenUp crashes each VM that starts the task, so long after its start, and
+// returns how often it was started.
+func (c *crashing) startsUntilGivenUp(task job.TaskID, after time.Duration) int {
+	for n := range 12 {
+		o, ok := c.startOf(task)
+		if !ok {
+			return n
+		}
+		c.confirm(o)
+		if after > 0 {
+			c.now = c.now.Add(after)
+			c.list(o.VM, []job.RunningTask{running(o, 0)})
+		}
+		c.crash(o.VM)
+	}
+	c.t.Fatalf("%v is started for ever", task)
+	return 0
+}
+
+// mostStarts is what the users allow: two more after the third crash.
+const mostStarts = 5
+
+// Guards against a task that takes down one VM after the other, since runs that end with
+// their VM count as nothing.
+func TestTaskThatCrashesItsVMsIsGivenUp(t *testing.T) {
+	for _, after := range []time.Duration{0, 100 * time.Millisecond, 900 * time.Millisecond, 3 * time.Second} {
+		for _, step := range []job.Step{small, {Count: 1, Room: small.Room, Lasting: true}} {
+			t.Run(fmt.Sprintf("%s lasting %t", after, step.Lasting), func(t *testing.T) {
+				c := newCrashing(t, "one", "two", "three")
+				c.job("j", "free", step)
+				n := c.startsUntilGivenUp(job.TaskID{Job: "j"}, after)
+				assert.Assert(t, n >= 2 && n <= mostStarts, "%d starts", n)
+				assert.Assert(t, c.s.jobs.Get("j") == nil, "the job is over and stored")
+			})
+		}
+	}
+}
+
+// Guards against a task that crashes its VM before the start is answered.
+func TestTaskThatCrashesItsVMUnansweredIsGivenUp(t *testing.T) {
+	c := newCrashing(t, "one", "two", "three")
+	c.job("j", "free", small)
+	for n := range 12 {
+		o, ok := c.startOf(job.TaskID{Job: "j"})
+		if !ok {
+			assert.Assert(t, n >= 2 && n <= mostStarts, "%d starts", n)
+			return
+		}
+		c.s.StartAnswered(c.now, o, Unanswered, job.Report{})
+		c.crash(o.VM)
+		for _, x := range only[Stop](c.step(10 * time.Millisecond)) {
+			c.s.StopAnswered(c.now, x, Answered, c.report(x.VM))
+		}
+	}
+	t.Fatal("the task is started for ever")
+}
+
+// Guards against a crash that isn't counted since the VM comes back under a new ID.
+func TestCrashCountsWhenTheMachineHasANewLife(t *testing.T) {
+	h := newHarness(t)
+	h.ready("vm-0")
+	h.job("j", "free", small)
+	n := 0
+	for ; n < 12; n++ {
+		starts := only[Start](h.step(100 * time.Millisecond))
+		if len(starts) == 0 {
+			break
+		}
+		o := starts[0]
+		h.s.StartAnswered(h.now, o, Answered, job.Report{Clock: h.clock(), Born: job.Born(n + 1)})
+		h.s.HoldAnswered(h.now, Hold{VM: o.VM}, Unanswered, job.Report{})
+		h.step(3 * time.Second)
+		next := job.VMID(fmt.Sprintf("vm-%d", n+1))
+		h.s.VMSeen(h.now, job.VMEntry{
+			ID: next, Pool: poolA, Address: "vm", Room: job.Room{CPU: 8000, MemMB: 8000}, Machine: "m-vm-0", Born: job.Born(n + 2),
+		})
+		h.step(100 * time.Millisecond)
+		h.s.HoldAnswered(h.now, Hold{VM: next}, Answered, job.Report{Clock: h.clock(), Born: job.Born(n + 2), Lists: true})
+		h.now = h.now.Add(time.Millisecond)
+		h.s.Machines(h.now, []job.Machine{{ID: "m-vm-0", Pool: poolA, State: job.MachineUp, VM: next}})
+	}
+	assert.Assert(t, n >= 2 && n <= mostStarts, "%d starts", n)
+}
+
+// Guards against a crash that isn't counted since the VM is back only after the lease.
+func TestCrashCountsWhenTheVMIsBackAfterItsLease(t *testing.T) {
+	c := newCrashing(t, "one", "two", "three", "four")
+	c.job("j", "free", small)
+	task := job.TaskID{Job: "j"}
+	n := 0
+	for ; n < 12; n++ {
+		o, ok := c.startOf(task)
+		if !ok {
+			break
+		}
+		c.confirm(o)
+		c.step(30 * time.Millisecond)
+		c.s.HoldAnswered(c.now, Hold{VM: o.VM}, Unanswered, job.Report{})
+		c.full = true
+		c.goDark(o.VM, 8*time.Second)
+		c.full = false
+		c.revive(o.VM)
+	}
+	assert.Assert(t, n >= 2 && n <= mostStarts, "%d starts", n)
+}
+
+// Guards against a count that is lost with its owner: each of many owners sees one crash.
+func TestCrashesOutlastTheirOwner(t *testing.T) {
+	c := newCrashing(t, "one", "two", "three")
+	c.job("j", "free", small)
+	task := job.TaskID{Job: "j"}
+	n := 0
+	for ; n < 12; n++ {
+		o, ok := c.startOf(task)
+		if !ok {
+			break
+		}
+		c.confirm(o)
+		c.step(30 * time.Millisecond)
+		c.goDark(o.VM, time.Second)
+		c.takeOver("j", small)
+		c.goDark(o.VM, 2*time.Second)
+		c.revive(o.VM)
+	}
+	assert.Assert(t, n >= 2 && n <= mostStarts, "%d starts", n)
+}
+
+// takeOver puts a new owner in place of this one, who reads what is stored.
+func (c *crashing) takeOver(id job.ID, steps ...job.Step) {
+	former := c.s
+	c.s = New(Settings{
+		Fence: former.settings.Fence + 1, AttemptBase: former.settings.AttemptBase + 100, TookOver: c.now,
+		LeaseMax: 6 * time.Second, TaskStop: 400 * time.Millisecond, MachineLease: 3 * time.Second, Holder: "here",
+	})
+	c.s.Configure(former.conf)
+	c.s.SetRights(former.rights)
+	for _, v := range former.vms.All() {
+		c.s.Inherit(v.rostered)
+	}
+	if j := former.jobs.Get(id); j != nil {
+		p := j.progress()
+		c.s.AddJob(c.now, job.Job{ID: id, Terms: j.Terms, Body: job.Body{Spec: "x", Steps: steps}}, &p, true)
+	}
+	for vm := range c.lives {
+		c.s.VMSeen(c.now, job.VMEntry{
+			ID: vm, Pool: poolA, Address: string(vm), Room: job.Room{CPU: 8000, MemMB: 8000}, Machine: "m-" + job.MachineID(vm),
+		})
+	}
+}
+
+// Guards against a job that is given up since its VM was emptied in an orderly way.
+func TestVMThatLeavesIsNoCrash(t *testing.T) {
+	c := newCrashing(t, "one", "two", "three")
+	c.job("j", "free", small)
+	for range 6 {
+		o, ok := c.startOf(job.TaskID{Job: "j"})
+		assert.Assert(t, ok)
+		c.confirm(o)
+		c.s.vms.Get(o.VM).draining = true
+		c.crash(o.VM)
+		c.s.vms.Get(o.VM).draining = false
+	}
+}
+
+// Guards against innocent tasks that are lost again and again beside the one that crashes
+// their VM: those that lost a VM share none with each other.
+func TestTasksThatLostAVMAreKeptApart(t *testing.T) {
+	c := newCrashing(t, "one", "two", "three")
+	c.job("bad", "free", small)
+	c.job("good", "free", small)
+	first := only[Start](c.step(0))
+	assert.Equal(t, len(first), 2)
+	assert.Equal(t, first[0].VM, first[1].VM, "both are packed on one VM")
+	for _, o := range first {
+		c.confirm(o)
+	}
+	c.crash(first[0].VM)
+	again := only[Start](c.step(100 * time.Millisecond))
+	assert.Equal(t, len(again), 2)
+	assert.Assert(t, again[0].VM != again[1].VM)
+}
+
+// Guards against lasting tasks that are given up after years with three crashes.
+func TestLastingTaskAtWorkIsCleared(t *testing.T) {
+	c := newCrashing(t, "one", "two", "three")
+	c.job("j", "free", job.Step{Count: 1, Room: small.Room, Lasting: true})
+	for range 8 {
+		o, ok := c.startOf(job.TaskID{Job: "j"})
+		assert.Assert(t, ok)
+		c.confirm(o)
+		for range 20 {
+			c.step(time.Second)
+			c.listAll(o.VM)
+			c.list(o.VM, []job.RunningTask{running(o, 100)})
+		}
+		c.crash(o.VM)
+	}
+}
