A task that crashes its VMs is given up, and those that lost a VM are kept apart

What callers saw: a pool of eleven VMs had nine of them down at a time.

Cause: a run that ended with its VM counted as nothing, since only ends that a VM lists as failed did.

Change: a crash is proved by a new life under the same ID or on the same machine, also if that comes after the lease, and not by silence, a drain or an order of ours. It counts under each run that was there. A job is given up after three crashes under one of its tasks, or after two if the VM was found silent within 0.1 s of the start: that tells the one to blame from those beside it. A task that has lost a VM goes where no other such task is, for 2 s at most, and rather to an empty VM, so that the next crash has one suspect. A run of ten seconds clears its task. The count is stored with the job before the task starts again; starts of such tasks and of jobs that were taken over are stored before they are sent, so that a new owner counts crashes that the former one didn't see the end of.

Tried before: two crashes at the start by the VM's last word.

--- a/core/job/state.go
+++ b/core/job/state.go
@@ -41,6 +41,30 @@
 	Failed []TaskFailures `json:"failed,omitempty"`
 	// VMs are all on which a task of the job may have been started.
 	VMs []VMID `json:"vms,omitempty"`
+	// Crashed lists the tasks under which VMs have crashed.
+	Crashed []TaskCrashes `json:"crashed,omitempty"`
+	// Started lists the starts of which a new owner has to know where they went.
+	Started []TaskStart `json:"started,omitempty"`
+}
+
+// TaskCrashes lists the starts of one task under which the VM crashed.
+type TaskCrashes struct {
+	Occurrence int       `json:"k,omitempty"`
+	Step       int       `json:"s"`
+	Task       int       `json:"t"`
+	Attempts   []Attempt `json:"a"`
+	// AtStart is how many of these VMs crashed right after the start.
+	AtStart int `json:"at_start,omitempty"`
+}
+
+// TaskStart is a start of one task on a life of a VM.
+type TaskStart struct {
+	Occurrence int     `json:"k,omitempty"`
+	Step       int     `json:"s"`
+	Task       int     `json:"t"`
+	Attempt    Attempt `json:"a"`
+	VM         VMID    `json:"vm"`
+	Born       Born    `json:"born,omitempty"`
 }
 
 // StepDone lists the finished tasks of a step.
--- a/core/schedule/assign.go
+++ b/core/schedule/assign.go
@@ -210,6 +210,8 @@
 		orderedAt: a.now, pace: 100, after: j.places.Get(v.id),
 	}
 	r.setKind(st.def)
+	r.suspect = t.crashes.any()
+	s.record(j, t, r)
 	s.addRun(r, st, t)
 	if j.zone == "" {
 		j.zone = v.zone
--- a/core/schedule/command.go
+++ b/core/schedule/command.go
@@ -216,6 +216,7 @@
 	TaskEnded     What = "task_ended"
 	EndRedundant  What = "end_redundant"
 	TaskFreed     What = "task_freed"
+	TaskLostVM    What = "task_lost_vm"
 	TaskStopping  What = "task_stopping"
 	TaskFound     What = "task_found"
 	VMFound       What = "vm_found"
--- a/core/schedule/hold.go
+++ b/core/schedule/hold.go
@@ -96,6 +96,7 @@
 	if r.Clock > 0 {
 		v.clock.Read(r.Clock, now)
 	}
+	v.over, v.lapsed = false, nil
 	if v.silent {
 		s.decided(Decision{What: VMBack, VM: v.id, Age: now.Sub(v.answered)})
 	}
@@ -107,7 +108,7 @@
 	if out == Answered {
 		s.heard(now, v, r)
 	} else if !v.silent {
-		v.silent = true
+		v.silent, v.silentSince = true, now
 		s.decided(Decision{What: VMSilent, VM: v.id, Reason: out.String(), Age: now.Sub(v.answered)})
 	}
 	v.failures++
--- a/core/schedule/machine.go
+++ b/core/schedule/machine.go
@@ -73,10 +73,13 @@
 // lifeOver takes in a proof that a VM's life has ended.
 func (s *Scheduler) lifeOver(now time.Time, v *vmState, why string) {
 	v.inheritedUntil = time.Time{}
+	v.over = true
+	s.crashedUnderLapsed(now, v)
 	for _, r := range v.runs.All() {
 		if r.phase == runPlanned {
 			s.release(now, r)
-		} else if r.phase == runConfirmed && r.confirmedAt.Before(now) {
+		} else if r.unseen() || (r.phase == runConfirmed && r.confirmedAt.Before(now)) {
+			s.crashedUnder(now, r)
 			s.free(now, r, why)
 		}
 	}
--- a/core/schedule/place.go
+++ b/core/schedule/place.go
@@ -13,10 +13,12 @@
 // Costs of placing a task on a VM. Each outweighs all below it.
 const (
 	costShunned  = 1000.0
+	costSuspects = 500.0
 	costFarRack  = 100.0
 	costDisturbs = 30.0
 	costVacating = 20.0
 	costShared   = 10.0
+	costCompany  = 5.0
 	// costOpens keeps lasting tasks together: a VM with one can't be emptied
 	// without stopping it.
 	costOpens = 3.0
@@ -44,6 +46,7 @@
 	if v.vacating {
 		cost += costVacating
 	}
+	cost += costOfCrash(p.task, v)
 	if p.task.shunned == v.id {
 		cost += costShunned
 	}
--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -186,6 +186,10 @@
 // takeRunning takes in one entry of the list of what runs.
 func (s *Scheduler) takeRunning(now time.Time, v *vmState, clock job.VMClock, e *job.RunningTask) {
 	r := v.runs.Get(runKey{e.Task, e.Attempt})
+	if r != nil && r.unseen() {
+		s.release(now, r)
+		r = nil
+	}
 	if r == nil {
 		s.foundRun(now, v, clock, e)
 		return
@@ -202,6 +206,7 @@
 		}
 	}
 	s.seeAtWork(r)
+	s.clearCrashes(now, r)
 	s.watchPace(now, r)
 }
 
--- a/core/schedule/rooms.go
+++ b/core/schedule/rooms.go
@@ -89,7 +89,7 @@
 			continue
 		}
 		onlyRoom = false
-		if !p.step.suits(p.id.StepID(), x.vm) || !a.s.usable(a.now, x.vm) {
+		if !p.step.suits(p.id.StepID(), x.vm) || p.task.mustBeApart(a.now, x.vm) || !a.s.usable(a.now, x.vm) {
 			continue
 		}
 		if c := a.cost(p, x.vm); best < 0 || c < bestCost {
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -85,6 +85,9 @@
 	if r.fills {
 		v.fills += n
 	}
+	if r.suspect {
+		v.suspects += n
+	}
 }
 
 // release takes a run off its VM, task and account: nothing of it can run any more.
@@ -104,10 +107,13 @@
 	}
 	r.vm.idleSince = now
 	s.running[r.account] = s.running[r.account].Minus(r.cost)
-	_, _, st, t := s.task(r.task)
+	j, _, st, t := s.task(r.task)
 	if t == nil {
 		return
 	}
+	if r.recorded && !j.over() {
+		s.markDirty(j)
+	}
 	t.runs = slices.DeleteFunc(t.runs, func(o *run) bool { return o == r })
 	st.recount()
 	if st.def.Lasting && t.awaySince.IsZero() {
--- a/core/schedule/save.go
+++ b/core/schedule/save.go
@@ -127,6 +127,7 @@
 				if task.done {
 					d.Tasks = append(d.Tasks, t)
 				}
+				task.addCrashes(&p, job.TaskID{Job: j.ID, Occurrence: o.number, Step: i, Index: t})
 				if len(task.failed) > 0 && !task.done {
 					f := job.TaskFailures{Occurrence: o.number, Step: i, Task: t, Attempts: slices.Clone(task.failed)}
 					p.Failed = append(p.Failed, f)
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -171,6 +171,7 @@
 	}
 	if p != nil {
 		st.restore(p)
+		st.takenOver = inherited && len(p.VMs) > 0
 	}
 	st.objective, st.late = s.objective(st)
 	if !st.lasting && !inherited {
@@ -180,6 +181,9 @@
 		s.queue(j.Terms.Queue).arrive(all)
 	}
 	s.jobs.Set(j.ID, st)
+	if st.takenOver {
+		s.restoreStarts(now, st, p)
+	}
 	s.decided(Decision{What: JobAdopted, Job: j.ID, Reason: string(j.Terms.Queue)})
 	if st.excess {
 		s.decided(Decision{What: JobExcess, Job: j.ID, Reason: string(j.Terms.Account)})
@@ -216,10 +220,11 @@
 		}
 	}
 	for _, f := range p.Failed {
-		if f.Occurrence < len(j.occurrences) && f.Step < len(j.Body.Steps) && f.Task < j.Body.Steps[f.Step].Count {
-			j.occurrences[f.Occurrence].steps[f.Step].tasks[f.Task].failed = f.Attempts
+		if t := j.taskAt(f.Occurrence, f.Step, f.Task); t != nil {
+			t.failed = f.Attempts
 		}
 	}
+	j.restoreCrashes(p)
 }
 
 // Cancel ends a job on its caller's wish. An unknown job needs nothing.
--- a/core/schedule/state.go
+++ b/core/schedule/state.go
@@ -49,6 +49,9 @@
 	stopClock job.VMClock
 	// adopted runs were started by a former owner.
 	adopted bool
+	// recorded runs are stored with their job; suspect ones are of a task under which a
+	// VM has crashed.
+	recorded, suspect bool
 	// lasting, serving and fills tell what kind of task it is.
 	lasting, serving, fills bool
 	// resumed is set if it went on from a checkpoint.
@@ -92,6 +95,10 @@
 	awaySince time.Time
 	// rescued counts the runs that were given up as slow.
 	rescued int
+	// crashes are the VMs that crashed under it; until apartUntil it shares no VM with
+	// another such task.
+	crashes    crashes
+	apartUntil time.Time
 }
 
 // live returns the run of the task that isn't stopping, or nil.
@@ -155,6 +162,8 @@
 	// placed is set once its first task has been given a VM.
 	placed    bool
 	inherited bool
+	// takenOver jobs were begun by a former owner.
+	takenOver bool
 	lasting   bool
 	// excess is set if its account had handed in more than its share.
 	excess bool
@@ -209,6 +218,8 @@
 	// is ordered: their runs need not be looked at in each turn.
 	lasting, serving, fills int
 	stopping                int
+	// suspects counts the runs of tasks under which a VM has crashed.
+	suspects int
 	// ordered counts the starts that wait for their answer.
 	ordered int
 	// doubtful VMs leave a start without an answer, and nothing was heard of them since.
@@ -237,7 +248,9 @@
 	paceAt   time.Time
 	answered time.Time
 	silent   bool
-	failures int
+	// silentSince is when it was found silent.
+	silentSince time.Time
+	failures    int
 	// failedRuns counts failed runs since the last that was done.
 	failedRuns int
 	suspect    time.Time
@@ -255,6 +268,12 @@
 	// lost are starts without an answer that came too late for this life. A new
 	// life under the same ID would still carry them out.
 	lost []*run
+	// over is set once it is proved that the VM's life has ended.
+	over bool
+	// lapsed are the runs that were freed since the lease was over, remembered until
+	// lapsedUntil if it isn't known by then whether the VM had crashed.
+	lapsed      []*run
+	lapsedUntil time.Time
 	// inheritedUntil is when nothing of a former owner can run here any more,
 	// if the VM stays silent.
 	inheritedUntil time.Time
--- a/core/schedule/vm.go
+++ b/core/schedule/vm.go
@@ -146,10 +146,12 @@
 		}
 	}
 	v.lost = nil
+	s.crashedUnderLapsed(now, v)
 	for _, r := range v.runs.All() {
 		if r.phase == runPlanned {
 			continue
 		}
+		s.crashedUnder(now, r)
 		r.stopClock = 0
 		if r.phase == runConfirmed {
 			s.free(now, r, "VM lives anew")
@@ -171,6 +173,30 @@
 	return v.listed && !v.draining && !v.evacuated && v.heldOnce && !v.silent && v.clock.Known()
 }
 
+// leaseOver tells whether the lease of a silent VM is over for certain.
+func (v *vmState) leaseOver(now time.Time) bool {
+	if !v.clock.Known() {
+		return !v.inheritedUntil.IsZero() && !now.Before(v.inheritedUntil)
+	}
+	return v.clock.Earliest(now) > v.leaseEnd+clockSlack
+}
+
+// freeLapsed frees what ran on a VM whose lease has run out.
+func (s *Scheduler) freeLapsed(now time.Time, v *vmState) {
+	for _, r := range v.runs.All() {
+		if r.phase != runConfirmed && now.Sub(r.orderedAt) <= lateOrder {
+			continue
+		}
+		if v.over {
+			s.crashedUnder(now, r)
+		} else {
+			v.lapsed = append(v.lapsed, r)
+			v.lapsedUntil = now.Add(lapsedFor)
+		}
+		s.free(now, r, "lease ran out")
+	}
+}
+
 // expire frees what ran on VMs whose leases have run out, and forgets VMs that
 // are gone.
 func (s *Scheduler) expire(now time.Time, v *vmState) {
@@ -182,18 +208,17 @@
 			}
 		}
 	}
-	if v.silent && v.clock.Known() && v.runs.Len() > 0 && v.clock.Earliest(now) > v.leaseEnd+clockSlack {
-		for _, r := range v.runs.All() {
-			if r.phase == runConfirmed || now.Sub(r.orderedAt) > lateOrder {
-				s.free(now, r, "lease ran out")
-			}
-		}
+	if v.silent && v.runs.Len() > 0 && v.leaseOver(now) {
+		s.freeLapsed(now, v)
+	}
+	if now.After(v.lapsedUntil) {
+		v.lapsed = nil
 	}
 	for len(v.lost) > 0 && now.Sub(v.lost[0].orderedAt) > lateOrder {
 		v.lost = v.lost[1:]
 	}
 	gone := !v.listed && v.runs.Len() == 0 && !now.Before(v.inheritedUntil) && now.Sub(v.answered) > forgetAfter && now.Sub(v.unlistedAt) > forgetAfter
-	if gone && !v.holding {
+	if gone && !v.holding && len(v.lapsed) == 0 {
 		s.vms.Delete(v.id)
 		s.dirtyVMs = append(s.dirtyVMs, v.id)
 	}
