A lasting job goes on without a task that crashes its VMs

Cause: giving up the job stopped its other tasks, which were at work on sound VMs, while one of their step was away already: callers lost the whole service for one bad task, and more tasks of a step were away by our order than it may miss.

Change: only the task is given up. Its job is shown as failed once none of its tasks can run any more.

--- a/core/schedule/assign.go
+++ b/core/schedule/assign.go
@@ -120,7 +120,7 @@
 	}
 	for t := range st.tasks {
 		task := &st.tasks[t]
-		if task.done || len(task.runs) > 0 || a.now.Before(task.notBefore) {
+		if !task.open() || a.now.Before(task.notBefore) {
 			continue
 		}
 		if !a.withinCap(j, st.def.Room) {
--- a/core/schedule/command.go
+++ b/core/schedule/command.go
@@ -217,6 +217,7 @@
 	EndRedundant  What = "end_redundant"
 	TaskFreed     What = "task_freed"
 	TaskLostVM    What = "task_lost_vm"
+	TaskGivenUp   What = "task_given_up"
 	TaskStopping  What = "task_stopping"
 	TaskFound     What = "task_found"
 	VMFound       What = "vm_found"
--- a/core/schedule/crash.go
+++ b/core/schedule/crash.go
@@ -57,10 +57,33 @@
 		Reason: fmt.Sprintf("%d VMs lost, %d of them at its start", len(t.crashes.attempts), t.crashes.atStart),
 	})
 	if t.crashes.tooMany() {
+		s.giveUp(now, j, r)
+	}
+}
+
+// giveUp ends a job of which a task must not start any more. The other tasks of a lasting
+// job go on: they serve without it.
+func (s *Scheduler) giveUp(now time.Time, j *jobState, r *run) {
+	s.decided(Decision{What: TaskGivenUp, Job: j.ID, Task: r.task, Reason: "VMs crash under it"})
+	if !j.lasting || j.nothingLeft() {
 		s.finish(now, j, job.Failed)
 	}
 }
 
+// nothingLeft tells whether no task of the job can run any more.
+func (j *jobState) nothingLeft() bool {
+	for _, o := range j.occurrences {
+		for i := range o.steps {
+			for t := range o.steps[i].tasks {
+				if x := &o.steps[i].tasks[t]; !x.done && !x.crashes.tooMany() {
+					return false
+				}
+			}
+		}
+	}
+	return true
+}
+
 // crashedAtStart tells whether the run had only just begun when its VM crashed, which was
 // before it was found silent.
 func (r *run) crashedAtStart() bool {
@@ -105,6 +128,7 @@
 	for _, c := range p.Crashed {
 		if t := j.taskAt(c.Occurrence, c.Step, c.Task); t != nil {
 			t.crashes = crashes{attempts: c.Attempts, atStart: c.AtStart}
+			j.occurrences[c.Occurrence].steps[c.Step].recount()
 		}
 	}
 }
--- a/core/schedule/crash_test.go
+++ b/core/schedule/crash_test.go
@@ -301,3 +301,33 @@
 		c.crash(o.VM)
 	}
 }
+
+// Guards against a lasting job that loses all of its tasks since one of them crashes VMs.
+func TestSiblingsOfAGivenUpLastingTaskGoOn(t *testing.T) {
+	c := newCrashing(t, "one", "two", "three")
+	c.job("j", "free", job.Step{Count: 2, Room: small.Room, Lasting: true, MaxPerVM: 1, MayMiss: 1, HasMayMiss: true})
+	starts := only[Start](c.step(0))
+	assert.Equal(t, len(starts), 2)
+	bad, good := starts[0], starts[1]
+	c.confirm(bad)
+	c.confirm(good)
+	n := 1
+	for range 200 {
+		c.s.HoldAnswered(c.now, Hold{VM: bad.VM}, Unanswered, job.Report{})
+		c.lives[bad.VM].born++
+		c.lives[bad.VM].since = c.now
+		c.step(time.Second)
+		c.listAll(good.VM)
+		c.list(good.VM, []job.RunningTask{running(good, 100)})
+		commands := c.step(100 * time.Millisecond)
+		for _, o := range only[Start](commands) {
+			assert.Equal(t, o.Order.Task, bad.Order.Task)
+			bad = o
+			c.confirm(o)
+			n++
+		}
+		assert.Equal(t, len(only[Stop](commands)), 0, "the sibling is at work")
+	}
+	assert.Assert(t, n >= 2 && n <= mostStarts, "%d starts", n)
+	assert.Equal(t, c.s.jobs.Get("j").state, job.Running)
+}
--- a/core/schedule/gang.go
+++ b/core/schedule/gang.go
@@ -13,7 +13,7 @@
 	saved := job.Checkpoint("")
 	for t := range st.tasks {
 		task := &st.tasks[t]
-		if len(task.runs) > 0 || a.now.Before(task.notBefore) {
+		if !task.open() || a.now.Before(task.notBefore) {
 			return
 		}
 		if task.saved != "" {
--- a/core/schedule/pools.go
+++ b/core/schedule/pools.go
@@ -170,7 +170,7 @@
 		for i := range o.steps {
 			for t := range o.steps[i].tasks {
 				task := &o.steps[i].tasks[t]
-				if len(task.runs) == 0 && (task.awaySince.IsZero() || now.Sub(task.awaySince) > waitingLong) {
+				if task.open() && (task.awaySince.IsZero() || now.Sub(task.awaySince) > waitingLong) {
 					n++
 				}
 			}
--- a/core/schedule/state.go
+++ b/core/schedule/state.go
@@ -101,6 +101,9 @@
 	apartUntil time.Time
 }
 
+// open tells whether the task waits for a start.
+func (t *taskState) open() bool { return !t.done && len(t.runs) == 0 && !t.crashes.tooMany() }
+
 // live returns the run of the task that isn't stopping, or nil.
 func (t *taskState) live() *run {
 	for _, r := range t.runs {
@@ -115,7 +118,7 @@
 	def   *job.Step
 	tasks []taskState
 	done  int
-	// open counts the tasks that have neither ended well nor a run.
+	// open counts the tasks that wait for a start.
 	open int
 	// tickets are the VMs that may run the step, where it needs advice.
 	tickets  map[job.VMID]string
@@ -138,7 +141,7 @@
 func (s *stepState) recount() {
 	s.open = 0
 	for i := range s.tasks {
-		if t := &s.tasks[i]; !t.done && len(t.runs) == 0 {
+		if s.tasks[i].open() {
 			s.open++
 		}
 	}
