--- /dev/null
+++ b/core/schedule/capacity_test.go
@@ -0,0 +1,36 @@
+package schedule
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"lavenderpond/core/job"
+)
+
+// entryOf is what a VM with this much CPU says of itself.
+func entryOf(id string, cpu int64, born job.Born) job.VMEntry {
+	return job.VMEntry{
+		ID: job.VMID(id), Pool: poolA, Address: id, Room: job.Room{CPU: cpu, MemMB: 8000},
+		Machine: job.MachineID("m-" + id), Born: born,
+	}
+}
+
+// resize tells that a VM's capacity has changed.
+func (h *harness) resize(id string, cpu int64) { h.s.VMSeen(h.now, entryOf(id, cpu, 1)) }
+
+// Guards against a start that waited for its save while the VM's room shrank.
+func TestPlannedStartIsSentOnlyIfItFits(t *testing.T) {
+	h := newHarness(t)
+	h.ready("one")
+	h.job("j", "free", small)
+	saves := h.turn(0)
+	h.resize("one", 500)
+	for _, c := range saves {
+		h.store(c)
+	}
+	assert.Equal(t, len(only[Start](h.s.Take())), 0)
+	assert.Equal(t, len(only[Start](h.step(0))), 0)
+	h.resize("one", 8000)
+	one[Start](h, h.step(0))
+}
--- a/core/schedule/gang.go
+++ b/core/schedule/gang.go
@@ -70,7 +70,7 @@
 		if (st.def.Requires != "" && !v.labels[st.def.Requires]) || (st.tickets != nil && st.tickets[v.id] == "") {
 			continue
 		}
-		free := v.room.Minus(v.used)
+		free := v.free()
 		claim := st.def.Claim()
 		for n := 0; len(chosen) < len(st.tasks) && claim.Fits(free); n++ {
 			if st.def.MaxPerVM > 0 && n >= st.def.MaxPerVM {
--- a/core/schedule/rooms.go
+++ b/core/schedule/rooms.go
@@ -37,7 +37,7 @@
 func newRooms(vms []*vmState, least job.Room) rooms {
 	r := rooms{slots: make([]slot, 0, len(vms))}
 	for _, v := range vms {
-		if least.Fits(v.room.Minus(v.used)) {
+		if least.Fits(v.free()) {
 			r.slots = append(r.slots, slot{v.freeShare(), v})
 			r.largest = max(r.largest, v.room.CPU)
 		}
@@ -85,7 +85,7 @@
 		if best >= 0 && x.free >= bestCost {
 			break
 		}
-		if !claim.Fits(x.vm.room.Minus(x.vm.used)) {
+		if !claim.Fits(x.vm.free()) {
 			continue
 		}
 		onlyRoom = false
--- a/core/schedule/rooms_test.go
+++ b/core/schedule/rooms_test.go
@@ -14,7 +14,7 @@
 func chooseNaively(a *assignment, p placement) *vmState {
 	var best *vmState
 	for _, x := range a.rooms.slots {
-		fits := p.step.def.Claim().Fits(x.vm.room.Minus(x.vm.used))
+		fits := p.step.def.Claim().Fits(x.vm.free())
 		if !fits || !p.step.suits(p.id.StepID(), x.vm) || !a.s.usable(a.now, x.vm) {
 			continue
 		}
--- a/core/schedule/vm.go
+++ b/core/schedule/vm.go
@@ -165,6 +165,13 @@
 	return v.takesTasks() && !v.cordoned && v.inRoster <= s.stored && !v.doubtful && !v.slow(now) && !now.Before(v.suspect) && !now.Before(v.fullUntil)
 }
 
+// free returns the room that nothing has taken. It is negative after the VM's capacity
+// has shrunk below what runs there.
+func (v *vmState) free() job.Room { return v.room.Minus(v.used) }
+
+// overfull tells whether what is booked on the VM exceeds its capacity.
+func (v *vmState) overfull() bool { return !(job.Room{}).Fits(v.free()) }
+
 // takesTasks tells whether the VM is there for tasks, as far as is known.
 func (v *vmState) takesTasks() bool {
 	return v.listed && !v.draining && !v.evacuated && v.heldOnce && !v.silent && v.clock.Known()
