Start nothing beside a run whose claim isn't known

Cause: a run that a VM lists of a job that this owner doesn't know, such as one that ended before it took over, was booked with no claim. Until it had stopped, its room counted as free, and a VM that starts whatever it is told to went over its capacity. Evidence: TestRunOfAnUnknownJobKeepsTasksOff failed before with one start sent beside such a run instead of none. Change: a VM counts its stray runs and gets no tasks while there is one.

--- a/core/schedule/capacity_test.go
+++ b/core/schedule/capacity_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -34,3 +35,17 @@
 	h.resize("one", 8000)
 	one[Start](h, h.step(0))
 }
+
+// Guards against starts beside a run whose room nobody knows, until that has ended.
+func TestRunOfAnUnknownJobKeepsTasksOff(t *testing.T) {
+	h := newHarness(t)
+	h.ready("one")
+	stray := job.RunningTask{Task: job.TaskID{Job: "stray"}, Attempt: 7}
+	h.lists("one", []job.RunningTask{stray})
+	one[Stop](h, h.step(0))
+	h.job("j", "free", small)
+	assert.Equal(t, len(only[Start](h.step(0))), 0)
+	h.now = h.now.Add(100 * time.Millisecond)
+	h.lists("one", nil, job.End{Number: 1, Task: stray.Task, Attempt: 7, How: job.EndedStopped})
+	one[Start](h, h.step(0))
+}
--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -205,7 +205,7 @@
 	r := &run{
 		task: e.Task, attempt: e.Attempt, vm: v, phase: runConfirmed, confirmedClock: clock,
 		orderedAt: now, confirmedAt: now, percent: e.Percent, load: e.Load,
-		pace: 100, adopted: true, list: v.lists,
+		pace: 100, adopted: true, stray: j == nil, list: v.lists,
 	}
 	if j != nil {
 		r.claim, r.cost, r.account = st.def.Claim(), st.def.Room, j.Terms.Account
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -85,6 +85,9 @@
 	if r.fills {
 		v.fills += n
 	}
+	if r.stray {
+		v.strays += n
+	}
 }
 
 // release takes a run off its VM, task and account: nothing of it can run any more.
--- a/core/schedule/state.go
+++ b/core/schedule/state.go
@@ -49,6 +49,8 @@
 	stopClock job.VMClock
 	// adopted runs were started by a former owner.
 	adopted bool
+	// stray runs are of a job that isn't known, so that their claim isn't either.
+	stray bool
 	// lasting, serving and fills tell what kind of task it is.
 	lasting, serving, fills bool
 	// resumed is set if it went on from a checkpoint.
@@ -209,6 +211,8 @@
 	// is ordered: their runs need not be looked at in each turn.
 	lasting, serving, fills int
 	stopping                int
+	// strays counts the runs whose claim isn't known: how much room is free isn't either.
+	strays int
 	// ordered counts the starts that wait for their answer.
 	ordered int
 	// doubtful VMs leave a start without an answer, and nothing was heard of them since.
--- a/core/schedule/vm.go
+++ b/core/schedule/vm.go
@@ -162,15 +162,15 @@
 
 // usable tells whether new tasks may start on the VM.
 func (s *Scheduler) usable(now time.Time, v *vmState) bool {
-	return v.takesTasks() && !v.cordoned && v.inRoster <= s.stored && !v.doubtful && !v.slow(now) && !now.Before(v.suspect) && !now.Before(v.fullUntil)
+	return v.takesTasks() && v.strays == 0 && !v.cordoned && v.inRoster <= s.stored && !v.doubtful && !v.slow(now) && !now.Before(v.suspect) && !now.Before(v.fullUntil)
 }
 
 // free returns the room that nothing has taken. It is negative after the VM's capacity
 // has shrunk below what runs there.
 func (v *vmState) free() job.Room { return v.room.Minus(v.used) }
 
-// overfull tells whether what is booked on the VM exceeds its capacity.
-func (v *vmState) overfull() bool { return !(job.Room{}).Fits(v.free()) }
+// overfull tells whether what is booked on the VM exceeds its capacity, or may do so.
+func (v *vmState) overfull() bool { return v.strays > 0 || !(job.Room{}).Fits(v.free()) }
 
 // takesTasks tells whether the VM is there for tasks, as far as is known.
 func (v *vmState) takesTasks() bool {
