Start tasks by the capacity of a VM's present life only

Cause: after a crash a VM was held, and got tasks, by the directory's entry of its former life, though the new one may be of another kind: less room, other labels. Evidence: TestNewLifeTakesTasksOnceItsEntryIsThere failed before with one start sent by the former life's entry instead of none. Change: a VM takes tasks once its entry is of the life that answers. Result: core/schedule, core/emulator and io/node pass.

--- a/core/schedule/capacity_test.go
+++ b/core/schedule/capacity_test.go
@@ -49,3 +49,18 @@
 	h.lists("one", nil, job.End{Number: 1, Task: stray.Task, Attempt: 7, How: job.EndedStopped})
 	one[Start](h, h.step(0))
 }
+
+// Guards against starts by the capacity and labels of a VM's former life.
+func TestNewLifeTakesTasksOnceItsEntryIsThere(t *testing.T) {
+	h := newHarness(t)
+	h.ready("one")
+	h.now = h.now.Add(time.Second)
+	reborn := job.Report{Clock: 10, Born: 2, Lists: true}
+	h.s.HoldAnswered(h.now, Hold{VM: "one"}, Answered, reborn)
+	h.job("j", "free", small)
+	assert.Equal(t, len(only[Start](h.step(0))), 0)
+	h.resize("one", 8000)
+	assert.Equal(t, len(only[Start](h.step(0))), 0, "the entry is of the former life")
+	h.s.VMSeen(h.now, entryOf("one", 8000, 2))
+	one[Start](h, h.step(0))
+}
--- a/core/schedule/state.go
+++ b/core/schedule/state.go
@@ -196,6 +196,8 @@
 	// host is that machine as it is listed, or nil.
 	host *machineState
 	born job.Born
+	// entryBorn is the life that the VM's entry in the directory is of.
+	entryBorn job.Born
 	// listed is set while the VM's entry stands in the directory.
 	listed     bool
 	unlistedAt time.Time
--- a/core/schedule/vm.go
+++ b/core/schedule/vm.go
@@ -51,7 +51,7 @@
 		s.reborn(now, v, e.Born)
 	}
 	v.listed, v.address, v.pool, v.zone = true, e.Address, e.Pool, e.Zone
-	v.room = e.Room
+	v.room, v.entryBorn = e.Room, e.Born
 	v.evacuated = s.evacuations.has(v.zone)
 	if e.Machine != "" {
 		s.setMachine(v, e.Machine)
@@ -174,9 +174,13 @@
 
 // takesTasks tells whether the VM is there for tasks, as far as is known.
 func (v *vmState) takesTasks() bool {
-	return v.listed && !v.draining && !v.evacuated && v.heldOnce && !v.silent && v.clock.Known()
+	return v.described() && !v.draining && !v.evacuated && v.heldOnce && !v.silent && v.clock.Known()
 }
 
+// described tells whether the directory lists the VM's present life. Another life may be
+// of another kind: its capacity and labels aren't known before its entry is there.
+func (v *vmState) described() bool { return v.listed && v.entryBorn >= v.born }
+
 // expire frees what ran on VMs whose leases have run out, and forgets VMs that
 // are gone.
 func (s *Scheduler) expire(now time.Time, v *vmState) {
