Double the pause of a VM that refuses for want of room again

Cause: while the news of a shrink is late, a VM that refused a start was tried again every 200 ms for as long as a task waited. Change: the pause doubles up to 3.2 s with each refusal in a row. It ends at once when the directory tells of another capacity or life.

--- a/core/schedule/capacity_test.go
+++ b/core/schedule/capacity_test.go
@@ -64,3 +64,20 @@
 	h.s.VMSeen(h.now, entryOf("one", 8000, 2))
 	one[Start](h, h.step(0))
 }
+
+// Guards against starts that are refused again and again while the news of a shrink is late.
+func TestRefusalsForRoomGrowRarer(t *testing.T) {
+	h := newHarness(t)
+	h.ready("one")
+	h.job("j", "free", small)
+	refused := 0
+	for range 100 {
+		for _, c := range only[Start](h.step(100 * time.Millisecond)) {
+			refused++
+			h.s.StartAnswered(h.now, c, Answered, job.Report{Clock: h.clock(), Born: 1, Refused: job.RefusedRoom})
+		}
+	}
+	assert.Assert(t, refused <= 10, "%d starts in 10 s", refused)
+	h.resize("one", 4000)
+	one[Start](h, h.step(0))
+}
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -217,7 +217,7 @@
 		}
 		return
 	case out == Answered && rep.Refused == job.RefusedRoom:
-		v.fullUntil = now.Add(fullPause)
+		v.full(now)
 	case out == Answered && rep.Refused == job.RefusedTicket:
 		s.dropTickets(c.Order.Task)
 	case out != Answered:
@@ -226,8 +226,28 @@
 	s.notBegun(now, r, out, rep.Refused)
 }
 
-// fullPause keeps new tasks off a VM that said it is full until its next list.
-const fullPause = 200 * time.Millisecond
+const (
+	// fullPause keeps new tasks off a VM that said it is full until its next list. The
+	// news of a capacity that has shrunk may be later: the pause doubles with each
+	// further refusal, fullDoublings times at most.
+	fullPause     = 200 * time.Millisecond
+	fullDoublings = 4
+	// fullMemory is how long after a pause a refusal still counts as a further one.
+	fullMemory = 2 * time.Second
+)
+
+// full notes that the VM refused a task for want of room. Refusals of starts that were
+// on their way together count as one.
+func (v *vmState) full(now time.Time) {
+	if now.Before(v.fullUntil) {
+		return
+	}
+	if now.Sub(v.fullUntil) > fullMemory {
+		v.refusals = 0
+	}
+	v.fullUntil = now.Add(fullPause << min(v.refusals, fullDoublings))
+	v.refusals++
+}
 
 // notBegun releases a run that is known not to have begun.
 func (s *Scheduler) notBegun(now time.Time, r *run, out Outcome, why job.Refusal) {
--- a/core/schedule/state.go
+++ b/core/schedule/state.go
@@ -249,7 +249,10 @@
 	suspect    time.Time
 	// slowUntil is when the VM may get tasks again after one was slow there.
 	slowUntil time.Time
+	// fullUntil is when the VM may get tasks again after it refused one for want of
+	// room, refusals how often it did so in a row.
 	fullUntil time.Time
+	refusals  int
 	// rostered is what the roster says of the VM, inRoster the save of that: tasks may
 	// start here once it is stored.
 	rostered RosterVM
--- a/core/schedule/vm.go
+++ b/core/schedule/vm.go
@@ -51,6 +51,9 @@
 		s.reborn(now, v, e.Born)
 	}
 	v.listed, v.address, v.pool, v.zone = true, e.Address, e.Pool, e.Zone
+	if e.Room != v.room || e.Born != v.entryBorn {
+		v.fullUntil, v.refusals = time.Time{}, 0
+	}
 	v.room, v.entryBorn = e.Room, e.Born
 	v.evacuated = s.evacuations.has(v.zone)
 	if e.Machine != "" {
