Count lasting tasks that may share VMs in their pool's need

Cause: a pool's need left out all its lasting tasks unless a step of one limits its tasks on a VM. One that found no room, for instance after its VM's capacity had shrunk, never got a machine. Evidence: TestPoolGetsAVMForALastingTaskThatMayShare failed before with no move instead of one. Change: their CPU and those that wait count in any case; only the whole VMs with their spare are left out where no step asks for them. Result: core/schedule and core/emulator pass.

--- a/core/schedule/capacity_test.go
+++ b/core/schedule/capacity_test.go
@@ -81,3 +81,21 @@
 	h.resize("one", 4000)
 	one[Start](h, h.step(0))
 }
+
+// listOneAndOff tells of the machine of the VM "one" and of one that is off.
+func (h *harness) listOneAndOff() {
+	h.s.Machines(h.now, []job.Machine{
+		{ID: "m-one", Pool: poolA, State: job.MachineUp, VM: "one", Room: job.Room{CPU: 8000}},
+		{ID: "m-off", Pool: off, State: job.MachineUp, Room: job.Room{CPU: 8000}},
+	})
+}
+
+// Guards against a lasting task that may share its VM, finds no room, and gets no machine.
+func TestPoolGetsAVMForALastingTaskThatMayShare(t *testing.T) {
+	h := newHarness(t)
+	h.ready("one")
+	h.listOneAndOff()
+	h.job("j", "free", job.Step{Count: 2, Room: job.Room{CPU: 5000}, Lasting: true})
+	h.confirm(one[Start](h, h.step(0)))
+	assert.Equal(t, one[Move](h, h.step(waitingLong+sizeEvery)).Machine, job.MachineID("m-off"))
+}
--- a/core/schedule/pools.go
+++ b/core/schedule/pools.go
@@ -102,10 +102,7 @@
 			r.note(now, min(need, float64(rooms.whole())))
 			x.Wish = r.peak
 			l := lasting[p.Name]
-			x.Need = max(l.cpu+int64(need), int64(l.vms+sparesForLasting)*rooms.vmCPU) + int64(l.waiting)*rooms.vmCPU
-			if l.vms == 0 {
-				x.Need = int64(need)
-			}
+			x.Need = max(l.cpu+int64(need), l.wholeVMs()*rooms.vmCPU) + l.waiting*rooms.vmCPU
 		}
 		out = append(out, x)
 	}
@@ -118,7 +115,15 @@
 	// vms is how many VMs the widest step needs if it may share none, or few.
 	vms int
 	// waiting counts the tasks that found no room.
-	waiting int
+	waiting int64
+}
+
+// wholeVMs returns how many VMs the pool needs for tasks that may not share them.
+func (l *lastingDemand) wholeVMs() int64 {
+	if l.vms == 0 {
+		return 0
+	}
+	return int64(l.vms + sparesForLasting)
 }
 
 // demand returns, for each pool, the waiting work in core-seconds that is still
@@ -161,11 +166,11 @@
 }
 
 // waitsLong counts the tasks of a lasting job that have found no room for a while.
-func (j *jobState) waitsLong(now time.Time) int {
+func (j *jobState) waitsLong(now time.Time) int64 {
 	if now.Sub(j.arrived) <= waitingLong {
 		return 0
 	}
-	n := 0
+	n := int64(0)
 	for _, o := range j.occurrences {
 		for i := range o.steps {
 			for t := range o.steps[i].tasks {
