Size a VM for a waiting lasting task by its machine

Cause: each lasting task that waits asks for the CPU of the largest VM. In a pool whose VMs have shrunk that was too little for a machine to be worth its move, and the task got none. Evidence: TestPoolGetsAVMWhenItsOwnHaveShrunk failed before with no move instead of one. Change: the largest VM is taken from the machines list too. Result: core/schedule and core/emulator pass. Not played on a site.

--- a/core/schedule/capacity_test.go
+++ b/core/schedule/capacity_test.go
@@ -99,3 +99,14 @@
 	h.confirm(one[Start](h, h.step(0)))
 	assert.Equal(t, one[Move](h, h.step(waitingLong+sizeEvery)).Machine, job.MachineID("m-off"))
 }
+
+// Guards against a lasting task that fits on no VM of its pool since they have shrunk,
+// and gets no machine.
+func TestPoolGetsAVMWhenItsOwnHaveShrunk(t *testing.T) {
+	h := newHarness(t)
+	h.ready("one")
+	h.listOneAndOff()
+	h.resize("one", 1000)
+	h.job("j", "free", job.Step{Count: 1, Room: job.Room{CPU: 2000}, Lasting: true})
+	assert.Equal(t, one[Move](h, h.step(waitingLong+sizeEvery)).Machine, job.MachineID("m-off"))
+}
--- a/core/schedule/pools.go
+++ b/core/schedule/pools.go
@@ -205,7 +205,7 @@
 	have map[job.PoolName]int64
 	// used is what runs on those VMs.
 	used map[job.PoolName]int64
-	// vmCPU is that of the largest VM.
+	// vmCPU is that of the largest VM before any of them shrank.
 	vmCPU int64
 }
 
@@ -213,6 +213,9 @@
 	r := poolRooms{have: map[job.PoolName]int64{}, used: map[job.PoolName]int64{}}
 	for _, v := range s.vms.All() {
 		r.vmCPU = max(r.vmCPU, v.room.CPU)
+		if v.host != nil {
+			r.vmCPU = max(r.vmCPU, v.host.Room.CPU)
+		}
 		if v.counts(now) {
 			r.have[v.pool] += v.room.CPU
 			r.used[v.pool] += v.used.CPU
