Lend machines by the present room of their VMs

Cause: a pool's room is the sum of what its VMs say of themselves, but a machine that it lent was taken off by the capacity in the machines list. A list that lags behind a VM that grew or shrank let a pool give away what it needs, or keep what it doesn't. Evidence: TestMachineIsLentByItsVMsPresentRoom failed before with 1000 of the list instead of 8000 of the VM. Change: an idle machine counts with its VM's present room, and isn't lent without any. Result: core/schedule and core/emulator pass.

--- a/core/schedule/capacity_test.go
+++ b/core/schedule/capacity_test.go
@@ -110,3 +110,17 @@
 	h.job("j", "free", job.Step{Count: 1, Room: job.Room{CPU: 2000}, Lasting: true})
 	assert.Equal(t, one[Move](h, h.step(waitingLong+sizeEvery)).Machine, job.MachineID("m-off"))
 }
+
+// Guards against machines that are lent by the capacity of the list, which lags.
+func TestMachineIsLentByItsVMsPresentRoom(t *testing.T) {
+	h := newHarness(t)
+	h.ready("one")
+	h.s.Machines(h.now, []job.Machine{
+		{ID: "m-one", Pool: poolA, State: job.MachineUp, VM: "one", Room: job.Room{CPU: 1000}},
+	})
+	idle := h.s.idleMachines(h.now)
+	assert.Equal(t, len(idle), 1)
+	assert.Equal(t, idle[0].CPU, int64(8000))
+	h.resize("one", 0)
+	assert.Equal(t, len(h.s.idleMachines(h.now)), 0, "it would bring no room")
+}
--- a/core/schedule/move.go
+++ b/core/schedule/move.go
@@ -20,10 +20,11 @@
 		x := sizing.Machine{ID: id, Pool: m.Pool, Zone: m.Zone, CPU: m.Room.CPU}
 		if p := s.conf.Pool(m.Pool); p == nil || !p.Standby {
 			v := s.vms.Get(m.VM)
-			if v == nil || v.runs.Len() > 0 || !s.usable(now, v) || v.machine != id {
+			if v == nil || v.runs.Len() > 0 || !s.usable(now, v) || v.machine != id || v.room.CPU == 0 {
 				continue
 			}
-			x.IdleSince, x.Vacated = v.idleSince, v.vacating
+			// The list lags behind what the VM says of itself, by which its pool's room is counted.
+			x.CPU, x.IdleSince, x.Vacated = v.room.CPU, v.idleSince, v.vacating
 		}
 		out = append(out, x)
 	}
