Use no VM whose entry has been damaged

Cause: an entry that can't be read was passed over when it came as a change, and the VM kept the tasks' trust by its last one, capacity included; read with the whole directory the same entry took the VM off the list. Evidence: TestDamagedEntryNamesNoVM failed before with one VM listed instead of none. Change: such a change takes the VM off the list, too, until a sound entry is back. Its lease and what runs there go on. Result: io/node passes.

--- a/io/node/owner.go
+++ b/io/node/owner.go
@@ -248,6 +248,7 @@
 		v, err := platform.DecodeVM(r)
 		if err != nil {
 			o.log.Warn().Err(err).Str("event", "vm_entry_ignored").Send()
+			o.scheduler.VMUnlisted(now, job.VMID(r.Key))
 			continue
 		}
 		present[v.ID] = true
