Play VMs that shrink and grow against the scheduler

A property test: random capacities, starts with late or lost answers, stops, cancels, gangs, runs of a former owner and silent VMs, on VMs that refuse what doesn't fit and on VMs that start whatever they are told to. It asserts at each start that all that may be on the VM and the new task fit the capacity last told, and that every job ends once there is room again. The index of room is compared with the naive look on shrunk VMs, too, and with all VMs of the pool instead of its own.

--- a/core/schedule/rooms_test.go
+++ b/core/schedule/rooms_test.go
@@ -13,13 +13,13 @@
 // chooseNaively looks at all VMs of the pool.
 func chooseNaively(a *assignment, p placement) *vmState {
 	var best *vmState
-	for _, x := range a.rooms.slots {
-		fits := p.step.def.Claim().Fits(x.vm.free())
-		if !fits || !p.step.suits(p.id.StepID(), x.vm) || !a.s.usable(a.now, x.vm) {
+	for _, v := range a.vms {
+		fits := p.step.def.Claim().Fits(v.free())
+		if !fits || !p.step.suits(p.id.StepID(), v) || !a.s.usable(a.now, v) {
 			continue
 		}
-		if best == nil || a.cost(p, x.vm) < a.cost(p, best) {
-			best = x.vm
+		if best == nil || a.cost(p, v) < a.cost(p, best) {
+			best = v
 		}
 	}
 	return best
@@ -34,6 +34,9 @@
 	}
 	v.clock.Read(1, begin)
 	v.used = job.Room{CPU: rng.Int64N(v.room.CPU + 1), MemMB: rng.Int64N(v.room.MemMB)}
+	if rng.IntN(4) == 0 {
+		v.room = v.room.Minus(job.Room{CPU: rng.Int64N(v.room.CPU + 1), MemMB: rng.Int64N(v.room.MemMB)})
+	}
 	if rng.IntN(3) == 0 {
 		v.labels["fast"] = true
 	}
--- /dev/null
+++ b/core/schedule/shrink_test.go
@@ -0,0 +1,278 @@
+package schedule
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lavenderpond/core/job"
+)
+
+// shrinking is a few VMs whose capacity changes while tasks run there, and which fall
+// silent at times.
+type shrinking struct {
+	*harness
+	rng     *rand.Rand
+	guarded bool
+	vms     []*shrinkingVM
+	steps   map[job.ID]job.Step
+	events  []shrinkingEvent
+}
+
+// shrinkingEvent is something that happens later.
+type shrinkingEvent struct {
+	at time.Time
+	do func()
+}
+
+type shrinkingVM struct {
+	id string
+	// cpu is its capacity, told what it last said of it.
+	cpu, told int64
+	silent    bool
+	lease     job.VMClock
+	runs      []*shrinkingRun
+	// late are starts without an answer that may still be carried out.
+	late   []*shrinkingRun
+	barred map[job.TaskID]job.Attempt
+	ended  []job.End
+	number int64
+}
+
+type shrinkingRun struct {
+	task     job.TaskID
+	attempt  job.Attempt
+	cpu      int64
+	deadline job.VMClock
+}
+
+// in does something after d.
+func (f *shrinking) in(d time.Duration, do func()) {
+	f.events = append(f.events, shrinkingEvent{f.now.Add(d), do})
+}
+
+// between returns a duration in milliseconds from least to below most.
+func (f *shrinking) between(least, most int) time.Duration {
+	return time.Duration(least+f.rng.IntN(most-least)) * time.Millisecond
+}
+
+func (f *shrinking) vm(id job.VMID) *shrinkingVM {
+	return f.vms[slices.IndexFunc(f.vms, func(v *shrinkingVM) bool { return v.id == string(id) })]
+}
+
+// used is the CPU of all that runs on the VM or may yet begin there.
+func (v *shrinkingVM) used(clock job.VMClock) int64 {
+	sum := int64(0)
+	for _, r := range v.runs {
+		sum += r.cpu
+	}
+	for _, r := range v.late {
+		if v.mayBegin(r, clock) {
+			sum += r.cpu
+		}
+	}
+	return sum
+}
+
+func (v *shrinkingVM) mayBegin(r *shrinkingRun, clock job.VMClock) bool {
+	return clock <= r.deadline && v.barred[r.task] < r.attempt
+}
+
+// begin lets a task run for a while.
+func (f *shrinking) begin(v *shrinkingVM, r *shrinkingRun) {
+	v.runs = append(v.runs, r)
+	v.lease = max(v.lease, r.deadline)
+	if !f.steps[r.task.Job].Lasting {
+		f.in(f.between(50, 1500), func() { v.end(r, job.EndedDone) })
+	}
+}
+
+func (v *shrinkingVM) end(r *shrinkingRun, how job.Ending) {
+	i := slices.Index(v.runs, r)
+	if i < 0 {
+		return
+	}
+	v.runs = slices.Delete(v.runs, i, i+1)
+	v.number++
+	v.ended = append(v.ended, job.End{Number: v.number, Task: r.task, Attempt: r.attempt, How: how})
+	v.barred[r.task] = max(v.barred[r.task], r.attempt)
+}
+
+// lapse ends what runs once the lease is over.
+func (f *shrinking) lapse(v *shrinkingVM) {
+	if f.clock() <= v.lease {
+		return
+	}
+	for _, r := range slices.Clone(v.runs) {
+		v.end(r, job.EndedLapsed)
+	}
+}
+
+func (f *shrinking) report() job.Report { return job.Report{Clock: f.clock(), Born: 1} }
+
+// start carries a start out, and asserts that there is room for it.
+func (f *shrinking) start(c Start) {
+	v := f.vm(c.VM)
+	r := &shrinkingRun{c.Order.Task, c.Order.Attempt, f.steps[c.Order.Task.Job].Room.CPU, c.Order.Deadline}
+	used := v.used(f.clock())
+	assert.Assert(f.t, used+r.cpu <= v.told, "%v on %s: %d and %d of %d", r.task, v.id, used, r.cpu, v.told)
+	answer := func(out Outcome, rep job.Report) { f.s.StartAnswered(f.now, c, out, rep) }
+	switch {
+	case v.silent || f.rng.IntN(20) == 0:
+		v.late = append(v.late, r)
+		f.in(f.between(1, 900), func() {
+			if v.mayBegin(r, f.clock()) {
+				f.begin(v, r)
+			}
+			v.late = slices.DeleteFunc(v.late, func(o *shrinkingRun) bool { return o == r })
+		})
+		f.in(f.between(300, 1000), func() { answer(Unanswered, job.Report{}) })
+	case f.guarded && used+r.cpu > v.cpu:
+		rep := f.report()
+		rep.Refused = job.RefusedRoom
+		answer(Answered, rep)
+	default:
+		f.begin(v, r)
+		answer(Answered, f.report())
+	}
+}
+
+func (f *shrinking) stop(c Stop) {
+	v := f.vm(c.VM)
+	if v.silent {
+		f.s.StopAnswered(f.now, c, Unanswered, job.Report{})
+		return
+	}
+	v.barred[c.Task] = max(v.barred[c.Task], c.Attempt)
+	for _, r := range v.runs {
+		if r.task == c.Task && r.attempt <= c.Attempt {
+			f.in(f.between(10, 400), func() { v.end(r, job.EndedStopped) })
+		}
+	}
+	f.s.StopAnswered(f.now, c, Answered, f.report())
+}
+
+func (f *shrinking) hold(c Hold) {
+	v := f.vm(c.VM)
+	if v.silent {
+		f.s.HoldAnswered(f.now, c, Unanswered, job.Report{})
+		return
+	}
+	v.lease = max(v.lease, c.Order.Deadline)
+	v.ended = slices.DeleteFunc(v.ended, func(e job.End) bool { return e.Number <= c.Order.Noted })
+	rep := f.report()
+	rep.Lists, rep.Finished = true, slices.Clone(v.ended)
+	for _, r := range v.runs {
+		rep.Running = append(rep.Running, job.RunningTask{Task: r.task, Attempt: r.attempt, Percent: 100})
+	}
+	f.s.HoldAnswered(f.now, c, Answered, rep)
+}
+
+// turn plays one turn and carries out what is ordered.
+func (f *shrinking) turn() {
+	f.now = f.now.Add(10 * time.Millisecond)
+	due := f.events
+	f.events = nil
+	for _, e := range due {
+		if f.now.Before(e.at) {
+			f.events = append(f.events, e)
+			continue
+		}
+		e.do()
+		f.carryOut()
+	}
+	for _, v := range f.vms {
+		f.lapse(v)
+	}
+	f.s.Tick(f.now)
+	f.s.Assign(f.now, f.now)
+	f.carryOut()
+}
+
+func (f *shrinking) carryOut() {
+	for _, c := range f.s.Take() {
+		switch c := c.(type) {
+		case Start:
+			f.start(c)
+		case Stop:
+			f.in(f.between(0, 40), func() { f.stop(c) })
+		case Hold:
+			f.in(f.between(0, 200), func() { f.hold(c) })
+		default:
+			f.in(f.between(0, 300), func() { f.store(c) })
+		}
+	}
+}
+
+// resize changes a VM's capacity. The news of one that guards it may be late.
+func (f *shrinking) resize(v *shrinkingVM, cpu int64) {
+	v.cpu = cpu
+	tell := func() {
+		v.told = v.cpu
+		f.harness.resize(v.id, v.cpu)
+	}
+	if !f.guarded {
+		tell()
+		return
+	}
+	f.in(f.between(0, 1500), tell)
+}
+
+// disturb changes something, every few turns.
+func (f *shrinking) disturb(turn int) {
+	v := f.vms[f.rng.IntN(len(f.vms))]
+	switch f.rng.IntN(40) {
+	case 0, 1:
+		f.resize(v, f.rng.Int64N(9000))
+	case 2:
+		v.silent = f.rng.IntN(3) == 0
+	case 3, 4, 5:
+		def := job.Step{Count: 1 + f.rng.IntN(4), Room: job.Room{CPU: 200 + f.rng.Int64N(3800)}, Estimate: time.Second}
+		def.Gang, def.Lasting = f.rng.IntN(5) == 0, f.rng.IntN(9) == 0
+		id := job.ID(fmt.Sprintf("j-%d", turn))
+		f.steps[id] = def
+		f.job(string(id), "free", def)
+	case 6:
+		f.s.Cancel(f.now, job.ID(fmt.Sprintf("j-%d", f.rng.IntN(turn+1))))
+	}
+}
+
+func newShrinking(t *testing.T, seed uint64, guarded bool) *shrinking {
+	f := &shrinking{harness: newHarness(t), rng: rand.New(rand.NewPCG(seed, 1)), guarded: guarded, steps: map[job.ID]job.Step{}}
+	for _, id := range []string{"one", "two", "three"} {
+		v := &shrinkingVM{id: id, barred: map[job.TaskID]job.Attempt{}, lease: 6000}
+		v.runs = []*shrinkingRun{{task: job.TaskID{Job: job.ID("former-" + id)}, attempt: 7, cpu: f.rng.Int64N(8000), deadline: 6000}}
+		f.vms = append(f.vms, v)
+		f.resize(v, 8000)
+	}
+	return f
+}
+
+// Guards against starts beyond the capacity of a VM that shrinks and grows, and against
+// work that doesn't go on once there is room.
+func TestShrinkingVMs(t *testing.T) {
+	for seed := range uint64(80) {
+		f := newShrinking(t, seed, seed%2 == 0)
+		for turn := range 800 {
+			f.disturb(turn)
+			f.turn()
+		}
+		for _, v := range f.vms {
+			v.silent = false
+			f.resize(v, 16000)
+		}
+		for id, j := range f.s.jobs.All() {
+			if j.lasting {
+				f.s.Cancel(f.now, id)
+			}
+		}
+		for end := f.now.Add(30 * time.Second); f.s.jobs.Len() > 0 && f.now.Before(end); {
+			f.turn()
+		}
+		assert.Equal(t, f.s.jobs.Len(), 0, "seed %d: %v", seed, f.s.jobs.Keys())
+	}
+}
