Start by an old reading of the directory only where VMs refuse

Cause: an owner that renews its right while its feed of the directory is silent went on to start tasks by capacities as old as the silence. What a VM that starts whatever it is told to has shrunk by counts after contact_ms and a beat. Evidence: TestOldDirectoryStartsNothingThatIsntGuarded failed without the check with a start 2.5 s after the last reading. The age of a reading was counted from its asking alone: a directory without changes would have been 2.4 s old before each answer (TestQuietDirectoryIsKnownUntilTheEndOfTheWait failed before). Change: the scheduler learns up to when the directory is known. On pools without enforces_capacity nothing starts once that is contact_ms less a second ago; other pools go on as before. Without contact_ms in the settings there is no bound. A feed's answer without rows counts from the end of its wait, also for the operators' view. Result: core/schedule, platform and io/node pass.

--- a/core/schedule/capacity_test.go
+++ b/core/schedule/capacity_test.go
@@ -124,3 +124,23 @@
 	h.resize("one", 0)
 	assert.Equal(t, len(h.s.idleMachines(h.now)), 0, "it would bring no room")
 }
+
+// Guards against starts on VMs that may have shrunk since the directory was last read.
+func TestOldDirectoryStartsNothingThatIsntGuarded(t *testing.T) {
+	for _, guarded := range []bool{false, true} {
+		h := newHarness(t)
+		h.s.settings.ShrinkNotice = 3 * time.Second
+		h.s.conf.Pool(poolA).Guarded = guarded
+		h.ready("one")
+		h.s.DirectoryRead(h.now)
+		h.job("j", "free", small)
+		one[Start](h, h.step(0))
+		h.now = h.now.Add(2500 * time.Millisecond)
+		h.lists("one", nil)
+		h.job("k", "free", small)
+		assert.Equal(t, len(only[Start](h.step(0))) > 0, guarded)
+		h.job("l", "free", small)
+		h.s.DirectoryRead(h.now)
+		assert.Assert(t, len(only[Start](h.step(0))) > 0)
+	}
+}
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -25,7 +25,7 @@
 		return
 	}
 	j, _, st, t := s.task(r.task)
-	if t == nil || j.over() || !s.rights.Start || !v.takesTasks() || v.overfull() {
+	if t == nil || j.over() || !s.rights.Start || !v.takesTasks() || v.overfull() || !s.roomKnown(now, v) {
 		s.release(now, r)
 		s.stopGang(now, r)
 		return
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -23,6 +23,9 @@
 	LeaseMax time.Duration
 	// TaskStop bounds how long a task takes to stop.
 	TaskStop time.Duration
+	// ShrinkNotice is how long a VM's capacity that has shrunk may still be relied on; 0
+	// means no bound.
+	ShrinkNotice time.Duration
 	// MachineLease is how soon orders for a machine may follow a former holder's.
 	MachineLease time.Duration
 	// Holder signs this owner's orders for machines.
@@ -65,7 +68,9 @@
 	rights   Rights
 	queues   map[job.QueueName]*queueRecord
 	machines ordered[job.MachineID, *machineState]
-	waves    ordered[int64, *waveState]
+	// directoryAsOf is up to when all changes of the directory are known.
+	directoryAsOf time.Time
+	waves         ordered[int64, *waveState]
 	// evacuations are the availability zones in which nothing may start.
 	evacuations evacuations
 	pools       map[job.PoolName]*poolRecord
--- a/core/schedule/vm.go
+++ b/core/schedule/vm.go
@@ -70,6 +70,25 @@
 	v.draining = e.Draining
 }
 
+// DirectoryRead notes that all changes of the directory are known that were made before
+// asOf.
+func (s *Scheduler) DirectoryRead(asOf time.Time) { s.directoryAsOf = asOf }
+
+// shrinkMargin covers a start that was sent by an old reading: on its way it may still be
+// carried out for startWithin, on a slow clock for longer.
+const shrinkMargin = time.Second
+
+// roomKnown tells whether the VM's capacity is known well enough for a start. VMs that
+// refuse what doesn't fit look after it themselves.
+func (s *Scheduler) roomKnown(now time.Time, v *vmState) bool {
+	within := s.settings.ShrinkNotice
+	if within == 0 || now.Sub(s.directoryAsOf) < within-shrinkMargin {
+		return true
+	}
+	p := s.conf.Pool(v.pool)
+	return p != nil && p.Guarded
+}
+
 // setMachine notes which machine the VM lives on.
 func (s *Scheduler) setMachine(v *vmState, id job.MachineID) {
 	v.machine, v.host = id, s.machines.Get(id)
@@ -165,7 +184,8 @@
 
 // usable tells whether new tasks may start on the VM.
 func (s *Scheduler) usable(now time.Time, v *vmState) bool {
-	return v.takesTasks() && v.strays == 0 && !v.cordoned && v.inRoster <= s.stored && !v.doubtful && !v.slow(now) && !now.Before(v.suspect) && !now.Before(v.fullUntil)
+	paused := v.doubtful || v.slow(now) || now.Before(v.suspect) || now.Before(v.fullUntil)
+	return v.takesTasks() && !v.cordoned && !paused && v.inRoster <= s.stored && v.strays == 0 && s.roomKnown(now, v)
 }
 
 // free returns the room that nothing has taken. It is negative after the VM's capacity
--- a/io/node/directory_test.go
+++ b/io/node/directory_test.go
@@ -1,6 +1,10 @@
 package node
 
 import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -28,3 +32,27 @@
 	take(good)
 	assert.DeepEqual(t, o.scheduler.VMs(), []job.VMID{"vm-1"})
 }
+
+// Guards against a directory without changes that counts as old while the next reading
+// waits, so that nothing starts on VMs that don't refuse what doesn't fit.
+func TestQuietDirectoryIsKnownUntilTheEndOfTheWait(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "feed") {
+			time.Sleep(feedWait)
+		}
+		_, _ = w.Write([]byte(`{"ver":5,"rows":[]}`))
+	}))
+	defer s.Close()
+	o := &owner{
+		node:   &Node{table: platform.NewTable(strings.TrimPrefix(s.URL, "http://"))},
+		events: make(chan event, eventsAhead), scheduler: schedule.New(schedule.Settings{}),
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() { _ = o.followVMs(ctx) }()
+	_, whole := (<-o.events).(vmsChanged)
+	assert.Assert(t, whole)
+	first, _ := (<-o.events).(directoryRead)
+	second, _ := (<-o.events).(directoryRead)
+	cancel()
+	assert.Assert(t, second.asOf.Sub(first.asOf) >= feedWait)
+}
--- a/io/node/event.go
+++ b/io/node/event.go
@@ -22,6 +22,8 @@
 		rows  []platform.Row
 		whole bool
 	}
+	// directoryRead tells that the changes are known that were made before asOf.
+	directoryRead struct{ asOf time.Time }
 	// stored tells that all saves up to sequence are in the table.
 	stored struct{ sequence int64 }
 	// startAnswered, stopAnswered and holdAnswered are answers of VMs.
@@ -65,6 +67,7 @@
 
 func (rowsChanged) event()    {}
 func (vmsChanged) event()     {}
+func (directoryRead) event()  {}
 func (stored) event()         {}
 func (startAnswered) event()  {}
 func (stopAnswered) event()   {}
--- a/io/node/load.go
+++ b/io/node/load.go
@@ -133,6 +133,7 @@
 		TookOver:      o.tookOver,
 		LeaseMax:      b.LeaseMax,
 		TaskStop:      b.TaskStop,
+		ShrinkNotice:  b.Contact,
 		MachineLease:  b.MachineLease,
 		Observer:      o.node.observer,
 	})
--- a/io/node/operator.go
+++ b/io/node/operator.go
@@ -89,7 +89,7 @@
 	return v.generation
 }
 
-// age returns how long ago the newest reading was asked for.
+// age returns how long ago all changes were known.
 func (v *operatorView) age(now time.Time) time.Duration {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -103,11 +103,11 @@
 }
 
 // heard notes that the table has answered a reading.
-func (v *operatorView) heard(asked time.Time) {
+func (v *operatorView) heard(asOf time.Time) {
 	v.reach.heardAny()
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.asOf = asked
+	v.asOf = asOf
 }
 
 // take takes in rows; whole tells that they are all there are.
@@ -218,8 +218,8 @@
 }
 
 // run calls take with rows, whole if they are the whole table, and contact after each
-// answer with the time when it was asked for, until ctx ends.
-func (f *feed) run(ctx context.Context, take func(rows []platform.Row, whole bool), contact func(asked time.Time)) error {
+// answer with the time up to which all changes are known, until ctx ends.
+func (f *feed) run(ctx context.Context, take func(rows []platform.Row, whole bool), contact func(asOf time.Time)) error {
 	after := f.from
 	lost := false
 	for ctx.Err() == nil {
@@ -251,12 +251,22 @@
 		if len(s.Rows) > 0 {
 			take(f.ours(s.Rows), false)
 		}
-		contact(asked)
+		contact(asOf(asked, bootNow(), len(s.Rows)))
 		after = max(after, s.Version)
 	}
 	return nil
 }
 
+// asOf returns up to when all changes are known after an answer of the feed with so many
+// rows. One without any has waited for them to the end of feedWait.
+func asOf(asked, answered time.Time, rows int) time.Time {
+	waited := asked.Add(feedWait)
+	if rows > 0 || answered.Before(waited) {
+		return asked
+	}
+	return waited
+}
+
 func (f *feed) ours(rows []platform.Row) []platform.Row {
 	out := rows[:0]
 	for _, r := range rows {
--- a/io/node/owner.go
+++ b/io/node/owner.go
@@ -192,6 +192,8 @@
 		o.takeJobs(now, e.rows, o.decodeProgress(e.progress))
 	case vmsChanged:
 		o.takeVMs(now, e)
+	case directoryRead:
+		s.DirectoryRead(e.asOf)
 	case stored:
 		s.Stored(now, e.sequence)
 	case startAnswered:
@@ -287,7 +289,11 @@
 
 func (o *owner) followVMs(ctx context.Context) error {
 	f := feed{table: o.node.table, name: platform.VMTable, log: o.log}
-	return f.run(ctx, func(rows []platform.Row, whole bool) { o.send(ctx, vmsChanged{rows, whole}) }, func(time.Time) {})
+	return f.run(ctx, func(rows []platform.Row, whole bool) {
+		o.send(ctx, vmsChanged{rows, whole})
+	}, func(asOf time.Time) {
+		o.send(ctx, directoryRead{asOf})
+	})
 }
 
 func (o *owner) followMachines(ctx context.Context) error {
