--- a/io/node/operator.go
+++ b/io/node/operator.go
@@ -45,7 +45,7 @@
 	evacuated map[job.ZoneName]struct{}
 	// generation counts the changes.
 	generation uint64
-	// asOf is when the newest reading was asked for: the view holds all that was
+	// asOf is up to when all changes are known: the view holds all that was
 	// acknowledged before.
 	asOf time.Time
 }
