Shrinking VMs: hand jobs in while a former owner's runs are there

Cause: after the last change of TestShrinkingVMs it no longer failed without the checks for stray runs: its first jobs came after these had ended. Change: four jobs are there from the start. It fails without the check in send, without both checks for stray runs (not without one of them, since the other one holds), if stopped runs free their room at once, and if starts without an answer do (each tried).

--- a/core/schedule/shrink_test.go
+++ b/core/schedule/shrink_test.go
@@ -222,6 +222,15 @@
 	f.in(f.between(0, 1500), tell)
 }
 
+// submit hands a job in.
+func (f *shrinking) submit(n int) {
+	def := job.Step{Count: 1 + f.rng.IntN(4), Room: job.Room{CPU: 200 + f.rng.Int64N(3800)}, Estimate: time.Second}
+	def.Gang, def.Lasting = f.rng.IntN(5) == 0, f.rng.IntN(9) == 0
+	id := job.ID(fmt.Sprintf("j-%d", n))
+	f.steps[id] = def
+	f.job(string(id), "free", def)
+}
+
 // disturb changes something, every few turns.
 func (f *shrinking) disturb(turn int) {
 	v := f.vms[f.rng.IntN(len(f.vms))]
@@ -231,11 +240,7 @@
 	case 2:
 		v.silent = f.rng.IntN(3) == 0
 	case 3, 4, 5:
-		def := job.Step{Count: 1 + f.rng.IntN(4), Room: job.Room{CPU: 200 + f.rng.Int64N(3800)}, Estimate: time.Second}
-		def.Gang, def.Lasting = f.rng.IntN(5) == 0, f.rng.IntN(9) == 0
-		id := job.ID(fmt.Sprintf("j-%d", turn))
-		f.steps[id] = def
-		f.job(string(id), "free", def)
+		f.submit(turn)
 	case 6:
 		f.s.Cancel(f.now, job.ID(fmt.Sprintf("j-%d", f.rng.IntN(turn+1))))
 	}
@@ -249,6 +254,10 @@
 		f.vms = append(f.vms, v)
 		f.resize(v, 8000)
 	}
+	for n := range 4 {
+		// Numbers that no turn has.
+		f.submit(-1 - n)
+	}
 	return f
 }
 
