--- /dev/null
+++ b/core/schedule/capacity_test.go
@@ -0,0 +1,146 @@
+package schedule
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lavenderpond/core/job"
+)
+
+// entryOf is what a VM with this much CPU says of itself.
+func entryOf(id string, cpu int64, born job.Born) job.VMEntry {
+	return job.VMEntry{
+		ID: job.VMID(id), Pool: poolA, Address: id, Room: job.Room{CPU: cpu, MemMB: 8000},
+		Machine: job.MachineID("m-" + id), Born: born,
+	}
+}
+
+// resize tells that a VM's capacity has changed.
+func (h *harness) resize(id string, cpu int64) { h.s.VMSeen(h.now, entryOf(id, cpu, 1)) }
+
+// Guards against a start that waited for its save while the VM's room shrank.
+func TestPlannedStartIsSentOnlyIfItFits(t *testing.T) {
+	h := newHarness(t)
+	h.ready("one")
+	h.job("j", "free", small)
+	saves := h.turn(0)
+	h.resize("one", 500)
+	for _, c := range saves {
+		h.store(c)
+	}
+	assert.Equal(t, len(only[Start](h.s.Take())), 0)
+	assert.Equal(t, len(only[Start](h.step(0))), 0)
+	h.resize("one", 8000)
+	one[Start](h, h.step(0))
+}
+
+// Guards against starts beside a run whose room nobody knows, until that has ended.
+func TestRunOfAnUnknownJobKeepsTasksOff(t *testing.T) {
+	h := newHarness(t)
+	h.ready("one")
+	stray := job.RunningTask{Task: job.TaskID{Job: "stray"}, Attempt: 7}
+	h.lists("one", []job.RunningTask{stray})
+	one[Stop](h, h.step(0))
+	h.job("j", "free", small)
+	assert.Equal(t, len(only[Start](h.step(0))), 0)
+	h.now = h.now.Add(100 * time.Millisecond)
+	h.lists("one", nil, job.End{Number: 1, Task: stray.Task, Attempt: 7, How: job.EndedStopped})
+	one[Start](h, h.step(0))
+}
+
+// Guards against starts by the capacity and labels of a VM's former life.
+func TestNewLifeTakesTasksOnceItsEntryIsThere(t *testing.T) {
+	h := newHarness(t)
+	h.ready("one")
+	h.now = h.now.Add(time.Second)
+	reborn := job.Report{Clock: 10, Born: 2, Lists: true}
+	h.s.HoldAnswered(h.now, Hold{VM: "one"}, Answered, reborn)
+	h.job("j", "free", small)
+	assert.Equal(t, len(only[Start](h.step(0))), 0)
+	h.resize("one", 8000)
+	assert.Equal(t, len(only[Start](h.step(0))), 0, "the entry is of the former life")
+	h.s.VMSeen(h.now, entryOf("one", 8000, 2))
+	one[Start](h, h.step(0))
+}
+
+// Guards against starts that are refused again and again while the news of a shrink is late.
+func TestRefusalsForRoomGrowRarer(t *testing.T) {
+	h := newHarness(t)
+	h.ready("one")
+	h.job("j", "free", small)
+	refused := 0
+	for range 100 {
+		for _, c := range only[Start](h.step(100 * time.Millisecond)) {
+			refused++
+			h.s.StartAnswered(h.now, c, Answered, job.Report{Clock: h.clock(), Born: 1, Refused: job.RefusedRoom})
+		}
+	}
+	assert.Assert(t, refused <= 10, "%d starts in 10 s", refused)
+	h.resize("one", 4000)
+	one[Start](h, h.step(0))
+}
+
+// listOneAndOff tells of the machine of the VM "one" and of one that is off.
+func (h *harness) listOneAndOff() {
+	h.s.Machines(h.now, []job.Machine{
+		{ID: "m-one", Pool: poolA, State: job.MachineUp, VM: "one", Room: job.Room{CPU: 8000}},
+		{ID: "m-off", Pool: off, State: job.MachineUp, Room: job.Room{CPU: 8000}},
+	})
+}
+
+// Guards against a lasting task that may share its VM, finds no room, and gets no machine.
+func TestPoolGetsAVMForALastingTaskThatMayShare(t *testing.T) {
+	h := newHarness(t)
+	h.ready("one")
+	h.listOneAndOff()
+	h.job("j", "free", job.Step{Count: 2, Room: job.Room{CPU: 5000}, Lasting: true})
+	h.confirm(one[Start](h, h.step(0)))
+	assert.Equal(t, one[Move](h, h.step(waitingLong+sizeEvery)).Machine, job.MachineID("m-off"))
+}
+
+// Guards against a lasting task that fits on no VM of its pool since they have shrunk,
+// and gets no machine.
+func TestPoolGetsAVMWhenItsOwnHaveShrunk(t *testing.T) {
+	h := newHarness(t)
+	h.ready("one")
+	h.listOneAndOff()
+	h.resize("one", 1000)
+	h.job("j", "free", job.Step{Count: 1, Room: job.Room{CPU: 2000}, Lasting: true})
+	assert.Equal(t, one[Move](h, h.step(waitingLong+sizeEvery)).Machine, job.MachineID("m-off"))
+}
+
+// Guards against machines that are lent by the capacity of the list, which lags.
+func TestMachineIsLentByItsVMsPresentRoom(t *testing.T) {
+	h := newHarness(t)
+	h.ready("one")
+	h.s.Machines(h.now, []job.Machine{
+		{ID: "m-one", Pool: poolA, State: job.MachineUp, VM: "one", Room: job.Room{CPU: 1000}},
+	})
+	idle := h.s.idleMachines(h.now)
+	assert.Equal(t, len(idle), 1)
+	assert.Equal(t, idle[0].CPU, int64(8000))
+	h.resize("one", 0)
+	assert.Equal(t, len(h.s.idleMachines(h.now)), 0, "it would bring no room")
+}
+
+// Guards against starts on VMs that may have shrunk since the directory was last read.
+func TestOldDirectoryStartsNothingThatIsntGuarded(t *testing.T) {
+	for _, guarded := range []bool{false, true} {
+		h := newHarness(t)
+		h.s.settings.ShrinkNotice = 3 * time.Second
+		h.s.conf.Pool(poolA).Guarded = guarded
+		h.ready("one")
+		h.s.DirectoryRead(h.now)
+		h.job("j", "free", small)
+		one[Start](h, h.step(0))
+		h.now = h.now.Add(2500 * time.Millisecond)
+		h.lists("one", nil)
+		h.job("k", "free", small)
+		assert.Equal(t, len(only[Start](h.step(0))) > 0, guarded)
+		h.job("l", "free", small)
+		h.s.DirectoryRead(h.now)
+		assert.Assert(t, len(only[Start](h.step(0))) > 0)
+	}
+}
--- a/core/schedule/crash_test.go
+++ b/core/schedule/crash_test.go
@@ -86,6 +86,7 @@
 	l := c.lives[vm]
 	l.born++
 	l.since = c.now.Add(-10 * time.Millisecond)
+	c.s.VMSeen(c.now, entryOf(string(vm), 8000, l.born))
 	c.list(vm, nil)
 }
 
@@ -246,10 +247,8 @@
 		p := j.progress()
 		c.s.AddJob(c.now, job.Job{ID: id, Terms: j.Terms, Body: job.Body{Spec: "x", Steps: steps}}, &p, true)
 	}
-	for vm := range c.lives {
-		c.s.VMSeen(c.now, job.VMEntry{
-			ID: vm, Pool: poolA, Address: string(vm), Room: job.Room{CPU: 8000, MemMB: 8000}, Machine: "m-" + job.MachineID(vm),
-		})
+	for vm, l := range c.lives {
+		c.s.VMSeen(c.now, entryOf(string(vm), 8000, l.born))
 	}
 }
 
@@ -314,9 +313,8 @@
 	n := 1
 	for range 200 {
 		c.s.HoldAnswered(c.now, Hold{VM: bad.VM}, Unanswered, job.Report{})
-		c.lives[bad.VM].born++
-		c.lives[bad.VM].since = c.now
 		c.step(time.Second)
+		c.revive(bad.VM)
 		c.listAll(good.VM)
 		c.list(good.VM, []job.RunningTask{running(good, 100)})
 		commands := c.step(100 * time.Millisecond)
--- a/core/schedule/state.go
+++ b/core/schedule/state.go
@@ -52,6 +52,8 @@
 	// recorded runs are stored with their job; suspect ones are of a task under which a
 	// VM has crashed.
 	recorded, suspect bool
+	// stray runs are of a job that isn't known, so that their claim isn't either.
+	stray bool
 	// lasting, serving and fills tell what kind of task it is.
 	lasting, serving, fills bool
 	// resumed is set if it went on from a checkpoint.
@@ -206,6 +208,8 @@
 	// host is that machine as it is listed, or nil.
 	host *machineState
 	born job.Born
+	// entryBorn is the life that the VM's entry in the directory is of.
+	entryBorn job.Born
 	// listed is set while the VM's entry stands in the directory.
 	listed     bool
 	unlistedAt time.Time
@@ -223,6 +227,8 @@
 	stopping                int
 	// suspects counts the runs of tasks under which a VM has crashed.
 	suspects int
+	// strays counts the runs whose claim isn't known: how much room is free isn't either.
+	strays int
 	// ordered counts the starts that wait for their answer.
 	ordered int
 	// doubtful VMs leave a start without an answer, and nothing was heard of them since.
@@ -259,7 +265,10 @@
 	suspect    time.Time
 	// slowUntil is when the VM may get tasks again after one was slow there.
 	slowUntil time.Time
+	// fullUntil is when the VM may get tasks again after it refused one for want of
+	// room, refusals how often it did so in a row.
 	fullUntil time.Time
+	refusals  int
 	// rostered is what the roster says of the VM, inRoster the save of that: tasks may
 	// start here once it is stored.
 	rostered RosterVM
--- a/core/schedule/vm.go
+++ b/core/schedule/vm.go
@@ -52,7 +52,10 @@
 		s.reborn(now, v, e.Born)
 	}
 	v.listed, v.address, v.pool, v.zone = true, e.Address, e.Pool, e.Zone
-	v.room = e.Room
+	if e.Room != v.room || e.Born != v.entryBorn {
+		v.fullUntil, v.refusals = time.Time{}, 0
+	}
+	v.room, v.entryBorn = e.Room, e.Born
 	v.evacuated = s.evacuations.has(v.zone)
 	if e.Machine != "" {
 		s.setMachine(v, e.Machine)
@@ -68,6 +71,25 @@
 	v.draining = e.Draining
 }
 
+// DirectoryRead notes that all changes of the directory are known that were made before
+// asOf.
+func (s *Scheduler) DirectoryRead(asOf time.Time) { s.directoryAsOf = asOf }
+
+// shrinkMargin covers a start that was sent by an old reading: on its way it may still be
+// carried out for startWithin, on a slow clock for longer.
+const shrinkMargin = time.Second
+
+// roomKnown tells whether the VM's capacity is known well enough for a start. VMs that
+// refuse what doesn't fit look after it themselves.
+func (s *Scheduler) roomKnown(now time.Time, v *vmState) bool {
+	within := s.settings.ShrinkNotice
+	if within == 0 || now.Sub(s.directoryAsOf) < within-shrinkMargin {
+		return true
+	}
+	p := s.conf.Pool(v.pool)
+	return p != nil && p.Guarded
+}
+
 // setMachine notes which machine the VM lives on.
 func (s *Scheduler) setMachine(v *vmState, id job.MachineID) {
 	v.machine, v.host = id, s.machines.Get(id)
@@ -165,14 +187,26 @@
 
 // usable tells whether new tasks may start on the VM.
 func (s *Scheduler) usable(now time.Time, v *vmState) bool {
-	return v.takesTasks() && !v.cordoned && v.inRoster <= s.stored && !v.doubtful && !v.slow(now) && !now.Before(v.suspect) && !now.Before(v.fullUntil)
+	paused := v.doubtful || v.slow(now) || now.Before(v.suspect) || now.Before(v.fullUntil)
+	return v.takesTasks() && !v.cordoned && !paused && v.inRoster <= s.stored && v.strays == 0 && s.roomKnown(now, v)
 }
 
+// free returns the room that nothing has taken. It is negative after the VM's capacity
+// has shrunk below what runs there.
+func (v *vmState) free() job.Room { return v.room.Minus(v.used) }
+
+// overfull tells whether what is booked on the VM exceeds its capacity, or may do so.
+func (v *vmState) overfull() bool { return v.strays > 0 || !(job.Room{}).Fits(v.free()) }
+
 // takesTasks tells whether the VM is there for tasks, as far as is known.
 func (v *vmState) takesTasks() bool {
-	return v.listed && !v.draining && !v.evacuated && v.heldOnce && !v.silent && v.clock.Known()
+	return v.described() && !v.draining && !v.evacuated && v.heldOnce && !v.silent && v.clock.Known()
 }
 
+// described tells whether the directory lists the VM's present life. Another life may be
+// of another kind: its capacity and labels aren't known before its entry is there.
+func (v *vmState) described() bool { return v.listed && v.entryBorn >= v.born }
+
 // leaseOver tells whether the lease of a silent VM is over for certain.
 func (v *vmState) leaseOver(now time.Time) bool {
 	if !v.clock.Known() {
--- a/io/node/owner.go
+++ b/io/node/owner.go
@@ -192,6 +192,8 @@
 		o.takeJobs(now, e.rows, o.decodeProgress(e.progress))
 	case vmsChanged:
 		o.takeVMs(now, e)
+	case directoryRead:
+		s.DirectoryRead(e.asOf)
 	case stored:
 		s.Stored(now, e.sequence)
 	case startAnswered:
@@ -248,6 +250,7 @@
 		v, err := platform.DecodeVM(r)
 		if err != nil {
 			o.log.Warn().Err(err).Str("event", "vm_entry_ignored").Send()
+			o.scheduler.VMUnlisted(now, job.VMID(r.Key))
 			continue
 		}
 		present[v.ID] = true
@@ -286,7 +289,11 @@
 
 func (o *owner) followVMs(ctx context.Context) error {
 	f := feed{table: o.node.table, name: platform.VMTable, log: o.log}
-	return f.run(ctx, func(rows []platform.Row, whole bool) { o.send(ctx, vmsChanged{rows, whole}) }, func(time.Time) {})
+	return f.run(ctx, func(rows []platform.Row, whole bool) {
+		o.send(ctx, vmsChanged{rows, whole})
+	}, func(asOf time.Time) {
+		o.send(ctx, directoryRead{asOf})
+	})
 }
 
 func (o *owner) followMachines(ctx context.Context) error {
