Test of a run that is freed although a new life of its VM has begun it, red

A start that reaches a new life before the owner knows of it is confirmed; when the directory tells of that life before a list does, the run is freed as one of the former life and the task starts again (1 start, wanted 0), beside a run or after an end that the new life then lists.

--- /dev/null
+++ b/core/schedule/otherlife_test.go
@@ -0,0 +1,31 @@
+package schedule
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lavenderpond/core/job"
+)
+
+// Guards against a second run of a task that a new life has begun: answers to starts don't say which life gave them, and the directory tells of a new life before a list does.
+func TestStartThatANewLifeHasAnsweredIsNotFreed(t *testing.T) {
+	h := newHarness(t)
+	h.now = h.now.Add(20 * time.Second)
+	h.ready("one", "two")
+	h.job("j", "free", small)
+	start := one[Start](h, h.step(0))
+	h.s.StartAnswered(h.now, start, Answered, job.Report{Clock: 50})
+	h.now = h.now.Add(300 * time.Millisecond)
+	h.s.VMSeen(h.now, job.VMEntry{
+		ID: start.VM, Pool: poolA, Address: string(start.VM), Room: job.Room{CPU: 8000, MemMB: 8000},
+		Machine: job.MachineID("m-" + string(start.VM)), Born: 2,
+	})
+	assert.Equal(t, len(only[Start](h.step(0))), 0, "it may run, or have ended, in the new life")
+	h.s.HoldAnswered(h.now, Hold{VM: start.VM}, Answered, job.Report{
+		Clock: 400, Born: 2, Lists: true, Finished: []job.End{end(1, start, job.EndedDone)},
+	})
+	assert.Equal(t, len(only[Start](h.step(100*time.Millisecond))), 0)
+	assert.Assert(t, !h.s.jobs.Has("j"), "it is completed and stored")
+}
