A run that a later life of its VM has confirmed is not freed with the former life

Cause: a new life under the same ID answers a start without saying which life it is. Change: its clock, which began anew, is far behind the start's deadline; such a run counts as unanswered and is stopped by name until a list of the new life tells.

--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -190,6 +190,12 @@
 	})
 }
 
+// begunAnew tells whether a run was confirmed by a later life of its VM than the one for
+// which it was ordered: answers to starts don't name the life, but its clock began anew.
+func (r *run) begunAnew() bool {
+	return r.phase == runConfirmed && r.confirmedClock < r.startBy-2*job.VMClock(startWithin.Milliseconds())
+}
+
 // StartAnswered takes in what came of a start.
 func (s *Scheduler) StartAnswered(now time.Time, c Start, out Outcome, rep job.Report) {
 	v := s.vms.Get(c.VM)
--- a/core/schedule/vm.go
+++ b/core/schedule/vm.go
@@ -151,7 +151,7 @@
 			continue
 		}
 		r.stopClock = 0
-		if r.phase == runConfirmed {
+		if r.phase == runConfirmed && !r.begunAnew() {
 			s.free(now, r, "VM lives anew")
 			continue
 		}
