Test of a new life whose lease outlasts the owner's reckoning, red

A start that a new life takes before the owner knows of it begins a whole lease there; the owner goes by the former life's last hold, which may be 2.6 s older. If the VM is then cut off, the run is freed and starts again 1.8 s too early, and an end in between is listed and noted once the VM is back.

--- a/core/schedule/otherlife_test.go
+++ b/core/schedule/otherlife_test.go
@@ -29,3 +29,27 @@
 	assert.Equal(t, len(only[Start](h.step(100*time.Millisecond))), 0)
 	assert.Assert(t, !h.s.jobs.Has("j"), "it is completed and stored")
 }
+
+// Guards against a lease that outlasts the owner's reckoning: a new life that takes a start grants a whole lease from then on, though the former life's deadlines are over sooner.
+func TestLeaseOfANewLifeCountsFromItsStart(t *testing.T) {
+	h := newHarness(t)
+	h.now = h.now.Add(20 * time.Second)
+	h.ready("one", "two")
+	h.now = h.now.Add(2 * time.Second)
+	h.job("j", "free", small)
+	start := one[Start](h, h.step(0))
+	h.s.StartAnswered(h.now, start, Answered, job.Report{Clock: 50})
+	leaseEnd := h.now.Add(6 * time.Second)
+	other := map[job.VMID]string{"one": "two", "two": "one"}[start.VM]
+	h.s.HoldAnswered(h.now, Hold{VM: start.VM}, Unanswered, job.Report{})
+	for h.now.Before(leaseEnd) {
+		commands := h.step(100 * time.Millisecond)
+		for _, c := range only[Hold](commands) {
+			if c.VM == start.VM {
+				h.s.HoldAnswered(h.now, c, Unanswered, job.Report{})
+			}
+		}
+		h.lists(other, nil)
+		assert.Equal(t, len(only[Start](commands)), 0, "%s before the lease is over", leaseEnd.Sub(h.now))
+	}
+}
