The lease of a life that isn't known yet counts from the start that it took

Cause: such a life grants a whole lease from the start on, the owner reckoned by the former life's last hold. Change: a start that was confirmed by a later life extends the reckoned lease by a whole one.

--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -173,12 +173,17 @@
 	// A new life of the VM may have taken a start that was meant for the former
 	// one: its lease counts from here.
 	longest := clock + job.VMClock(s.settings.LeaseMax.Milliseconds())
-	r.vm.leaseEnd = max(r.vm.leaseEnd, min(r.startBy, longest))
+	v := r.vm
+	v.leaseEnd = max(v.leaseEnd, min(r.startBy, longest))
 	r.confirmedAt = now
 	if !r.resumed {
 		r.markAt = now
 	}
 	r.confirmedClock = max(r.confirmedClock, clock)
+	if r.begunAnew() && v.clock.Known() {
+		// A life that isn't known yet grants a whole lease, whatever the known one's clock says.
+		v.leaseEnd = max(v.leaseEnd, v.clock.Likely(now)+job.VMClock(s.settings.LeaseMax.Milliseconds()))
+	}
 	j := s.jobs.Get(r.task.Job)
 	if j == nil {
 		return
