Test of a look that may reach a new life with the former life's number, red

A look goes to a VM that leaves a start unanswered, every 50 ms until its hold fails, which takes up to 2.6 s; until then the VM doesn't count as silent, and the look carries the number of the last noted end (sent 1, wanted 0).

--- a/core/schedule/otherlife_test.go
+++ b/core/schedule/otherlife_test.go
@@ -53,3 +53,21 @@
 		assert.Equal(t, len(only[Start](commands)), 0, "%s before the lease is over", leaseEnd.Sub(h.now))
 	}
 }
+
+// Guards against a new life that forgets its first ends: looks go to a VM that leaves a start unanswered, long before its hold fails and it counts as silent.
+func TestLookNotesNothing(t *testing.T) {
+	h := newHarness(t)
+	h.ready("one")
+	h.job("j", "free", small)
+	first := one[Start](h, h.step(0))
+	h.confirm(first)
+	h.lists("one", nil, end(1, first, job.EndedDone))
+	h.step(0)
+	h.lists("one", nil)
+	assert.Equal(t, notedAt(h.step(30*time.Millisecond), "one"), int64(1))
+	h.job("k", "free", small)
+	one[Start](h, h.step(0))
+	look := looks(h.step(answerDue + 10*time.Millisecond))
+	assert.Equal(t, len(look), 1)
+	assert.Equal(t, look[0].Order.Noted, int64(0))
+}
