Test of a lost start that a new life of a forgotten VM may carry out, red

A VM that is neither listed nor heard is forgotten after 3 s, and with it the starts without an answer that may be carried out for 13 s. A new life under its ID is not told to refuse them (no stop, wanted one).

--- a/core/schedule/otherlife_test.go
+++ b/core/schedule/otherlife_test.go
@@ -71,3 +71,27 @@
 	assert.Equal(t, len(look), 1)
 	assert.Equal(t, look[0].Order.Noted, int64(0))
 }
+
+// Guards against a start that a new life carries out late, its task being at work elsewhere: the VM is forgotten seconds before that can't happen any more.
+func TestLostStartIsStoppedAtANewLifeOfAForgottenVM(t *testing.T) {
+	h := newHarness(t)
+	h.ready("one")
+	h.job("j", "free", small)
+	start := one[Start](h, h.step(0))
+	h.s.SetRights(Rights{Hold: true})
+	h.s.StartAnswered(h.now, start, Unanswered, job.Report{})
+	h.step(700 * time.Millisecond)
+	h.lists("one", nil)
+	h.s.VMUnlisted(h.now, "one")
+	for range 8 {
+		for _, c := range only[Hold](h.step(time.Second)) {
+			h.s.HoldAnswered(h.now, c, Unanswered, job.Report{})
+		}
+	}
+	assert.Assert(t, h.now.Sub(begin) < lateOrder)
+	h.s.VMSeen(h.now, job.VMEntry{ID: "one", Pool: poolA, Address: "one", Machine: "m-one", Born: 2})
+	h.s.HoldAnswered(h.now, Hold{VM: "one"}, Answered, job.Report{Clock: 3, Born: 2, Lists: true})
+	stops := only[Stop](h.step(0))
+	assert.Assert(t, len(stops) > 0)
+	assert.Equal(t, stops[0].Attempt, start.Order.Attempt)
+}
