--- a/core/schedule/vm.go
+++ b/core/schedule/vm.go
@@ -193,7 +193,7 @@
 		v.lost = v.lost[1:]
 	}
 	gone := !v.listed && v.runs.Len() == 0 && !now.Before(v.inheritedUntil) && now.Sub(v.answered) > forgetAfter && now.Sub(v.unlistedAt) > forgetAfter
-	if gone && !v.holding {
+	if gone && !v.holding && len(v.lost) == 0 {
 		s.vms.Delete(v.id)
 		s.dirtyVMs = append(s.dirtyVMs, v.id)
 	}
