Test of a run whose end does not fit into its VM's list, red

VMs list 500 ends at a time. A run that has ended behind them is in neither list, is freed as missing and starts again (1 start, wanted 0); its end is listed and noted later. Takes 500 ends that wait for the table on one VM, so it is unlikely on fleets of hundreds.

--- a/core/schedule/otherlife_test.go
+++ b/core/schedule/otherlife_test.go
@@ -95,3 +95,22 @@
 	assert.Assert(t, len(stops) > 0)
 	assert.Equal(t, stops[0].Attempt, start.Order.Attempt)
 }
+
+// Guards against a second run of a task whose end is not among those that a VM lists at a time.
+func TestListWithoutAllEndsFreesNothing(t *testing.T) {
+	h := newHarness(t)
+	h.ready("one", "two")
+	h.job("j", "free", small)
+	start := one[Start](h, h.step(0))
+	h.confirm(start)
+	h.step(time.Second)
+	var ends []job.End
+	for n := range int64(500) {
+		ends = append(ends, job.End{Number: n + 1, Task: job.TaskID{Job: "other", Index: int(n)}, How: job.EndedDone})
+	}
+	h.lists(string(start.VM), nil, ends...)
+	assert.Equal(t, len(only[Start](h.step(100*time.Millisecond))), 0, "its end may be listed next")
+	h.lists(string(start.VM), nil, end(501, start, job.EndedDone))
+	assert.Equal(t, len(only[Start](h.step(100*time.Millisecond))), 0)
+	assert.Assert(t, !h.s.jobs.Has("j"), "it is completed and stored")
+}
