--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -7,6 +7,9 @@
 	"lavenderpond/core/job"
 )
 
+// endsListed is how many ends a VM lists at a time.
+const endsListed = 500
+
 // takeLists takes in a VM's lists of ends and of what runs.
 func (s *Scheduler) takeLists(now time.Time, v *vmState, r job.Report) {
 	for _, e := range r.Finished {
@@ -23,6 +26,10 @@
 	for i := range r.Running {
 		s.takeRunning(now, v, r.Clock, &r.Running[i])
 	}
+	if len(r.Finished) >= endsListed {
+		// A run that isn't on the list may have ended behind those that are.
+		return
+	}
 	for _, x := range v.runs.All() {
 		if x.list != v.lists {
 			s.takeMissing(now, x, r.Clock)
