Test of a former life's answer that comes in after the directory told of the new life, red

An answer to a start names no life. Taken in late, its clock counts as the new life's: the run that it confirms is never missed by a list (the task is stuck), and deadlines by that clock never keep the new life from a start or hold that comes late.

--- a/core/schedule/otherlife_test.go
+++ b/core/schedule/otherlife_test.go
@@ -114,3 +114,30 @@
 	assert.Equal(t, len(only[Start](h.step(100*time.Millisecond))), 0)
 	assert.Assert(t, !h.s.jobs.Has("j"), "it is completed and stored")
 }
+
+// Guards against the clock of a former life that is taken for the new one's: a start that it has answered comes in after the directory told of the new life.
+func TestLateAnswerOfAFormerLifeIsNotTaken(t *testing.T) {
+	h := newHarness(t)
+	h.now = h.now.Add(20 * time.Second)
+	h.ready("one")
+	h.job("j", "free", small)
+	start := one[Start](h, h.step(0))
+	h.s.VMSeen(h.now, job.VMEntry{ID: "one", Pool: poolA, Address: "one", Machine: "m-one", Born: 2, Room: job.Room{CPU: 8000, MemMB: 8000}})
+	h.s.StartAnswered(h.now, start, Answered, job.Report{Clock: h.clock()})
+	born := h.now
+	clock := func() job.VMClock { return job.VMClock(h.now.Sub(born).Milliseconds()) + 5 }
+	h.s.HoldAnswered(h.now, Hold{VM: "one"}, Unanswered, job.Report{})
+	var again []Start
+	for range 30 {
+		commands := h.step(100 * time.Millisecond)
+		again = append(again, only[Start](commands)...)
+		for _, c := range only[Stop](commands) {
+			h.s.StopAnswered(h.now, c, Answered, job.Report{Clock: clock()})
+		}
+		for _, c := range only[Hold](commands) {
+			h.s.HoldAnswered(h.now, c, Answered, job.Report{Clock: clock(), Born: 2, Lists: true})
+		}
+	}
+	assert.Assert(t, len(again) > 0, "the task is stuck")
+	assert.Assert(t, again[0].Order.Deadline < 5000, "deadline %d", again[0].Order.Deadline)
+}
