An answer that names no life is not taken for that of another life

Change: such an answer counts only for the life to which its order was sent; else the run stays unanswered and a list of the new life tells.

--- a/core/schedule/command.go
+++ b/core/schedule/command.go
@@ -9,16 +9,19 @@
 // Command is what the scheduler wants done.
 type Command interface{ command() }
 
-// Start orders a task's start on a VM in an availability zone.
+// Start orders a task's start on a VM in an availability zone. Life is the VM's life as
+// known at its sending, since the answer needn't name the life that gives it.
 type Start struct {
 	VM    job.VMID
+	Life  job.Born
 	Zone  job.ZoneName
 	Order job.StartOrder
 }
 
-// Stop orders a run's end on a VM.
+// Stop orders a run's end on a VM. Life is as in a Start.
 type Stop struct {
 	VM      job.VMID
+	Life    job.Born
 	Task    job.TaskID
 	Attempt job.Attempt
 }
--- a/core/schedule/hold.go
+++ b/core/schedule/hold.go
@@ -103,6 +103,15 @@
 	return true
 }
 
+// heardFrom takes in an answer to an order for a life of the VM. One that doesn't name its
+// life says nothing once another life is known: its clock may be of either.
+func (s *Scheduler) heardFrom(now time.Time, v *vmState, life job.Born, r job.Report) bool {
+	if r.Born == 0 && life != v.born {
+		return false
+	}
+	return s.heard(now, v, r)
+}
+
 func (s *Scheduler) holdFailed(now time.Time, v *vmState, out Outcome, r job.Report) {
 	if out == Answered {
 		s.heard(now, v, r)
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -39,7 +39,7 @@
 		What: TaskOrdered, Job: j.ID, Task: r.task, Attempt: r.attempt, VM: v.id, Age: now.Sub(v.answered),
 		After: now.Sub(j.arrived),
 	})
-	s.emit(Start{VM: v.id, Zone: v.zone, Order: job.StartOrder{
+	s.emit(Start{VM: v.id, Life: v.born, Zone: v.zone, Order: job.StartOrder{
 		Task: r.task, Attempt: r.attempt, Spec: j.Body.Spec, Fence: s.settings.Fence, Checkpoint: t.saved,
 		Deadline: r.startBy, Ticket: st.tickets[v.id],
 	}})
@@ -141,7 +141,7 @@
 	s.decided(Decision{
 		What: TaskStopping, Job: r.task.Job, Task: r.task, Attempt: r.attempt, VM: r.vm.id, Reason: why,
 	})
-	s.emit(Stop{VM: r.vm.id, Task: r.task, Attempt: r.attempt})
+	s.emit(Stop{VM: r.vm.id, Life: r.vm.born, Task: r.task, Attempt: r.attempt})
 }
 
 // repeatStops orders the end again of runs on the VM that are still there.
@@ -152,7 +152,7 @@
 		}
 		r.resendStop = now.Add(stopRetry)
 		if r.stopClock == 0 || r.phase == runConfirmed {
-			s.emit(Stop{VM: v.id, Task: r.task, Attempt: r.attempt})
+			s.emit(Stop{VM: v.id, Life: v.born, Task: r.task, Attempt: r.attempt})
 		}
 	}
 }
@@ -207,7 +207,7 @@
 	if v == nil {
 		return
 	}
-	if out == Answered && !s.heard(now, v, rep) {
+	if out == Answered && !s.heardFrom(now, v, c.Life, rep) {
 		return
 	}
 	r := v.runs.Get(runKey{c.Order.Task, c.Order.Attempt})
@@ -255,7 +255,7 @@
 // StopAnswered takes in what came of a stop.
 func (s *Scheduler) StopAnswered(now time.Time, c Stop, out Outcome, rep job.Report) {
 	v := s.vms.Get(c.VM)
-	if v == nil || out != Answered || !s.heard(now, v, rep) {
+	if v == nil || out != Answered || !s.heardFrom(now, v, c.Life, rep) {
 		return
 	}
 	r := v.runs.Get(runKey{c.Task, c.Attempt})
--- a/core/schedule/vm.go
+++ b/core/schedule/vm.go
@@ -142,7 +142,7 @@
 	s.enroll(v)
 	for _, r := range v.lost {
 		if now.Sub(r.orderedAt) < lateOrder {
-			s.emit(Stop{VM: v.id, Task: r.task, Attempt: r.attempt})
+			s.emit(Stop{VM: v.id, Life: v.born, Task: r.task, Attempt: r.attempt})
 		}
 	}
 	v.lost = nil
