Test of a task that a former owner began in a new life it didn't know, red

The roster names the life that the former owner knew. When the directory shows a newer one, nothing is taken to run there, though a start of the former owner may have reached it unnoticed; the task starts again at once (1 start, wanted 0).

--- a/core/schedule/otherlife_test.go
+++ b/core/schedule/otherlife_test.go
@@ -141,3 +141,16 @@
 	assert.Assert(t, len(again) > 0, "the task is stuck")
 	assert.Assert(t, again[0].Order.Deadline < 5000, "deadline %d", again[0].Order.Deadline)
 }
+
+// Guards against a second run of a task that a former owner began in a new life without knowing of that life: the roster names the life before.
+func TestNewLifeOfAnInheritedVMIsHeardFirst(t *testing.T) {
+	h := newHarness(t)
+	h.s.Inherit(RosterVM{ID: "one", Address: "one", Pool: poolA, Machine: "m-one", Born: 1})
+	h.ready("two")
+	j := job.Job{ID: "j", Body: job.Body{Spec: "x", Steps: []job.Step{small}}, Terms: job.Terms{Queue: "q", Pool: poolA, Account: "free"}}
+	h.s.AddJob(h.now, j, &job.Progress{State: job.Running, VMs: []job.VMID{"one"}}, true)
+	h.s.VMSeen(h.now, job.VMEntry{ID: "one", Pool: poolA, Address: "one", Machine: "m-one", Born: 2})
+	assert.Equal(t, len(only[Start](h.step(30*time.Millisecond))), 0, "it may run there")
+	h.s.HoldAnswered(h.now, Hold{VM: "one"}, Answered, job.Report{Clock: 900, Born: 2, Lists: true})
+	assert.Equal(t, len(only[Start](h.step(0))), 1)
+}
