A new owner waits for the new life of an inherited VM as for any other

Cause: a newer life in the directory counted as proof that nothing of the former owner runs there. What it costs: jobs with a place on such a VM wait for its first list, ten seconds at the most.

--- a/core/schedule/vm.go
+++ b/core/schedule/vm.go
@@ -138,7 +138,6 @@
 	v.clock, v.leaseEnd = lease.Clock{}, 0
 	v.seen, v.noted, v.unsure, v.listClock = 0, 0, nil, 0
 	v.heldOnce, v.nextHold = false, now
-	v.inheritedUntil = time.Time{}
 	s.enroll(v)
 	for _, r := range v.lost {
 		if now.Sub(r.orderedAt) < lateOrder {
