Test of a new owner that gets a list without room for all ends, red

A VM counts as heard after its first list, although that may have no room for the end of a task (1 start, wanted 0).

--- a/core/schedule/otherlife_test.go
+++ b/core/schedule/otherlife_test.go
@@ -154,3 +154,21 @@
 	h.s.HoldAnswered(h.now, Hold{VM: "one"}, Answered, job.Report{Clock: 900, Born: 2, Lists: true})
 	assert.Equal(t, len(only[Start](h.step(0))), 1)
 }
+
+// Guards against a second run of a task whose end doesn't fit into the first list that a new owner gets of its VM.
+func TestVMIsHeardOnceItListsAllEnds(t *testing.T) {
+	h := newHarness(t)
+	h.s.Inherit(RosterVM{ID: "one", Address: "one", Pool: poolA, Machine: "m-one", Born: 1})
+	h.ready("two")
+	h.seen("one")
+	j := job.Job{ID: "j", Body: job.Body{Spec: "x", Steps: []job.Step{small}}, Terms: job.Terms{Queue: "q", Pool: poolA, Account: "free"}}
+	h.s.AddJob(h.now, j, &job.Progress{State: job.Running, VMs: []job.VMID{"one"}}, true)
+	var ends []job.End
+	for n := range int64(500) {
+		ends = append(ends, job.End{Number: n + 1, Task: job.TaskID{Job: "other", Index: int(n)}, How: job.EndedDone})
+	}
+	h.lists("one", nil, ends...)
+	assert.Equal(t, len(only[Start](h.step(100*time.Millisecond))), 0, "its end may be listed next")
+	h.lists("one", nil)
+	assert.Equal(t, len(only[Start](h.step(100*time.Millisecond))), 1)
+}
