--- a/core/schedule/hold.go
+++ b/core/schedule/hold.go
@@ -71,7 +71,7 @@
 		return
 	}
 	s.takeLists(now, v, r)
-	if !v.heldOnce {
+	if !v.heldOnce && len(r.Finished) < endsListed {
 		v.heldOnce, v.heldFirst = true, now
 		v.inheritedUntil = time.Time{}
 	}
