--- /dev/null
+++ b/core/schedule/notedorder_test.go
@@ -0,0 +1,77 @@
+package schedule
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lavenderpond/core/job"
+)
+
+// Guards against an end that is noted, with all before it, while one before it is not stored.
+func TestEndBehindAnUnstoredOneIsNotNoted(t *testing.T) {
+	h := newHarness(t)
+	h.ready("one")
+	h.job("j", "free", small)
+	start := one[Start](h, h.step(0))
+	h.confirm(start)
+	unknown := job.End{Number: 2, Task: job.TaskID{Job: "unknown"}, How: job.EndedDone}
+	h.lists("one", nil, end(1, start, job.EndedDone), unknown)
+	save := one[Save](h, h.turn(time.Second))
+	h.lists("one", nil, end(1, start, job.EndedDone), unknown)
+	assert.Equal(t, notedAt(h.turn(time.Second), "one"), int64(0))
+	h.store(save)
+	h.lists("one", nil)
+	assert.Equal(t, notedAt(h.turn(time.Second), "one"), int64(2))
+}
+
+// Guards against an end that is noted by the save of another one.
+func TestStoredSaveNotesNoLaterEnd(t *testing.T) {
+	h := newHarness(t)
+	h.ready("one")
+	h.job("j", "free", small)
+	h.job("k", "free", small)
+	starts := only[Start](h.step(0))
+	assert.Equal(t, len(starts), 2)
+	var saves []Save
+	for i, c := range starts {
+		h.confirm(c)
+		h.lists("one", nil, end(int64(i+1), c, job.EndedDone))
+		saves = append(saves, one[Save](h, h.turn(time.Millisecond)))
+	}
+	for i, c := range saves {
+		h.store(c)
+		h.lists("one", nil)
+		assert.Equal(t, notedAt(h.turn(time.Second), "one"), int64(i+1))
+	}
+}
+
+// Guards against numbers of a former life that count for the new one: its ends are passed over, or forgotten before anybody has seen them.
+func TestNumbersOfAFormerLifeAreForgotten(t *testing.T) {
+	h := newHarness(t)
+	h.ready("one")
+	h.job("j", "free", small)
+	h.job("k", "free", small)
+	starts := only[Start](h.step(0))
+	assert.Equal(t, len(starts), 2)
+	for _, c := range starts {
+		h.confirm(c)
+	}
+	h.lists("one", nil, end(1, starts[0], job.EndedDone))
+	h.step(0)
+	h.lists("one", nil, end(2, starts[1], job.EndedDone))
+	unstored := one[Save](h, h.turn(time.Second))
+	born := func(clock job.VMClock, ended ...job.End) {
+		h.s.HoldAnswered(h.now, Hold{VM: "one"}, Answered, job.Report{Clock: clock, Born: 2, Lists: true, Finished: ended})
+	}
+	born(10)
+	h.store(unstored)
+	hold := one[Hold](h, h.step(100*time.Millisecond))
+	assert.Equal(t, hold.Order.Noted, int64(0))
+	h.job("l", "free", small)
+	next := one[Start](h, h.step(time.Millisecond))
+	h.s.StartAnswered(h.now, next, Answered, job.Report{Clock: 30, Born: 2})
+	born(1000, end(1, next, job.EndedDone))
+	assert.Equal(t, one[Save](h, h.turn(time.Second)).Progress.State, job.Completed)
+}
