--- a/io/node/commit_test.go
+++ b/io/node/commit_test.go
@@ -115,3 +115,17 @@
 	defer cancel()
 	assert.Assert(t, errors.Is(c.run(ctx), context.DeadlineExceeded))
 }
+
+// Guards against saves that count as stored while others of their sequence wait for the next transaction.
+func TestSequenceInTwoTransactionsIsStoredWithTheSecond(t *testing.T) {
+	c := newCommitter(nil)
+	var saves []schedule.Command
+	for i := range savesEach + 10 {
+		saves = append(saves, schedule.Save{Sequence: 7, Job: job.ID(fmt.Sprintf("%016x", i))})
+	}
+	c.add(saves)
+	_, last := c.next()
+	assert.Equal(t, last, int64(6))
+	_, last = c.next()
+	assert.Equal(t, last, int64(7))
+}
