--- a/core/schedule/otherlife_test.go
+++ b/core/schedule/otherlife_test.go
@@ -172,3 +172,22 @@
 	h.lists("one", nil)
 	assert.Equal(t, len(only[Start](h.step(100*time.Millisecond))), 1)
 }
+
+// Guards against a run that is never freed: a stop that the former life took says nothing of the new one.
+func TestStopTakenByAFormerLifeIsSentAgain(t *testing.T) {
+	h := newHarness(t)
+	h.now = h.now.Add(20 * time.Second)
+	h.ready("one")
+	h.job("j", "free", small)
+	start := one[Start](h, h.step(0))
+	h.s.StartAnswered(h.now, start, Unanswered, job.Report{})
+	h.s.Cancel(h.now, "j")
+	stop := one[Stop](h, h.turn(0))
+	h.s.VMSeen(h.now, job.VMEntry{ID: "one", Pool: poolA, Address: "one", Machine: "m-one", Born: 2})
+	h.s.StopAnswered(h.now, stop, Answered, job.Report{Clock: h.clock()})
+	again := only[Stop](h.step(stopRetry))
+	assert.Assert(t, len(again) > 0)
+	h.s.StopAnswered(h.now, again[0], Answered, job.Report{Clock: 700})
+	h.s.HoldAnswered(h.now, Hold{VM: "one"}, Answered, job.Report{Clock: 800, Born: 2, Lists: true})
+	assert.Equal(t, h.s.vms.Get("one").runs.Len(), 0)
+}
