--- a/core/emulator/judge.go
+++ b/core/emulator/judge.go
@@ -20,7 +20,9 @@
 	doneAt         map[job.TaskID]time.Time
 	notedDone      map[job.TaskID]bool
 	ends           map[job.TaskID]int
-	states         map[job.ID]job.State
+	// lastStart is when each task was last started.
+	lastStart map[job.TaskID]time.Time
+	states    map[job.ID]job.State
 	// away are the machines in upkeep.
 	away      map[job.MachineID]bool
 	waveState job.WaveState
@@ -31,7 +33,7 @@
 	return &judge{
 		w: w, running: map[job.TaskID][]*vmRun{}, doneAt: map[job.TaskID]time.Time{},
 		notedDone: map[job.TaskID]bool{}, ends: map[job.TaskID]int{}, states: map[job.ID]job.State{},
-		away: map[job.MachineID]bool{}, stopped: map[job.TaskID]time.Time{},
+		lastStart: map[job.TaskID]time.Time{}, away: map[job.MachineID]bool{}, stopped: map[job.TaskID]time.Time{},
 	}
 }
 
@@ -45,6 +47,7 @@
 func (g *judge) started(v *vm, r *vmRun) {
 	t := g.w.jobs[r.task.Job]
 	step := &t.Body.Steps[r.task.Step]
+	g.lastStart[r.task] = g.w.now
 	if len(g.running[r.task]) > 0 && !step.Speculative {
 		other := g.running[r.task][0]
 		g.broken("%v attempt %d on %s beside attempt %d since %.3f s", r.task, r.attempt, v.id, other.attempt, other.began.Sub(epoch).Seconds())
@@ -121,10 +124,17 @@
 // may be repeated.
 func (g *judge) gone(_ *vm, r *vmRun) { g.drop(r) }
 
-func (g *judge) noted(e job.End) {
-	if e.How == job.EndedDone {
-		g.notedDone[e.Task] = true
+// noted takes in that a VM forgets an end, which came at ended and before which its lease
+// last ran out at lapsed.
+func (g *judge) noted(v *vm, e job.End, ended time.Time) {
+	if e.How != job.EndedDone {
+		return
+	}
+	again := g.lastStart[e.Task]
+	if v.lapsed.Before(ended) && again.After(ended) && !g.w.jobs[e.Task.Job].Body.Steps[e.Task.Step].Speculative {
+		g.broken("%v was started again at %.3f s after its end on %s at %.3f s, which is noted now", e.Task, again.Sub(epoch).Seconds(), v.id, ended.Sub(epoch).Seconds())
 	}
+	g.notedDone[e.Task] = true
 }
 
 // stopping checks that a lasting step doesn't miss more than it may on our account.
--- a/core/emulator/owner.go
+++ b/core/emulator/owner.go
@@ -204,7 +204,7 @@
 		return
 	}
 	if w.chance(w.judge.lateShare) {
-		w.after(w.between(2*time.Second, 12*time.Second), func() { w.lateOrder(v, carryOut) })
+		w.after(w.between(2*time.Second, 12*time.Second), func() { w.lateOrder(w.vms[id], carryOut) })
 		return
 	}
 	w.after(w.hop(), func() {
@@ -215,10 +215,10 @@
 	})
 }
 
-// lateOrder carries out an order that got no answer. The VM has kept it back; a
-// life that has crashed since knows nothing of it.
+// lateOrder carries out an order that got no answer. A life that began since under the
+// same ID takes it for its own.
 func (w *World) lateOrder(v *vm, carryOut func(v *vm, answer func(job.Report))) {
-	if v.up {
+	if v != nil && v.up {
 		carryOut(v, func(job.Report) {})
 	}
 }
--- a/core/emulator/vm.go
+++ b/core/emulator/vm.go
@@ -49,6 +49,9 @@
 	runs    []*vmRun
 	ended   []job.End
 	number  int64
+	// endedAt is when each end came; lapsed is when the lease was last over.
+	endedAt map[int64]time.Time
+	lapsed  time.Time
 	// barred is the highest attempt of each task that was stopped or has ended here.
 	barred map[job.TaskID]job.Attempt
 	// slow multiplies run times, failing makes all that starts fail.
@@ -91,7 +94,7 @@
 	}
 	v := &vm{
 		w: w, id: id, machine: m, pool: m.pool, born: w.now, rate: 1 - 0.02*w.rng.Float64(), up: true, listed: true,
-		barred: map[job.TaskID]job.Attempt{}, slow: 1,
+		barred: map[job.TaskID]job.Attempt{}, slow: 1, endedAt: map[int64]time.Time{},
 	}
 	m.life, m.state = v, job.MachineUp
 	w.vms[id] = v
@@ -106,6 +109,9 @@
 	if !v.up {
 		return
 	}
+	if v.clock() > v.lease {
+		v.lapsed = w.now
+	}
 	if len(v.runs) > 0 && v.clock() > v.lease {
 		for _, r := range slices.Clone(v.runs) {
 			v.end(r, job.EndedLapsed)
@@ -118,6 +124,7 @@
 func (v *vm) end(r *vmRun, how job.Ending) {
 	v.runs = slices.DeleteFunc(v.runs, func(o *vmRun) bool { return o == r })
 	v.number++
+	v.endedAt[v.number] = v.w.now
 	v.ended = append(v.ended, job.End{Number: v.number, Task: r.task, Attempt: r.attempt, How: how})
 	v.barred[r.task] = max(v.barred[r.task], r.attempt)
 	v.w.judge.ended(v, r, how)
@@ -142,7 +149,7 @@
 }
 
 func (v *vm) report(refused job.Refusal) job.Report {
-	return job.Report{Clock: v.clock(), Born: job.Born(v.born.UnixMilli()), Refused: refused}
+	return job.Report{Clock: v.clock(), Refused: refused}
 }
 
 func (v *vm) fenced(f job.Fence) bool {
@@ -251,7 +258,7 @@
 	}
 	v.ended = slices.DeleteFunc(v.ended, func(e job.End) bool {
 		if e.Number <= o.Noted {
-			v.w.judge.noted(e)
+			v.w.judge.noted(v, e, v.endedAt[e.Number])
 			return true
 		}
 		return false
@@ -268,6 +275,7 @@
 		return
 	}
 	r := v.report(job.NotRefused)
+	r.Born = job.Born(v.born.UnixMilli())
 	r.Lists = true
 	r.Finished = slices.Clone(v.ended)
 	for _, x := range v.runs {
