A new life of a VM refuses late orders to the former one

Cause: orders to two lives under one ID carried one fence, so that a hold or start of the former life that was carried out late counted in the new one. Change: orders to a life that the owner hears of carry the version of its last renewal. That is above its fence so far and below the fence of any later owner, whose take-over expects that renewal. Machine orders keep the tenure's fence.

--- a/core/emulator/owner.go
+++ b/core/emulator/owner.go
@@ -161,7 +161,7 @@
 		})
 	case schedule.Stop:
 		o.order(c.VM, callTimeout, func(v *vm, answer func(job.Report)) {
-			answer(v.stop(c.Task, c.Attempt, job.Fence(o.fence)))
+			answer(v.stop(c.Task, c.Attempt, c.Fence))
 		}, func(now time.Time, out schedule.Outcome, r job.Report) {
 			o.scheduler.StopAnswered(now, c, out, r)
 		})
@@ -299,6 +299,7 @@
 func (o *owner) stored(first, sent time.Time, version int64, saves []schedule.Command) {
 	o.renewal = version
 	o.right.Prove(first, sent)
+	o.scheduler.Renewed(job.Fence(version))
 	o.renewAt = o.n.w.now.Add(renewEvery)
 	o.busy = false
 	last := int64(0)
--- a/core/schedule/command.go
+++ b/core/schedule/command.go
@@ -22,6 +22,7 @@
 type Stop struct {
 	VM      job.VMID
 	Life    job.Born
+	Fence   job.Fence
 	Task    job.TaskID
 	Attempt job.Attempt
 }
@@ -29,6 +30,7 @@
 // Pace sets the share at which a task works.
 type Pace struct {
 	VM      job.VMID
+	Fence   job.Fence
 	Task    job.TaskID
 	Attempt job.Attempt
 	Percent int
--- a/core/schedule/hold.go
+++ b/core/schedule/hold.go
@@ -25,7 +25,7 @@
 	if v.holding || now.Before(v.nextHold) || !s.rights.Hold || v.address == "" {
 		return
 	}
-	o := job.HoldOrder{Fence: s.settings.Fence, Noted: v.mayForget()}
+	o := job.HoldOrder{Fence: v.fence, Noted: v.mayForget()}
 	// An unanswered hold may be carried out later. One to a silent VM therefore
 	// extends nothing: else the lease of a VM that is gone would never run out here.
 	if v.clock.Known() && !v.silent {
--- a/core/schedule/look.go
+++ b/core/schedule/look.go
@@ -39,7 +39,7 @@
 		return
 	}
 	v.looking, v.lookedAt = true, now
-	s.emit(Hold{VM: v.id, Look: true, Order: job.HoldOrder{Fence: s.settings.Fence}})
+	s.emit(Hold{VM: v.id, Look: true, Order: job.HoldOrder{Fence: v.fence}})
 }
 
 // barred tells whether the VM has taken the stop of a start without an answer: it
--- a/core/schedule/otherlife_test.go
+++ b/core/schedule/otherlife_test.go
@@ -191,3 +191,19 @@
 	h.s.HoldAnswered(h.now, Hold{VM: "one"}, Answered, job.Report{Clock: 800, Born: 2, Lists: true})
 	assert.Equal(t, h.s.vms.Get("one").runs.Len(), 0)
 }
+
+// Guards against orders to a former life that a new one carries out late: a hold that notes its ends, or a start.
+func TestOrdersToANewLifeBarThoseToTheFormer(t *testing.T) {
+	h := newHarness(t)
+	h.ready("one")
+	h.s.Renewed(9)
+	h.lists("one", nil)
+	assert.Equal(t, one[Hold](h, h.step(100*time.Millisecond)).Order.Fence, job.Fence(5))
+	h.s.HoldAnswered(h.now, Hold{VM: "one"}, Answered, job.Report{Clock: 10, Born: 2, Lists: true})
+	assert.Equal(t, one[Hold](h, h.step(100*time.Millisecond)).Order.Fence, job.Fence(9))
+	h.job("j", "free", small)
+	start := one[Start](h, h.step(0))
+	assert.Equal(t, start.Order.Fence, job.Fence(9))
+	h.s.Cancel(h.now, "j")
+	assert.Equal(t, one[Stop](h, h.turn(answerDue)).Fence, job.Fence(9))
+}
--- a/core/schedule/pace.go
+++ b/core/schedule/pace.go
@@ -49,7 +49,7 @@
 		}
 		if percent != r.pace {
 			r.pace = percent
-			s.emit(Pace{VM: v.id, Task: r.task, Attempt: r.attempt, Percent: percent})
+			s.emit(Pace{VM: v.id, Fence: v.fence, Task: r.task, Attempt: r.attempt, Percent: percent})
 		}
 	}
 }
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -40,7 +40,7 @@
 		After: now.Sub(j.arrived),
 	})
 	s.emit(Start{VM: v.id, Life: v.born, Zone: v.zone, Order: job.StartOrder{
-		Task: r.task, Attempt: r.attempt, Spec: j.Body.Spec, Fence: s.settings.Fence, Checkpoint: t.saved,
+		Task: r.task, Attempt: r.attempt, Spec: j.Body.Spec, Fence: v.fence, Checkpoint: t.saved,
 		Deadline: r.startBy, Ticket: st.tickets[v.id],
 	}})
 }
@@ -141,7 +141,12 @@
 	s.decided(Decision{
 		What: TaskStopping, Job: r.task.Job, Task: r.task, Attempt: r.attempt, VM: r.vm.id, Reason: why,
 	})
-	s.emit(Stop{VM: r.vm.id, Life: r.vm.born, Task: r.task, Attempt: r.attempt})
+	s.emit(r.vm.stop(r))
+}
+
+// stop returns the order to end a run on the VM.
+func (v *vmState) stop(r *run) Stop {
+	return Stop{VM: v.id, Life: v.born, Fence: v.fence, Task: r.task, Attempt: r.attempt}
 }
 
 // repeatStops orders the end again of runs on the VM that are still there.
@@ -152,7 +157,7 @@
 		}
 		r.resendStop = now.Add(stopRetry)
 		if r.stopClock == 0 || r.phase == runConfirmed {
-			s.emit(Stop{VM: v.id, Life: v.born, Task: r.task, Attempt: r.attempt})
+			s.emit(v.stop(r))
 		}
 	}
 }
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -63,6 +63,8 @@
 	// forgetAt is when to look next for ended jobs to forget.
 	forgetAt time.Time
 	rights   Rights
+	// fence guards lives of VMs that begin from now on.
+	fence    job.Fence
 	queues   map[job.QueueName]*queueRecord
 	machines ordered[job.MachineID, *machineState]
 	waves    ordered[int64, *waveState]
@@ -84,6 +86,7 @@
 func New(s Settings) *Scheduler {
 	out := &Scheduler{
 		settings: s,
+		fence:    s.Fence,
 		ended:    map[job.ID]time.Time{},
 		running:  map[job.AccountName]job.Room{},
 		queues:   map[job.QueueName]*queueRecord{},
@@ -116,6 +119,10 @@
 // SetRights says what the owner may still do at this moment.
 func (s *Scheduler) SetRights(r Rights) { s.rights = r }
 
+// Renewed takes in a version at which the table has confirmed this owner's right. It is below
+// the fence of any later owner.
+func (s *Scheduler) Renewed(version job.Fence) { s.fence = max(s.fence, version) }
+
 // Take returns the commands since the last call.
 func (s *Scheduler) Take() []Command {
 	s.flushSaves()
--- a/core/schedule/state.go
+++ b/core/schedule/state.go
@@ -194,6 +194,9 @@
 	// host is that machine as it is listed, or nil.
 	host *machineState
 	born job.Born
+	// fence is above that of all orders that were sent to a former life: the new one
+	// refuses those that come late.
+	fence job.Fence
 	// listed is set while the VM's entry stands in the directory.
 	listed     bool
 	unlistedAt time.Time
--- a/core/schedule/vm.go
+++ b/core/schedule/vm.go
@@ -35,7 +35,7 @@
 func (s *Scheduler) vm(id job.VMID) *vmState {
 	v := s.vms.Get(id)
 	if v == nil {
-		v = &vmState{id: id, labels: map[job.Label]bool{}}
+		v = &vmState{id: id, labels: map[job.Label]bool{}, fence: s.fence}
 		s.vms.Set(id, v)
 	}
 	return v
@@ -134,14 +134,14 @@
 // their deadline; they are stopped by name before their tasks go elsewhere.
 func (s *Scheduler) reborn(now time.Time, v *vmState, born job.Born) {
 	s.decided(Decision{What: VMReborn, VM: v.id, Reason: fmt.Sprintf("%d ends of the former life are noted", v.noted)})
-	v.born = born
+	v.born, v.fence = born, s.fence
 	v.clock, v.leaseEnd = lease.Clock{}, 0
 	v.seen, v.noted, v.unsure, v.listClock = 0, 0, nil, 0
 	v.heldOnce, v.nextHold = false, now
 	s.enroll(v)
 	for _, r := range v.lost {
 		if now.Sub(r.orderedAt) < lateOrder {
-			s.emit(Stop{VM: v.id, Life: v.born, Task: r.task, Attempt: r.attempt})
+			s.emit(v.stop(r))
 		}
 	}
 	v.lost = nil
--- a/io/node/commit.go
+++ b/io/node/commit.go
@@ -263,6 +263,7 @@
 // earliest, and that a call sent at sent has said so.
 func (c *committer) done(renewed, sent time.Time, version platform.Version) {
 	c.renewal = version
+	c.tenure.renewed(version)
 	c.tenure.prove(renewed, sent)
 	c.reach.heard(part)
 }
--- a/io/node/orders.go
+++ b/io/node/orders.go
@@ -169,14 +169,14 @@
 func (o *owner) stop(ctx context.Context, vm *platform.VM, c schedule.Stop) {
 	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	r, err := vm.Stop(callCtx, c.Task, c.Attempt, job.Fence(o.tenure.fence))
+	r, err := vm.Stop(callCtx, c.Task, c.Attempt, c.Fence)
 	o.send(ctx, stopAnswered{c, outcomeOf(err), r})
 }
 
 func (o *owner) pace(ctx context.Context, vm *platform.VM, c schedule.Pace) {
 	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	if _, err := vm.Pace(callCtx, c.Task, c.Attempt, c.Percent, job.Fence(o.tenure.fence)); err != nil {
+	if _, err := vm.Pace(callCtx, c.Task, c.Attempt, c.Percent, c.Fence); err != nil {
 		o.log.Debug().Err(err).Str("vm", string(c.VM)).Msg("pace was not set")
 	}
 }
--- a/io/node/owner.go
+++ b/io/node/owner.go
@@ -163,6 +163,7 @@
 	if o.node.view.changes() != o.view {
 		o.reconfigure(now)
 	}
+	o.scheduler.Renewed(job.Fence(o.tenure.lastRenewal()))
 	o.scheduler.SetRights(schedule.Rights{
 		Order: o.tenure.mayOrder(now), Start: o.mayStart(now), Hold: o.tenure.mayHold(now),
 	})
--- a/io/node/tenure.go
+++ b/io/node/tenure.go
@@ -21,6 +21,8 @@
 
 	mu    sync.Mutex
 	right lease.Right
+	// newest is the last version at which the table has confirmed the right.
+	newest platform.Version
 }
 
 func (t *tenure) prove(renewed, seen time.Time) {
@@ -29,6 +31,18 @@
 	t.right.Prove(renewed, seen)
 }
 
+func (t *tenure) renewed(version platform.Version) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.newest = max(t.newest, version)
+}
+
+func (t *tenure) lastRenewal() platform.Version {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.newest
+}
+
 func (t *tenure) mayOrder(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
