--- a/io/node/commit_test.go
+++ b/io/node/commit_test.go
@@ -129,3 +129,13 @@
 	_, last = c.next()
 	assert.Equal(t, last, int64(7))
 }
+
+// Guards against a fence that stays as it was: the version of each renewal is known to the tenure, whether its answer came or not.
+func TestRenewalIsKnownToTheTenure(t *testing.T) {
+	_, table := newFakeTable(t, status(http.StatusOK, `{"ver":11}`), lost, status(http.StatusPreconditionFailed, ownRows(10, `{"life":"me","batch":2}`)))
+	c := newCommitter(table)
+	assert.NilError(t, c.store(t.Context(), nil))
+	assert.Equal(t, c.tenure.lastRenewal(), platform.Version(11))
+	assert.NilError(t, c.store(t.Context(), nil))
+	assert.Equal(t, c.tenure.lastRenewal(), platform.Version(21))
+}
