--- a/core/schedule/hold.go
+++ b/core/schedule/hold.go
@@ -25,7 +25,7 @@
 	if v.holding || now.Before(v.nextHold) || !s.rights.Hold || v.address == "" {
 		return
 	}
-	o := job.HoldOrder{Fence: s.settings.Fence, Noted: v.mayForget()}
+	o := job.HoldOrder{Fence: v.fence, Noted: v.mayForget()}
 	// An unanswered hold may be carried out later. One to a silent VM therefore
 	// extends nothing: else the lease of a VM that is gone would never run out here.
 	if v.clock.Known() && !v.silent {
@@ -70,8 +70,9 @@
 	if !s.heard(now, v, r) {
 		return
 	}
+	v.over, v.lapsed = false, nil
 	s.takeLists(now, v, r)
-	if !v.heldOnce {
+	if !v.heldOnce && len(r.Finished) < endsListed {
 		v.heldOnce, v.heldFirst = true, now
 		v.inheritedUntil = time.Time{}
 	}
@@ -96,7 +97,6 @@
 	if r.Clock > 0 {
 		v.clock.Read(r.Clock, now)
 	}
-	v.over, v.lapsed = false, nil
 	if v.silent {
 		s.decided(Decision{What: VMBack, VM: v.id, Age: now.Sub(v.answered)})
 	}
@@ -104,6 +104,15 @@
 	return true
 }
 
+// heardFrom takes in an answer to an order for a life of the VM. One that doesn't name its
+// life says nothing once another life is known: its clock may be of either.
+func (s *Scheduler) heardFrom(now time.Time, v *vmState, life job.Born, r job.Report) bool {
+	if r.Born == 0 && life != v.born {
+		return false
+	}
+	return s.heard(now, v, r)
+}
+
 func (s *Scheduler) holdFailed(now time.Time, v *vmState, out Outcome, r job.Report) {
 	if out == Answered {
 		s.heard(now, v, r)
--- /dev/null
+++ b/core/schedule/otherlife_test.go
@@ -0,0 +1,210 @@
+package schedule
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lavenderpond/core/job"
+)
+
+// Guards against a second run of a task that a new life has begun: answers to starts don't say which life gave them, and the directory tells of a new life before a list does.
+func TestStartThatANewLifeHasAnsweredIsNotFreed(t *testing.T) {
+	h := newHarness(t)
+	h.now = h.now.Add(20 * time.Second)
+	h.ready("one", "two")
+	h.job("j", "free", small)
+	start := one[Start](h, h.step(0))
+	h.s.StartAnswered(h.now, start, Answered, job.Report{Clock: 50})
+	h.now = h.now.Add(300 * time.Millisecond)
+	h.s.VMSeen(h.now, job.VMEntry{
+		ID: start.VM, Pool: poolA, Address: string(start.VM), Room: job.Room{CPU: 8000, MemMB: 8000},
+		Machine: job.MachineID("m-" + string(start.VM)), Born: 2,
+	})
+	assert.Equal(t, len(only[Start](h.step(0))), 0, "it may run, or have ended, in the new life")
+	h.s.HoldAnswered(h.now, Hold{VM: start.VM}, Answered, job.Report{
+		Clock: 400, Born: 2, Lists: true, Finished: []job.End{end(1, start, job.EndedDone)},
+	})
+	assert.Equal(t, len(only[Start](h.step(100*time.Millisecond))), 0)
+	assert.Assert(t, !h.s.jobs.Has("j"), "it is completed and stored")
+}
+
+// Guards against a lease that outlasts the owner's reckoning: a new life that takes a start grants a whole lease from then on, though the former life's deadlines are over sooner.
+func TestLeaseOfANewLifeCountsFromItsStart(t *testing.T) {
+	h := newHarness(t)
+	h.now = h.now.Add(20 * time.Second)
+	h.ready("one", "two")
+	h.now = h.now.Add(2 * time.Second)
+	h.job("j", "free", small)
+	start := one[Start](h, h.step(0))
+	h.s.StartAnswered(h.now, start, Answered, job.Report{Clock: 50})
+	leaseEnd := h.now.Add(6 * time.Second)
+	other := map[job.VMID]string{"one": "two", "two": "one"}[start.VM]
+	h.s.HoldAnswered(h.now, Hold{VM: start.VM}, Unanswered, job.Report{})
+	for h.now.Before(leaseEnd) {
+		commands := h.step(100 * time.Millisecond)
+		for _, c := range only[Hold](commands) {
+			if c.VM == start.VM {
+				h.s.HoldAnswered(h.now, c, Unanswered, job.Report{})
+			}
+		}
+		h.lists(other, nil)
+		assert.Equal(t, len(only[Start](commands)), 0, "%s before the lease is over", leaseEnd.Sub(h.now))
+	}
+}
+
+// Guards against a new life that forgets its first ends: looks go to a VM that leaves a start unanswered, long before its hold fails and it counts as silent.
+func TestLookNotesNothing(t *testing.T) {
+	h := newHarness(t)
+	h.ready("one")
+	h.job("j", "free", small)
+	first := one[Start](h, h.step(0))
+	h.confirm(first)
+	h.lists("one", nil, end(1, first, job.EndedDone))
+	h.step(0)
+	h.lists("one", nil)
+	assert.Equal(t, notedAt(h.step(30*time.Millisecond), "one"), int64(1))
+	h.job("k", "free", small)
+	one[Start](h, h.step(0))
+	look := looks(h.step(answerDue + 10*time.Millisecond))
+	assert.Equal(t, len(look), 1)
+	assert.Equal(t, look[0].Order.Noted, int64(0))
+}
+
+// Guards against a start that a new life carries out late, its task being at work elsewhere: the VM is forgotten seconds before that can't happen any more.
+func TestLostStartIsStoppedAtANewLifeOfAForgottenVM(t *testing.T) {
+	h := newHarness(t)
+	h.ready("one")
+	h.job("j", "free", small)
+	start := one[Start](h, h.step(0))
+	h.s.SetRights(Rights{Hold: true})
+	h.s.StartAnswered(h.now, start, Unanswered, job.Report{})
+	h.step(700 * time.Millisecond)
+	h.lists("one", nil)
+	h.s.VMUnlisted(h.now, "one")
+	for range 8 {
+		for _, c := range only[Hold](h.step(time.Second)) {
+			h.s.HoldAnswered(h.now, c, Unanswered, job.Report{})
+		}
+	}
+	assert.Assert(t, h.now.Sub(begin) < lateOrder)
+	h.s.VMSeen(h.now, job.VMEntry{ID: "one", Pool: poolA, Address: "one", Machine: "m-one", Born: 2})
+	h.s.HoldAnswered(h.now, Hold{VM: "one"}, Answered, job.Report{Clock: 3, Born: 2, Lists: true})
+	stops := only[Stop](h.step(0))
+	assert.Assert(t, len(stops) > 0)
+	assert.Equal(t, stops[0].Attempt, start.Order.Attempt)
+}
+
+// Guards against a second run of a task whose end is not among those that a VM lists at a time.
+func TestListWithoutAllEndsFreesNothing(t *testing.T) {
+	h := newHarness(t)
+	h.ready("one", "two")
+	h.job("j", "free", small)
+	start := one[Start](h, h.step(0))
+	h.confirm(start)
+	h.step(time.Second)
+	var ends []job.End
+	for n := range int64(500) {
+		ends = append(ends, job.End{Number: n + 1, Task: job.TaskID{Job: "other", Index: int(n)}, How: job.EndedDone})
+	}
+	h.lists(string(start.VM), nil, ends...)
+	assert.Equal(t, len(only[Start](h.step(100*time.Millisecond))), 0, "its end may be listed next")
+	h.lists(string(start.VM), nil, end(501, start, job.EndedDone))
+	assert.Equal(t, len(only[Start](h.step(100*time.Millisecond))), 0)
+	assert.Assert(t, !h.s.jobs.Has("j"), "it is completed and stored")
+}
+
+// Guards against the clock of a former life that is taken for the new one's: a start that it has answered comes in after the directory told of the new life.
+func TestLateAnswerOfAFormerLifeIsNotTaken(t *testing.T) {
+	h := newHarness(t)
+	h.now = h.now.Add(20 * time.Second)
+	h.ready("one")
+	h.job("j", "free", small)
+	start := one[Start](h, h.step(0))
+	h.s.VMSeen(h.now, job.VMEntry{ID: "one", Pool: poolA, Address: "one", Machine: "m-one", Born: 2, Room: job.Room{CPU: 8000, MemMB: 8000}})
+	h.s.StartAnswered(h.now, start, Answered, job.Report{Clock: h.clock()})
+	born := h.now
+	clock := func() job.VMClock { return job.VMClock(h.now.Sub(born).Milliseconds()) + 5 }
+	h.s.HoldAnswered(h.now, Hold{VM: "one"}, Unanswered, job.Report{})
+	var again []Start
+	for range 30 {
+		commands := h.step(100 * time.Millisecond)
+		again = append(again, only[Start](commands)...)
+		for _, c := range only[Stop](commands) {
+			h.s.StopAnswered(h.now, c, Answered, job.Report{Clock: clock()})
+		}
+		for _, c := range only[Hold](commands) {
+			h.s.HoldAnswered(h.now, c, Answered, job.Report{Clock: clock(), Born: 2, Lists: true})
+		}
+	}
+	assert.Assert(t, len(again) > 0, "the task is stuck")
+	assert.Assert(t, again[0].Order.Deadline < 5000, "deadline %d", again[0].Order.Deadline)
+}
+
+// Guards against a second run of a task that a former owner began in a new life without knowing of that life: the roster names the life before.
+func TestNewLifeOfAnInheritedVMIsHeardFirst(t *testing.T) {
+	h := newHarness(t)
+	h.s.Inherit(RosterVM{ID: "one", Address: "one", Pool: poolA, Machine: "m-one", Born: 1})
+	h.ready("two")
+	j := job.Job{ID: "j", Body: job.Body{Spec: "x", Steps: []job.Step{small}}, Terms: job.Terms{Queue: "q", Pool: poolA, Account: "free"}}
+	h.s.AddJob(h.now, j, &job.Progress{State: job.Running, VMs: []job.VMID{"one"}}, true)
+	h.s.VMSeen(h.now, job.VMEntry{ID: "one", Pool: poolA, Address: "one", Machine: "m-one", Born: 2})
+	assert.Equal(t, len(only[Start](h.step(30*time.Millisecond))), 0, "it may run there")
+	h.s.HoldAnswered(h.now, Hold{VM: "one"}, Answered, job.Report{Clock: 900, Born: 2, Lists: true})
+	assert.Equal(t, len(only[Start](h.step(0))), 1)
+}
+
+// Guards against a second run of a task whose end doesn't fit into the first list that a new owner gets of its VM.
+func TestVMIsHeardOnceItListsAllEnds(t *testing.T) {
+	h := newHarness(t)
+	h.s.Inherit(RosterVM{ID: "one", Address: "one", Pool: poolA, Machine: "m-one", Born: 1})
+	h.ready("two")
+	h.seen("one")
+	j := job.Job{ID: "j", Body: job.Body{Spec: "x", Steps: []job.Step{small}}, Terms: job.Terms{Queue: "q", Pool: poolA, Account: "free"}}
+	h.s.AddJob(h.now, j, &job.Progress{State: job.Running, VMs: []job.VMID{"one"}}, true)
+	var ends []job.End
+	for n := range int64(500) {
+		ends = append(ends, job.End{Number: n + 1, Task: job.TaskID{Job: "other", Index: int(n)}, How: job.EndedDone})
+	}
+	h.lists("one", nil, ends...)
+	assert.Equal(t, len(only[Start](h.step(100*time.Millisecond))), 0, "its end may be listed next")
+	h.lists("one", nil)
+	assert.Equal(t, len(only[Start](h.step(100*time.Millisecond))), 1)
+}
+
+// Guards against a run that is never freed: a stop that the former life took says nothing of the new one.
+func TestStopTakenByAFormerLifeIsSentAgain(t *testing.T) {
+	h := newHarness(t)
+	h.now = h.now.Add(20 * time.Second)
+	h.ready("one")
+	h.job("j", "free", small)
+	start := one[Start](h, h.step(0))
+	h.s.StartAnswered(h.now, start, Unanswered, job.Report{})
+	h.s.Cancel(h.now, "j")
+	stop := one[Stop](h, h.turn(0))
+	h.s.VMSeen(h.now, job.VMEntry{ID: "one", Pool: poolA, Address: "one", Machine: "m-one", Born: 2})
+	h.s.StopAnswered(h.now, stop, Answered, job.Report{Clock: h.clock()})
+	again := only[Stop](h.step(stopRetry))
+	assert.Assert(t, len(again) > 0)
+	h.s.StopAnswered(h.now, again[0], Answered, job.Report{Clock: 700})
+	h.s.HoldAnswered(h.now, Hold{VM: "one"}, Answered, job.Report{Clock: 800, Born: 2, Lists: true})
+	assert.Equal(t, h.s.vms.Get("one").runs.Len(), 0)
+}
+
+// Guards against orders to a former life that a new one carries out late: a hold that notes its ends, or a start.
+func TestOrdersToANewLifeBarThoseToTheFormer(t *testing.T) {
+	h := newHarness(t)
+	h.ready("one")
+	h.s.Renewed(9)
+	h.lists("one", nil)
+	assert.Equal(t, one[Hold](h, h.step(100*time.Millisecond)).Order.Fence, job.Fence(5))
+	h.s.HoldAnswered(h.now, Hold{VM: "one"}, Answered, job.Report{Clock: 10, Born: 2, Lists: true})
+	h.s.VMSeen(h.now, entryOf("one", 8000, 2))
+	assert.Equal(t, one[Hold](h, h.step(100*time.Millisecond)).Order.Fence, job.Fence(9))
+	h.job("j", "free", small)
+	start := one[Start](h, h.step(0))
+	assert.Equal(t, start.Order.Fence, job.Fence(9))
+	h.s.Cancel(h.now, "j")
+	assert.Equal(t, one[Stop](h, h.turn(answerDue)).Fence, job.Fence(9))
+}
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -39,8 +39,8 @@
 		What: TaskOrdered, Job: j.ID, Task: r.task, Attempt: r.attempt, VM: v.id, Age: now.Sub(v.answered),
 		After: now.Sub(j.arrived),
 	})
-	s.emit(Start{VM: v.id, Zone: v.zone, Order: job.StartOrder{
-		Task: r.task, Attempt: r.attempt, Spec: j.Body.Spec, Fence: s.settings.Fence, Checkpoint: t.saved,
+	s.emit(Start{VM: v.id, Life: v.born, Zone: v.zone, Order: job.StartOrder{
+		Task: r.task, Attempt: r.attempt, Spec: j.Body.Spec, Fence: v.fence, Checkpoint: t.saved,
 		Deadline: r.startBy, Ticket: st.tickets[v.id],
 	}})
 }
@@ -150,7 +150,12 @@
 	s.decided(Decision{
 		What: TaskStopping, Job: r.task.Job, Task: r.task, Attempt: r.attempt, VM: r.vm.id, Reason: why,
 	})
-	s.emit(Stop{VM: r.vm.id, Task: r.task, Attempt: r.attempt})
+	s.emit(r.vm.stop(r))
+}
+
+// stop returns the order to end a run on the VM.
+func (v *vmState) stop(r *run) Stop {
+	return Stop{VM: v.id, Life: v.born, Fence: v.fence, Task: r.task, Attempt: r.attempt}
 }
 
 // repeatStops orders the end again of runs on the VM that are still there.
@@ -161,7 +166,7 @@
 		}
 		r.resendStop = now.Add(stopRetry)
 		if r.stopClock == 0 || r.phase == runConfirmed {
-			s.emit(Stop{VM: v.id, Task: r.task, Attempt: r.attempt})
+			s.emit(v.stop(r))
 		}
 	}
 }
@@ -182,12 +187,17 @@
 	// A new life of the VM may have taken a start that was meant for the former
 	// one: its lease counts from here.
 	longest := clock + job.VMClock(s.settings.LeaseMax.Milliseconds())
-	r.vm.leaseEnd = max(r.vm.leaseEnd, min(r.startBy, longest))
+	v := r.vm
+	v.leaseEnd = max(v.leaseEnd, min(r.startBy, longest))
 	r.confirmedAt = now
 	if !r.resumed {
 		r.markAt = now
 	}
 	r.confirmedClock = max(r.confirmedClock, clock)
+	if r.begunAnew() && v.clock.Known() {
+		// A life that isn't known yet grants a whole lease, whatever the known one's clock says.
+		v.leaseEnd = max(v.leaseEnd, v.clock.Likely(now)+job.VMClock(s.settings.LeaseMax.Milliseconds()))
+	}
 	j := s.jobs.Get(r.task.Job)
 	if j == nil {
 		return
@@ -199,13 +209,19 @@
 	})
 }
 
+// begunAnew tells whether a run was confirmed by a later life of its VM than the one for
+// which it was ordered: answers to starts don't name the life, but its clock began anew.
+func (r *run) begunAnew() bool {
+	return r.phase == runConfirmed && r.confirmedClock < r.startBy-2*job.VMClock(startWithin.Milliseconds())
+}
+
 // StartAnswered takes in what came of a start.
 func (s *Scheduler) StartAnswered(now time.Time, c Start, out Outcome, rep job.Report) {
 	v := s.vms.Get(c.VM)
 	if v == nil {
 		return
 	}
-	if out == Answered && !s.heard(now, v, rep) {
+	if out == Answered && !s.heardFrom(now, v, c.Life, rep) {
 		return
 	}
 	r := v.runs.Get(runKey{c.Order.Task, c.Order.Attempt})
@@ -273,7 +289,7 @@
 // StopAnswered takes in what came of a stop.
 func (s *Scheduler) StopAnswered(now time.Time, c Stop, out Outcome, rep job.Report) {
 	v := s.vms.Get(c.VM)
-	if v == nil || out != Answered || !s.heard(now, v, rep) {
+	if v == nil || out != Answered || !s.heardFrom(now, v, c.Life, rep) {
 		return
 	}
 	r := v.runs.Get(runKey{c.Task, c.Attempt})
--- a/core/schedule/state.go
+++ b/core/schedule/state.go
@@ -210,6 +210,9 @@
 	born job.Born
 	// entryBorn is the life that the VM's entry in the directory is of.
 	entryBorn job.Born
+	// fence is above that of all orders that were sent to a former life: the new one
+	// refuses those that come late.
+	fence job.Fence
 	// listed is set while the VM's entry stands in the directory.
 	listed     bool
 	unlistedAt time.Time
--- a/core/schedule/vm.go
+++ b/core/schedule/vm.go
@@ -35,7 +35,7 @@
 func (s *Scheduler) vm(id job.VMID) *vmState {
 	v := s.vms.Get(id)
 	if v == nil {
-		v = &vmState{id: id, labels: map[job.Label]bool{}}
+		v = &vmState{id: id, labels: map[job.Label]bool{}, fence: s.fence}
 		s.vms.Set(id, v)
 	}
 	return v
@@ -156,15 +156,14 @@
 // their deadline; they are stopped by name before their tasks go elsewhere.
 func (s *Scheduler) reborn(now time.Time, v *vmState, born job.Born) {
 	s.decided(Decision{What: VMReborn, VM: v.id, Reason: fmt.Sprintf("%d ends of the former life are noted", v.noted)})
-	v.born = born
+	v.born, v.fence = born, s.fence
 	v.clock, v.leaseEnd = lease.Clock{}, 0
 	v.seen, v.noted, v.unsure, v.listClock = 0, 0, nil, 0
 	v.heldOnce, v.nextHold = false, now
-	v.inheritedUntil = time.Time{}
 	s.enroll(v)
 	for _, r := range v.lost {
 		if now.Sub(r.orderedAt) < lateOrder {
-			s.emit(Stop{VM: v.id, Task: r.task, Attempt: r.attempt})
+			s.emit(v.stop(r))
 		}
 	}
 	v.lost = nil
@@ -173,9 +172,11 @@
 		if r.phase == runPlanned {
 			continue
 		}
-		s.crashedUnder(now, r)
 		r.stopClock = 0
-		if r.phase == runConfirmed {
+		if !r.begunAnew() {
+			s.crashedUnder(now, r)
+		}
+		if r.phase == runConfirmed && !r.begunAnew() {
 			s.free(now, r, "VM lives anew")
 			continue
 		}
@@ -252,7 +253,7 @@
 		v.lost = v.lost[1:]
 	}
 	gone := !v.listed && v.runs.Len() == 0 && !now.Before(v.inheritedUntil) && now.Sub(v.answered) > forgetAfter && now.Sub(v.unlistedAt) > forgetAfter
-	if gone && !v.holding && len(v.lapsed) == 0 {
+	if gone && !v.holding && len(v.lapsed) == 0 && len(v.lost) == 0 {
 		s.vms.Delete(v.id)
 		s.dirtyVMs = append(s.dirtyVMs, v.id)
 	}
--- a/io/node/commit_test.go
+++ b/io/node/commit_test.go
@@ -115,3 +115,27 @@
 	defer cancel()
 	assert.Assert(t, errors.Is(c.run(ctx), context.DeadlineExceeded))
 }
+
+// Guards against saves that count as stored while others of their sequence wait for the next transaction.
+func TestSequenceInTwoTransactionsIsStoredWithTheSecond(t *testing.T) {
+	c := newCommitter(nil)
+	var saves []schedule.Command
+	for i := range savesEach + 10 {
+		saves = append(saves, schedule.Save{Sequence: 7, Job: job.ID(fmt.Sprintf("%016x", i))})
+	}
+	c.add(saves)
+	_, last := c.next()
+	assert.Equal(t, last, int64(6))
+	_, last = c.next()
+	assert.Equal(t, last, int64(7))
+}
+
+// Guards against a fence that stays as it was: the version of each renewal is known to the tenure, whether its answer came or not.
+func TestRenewalIsKnownToTheTenure(t *testing.T) {
+	_, table := newFakeTable(t, status(http.StatusOK, `{"ver":11}`), lost, status(http.StatusPreconditionFailed, ownRows(10, `{"life":"me","batch":2}`)))
+	c := newCommitter(table)
+	assert.NilError(t, c.store(t.Context(), nil))
+	assert.Equal(t, c.tenure.lastRenewal(), platform.Version(11))
+	assert.NilError(t, c.store(t.Context(), nil))
+	assert.Equal(t, c.tenure.lastRenewal(), platform.Version(21))
+}
