Crashes under a task are weighed by how certain they are, and lapsed runs outlast the owner

Change: a task is given up after three crashes under runs that their VMs had confirmed, if nothing else on one of these VMs can have been the cause; after two right at its start; or after four in all. A run of five seconds proves its task. Runs that lapsed are stored until it is known what became of their VM.

--- a/core/schedule/crash.go
+++ b/core/schedule/crash.go
@@ -9,8 +9,11 @@
 )
 
 const (
-	// crashesMost is how many VMs may crash under a task until its job is given up.
-	crashesMost = 3
+	// crashesMost is how many VMs may crash under a task until it is given up.
+	crashesMost = 4
+	// crashesToBlame is the same if it was certainly running there, and one of the crashes
+	// can only be its own doing.
+	crashesToBlame = 3
 	// crashesAtStartMost is the same for VMs that were found silent within crashAtStart of
 	// the task's start: that tells it from tasks that only ran beside another.
 	crashesAtStartMost = 2
@@ -19,7 +22,7 @@
 	// task, counted from the loss.
 	apartFor = 2 * time.Second
 	// clearedAfter is how long a run must last to show that its task crashes no VM.
-	clearedAfter = 10 * time.Second
+	clearedAfter = 5 * time.Second
 	// lapsedFor is how long it is remembered which runs were freed since their VM's lease
 	// was over: the VM may turn out to have crashed.
 	lapsedFor = 30 * time.Second
@@ -28,15 +31,23 @@
 // crashes are the VMs that crashed under a task. Its zero value is none.
 type crashes struct {
 	attempts []job.Attempt
-	// atStart is how many came within crashAtStart of the start.
-	atStart int
+	// certain is how many came under a run that the VM had confirmed to this owner. Of these,
+	// atStart came within crashAtStart of the start, and alone while nothing else on the
+	// VM could have been the cause.
+	certain, atStart, alone int
 }
 
 func (c crashes) any() bool { return len(c.attempts) > 0 }
 
+// String tells the counts.
+func (c crashes) String() string {
+	return fmt.Sprintf("%d VMs lost, %d certainly, %d at its start, %d alone", len(c.attempts), c.certain, c.atStart, c.alone)
+}
+
 // tooMany tells whether the task must not start any more.
 func (c crashes) tooMany() bool {
-	return len(c.attempts) >= crashesMost || c.atStart >= crashesAtStartMost
+	toBlame := c.certain >= crashesToBlame && c.alone > 0
+	return toBlame || c.atStart >= crashesAtStartMost || len(c.attempts) >= crashesMost
 }
 
 // crashedUnder takes in that a VM's life has ended under a run that is not released yet.
@@ -47,20 +58,31 @@
 		return
 	}
 	t.crashes.attempts = append(t.crashes.attempts, r.attempt)
-	if r.crashedAtStart() {
-		t.crashes.atStart++
+	if r.phase == runConfirmed {
+		t.crashes.addCertain(r)
 	}
 	t.apartUntil = now.Add(apartFor)
 	s.markDirty(j)
 	s.decided(Decision{
 		What: TaskLostVM, Job: j.ID, Task: r.task, Attempt: r.attempt, VM: r.vm.id,
-		Reason: fmt.Sprintf("%d VMs lost, %d of them at its start", len(t.crashes.attempts), t.crashes.atStart),
+		Reason: t.crashes.String(),
 	})
 	if t.crashes.tooMany() {
 		s.giveUp(now, j, r)
 	}
 }
 
+// addCertain counts a crash under a run that the VM had confirmed.
+func (c *crashes) addCertain(r *run) {
+	c.certain++
+	if r.crashedAtStart() {
+		c.atStart++
+	}
+	if r.crashedAlone() {
+		c.alone++
+	}
+}
+
 // giveUp ends a job of which a task must not start any more. The other tasks of a lasting
 // job go on: they serve without it.
 func (s *Scheduler) giveUp(now time.Time, j *jobState, r *run) {
@@ -87,7 +109,22 @@
 // crashedAtStart tells whether the run had only just begun when its VM crashed, which was
 // before it was found silent.
 func (r *run) crashedAtStart() bool {
-	return r.phase == runConfirmed && !r.adopted && r.vm.silent && r.vm.silentSince.Sub(r.orderedAt) <= crashAtStart
+	return !r.adopted && r.vm.silent && r.vm.silentSince.Sub(r.orderedAt) <= crashAtStart
+}
+
+// crashedAlone tells whether nothing else on the VM can have been the cause.
+func (r *run) crashedAlone() bool {
+	for _, other := range r.vm.runs.All() {
+		if other != r && other.phase != runPlanned && !other.proven() {
+			return false
+		}
+	}
+	return true
+}
+
+// proven tells whether the run had lasted for long at its VM's last word.
+func (r *run) proven() bool {
+	return r.phase == runConfirmed && r.vm.answered.Sub(r.confirmedAt) >= clearedAfter
 }
 
 // crashedUnderLapsed takes in that a VM's life was over when its lease seemed to run out.
@@ -95,13 +132,39 @@
 	for _, r := range v.lapsed {
 		s.crashedUnder(now, r)
 	}
+	s.forgetLapsed(v)
+}
+
+// lapse remembers a run that is freed since its VM's lease has run out.
+func (s *Scheduler) lapse(now time.Time, r *run) {
+	j, _, _, t := s.task(r.task)
+	if t == nil || j.over() {
+		return
+	}
+	r.vm.lapsed = append(r.vm.lapsed, r)
+	r.vm.lapsedUntil = now.Add(lapsedFor)
+	t.lapsed = append(t.lapsed, r)
+	s.markDirty(j)
+}
+
+// forgetLapsed forgets the lapsed runs of a VM: it is known what became of them, or never
+// will be.
+func (s *Scheduler) forgetLapsed(v *vmState) {
+	for _, r := range v.lapsed {
+		j, _, _, t := s.task(r.task)
+		if t == nil || j.over() {
+			continue
+		}
+		t.lapsed = slices.DeleteFunc(t.lapsed, func(o *run) bool { return o == r })
+		s.markDirty(j)
+	}
 	v.lapsed = nil
 }
 
 // clearCrashes forgets the crashes of a task that has been running for long.
-func (s *Scheduler) clearCrashes(now time.Time, r *run) {
+func (s *Scheduler) clearCrashes(r *run) {
 	j, _, _, t := s.task(r.task)
-	if t == nil || !t.crashes.any() || now.Sub(r.confirmedAt) < clearedAfter {
+	if t == nil || !t.crashes.any() || !r.proven() {
 		return
 	}
 	t.crashes = crashes{}
@@ -115,7 +178,7 @@
 // record stores a start before it is sent, if a new owner could not know of it else: it
 // must count a crash that this owner doesn't live to see.
 func (s *Scheduler) record(j *jobState, t *taskState, r *run) {
-	if !j.takenOver && !t.crashes.any() {
+	if !j.takenOver && !t.crashes.any() && len(t.lapsed) == 0 {
 		return
 	}
 	r.recorded = true
@@ -127,7 +190,7 @@
 func (j *jobState) restoreCrashes(p *job.Progress) {
 	for _, c := range p.Crashed {
 		if t := j.taskAt(c.Occurrence, c.Step, c.Task); t != nil {
-			t.crashes = crashes{attempts: c.Attempts, atStart: c.AtStart}
+			t.crashes = crashes{attempts: c.Attempts, certain: c.Certain, atStart: c.AtStart, alone: c.Alone}
 			j.occurrences[c.Occurrence].steps[c.Step].recount()
 		}
 	}
@@ -147,12 +210,15 @@
 			claim: st.def.Claim(), cost: st.def.Room, account: j.Terms.Account, pace: 100,
 		}
 		r.setKind(st.def)
-		if x.Born != 0 && v.born > x.Born {
+		t.attempt = max(t.attempt, x.Attempt)
+		switch {
+		case x.Born != 0 && v.born > x.Born:
 			s.crashedUnder(now, r)
-			continue
+		case x.Lapsed:
+			s.lapse(now, r)
+		default:
+			s.addRun(r, st, t)
 		}
-		t.attempt = max(t.attempt, x.Attempt)
-		s.addRun(r, st, t)
 	}
 }
 
@@ -175,16 +241,25 @@
 	if t.crashes.any() {
 		p.Crashed = append(p.Crashed, job.TaskCrashes{
 			Occurrence: id.Occurrence, Step: id.Step, Task: id.Index,
-			Attempts: slices.Clone(t.crashes.attempts), AtStart: t.crashes.atStart,
+			Attempts: slices.Clone(t.crashes.attempts), Certain: t.crashes.certain, AtStart: t.crashes.atStart, Alone: t.crashes.alone,
 		})
 	}
 	for _, r := range t.runs {
 		if r.recorded {
-			p.Started = append(p.Started, job.TaskStart{
-				Occurrence: id.Occurrence, Step: id.Step, Task: id.Index, Attempt: r.attempt, VM: r.vm.id, Born: r.vm.born,
-			})
+			p.Started = append(p.Started, r.start(false))
 		}
 	}
+	for _, r := range t.lapsed {
+		p.Started = append(p.Started, r.start(true))
+	}
+}
+
+// start returns what is stored of the run's start.
+func (r *run) start(lapsed bool) job.TaskStart {
+	return job.TaskStart{
+		Occurrence: r.task.Occurrence, Step: r.task.Step, Task: r.task.Index, Attempt: r.attempt,
+		VM: r.vm.id, Born: r.vm.born, Lapsed: lapsed,
+	}
 }
 
 // mustBeApart tells whether a task that has lost a VM has to wait for another VM than one
--- a/core/schedule/hold.go
+++ b/core/schedule/hold.go
@@ -70,7 +70,8 @@
 	if !s.heard(now, v, r) {
 		return
 	}
-	v.over, v.lapsed = false, nil
+	v.over = false
+	s.forgetLapsed(v)
 	s.takeLists(now, v, r)
 	if !v.heldOnce && len(r.Finished) < endsListed {
 		v.heldOnce, v.heldFirst = true, now
--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -213,7 +213,7 @@
 		}
 	}
 	s.seeAtWork(r)
-	s.clearCrashes(now, r)
+	s.clearCrashes(r)
 	s.watchPace(now, r)
 }
 
--- a/core/schedule/state.go
+++ b/core/schedule/state.go
@@ -101,6 +101,8 @@
 	// another such task.
 	crashes    crashes
 	apartUntil time.Time
+	// lapsed are the runs that were freed since their VM's lease was over.
+	lapsed []*run
 }
 
 // open tells whether the task waits for a start.
--- a/core/schedule/vm.go
+++ b/core/schedule/vm.go
@@ -225,8 +225,7 @@
 		if v.over {
 			s.crashedUnder(now, r)
 		} else {
-			v.lapsed = append(v.lapsed, r)
-			v.lapsedUntil = now.Add(lapsedFor)
+			s.lapse(now, r)
 		}
 		s.free(now, r, "lease ran out")
 	}
@@ -247,7 +246,7 @@
 		s.freeLapsed(now, v)
 	}
 	if now.After(v.lapsedUntil) {
-		v.lapsed = nil
+		s.forgetLapsed(v)
 	}
 	for len(v.lost) > 0 && now.Sub(v.lost[0].orderedAt) > lateOrder {
 		v.lost = v.lost[1:]
