--- a/core/emulator/day.go
+++ b/core/emulator/day.go
@@ -32,6 +32,8 @@
 	LateShare float64
 	// Cap bounds the CPU of the first account; 0 means no bound.
 	Cap int64
+	// FailingShare of the jobs have a single task that always fails.
+	FailingShare float64
 	// Trace, if set, is told of each decision and fault.
 	Trace func(line string)
 }
@@ -42,8 +44,10 @@
 	handedIn    time.Time
 	cancelledAt time.Time
 	poison      bool
-	errorShare  float64
-	work        time.Duration
+	// failing is the one task of the job that always fails.
+	failing    job.TaskID
+	errorShare float64
+	work       time.Duration
 }
 
 // runTime is how long a task really runs.
@@ -185,7 +189,7 @@
 				rate *= d.Burst
 			}
 			at += time.Duration(w.rng.ExpFloat64() / rate * float64(time.Second))
-			w.at(leadTime+at, func() { w.submitJob(queue) })
+			w.at(leadTime+at, func() { w.submitJob(d, queue) })
 		}
 	}
 }
@@ -207,7 +211,7 @@
 	return job.Terms{Queue: queue, Pool: q.Pool, Account: a, Attempts: q.Attempts, Stretch: q.Stretch, Latency: q.Latency}
 }
 
-func (w *World) submitJob(queue job.QueueName) {
+func (w *World) submitJob(d Day, queue job.QueueName) {
 	t := &truth{handedIn: w.now, errorShare: 0.002, poison: w.chance(0.01)}
 	t.work = time.Duration(math.Exp(w.rng.NormFloat64()*0.4) * float64(time.Second))
 	t.work = min(max(t.work, 100*time.Millisecond), 3*time.Second)
@@ -227,6 +231,7 @@
 		body.Steps = append(body.Steps, st)
 	}
 	t.Job = job.Job{ID: w.newID(), Terms: w.terms(queue, account), Body: body}
+	w.addFlaws(t, d)
 	w.jobs[t.ID] = t
 	w.Figures.Jobs++
 	w.table.submit(t.Job)
--- a/core/emulator/day_test.go
+++ b/core/emulator/day_test.go
@@ -36,6 +36,7 @@
 	lateFrom      = 2000
 	cappedFrom    = 3000
 	evacuatedFrom = 4000
+	failingFrom   = 5000
 	seedRange     = 1000
 )
 
@@ -54,6 +55,9 @@
 	case evacuatedFrom:
 		d.Evacuations = emulator.RandomEvacuations(seed, d.Length, 3)
 		d.Faults = emulator.RandomFaults(seed, d.Length, int(seed%4))
+	case failingFrom:
+		d.FailingShare = 0.15
+		d.Faults = emulator.RandomFaults(seed, d.Length, 4)
 	}
 	return d
 }
@@ -106,6 +110,9 @@
 // had its time, by whichever process, and all that was accepted still comes to its end.
 func TestDaysWithEvacuations(t *testing.T) { playFrom(t, evacuatedFrom, 16) }
 
+// Guards against siblings of a task that always fails that run again after they were done.
+func TestDaysWithFailingTasks(t *testing.T) { playFrom(t, failingFrom, 8) }
+
 // Days that once failed:
 //   - 1050: an upkeep that was refused as busy, after an earlier order for the
 //     machine was carried out, let the wave take one machine too many away;
--- /dev/null
+++ b/core/emulator/flaws.go
@@ -0,0 +1,30 @@
+package emulator
+
+import "lavenderpond/core/job"
+
+// noTask is the task of a job without such a task.
+var noTask job.TaskID
+
+// tried tells whether all attempts of the task have ended failed.
+func (g *judge) tried(t *truth, id job.TaskID) bool { return g.failed[id] >= t.Terms.Attempts }
+
+// checkBudget checks that a task isn't started after all its attempts were noted as
+// failed.
+func (g *judge) checkBudget(t *truth, r *vmRun) {
+	if n := g.notedFailed[r.task]; !r.lasting && n >= t.Terms.Attempts {
+		g.broken("BUDGET: %v attempt %d starts after %d failed ones were noted", r.task, r.attempt, n)
+	}
+}
+
+// addFlaws gives a job its failing task, on days that have such jobs.
+func (w *World) addFlaws(t *truth, d Day) {
+	if w.chance(d.FailingShare) {
+		t.failing = w.anyTask(t)
+	}
+}
+
+// anyTask draws one of the job's tasks.
+func (w *World) anyTask(t *truth) job.TaskID {
+	step := w.rng.IntN(len(t.Body.Steps))
+	return job.TaskID{Job: t.ID, Step: step, Index: w.rng.IntN(t.Body.Steps[step].Count)}
+}
--- a/core/emulator/vm.go
+++ b/core/emulator/vm.go
@@ -177,7 +177,7 @@
 	}
 	r := &vmRun{
 		task: o.Task, attempt: o.Attempt, began: v.w.now, room: step.Claim(), lasting: step.Lasting, startedBy: from,
-		fails: v.failing || t.poison || v.w.chance(t.errorShare),
+		fails: v.failing || t.poison || o.Task == t.failing || v.w.chance(t.errorShare),
 	}
 	v.runs = append(v.runs, r)
 	v.w.judge.started(v, r)
