Emulator: VMs whose room shrinks and grows while they run

Half of them start whatever they are told to start, and the judge checks that no start brings these over their room.

--- a/core/emulator/day.go
+++ b/core/emulator/day.go
@@ -37,6 +37,9 @@
 	// CrashingShare of the jobs, and CrashingLasting of the lasting ones, have a single
 	// task that crashes each VM that starts it.
 	CrashingShare, CrashingLasting float64
+	// ShrinkingShare of the machines shrink and grow while they run; half of these take
+	// whatever they are told to start.
+	ShrinkingShare float64
 	// Trace, if set, is told of each decision and fault.
 	Trace func(line string)
 }
@@ -161,8 +164,9 @@
 		for i := range n {
 			m := &machine{
 				id: job.MachineID(fmt.Sprintf("m-%s-%02d", pool, i)), pool: pool, zone: zoneName(i),
-				rack: job.Label(fmt.Sprintf("r%s-%d", zoneName(i), i/4)), state: job.MachineUp,
+				rack: job.Label(fmt.Sprintf("r%s-%d", zoneName(i), i/4)), state: job.MachineUp, shrinks: w.chance(d.ShrinkingShare),
 			}
+			m.unguarded = m.shrinks && w.chance(0.5)
 			w.machines = append(w.machines, m)
 			if pool != standby {
 				w.newLife(m, "")
--- a/core/emulator/day_test.go
+++ b/core/emulator/day_test.go
@@ -38,6 +38,7 @@
 	evacuatedFrom = 4000
 	failingFrom   = 5000
 	crashingFrom  = 6000
+	shrinkingFrom = 7000
 	seedRange     = 1000
 )
 
@@ -62,6 +63,9 @@
 	case crashingFrom:
 		d.CrashingShare, d.CrashingLasting = 0.03, 0.15
 		d.Faults = emulator.RandomFaults(seed, d.Length, 3)
+	case shrinkingFrom:
+		d.ShrinkingShare = 0.4
+		d.Faults = emulator.RandomFaults(seed, d.Length, 3)
 	}
 	return d
 }
@@ -120,6 +124,9 @@
 // Guards against a task that crashes one VM after the other and is started without end.
 func TestDaysWithCrashingTasks(t *testing.T) { playFrom(t, crashingFrom, 8) }
 
+// Guards against starts on VMs that have shrunk since and take whatever they are told to start.
+func TestDaysWithShrinkingVMs(t *testing.T) { playFrom(t, shrinkingFrom, 8) }
+
 // Days that once failed:
 //   - 1050: an upkeep that was refused as busy, after an earlier order for the
 //     machine was carried out, let the wave take one machine too many away;
--- a/core/emulator/judge.go
+++ b/core/emulator/judge.go
@@ -64,6 +64,7 @@
 	}
 	g.checkBudget(t, r)
 	g.checkCrashing(t, v, r)
+	g.checkRoom(v, r)
 	if asked, ok := g.w.evacuated[v.machine.zone]; ok && g.w.now.Sub(asked) > g.evacuateWithin {
 		g.broken("%v starts on %s in zone %s, which is evacuated since %.3f s", r.task, v.id, v.machine.zone, asked.Sub(epoch).Seconds())
 	}
--- a/core/emulator/machines.go
+++ b/core/emulator/machines.go
@@ -12,7 +12,7 @@
 	for _, m := range w.machines {
 		x := job.Machine{
 			ID: m.id, Pool: m.pool, State: m.state, Zone: m.zone, Labels: []job.Label{"a", m.rack},
-			Room: job.Room{CPU: vmCPU, MemMB: vmMemMB},
+			Room: fullRoom,
 		}
 		if m.life != nil && m.life.up {
 			x.VM = m.life.id
@@ -78,7 +78,7 @@
 	w.judge.crashed(v)
 	v.die()
 	m.state = job.MachineDown
-	w.after(3*1500*time.Millisecond, func() {
+	w.after(3*heartbeat, func() {
 		if w.vms[v.id] == v {
 			w.table.dropVM(v.id)
 		}
--- a/core/emulator/table.go
+++ b/core/emulator/table.go
@@ -136,7 +136,7 @@
 	}
 	e := job.VMEntry{
 		ID: v.id, Pool: v.pool, Address: string(v.id), Zone: v.machine.zone, Draining: v.drains,
-		Room: job.Room{CPU: vmCPU, MemMB: vmMemMB}, Labels: []job.Label{"a", v.machine.rack},
+		Room: v.room(), Labels: []job.Label{"a", v.machine.rack},
 		Born: job.Born(v.born.UnixMilli()), Machine: v.machine.id,
 	}
 	t.vms[v.id] = e
--- a/core/emulator/vm.go
+++ b/core/emulator/vm.go
@@ -27,6 +27,9 @@
 	rack  job.Label
 	state job.MachineState
 	life  *vm
+	// shrinks is set if its lives shrink and grow, unguarded if they start what doesn't
+	// fit.
+	shrinks, unguarded bool
 	// fence is the highest that an order carried, holder who sent it.
 	fence    job.Fence
 	holder   string
@@ -46,9 +49,11 @@
 	drains  bool
 	fence   job.Fence
 	lease   job.VMClock
-	runs    []*vmRun
-	ended   []job.End
-	number  int64
+	// rooms are those it has had, the present one last.
+	rooms  []roomSince
+	runs   []*vmRun
+	ended  []job.End
+	number int64
 	// barred is the highest attempt of each task that was stopped or has ended here.
 	barred map[job.TaskID]job.Attempt
 	// slow multiplies run times, failing makes all that starts fail.
@@ -91,7 +96,10 @@
 	}
 	v := &vm{
 		w: w, id: id, machine: m, pool: m.pool, born: w.now, rate: 1 - 0.02*w.rng.Float64(), up: true, listed: true,
-		barred: map[job.TaskID]job.Attempt{}, slow: 1,
+		barred: map[job.TaskID]job.Attempt{}, slow: 1, rooms: []roomSince{{fullRoom, w.now}},
+	}
+	if m.shrinks {
+		v.resizeSoon()
 	}
 	m.life, m.state = v, job.MachineUp
 	w.vms[id] = v
@@ -172,7 +180,7 @@
 	}
 	t := v.w.jobs[o.Task.Job]
 	step := &t.Body.Steps[o.Task.Step]
-	if !step.Claim().Fits(job.Room{CPU: vmCPU, MemMB: vmMemMB}.Minus(v.used())) {
+	if !v.fits(step.Claim()) {
 		return v.report(job.RefusedRoom)
 	}
 	r := &vmRun{
