Emulator: late orders that reach a new life of their VM

An order without an answer was dropped when its VM had crashed since, though the scheduler allows for a new life under the same ID that carries it out.

--- a/core/emulator/day.go
+++ b/core/emulator/day.go
@@ -30,6 +30,9 @@
 	Faults []Fault
 	// LateShare of the orders get no answer and are carried out later.
 	LateShare float64
+	// LateReborn lets a VM that lives anew under its ID carry out late orders that were
+	// meant for its former life.
+	LateReborn bool
 	// Cap bounds the CPU of the first account; 0 means no bound.
 	Cap int64
 	// FailingShare of the jobs have a single task that always fails.
@@ -125,6 +128,7 @@
 		evacuated: map[job.ZoneName]time.Time{},
 	}
 	w.trace = d.Trace
+	w.lateReborn = d.LateReborn
 	w.table = newTable(w)
 	w.judge = newJudge(w)
 	w.judge.lateShare = d.LateShare
--- a/core/emulator/day_test.go
+++ b/core/emulator/day_test.go
@@ -39,6 +39,7 @@
 	failingFrom   = 5000
 	crashingFrom  = 6000
 	shrinkingFrom = 7000
+	rebornFrom    = 8000
 	seedRange     = 1000
 )
 
@@ -66,6 +67,9 @@
 	case shrinkingFrom:
 		d.ShrinkingShare = 0.4
 		d.Faults = emulator.RandomFaults(seed, d.Length, 3)
+	case rebornFrom:
+		d.LateShare, d.LateReborn = 0.05, true
+		d.Faults = append(emulator.RandomFaults(seed, d.Length, 3), emulator.RandomRebirths(seed, d.Length, 3)...)
 	}
 	return d
 }
@@ -127,6 +131,9 @@
 // Guards against starts on VMs that have shrunk since and take whatever they are told to start.
 func TestDaysWithShrinkingVMs(t *testing.T) { playFrom(t, shrinkingFrom, 8) }
 
+// Guards against late orders that change what runs on a new life of their VM.
+func TestDaysWithLateOrdersToNewLives(t *testing.T) { playFrom(t, rebornFrom, 8) }
+
 // Days that once failed:
 //   - 1050: an upkeep that was refused as busy, after an earlier order for the
 //     machine was carried out, let the wave take one machine too many away;
--- a/core/emulator/fault.go
+++ b/core/emulator/fault.go
@@ -60,6 +60,29 @@
 	return out
 }
 
+// RandomRebirths draws crashes of VMs that come back under the same ID, for a day of the
+// length.
+func RandomRebirths(seed uint64, length time.Duration, n int) []Fault {
+	rng := rand.New(rand.NewPCG(seed, 4))
+	var out []Fault
+	for range n {
+		out = append(out, Fault{
+			Kind: VMsCrashSameID, At: time.Duration(rng.Int64N(int64(length))),
+			For: rebirthAtLeast + time.Duration(rng.Int64N(int64(rebirthAtMost-rebirthAtLeast))), Share: rebirthShare,
+		})
+	}
+	return out
+}
+
+const (
+	// rebirthAtLeast and rebirthAtMost bound how long a VM is away: most late orders are
+	// still to come.
+	rebirthAtLeast = 100 * time.Millisecond
+	rebirthAtMost  = 3 * time.Second
+	// rebirthShare is the part of the VMs that each of these faults strikes.
+	rebirthShare = 0.2
+)
+
 // ownerNode returns the node that owns the fleet, or any that lives.
 func (w *World) ownerNode() *node {
 	for _, n := range w.nodes {
--- a/core/emulator/owner.go
+++ b/core/emulator/owner.go
@@ -215,9 +215,13 @@
 	})
 }
 
-// lateOrder carries out an order that got no answer. The VM has kept it back; a
-// life that has crashed since knows nothing of it.
+// lateOrder carries out an order that got no answer. The VM has kept it back, and a
+// life that has crashed since knows nothing of it; or the network has, and the order
+// reaches whichever life the VM's ID has now.
 func (w *World) lateOrder(v *vm, carryOut func(v *vm, answer func(job.Report))) {
+	if w.lateReborn {
+		v = w.vms[v.id]
+	}
 	if v.up {
 		carryOut(v, func(job.Report) {})
 	}
--- a/core/emulator/world.go
+++ b/core/emulator/world.go
@@ -35,6 +35,8 @@
 	Figures   Figures
 	wave      job.Wave
 	hasWave   bool
+	// lateReborn lets new lives under the same ID carry out late orders.
+	lateReborn bool
 	// failuresLikely is set on days on which VMs fail all that they start.
 	failuresLikely bool
 }
