Emulator: failing jobs whose ends are lost with VMs and owner

A task that always fails failed in the middle of its work each time, after its siblings were done, and a new owner heard of the last failure again before anything started.

--- a/core/emulator/fault.go
+++ b/core/emulator/fault.go
@@ -52,36 +52,45 @@
 	rng := rand.New(rand.NewPCG(seed, 2))
 	var out []Fault
 	for range n {
-		out = append(out, Fault{
-			Kind: FaultKind(rng.IntN(int(VMsHang))), At: time.Duration(rng.Int64N(int64(length))),
-			For: time.Second + time.Duration(rng.Int64N(int64(6*time.Second))), Share: 0.1 + 0.2*rng.Float64(),
-		})
+		out = append(out, randomFault(rng, FaultKind(rng.IntN(int(VMsHang))), length))
 	}
 	return out
 }
 
-// RandomRebirths draws crashes of VMs that come back under the same ID, for a day of the
-// length.
-func RandomRebirths(seed uint64, length time.Duration, n int) []Fault {
+// RandomFaultsOf draws troubles of one kind.
+func RandomFaultsOf(k FaultKind, seed uint64, length time.Duration, n int) []Fault {
 	rng := rand.New(rand.NewPCG(seed, 4))
 	var out []Fault
 	for range n {
-		out = append(out, Fault{
-			Kind: VMsCrashSameID, At: time.Duration(rng.Int64N(int64(length))),
-			For: rebirthAtLeast + time.Duration(rng.Int64N(int64(rebirthAtMost-rebirthAtLeast))), Share: rebirthShare,
-		})
+		out = append(out, randomFault(rng, k, length))
 	}
 	return out
 }
 
-const (
-	// rebirthAtLeast and rebirthAtMost bound how long a VM is away: most late orders are
-	// still to come.
-	rebirthAtLeast = 100 * time.Millisecond
-	rebirthAtMost  = 3 * time.Second
-	// rebirthShare is the part of the VMs that each of these faults strikes.
-	rebirthShare = 0.2
-)
+// lossShare is the part of the VMs that crash when the owner is cut off.
+const lossShare = 0.4
+
+// RandomLosses draws cuts of the owner from the table, each followed by crashes of VMs
+// before another process owns the fleet: what the former owner knows of these alone is
+// lost.
+func RandomLosses(seed uint64, length time.Duration, n int) []Fault {
+	rng := rand.New(rand.NewPCG(seed, 5))
+	var out []Fault
+	for range n {
+		cut := randomFault(rng, CutOwnerFromTable, length)
+		crash := randomFault(rng, VMsCrash, time.Second)
+		crash.At, crash.Share = crash.At+cut.At, lossShare
+		out = append(out, cut, crash)
+	}
+	return out
+}
+
+func randomFault(rng *rand.Rand, k FaultKind, length time.Duration) Fault {
+	return Fault{
+		Kind: k, At: time.Duration(rng.Int64N(int64(length))),
+		For: time.Second + time.Duration(rng.Int64N(int64(6*time.Second))), Share: 0.1 + 0.2*rng.Float64(),
+	}
+}
 
 // ownerNode returns the node that owns the fleet, or any that lives.
 func (w *World) ownerNode() *node {
--- a/core/emulator/flaws.go
+++ b/core/emulator/flaws.go
@@ -20,12 +20,24 @@
 func (w *World) addFlaws(t *truth, d Day) {
 	if w.chance(d.FailingShare) {
 		t.failing = w.anyTask(t)
+		t.widen()
 	}
 	if w.chance(d.CrashingShare) {
 		t.crashing = w.anyTask(t)
 	}
 }
 
+// wideCPU is more than half of a VM.
+const wideCPU = vmCPU * 6 / 10
+
+// widen makes the job's tasks so wide that each runs on a VM of its own: its end is then
+// noted at once, whatever else isn't stored yet.
+func (t *truth) widen() {
+	for i := range t.Body.Steps {
+		t.Body.Steps[i].Room.CPU = wideCPU
+	}
+}
+
 // anyTask draws one of the job's tasks.
 func (w *World) anyTask(t *truth) job.TaskID {
 	step := w.rng.IntN(len(t.Body.Steps))
--- a/core/emulator/vm.go
+++ b/core/emulator/vm.go
@@ -193,7 +193,12 @@
 		v.crashSoon(r)
 		return v.report(job.NotRefused)
 	}
-	v.schedule(r, t.runTime(o.Task))
+	work := t.runTime(o.Task)
+	if r.task == t.failing {
+		// All its attempts may fail before its siblings are done.
+		work = v.w.between(work/10, work)
+	}
+	v.schedule(r, work)
 	return v.report(job.NotRefused)
 }
 
