--- a/core/emulator/crashes.go
+++ b/core/emulator/crashes.go
@@ -26,8 +26,10 @@
 	restartWithin = 8 * time.Second
 )
 
-// crashSoon lets a task that crashes its VMs do so, unless its run is over by then.
-func (v *vm) crashSoon(r *vmRun) {
+// crashSoon lets a task that crashes its VMs do so, unless its run is over by then. Until
+// then it makes progress like any other.
+func (v *vm) crashSoon(r *vmRun, work time.Duration) {
+	r.takes = work
 	v.w.after(v.w.between(crashAtLeast, crashAtMost), func() {
 		if !v.up || !slices.Contains(v.runs, r) {
 			return
--- a/core/emulator/vm.go
+++ b/core/emulator/vm.go
@@ -189,12 +189,12 @@
 	}
 	v.runs = append(v.runs, r)
 	v.w.judge.started(v, r)
-	if r.task == t.crashing {
-		v.crashSoon(r)
-		return v.report(job.NotRefused)
-	}
 	work := t.runTime(o.Task)
-	if r.task == t.failing {
+	switch r.task {
+	case t.crashing:
+		v.crashSoon(r, work)
+		return v.report(job.NotRefused)
+	case t.failing:
 		// All its attempts may fail before its siblings are done.
 		work = v.w.between(work/10, work)
 	}
