--- a/core/schedule/crash.go
+++ b/core/schedule/crash.go
@@ -151,11 +151,12 @@
 // will be.
 func (s *Scheduler) forgetLapsed(v *vmState) {
 	for _, r := range v.lapsed {
-		j, _, _, t := s.task(r.task)
+		j, _, st, t := s.task(r.task)
 		if t == nil || j.over() {
 			continue
 		}
 		t.lapsed = slices.DeleteFunc(t.lapsed, func(o *run) bool { return o == r })
+		st.recount()
 		s.markDirty(j)
 	}
 	v.lapsed = nil
@@ -175,6 +176,12 @@
 	s.markDirty(j)
 }
 
+// mayBeTooMany tells whether the task must wait until it is known what became of the VMs
+// where it lapsed: if they crashed, it must not start any more.
+func (t *taskState) mayBeTooMany() bool {
+	return len(t.lapsed) > 0 && len(t.crashes.attempts)+len(t.lapsed) >= crashesMost
+}
+
 // record stores a start before it is sent, if a new owner could not know of it else: it
 // must count a crash that this owner doesn't live to see.
 func (s *Scheduler) record(j *jobState, t *taskState, r *run) {
--- a/core/schedule/crash_test.go
+++ b/core/schedule/crash_test.go
@@ -329,3 +329,28 @@
 	assert.Assert(t, n >= 2 && n <= mostStarts, "%d starts", n)
 	assert.Equal(t, c.s.jobs.Get("j").state, job.Running)
 }
+
+// Guards against one start too many of a task whose last VM may have crashed or be cut off.
+func TestTaskOnTheBrinkWaitsForTheFateOfItsVM(t *testing.T) {
+	c := newCrashing(t, "one", "two", "three", "four", "five", "six")
+	c.job("j", "free", small)
+	task := job.TaskID{Job: "j"}
+	for range crashesMost {
+		o, ok := c.startOf(task)
+		assert.Assert(t, ok)
+		c.s.StartAnswered(c.now, o, Unanswered, job.Report{})
+		c.step(30 * time.Millisecond)
+		c.goDark(o.VM, 8*time.Second)
+		if n := len(c.s.jobs.Get("j").occurrences[0].steps[0].tasks[0].crashes.attempts); n < crashesMost-1 {
+			c.revive(o.VM)
+			for _, x := range only[Stop](c.step(10 * time.Millisecond)) {
+				c.s.StopAnswered(c.now, x, Answered, c.report(x.VM))
+			}
+			continue
+		}
+		for range 60 {
+			c.listAll(o.VM)
+			assert.Equal(t, len(only[Start](c.step(100*time.Millisecond))), 0)
+		}
+	}
+}
--- a/core/schedule/state.go
+++ b/core/schedule/state.go
@@ -106,7 +106,9 @@
 }
 
 // open tells whether the task waits for a start.
-func (t *taskState) open() bool { return !t.done && len(t.runs) == 0 && !t.crashes.tooMany() }
+func (t *taskState) open() bool {
+	return !t.done && len(t.runs) == 0 && !t.crashes.tooMany() && !t.mayBeTooMany()
+}
 
 // live returns the run of the task that isn't stopping, or nil.
 func (t *taskState) live() *run {
