--- a/io/soak/faults.go
+++ b/io/soak/faults.go
@@ -120,11 +120,18 @@
 		return string(zone), func() { f.reopen(zone) }
 	}},
 	{name: "shrink", longer: shrinkWithin, strike: func(f *fleet, rng *rand.Rand) (string, func()) {
-		m := f.machines[rng.IntN(len(f.machines))]
-		vm, _ := m.life()
-		room := rng.Int64N(vmRoom / 2)
-		f.resize(m, vm, room)
-		return fmt.Sprint(m.name, " to ", room), func() { f.resize(m, vm, vmRoom) }
+		room, what := rng.Int64N(vmRoom/2), ""
+		for _, m := range f.machines {
+			if rng.IntN(2) == 0 {
+				f.resize(m, room)
+				what += m.name + " "
+			}
+		}
+		return fmt.Sprint(what, "to ", room), func() {
+			for _, m := range f.machines {
+				f.resize(m, vmRoom)
+			}
+		}
 	}},
 }
 
--- a/io/soak/fleet.go
+++ b/io/soak/fleet.go
@@ -245,14 +245,12 @@
 	}
 }
 
-// resize changes the room of a machine's life, if it is still this one.
-func (f *fleet) resize(m *machine, vm *standin.VM, room int64) {
+// resize changes the room of the VM that lives on a machine.
+func (f *fleet) resize(m *machine, room int64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.vm == vm {
-		vm.Resize(room)
-		f.judge.Resized(vm.ID, room)
-	}
+	m.vm.Resize(room)
+	f.judge.Resized(m.vm.ID, room)
 }
 
 func (f *fleet) tick(ctx context.Context) {
