--- a/io/soak/faults.go
+++ b/io/soak/faults.go
@@ -95,7 +95,8 @@
 	{name: "crash_vm", strike: func(f *fleet, rng *rand.Rand) (string, func()) {
 		m := f.machines[rng.IntN(len(f.machines))]
 		same := rng.IntN(2) == 0
-		f.crash(m)
+		vm, _ := m.life()
+		f.crash(m, vm)
 		return fmt.Sprint(m.name, " same id ", same), func() { f.bear(m, same) }
 	}},
 	{name: "late_orders", strike: func(f *fleet, rng *rand.Rand) (string, func()) {
@@ -105,9 +106,7 @@
 	}},
 	{name: "slow_vm", strike: func(f *fleet, rng *rand.Rand) (string, func()) {
 		m := f.machines[rng.IntN(len(f.machines))]
-		m.mu.Lock()
-		vm := m.vm
-		m.mu.Unlock()
+		vm, _ := m.life()
 		vm.Slow(2 + 6*rng.Float64())
 		return m.name, func() { vm.Slow(1) }
 	}},
@@ -120,6 +119,20 @@
 		f.evacuate(zone)
 		return string(zone), func() { f.reopen(zone) }
 	}},
+	{name: "shrink", longer: shrinkWithin, strike: func(f *fleet, rng *rand.Rand) (string, func()) {
+		room, what := rng.Int64N(vmRoom/2), ""
+		for _, m := range f.machines {
+			if rng.IntN(2) == 0 {
+				f.resize(m, room)
+				what += m.name + " "
+			}
+		}
+		return fmt.Sprint(what, "to ", room), func() {
+			for _, m := range f.machines {
+				f.resize(m, vmRoom)
+			}
+		}
+	}},
 }
 
 func harm(l *link.Link, name string, rng *rand.Rand) (string, func()) {
@@ -130,9 +143,7 @@
 
 func (f *fleet) eachVM(do func(v *standin.VM)) {
 	for _, m := range f.machines {
-		m.mu.Lock()
-		vm := m.vm
-		m.mu.Unlock()
+		vm, _ := m.life()
 		do(vm)
 	}
 }
