A list frees a stopped start only if it is younger than the stop

Cause, found by the review: a list of the same millisecond as the stop's answer may have been taken before it, and a start that came in between has begun. Its run was freed and the task could start again beside it. TestListOfTheStopsMillisecondFreesNothing was red before (0 runs, wanted 1).

--- a/core/schedule/failure_test.go
+++ b/core/schedule/failure_test.go
@@ -432,3 +432,20 @@
 	h.job("fill", "free", job.Step{Count: 1, Room: job.Room{CPU: 4000}, Fills: true})
 	assert.Equal(t, len(only[Start](h.step(0))), 0)
 }
+
+// Guards against a run that is freed by a list of the very millisecond in which its VM took the stop: it may have begun in between.
+func TestListOfTheStopsMillisecondFreesNothing(t *testing.T) {
+	h := newHarness(t)
+	h.ready("one")
+	h.job("j", "free", small)
+	start := one[Start](h, h.step(0))
+	h.s.StartAnswered(h.now, start, Unanswered, job.Report{})
+	h.s.Cancel(h.now, "j")
+	stop := one[Stop](h, h.step(0))
+	h.s.StopAnswered(h.now, stop, Answered, job.Report{Clock: h.clock(), Born: 1})
+	h.lists("one", nil)
+	assert.Equal(t, h.s.vms.Get("one").runs.Len(), 1)
+	h.now = h.now.Add(time.Millisecond)
+	h.lists("one", nil)
+	assert.Equal(t, h.s.vms.Get("one").runs.Len(), 0)
+}
--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -268,7 +268,7 @@
 	case r.phase == runUnanswered && clock > r.startBy+clockSlack && !r.stopping:
 		r.vm.lost = append(r.vm.lost, r)
 		s.free(now, r, "did not start in time")
-	case r.phase == runUnanswered && r.stopping && r.stopClock > 0 && clock >= r.stopClock:
+	case r.phase == runUnanswered && r.stopping && r.stopClock > 0 && clock > r.stopClock:
 		r.vm.lost = append(r.vm.lost, r)
 		s.free(now, r, "stopped before it began")
 	}
