--- a/core/emulator/day_test.go
+++ b/core/emulator/day_test.go
@@ -40,6 +40,7 @@
 	crashingFrom  = 6000
 	shrinkingFrom = 7000
 	rebornFrom    = 8000
+	dividedFrom   = 9000
 	seedRange     = 1000
 )
 
@@ -70,6 +71,8 @@
 	case rebornFrom:
 		d.LateShare, d.LateReborn = 0.05, true
 		d.Faults = append(emulator.RandomFaults(seed, d.Length, 3), emulator.RandomFaultsOf(emulator.VMsCrashSameID, seed, d.Length, 3)...)
+	case dividedFrom:
+		d.Faults = emulator.RandomFaultsOf(emulator.CutZone, seed, d.Length, 5)
 	}
 	return d
 }
@@ -154,6 +157,9 @@
 	playOf(t, rebornFrom, 8004, 8006, 8007, 8008, 8009, 8010, 8012, 8014)
 }
 
+// Guards against two owners, each out of reach of some VMs, that both start a task.
+func TestDaysWithZonesCutOff(t *testing.T) { playFrom(t, dividedFrom, 4) }
+
 // Days that once failed:
 //   - 1050: an upkeep that was refused as busy, after an earlier order for the
 //     machine was carried out, let the wave take one machine too many away;
