Only an owner that has just proved its right starts again what it couldn't see end

What callers saw: a task that had ended well ran a second time.

Cause: for 2.9 s after its last proof an owner may start tasks, since VMs fence what a new owner has reached. But what it starts again it takes from its own reckoning: a lease that ran out, a new life of the VM, the end of the wait for a VM that it inherited and never heard. The present owner may hold that VM, have seen the end and noted it. The class of fault: a conclusion from silence, drawn by somebody who isn't in a position to hear.

Change: a task of which a run ended unseen starts again only while the right for orders that nothing fences is fresh (0.75 s), and the wait for an inherited VM ends only then. First starts go on as before.

--- a/core/schedule/assign.go
+++ b/core/schedule/assign.go
@@ -81,7 +81,7 @@
 }
 
 func (a *assignment) startJob(j *jobState) {
-	if j.inherited && a.s.mayRunUnheard(a.now, j) {
+	if j.inherited && a.s.mayRunUnheard(j) {
 		return
 	}
 	for _, o := range j.occurrences {
@@ -120,7 +120,7 @@
 	}
 	for t := range st.tasks {
 		task := &st.tasks[t]
-		if !task.open() || a.now.Before(task.notBefore) {
+		if !task.open() || a.now.Before(task.notBefore) || a.s.mayHaveEnded(task) {
 			continue
 		}
 		if !a.withinCap(j, st.def.Room) {
@@ -152,7 +152,7 @@
 		return
 	}
 	for _, j := range s.jobs.All() {
-		if !j.inherited || !s.mayRunUnheard(now, j) {
+		if !j.inherited || !s.mayRunUnheard(j) {
 			continue
 		}
 		if s.unheard == nil {
--- a/core/schedule/gang.go
+++ b/core/schedule/gang.go
@@ -13,7 +13,7 @@
 	saved := job.Checkpoint("")
 	for t := range st.tasks {
 		task := &st.tasks[t]
-		if !task.open() || a.now.Before(task.notBefore) {
+		if !task.open() || a.now.Before(task.notBefore) || a.s.mayHaveEnded(task) {
 			return
 		}
 		if task.saved != "" {
--- a/core/schedule/machine.go
+++ b/core/schedule/machine.go
@@ -80,7 +80,7 @@
 			s.release(now, r)
 		} else if r.unseen() || (r.phase == runConfirmed && r.confirmedAt.Before(now)) {
 			s.crashedUnder(now, r)
-			s.free(now, r, why)
+			s.freeUnseen(now, r, why)
 		}
 	}
 }
--- a/core/schedule/pools.go
+++ b/core/schedule/pools.go
@@ -136,7 +136,7 @@
 			continue
 		}
 		p := s.pool(j)
-		blocked := j.inherited && s.mayRunUnheard(now, j)
+		blocked := j.inherited && s.mayRunUnheard(j)
 		switch {
 		case j.lasting:
 			l := lasting[p]
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -25,7 +25,7 @@
 		return
 	}
 	j, _, st, t := s.task(r.task)
-	if t == nil || j.over() || !s.rights.Start || !v.takesTasks() || v.overfull() || !s.roomKnown(now, v) {
+	if t == nil || j.over() || !s.rights.Start || s.mayHaveEnded(t) || !v.takesTasks() || v.overfull() || !s.roomKnown(now, v) {
 		s.release(now, r)
 		s.stopGang(now, r)
 		return
@@ -47,13 +47,13 @@
 
 // mayRunUnheard tells whether a task of the job may run on a VM that this owner
 // hasn't heard yet.
-func (s *Scheduler) mayRunUnheard(now time.Time, j *jobState) bool {
+func (s *Scheduler) mayRunUnheard(j *jobState) bool {
 	if !j.inherited || !s.anyUnheard {
 		return false
 	}
 	for id := range j.places.All() {
 		v := s.vms.Get(id)
-		if v != nil && v.unheard(now) {
+		if v != nil && v.unheard() {
 			return true
 		}
 	}
@@ -124,6 +124,19 @@
 	}
 }
 
+// freeUnseen releases a run of which its VM can't tell any more how it ended. It may have
+// ended well, and another owner may know.
+func (s *Scheduler) freeUnseen(now time.Time, r *run, why string) {
+	if _, _, _, t := s.task(r.task); t != nil {
+		t.unseenEnd = true
+	}
+	s.free(now, r, why)
+}
+
+// mayHaveEnded tells whether a task may have ended well without this owner's knowledge: only
+// one that has proved its right just now can know of all ends.
+func (s *Scheduler) mayHaveEnded(t *taskState) bool { return t.unseenEnd && !s.rights.Order }
+
 // free releases a run that ended without a listed end.
 func (s *Scheduler) free(now time.Time, r *run, why string) {
 	s.decided(Decision{
--- a/core/schedule/state.go
+++ b/core/schedule/state.go
@@ -97,6 +97,8 @@
 	awaySince time.Time
 	// rescued counts the runs that were given up as slow.
 	rescued int
+	// unseenEnd is set once a run ended of which no list can tell any more.
+	unseenEnd bool
 	// crashes are the VMs that crashed under it; until apartUntil it shares no VM with
 	// another such task.
 	crashes    crashes
@@ -293,8 +295,8 @@
 	// lapsedUntil if it isn't known by then whether the VM had crashed.
 	lapsed      []*run
 	lapsedUntil time.Time
-	// inheritedUntil is when nothing of a former owner can run here any more,
-	// if the VM stays silent.
+	// inheritedUntil is when nothing of a former owner can run here any more, if the VM
+	// stays silent; zero once it is known what runs here.
 	inheritedUntil time.Time
 }
 
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -6,7 +6,7 @@
 func (s *Scheduler) Tick(now time.Time) {
 	s.anyUnheard = false
 	for _, v := range s.vms.All() {
-		s.anyUnheard = s.anyUnheard || v.unheard(now)
+		s.anyUnheard = s.anyUnheard || v.unheard()
 		if v.settled() {
 			continue
 		}
@@ -30,9 +30,7 @@
 
 // unheard tells whether a former owner's tasks may run on the VM, which hasn't been
 // heard yet.
-func (v *vmState) unheard(now time.Time) bool {
-	return !v.heldOnce && now.Before(v.inheritedUntil)
-}
+func (v *vmState) unheard() bool { return !v.heldOnce && !v.inheritedUntil.IsZero() }
 
 // settled tells whether nothing can be due on the VM: its hold is on its way, and no
 // start or stop waits for its answer.
--- a/core/schedule/vm.go
+++ b/core/schedule/vm.go
@@ -177,7 +177,7 @@
 			s.crashedUnder(now, r)
 		}
 		if r.phase == runConfirmed && !r.begunAnew() {
-			s.free(now, r, "VM lives anew")
+			s.freeUnseen(now, r, "VM lives anew")
 			continue
 		}
 		r.enter(runUnanswered)
@@ -227,7 +227,7 @@
 		} else {
 			s.lapse(now, r)
 		}
-		s.free(now, r, "lease ran out")
+		s.freeUnseen(now, r, "lease ran out")
 	}
 }
 
@@ -245,6 +245,9 @@
 	if v.silent && v.runs.Len() > 0 && v.leaseOver(now) {
 		s.freeLapsed(now, v)
 	}
+	if s.rights.Order && !now.Before(v.inheritedUntil) {
+		v.inheritedUntil = time.Time{}
+	}
 	if now.After(v.lapsedUntil) {
 		s.forgetLapsed(v)
 	}
