--- a/core/emulator/day_test.go
+++ b/core/emulator/day_test.go
@@ -146,5 +146,28 @@
 // Guards against late orders that change what runs on a new life of their VM.
 func TestDaysWithLateOrdersToNewLives(t *testing.T) { playFrom(t, rebornFrom, 8) }
 
+// Guards against two owners, each out of reach of some VMs, that both start a task.
+func TestDaysWithZonesCutOff(t *testing.T) { playFrom(t, dividedFrom, 4) }
+
+// Days that once failed:
+//   - 1050: an upkeep that was refused as busy, after an earlier order for the
+//     machine was carried out, let the wave take one machine too many away;
+//   - 2012: a VM that a new owner hadn't heard yet counted as empty and had its
+//     upkeep under running tasks;
+//   - 3111: a start was taken by a new life of its VM; its lease was reckoned from
+//     the former life's clock, and the task was started a second time;
+//   - 1059: two take-overs in a row, and the second new owner didn't know of the
+//     first one's orders for a machine;
+//   - 3025: what an account had running on VMs out of reach didn't count against
+//     its cap for a new owner;
+//   - 3166: an account asked more than its cap, and the day ended before its last
+//     job: days now go on until all is over, four minutes at most;
+//   - 2034, 2066: a start without an answer reached a new life under the same ID;
+//   - 5016, 5020, 5090: a job failed, the done end of a sibling was noted before that was
+//     stored, and the next owner started the sibling again.
+func TestDaysThatFailed(t *testing.T) {
+	playEach(t, []uint64{1003, 1050, 1055, 1059, 2012, 2034, 2066, 3025, 3068, 3111, 3166, 5016, 5020, 5090})
+}
+
 // Guards against a hold of a VM's former life that is carried out by the new one, which then forgets ends that nobody has seen.
 func TestLateHoldNotesNothingAtANewLife(t *testing.T) { play(t, 2050) }
