Tasks that lost a VM together were not alone there

Cause: the runs of a crashed VM were counted and freed one by one, so that the last of them, and all that had lapsed, seemed to have been alone and to blame. Evidence: TestTasksThatLostAVMTogetherWereNotAlone was red before (1 alone, wanted 0). Change: all are counted before any is freed; lapsed runs count as company.

--- a/core/schedule/crash.go
+++ b/core/schedule/crash.go
@@ -119,7 +119,7 @@
 			return false
 		}
 	}
-	return true
+	return !slices.ContainsFunc(r.vm.lapsed, func(other *run) bool { return other != r && !other.proven() })
 }
 
 // proven tells whether the run had lasted for long at its VM's last word.
--- a/core/schedule/crash_test.go
+++ b/core/schedule/crash_test.go
@@ -347,3 +347,25 @@
 		}
 	}
 }
+
+// Guards against innocent tasks that are blamed as if they had been alone on their VM, since the others there were freed first.
+func TestTasksThatLostAVMTogetherWereNotAlone(t *testing.T) {
+	for name, after := range map[string]time.Duration{"within the lease": 3 * time.Second, "after it": 8 * time.Second} {
+		c := newCrashing(t, "one", "two", "three")
+		c.job("j", "free", job.Step{Count: 3, Room: job.Room{CPU: 1000, MemMB: 100}, Estimate: time.Second})
+		starts := only[Start](c.step(0))
+		assert.Equal(t, len(starts), 3)
+		for _, o := range starts {
+			assert.Equal(t, o.VM, starts[0].VM)
+			c.confirm(o)
+		}
+		c.step(30 * time.Millisecond)
+		c.full = true
+		c.goDark(starts[0].VM, after)
+		c.revive(starts[0].VM)
+		for i, x := range c.s.jobs.Get("j").occurrences[0].steps[0].tasks {
+			assert.Equal(t, x.crashes.certain, 1, "%s, task %d", name, i)
+			assert.Equal(t, x.crashes.alone, 0, "%s, task %d", name, i)
+		}
+	}
+}
--- a/core/schedule/machine.go
+++ b/core/schedule/machine.go
@@ -75,14 +75,20 @@
 	v.inheritedUntil = time.Time{}
 	v.over = true
 	s.crashedUnderLapsed(now, v)
+	var over []*run
 	for _, r := range v.runs.All() {
 		if r.phase == runPlanned {
 			s.release(now, r)
 		} else if r.unseen() || (r.phase == runConfirmed && r.confirmedAt.Before(now)) {
-			s.crashedUnder(now, r)
-			s.freeUnseen(now, r, why)
+			over = append(over, r)
 		}
 	}
+	for _, r := range over {
+		s.crashedUnder(now, r)
+	}
+	for _, r := range over {
+		s.freeUnseen(now, r, why)
+	}
 }
 
 // mayOrderMachine tells whether a former owner's order for the machine is long
--- a/core/schedule/vm.go
+++ b/core/schedule/vm.go
@@ -168,14 +168,16 @@
 	}
 	v.lost = nil
 	s.crashedUnderLapsed(now, v)
+	for _, r := range v.runs.All() {
+		if r.phase != runPlanned && !r.begunAnew() {
+			s.crashedUnder(now, r)
+		}
+	}
 	for _, r := range v.runs.All() {
 		if r.phase == runPlanned {
 			continue
 		}
 		r.stopClock = 0
-		if !r.begunAnew() {
-			s.crashedUnder(now, r)
-		}
 		if r.phase == runConfirmed && !r.begunAnew() {
 			s.freeUnseen(now, r, "VM lives anew")
 			continue
