A task whose next crash is its last runs alone

Cause: the last crash blamed whoever was there. Change: a task that is given up with its next crash starts, if it can within four seconds, on a VM where nothing else may crash it, and nothing starts beside it until its run has proved itself. Evidence: TestNothingStartsBesideATaskOnTrial was red before (a start beside it after 2 s).

--- a/core/schedule/assign.go
+++ b/core/schedule/assign.go
@@ -210,7 +210,7 @@
 		orderedAt: a.now, pace: 100, after: j.places.Get(v.id),
 	}
 	r.setKind(st.def)
-	r.suspect = t.crashes.any()
+	r.suspect, r.trial = t.crashes.any(), t.crashes.onTrial()
 	s.record(j, t, r)
 	s.addRun(r, st, t)
 	if j.zone == "" {
--- a/core/schedule/crash.go
+++ b/core/schedule/crash.go
@@ -21,6 +21,9 @@
 	// apartFor is how long a task that has lost a VM waits for one without another such
 	// task, counted from the loss.
 	apartFor = 2 * time.Second
+	// aloneFor is how long one whose next crash is the last waits for a VM without any
+	// task that may crash it.
+	aloneFor = 4 * time.Second
 	// clearedAfter is how long a run must last to show that its task crashes no VM.
 	clearedAfter = 5 * time.Second
 )
@@ -47,6 +50,10 @@
 	return toBlame || c.atStart >= crashesAtStartMost || len(c.attempts) >= crashesMost
 }
 
+// onTrial tells whether the task is given up with its next crash. It runs alone then, so that
+// nothing else can be the cause.
+func (c crashes) onTrial() bool { return len(c.attempts) >= crashesMost-1 }
+
 // crashedUnder takes in that a VM's life has ended under a run that is not released yet.
 // One that may not have begun counts too: the VM may have crashed before its answer.
 func (s *Scheduler) crashedUnder(now time.Time, r *run) {
@@ -59,6 +66,9 @@
 		t.crashes.addCertain(r)
 	}
 	t.apartUntil = now.Add(apartFor)
+	if t.crashes.onTrial() {
+		t.apartUntil = now.Add(aloneFor)
+	}
 	s.markDirty(j)
 	s.decided(Decision{
 		What: TaskLostVM, Job: j.ID, Task: r.task, Attempt: r.attempt, VM: r.vm.id,
@@ -131,17 +141,29 @@
 		return
 	}
 	t.crashes = crashes{}
-	if r.suspect {
-		r.suspect = false
-		r.vm.suspects--
-	}
+	r.vm.countKind(r, -1)
+	r.suspect, r.trial = false, false
+	r.vm.countKind(r, 1)
 	s.markDirty(j)
 }
 
 // mustBeApart tells whether a task that has lost a VM has to wait for another VM than one
 // with such a task: if that one crashes, it is known which of them is to blame.
 func (t *taskState) mustBeApart(now time.Time, v *vmState) bool {
-	return t.crashes.any() && v.suspects > 0 && now.Before(t.apartUntil)
+	if !t.crashes.any() || !now.Before(t.apartUntil) {
+		return false
+	}
+	return v.suspects > 0 || (t.crashes.onTrial() && v.anyUnproven())
+}
+
+// anyUnproven tells whether a run on the VM may still crash it.
+func (v *vmState) anyUnproven() bool {
+	for _, r := range v.runs.All() {
+		if !r.proven() {
+			return true
+		}
+	}
+	return false
 }
 
 // costOfCrash keeps tasks that have lost VMs away from each other and from all else that
--- a/core/schedule/crash_test.go
+++ b/core/schedule/crash_test.go
@@ -369,3 +369,30 @@
 		}
 	}
 }
+
+// Guards against an innocent task that is given up since its last VM crashed under another one: nothing starts beside a task whose next crash is its last.
+func TestNothingStartsBesideATaskOnTrial(t *testing.T) {
+	c := newCrashing(t, "one", "two", "three")
+	c.job("j", "free", job.Step{Count: 1, Room: small.Room, Lasting: true})
+	task := job.TaskID{Job: "j"}
+	for range crashesMost - 1 {
+		o, ok := c.startOf(task)
+		assert.Assert(t, ok)
+		c.s.StartAnswered(c.now, o, Unanswered, job.Report{})
+		c.crash(o.VM)
+		c.answerStops()
+		c.listAll()
+	}
+	o, ok := c.startOf(task)
+	assert.Assert(t, ok)
+	c.confirm(o)
+	for i := range 7 {
+		c.job(fmt.Sprintf("k%d", i), "free", job.Step{Count: 1, Room: job.Room{CPU: 7000, MemMB: 100}, Estimate: time.Second})
+		for _, x := range only[Start](c.step(time.Second)) {
+			assert.Assert(t, x.VM != o.VM || i > 4, "%d s after the start", i)
+			c.confirm(x)
+		}
+		c.list(o.VM, []job.RunningTask{running(o, 100)})
+	}
+	assert.Equal(t, c.s.vms.Get(o.VM).trials, 0)
+}
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -88,6 +88,9 @@
 	if r.suspect {
 		v.suspects += n
 	}
+	if r.trial {
+		v.trials += n
+	}
 	if r.stray {
 		v.strays += n
 	}
--- a/core/schedule/state.go
+++ b/core/schedule/state.go
@@ -52,6 +52,8 @@
 	// recorded runs are stored with their job; suspect ones are of a task under which a
 	// VM has crashed.
 	recorded, suspect bool
+	// trial runs are of a task that is given up if its VM crashes once more.
+	trial bool
 	// stray runs are of a job that isn't known, so that their claim isn't either.
 	stray bool
 	// lasting, serving and fills tell what kind of task it is.
@@ -236,6 +238,8 @@
 	stopping                int
 	// suspects counts the runs of tasks under which a VM has crashed.
 	suspects int
+	// trials counts the runs beside which nothing starts.
+	trials int
 	// strays counts the runs whose claim isn't known: how much room is free isn't either.
 	strays int
 	// ordered counts the starts that wait for their answer.
--- a/core/schedule/vm.go
+++ b/core/schedule/vm.go
@@ -191,7 +191,7 @@
 // usable tells whether new tasks may start on the VM.
 func (s *Scheduler) usable(now time.Time, v *vmState) bool {
 	paused := v.doubtful || v.slow(now) || now.Before(v.suspect) || now.Before(v.fullUntil)
-	return v.takesTasks() && !v.cordoned && !paused && v.inRoster <= s.stored && v.strays == 0 && s.roomKnown(now, v)
+	return v.takesTasks() && !v.cordoned && !paused && v.inRoster <= s.stored && v.strays == 0 && v.trials == 0 && s.roomKnown(now, v)
 }
 
 // free returns the room that nothing has taken. It is negative after the VM's capacity
