--- a/core/emulator/crashes.go
+++ b/core/emulator/crashes.go
@@ -64,15 +64,15 @@
 // owed tells whether the job must come to its end, or last.
 func (t *truth) owed() bool { return t.crashing == noTask }
 
-// givenUp tells whether a lasting task doesn't run any more and needn't.
+// givenUp tells whether an owner has given the task up, and had cause to.
 func (g *judge) givenUp(id job.TaskID) bool {
-	return g.crashes[id] >= crashesToGiveUp && len(g.running[id]) == 0
+	return g.gaveUp[id] && g.crashes[id] >= crashesToGiveUp
 }
 
 // lastingGivenUp tells whether a lasting task was given up. Its step then misses it for
 // good, and the upkeep of the VMs where its siblings are at work may have to wait.
 func (g *judge) lastingGivenUp() bool {
-	for id := range g.crashes {
+	for id := range g.gaveUp {
 		if g.w.jobs[id.Job].Body.Lasting() && g.givenUp(id) {
 			return true
 		}
--- a/core/emulator/judge.go
+++ b/core/emulator/judge.go
@@ -26,6 +26,8 @@
 	crashes, startsAfterCrashes map[job.TaskID]int
 	// crashedAt is when a VM last crashed under each task.
 	crashedAt map[job.TaskID]time.Time
+	// gaveUp are the tasks that an owner says it has given up.
+	gaveUp map[job.TaskID]bool
 	// mayGiveUp are the jobs that crashes allow to be shown as failed.
 	mayGiveUp map[job.ID]bool
 	// lastStart is when each task was last started.
@@ -41,7 +43,7 @@
 	return &judge{
 		w: w, running: map[job.TaskID][]*vmRun{}, doneAt: map[job.TaskID]time.Time{},
 		notedDone: map[job.TaskID]bool{}, failed: map[job.TaskID]int{}, notedFailed: map[job.TaskID]int{},
-		crashes: map[job.TaskID]int{}, crashedAt: map[job.TaskID]time.Time{}, startsAfterCrashes: map[job.TaskID]int{}, mayGiveUp: map[job.ID]bool{},
+		crashes: map[job.TaskID]int{}, crashedAt: map[job.TaskID]time.Time{}, startsAfterCrashes: map[job.TaskID]int{}, mayGiveUp: map[job.ID]bool{}, gaveUp: map[job.TaskID]bool{},
 		states:    map[job.ID]job.State{},
 		lastStart: map[job.TaskID]time.Time{}, away: map[job.MachineID]bool{}, stopped: map[job.TaskID]time.Time{},
 	}
--- a/core/emulator/owner.go
+++ b/core/emulator/owner.go
@@ -340,5 +340,8 @@
 
 // Decided implements schedule.Observer.
 func (o *owner) Decided(d schedule.Decision) {
+	if d.What == schedule.TaskGivenUp {
+		o.n.w.judge.gaveUp[d.Task] = true
+	}
 	o.n.w.tell("%s %s %v attempt %d vm %s: %s, age %s", o.n.name, d.What, d.Task, d.Attempt, d.VM, d.Reason, d.Age)
 }
