--- a/core/emulator/day_test.go
+++ b/core/emulator/day_test.go
@@ -170,4 +170,4 @@
 }
 
 // Guards against a hold of a VM's former life that is carried out by the new one, which then forgets ends that nobody has seen.
-func TestLateHoldNotesNothingAtANewLife(t *testing.T) { play(t, 2050) }
+func TestLateHoldNotesNothingAtANewLife(t *testing.T) { playEach(t, []uint64{2050, 8009}) }
