Tests of noted ends share their checks

Two tests repeated the same check and three the same beginning. Nothing is checked less: by hand, with the mend of an end that is noted too early dropped both of its tests are red, with that of holds to silent VMs dropped its one is.

--- a/core/schedule/noted_test.go
+++ b/core/schedule/noted_test.go
@@ -25,17 +25,37 @@
 	return noted
 }
 
+// begun returns the starts of this turn, n of them, which all have begun.
+func (h *harness) begun(n int) []Start {
+	h.t.Helper()
+	starts := only[Start](h.step(0))
+	assert.Equal(h.t, len(starts), n)
+	for _, c := range starts {
+		h.confirm(c)
+	}
+	return starts
+}
+
+// checkNotedOnceStored checks that the VM's first end is noted once the save is stored, and
+// not before.
+func (h *harness) checkNotedOnceStored(vm job.VMID, save Save) {
+	h.t.Helper()
+	for range 20 {
+		assert.Equal(h.t, notedAt(h.turn(100*time.Millisecond), vm), int64(0))
+	}
+	h.store(save)
+	h.lists(string(vm), nil)
+	assert.Equal(h.t, notedAt(h.turn(100*time.Millisecond), vm), int64(1))
+}
+
 // Guards against a VM that forgets a task's end while the rows still show the task's job as
 // running: a job fails, and its save is on its way when the end of a sibling is listed.
 func TestEndOfAFailedJobIsNotedOnceTheFailureIsStored(t *testing.T) {
 	h := newHarness(t)
 	h.ready("one", "two")
 	h.job("j", "free", job.Step{Count: 2, Room: job.Room{CPU: 5000, MemMB: 100}, Estimate: time.Second})
-	starts := only[Start](h.step(0))
-	assert.Equal(t, len(starts), 2)
+	starts := h.begun(2)
 	bad, good := starts[0], starts[1]
-	h.confirm(bad)
-	h.confirm(good)
 	h.lists(string(bad.VM), nil, end(1, bad, job.EndedFailed))
 	bad = one[Start](h, h.step(100*time.Millisecond))
 	h.confirm(bad)
@@ -43,12 +63,7 @@
 	failure := one[Save](h, h.turn(100*time.Millisecond))
 	assert.Equal(t, failure.Progress.State, job.Failed)
 	h.lists(string(good.VM), nil, end(1, good, job.EndedDone))
-	for range 20 {
-		assert.Equal(t, notedAt(h.turn(100*time.Millisecond), good.VM), int64(0))
-	}
-	h.store(failure)
-	h.lists(string(good.VM), nil)
-	assert.Equal(t, notedAt(h.turn(100*time.Millisecond), good.VM), int64(1))
+	h.checkNotedOnceStored(good.VM, failure)
 }
 
 // Guards against VMs that forget the ends of a gang while the one end that stands for all
@@ -57,21 +72,12 @@
 	h := newHarness(t)
 	h.ready("one", "two")
 	h.job("j", "free", job.Step{Count: 2, Room: job.Room{CPU: 5000, MemMB: 100}, Estimate: time.Second, Gang: true})
-	starts := only[Start](h.step(0))
-	assert.Equal(t, len(starts), 2)
-	for _, c := range starts {
-		h.confirm(c)
-	}
+	starts := h.begun(2)
 	first, second := starts[0], starts[1]
 	h.lists(string(first.VM), nil, end(1, first, job.EndedDone))
 	done := one[Save](h, h.turn(time.Second))
 	h.lists(string(second.VM), nil, end(1, second, job.EndedDone))
-	for range 20 {
-		assert.Equal(t, notedAt(h.turn(100*time.Millisecond), second.VM), int64(0))
-	}
-	h.store(done)
-	h.lists(string(second.VM), nil)
-	assert.Equal(t, notedAt(h.turn(100*time.Millisecond), second.VM), int64(1))
+	h.checkNotedOnceStored(second.VM, done)
 }
 
 // Guards against a new life of a VM that forgets its first ends: a hold that was sent
--- a/core/schedule/notedorder_test.go
+++ b/core/schedule/notedorder_test.go
@@ -53,11 +53,7 @@
 	h.ready("one")
 	h.job("j", "free", small)
 	h.job("k", "free", small)
-	starts := only[Start](h.step(0))
-	assert.Equal(t, len(starts), 2)
-	for _, c := range starts {
-		h.confirm(c)
-	}
+	starts := h.begun(2)
 	h.lists("one", nil, end(1, starts[0], job.EndedDone))
 	h.step(0)
 	h.lists("one", nil, end(2, starts[1], job.EndedDone))
