--- a/cmd/lavenderpond-edge/main.go
+++ b/cmd/lavenderpond-edge/main.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 	"github.com/rs/zerolog/diode"
 
+	"lavenderpond/core/policy"
 	"lavenderpond/io/node"
 	"lavenderpond/io/supervisor"
 	"lavenderpond/platform"
@@ -67,7 +68,7 @@
 	log = log.With().Str("node", settings.Node).Logger()
 	debug.SetGCPercent(node.MinGCPercent)
 	debug.SetMemoryLimit(settings.MemoryMB << 20 * memoryLimitPercent / 100)
-	n, err := node.New(settings, log)
+	n, err := node.New(settings, policy.Policy{}, log)
 	if err != nil {
 		log.Error().Err(err).Str("event", "start_failed").Send()
 		return exitFailed
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -17,6 +17,7 @@
 
 	"lavenderpond/core/job"
 	"lavenderpond/core/lease"
+	"lavenderpond/core/policy"
 )
 
 // Settings configure a Scheduler.
@@ -43,6 +44,8 @@
 	// FormerOrders lists the machines that may have been given an order shortly before the
 	// takeover.
 	FormerOrders []MachineOrder
+	// Policy says which decisions under scarcity are in force.
+	Policy policy.Policy
 	// Observer receives the scheduler's decisions; it may be nil.
 	Observer Observer
 }
--- a/io/node/dump_test.go
+++ b/io/node/dump_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"lavenderpond/core/job"
+	"lavenderpond/core/policy"
 	"lavenderpond/core/relay"
 	"lavenderpond/platform"
 )
@@ -15,7 +16,7 @@
 // Checks that the dump shows the process's state and, for the owner, its permissions,
 // backlog and relays.
 func TestDumpShowsProcessAndOwnerState(t *testing.T) {
-	n, err := New(platform.Settings{Node: "entry-1", Zone: "east", TableAddress: "127.0.0.1:1", MachinesAddress: "127.0.0.1:1"}, zerolog.Nop())
+	n, err := New(platform.Settings{Node: "entry-1", Zone: "east", TableAddress: "127.0.0.1:1", MachinesAddress: "127.0.0.1:1"}, policy.Policy{}, zerolog.Nop())
 	assert.NilError(t, err)
 	n.view.applyRows([]platform.Row{evacuationRow("west", false)}, true)
 	now := bootNow()
--- a/io/node/load.go
+++ b/io/node/load.go
@@ -136,6 +136,7 @@
 		TaskStopMax:  b.TaskStopMax,
 		ShrinkNotice: b.ContactDelayMax,
 		MachineLease: b.MachineLease,
+		Policy:       o.node.policy,
 		Observer:     o.node.decisions,
 	})
 }
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"lavenderpond/core/policy"
 	"lavenderpond/io/supervisor"
 	"lavenderpond/platform"
 )
@@ -43,6 +44,7 @@
 // Node is the process on an entry VM. Use New to create one.
 type Node struct {
 	settings      platform.Settings
+	policy        policy.Policy
 	log           zerolog.Logger
 	table         *platform.Table
 	machines      *platform.Machines
@@ -57,14 +59,14 @@
 	stopRequested atomic.Bool
 }
 
-// New creates a Node. Run starts it.
-func New(s platform.Settings, log zerolog.Logger) (*Node, error) {
+// New creates a Node that follows the operators' policy. Run starts it.
+func New(s platform.Settings, p policy.Policy, log zerolog.Logger) (*Node, error) {
 	runID := make([]byte, runIDBytes)
 	if _, err := rand.Read(runID); err != nil {
 		return nil, errors.Wrap(err, "generate run ID")
 	}
 	n := &Node{
-		settings: s, log: log, metrics: newProcessMetrics(),
+		settings: s, policy: p, log: log, metrics: newProcessMetrics(),
 		table:    platform.NewTable(s.TableAddress),
 		machines: platform.NewMachines(s.MachinesAddress),
 	}
