Read the operators' policy from a file, and again at SIGHUP

Cause: the decisions under scarcity had a type and no way for operators to switch them on, to exempt accounts or queues, or to change them while processes run.

The path is now used as given.

--- a/cmd/lavenderpond-edge/main.go
+++ b/cmd/lavenderpond-edge/main.go
@@ -14,7 +14,6 @@
 	"github.com/rs/zerolog"
 	"github.com/rs/zerolog/diode"
 
-	"lavenderpond/core/policy"
 	"lavenderpond/io/node"
 	"lavenderpond/io/supervisor"
 	"lavenderpond/platform"
@@ -40,6 +39,7 @@
 
 type options struct {
 	Settings string `arg:"" optional:"" help:"Settings file; by default the one that the platform names." type:"path"`
+	Policy   string `help:"Policy file of the operators; without one no decision under scarcity is in force."`
 }
 
 func main() {
@@ -66,9 +66,14 @@
 		return exitSettings
 	}
 	log = log.With().Str("node", settings.Node).Logger()
+	p, err := loadPolicy(o.Policy)
+	if err != nil {
+		logPolicyProblems(log, o.Policy, err)
+		return exitSettings
+	}
 	debug.SetGCPercent(node.MinGCPercent)
 	debug.SetMemoryLimit(settings.MemoryMB << 20 * memoryLimitPercent / 100)
-	n, err := node.New(settings, policy.Policy{}, log)
+	n, err := node.New(settings, p, log)
 	if err != nil {
 		log.Error().Err(err).Str("event", "start_failed").Send()
 		return exitFailed
@@ -77,7 +82,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var g supervisor.Group
-	g.Go(func() { watchSignals(ctx, cancel, n, log) })
+	g.Go(func() { watchSignals(ctx, cancel, n, o.Policy, log) })
 	err = n.Run(ctx)
 	cancel()
 	g.Wait()
@@ -88,9 +93,9 @@
 	return exitOK
 }
 
-// watchSignals stops the process gracefully on SIGINT or SIGTERM. SIGHUP is only logged:
-// the settings can't change while the process runs.
-func watchSignals(ctx context.Context, stop context.CancelFunc, n *node.Node, log zerolog.Logger) {
+// watchSignals stops the process gracefully on SIGINT or SIGTERM. On SIGHUP it reads the policy
+// again; the settings can't change while the process runs.
+func watchSignals(ctx context.Context, stop context.CancelFunc, n *node.Node, policyPath string, log zerolog.Logger) {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
 	defer signal.Stop(signals)
@@ -100,7 +105,7 @@
 			return
 		case s := <-signals:
 			if s == syscall.SIGHUP {
-				log.Info().Str("event", "reload").Str("reason", "nothing in the settings may change").Send()
+				reloadPolicy(n, policyPath, log)
 				continue
 			}
 			log.Info().Str("event", "stopping").Str("signal", s.String()).Send()
--- /dev/null
+++ b/cmd/lavenderpond-edge/policy_test.go
@@ -0,0 +1,40 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"lavenderpond/io/node"
+	"lavenderpond/platform"
+)
+
+// Guards against a mistake in the policy file that turns decisions off at a reload: the file
+// with the mistake is refused, and the next good one is compared with the policy before it.
+func TestReloadKeepsPolicyUntilFileIsRight(t *testing.T) {
+	goldenPath, err := filepath.Abs("testdata/reload.golden")
+	assert.NilError(t, err)
+	t.Chdir(t.TempDir())
+	const path = "policy.ini"
+	var out bytes.Buffer
+	log := zerolog.New(&out)
+	write := func(text string) { assert.NilError(t, os.WriteFile(path, []byte(text), 0o600)) }
+
+	write("[admission]\nenabled = true\n[exception audit]\ndecision = admission\naccount = north\nreason = agreed test\n")
+	p, err := loadPolicy(path)
+	assert.NilError(t, err)
+	n, err := node.New(platform.Settings{TableAddress: "127.0.0.1:1", MachinesAddress: "127.0.0.1:1"}, p, log)
+	assert.NilError(t, err)
+	write("[admission]\nenabled = no\n[second_runs]\nenable = true\n")
+	reloadPolicy(n, path, log)
+	assert.NilError(t, os.Remove(path))
+	reloadPolicy(n, path, log)
+	write("[admission]\nenabled = true\n[fair_shares]\nenabled = true\n")
+	reloadPolicy(n, path, log)
+	golden.Assert(t, out.String(), goldenPath)
+}
--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -24,6 +24,8 @@
 	RankedRoom bool
 	// StandbyWhenIdle moves machines that no pool is likely to need to a standby pool.
 	StandbyWhenIdle bool
+	// EntryLimits bounds the calls that an entry VM serves concurrently.
+	EntryLimits bool
 	// Exceptions exempt accounts or queues from decisions.
 	Exceptions []Exception
 }
@@ -44,7 +46,7 @@
 // Decision is a kind of decision that an exception can exempt from.
 type Decision int
 
-// Decisions that have exceptions.
+// The decisions that have exceptions. Decisions lists them.
 const (
 	// Admission is the refusal of jobs at submission.
 	Admission Decision = iota + 1
@@ -62,12 +64,28 @@
 	return [...]string{"admission", "fair_shares", "second_runs"}[d-Admission]
 }
 
+// Decisions returns all decisions that have exceptions.
+func Decisions() []Decision { return []Decision{Admission, FairShares, SecondRuns} }
+
 // Exempt reports whether jobs of the account in the queue are exempt from a decision at the
 // given time of day.
 func (p *Policy) Exempt(wall time.Time, d Decision, account job.AccountName, queue job.QueueName) bool {
 	return slices.ContainsFunc(p.Exceptions, func(e Exception) bool {
-		return e.Decision == d && e.inForce(wall) && (e.Account == "" || e.Account == account) && (e.Queue == "" || e.Queue == queue)
+		return e.Decision == d && e.InForce(wall) && (e.Account == "" || e.Account == account) && (e.Queue == "" || e.Queue == queue)
 	})
 }
 
-func (e *Exception) inForce(wall time.Time) bool { return e.End.IsZero() || wall.Before(e.End) }
+// InForce reports whether the exception has not ended at the given time of day.
+func (e *Exception) InForce(wall time.Time) bool { return e.End.IsZero() || wall.Before(e.End) }
+
+// ExceptionsInForce returns the number of exceptions that have not ended at the given time of
+// day.
+func (p *Policy) ExceptionsInForce(wall time.Time) int {
+	n := 0
+	for i := range p.Exceptions {
+		if p.Exceptions[i].InForce(wall) {
+			n++
+		}
+	}
+	return n
+}
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -131,6 +131,12 @@
 	s.config = c
 }
 
+// SetPolicy puts the operators' policy in force from the next round on.
+func (s *Scheduler) SetPolicy(p policy.Policy) { s.settings.Policy = p }
+
+// Policy returns the policy in force. Its exceptions must not be modified.
+func (s *Scheduler) Policy() policy.Policy { return s.settings.Policy }
+
 // Rights are the kinds of orders that the owner may give. They depend on how long ago its
 // ownership was last confirmed.
 type Rights struct {
--- a/io/ini/line_index.go
+++ b/io/ini/line_index.go
@@ -12,7 +12,8 @@
 // lineIndex records the line numbers of sections and keys, which ini.v1 doesn't
 // provide, and collects the problems of a file.
 type lineIndex struct {
-	file string
+	file           string
+	sectionHeaders headerSyntax
 	// sections and keys are the lines on which they first appear, counted from 1.
 	sections map[string]int
 	keys     map[keyPath]int
@@ -25,11 +26,22 @@
 // such a section are not reported, because the header already is.
 const rejectedSection = "?"
 
-// indexLines indexes the lines of data. It reports what ini.v1 would silently accept:
+// headerSyntax says which names a kind of file allows for its sections.
+type headerSyntax struct {
+	isValid func(name string) bool
+	allowed string
+}
+
+var settingsHeaders = headerSyntax{isSnakeCase, "a section of lower-case letters, as in [entry], alone on its line"}
+
+// indexLines indexes the lines of a file with the settings of lavenderpondd.
+func indexLines(file, data string) *lineIndex { return indexLinesOf(settingsHeaders, file, data) }
+
+// indexLinesOf indexes the lines of data. It reports what ini.v1 would silently accept:
 // keys outside of a section, duplicate keys, quoted names and values, and values that
 // continue on the next line.
-func indexLines(file, data string) *lineIndex {
-	x := &lineIndex{file: file, sections: map[string]int{}, keys: map[keyPath]int{}}
+func indexLinesOf(headers headerSyntax, file, data string) *lineIndex {
+	x := &lineIndex{file: file, sectionHeaders: headers, sections: map[string]int{}, keys: map[keyPath]int{}}
 	section := ""
 	for i, line := range strings.Split(data, "\n") {
 		line = strings.TrimSpace(line)
@@ -51,8 +63,8 @@
 // addSection records the section header on line n and returns the section's name.
 func (x *lineIndex) addSection(n int, line string) string {
 	name, rest, closed := strings.Cut(line[1:], "]")
-	if !closed || rest != "" || !isSnakeCase(name) {
-		x.addProblem(n, line, line, "a section of lower-case letters, as in [entry], alone on its line")
+	if !closed || rest != "" || !x.sectionHeaders.isValid(name) {
+		x.addProblem(n, line, line, x.sectionHeaders.allowed)
 		return rejectedSection
 	}
 	if x.sections[name] == 0 {
--- a/io/ini/settings_test.go
+++ b/io/ini/settings_test.go
@@ -21,10 +21,11 @@
 	return p
 }
 
-// TestGeneratedFiles checks that the sample and docs/SETTINGS.md match settingTable.
+// TestGeneratedFiles checks that the sample and docs/SETTINGS.md match settingTable, the
+// switches of the policy and exceptionKeys.
 func TestGeneratedFiles(t *testing.T) {
 	golden.Assert(t, renderSample(), abs(t, "sample.ini"))
-	golden.Assert(t, renderPage(), abs(t, "../../docs/SETTINGS.md"))
+	golden.Assert(t, renderPage()+renderPolicyPage(), abs(t, "../../docs/SETTINGS.md"))
 }
 
 func TestSampleLoads(t *testing.T) {
--- a/io/node/load.go
+++ b/io/node/load.go
@@ -126,6 +126,7 @@
 // newScheduler returns a scheduler for this tenure.
 func (o *owner) newScheduler(formerOrders []schedule.MachineOrder) *schedule.Scheduler {
 	b := o.node.settings.Bounds
+	o.policy = o.node.currentPolicy()
 	return schedule.New(schedule.Settings{
 		OrderIssuer:  o.node.settings.Node,
 		FormerOrders: formerOrders,
@@ -136,7 +137,7 @@
 		TaskStopMax:  b.TaskStopMax,
 		ShrinkNotice: b.ContactDelayMax,
 		MachineLease: b.MachineLease,
-		Policy:       o.node.policy,
+		Policy:       *o.policy,
 		Observer:     o.node.decisions,
 	})
 }
--- a/io/node/metrics.go
+++ b/io/node/metrics.go
@@ -8,6 +8,7 @@
 
 	metrics "github.com/rcrowley/go-metrics"
 
+	"lavenderpond/core/policy"
 	"lavenderpond/io/supervisor"
 )
 
@@ -45,6 +46,23 @@
 	})
 }
 
+// setPolicy updates the gauges of the operators' policy: 1 for each decision in force, and the
+// number of exceptions in force.
+func (p *processMetrics) setPolicy(wall time.Time, in *policy.Policy) {
+	for _, s := range policy.Switches() {
+		value := int64(0)
+		if s.Enabled(in) {
+			value = 1
+		}
+		p.setGauge("policy_"+s.Name, value)
+	}
+	p.setGauge("policy_exceptions", int64(in.ExceptionsInForce(wall)))
+}
+
+func (p *processMetrics) setGauge(name string, value int64) {
+	metrics.GetOrRegisterGauge(name, p.registry).Update(value)
+}
+
 func (p *processMetrics) serve(w http.ResponseWriter, _ *http.Request) {
 	metrics.WriteOnce(p.registry, w)
 }
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -43,8 +43,9 @@
 
 // Node is the process on an entry VM. Use New to create one.
 type Node struct {
-	settings      platform.Settings
-	policy        policy.Policy
+	settings platform.Settings
+	// policy is read by currentPolicy. A stored policy isn't modified.
+	policy        atomic.Pointer[policy.Policy]
 	log           zerolog.Logger
 	table         *platform.Table
 	machines      *platform.Machines
@@ -66,10 +67,11 @@
 		return nil, errors.Wrap(err, "generate run ID")
 	}
 	n := &Node{
-		settings: s, policy: p, log: log, metrics: newProcessMetrics(),
+		settings: s, log: log, metrics: newProcessMetrics(),
 		table:    platform.NewTable(s.TableAddress),
 		machines: platform.NewMachines(s.MachinesAddress),
 	}
+	n.SetPolicy(p)
 	if s.ApprovalAddress != "" {
 		n.approvals = platform.NewApprovalService(s.ApprovalAddress)
 	}
--- a/io/node/owner.go
+++ b/io/node/owner.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"lavenderpond/core/job"
+	"lavenderpond/core/policy"
 	"lavenderpond/core/schedule"
 	"lavenderpond/io/supervisor"
 	"lavenderpond/platform"
@@ -39,6 +40,8 @@
 	workers        supervisor.Workers
 	jobFeedVersion platform.Version
 	backlog        backlogCount
+	// policy is the policy that the scheduler follows.
+	policy *policy.Policy
 	// viewChangeCount is the change count of the operators' view that the scheduler has seen.
 	viewChangeCount uint64
 	// maintainedByWave holds the machines that former owners saw return from
@@ -164,6 +167,7 @@
 	if o.node.view.changeCount() != o.viewChangeCount {
 		o.reconfigure(now)
 	}
+	o.followPolicy()
 	o.scheduler.RaiseFence(job.Fence(o.tenure.lastRenewal()))
 	o.scheduler.SetRights(schedule.Rights{
 		OrderMachines: o.tenure.mayOrderMachines(now), StartTasks: o.mayStartTasks(now), ExtendLeases: o.tenure.mayExtendLeases(now),
