Show operators who waits and which decisions are in force

Cause: /dump told a queue's backlog only. Nobody could see for which account work waits, how long, with which rank or against which quota, nor what the policy says.

Change: schedule.Scheduler.Status lists waiting jobs by account and queue, and usage by account. The owner's loop takes it once a second and publishes it through an atomic pointer for /dump and for the gauges waiting_*; it changes and rates nothing. /dump shows the policy of every process.

--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -77,15 +77,3 @@
 
 // InForce reports whether the exception has not ended at the given time of day.
 func (e *Exception) InForce(wall time.Time) bool { return e.End.IsZero() || wall.Before(e.End) }
-
-// ExceptionsInForce returns the number of exceptions that have not ended at the given time of
-// day.
-func (p *Policy) ExceptionsInForce(wall time.Time) int {
-	n := 0
-	for i := range p.Exceptions {
-		if p.Exceptions[i].InForce(wall) {
-			n++
-		}
-	}
-	return n
-}
--- a/io/node/dump.go
+++ b/io/node/dump.go
@@ -19,9 +19,12 @@
 	Evacuated     []job.ZoneName    `json:"evacuated"`
 	// ViewAgeMS is the age of the view of the operators' rows, TableAgeMS the time since
 	// the table's last answer.
-	ViewAgeMS  int64      `json:"view_age_ms"`
-	TableAgeMS int64      `json:"table_age_ms"`
-	Owner      *ownerDump `json:"owner,omitempty"`
+	ViewAgeMS  int64 `json:"view_age_ms"`
+	TableAgeMS int64 `json:"table_age_ms"`
+	// Policy says which decisions under scarcity are in force here. The state of each decision
+	// has a field of its own.
+	Policy policyDump `json:"policy"`
+	Owner  *ownerDump `json:"owner,omitempty"`
 }
 
 // ownerDump is the additional state of the process that is the owner.
@@ -31,13 +34,16 @@
 	MayStartTasks    bool                  `json:"may_start"`
 	MayOrderMachines bool                  `json:"may_order"`
 	Backlog          map[job.QueueName]int `json:"waiting"`
-	Relays           map[string][]string   `json:"relays"`
+	// Status is missing until the owner's loop has taken it.
+	Status *statusDump         `json:"status,omitempty"`
+	Relays map[string][]string `json:"relays"`
 }
 
 func (n *Node) dump(now time.Time) processDump {
 	d := processDump{
 		Node: n.settings.Node, Zone: n.settings.Zone, RunID: n.election.runID, Ready: n.ready(),
 		Evacuated: n.view.evacuations(), ViewAgeMS: n.view.age(now).Milliseconds(), TableAgeMS: n.health.sinceLastAnswer().Milliseconds(),
+		Policy: dumpPolicy(time.Now(), n.currentPolicy()),
 	}
 	if c := n.view.configuration(); c != nil {
 		d.Configuration = c.Version
@@ -51,7 +57,7 @@
 func (o *owner) dump(now time.Time) *ownerDump {
 	return &ownerDump{
 		Fence: o.tenure.fence, TenureNumber: o.tenure.number, MayStartTasks: o.mayStartTasks(now), MayOrderMachines: o.tenure.mayOrderMachines(now),
-		Backlog: o.backlog.get(), Relays: o.relays.addresses(),
+		Backlog: o.backlog.get(), Status: dumpStatus(now, o.status.latest.Load()), Relays: o.relays.addresses(),
 	}
 }
 
--- a/io/node/metrics.go
+++ b/io/node/metrics.go
@@ -9,6 +9,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 
 	"lavenderpond/core/policy"
+	"lavenderpond/core/schedule"
 	"lavenderpond/io/supervisor"
 )
 
@@ -47,8 +48,8 @@
 }
 
 // setPolicy updates the gauges of the operators' policy: 1 for each decision in force, and the
-// number of exceptions in force.
-func (p *processMetrics) setPolicy(wall time.Time, in *policy.Policy) {
+// number of exceptions.
+func (p *processMetrics) setPolicy(in *policy.Policy) {
 	for _, s := range policy.Switches() {
 		value := int64(0)
 		if s.Enabled(in) {
@@ -56,7 +57,22 @@
 		}
 		p.setGauge("policy_"+s.Name, value)
 	}
-	p.setGauge("policy_exceptions", int64(in.ExceptionsInForce(wall)))
+	p.setGauge("policy_exceptions", int64(len(in.Exceptions)))
+}
+
+// setWaiting updates the gauges of the jobs that wait at this owner. Accounts and queues are only
+// told apart in the dump, since there may be hundreds.
+func (p *processMetrics) setWaiting(s *schedule.Status) {
+	jobs, tasks, oldest := 0, 0, time.Duration(0)
+	for i := range s.Waiting {
+		g := &s.Waiting[i]
+		jobs += g.Jobs
+		tasks += g.Tasks
+		oldest = max(oldest, s.AsOf.Sub(g.OldestArrival))
+	}
+	p.setGauge("waiting_jobs", int64(jobs))
+	p.setGauge("waiting_tasks", int64(tasks))
+	p.setGauge("waiting_oldest_ms", oldest.Milliseconds())
 }
 
 func (p *processMetrics) setGauge(name string, value int64) {
--- a/io/node/owner.go
+++ b/io/node/owner.go
@@ -40,6 +40,7 @@
 	workers        supervisor.Workers
 	jobFeedVersion platform.Version
 	backlog        backlogCount
+	status         statusPublisher
 	// policy is the policy that the scheduler follows.
 	policy *policy.Policy
 	// viewChangeCount is the change count of the operators' view that the scheduler has seen.
@@ -85,6 +86,7 @@
 	}
 	n.setOwner(o)
 	defer n.setOwner(nil)
+	defer n.metrics.setWaiting(&schedule.Status{})
 	run(o.followJobs)
 	o.loop(ctx)
 	g.Wait()
@@ -176,6 +178,7 @@
 	o.scheduler.Tick(now)
 	o.scheduler.Assign(now, time.Now())
 	o.backlog.set(o.scheduler.Backlog(now))
+	o.publishStatus(now)
 	o.execute(ctx, o.scheduler.TakeCommands())
 }
 
--- a/io/node/policy.go
+++ b/io/node/policy.go
@@ -25,7 +25,7 @@
 func (n *Node) SetPolicy(p policy.Policy) {
 	before := n.policy.Swap(&p)
 	logPolicy(n.log, time.Now(), &p)
-	n.metrics.setPolicy(time.Now(), &p)
+	n.metrics.setPolicy(&p)
 	if before == nil {
 		return
 	}
