Bound the calls that an entry VM has in progress

Cause: an entry VM took in every call. After a mass restart all callers come back at once; ten times what the smallest VM answers in half a second keeps its processor busy for 5 s, longer than callers wait, and one account can take all of it. A caller that sent its body slowly stayed in progress without end.

--- a/io/node/callers.go
+++ b/io/node/callers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -33,6 +34,7 @@
 	view           *operatorView
 	health         *tableHealth
 	jobs           *jobStore
+	limits         *entryLimits
 	log            zerolog.Logger
 	count          func(name string)
 	recordDuration func(name string, d time.Duration)
@@ -61,6 +63,13 @@
 		h.deny(w, call, rest, platform.DeniedUnknownKey, "unknown key")
 		return
 	}
+	release, refusal := h.limits.admit(account, r, config.Limits.BodyBytes)
+	if refusal != nil {
+		h.limits.boundBody(w, r, refusedBodyTimeout)
+		h.deny(w, call, rest, platform.DeniedUnavailable, h.limits.refusalReason(account, refusal))
+		return
+	}
+	defer release()
 	p := tablePartitionFor(call.Method, job.ID(rest))
 	decision := h.health.decide(p)
 	if decision == contact.Refuse {
@@ -74,6 +83,7 @@
 	if q.Timeout > 0 {
 		timeout = min(timeout, q.Timeout)
 	}
+	h.limits.boundBody(w, r, timeout-replyMargin)
 	if decision == contact.Probe && call.Method != platform.CallSubmit {
 		timeout = min(timeout, probeTimeout+replyMargin)
 	}
@@ -127,6 +137,10 @@
 		h.deny(w, c.call, string(c.id), platform.DeniedTooLarge, err.Error())
 		return
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		h.deny(w, c.call, string(c.id), platform.DeniedUnavailable, "the body was not received in time")
+		return
+	}
 	if err != nil {
 		h.deny(w, c.call, string(c.id), platform.DeniedMalformed, err.Error())
 		return
--- a/io/node/dump.go
+++ b/io/node/dump.go
@@ -24,7 +24,9 @@
 	// Policy says which decisions under scarcity are in force here. The state of each decision
 	// has a field of its own.
 	Policy policyDump `json:"policy"`
-	Owner  *ownerDump `json:"owner,omitempty"`
+	// EntryLimits is missing while the limits aren't in force.
+	EntryLimits *limitsDump `json:"entry_limits,omitempty"`
+	Owner       *ownerDump  `json:"owner,omitempty"`
 }
 
 // ownerDump is the additional state of the process that is the owner.
@@ -43,7 +45,7 @@
 	d := processDump{
 		Node: n.settings.Node, Zone: n.settings.Zone, RunID: n.election.runID, Ready: n.ready(),
 		Evacuated: n.view.evacuations(), ViewAgeMS: n.view.age(now).Milliseconds(), TableAgeMS: n.health.sinceLastAnswer().Milliseconds(),
-		Policy: dumpPolicy(time.Now(), n.currentPolicy()),
+		Policy: dumpPolicy(time.Now(), n.currentPolicy()), EntryLimits: n.callers.limits.dump(),
 	}
 	if c := n.view.configuration(); c != nil {
 		d.Configuration = c.Version
--- a/io/node/metrics.go
+++ b/io/node/metrics.go
@@ -79,6 +79,11 @@
 	metrics.GetOrRegisterGauge(name, p.registry).Update(value)
 }
 
+// observeGauge registers a gauge that is computed when the metrics are read.
+func (p *processMetrics) observeGauge(name string, f func() int64) {
+	p.registry.GetOrRegister(name, metrics.NewFunctionalGauge(f))
+}
+
 func (p *processMetrics) serve(w http.ResponseWriter, _ *http.Request) {
 	metrics.WriteOnce(p.registry, w)
 }
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -79,7 +79,7 @@
 	n.decisions = &decisionLog{log: log, count: n.metrics.count, recordDuration: n.metrics.recordDuration}
 	n.view = &operatorView{table: n.table, log: log, onChange: n.reconfigured, health: &n.health}
 	n.callers = &callerHandler{
-		view: n.view, health: &n.health, log: log, count: n.metrics.count, recordDuration: n.metrics.recordDuration,
+		view: n.view, health: &n.health, limits: newEntryLimits(&s, n.currentPolicy, log, n.metrics), log: log, count: n.metrics.count, recordDuration: n.metrics.recordDuration,
 		jobs: &jobStore{
 			table: n.table, recordLatency: func(d time.Duration) { n.metrics.recordDuration("table_call", d) },
 			health: &n.health, rowBytes: s.RowBytes,
