io/node: answers by kind of call, and reserved ports, in two timed tests

TestLateTransactionIsSentAgainSoon: the fake table answered calls in their order of arrival. A read that took half as long as the transaction had been in flight proves nothing, so the committer reads again, and that read got the answer to the second transaction. Reads now always get the row as it is, and transactions their answers in turn.

TestUnreachableZoneIsRetriedLater: a port that was free again could be handed out a second time, to a member or to a listener that answers. Each member's port now stays bound, without a listener, until the test ends.

--- a/io/node/node_test.go
+++ b/io/node/node_test.go
@@ -23,12 +23,19 @@
 
 // fakeTable answers requests with the given answers in turn, and repeats the last one.
 type fakeTable struct {
+	// read, if set, answers all reads. answers and requests are then those of transactions.
+	read func(w http.ResponseWriter)
+
 	mu       sync.Mutex
 	answers  []func(w http.ResponseWriter)
 	requests []platform.Transaction
 }
 
 func (f *fakeTable) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if f.read != nil && r.Method == http.MethodGet {
+		f.read(w)
+		return
+	}
 	var tx platform.Transaction
 	_ = json.NewDecoder(r.Body).Decode(&tx)
 	f.mu.Lock()
--- a/io/node/readback_test.go
+++ b/io/node/readback_test.go
@@ -41,8 +41,8 @@
 // answers reads immediately. It is sent again after the first read; whichever arrives first is
 // applied.
 func TestLateTransactionIsSentAgainSoon(t *testing.T) {
-	f, table := newFakeTable(t,
-		answerLate, renewalAnswer(t, `{"life":"me","batch":0}`, 10), respondWith(http.StatusOK, `{"ver":22}`))
+	f, table := newFakeTable(t, answerLate, respondWith(http.StatusOK, `{"ver":22}`))
+	f.read = renewalAnswer(t, `{"life":"me","batch":0}`, 10)
 	c := newCommitter(table)
 	started := bootNow()
 	assert.NilError(t, c.store(t.Context(), nil))
@@ -50,7 +50,7 @@
 	assert.Assert(t, bootNow().Sub(started) < minCommitTimeout, "the committer waited for the answer")
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	assert.DeepEqual(t, f.requests[2].Conditions, f.requests[0].Conditions)
+	assert.DeepEqual(t, f.requests[1].Conditions, f.requests[0].Conditions)
 }
 
 // Guards against sending a transaction again to a slow table. What a slow read doesn't
--- a/io/node/relay_test.go
+++ b/io/node/relay_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 
 	"lavenderpond/core/job"
@@ -47,6 +48,18 @@
 	return l.Addr().String()
 }
 
+// boundAddress returns an address that refuses connections. Until the test ends, no other
+// socket gets its port.
+func boundAddress(t *testing.T) string {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.NilError(t, unix.Close(fd)) })
+	assert.NilError(t, unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	bound, err := unix.Getsockname(fd)
+	assert.NilError(t, err)
+	return fmt.Sprintf("127.0.0.1:%d", bound.(*unix.SockaddrInet4).Port)
+}
+
 // startRelay runs a relay until the test ends and returns its address.
 func startRelay(t *testing.T) string {
 	address := freeAddress(t)
@@ -208,7 +221,7 @@
 	defer relays.pool.Close()
 	relays.members = map[string]memberRow{}
 	for i := range 12 {
-		relays.members[fmt.Sprintf("entry-%02d", i)] = memberRow{Zone: "a", Address: freeAddress(t), Cores: 1}
+		relays.members[fmt.Sprintf("entry-%02d", i)] = memberRow{Zone: "a", Address: boundAddress(t), Cores: 1}
 	}
 	tried := 2 * relay.CountNeeded(relays.candidates(bootNow())["a"])
 	relays.chooseRelays(t.Context())
