core/emulator: uneven load, callers that return, and what callers get

Scenario learns a Load: client accounts with shares of skewed size, surges of accounts or of queues, tasks that take seven times as long wherever they run, machines that are slow all the time, and callers that submit by entry VMs, return with the same ID after a refusal or silence, and give up. Scenario.Policy goes to the scheduler.

Six ranges of seeds play the new loads; every second seed has a random policy.

--- a/core/emulator/checker.go
+++ b/core/emulator/checker.go
@@ -71,6 +71,9 @@
 	t := c.w.jobs[r.task.Job]
 	step := &t.Body.Steps[r.task.Step]
 	c.lastStart[r.task] = c.w.now
+	if !t.mayBeStored {
+		c.violationf("%v starts on %s although every submission of its job was refused", r.task, v.id)
+	}
 	if len(c.running[r.task]) > 0 && !step.Speculative {
 		other := c.running[r.task][0]
 		c.violationf("%v attempt %d starts on %s while attempt %d has been running since %.3f s", r.task, r.attempt, v.id, other.attempt, other.startedAt.Sub(epoch).Seconds())
@@ -237,6 +240,7 @@
 	c.states[id] = s
 	switch s {
 	case job.Completed:
+		t.completedAt = c.w.now
 		c.w.Stats.Completed++
 		if c.w.now.Sub(t.submittedAt) <= t.latencyTarget() {
 			c.w.Stats.InTime++
--- a/core/emulator/entry_vm.go
+++ b/core/emulator/entry_vm.go
@@ -91,6 +91,12 @@
 	}
 }
 
+// reachesTable reports whether the table receives the calls of the entry VM.
+func (e *entryVM) reachesTable() bool {
+	t := e.w.table
+	return !t.down && !t.disconnected[e] && !e.unreachable["table"]
+}
+
 // callTable sends a call to the table. apply carries it out there. answer is called with
 // false if there is no reply in time; the call may have been carried out even so.
 func (e *entryVM) callTable(timeout time.Duration, write bool, apply func(), answer func(ok bool)) {
@@ -106,7 +112,7 @@
 		})
 	}
 	e.w.after(timeout, func() { finish(false) })
-	if t.down || t.disconnected[e] || e.unreachable["table"] {
+	if !e.reachesTable() {
 		return
 	}
 	requestDelay := 2*time.Millisecond + t.extraDelay/2
--- a/core/emulator/fault.go
+++ b/core/emulator/fault.go
@@ -48,6 +48,9 @@
 	Share float64
 }
 
+// vmSlowdown is the factor by which tasks take longer on a VM that is slow for a time.
+const vmSlowdown = 5
+
 // RandomFaults returns n random faults within a scenario of the given length. They may
 // overlap.
 func RandomFaults(seed uint64, length time.Duration, n int) []Fault {
@@ -195,8 +198,8 @@
 			v.failing = true
 			w.after(f.Duration, func() { v.failing = false })
 		case VMsSlow:
-			v.slowdown = 5
-			w.after(f.Duration, func() { v.slowdown = 1 })
+			v.slowdown = max(vmSlowdown, m.slowdown)
+			w.after(f.Duration, func() { v.slowdown = m.slowdown })
 		case VMsHang:
 			v.hanging = true
 			w.after(f.Duration, func() { v.hanging = false })
--- a/core/emulator/owner.go
+++ b/core/emulator/owner.go
@@ -58,6 +58,7 @@
 		Fence: job.Fence(o.fence), AttemptBase: job.Attempt(o.tenureNumber * 10_000), TakeoverTime: now,
 		LeaseMax: leaseMax, TaskStopMax: taskStopMax,
 		MachineLease: 3 * time.Second,
+		Policy:       o.entryVM.w.policy,
 		Observer:     o,
 	})
 	s := o.scheduler
@@ -133,7 +134,7 @@
 			return
 		}
 		o.entryVM.w.after(tickInterval, o.tick)
-		if !o.entryVM.unreachable["table"] && !o.entryVM.w.table.down && !o.entryVM.w.table.disconnected[o.entryVM] {
+		if o.entryVM.reachesTable() {
 			o.readJobs(o.entryVM.w.now)
 			o.readVMs(o.entryVM.w.now)
 			o.scheduler.SetEvacuatedZones(o.entryVM.w.evacuatedZones())
--- a/core/emulator/scenario.go
+++ b/core/emulator/scenario.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"lavenderpond/core/job"
+	"lavenderpond/core/policy"
 )
 
 // Scenario configures a run. Its zero value has no load and no faults.
@@ -46,6 +47,10 @@
 	// ResizingShare is the share of machines whose VMs change their capacity while they
 	// run; half of these VMs start tasks even if they exceed the capacity.
 	ResizingShare float64
+	// Load is what callers ask for beside the mean load.
+	Load Load
+	// Policy says which decisions under scarcity are in force.
+	Policy policy.Policy
 	// Trace, if set, is called with a line for each decision and fault.
 	Trace func(line string)
 }
@@ -54,8 +59,14 @@
 // scheduler does not.
 type trackedJob struct {
 	job.Job
-	submittedAt time.Time
-	cancelledAt time.Time
+	// submittedAt is when the caller first submitted the job.
+	submittedAt, storedAt    time.Time
+	cancelledAt, completedAt time.Time
+	// abandoned is set once the caller has given up, because the job wasn't accepted or was
+	// late. mayBeStored is set unless all submissions were refused.
+	abandoned, mayBeStored bool
+	// longTasks are the tasks that run longTaskFactor times as long as others.
+	longTasks map[job.TaskID]bool
 	// allTasksFail is set for a job whose every task fails.
 	allTasksFail bool
 	// failingTask is the one task of the job that always fails, crashingTask the one that
@@ -71,6 +82,9 @@
 func (t *trackedJob) runTime(id job.TaskID) time.Duration {
 	// Tasks of a step differ slightly; all runs of a task take equally long.
 	spread := 0.85 + 0.3*float64((id.Index*7+id.Step*3)%10)/10
+	if t.longTasks[id] {
+		spread *= longTaskFactor
+	}
 	return time.Duration(float64(t.meanRunTime) * spread)
 }
 
@@ -125,6 +139,8 @@
 		w.runUntil(end)
 	}
 	w.checkFinalState()
+	w.countService()
+	w.Stats.Recovery = w.recovery(sc)
 	return w.checker.violations, w.Stats
 }
 
@@ -137,7 +153,7 @@
 		now: epoch, rng: rand.New(rand.NewPCG(sc.Seed, 1)), vms: map[job.VMID]*vm{}, jobs: map[job.ID]*trackedJob{},
 		evacuated: map[job.ZoneName]time.Time{},
 	}
-	w.trace = sc.Trace
+	w.trace, w.policy = sc.Trace, sc.Policy
 	w.table = newTable(w)
 	w.checker = newChecker(w)
 	w.checker.lateOrderShare = sc.LateOrderShare
@@ -152,9 +168,9 @@
 			{Name: "one", Pool: poolOne, MaxAttempts: 3, Stretch: 1.6, LatencyAllowance: 600 * time.Millisecond},
 			{Name: "two", Pool: poolTwo, MaxAttempts: 3, Stretch: 1.6, LatencyAllowance: 600 * time.Millisecond},
 		},
-		Pools:    []job.Pool{{Name: poolOne}, {Name: poolTwo}, {Name: standby, Standby: true}},
-		Accounts: []job.Account{{Name: "first", Quota: job.Resources{CPU: sc.Quota}}, {Name: "second"}},
+		Pools: []job.Pool{{Name: poolOne}, {Name: poolTwo}, {Name: standby, Standby: true}},
 	}
+	w.addAccounts(sc)
 	w.config.Index()
 	w.addMachines(sc)
 	for i := range sc.EntryVMs {
@@ -182,6 +198,7 @@
 				rack: job.Label(fmt.Sprintf("r%s-%d", zoneName(i), i/4)), state: job.MachineUp, resizes: w.chance(sc.ResizingShare),
 			}
 			m.ignoresCapacity = m.resizes && w.chance(0.5)
+			m.slowdown = w.randomSlowdown(sc.Load.SlowMachineShare)
 			w.machines = append(w.machines, m)
 			if pool != standby {
 				w.startVM(m, "")
@@ -211,16 +228,17 @@
 			if sc.BurstFactor > 0 && int(at/(4*time.Second))%4 == q {
 				rate *= sc.BurstFactor
 			}
-			at += time.Duration(w.rng.ExpFloat64() / rate * float64(time.Second))
-			w.at(leadTime+at, func() { w.submitJob(sc, queue) })
+			at += w.exponentialDelay(rate)
+			w.at(leadTime+at, func() { w.submitJob(sc, queue, &Surge{}) })
 		}
 	}
+	w.scheduleSurges(sc)
 }
 
 func (w *World) newJobID() job.ID { return job.ID(fmt.Sprintf("%016x", w.rng.Uint64())) }
 
 func (w *World) submitLongRunning(sc Scenario, queue job.QueueName) {
-	t := &trackedJob{submittedAt: w.now, failureRate: 0, meanRunTime: longRunningStartup}
+	t := &trackedJob{submittedAt: w.now, mayBeStored: true, meanRunTime: longRunningStartup}
 	t.Job = job.Job{ID: w.newJobID(), Terms: w.terms(queue, "second"), Body: job.Body{
 		Spec:  "lasting",
 		Steps: []job.Step{{Count: 4, Resources: job.Resources{CPU: 3000, MemMB: 4000}, LongRunning: true, MaxPerVM: 1, DisruptionBudget: 1, HasDisruptionBudget: true}},
@@ -238,14 +256,12 @@
 	return job.Terms{Queue: queue, Pool: q.Pool, Account: account, MaxAttempts: q.MaxAttempts, Stretch: q.Stretch, LatencyAllowance: q.LatencyAllowance}
 }
 
-func (w *World) submitJob(sc Scenario, queue job.QueueName) {
+// submitJob creates a job of an account in the surge, and lets its caller submit it.
+func (w *World) submitJob(sc Scenario, queue job.QueueName, surge *Surge) {
 	t := &trackedJob{submittedAt: w.now, failureRate: 0.002, allTasksFail: w.chance(0.01)}
 	t.meanRunTime = time.Duration(math.Exp(w.rng.NormFloat64()*0.4) * float64(time.Second))
 	t.meanRunTime = min(max(t.meanRunTime, 100*time.Millisecond), 3*time.Second)
-	account := job.AccountName("first")
-	if w.chance(0.5) {
-		account = "second"
-	}
+	account := w.randomAccount(surge)
 	body := job.Body{Spec: "work"}
 	for s := range 1 + w.rng.IntN(2) {
 		step := job.Step{
@@ -259,14 +275,12 @@
 	}
 	t.Job = job.Job{ID: w.newJobID(), Terms: w.terms(queue, account), Body: body}
 	w.addFaultyTasks(t, sc)
+	w.addLongTasks(t, sc.Load.LongTaskShare)
 	w.jobs[t.ID] = t
 	w.Stats.Jobs++
-	w.table.submit(t.Job)
+	w.submit(t, sc.Load)
 	if w.chance(0.05) {
-		w.after(w.randomBetween(0, 2*time.Second), func() {
-			t.cancelledAt = w.now
-			w.table.cancel(t.ID)
-		})
+		w.after(w.randomBetween(0, 2*time.Second), func() { w.cancel(t) })
 	}
 }
 
--- a/core/emulator/scenario_test.go
+++ b/core/emulator/scenario_test.go
@@ -44,6 +44,12 @@
 	resizingVMsFrom   = 7000
 	reusedIDsFrom     = 8000
 	zoneCutsFrom      = 9000
+	hotAccountsFrom   = 10_000
+	longTasksFrom     = 11_000
+	slowMachinesFrom  = 12_000
+	massRestartsFrom  = 13_000
+	callersFrom       = 14_000
+	surgesFrom        = 15_000
 	seedRange         = 1000
 )
 
@@ -76,10 +82,44 @@
 		s.Faults = append(emulator.RandomFaults(seed, s.Length, 3), emulator.RandomFaultsOf(emulator.VMsCrashSameID, seed, s.Length, 3)...)
 	case zoneCutsFrom:
 		s.Faults = emulator.RandomFaultsOf(emulator.CutZone, seed, s.Length, 5)
+	default:
+		addLoad(&s)
 	}
 	return s
 }
 
+// addLoad adds what the ranges of seeds from hotAccountsFrom on bring: load that exceeds the
+// capacity for some seconds, or uneven tasks, machines and callers. Every second seed has a
+// random policy.
+func addLoad(s *emulator.Scenario) {
+	from := s.Seed / seedRange * seedRange
+	if from < hotAccountsFrom {
+		return
+	}
+	s.JobsPerSecond, s.BurstFactor, s.Load.Accounts = 5, 0, 6
+	s.Faults = emulator.RandomFaults(s.Seed, s.Length, 2)
+	if s.Seed%2 == 0 {
+		s.Policy = emulator.RandomPolicy(s.Seed)
+	}
+	surge := emulator.RandomHotAccounts(s.Seed, s.Length/2, s.Load.Accounts, 1+int(s.Seed%3))
+	switch from {
+	case hotAccountsFrom:
+		s.Load.Surges = []emulator.Surge{surge}
+	case longTasksFrom:
+		s.Load.LongTaskShare = 0.03
+	case slowMachinesFrom:
+		s.Load.LongTaskShare, s.Load.SlowMachineShare = 0.03, 0.15
+	case massRestartsFrom:
+		s.Load.Surges, s.Load.ReturningCallers = []emulator.Surge{surge}, true
+		s.Faults = append(s.Faults, emulator.Fault{Kind: emulator.KillAll, At: surge.At + surge.Duration/2, Duration: time.Second})
+	case callersFrom:
+		s.Load.Surges, s.Load.ReturningCallers, s.Load.GiveUpShare = []emulator.Surge{surge}, true, 0.3
+		s.Faults = append(s.Faults, emulator.RandomFaults(s.Seed, s.Length, 2)...)
+	case surgesFrom:
+		s.Load.Surges = emulator.SuccessiveSurges(2*time.Second, 5)
+	}
+}
+
 // runScenario runs the scenario of a seed and fails the test on violations.
 func runScenario(t *testing.T, seed uint64) emulator.Stats {
 	t.Helper()
@@ -158,6 +198,27 @@
 // VMs.
 func TestWithZonesCutOff(t *testing.T) { runSeedRange(t, zoneCutsFrom, 4) }
 
+// Guards against lost and doubled jobs while single accounts or several at once ask for several
+// times their usual load.
+func TestWithHotAccounts(t *testing.T) { runSeedRange(t, hotAccountsFrom, 3) }
+
+// Guards against long tasks that count as failed or are started a second time while they run.
+func TestWithLongTasks(t *testing.T) { runSeedRange(t, longTasksFrom, 3) }
+
+// Guards against jobs that never end because slow machines and long tasks look alike.
+func TestWithSlowMachines(t *testing.T) { runSeedRange(t, slowMachinesFrom, 3) }
+
+// Guards against jobs that are lost or run twice when all processes are killed amid a surge and
+// all callers return.
+func TestWithMassRestarts(t *testing.T) { runSeedRange(t, massRestartsFrom, 3) }
+
+// Guards against jobs that run twice because their callers submit them again, and against those
+// that start after their callers gave up.
+func TestWithReturningCallers(t *testing.T) { runSeedRange(t, callersFrom, 3) }
+
+// Guards against lost tasks while machines move from the pool of one surge to that of the next.
+func TestWithSuccessiveSurges(t *testing.T) { runSeedRange(t, surgesFrom, 3) }
+
 // Seeds that found faults. Known causes:
 //   - 1050: a maintenance order was refused as busy after an earlier order for the
 //     machine had been carried out, and the wave took one machine too many out of service;
--- a/core/emulator/table.go
+++ b/core/emulator/table.go
@@ -129,8 +129,13 @@
 	return commitResult{ok: true, version: v, owner: owner, renewal: v}
 }
 
-// submit stores a job.
+// submit stores a job, unless it is stored already.
 func (t *table) submit(j job.Job) {
+	tracked := t.w.jobs[j.ID]
+	if !tracked.storedAt.IsZero() {
+		return
+	}
+	tracked.storedAt = t.w.now
 	t.submitted = append(t.submitted, submission{job: j, version: t.nextVersion()})
 }
 
--- a/core/emulator/vm.go
+++ b/core/emulator/vm.go
@@ -30,6 +30,8 @@
 	// resizes is set if its VMs change their capacity while they run, ignoresCapacity if
 	// they also start tasks that exceed it.
 	resizes, ignoresCapacity bool
+	// slowdown multiplies the run times on its VMs.
+	slowdown float64
 	// fence is the highest fence of any order so far, issuer the entry VM that sent the
 	// last order, at lastOrderAt.
 	fence       job.Fence
@@ -114,7 +116,7 @@
 	}
 	v := &vm{
 		w: w, id: id, machine: m, pool: m.pool, startedAt: w.now, clockRate: 1 - 0.02*w.rng.Float64(), up: true, listed: true,
-		closedAttempts: map[job.TaskID]job.Attempt{}, slowdown: 1, endedAt: map[int64]time.Time{}, capacities: []capacityChange{{fullCapacity, w.now}},
+		closedAttempts: map[job.TaskID]job.Attempt{}, slowdown: m.slowdown, endedAt: map[int64]time.Time{}, capacities: []capacityChange{{fullCapacity, w.now}},
 	}
 	if m.resizes {
 		v.scheduleResize()
--- a/core/emulator/world.go
+++ b/core/emulator/world.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"lavenderpond/core/job"
+	"lavenderpond/core/policy"
 )
 
 // World is the state of a running simulation.
@@ -39,6 +40,9 @@
 	Stats   Stats
 	wave    job.Wave
 	hasWave bool
+	policy  policy.Policy
+	// demand is the part of the mean load that each account asks for.
+	demand map[job.AccountName]float64
 	// lateStartsBeforeHold lets late start orders reach a restarted VM before any owner
 	// has sent it a hold order.
 	lateStartsBeforeHold bool
@@ -56,6 +60,12 @@
 	Moves, MaintenanceStarts   int
 	// LongestGap is the longest time without an owner that may start tasks.
 	LongestGap time.Duration
+	// Accounts and Queues are what the callers of each account and of each queue got.
+	Accounts map[job.AccountName]Service
+	Queues   map[job.QueueName]Service
+	// Recovery is the time from the end of the last surge or fault until the share of jobs in
+	// time is back above its goal, or NotRecovered.
+	Recovery time.Duration
 }
 
 // epoch is the virtual time at which every run begins. Any fixed time would do.
