--- a/core/emulator/scenario_test.go
+++ b/core/emulator/scenario_test.go
@@ -158,9 +158,11 @@
 
 // Guards against runs that differ for the same seed: a failure could not be reproduced then.
 func TestSameSeedRepeats(t *testing.T) {
-	_, first := emulator.Run(scenarioForSeed(1007))
-	_, second := emulator.Run(scenarioForSeed(1007))
-	assert.Equal(t, fmt.Sprint(first), fmt.Sprint(second))
+	for _, seed := range []uint64{1007, callersFrom} {
+		_, first := emulator.Run(scenarioForSeed(seed))
+		_, second := emulator.Run(scenarioForSeed(seed))
+		assert.Equal(t, fmt.Sprint(first), fmt.Sprint(second))
+	}
 }
 
 // Kills, freezes, network cuts, outages and crashes follow each other and overlap. No task
