io/soak: load beyond capacity, accounts, and promises to refused callers

Three client accounts with weights; load faults from a stream of their own, so that the earlier faults of a seed stay: a hot account, a burst of all, and a burst amid which all daemons are killed. Refused callers come back after Retry-After. The checker also verifies that each 429 and 503 has a Retry-After and that no job of an account within its weight waits for its first start for more than 20 s while later jobs of other accounts start.

--- a/cmd/lavenderpond-soak/main.go
+++ b/cmd/lavenderpond-soak/main.go
@@ -33,6 +33,7 @@
 	Entries  int           `help:"Number of daemons." default:"4"`
 	Machines int           `help:"Number of VMs." default:"6"`
 	Callers  int           `help:"Number of callers." default:"4"`
+	Policy   string        `help:"Decisions under scarcity that the daemons are told to make." enum:"none,all,random" default:"none"`
 	Quiet    bool          `help:"Don't print the faults."`
 }
 
@@ -54,6 +55,7 @@
 		s := soak.Soak{
 			Seed: seed, Binary: o.Binary, Folder: filepath.Join(o.Folder, strconv.FormatUint(seed, 10)),
 			Entries: o.Entries, Machines: o.Machines, Callers: o.Callers, FaultPeriod: o.Trouble,
+			Policy: soak.PolicyMode(o.Policy),
 		}
 		if !o.Quiet {
 			startTime := time.Now()
--- a/io/soak/callers.go
+++ b/io/soak/callers.go
@@ -23,6 +23,9 @@
 	submitAttempts = 5
 	// retryDelay is the delay between two attempts and between two requests for a state.
 	retryDelay = 300 * time.Millisecond
+	// maxReturnDelay is the longest time after which a refused caller comes back. If it is told
+	// to wait longer, it gives the job up.
+	maxReturnDelay = 10 * time.Second
 	// cancelOneIn is the mean number of jobs submitted per job that is cancelled.
 	cancelOneIn = 12
 	// One in crashOneIn jobs has a task that crashes VMs, and on average one in
@@ -32,9 +35,10 @@
 
 // caller submits jobs and polls their states over persistent connections.
 type caller struct {
-	fleet  *fleet
-	client http.Client
-	rng    *rand.Rand
+	fleet   *fleet
+	account standin.Account
+	client  http.Client
+	rng     *rand.Rand
 	// submitted counts the submitted jobs, index identifies the caller; IDs of jobs contain both.
 	submitted int
 	index     int
@@ -45,7 +49,8 @@
 func newCaller(f *fleet, index int, rng *rand.Rand) *caller {
 	return &caller{
 		fleet: f, index: index, rng: rng, crashOffset: rng.IntN(crashOneIn),
-		client: http.Client{Transport: &http.Transport{}, Timeout: callTimeout},
+		account: standin.Accounts[(index-1)%len(standin.Accounts)],
+		client:  http.Client{Transport: &http.Transport{}, Timeout: callTimeout},
 	}
 }
 
@@ -53,8 +58,15 @@
 func (c *caller) run(ctx, submitting context.Context) {
 	var unfinished []job.ID
 	for ctx.Err() == nil {
-		if submitting.Err() == nil {
-			unfinished = append(unfinished, c.submitNext(ctx))
+		hot := c.fleet.isHot(c.account.Name)
+		jobs := 1
+		if hot {
+			jobs = hotJobs
+		}
+		for range jobs {
+			if submitting.Err() == nil {
+				unfinished = append(unfinished, c.submitNext(ctx))
+			}
 		}
 		if submitting.Err() == nil && c.rng.IntN(cancelOneIn) == 0 {
 			c.cancel(ctx, unfinished[c.rng.IntN(len(unfinished))])
@@ -66,7 +78,9 @@
 			}
 		}
 		unfinished = remaining
-		supervisor.Sleep(ctx, retryDelay)
+		if !hot {
+			supervisor.Sleep(ctx, retryDelay)
+		}
 	}
 }
 
@@ -104,7 +118,8 @@
 }
 
 // submit sends a job to random daemons, with the same ID each time, until one answers that the
-// job was accepted or that the outcome is unknown. It gives up after submitAttempts.
+// job was accepted or that the outcome is unknown. After a refusal it comes back when the daemon
+// says. It gives up after submitAttempts.
 func (c *caller) submit(ctx context.Context, spec standin.Spec, steps []standin.StepBody) job.ID {
 	c.submitted++
 	id := job.ID(fmt.Sprintf("%08x%08x", c.index, c.submitted))
@@ -112,29 +127,29 @@
 	if err != nil {
 		return id
 	}
-	c.fleet.checker.Submitting(id, spec, steps)
+	c.fleet.checker.Submitting(id, c.account.Name, spec, steps)
 	for range submitAttempts {
-		status, _ := c.call(ctx, http.MethodPost, id, body)
-		c.fleet.checker.SubmitAnswered(id, status)
-		if status == http.StatusOK || status == http.StatusGatewayTimeout {
+		a := c.call(ctx, http.MethodPost, id, body)
+		c.fleet.checker.SubmitAnswered(id, a.status)
+		if a.status == http.StatusOK || a.status == http.StatusGatewayTimeout || a.retryAfter > maxReturnDelay {
 			break
 		}
-		supervisor.Sleep(ctx, retryDelay)
+		supervisor.Sleep(ctx, max(retryDelay, a.retryAfter))
 	}
 	return id
 }
 
 // pollState requests the state of a job and reports whether the job has finished.
 func (c *caller) pollState(ctx context.Context, id job.ID) bool {
-	status, body := c.call(ctx, http.MethodGet, id, nil)
+	a := c.call(ctx, http.MethodGet, id, nil)
 	var out struct {
 		State string `json:"state"`
 	}
-	if status == http.StatusOK && json.Unmarshal(body, &out) != nil {
+	if a.status == http.StatusOK && json.Unmarshal(a.body, &out) != nil {
 		return false
 	}
-	c.fleet.checker.StateReturned(id, status, out.State)
-	return status == http.StatusGone || out.State == "completed" || out.State == "cancelled" || out.State == "failed"
+	c.fleet.checker.StateReturned(id, a.status, out.State)
+	return a.status == http.StatusGone || out.State == "completed" || out.State == "cancelled" || out.State == "failed"
 }
 
 // cancel requests the cancellation of a job and ignores the answer.
@@ -143,24 +158,32 @@
 	c.call(ctx, http.MethodDelete, id, nil)
 }
 
-// call sends a request to a random daemon. Status 0 means no answer.
-func (c *caller) call(ctx context.Context, method string, id job.ID, body []byte) (status int, answer []byte) {
+// answer is a daemon's answer to a call. Status 0 means no answer.
+type answer struct {
+	status int
+	body   []byte
+	// retryAfter is the time that a refused caller is told to wait.
+	retryAfter time.Duration
+}
+
+// call sends a request to a random daemon.
+func (c *caller) call(ctx context.Context, method string, id job.ID, body []byte) answer {
 	e := c.fleet.entries[c.rng.IntN(len(c.fleet.entries))]
 	r, err := http.NewRequestWithContext(ctx, method, "http://"+e.callerAddress.String()+standin.PathPrefix+string(id), bytes.NewReader(body))
 	if err != nil {
-		return 0, nil
+		return answer{}
 	}
 	r.Host = standin.Host
-	r.Header.Set("Api-Key", standin.APIKey)
+	r.Header.Set("Api-Key", c.account.Key)
 	r.Header.Set("Deadline-Ms", strconv.FormatInt(callTimeout.Milliseconds(), 10))
 	resp, err := c.client.Do(r)
 	if err != nil {
-		return 0, nil
+		return answer{}
 	}
 	defer resp.Body.Close() //nolint:errcheck // The answer has been read.
 	b, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return 0, nil
+		return answer{}
 	}
-	return resp.StatusCode, b
+	return answer{status: resp.StatusCode, body: b, retryAfter: c.fleet.checker.Answered(id, resp.StatusCode, resp.Header.Get("Retry-After"))}
 }
--- a/io/soak/checker.go
+++ b/io/soak/checker.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"sync"
 	"time"
 
@@ -34,6 +35,7 @@
 	// evacuated maps the availability zones in which no task may start to the time of
 	// the request.
 	evacuated map[job.ZoneName]time.Time
+	usage     map[job.AccountName]*accountUsage
 }
 
 // Placement describes a VM: its availability zone and its capacity.
@@ -84,11 +86,13 @@
 
 // submittedJob is a job as its caller knows it.
 type submittedJob struct {
-	spec  standin.Spec
-	steps []standin.StepBody
+	account job.AccountName
+	spec    standin.Spec
+	steps   []standin.StepBody
 	// accepted is set by a successful submission, unknown by an answer that leaves open
 	// whether the job was accepted, started by the first start of a task.
 	accepted, outcomeUnknown, started bool
+	acceptedAt                        time.Time
 	cancelled                         bool
 	// finalState is the final state that a caller was shown.
 	finalState string
@@ -101,6 +105,7 @@
 		acknowledged: map[job.TaskID]bool{}, jobs: map[job.ID]*submittedJob{},
 		crashes: map[job.TaskID]int{}, startsAfterCrashLimit: map[job.TaskID]int{},
 		placements: map[job.VMID]*Placement{}, evacuated: map[job.ZoneName]time.Time{},
+		usage: map[job.AccountName]*accountUsage{},
 	}
 }
 
@@ -166,6 +171,7 @@
 		return
 	}
 	submitted.started = true
+	c.checkStarvation(submitted, t)
 	if requestedAt, ok := c.evacuated[c.placements[vm].Zone]; ok && c.now().Sub(requestedAt) > evacuationLimit {
 		c.violationf("%v starts on %s in a zone that has been evacuated for %s", t, vm, c.now().Sub(requestedAt))
 	}
@@ -247,10 +253,24 @@
 }
 
 // Submitting records a job before its first submission.
-func (c *Checker) Submitting(id job.ID, spec standin.Spec, steps []standin.StepBody) {
+func (c *Checker) Submitting(id job.ID, account job.AccountName, spec standin.Spec, steps []standin.StepBody) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.jobs[id] = &submittedJob{spec: spec, steps: steps}
+	c.jobs[id] = &submittedJob{account: account, spec: spec, steps: steps}
+	c.countSubmission(account)
+}
+
+// Answered checks the answer to a call: a refusal must say when to come back. It returns the time
+// to wait.
+func (c *Checker) Answered(id job.ID, status int, retryAfter string) time.Duration {
+	if status != 429 && status != 503 {
+		return 0
+	}
+	seconds, err := strconv.Atoi(retryAfter)
+	if err != nil || seconds < 1 {
+		c.Reportf("a call for %s was refused with status %d and Retry-After %q", id, status, retryAfter)
+	}
+	return time.Duration(seconds) * time.Second
 }
 
 // SubmitAnswered records the HTTP status of a submission; 0 means no answer.
@@ -259,7 +279,7 @@
 	defer c.mu.Unlock()
 	switch {
 	case status == 200:
-		c.jobs[id].accepted = true
+		c.jobs[id].accepted, c.jobs[id].acceptedAt = true, c.now()
 	case status != 429 && status != 503:
 		c.jobs[id].outcomeUnknown = true
 	}
--- a/io/soak/checker_test.go
+++ b/io/soak/checker_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -22,7 +23,7 @@
 	c = NewChecker()
 	clock = new(time.Now())
 	c.now = func() time.Time { return *clock }
-	c.Submitting(testJob, standin.Spec{CPU: 1000, Crash: crash}, []standin.StepBody{{Count: 2, CPU: 1000}})
+	c.Submitting(testJob, standin.Accounts[0].Name, standin.Spec{CPU: 1000, Crash: crash}, []standin.StepBody{{Count: 2, CPU: 1000}})
 	c.SubmitAnswered(testJob, 200)
 	c.Placed(testVM, p)
 	return c, clock
@@ -127,3 +128,64 @@
 	c.Started(testVM, testTask(1), 1, "")
 	assertViolations(t, c)
 }
+
+// acceptWaiting submits a job of an account, has it accepted, and starts none of its tasks.
+func acceptWaiting(c *Checker, id job.ID, account job.AccountName) {
+	c.Submitting(id, account, standin.Spec{CPU: 1000}, []standin.StepBody{{Count: 1, CPU: 1000}})
+	c.SubmitAnswered(id, 200)
+}
+
+// Guards against a job of an account within its weight that waits while later jobs of others run.
+func TestAccountWithinWeightIsNotStarved(t *testing.T) {
+	waiting, later, own := standin.Accounts[2], job.ID("0000000200000001"), job.ID("0000000300000002")
+	for name, test := range map[string]struct {
+		jobs   int
+		waited time.Duration
+		starts job.TaskID
+		want   []string
+	}{
+		"starved":       {jobs: 1, waited: starvationLimit + time.Second, starts: job.TaskID{Job: later}, want: []string{"within its weight, has waited"}},
+		"short wait":    {jobs: 1, waited: starvationLimit, starts: job.TaskID{Job: later}},
+		"beyond weight": {jobs: int(waiting.Weight*weightWindow.Seconds()) + 1, waited: starvationLimit + time.Second, starts: job.TaskID{Job: later}},
+		"same account":  {jobs: 1, waited: starvationLimit + time.Second, starts: job.TaskID{Job: own}},
+		"earlier job":   {jobs: 1, waited: starvationLimit + time.Second, starts: testTask(1)},
+	} {
+		c, clock := newTestChecker(nil, Placement{Capacity: 9000})
+		c.Started(testVM, testTask(0), 1, "")
+		*clock = clock.Add(time.Second)
+		for i := range test.jobs {
+			acceptWaiting(c, job.ID(fmt.Sprintf("00000003%08x", 16+i)), waiting.Name)
+		}
+		*clock = clock.Add(test.waited)
+		acceptWaiting(c, later, standin.Accounts[1].Name)
+		acceptWaiting(c, own, waiting.Name)
+		c.Started(testVM, test.starts, 1, "")
+		t.Log(name)
+		assertViolations(t, c, test.want...)
+	}
+}
+
+// Guards against a refusal after which a caller can't know when to come back.
+func TestRefusalSaysWhenToComeBack(t *testing.T) {
+	c, _ := newTestChecker(nil, Placement{})
+	assert.Equal(t, c.Answered(testJob, 429, "2"), 2*time.Second)
+	c.Answered(testJob, 504, "")
+	assertViolations(t, c)
+	c.Answered(testJob, 503, "")
+	c.Answered(testJob, 429, "0")
+	assertViolations(t, c, "status 503", "status 429")
+}
+
+// Guards against a job that was refused each time and runs all the same.
+func TestRefusedJobMustNotRun(t *testing.T) {
+	c, _ := newTestChecker(nil, Placement{Capacity: 9000})
+	startAndCrash(c, testTask(0), 2)
+	c.StateReturned(testJob, 200, "failed")
+	refused := job.ID("0000000200000001")
+	c.Submitting(refused, standin.Accounts[0].Name, standin.Spec{CPU: 1000}, []standin.StepBody{{Count: 1, CPU: 1000}})
+	c.SubmitAnswered(refused, 429)
+	c.SubmitAnswered(refused, 503)
+	c.Started(testVM, job.TaskID{Job: refused}, 1, "")
+	c.Finish()
+	assertViolations(t, c, "all its submissions were refused")
+}
--- a/io/soak/faults.go
+++ b/io/soak/faults.go
@@ -163,12 +163,13 @@
 	}
 }
 
-// injectFaults injects random faults until ctx ends, and returns once all have ended.
-func (f *fleet) injectFaults(ctx context.Context, rng *rand.Rand, report func(string)) {
+// injectFaults injects random faults of the given kinds until ctx ends, and returns once all
+// have ended. meanInterval is the mean time between the starts of two of them.
+func (f *fleet) injectFaults(ctx context.Context, kinds []fault, meanInterval time.Duration, rng *rand.Rand, report func(string)) {
 	var g supervisor.Group
 	defer g.Wait()
 	for ctx.Err() == nil {
-		kind := faults[rng.IntN(len(faults))]
+		kind := kinds[rng.IntN(len(kinds))]
 		duration := kind.extraDuration + minFaultDuration + time.Duration(rng.Int64N(int64(maxFaultDuration-minFaultDuration)))
 		description, end := kind.inject(f, rng)
 		report(fmt.Sprintf("%s %s for %s", kind.name, description, duration.Round(time.Millisecond)))
@@ -176,6 +177,6 @@
 			supervisor.Sleep(ctx, duration)
 			end()
 		})
-		supervisor.Sleep(ctx, time.Duration(rng.ExpFloat64()*float64(meanFaultInterval)))
+		supervisor.Sleep(ctx, time.Duration(rng.ExpFloat64()*float64(meanInterval)))
 	}
 }
--- a/io/soak/fleet.go
+++ b/io/soak/fleet.go
@@ -97,10 +97,13 @@
 	servers         []*http.Server
 	group           supervisor.Group
 	configVersion   int
-	// mu guards rng and evacuated. evacuated counts the evacuation requests in force for
-	// each availability zone.
+	// policyFile is the daemons' policy file; an empty string means none.
+	policyFile string
+	// mu guards rng, evacuated and hot. evacuated counts the evacuation requests in force for
+	// each availability zone, hot the load faults that make each account hot.
 	mu        sync.Mutex
 	evacuated map[job.ZoneName]int
+	hot       map[job.AccountName]int
 }
 
 // zone returns the availability zone of the i-th daemon or machine.
@@ -393,7 +396,11 @@
 	if err != nil {
 		return errors.Wrap(err, "open log of daemon")
 	}
-	c := exec.Command(f.binary, e.settingsFile)
+	arguments := []string{e.settingsFile}
+	if f.policyFile != "" {
+		arguments = append(arguments, policyFlag, f.policyFile)
+	}
+	c := exec.Command(f.binary, arguments...)
 	c.Stdout, c.Stderr = out, out
 	if err := c.Start(); err != nil {
 		return errors.Wrap(err, "start daemon")
--- a/io/soak/soak.go
+++ b/io/soak/soak.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"os"
+	"path/filepath"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -22,6 +25,9 @@
 	Entries, Machines, Callers int
 	// FaultPeriod is how long faults are injected and jobs are submitted.
 	FaultPeriod time.Duration
+	// Policy says which decisions under scarcity the daemons are told to make. The zero value
+	// means NoPolicy. Other modes need a daemon that accepts a policy file.
+	Policy PolicyMode
 	// OnFault, if set, is called with a description of each fault.
 	OnFault func(line string)
 }
@@ -51,6 +57,9 @@
 	}
 	defer f.close()
 	defer cancel()
+	if err := s.writePolicy(f); err != nil {
+		return nil, "", err
+	}
 	if err := f.build(ctx, orDefault(s.Entries, defaultEntries), orDefault(s.Machines, defaultMachines)); err != nil {
 		return nil, "", err
 	}
@@ -70,7 +79,7 @@
 		}
 		g.Go(func() { c.run(ctx, submitting) })
 	}
-	f.injectFaults(submitting, rand.New(rand.NewPCG(s.Seed, 0)), s.reportFault)
+	s.injectFaults(submitting, f)
 	for until := time.Now().Add(maxSettleTime); !f.checker.Settled() && time.Now().Before(until); {
 		supervisor.Sleep(ctx, settlePollInterval)
 	}
@@ -80,10 +89,35 @@
 	return f.checker.Violations(), f.checker.Summary(), nil
 }
 
-func (s Soak) reportFault(line string) {
-	if s.OnFault != nil {
-		s.OnFault(line)
+// loadSeed selects the stream of random numbers for load faults.
+const loadSeed = math.MaxUint64
+
+// injectFaults injects faults and load that exceeds the capacity until ctx ends.
+func (s Soak) injectFaults(ctx context.Context, f *fleet) {
+	var mu sync.Mutex
+	report := func(line string) {
+		mu.Lock()
+		defer mu.Unlock()
+		if s.OnFault != nil {
+			s.OnFault(line)
+		}
+	}
+	var g supervisor.Group
+	g.Go(func() {
+		f.injectFaults(ctx, loadFaults, meanLoadFaultInterval, rand.New(rand.NewPCG(s.Seed, loadSeed)), report)
+	})
+	f.injectFaults(ctx, faults, meanFaultInterval, rand.New(rand.NewPCG(s.Seed, 0)), report)
+	g.Wait()
+}
+
+// writePolicy writes the daemons' policy file, if they get one.
+func (s Soak) writePolicy(f *fleet) error {
+	if s.Policy == "" || s.Policy == NoPolicy {
+		return nil
 	}
+	f.policyFile = filepath.Join(s.Folder, "policy.ini")
+	text := s.Policy.policyText(rand.New(rand.NewPCG(s.Seed, 1)))
+	return errors.Wrap(os.WriteFile(f.policyFile, []byte(text), 0o600), "write policy of daemons")
 }
 
 // orDefault returns n if it is positive, and fallback otherwise.
--- a/io/soak/soak_test.go
+++ b/io/soak/soak_test.go
@@ -14,14 +14,18 @@
 )
 
 // ciSeeds are the seeds that run each time. A seed that has found a fault is added with a note
-// of the fault.
-var ciSeeds = []uint64{1, 2}
+// of the fault. policySeed runs with all decisions under scarcity.
+var ciSeeds = []uint64{1, 2, policySeed}
+
+const policySeed = 3
 
 // Faults overlap: daemons are killed, stopped, paused, and cut off from the table, callers and
 // VMs in one or both directions; the table fails in five ways; VMs crash, slow down, shrink and
-// delay orders; and tasks crash VMs. No task may run twice at a time or before its step is due,
-// no refused job may run, no VM may be overloaded, tasks that crash VMs must be given up, and
-// all other accepted jobs must finish.
+// delay orders; tasks crash VMs; accounts submit several times their usual load, also while all
+// daemons are killed; and refused callers come back. No task may run twice at a time or before its step is due,
+// no refused job may run, refusals must say when to come back, no account that stays within its
+// weight may be starved, no VM may be overloaded, tasks that crash VMs must be given up, and all
+// other accepted jobs must finish.
 func TestShortSoak(t *testing.T) {
 	binary := filepath.Join(t.TempDir(), "lavenderpond-edge")
 	out, err := exec.Command("go", "build", "-o", binary, "lavenderpond/cmd/lavenderpond-edge").CombinedOutput()
@@ -34,6 +38,9 @@
 				Seed: seed, Binary: binary, Folder: t.TempDir(), FaultPeriod: 8 * time.Second,
 				OnFault: func(line string) { faults = append(faults, line) },
 			}
+			if seed == policySeed && soak.AcceptsPolicy(t.Context(), binary) {
+				s.Policy = soak.FullPolicy
+			}
 			violations, summary, err := s.Run(t.Context())
 			assert.NilError(t, err)
 			assert.Assert(t, len(violations) == 0, "%s\n%s\n%s", strings.Join(violations, "\n"), summary, strings.Join(faults, "\n"))
