--- a/core/emulator/load.go
+++ b/core/emulator/load.go
@@ -23,6 +23,8 @@
 	LongTaskShare float64
 	// SlowMachineShare is the share of machines whose VMs are always slow.
 	SlowMachineShare float64
+	// SpeculativeShare is the share of jobs whose tasks may have a second run.
+	SpeculativeShare float64
 	// ReturningCallers lets callers submit their jobs to entry VMs, and again after a refusal
 	// or a missing answer. Otherwise the table takes each job immediately.
 	ReturningCallers bool
@@ -150,6 +152,16 @@
 	}
 }
 
+// allowSecondRuns lets the tasks of a random share of jobs have a second run.
+func (w *World) allowSecondRuns(t *trackedJob, share float64) {
+	if !w.chance(share) {
+		return
+	}
+	for i := range t.Body.Steps {
+		t.Body.Steps[i].Speculative = true
+	}
+}
+
 // randomSlowdown returns the factor by which tasks take longer on a machine.
 func (w *World) randomSlowdown(share float64) float64 {
 	if !w.chance(share) {
--- a/core/emulator/scenario.go
+++ b/core/emulator/scenario.go
@@ -276,6 +276,7 @@
 	t.Job = job.Job{ID: w.newJobID(), Terms: w.terms(queue, account), Body: body}
 	w.addFaultyTasks(t, sc)
 	w.addLongTasks(t, sc.Load.LongTaskShare)
+	w.allowSecondRuns(t, sc.Load.SpeculativeShare)
 	w.jobs[t.ID] = t
 	w.Stats.Jobs++
 	w.submit(t, sc.Load)
