io/soak: bound the jobs of a hot caller, judge starvation by account

A hot caller now has at most 25 unfinished jobs.

An account is starved if it has a waiting job and no start at all for 20 s. That a single job doesn't wait for ever is checked at the end, as before.

--- a/io/soak/callers.go
+++ b/io/soak/callers.go
@@ -64,7 +64,7 @@
 			jobs = hotJobs
 		}
 		for range jobs {
-			if submitting.Err() == nil {
+			if submitting.Err() == nil && (!hot || len(unfinished) < maxUnfinished) {
 				unfinished = append(unfinished, c.submitNext(ctx))
 			}
 		}
--- a/io/soak/checker_test.go
+++ b/io/soak/checker_test.go
@@ -135,20 +135,22 @@
 	c.SubmitAnswered(id, 200)
 }
 
-// Guards against a job of an account within its weight that waits while later jobs of others run.
+// Guards against an account within its weight that gets no start while later jobs of others run.
 func TestAccountWithinWeightIsNotStarved(t *testing.T) {
 	waiting, later, own := standin.Accounts[2], job.ID("0000000200000001"), job.ID("0000000300000002")
 	for name, test := range map[string]struct {
 		jobs   int
+		served bool
 		waited time.Duration
 		starts job.TaskID
 		want   []string
 	}{
-		"starved":       {jobs: 1, waited: starvationLimit + time.Second, starts: job.TaskID{Job: later}, want: []string{"within its weight, has waited"}},
-		"short wait":    {jobs: 1, waited: starvationLimit, starts: job.TaskID{Job: later}},
-		"beyond weight": {jobs: int(waiting.Weight*weightWindow.Seconds()) + 1, waited: starvationLimit + time.Second, starts: job.TaskID{Job: later}},
-		"same account":  {jobs: 1, waited: starvationLimit + time.Second, starts: job.TaskID{Job: own}},
-		"earlier job":   {jobs: 1, waited: starvationLimit + time.Second, starts: testTask(1)},
+		"starved":          {jobs: 1, waited: starvationLimit + time.Second, starts: job.TaskID{Job: later}, want: []string{"within its weight, has waited"}},
+		"served meanwhile": {jobs: 1, served: true, waited: starvationLimit + time.Second, starts: job.TaskID{Job: later}},
+		"short wait":       {jobs: 1, waited: starvationLimit, starts: job.TaskID{Job: later}},
+		"beyond weight":    {jobs: int(waiting.Weight*weightWindow.Seconds()) + 1, waited: starvationLimit + time.Second, starts: job.TaskID{Job: later}},
+		"same account":     {jobs: 1, waited: starvationLimit + time.Second, starts: job.TaskID{Job: own}},
+		"earlier job":      {jobs: 1, waited: starvationLimit + time.Second, starts: testTask(1)},
 	} {
 		c, clock := newTestChecker(nil, Placement{Capacity: 9000})
 		c.Started(testVM, testTask(0), 1, "")
@@ -157,6 +159,10 @@
 			acceptWaiting(c, job.ID(fmt.Sprintf("00000003%08x", 16+i)), waiting.Name)
 		}
 		*clock = clock.Add(test.waited)
+		if test.served {
+			acceptWaiting(c, "0000000300000003", waiting.Name)
+			c.Started(testVM, job.TaskID{Job: "0000000300000003"}, 1, "")
+		}
 		acceptWaiting(c, later, standin.Accounts[1].Name)
 		acceptWaiting(c, own, waiting.Name)
 		c.Started(testVM, test.starts, 1, "")
--- a/io/soak/loadfaults.go
+++ b/io/soak/loadfaults.go
@@ -15,6 +15,9 @@
 	meanLoadFaultInterval = 3 * time.Second
 	// hotJobs is how many jobs a caller of a hot account submits at a time.
 	hotJobs = 4
+	// maxUnfinished bounds the unfinished jobs of a caller of a hot account, so that all jobs can
+	// finish within maxSettleTime.
+	maxUnfinished = 25
 	// massRestartDelay is the time from the start of a burst to the kill of all daemons.
 	massRestartDelay = 500 * time.Millisecond
 )
--- a/io/soak/starvation.go
+++ b/io/soak/starvation.go
@@ -8,19 +8,21 @@
 )
 
 const (
-	// starvationLimit is how long a job of an account that stays within its weight may wait for
-	// its first start while later jobs of other accounts start. Leases of unreachable VMs, on
-	// which it may have been started, expire after 10 s.
+	// starvationLimit is how long an account that stays within its weight may have a waiting job
+	// and no start while later jobs of other accounts start. Leases of unreachable VMs, on which
+	// its jobs may have been started, expire after 10 s. A single job that is too late to be of
+	// use may wait for longer; it must finish by the end.
 	starvationLimit = 20 * time.Second
 	// weightWindow is the period over which an account may use its weight unevenly.
 	weightWindow = 5 * time.Second
 )
 
-// accountUsage records when an account submitted more jobs than its weight allows.
+// accountUsage records when an account submitted more jobs than its weight allows, and when
+// one of its tasks last started.
 type accountUsage struct {
 	// recent are the times of the submissions within weightWindow.
-	recent       []time.Time
-	lastExceeded time.Time
+	recent                  []time.Time
+	lastExceeded, lastStart time.Time
 }
 
 // countSubmission counts a job of an account.
@@ -40,20 +42,24 @@
 	}
 }
 
-// checkStarvation checks, at the start of a task, that no job of another account has been
-// starved by jobs that were accepted later.
+// checkStarvation checks, at the start of a task, that no other account has been starved by jobs
+// that were accepted later than one of its own.
 func (c *Checker) checkStarvation(starting *submittedJob, t job.TaskID) {
+	c.usage[starting.account].lastStart = c.now()
 	for id, waiting := range c.jobs {
 		if c.isStarved(waiting) && waiting.account != starting.account && starting.acceptedAt.After(waiting.acceptedAt) {
 			c.violationf("%v of account %s starts while %s of account %s, within its weight, has waited for %s", t, starting.account, id, waiting.account, c.now().Sub(waiting.acceptedAt))
-			waiting.started = true
+			// One violation a period is enough.
+			c.usage[waiting.account].lastStart = c.now()
 		}
 	}
 }
 
-// isStarved reports whether the job has waited too long for its first start, although its
-// account stayed within its weight.
+// isStarved reports whether the job and its account have waited too long for a start, although
+// the account stayed within its weight.
 func (c *Checker) isStarved(j *submittedJob) bool {
+	u, now := c.usage[j.account], c.now()
 	waits := j.accepted && !j.started && !j.cancelled && j.finalState == ""
-	return waits && c.now().Sub(j.acceptedAt) > starvationLimit && j.acceptedAt.Sub(c.usage[j.account].lastExceeded) > starvationLimit
+	return waits && now.Sub(j.acceptedAt) > starvationLimit && now.Sub(u.lastStart) > starvationLimit &&
+		j.acceptedAt.Sub(u.lastExceeded) > starvationLimit
 }
