core/room: machines go by the rank of the work that waits, where it makes a difference

The need of a pool counted all waiting work alike, a flooded pool took every idle machine, and a machine moves only once it is idle. Change: behind policy.RankedRoom. Urgent needs of all pools come first, up to a common level; VMs with less urgent work are emptied for them, and runs past their late limit are stopped there.

--- a/core/schedule/pools.go
+++ b/core/schedule/pools.go
@@ -41,6 +41,8 @@
 	// exceeds the capacity of the fleet.
 	peakNeed float64
 	peakAt   time.Time
+	// urgent is the arrival rate of work within the accounts' shares.
+	urgent workRate
 }
 
 // poolStats returns the statistics of a pool, which are created on first use.
@@ -83,6 +85,9 @@
 	}
 	s.nextSizing = now.Add(sizingInterval)
 	s.trackMoves(now)
+	if s.settings.Policy.RankedRoom && s.planRoom(now) {
+		return
+	}
 	pools := s.poolNeeds(now)
 	for _, m := range sizing.Plan(now, pools, s.idleMachines(now)) {
 		s.orderMove(now, m)
@@ -263,17 +268,24 @@
 // chooseVacating selects the VMs that should become idle so that their machines can move.
 func (s *Scheduler) chooseVacating(pools []sizing.Pool) {
 	var vms []sizing.VM
+	for _, v := range s.vms.All() {
+		if v.acceptsTasks() && !v.cordoned && v.longRunningRuns == 0 {
+			vms = append(vms, sizing.VM{ID: v.id, Pool: v.pool, CPU: v.capacity.CPU, Used: v.used.CPU})
+		}
+	}
+	s.setVacating(sizing.Vacate(pools, vms))
+}
+
+// setVacating makes the VMs with the given IDs, and no others, vacating.
+func (s *Scheduler) setVacating(ids []job.VMID) {
 	wasVacating := map[job.VMID]bool{}
 	for _, v := range s.vms.All() {
 		if v.vacating {
 			wasVacating[v.id] = true
 		}
 		v.vacating = false
-		if v.acceptsTasks() && !v.cordoned && v.longRunningRuns == 0 {
-			vms = append(vms, sizing.VM{ID: v.id, Pool: v.pool, CPU: v.capacity.CPU, Used: v.used.CPU})
-		}
 	}
-	for _, id := range sizing.Vacate(pools, vms) {
+	for _, id := range ids {
 		v := s.vms.Get(id)
 		v.vacating = true
 		if !wasVacating[id] {
--- /dev/null
+++ b/core/schedule/roomplan_test.go
@@ -0,0 +1,71 @@
+package schedule
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lavenderpond/core/job"
+	"lavenderpond/core/policy"
+)
+
+// newRoomHarness returns a harness with two pools of two VMs each, whose machines move by the
+// rank of the work that waits.
+func newRoomHarness(t *testing.T) *harness {
+	h := newPoolsHarness(t)
+	h.s.settings.Policy = policy.Policy{RankedRoom: true}
+	h.listVMs(poolA, "a1", "a2")
+	h.listVMs(poolB, "b1", "b2")
+	h.advance(0)
+	for _, id := range []string{"a1", "a2", "b1", "b2"} {
+		h.answerHold(id, nil)
+	}
+	h.listMachines()
+	h.advance(30 * time.Millisecond)
+	return h
+}
+
+// fillPool starts a job of tasks that occupy both VMs of a pool, and returns the starts.
+func (h *harness) fillPool(queue job.QueueName, id string) []Start {
+	h.addJobTo(queue, id, job.Step{Count: 8, Resources: job.Resources{CPU: 2000, MemMB: 100}, Estimate: time.Second})
+	starts := commandsOfType[Start](h.advance(0))
+	for _, c := range starts {
+		h.confirm(c)
+	}
+	return starts
+}
+
+// Guards against a pool that waits for machines while those of another pool run work whose
+// results are of no use any more.
+func TestUselessRunsYieldToUrgentWork(t *testing.T) {
+	h := newRoomHarness(t)
+	running := map[job.VMID][]job.RunningTask{}
+	for _, c := range h.fillPool("qb", "useless") {
+		running[c.VM] = append(running[c.VM], runningTask(c, 50))
+	}
+	assert.Equal(t, len(running["b1"]), 4)
+	h.now = h.now.Add(20 * time.Second)
+	for _, id := range []string{"a1", "a2", "b1", "b2"} {
+		h.answerHold(id, running[job.VMID(id)])
+	}
+	h.addJobTo("qa", "urgent", job.Step{Count: 16, Resources: job.Resources{CPU: 2000, MemMB: 100}, Estimate: time.Second})
+	commands := h.advance(sizingInterval)
+	stops := commandsOfType[Stop](commands)
+	assert.Equal(t, len(stops), 8, "%v", commands)
+	for _, c := range stops {
+		assert.Equal(t, c.Task.Job, job.ID("useless"))
+	}
+	for _, c := range stops {
+		h.answerHold(string(c.VM), nil)
+	}
+	assert.Equal(t, len(movesOf(h.advance(sizingInterval))[poolA]), 2)
+}
+
+// Guards against stopping work that can still complete in time for the work of another pool.
+func TestWorkInTimeDoesNotYield(t *testing.T) {
+	h := newRoomHarness(t)
+	assert.Equal(t, len(h.fillPool("qb", "running")), 8)
+	h.addJobTo("qa", "urgent", job.Step{Count: 16, Resources: job.Resources{CPU: 2000, MemMB: 100}, Estimate: time.Second})
+	assert.Equal(t, len(commandsOfType[Stop](h.advance(sizingInterval))), 0)
+}
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -217,6 +217,9 @@
 		st.beyondShare = s.config != nil && s.shares.exceeds(now, s.config.Account(j.Terms.Account))
 		remaining, total := s.predictWork(st)
 		s.poolStats(s.pool(st)).addArrival(now, remaining)
+		if !st.beyondShare {
+			s.poolStats(s.pool(st)).urgent.add(now, remaining)
+		}
 		s.queueStats(j.Terms.Queue).addJob(total)
 	}
 	s.jobs.Set(j.ID, st)
--- a/core/schedule/state.go
+++ b/core/schedule/state.go
@@ -327,6 +327,9 @@
 	cordoned bool
 	// vacating VMs get tasks only if no other VM has room.
 	vacating bool
+	// yielding VMs get no tasks, because urgent work of another pool needs their machines.
+	// Long-running tasks are excepted.
+	yielding bool
 	// lostStarts are unanswered starts that the VM's current life can no longer execute,
 	// but that the VM might still execute if it restarts under the same ID.
 	lostStarts []*run
--- a/core/schedule/vmindex.go
+++ b/core/schedule/vmindex.go
@@ -91,6 +91,9 @@
 			continue
 		}
 		noneFits = false
+		if x.vm.yielding && !p.job.longRunning {
+			continue
+		}
 		if !p.step.mayRunOn(p.id.StepID(), x.vm) || p.task.mustBeSeparate(a.now, x.vm) || !a.s.usable(a.now, x.vm) {
 			continue
 		}
