core/forecast: distributions of run times a queue

Run times were one mean of logarithms a queue, which can't show that 3 of 100 runs take seven times as long, nor how long the longest task of a step takes.

--- /dev/null
+++ b/core/forecast/distribution.go
@@ -0,0 +1,139 @@
+package forecast
+
+import (
+	"math"
+	"time"
+
+	"github.com/DataDog/sketches-go/ddsketch"
+	"github.com/DataDog/sketches-go/ddsketch/mapping"
+	"github.com/DataDog/sketches-go/ddsketch/store"
+	"github.com/pkg/errors"
+)
+
+const (
+	// relativeAccuracy is the largest relative error of a quantile.
+	relativeAccuracy = 0.05
+	// maxBins bounds the memory and the snapshot of a distribution. Values up to e^10 times
+	// the smallest are told apart.
+	maxBins = 100
+	// halfLife is the age at which a sample counts half as much as a new one.
+	halfLife = 30 * time.Second
+	// decayInterval is the minimum time between two corrections of the samples' weights.
+	decayInterval = time.Second
+	// minValue keeps the logarithms of values finite.
+	minValue = 0.001
+)
+
+// Distribution is a distribution of positive values in which old samples count less. The zero
+// value is empty.
+type Distribution struct {
+	sketch *ddsketch.DDSketch
+	// decayedAt is the time up to which the samples' weights are corrected.
+	decayedAt time.Time
+}
+
+// Add adds a sample.
+func (d *Distribution) Add(now time.Time, value float64) error {
+	if d.sketch == nil {
+		s, err := newSketch()
+		if err != nil {
+			return err
+		}
+		d.sketch, d.decayedAt = s, now
+	}
+	if err := d.decay(now); err != nil {
+		return err
+	}
+	return errors.Wrap(d.sketch.Add(max(value, minValue)), "add a sample")
+}
+
+// newSketch returns an empty sketch.
+func newSketch() (*ddsketch.DDSketch, error) {
+	m, err := mapping.NewLogarithmicMapping(relativeAccuracy)
+	if err != nil {
+		return nil, errors.Wrap(err, "create a sketch")
+	}
+	return ddsketch.NewDDSketchFromStoreProvider(m, newStore), nil
+}
+
+func newStore() store.Store { return store.NewCollapsingLowestDenseStore(maxBins) }
+
+// decay reduces the weight of the samples by their age.
+func (d *Distribution) decay(now time.Time) error {
+	age := now.Sub(d.decayedAt)
+	if age < decayInterval {
+		return nil
+	}
+	d.decayedAt = now
+	return errors.Wrap(d.sketch.Reweight(math.Exp2(-age.Seconds()/halfLife.Seconds())), "reduce the weight of old samples")
+}
+
+// Count returns the sum of the samples' weights. A new sample has weight 1.
+func (d *Distribution) Count() float64 {
+	if d.sketch == nil {
+		return 0
+	}
+	return d.sketch.GetCount()
+}
+
+// Quantile returns the value below which the share q of the samples lies, or 0 if there are
+// none. Its relative error is at most 0.05.
+func (d *Distribution) Quantile(q float64) float64 {
+	if d.Count() == 0 {
+		return 0
+	}
+	v, err := d.sketch.GetValueAtQuantile(min(max(q, 0), 1))
+	if err != nil {
+		return 0
+	}
+	return v
+}
+
+// QuantileOfMax returns the quantile q of the largest of n independent values.
+func (d *Distribution) QuantileOfMax(q float64, n int) float64 {
+	return d.Quantile(math.Pow(q, 1/float64(max(n, 1))))
+}
+
+// ShareAbove returns the share of the samples above a value, or 0 if there are none.
+func (d *Distribution) ShareAbove(value float64) float64 {
+	above, _ := d.tail(value)
+	if above == 0 {
+		return 0
+	}
+	return above / d.Count()
+}
+
+// weightAbove returns the share of the samples' sum that samples above a value make up, or 0 if
+// there are none.
+func (d *Distribution) weightAbove(value float64) float64 {
+	_, above := d.tail(value)
+	if above == 0 {
+		return 0
+	}
+	_, all := d.tail(0)
+	return above / all
+}
+
+// MeanAbove returns the mean of the samples above a value. ok is false if there are none.
+func (d *Distribution) MeanAbove(value float64) (mean float64, ok bool) {
+	above, sum := d.tail(value)
+	if above == 0 {
+		return 0, false
+	}
+	return sum / above, true
+}
+
+// tail returns the weight and the weighted sum of the samples above a value.
+func (d *Distribution) tail(value float64) (weight, sum float64) {
+	if d.sketch == nil {
+		return 0, 0
+	}
+	d.sketch.ForEach(func(v, count float64) bool {
+		if v > value {
+			weight += count
+			sum += count * v
+		}
+		return false
+	})
+	return weight, sum
+}
