Attribute a slow run to its VM or to its task

A long task keeps its VM, which takes further tasks, and the job's objective allows for it. A run that is slower than any known one, or was as fast as its siblings before, still speaks against the VM. Under policy.RunTimeForecast, in queues whose run times have a heavy tail.

The emulator learns long tasks.

--- a/core/emulator/owner.go
+++ b/core/emulator/owner.go
@@ -58,6 +58,7 @@
 		Fence: job.Fence(o.fence), AttemptBase: job.Attempt(o.tenureNumber * 10_000), TakeoverTime: now,
 		LeaseMax: leaseMax, TaskStopMax: taskStopMax,
 		MachineLease: 3 * time.Second,
+		Policy:       o.entryVM.w.policy,
 		Observer:     o,
 	})
 	s := o.scheduler
@@ -360,5 +361,8 @@
 	if d.Kind == schedule.TaskGivenUp {
 		o.entryVM.w.checker.givenUp[d.Task] = true
 	}
+	if d.Kind == schedule.TaskStopping && d.Reason == "slow" {
+		o.entryVM.w.Stats.SlowStops++
+	}
 	o.entryVM.w.tracef("%s %s %v attempt %d vm %s: %s, age %s", o.entryVM.name, d.Kind, d.Task, d.Attempt, d.VM, d.Reason, d.Age)
 }
--- a/core/emulator/world.go
+++ b/core/emulator/world.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"lavenderpond/core/job"
+	"lavenderpond/core/policy"
 )
 
 // World is the state of a running simulation.
@@ -39,6 +40,7 @@
 	Stats   Stats
 	wave    job.Wave
 	hasWave bool
+	policy  policy.Policy
 	// lateStartsBeforeHold lets late start orders reach a restarted VM before any owner
 	// has sent it a hold order.
 	lateStartsBeforeHold bool
@@ -54,6 +56,8 @@
 	GivenUp                    int
 	Starts, Takeovers, Crashes int
 	Moves, MaintenanceStarts   int
+	// SlowStops counts the runs that were stopped as slow.
+	SlowStops int
 	// LongestGap is the longest time without an owner that may start tasks.
 	LongestGap time.Duration
 }
--- a/core/schedule/command.go
+++ b/core/schedule/command.go
@@ -240,6 +240,8 @@
 	VMDraining        DecisionKind = "vm_draining"
 	VMSuspected       DecisionKind = "vm_suspected"
 	VMSlow            DecisionKind = "vm_slow"
+	ForecastFailed    DecisionKind = "forecast_failed"
+	TaskLong          DecisionKind = "task_long"
 	VMVacated         DecisionKind = "vm_vacated"
 	ZoneEvacuated     DecisionKind = "zone_evacuated"
 	ZoneReopened      DecisionKind = "zone_reopened"
--- a/core/schedule/objective.go
+++ b/core/schedule/objective.go
@@ -82,7 +82,11 @@
 	longest := slices.Max(st.runTimes)
 	ratio := longest.Seconds() / typical
 	if ratio >= slowFactor {
-		// A VM was slow. Objectives assume healthy VMs.
+		// A VM was slow, or a task is long. Objectives assume healthy VMs, on which long tasks
+		// take as long.
+		if st.hasLongTask() {
+			st.longestRun = longest
+		}
 		return
 	}
 	st.longestRun = longest
--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -27,6 +27,7 @@
 	for i := range r.Running {
 		s.applyRunning(now, v, r.Clock, &r.Running[i])
 	}
+	s.judgeSlowRuns(now, v)
 	if len(r.Finished) >= maxListedEnds {
 		// A run that is missing from the list may have ended without being among the
 		// listed ends.
@@ -97,6 +98,7 @@
 	}
 	switch {
 	case e.How == job.EndedDone && !st.def.LongRunning:
+		s.learnForecast(now, j, st, t, r, ranFor)
 		return s.taskDone(now, j, o, st, t, v, ranFor)
 	case e.How == job.EndedFailed:
 		if !st.def.LongRunning {
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -15,6 +15,7 @@
 	"slices"
 	"time"
 
+	"lavenderpond/core/forecast"
 	"lavenderpond/core/job"
 	"lavenderpond/core/lease"
 	"lavenderpond/core/policy"
@@ -85,9 +86,11 @@
 	nextForgetEnded time.Time
 	rights          Rights
 	// fence is the fencing token for VMs that appear or restart from now on.
-	fence    job.Fence
-	queues   map[job.QueueName]*queueStats
-	machines orderedMap[job.MachineID, *machineState]
+	fence  job.Fence
+	queues map[job.QueueName]*queueStats
+	// forecasts holds the distributions of run times, if the policy asks for them.
+	forecasts map[job.QueueName]*forecast.Queue
+	machines  orderedMap[job.MachineID, *machineState]
 	// directoryAsOf is the time up to which all changes to the directory are known.
 	directoryAsOf time.Time
 	waves         orderedMap[int64, *waveState]
@@ -108,13 +111,14 @@
 // New returns a scheduler that knows no jobs or VMs yet.
 func New(s Settings) *Scheduler {
 	out := &Scheduler{
-		settings: s,
-		fence:    s.Fence,
-		endTimes: map[job.ID]time.Time{},
-		usage:    map[job.AccountName]job.Resources{},
-		queues:   map[job.QueueName]*queueStats{},
-		pools:    map[job.PoolName]*poolStats{},
-		shares:   shares{},
+		settings:  s,
+		fence:     s.Fence,
+		endTimes:  map[job.ID]time.Time{},
+		usage:     map[job.AccountName]job.Resources{},
+		queues:    map[job.QueueName]*queueStats{},
+		forecasts: map[job.QueueName]*forecast.Queue{},
+		pools:     map[job.PoolName]*poolStats{},
+		shares:    shares{},
 	}
 	// These orders are stored with this owner's own, so that the next owner knows of them too.
 	for _, o := range s.FormerOrders {
--- a/core/schedule/slow.go
+++ b/core/schedule/slow.go
@@ -53,18 +53,51 @@
 	usual, factor := s.usualRunTime(j, st, r)
 	// The run would have progressed this far if it took factor times the usual run time.
 	minProgress := 100 * span.Seconds() / (usual.Seconds() * factor)
-	if usual <= 0 || float64(progressed) >= minProgress || r.percent >= 100 {
+	if usual <= 0 || r.percent >= 100 {
 		return
 	}
-	remaining := remainingTime(span, progressed, r.percent)
-	r.vm.slowUntil = now.Add(slowPause)
-	s.reportDecision(Decision{Kind: VMSlow, Job: j.ID, Task: r.task, Attempt: r.attempt, VM: r.vm.id, Age: span, After: remaining})
-	if st.def.Gang || t.slowStops >= maxSlowStops {
+	slow := float64(progressed) < minProgress
+	r.recordPace(now, progressed, slow, factor)
+	if !slow {
 		return
 	}
-	if remaining.Seconds() > slowStopMargin*(usual+s.settings.TaskStopMax).Seconds() {
-		t.slowStops++
-		s.stopRun(now, r, "slow")
+	x := slowRun{
+		run: r, job: j, step: st, state: t, usual: usual, bySiblings: factor == slowFactor,
+		span: span, progressed: progressed, remaining: remainingTime(span, progressed, r.percent),
+	}
+	if s.settings.Policy.RunTimeForecast {
+		r.vm.slowRuns = append(r.vm.slowRuns, x)
+		return
+	}
+	s.handleSlowVM(now, x)
+}
+
+// slowRun is a run that has progressed by a number of percentage points within span, much less
+// than is usual.
+type slowRun struct {
+	*run
+	job   *jobState
+	step  *stepState
+	state *taskState
+	// usual is the usual run time, which is that of the siblings if bySiblings is set and else
+	// that of the queue. remaining is the predicted remaining time of this run.
+	usual, remaining time.Duration
+	bySiblings       bool
+	span             time.Duration
+	progressed       int
+}
+
+// handleSlowVM pauses the VM of a slow run, and stops the run if its task ends sooner on another
+// VM.
+func (s *Scheduler) handleSlowVM(now time.Time, x slowRun) {
+	x.vm.slowUntil = now.Add(slowPause)
+	s.reportDecision(Decision{Kind: VMSlow, Job: x.job.ID, Task: x.task, Attempt: x.attempt, VM: x.vm.id, Age: x.span, After: x.remaining})
+	if x.step.def.Gang || x.state.slowStops >= maxSlowStops {
+		return
+	}
+	if x.remaining.Seconds() > slowStopMargin*(x.usual+s.settings.TaskStopMax).Seconds() {
+		x.state.slowStops++
+		s.stopRun(now, x.run, "slow")
 	}
 }
 
--- a/core/schedule/state.go
+++ b/core/schedule/state.go
@@ -74,6 +74,10 @@
 	listedAt        time.Time
 	progressAt      time.Time
 	progressPercent int
+	// pace is the result of the last comparison, and movedAt when the run was last seen to have
+	// progressed.
+	pace    pace
+	movedAt time.Time
 }
 
 // setKind sets the kind of task that runs.
@@ -106,8 +110,12 @@
 	// unavailableSince is when a long-running task's run ended. It is zero before the first
 	// run has ended, and again once the task is available.
 	unavailableSince time.Time
-	// slowStops counts the runs that were stopped as slow.
-	slowStops int
+	// slowStops counts the runs that were stopped as slow, and stallStops those that were
+	// stopped as stalled after that.
+	slowStops, stallStops int
+	// long is set once a slow run showed that the task takes long on any VM. tailCounted is set
+	// once that is counted in the queue's statistics.
+	long, tailCounted bool
 	// endUnknown is set once a run ended in a way that no list can report any more.
 	endUnknown bool
 	// crashes counts the VMs that crashed under the task. Until separateUntil the task
@@ -314,6 +322,10 @@
 	suspectUntil time.Time
 	// slowUntil is when the VM may get tasks again after a slow run.
 	slowUntil time.Time
+	// slowRuns are the slow runs of the list that is being applied. usualEndAt is when a run
+	// last ended here after a usual run time.
+	slowRuns   []slowRun
+	usualEndAt time.Time
 	// fullUntil is when the VM may get tasks again after it refused one for lack of capacity.
 	// refusals counts these refusals in a row.
 	fullUntil time.Time
