Tell large steps from long tasks

Long runs (against siblings on any VM) and large steps (against the queue) have a distribution each. The step's runs on other VMs are evidence; sizes count only after four usual run times. A large job's objective allows for its size.

--- a/core/emulator/scenario.go
+++ b/core/emulator/scenario.go
@@ -50,6 +50,10 @@
 	// LongTaskShare is the share of tasks that take longTaskFactor times as long as the others
 	// of their step on any VM.
 	LongTaskShare float64
+	// LongJobShare is the share of jobs all tasks of which take longTaskFactor times as long.
+	LongJobShare float64
+	// SpeculativeShare is the share of steps whose tasks may have several concurrent runs.
+	SpeculativeShare float64
 	// Policy says which decisions under scarcity are in force.
 	Policy policy.Policy
 	// Trace, if set, is called with a line for each decision and fault.
@@ -263,6 +267,9 @@
 	t := &trackedJob{submittedAt: w.now, failureRate: 0.002, allTasksFail: w.chance(0.01)}
 	t.meanRunTime = time.Duration(math.Exp(w.rng.NormFloat64()*0.4) * float64(time.Second))
 	t.meanRunTime = min(max(t.meanRunTime, 100*time.Millisecond), 3*time.Second)
+	if w.chance(sc.LongJobShare) {
+		t.meanRunTime *= longTaskFactor
+	}
 	account := job.AccountName("first")
 	if w.chance(0.5) {
 		account = "second"
@@ -276,6 +283,7 @@
 		if s > 0 {
 			step.After = []int{s - 1}
 		}
+		step.Speculative = w.chance(sc.SpeculativeShare)
 		body.Steps = append(body.Steps, step)
 	}
 	t.Job = job.Job{ID: w.newJobID(), Terms: w.terms(queue, account), Body: body}
--- a/core/forecast/queue.go
+++ b/core/forecast/queue.go
@@ -11,11 +11,17 @@
 	// LongRatio is the ratio of a run's time to the median of its siblings from which it
 	// counts as long.
 	LongRatio = 3
-	// heavyTailShare is the share of long runs from which a tail is heavy. A log-normal
-	// distribution with half a log unit of variation within a step stays below it.
-	heavyTailShare = 0.01
-	// minLongRuns is the weight of long runs without which a tail isn't heavy: one long run may
-	// have many causes.
+	// LargeRatio is the ratio of a step's typical run time to that of its queue from which the
+	// step counts as large.
+	LargeRatio = 6
+	// heavyTailShare is the share of long runs, or of large steps, from which a tail is heavy.
+	// Log-normal distributions stay far below it with a third of a log unit of variation within
+	// a step, and half of one between steps.
+	heavyTailShare = 0.005
+	// tailQuantile is the quantile that nearly all values stay below.
+	tailQuantile = 0.999
+	// minLongRuns is the weight of the values in a tail without which it isn't heavy: one long
+	// run may have many causes.
 	minLongRuns = 1.5
 	// minSamples is how many samples a distribution needs before it is used.
 	minSamples = 50
@@ -27,24 +33,34 @@
 type Queue struct {
 	// Times holds run times in seconds.
 	Times Distribution
-	// Ratios holds run times divided by the median of the siblings. Jobs of a queue differ in
-	// size, and their steps' medians with them, so the tail shows in the ratios only.
+	// Ratios holds run times divided by the median of the siblings.
 	Ratios Distribution
+	// Sizes holds steps' typical run times divided by that of the queue.
+	Sizes Distribution
 }
 
-// TailShare returns the share of runs that take more than LongRatio times the median of their
-// siblings.
-func (q *Queue) TailShare() float64 { return q.Ratios.ShareAbove(LongRatio) }
+// Tail describes the upper tail of a distribution of ratios.
+type Tail struct {
+	// Share is the share of the values above the limit, and RunningShare their share of those
+	// that are running at a moment, in which each counts by its run time.
+	Share, RunningShare float64
+	// Heavy is set if a value above the limit isn't unusual by itself.
+	Heavy bool
+	// Most is a value that nearly all others stay below.
+	Most float64
+}
+
+// LongRuns returns the tail of the runs that are longer than their siblings.
+func (q *Queue) LongRuns() Tail { return q.Ratios.upperTail(LongRatio) }
 
-// RunningTailShare returns the share of long runs among those that are running at a moment,
-// in which each run counts by its run time.
-func (q *Queue) RunningTailShare() float64 { return q.Ratios.weightAbove(LongRatio) }
+// LargeSteps returns the tail of the steps whose runs are all longer than is usual in the queue.
+func (q *Queue) LargeSteps() Tail { return q.Sizes.upperTail(LargeRatio) }
 
-// HeavyTail reports whether so many of the known runs are long that a long run is no sign of a
-// slow VM by itself.
-func (q *Queue) HeavyTail() bool {
-	share := q.TailShare()
-	return share >= heavyTailShare && share*q.Ratios.Count() >= minLongRuns
+// upperTail returns the tail above a limit.
+func (d *Distribution) upperTail(limit float64) Tail {
+	t := Tail{Share: d.ShareAbove(limit), RunningShare: d.weightAbove(limit), Most: d.Quantile(tailQuantile)}
+	t.Heavy = t.Share >= heavyTailShare && t.Share*d.Count() >= minLongRuns
+	return t
 }
 
 // RunTime returns the quantile of the run time of a task with the caller's estimate, which is
--- a/core/forecast/snapshot.go
+++ b/core/forecast/snapshot.go
@@ -12,15 +12,16 @@
 // maxSnapshotBytes bounds an encoded distribution: a bin takes 9 bytes at most.
 const maxSnapshotBytes = 1024
 
-// Snapshot is the stored state of a Queue, of 2 kB at most.
+// Snapshot is the stored state of a Queue, of 3 kB at most.
 type Snapshot struct {
 	Times  []byte `json:"times,omitempty"`
 	Ratios []byte `json:"ratios,omitempty"`
+	Sizes  []byte `json:"sizes,omitempty"`
 }
 
 // Snapshot returns the state to be stored.
 func (q *Queue) Snapshot() Snapshot {
-	return Snapshot{Times: q.Times.encode(), Ratios: q.Ratios.encode()}
+	return Snapshot{Times: q.Times.encode(), Ratios: q.Ratios.encode(), Sizes: q.Sizes.encode()}
 }
 
 // Restore returns the stored state of a queue. age is the time since the snapshot, by which its
@@ -33,6 +34,9 @@
 	if err := q.Ratios.decode(now, age, s.Ratios); err != nil {
 		return nil, errors.Wrap(err, "restore ratios")
 	}
+	if err := q.Sizes.decode(now, age, s.Sizes); err != nil {
+		return nil, errors.Wrap(err, "restore sizes")
+	}
 	return q, nil
 }
 
--- a/core/schedule/attribution.go
+++ b/core/schedule/attribution.go
@@ -17,8 +17,9 @@
 	// beyondTailFactor is how many times longer than nearly all known runs a run must be
 	// predicted to take for it not to be a long task.
 	beyondTailFactor = 1.5
-	// tailQuantile is the quantile that nearly all known runs stay below.
-	tailQuantile = 0.999
+	// matureFactor is how many usual run times a queue must have been observed for before its
+	// usual run time is learned from: in the beginning only short runs have ended.
+	matureFactor = 4
 	// stallFactor is how many usual run times a run must stand still before it is stopped as
 	// stalled. The period doubles with each such stop of its task, at most maxStallDoublings
 	// times.
@@ -83,8 +84,13 @@
 func (s *Scheduler) judgeSlowRun(now time.Time, x slowRun, e straggler.Evidence) {
 	f := s.queueForecast(x.job.Terms.Queue)
 	s.learnLongTask(now, f, x, e)
-	if !f.HeavyTail() {
+	q := s.queueStats(x.job.Terms.Queue)
+	q.hadHeavyTail = q.hadHeavyTail || f.LongRuns().Heavy || f.LargeSteps().Heavy
+	if !x.tail(f).Heavy {
 		s.handleSlowVM(now, x)
+		if q.hadHeavyTail {
+			s.stopStalled(now, x)
+		}
 		return
 	}
 	p := e.VMFault()
@@ -96,6 +102,10 @@
 	}
 	if !x.state.long {
 		x.state.long = true
+		if !x.bySiblings {
+			// The objective allows for the size of the whole job.
+			x.job.typicalRun = x.projected()
+		}
 		s.reportDecision(Decision{
 			Kind: TaskLong, Job: x.job.ID, Task: x.task, Attempt: x.attempt, VM: x.vm.id, Age: x.span, After: x.remaining,
 			Reason: "vm_fault_percent " + strconv.Itoa(int(100*p)),
@@ -108,11 +118,11 @@
 	}
 }
 
-// stopStalled stops a run that stands still after the stops of its task are used up. In a queue
-// with a heavy tail they may have been spent on a long task.
+// stopStalled stops a run that stands still after the stops of its task are used up, which may
+// have been spent on a long run. Otherwise it would stay for good.
 func (s *Scheduler) stopStalled(now time.Time, x slowRun) {
 	patience := stallFactor * x.usual << min(x.state.stallStops, maxStallDoublings)
-	if x.stopping || x.progressed > 0 || x.step.def.Gang || now.Before(x.movedAt.Add(patience)) {
+	if x.stopping || x.progressed > 0 || x.state.slowStops < maxSlowStops || x.step.def.Gang || now.Before(x.movedAt.Add(patience)) {
 		return
 	}
 	x.state.stallStops++
@@ -124,26 +134,44 @@
 	return time.Duration(float64(x.span) * 100 / float64(max(x.progressed, 1)))
 }
 
-// evidence collects what the VM's other runs show.
+// tail returns the tail that the run belongs to if its VM is healthy.
+func (x slowRun) tail(f *forecast.Queue) forecast.Tail {
+	if x.bySiblings {
+		return f.LongRuns()
+	}
+	return f.LargeSteps()
+}
+
+// evidence collects what the other runs on the VM and those of the same step show.
 func (x slowRun) evidence(now time.Time, f *forecast.Queue) straggler.Evidence {
 	// VMs report whole percents, so the run may be almost one percentage point further.
 	atLeast := x.span.Seconds() * 100 / float64(x.progressed+1)
+	tail := x.tail(f)
 	e := straggler.Evidence{
-		TailShare: f.TailShare(), RunningTailShare: f.RunningTailShare(), SlowedDown: x.pace.wasUsual,
-		BeyondTail: atLeast > beyondTailFactor*f.Ratios.Quantile(tailQuantile)*x.usual.Seconds(),
+		TailShare: tail.Share, RunningTailShare: tail.RunningShare, SlowedDown: x.pace.wasUsual,
+		BeyondTail: atLeast > beyondTailFactor*tail.Most*x.usual.Seconds(),
+	}
+	e.OtherSlow, e.OtherUsual = x.countOthers(now)
+	if !x.bySiblings {
+		e.SiblingsSlow, e.SiblingsUsual = x.countSiblings(now)
 	}
-	e.OtherSlow, e.OtherUsual = x.vm.countPaces(now, x.run)
 	if now.Sub(x.vm.usualEndAt) <= paceMaxAge {
 		e.OtherUsual++
 	}
 	return e
 }
 
-// countPaces counts the runs on the VM other than r that recently progressed slowly or as usual.
-func (v *vmState) countPaces(now time.Time, r *run) (slow, usual int) {
-	for _, o := range v.runs.All() {
+// recent reports whether the pace tells of the present speed of the run's VM.
+func (p pace) recent(now time.Time) bool { return !p.at.IsZero() && now.Sub(p.at) <= paceMaxAge }
+
+// countOthers counts the other runs on the VM that recently progressed slowly or as usual. Those
+// of the same step count only if they were compared with one another: if the step is large, they
+// are slow as well in comparison with the queue.
+func (x slowRun) countOthers(now time.Time) (slow, usual int) {
+	for _, o := range x.vm.runs.All() {
+		sameStep := o.task.StepID() == x.task.StepID()
 		switch {
-		case o == r || o.stopping || o.pace.at.IsZero() || now.Sub(o.pace.at) > paceMaxAge:
+		case o == x.run || o.stopping || !o.pace.recent(now) || (sameStep && !x.bySiblings):
 		case o.pace.slow:
 			slow++
 		default:
@@ -153,22 +181,48 @@
 	return slow, usual
 }
 
-// provenHealthy reports whether the VM's runs other than r show that it isn't slow.
-func (v *vmState) provenHealthy(now time.Time, r *run) bool {
-	slow, usual := v.countPaces(now, r)
-	return slow == 0 && usual >= minUsualRuns && !v.slow(now)
+// countSiblings counts the runs of the same step on other VMs that recently progressed slowly or
+// as usual.
+func (x slowRun) countSiblings(now time.Time) (slow, usual int) {
+	for i := range x.step.tasks {
+		for _, o := range x.step.tasks[i].runs {
+			switch {
+			case o.vm == x.vm || !o.pace.recent(now):
+			case o.pace.slow:
+				slow++
+			default:
+				usual++
+			}
+		}
+	}
+	return slow, usual
 }
 
-// learnLongTask adds a long task to the queue's statistics while it still runs: it ends many
-// run times later than those that show it to be long, and may be stopped before. A comparison
-// with the queue's run times isn't enough: after a takeover, only short runs have ended yet.
+// provenHealthy reports whether the VM's other runs show that it isn't slow.
+func (x slowRun) provenHealthy(now time.Time) bool {
+	slow, usual := x.countOthers(now)
+	return slow == 0 && usual >= minUsualRuns && !x.vm.slow(now)
+}
+
+// learnLongTask adds a long task, or a large step, to the queue's forecast while it still runs: it
+// ends many run times later than those that show it to be long, and may be stopped before.
 func (s *Scheduler) learnLongTask(now time.Time, f *forecast.Queue, x slowRun, e straggler.Evidence) {
-	if x.state.tailCounted || !x.bySiblings || x.progressed <= 0 || e.SlowedDown || !x.vm.provenHealthy(now, x.run) {
+	healthy := x.provenHealthy(now)
+	if x.progressed <= 0 || e.SlowedDown {
+		return
+	}
+	if !x.bySiblings {
+		q := s.queueStats(x.job.Terms.Queue)
+		mature := now.Sub(q.firstRunAt) >= matureFactor*x.usual
+		if !x.step.sizeCounted && mature && (healthy || (e.SiblingsSlow > 0 && e.SiblingsUsual == 0)) {
+			x.step.sizeCounted = true
+			s.addSample(now, &f.Sizes, x.projected().Seconds()/x.usual.Seconds())
+		}
 		return
 	}
-	if ratio := x.projected().Seconds() / x.usual.Seconds(); ratio >= forecast.LongRatio {
+	if !x.state.tailCounted && healthy {
 		x.state.tailCounted = true
-		s.addSample(now, &f.Ratios, ratio)
+		s.addSample(now, &f.Ratios, x.projected().Seconds()/x.usual.Seconds())
 	}
 }
 
@@ -179,24 +233,47 @@
 		return
 	}
 	f := s.queueForecast(j.Terms.Queue)
+	if q := s.queueStats(j.Terms.Queue); q.firstRunAt.IsZero() {
+		q.firstRunAt = now
+	}
 	if !r.vm.slow(now) {
 		s.addSample(now, &f.Times, ranFor.Seconds())
 	}
 	if len(st.runTimes) < minSiblings {
 		return
 	}
-	known := slices.Sorted(slices.Values(st.runTimes))
-	ratio := ranFor.Seconds() / known[len(known)/2].Seconds()
+	ratio := ranFor.Seconds() / median(slices.Clone(st.runTimes)).Seconds()
 	if ratio < forecast.LongRatio {
 		r.vm.usualEndAt = now
 	}
 	// Long runs must not be learned from slow VMs, nor the share of long runs be overestimated by
 	// leaving out usual ones.
-	if !t.tailCounted && r.vm.provenHealthy(now, r) {
+	if x := (slowRun{run: r, step: st, bySiblings: true}); !t.tailCounted && x.provenHealthy(now) {
 		s.addSample(now, &f.Ratios, ratio)
 	}
 }
 
+// learnSize adds the size of a complete step to the queue's forecast, given its typical run time.
+func (s *Scheduler) learnSize(now time.Time, j *jobState, st *stepState, typical float64) {
+	if !s.settings.Policy.RunTimeForecast || st.sizeCounted {
+		return
+	}
+	// The mean of the queue's run times follows the runs of the last step, the median doesn't.
+	f := s.queueForecast(j.Terms.Queue)
+	usual := f.Times.Quantile(0.5)
+	if f.Times.Count() < minSamples || now.Sub(s.queueStats(j.Terms.Queue).firstRunAt).Seconds() < matureFactor*usual {
+		return
+	}
+	st.sizeCounted = true
+	s.addSample(now, &f.Sizes, typical/usual)
+}
+
+// median returns the median of the durations, which it sorts.
+func median(d []time.Duration) time.Duration {
+	slices.Sort(d)
+	return d[len(d)/2]
+}
+
 // reportedLate reports whether the end of a run may have been reported long after it, because
 // its VM was out of reach.
 func (r *run) reportedLate(now time.Time) bool {
--- a/core/schedule/objective.go
+++ b/core/schedule/objective.go
@@ -13,6 +13,10 @@
 	// meanLogRunTime is the running mean of the logarithm of run times in seconds.
 	meanLogRunTime float64
 	runs           int
+	// hadHeavyTail is set once the run times were found to have a heavy tail.
+	hadHeavyTail bool
+	// firstRunAt is when the first run ended, if the policy asks for forecasts.
+	firstRunAt time.Time
 	// stragglerRatio is the running mean, over steps samples, of the run time of the longest
 	// task of a step divided by that of a typical one.
 	stragglerRatio float64
@@ -67,7 +71,7 @@
 }
 
 // learnStep adds the run times of all tasks of a step to the statistics of the queue.
-func (s *Scheduler) learnStep(j *jobState, st *stepState) {
+func (s *Scheduler) learnStep(now time.Time, j *jobState, st *stepState) {
 	if len(st.runTimes) < len(st.tasks) {
 		// Some tasks ran under a former owner or from a checkpoint, so their full run times are
 		// unknown.
@@ -79,6 +83,7 @@
 	}
 	typical := math.Exp(sum / float64(len(st.runTimes)))
 	j.typicalRun = time.Duration(typical * float64(time.Second))
+	s.learnSize(now, j, st, typical)
 	longest := slices.Max(st.runTimes)
 	ratio := longest.Seconds() / typical
 	if ratio >= slowFactor {
--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -152,7 +152,7 @@
 	if !st.complete() {
 		return true
 	}
-	s.learnStep(j, st)
+	s.learnStep(now, j, st)
 	o.doneSteps++
 	if o.doneSteps < len(o.steps) {
 		return true
--- a/core/schedule/slow.go
+++ b/core/schedule/slow.go
@@ -27,6 +27,8 @@
 	// slowStopMargin is the factor by which the remaining time of a slow run must exceed the
 	// time of a new run elsewhere, including the stop of the slow one, before it is stopped.
 	slowStopMargin = 1.3
+	// maxRemaining bounds the predicted remaining time of a run that makes no progress.
+	maxRemaining = time.Hour
 	// maxSlowStops limits how often the runs of one task are stopped as slow.
 	maxSlowStops = 2
 )
@@ -65,6 +67,7 @@
 		run: r, job: j, step: st, state: t, usual: usual, bySiblings: factor == slowFactor,
 		span: span, progressed: progressed, remaining: remainingTime(span, progressed, r.percent),
 	}
+	r.expectedEnd = now.Add(min(x.remaining, maxRemaining))
 	if s.settings.Policy.RunTimeForecast {
 		r.vm.slowRuns = append(r.vm.slowRuns, x)
 		return
@@ -113,17 +116,9 @@
 // usualRunTime returns how long a run of the step usually takes, and the factor from
 // which a run counts as slow. The time is 0 if nothing is known.
 func (s *Scheduler) usualRunTime(j *jobState, st *stepState, r *run) (time.Duration, float64) {
-	known := slices.Clone(st.runTimes)
-	for i := range st.tasks {
-		for _, x := range st.tasks[i].runs {
-			if x.vm != r.vm && x.phase == runConfirmed && x.fullyObserved() && x.percent >= minProjectedPercent {
-				known = append(known, x.listedAt.Sub(x.confirmedAt)*100/time.Duration(x.percent))
-			}
-		}
-	}
+	known := st.knownRunTimes(func(x *run) bool { return x.vm != r.vm })
 	if len(known) >= minSiblings {
-		slices.Sort(known)
-		return known[len(known)/2], slowFactor
+		return median(known), slowFactor
 	}
 	q := s.queueStats(j.Terms.Queue)
 	if q.runs < minSamples {
@@ -132,5 +127,19 @@
 	return time.Duration(math.Exp(q.meanLogRunTime) * float64(time.Second)), queueSlowFactor
 }
 
+// knownRunTimes returns the run times of the step's tasks: of those that are done, and the
+// projected ones of the runs that match.
+func (st *stepState) knownRunTimes(matches func(x *run) bool) []time.Duration {
+	known := slices.Clone(st.runTimes)
+	for i := range st.tasks {
+		for _, x := range st.tasks[i].runs {
+			if matches(x) && x.phase == runConfirmed && x.fullyObserved() && x.percent >= minProjectedPercent {
+				known = append(known, x.listedAt.Sub(x.confirmedAt)*100/time.Duration(x.percent))
+			}
+		}
+	}
+	return known
+}
+
 // slow reports whether the VM has recently had a slow run.
 func (v *vmState) slow(now time.Time) bool { return now.Before(v.slowUntil) }
--- a/core/schedule/state.go
+++ b/core/schedule/state.go
@@ -78,6 +78,8 @@
 	// progressed.
 	pace    pace
 	movedAt time.Time
+	// expectedEnd is when the run ends at its last pace, if that was slow.
+	expectedEnd time.Time
 }
 
 // setKind sets the kind of task that runs.
@@ -160,6 +162,8 @@
 	runTimes []time.Duration
 	// longestRun is the longest of runTimes, once all tasks have ended.
 	longestRun time.Duration
+	// sizeCounted is set once the step's size is counted in the queue's forecast.
+	sizeCounted bool
 	// gangAttempt is the attempt that all members of a gang share.
 	gangAttempt job.Attempt
 }
--- a/core/straggler/straggler.go
+++ b/core/straggler/straggler.go
@@ -23,7 +23,8 @@
 
 // Evidence is what is known about a slow run and its VM.
 type Evidence struct {
-	// TailShare is the share of the queue's runs that are as slow on healthy VMs.
+	// TailShare is the share of the queue's runs that are as slow on healthy VMs, in comparison
+	// with their siblings or, if these aren't known, with the queue.
 	TailShare float64
 	// RunningTailShare is the share of such runs among those that are running at a moment. Long
 	// runs are running for longer.
@@ -31,6 +32,9 @@
 	// OtherSlow and OtherUsual count the other runs on the VM whose recent progress was slow
 	// or usual, each against its own siblings.
 	OtherSlow, OtherUsual int
+	// SiblingsSlow and SiblingsUsual count the runs of the same step on other VMs that are as
+	// slow, or progress as usual. They are 0 if the run was compared with its siblings.
+	SiblingsSlow, SiblingsUsual int
 	// BeyondTail is set if the run is slower than any known run on a healthy VM.
 	BeyondTail bool
 	// SlowedDown is set if the run progressed as usual before. A long task is slow from its
@@ -56,6 +60,12 @@
 	for range min(e.OtherUsual, maxWitnesses) {
 		odds *= missRate / (1 - running)
 	}
+	for range min(e.SiblingsSlow, maxWitnesses) {
+		odds *= missRate / (1 - missRate)
+	}
+	for range min(e.SiblingsUsual, maxWitnesses) {
+		odds *= (1 - missRate) / missRate
+	}
 	return odds / (1 + odds)
 }
 
