--- a/core/schedule/attribution_test.go
+++ b/core/schedule/attribution_test.go
@@ -106,3 +106,55 @@
 	due, _ := h.s.predictObjective(j)
 	assert.Assert(t, due.Sub(before) > 9*time.Second, "%s", due.Sub(before))
 }
+
+// startPair starts a step of two tasks, each on its own VM, in a queue whose runs take a second.
+// Of its steps, 3 in 100 are known to take ten times as long. After half a second the tasks have
+// progressed by the given percentages.
+func startPair(t *testing.T, percents ...int) (*harness, []Start) {
+	h := newHarness(t)
+	h.s.settings.Policy.RunTimeForecast = true
+	q := h.s.queueStats("q")
+	q.runs, q.firstRunAt = minSamples, h.now.Add(-time.Minute)
+	f := h.s.queueForecast("q")
+	for i := range 100 {
+		size := 1.0
+		if i >= 97 {
+			size = 10
+		}
+		h.s.addSample(h.now, &f.Sizes, size)
+	}
+	h.addReadyVMs("one", "two", "three")
+	wide := pairStep
+	wide.Resources.CPU = 5000
+	h.addJob("j", "free", wide)
+	starts := commandsOfType[Start](h.advance(10 * time.Millisecond))
+	assert.Equal(t, len(starts), 2)
+	for _, c := range starts {
+		h.confirm(c)
+	}
+	h.advance(500 * time.Millisecond)
+	for i, c := range starts {
+		h.answerHold(string(c.VM), []job.RunningTask{runningTask(c, percents[i])})
+	}
+	return h, starts
+}
+
+// Guards against stopping all tasks of a job that is ten times as large as others, and against
+// giving it up as late: they are as slow on each VM.
+func TestLargeJobContinues(t *testing.T) {
+	h, starts := startPair(t, 5, 5)
+	assert.Equal(t, len(commandsOfType[Stop](h.advance(time.Millisecond))), 0)
+	for _, c := range starts {
+		assert.Assert(t, !h.s.vms.Get(c.VM).slow(h.now))
+	}
+	due, _ := h.s.predictObjective(h.s.jobs.Get("j"))
+	assert.Assert(t, due.Sub(h.now) > 10*time.Second, "%s", due.Sub(h.now))
+}
+
+// Guards against taking the run on a slow VM for one of a large job: the run of the same step on
+// another VM progresses as usual.
+func TestSlowVMIsFoundInSpiteOfLargeJobs(t *testing.T) {
+	h, starts := startPair(t, 60, 5)
+	assert.Equal(t, onlyCommand[Stop](h, h.advance(time.Millisecond)).VM, starts[1].VM)
+	assert.Assert(t, h.s.vms.Get(starts[1].VM).slow(h.now))
+}
