--- a/core/schedule/assign.go
+++ b/core/schedule/assign.go
@@ -15,12 +15,13 @@
 		return
 	}
 	s.countPossibleUsage(now)
-	waiting := map[job.PoolName]*poolQueue{}
+	waiting := poolQueues{}
 	for _, j := range s.jobs.All() {
 		if !j.over() {
 			s.enqueue(waiting, j)
 		}
 	}
+	s.enqueueRunsAtRisk(now, wall, waiting)
 	if len(waiting) == 0 {
 		return
 	}
@@ -38,19 +39,36 @@
 		for _, c := range s.candidates(now, q.jobs) {
 			a.startJob(c.job)
 		}
+		a.startSecondRuns()
 	}
 }
 
 // poolQueue holds the jobs that wait for VMs of a pool, and the usable VMs of that pool.
 type poolQueue struct {
 	jobs []*jobState
+	// atRisk are the runs whose tasks may have a second run.
+	atRisk []runAtRisk
 	// minReservation is a lower bound of the reservations of all waiting tasks.
 	minReservation job.Resources
 	vms            []*vmState
 }
 
+// poolQueues holds the queue of each pool that has one.
+type poolQueues map[job.PoolName]*poolQueue
+
+// queue returns the queue of a pool, to which a task with the reservation is added.
+func (w poolQueues) queue(p job.PoolName, reservation job.Resources) *poolQueue {
+	q := w[p]
+	if q == nil {
+		q = &poolQueue{minReservation: reservation}
+		w[p] = q
+	}
+	q.minReservation = q.minReservation.Min(reservation)
+	return q
+}
+
 // enqueue adds the job to the queue of its pool if one of its tasks waits only for capacity.
-func (s *Scheduler) enqueue(waiting map[job.PoolName]*poolQueue, j *jobState) {
+func (s *Scheduler) enqueue(waiting poolQueues, j *jobState) {
 	var q *poolQueue
 	for _, o := range j.occurrences {
 		for i := range o.steps {
@@ -59,11 +77,7 @@
 			}
 			reservation := o.steps[i].def.Reservation()
 			if q == nil {
-				p := s.pool(j)
-				if q = waiting[p]; q == nil {
-					q = &poolQueue{minReservation: reservation}
-					waiting[p] = q
-				}
+				q = waiting.queue(s.pool(j), reservation)
 				q.jobs = append(q.jobs, j)
 			}
 			q.minReservation = q.minReservation.Min(reservation)
--- a/core/schedule/command.go
+++ b/core/schedule/command.go
@@ -241,6 +241,7 @@
 	VMSuspected       DecisionKind = "vm_suspected"
 	VMSlow            DecisionKind = "vm_slow"
 	ForecastFailed    DecisionKind = "forecast_failed"
+	SecondRun         DecisionKind = "second_run"
 	TaskLong          DecisionKind = "task_long"
 	VMVacated         DecisionKind = "vm_vacated"
 	ZoneEvacuated     DecisionKind = "zone_evacuated"
--- /dev/null
+++ b/core/schedule/secondrun_test.go
@@ -0,0 +1,100 @@
+package schedule
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lavenderpond/core/job"
+)
+
+var speculativeStep = job.Step{Count: 1, Resources: job.Resources{CPU: 5000, MemMB: 100}, Estimate: time.Second, Speculative: true}
+
+// silenceVM lets a VM's holds fail until it counts as silent.
+func (h *harness) silenceVM(id job.VMID) []Command {
+	var out []Command
+	for range 20 {
+		h.s.HoldAnswered(h.now, Hold{VM: id}, Unanswered, job.Report{})
+		out = append(out, h.advance(300*time.Millisecond)...)
+		if h.s.vms.Get(id).silent {
+			return out
+		}
+	}
+	h.t.Fatalf("%s isn't silent", id)
+	return nil
+}
+
+// startOnSilentVM starts a task of the step, whose VM then becomes silent. It returns that start
+// and those that follow.
+func startOnSilentVM(t *testing.T, st job.Step) (h *harness, first Start, more []Start) {
+	h = newHarness(t)
+	h.s.settings.Policy.SecondRuns = true
+	h.addReadyVMs("one", "two")
+	h.addJob("j", "free", st)
+	first = onlyCommand[Start](h, h.advance(10*time.Millisecond))
+	h.confirm(first)
+	return h, first, commandsOfType[Start](h.silenceVM(first.VM))
+}
+
+// Guards against a job that is late because its VM is cut off: until the lease ends, nothing is
+// known of the run. The step allows a second one, whose end counts, and no third one starts.
+func TestSilentVMGetsSecondRun(t *testing.T) {
+	h, first, more := startOnSilentVM(t, speculativeStep)
+	assert.Equal(t, len(more), 1)
+	assert.Assert(t, more[0].VM != first.VM)
+	assert.Assert(t, more[0].Order.Attempt > first.Order.Attempt)
+	h.confirm(more[0])
+	assert.Equal(t, len(commandsOfType[Start](h.advance(time.Second))), 0)
+	h.answerHold(string(more[0].VM), nil, job.End{Number: 1, Task: first.Order.Task, Attempt: more[0].Order.Attempt, How: job.EndedDone})
+	stop := onlyCommand[Stop](h, h.advance(time.Millisecond))
+	assert.Equal(t, stop.VM, first.VM)
+	assert.Assert(t, h.s.jobs.Get("j").over())
+}
+
+// Guards against two runs of a task whose step doesn't allow them.
+func TestNoSecondRunUnlessStepAllowsIt(t *testing.T) {
+	st := speculativeStep
+	st.Speculative = false
+	_, _, more := startOnSilentVM(t, st)
+	assert.Equal(t, len(more), 0)
+}
+
+// Guards against second runs that take capacity from jobs that can be in time. One waits for a
+// whole VM, and the second run would find room on the only VM that will be empty soon.
+func TestNoSecondRunWhileInTimeJobWaits(t *testing.T) {
+	for _, waits := range []bool{false, true} {
+		h := newHarness(t)
+		h.s.settings.Policy.SecondRuns = true
+		h.addReadyVMs("one", "two")
+		start := func(on, other job.VMID, id string, st job.Step) {
+			h.s.vms.Get(other).fullUntil = h.now.Add(time.Hour)
+			h.addJob(id, "free", st)
+			c := onlyCommand[Start](h, h.advance(10*time.Millisecond))
+			assert.Equal(t, c.VM, on)
+			h.confirm(c)
+			h.s.vms.Get(other).fullUntil = time.Time{}
+		}
+		start("two", "one", "small", smallStep)
+		start("one", "two", "j", speculativeStep)
+		if waits {
+			whole := smallStep
+			whole.Resources.CPU, whole.Estimate = 8000, 20*time.Second
+			h.addJob("whole", "free", whole)
+		}
+		assert.Equal(t, len(commandsOfType[Start](h.silenceVM("one"))) == 0, waits)
+	}
+}
+
+// Guards against a task that crashes two VMs at a time.
+func TestTaskThatCrashedVMGetsNoSecondRun(t *testing.T) {
+	h := newHarness(t)
+	h.s.settings.Policy.SecondRuns = true
+	h.addReadyVMs("one", "two")
+	h.addJob("j", "free", speculativeStep)
+	first := onlyCommand[Start](h, h.advance(10*time.Millisecond))
+	h.confirm(first)
+	_, _, _, task := h.s.task(first.Order.Task)
+	task.crashes.attempts = []job.Attempt{1}
+	assert.Equal(t, len(commandsOfType[Start](h.silenceVM(first.VM))), 0)
+}
