--- a/core/emulator/load.go
+++ b/core/emulator/load.go
@@ -21,6 +21,8 @@
 	// LongTaskShare is the share of tasks that run longTaskFactor times as long as others, on
 	// any VM.
 	LongTaskShare float64
+	// LongJobShare is the share of jobs all tasks of which run longTaskFactor times as long.
+	LongJobShare float64
 	// SlowMachineShare is the share of machines whose VMs are always slow.
 	SlowMachineShare float64
 	// SpeculativeShare is the share of jobs whose tasks may have a second run.
@@ -152,6 +154,16 @@
 	}
 }
 
+// hasLongTask reports whether a task of the step is long.
+func (t *trackedJob) hasLongTask(step int) bool {
+	for id := range t.longTasks {
+		if id.Step == step {
+			return true
+		}
+	}
+	return false
+}
+
 // allowSecondRuns lets the tasks of a random share of jobs have a second run.
 func (w *World) allowSecondRuns(t *trackedJob, share float64) {
 	if !w.chance(share) {
--- a/core/emulator/world.go
+++ b/core/emulator/world.go
@@ -58,6 +58,8 @@
 	GivenUp                    int
 	Starts, Takeovers, Crashes int
 	Moves, MaintenanceStarts   int
+	// SlowStops counts the runs that were stopped as slow.
+	SlowStops int
 	// LongestGap is the longest time without an owner that may start tasks.
 	LongestGap time.Duration
 	// Accounts and Queues are what the callers of each account and of each queue got.
--- a/core/schedule/slow.go
+++ b/core/schedule/slow.go
@@ -27,6 +27,8 @@
 	// slowStopMargin is the factor by which the remaining time of a slow run must exceed the
 	// time of a new run elsewhere, including the stop of the slow one, before it is stopped.
 	slowStopMargin = 1.3
+	// maxRemaining bounds the predicted remaining time of a run that makes no progress.
+	maxRemaining = time.Hour
 	// maxSlowStops limits how often the runs of one task are stopped as slow.
 	maxSlowStops = 2
 )
@@ -53,18 +55,52 @@
 	usual, factor := s.usualRunTime(j, st, r)
 	// The run would have progressed this far if it took factor times the usual run time.
 	minProgress := 100 * span.Seconds() / (usual.Seconds() * factor)
-	if usual <= 0 || float64(progressed) >= minProgress || r.percent >= 100 {
+	if usual <= 0 || r.percent >= 100 {
 		return
 	}
-	remaining := remainingTime(span, progressed, r.percent)
-	r.vm.slowUntil = now.Add(slowPause)
-	s.reportDecision(Decision{Kind: VMSlow, Job: j.ID, Task: r.task, Attempt: r.attempt, VM: r.vm.id, Age: span, After: remaining})
-	if st.def.Gang || t.slowStops >= maxSlowStops {
+	slow := float64(progressed) < minProgress
+	r.recordPace(now, progressed, slow, factor)
+	if !slow {
 		return
 	}
-	if remaining.Seconds() > slowStopMargin*(usual+s.settings.TaskStopMax).Seconds() {
-		t.slowStops++
-		s.stopRun(now, r, "slow")
+	x := slowRun{
+		run: r, job: j, step: st, state: t, usual: usual, bySiblings: factor == slowFactor,
+		span: span, progressed: progressed, remaining: remainingTime(span, progressed, r.percent),
+	}
+	r.expectedEnd = now.Add(min(x.remaining, maxRemaining))
+	if s.settings.Policy.RunTimeForecast {
+		r.vm.slowRuns = append(r.vm.slowRuns, x)
+		return
+	}
+	s.handleSlowVM(now, x)
+}
+
+// slowRun is a run that has progressed by a number of percentage points within span, much less
+// than is usual.
+type slowRun struct {
+	*run
+	job   *jobState
+	step  *stepState
+	state *taskState
+	// usual is the usual run time, which is that of the siblings if bySiblings is set and else
+	// that of the queue. remaining is the predicted remaining time of this run.
+	usual, remaining time.Duration
+	bySiblings       bool
+	span             time.Duration
+	progressed       int
+}
+
+// handleSlowVM pauses the VM of a slow run, and stops the run if its task ends sooner on another
+// VM.
+func (s *Scheduler) handleSlowVM(now time.Time, x slowRun) {
+	x.vm.slowUntil = now.Add(slowPause)
+	s.reportDecision(Decision{Kind: VMSlow, Job: x.job.ID, Task: x.task, Attempt: x.attempt, VM: x.vm.id, Age: x.span, After: x.remaining})
+	if x.step.def.Gang || x.state.slowStops >= maxSlowStops {
+		return
+	}
+	if x.remaining.Seconds() > slowStopMargin*(x.usual+s.settings.TaskStopMax).Seconds() {
+		x.state.slowStops++
+		s.stopRun(now, x.run, "slow")
 	}
 }
 
@@ -80,17 +116,9 @@
 // usualRunTime returns how long a run of the step usually takes, and the factor from
 // which a run counts as slow. The time is 0 if nothing is known.
 func (s *Scheduler) usualRunTime(j *jobState, st *stepState, r *run) (time.Duration, float64) {
-	known := slices.Clone(st.runTimes)
-	for i := range st.tasks {
-		for _, x := range st.tasks[i].runs {
-			if x.vm != r.vm && x.phase == runConfirmed && x.fullyObserved() && x.percent >= minProjectedPercent {
-				known = append(known, x.listedAt.Sub(x.confirmedAt)*100/time.Duration(x.percent))
-			}
-		}
-	}
+	known := st.knownRunTimes(func(x *run) bool { return x.vm != r.vm })
 	if len(known) >= minSiblings {
-		slices.Sort(known)
-		return known[len(known)/2], slowFactor
+		return median(known), slowFactor
 	}
 	q := s.queueStats(j.Terms.Queue)
 	if q.runs < minSamples {
@@ -99,5 +127,19 @@
 	return time.Duration(math.Exp(q.meanLogRunTime) * float64(time.Second)), queueSlowFactor
 }
 
+// knownRunTimes returns the run times of the step's tasks: of those that are done, and the
+// projected ones of the runs that match.
+func (st *stepState) knownRunTimes(matches func(x *run) bool) []time.Duration {
+	known := slices.Clone(st.runTimes)
+	for i := range st.tasks {
+		for _, x := range st.tasks[i].runs {
+			if matches(x) && x.phase == runConfirmed && x.fullyObserved() && x.percent >= minProjectedPercent {
+				known = append(known, x.listedAt.Sub(x.confirmedAt)*100/time.Duration(x.percent))
+			}
+		}
+	}
+	return known
+}
+
 // slow reports whether the VM has recently had a slow run.
 func (v *vmState) slow(now time.Time) bool { return now.Before(v.slowUntil) }
