--- /dev/null
+++ b/core/admission/publisher.go
@@ -0,0 +1,63 @@
+package admission
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// minPublishInterval is the least time between two forecasts in the table.
+	minPublishInterval = 200 * time.Millisecond
+	// refreshInterval is when an unchanged forecast is written again while a pool is full.
+	// Readers use a forecast for 1.5 s.
+	refreshInterval = 600 * time.Millisecond
+	// materialChange is the relative change of a figure that is worth a new forecast.
+	materialChange = 0.1
+	// smallWork is the change in core-seconds that is never worth one.
+	smallWork CoreSeconds = 20
+)
+
+// Publisher decides when the owner stores a forecast. The zero value has stored none.
+type Publisher struct {
+	last   Forecast
+	lastAt time.Time
+	stored bool
+}
+
+// Next returns the forecast to store now, with its sequence, or false if none is due. Without
+// a full pool, only the change to that is stored.
+func (p *Publisher) Next(now time.Time, f Forecast) (Forecast, bool) {
+	switch {
+	case p.stored && now.Sub(p.lastAt) < minPublishInterval:
+		return Forecast{}, false
+	case !f.Scarce() && !p.last.Scarce():
+		return Forecast{}, false
+	case p.stored && now.Sub(p.lastAt) < refreshInterval && !changed(p.last, f):
+		return Forecast{}, false
+	}
+	f.Sequence = p.last.Sequence + 1
+	p.last, p.lastAt, p.stored = f, now, true
+	return f, true
+}
+
+// changed reports whether two forecasts differ materially.
+func changed(a, b Forecast) bool {
+	if len(a.Pools) != len(b.Pools) || !slices.Equal(a.BeyondShare, b.BeyondShare) {
+		return true
+	}
+	for i := range b.Pools {
+		p, q := &a.Pools[i], &b.Pools[i]
+		if p.Name != q.Name || differ(CoreSeconds(p.Cores), CoreSeconds(q.Cores)) ||
+			differ(p.workBefore(math.MaxInt, false), q.workBefore(math.MaxInt, false)) ||
+			differ(p.workBefore(math.MaxInt, true), q.workBefore(math.MaxInt, true)) {
+			return true
+		}
+	}
+	return false
+}
+
+func differ(a, b CoreSeconds) bool {
+	d := math.Abs(float64(a - b))
+	return d > float64(smallWork) && d > materialChange*math.Abs(float64(a))
+}
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -103,6 +103,7 @@
 	nextPruneOrders time.Time
 	backlog         map[job.QueueName]int
 	backlogExpires  time.Time
+	outlook         outlook
 }
 
 // New returns a scheduler that knows no jobs or VMs yet.
--- a/io/node/callers.go
+++ b/io/node/callers.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"lavenderpond/core/admission"
 	"lavenderpond/core/contact"
 	"lavenderpond/core/job"
 	"lavenderpond/platform"
@@ -33,6 +34,7 @@
 	view           *operatorView
 	health         *tableHealth
 	jobs           *jobStore
+	admission      *admissionGate
 	log            zerolog.Logger
 	count          func(name string)
 	recordDuration func(name string, d time.Duration)
@@ -77,7 +79,10 @@
 	if decision == contact.Probe && call.Method != platform.CallSubmit {
 		timeout = min(timeout, probeTimeout+replyMargin)
 	}
-	rc := routedCall{call: call, queue: q, account: account, id: job.ID(rest), deadline: started.Add(timeout - replyMargin), config: config, decision: decision}
+	rc := routedCall{
+		tableVersion: h.admission.tableVersion(),
+		call:         call, queue: q, account: account, id: job.ID(rest), deadline: started.Add(timeout - replyMargin), config: config, decision: decision,
+	}
 	h.serve(r.Context(), w, r, rc)
 	h.recordDuration("call_"+call.Method.String(), bootNow().Sub(started))
 }
@@ -91,6 +96,8 @@
 	deadline time.Time
 	config   *job.Configuration
 	decision contact.Decision
+	// tableVersion is the newest version of the table that was known when the call arrived.
+	tableVersion platform.Version
 }
 
 // tablePartitionFor returns the partition of the table that a call accesses first.
@@ -136,7 +143,12 @@
 		Queue: q.Name, Pool: q.Pool, Account: c.account, Priority: q.Priority, MaxAttempts: q.MaxAttempts,
 		Stretch: q.Stretch, LatencyAllowance: q.LatencyAllowance,
 	}}
-	err = h.jobs.submit(ctx, c.deadline, j, c.decision)
+	decision := h.admission.decide(bootNow(), time.Now(), &j)
+	if r, refused := decision.(admission.Refuse); refused && h.refuse(ctx, w, c, &j, r) {
+		return
+	}
+	version, err := h.jobs.submitSince(ctx, c.deadline, j, c.decision, c.tableVersion)
+	h.admission.settle(j.ID, version, err)
 	if err != nil {
 		h.denyFailed(w, c, err)
 		return
@@ -144,6 +156,28 @@
 	h.accept(w, c)
 }
 
+// refuse answers a submission that is refused, and reports whether it has. If the refusal can't
+// be stored, or the table isn't known to be available, the job is submitted like any other.
+func (h *callerHandler) refuse(ctx context.Context, w http.ResponseWriter, c routedCall, j *job.Job, r admission.Refuse) bool {
+	if c.decision != contact.Call {
+		return false
+	}
+	refused, err := h.jobs.refuse(ctx, c.deadline, j.ID)
+	if err != nil {
+		h.count("refusals_not_stored")
+		h.log.Info().Err(err).Str("event", "refusal_not_stored").Str("job", string(j.ID)).Send()
+		return false
+	}
+	if !refused {
+		h.accept(w, c)
+		return true
+	}
+	delay := h.admission.refused(bootNow(), j, r)
+	h.count("denied_" + c.call.Method.String())
+	platform.WriteDenial(w, platform.DeniedBusy, delay)
+	return true
+}
+
 func (h *callerHandler) show(ctx context.Context, w http.ResponseWriter, c routedCall) {
 	state, known, err := h.jobs.show(ctx, c.deadline, c.id)
 	switch {
@@ -198,6 +232,8 @@
 		d = platform.DeniedUnavailable
 	case errors.Is(err, errTooLarge):
 		d = platform.DeniedTooLarge
+	case errors.Is(err, errRefusedMeanwhile):
+		d = platform.DeniedBusy
 	}
 	h.deny(w, c.call, string(c.id), d, err.Error())
 }
@@ -208,7 +244,7 @@
 		Int("status", d.Status()).Str("reason", reason).Send()
 	retryDelay := time.Duration(0)
 	if d == platform.DeniedUnavailable || d == platform.DeniedBusy {
-		retryDelay = retryAfter
+		retryDelay = h.admission.unavailableDelay(id)
 	}
 	if d == platform.DeniedUnavailable {
 		// The load balancer doesn't move open connections. A caller that keeps its
--- a/io/node/commit.go
+++ b/io/node/commit.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"lavenderpond/core/admission"
 	"lavenderpond/core/job"
 	"lavenderpond/core/schedule"
 	"lavenderpond/io/supervisor"
@@ -56,6 +57,8 @@
 	entries       func() int
 	recordLatency func(d time.Duration)
 	health        *tableHealth
+	// forecast returns the forecast to store now, if one is due; it may be nil.
+	forecast func() (admission.Forecast, bool)
 
 	mu    sync.Mutex
 	queue []schedule.Command
@@ -181,6 +184,9 @@
 		return tx, err
 	}
 	tx.Writes = append(tx.Writes, platform.Write{RowKey: renewalKey, Value: value})
+	if err := c.addForecast(&tx); err != nil {
+		return tx, err
+	}
 	for _, change := range latestChanges(saves) {
 		if change.value == nil {
 			tx.Removals = append(tx.Removals, change.key)
@@ -195,6 +201,22 @@
 	return tx, nil
 }
 
+// addForecast adds the forecast to a transaction if one is due.
+func (c *committer) addForecast(tx *platform.Transaction) error {
+	if c.forecast == nil {
+		return nil
+	}
+	f, due := c.forecast()
+	if !due {
+		return nil
+	}
+	value, err := encodeRow(f)
+	if err == nil {
+		tx.Writes = append(tx.Writes, platform.Write{RowKey: forecastKey, Value: value})
+	}
+	return err
+}
+
 // store applies one transaction and retries it as often as necessary. It returns
 // errOwnershipLost once the ownership is lost. If ctx ends before the transaction is known to be
 // stored, it returns the cause.
--- a/io/node/dump.go
+++ b/io/node/dump.go
@@ -22,6 +22,8 @@
 	ViewAgeMS  int64      `json:"view_age_ms"`
 	TableAgeMS int64      `json:"table_age_ms"`
 	Owner      *ownerDump `json:"owner,omitempty"`
+	// Admission is the state of admission, if the policy calls for it.
+	Admission *admissionDump `json:"admission,omitempty"`
 }
 
 // ownerDump is the additional state of the process that is the owner.
@@ -45,6 +47,7 @@
 	if o := n.owner.Load(); o != nil {
 		d.Owner = o.dump(now)
 	}
+	d.Admission = n.admission.dump(now)
 	return d
 }
 
--- a/io/node/election.go
+++ b/io/node/election.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"lavenderpond/core/admission"
 	"lavenderpond/core/lease"
 	"lavenderpond/io/supervisor"
 	"lavenderpond/platform"
@@ -46,6 +47,8 @@
 	health      *tableHealth
 	// readsPerSecond is the table's read limit; 0 if it isn't known.
 	readsPerSecond float64
+	// onPoll receives what each poll has read; it may be nil.
+	onPoll func(now time.Time, rows ownerRows)
 	// entries is the number of entry VMs according to the last renewal that was read.
 	entries atomic.Int64
 	// serve runs a tenure until ctx ends or the ownership is lost.
@@ -89,9 +92,12 @@
 	return lease.PollInterval(interval, int(e.entries.Load()), e.readsPerSecond)
 }
 
-// ownerRows holds the owner row and the versions of the owner and renewal rows as read.
+// ownerRows holds the owner row, the owner's forecast, and the versions of the owner and renewal
+// rows as read. tableVersion is the version of the table.
 type ownerRows struct {
 	owner          ownerRow
+	forecast       admission.Forecast
+	tableVersion   platform.Version
 	ownerVersion   platform.Version
 	renewalVersion platform.Version
 }
@@ -120,8 +126,14 @@
 		case renewalKeyName:
 			rows.renewalVersion = r.Version
 			e.updateEntryCount(r)
+		case forecastKeyName:
+			rows.forecast = e.decodeForecast(r)
 		}
 	}
+	rows.tableVersion = snapshot.Version
+	if e.onPoll != nil {
+		e.onPoll(observation.Received, rows)
+	}
 	observation.Owner, observation.Renewal = uint64(rows.ownerVersion), uint64(rows.renewalVersion)
 	observation.Vacant = rows.owner.Vacant
 	observation.PreviousRun = rows.owner.Node == e.node && rows.owner.RunID != e.runID
@@ -139,6 +151,17 @@
 	e.entries.Store(int64(renewal.Entries))
 }
 
+// decodeForecast decodes the owner's forecast. One that can't be decoded is logged and counts as
+// none.
+func (e *election) decodeForecast(r *platform.Row) admission.Forecast {
+	f, err := decodeRow[admission.Forecast](r)
+	if err != nil {
+		e.log.Error().Err(err).Str("event", "row_ignored").Send()
+		return admission.Forecast{}
+	}
+	return f
+}
+
 // takeOver writes this process into the owner row. Its conditions require both rows to be
 // as they were read, so that a renewal in between wins.
 func (e *election) takeOver(ctx context.Context, rows ownerRows) (*tenure, platform.Version, error) {
--- a/io/node/jobstore.go
+++ b/io/node/jobstore.go
@@ -6,7 +6,6 @@
 
 	"github.com/pkg/errors"
 
-	"lavenderpond/core/contact"
 	"lavenderpond/core/job"
 	"lavenderpond/io/supervisor"
 	"lavenderpond/platform"
@@ -38,6 +37,8 @@
 // errOutcomeUnknown means that a request may or may not have been stored.
 var errOutcomeUnknown = errors.New("it is not known whether the request was stored")
 
+func isOutcomeUnknown(err error) bool { return errors.Is(err, errOutcomeUnknown) }
+
 // errNotStored means that a request was not stored and never will be.
 var errNotStored = errors.New("the request was not stored")
 
@@ -106,82 +107,6 @@
 	}
 }
 
-// errTooLarge means that a job doesn't fit into a row of the table.
-var errTooLarge = errors.New("the job is too large to be stored")
-
-// errTableSilent means that the table didn't answer a lookup.
-var errTableSilent = errors.New("the table does not answer")
-
-// lookupBeforeSubmit reports whether the table has the job already, and so checks that the
-// table is reachable. Unless the call is a probe, it looks nothing up if the table has
-// answered recently or is slow. A submission that is sent into a network partition can't
-// be denied as not stored any more, because it may be applied later, and its caller can't
-// retry elsewhere. Without the lookup, 44 of 3,400 jobs were lost that way when a zone was
-// cut off. After a lookup without an answer nothing has been written, and the caller can
-// go elsewhere.
-func (s *jobStore) lookupBeforeSubmit(ctx context.Context, id job.ID, decision contact.Decision) (known bool, err error) {
-	if decision == contact.Call && (s.health.sinceLastAnswer() < maxAnswerAge || s.latency.slowerThan(lookupMaxLatency)) {
-		return false, nil
-	}
-	timeout := lookupTimeout
-	if decision == contact.Probe {
-		timeout = probeTimeout
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	started := bootNow()
-	snapshot, err := s.table.List(ctx, jobRowRange(id))
-	s.recordLatency(bootNow().Sub(started))
-	s.recordOutcome(jobPartition(id), err)
-	switch {
-	case errors.Is(err, platform.ErrNoAnswer):
-		return false, errors.Wrap(errNotStored, errTableSilent.Error())
-	case err != nil:
-		// The lookup was refused or not sent, which leaves nothing in flight.
-		return false, nil //nolint:nilerr // The submission is sent anyway. If it is refused too, it is retried.
-	}
-	return len(snapshot.Rows) > 0, nil
-}
-
-// jobRowRange returns the range of the rows that hold a submitted job and its
-// cancellation.
-func jobRowRange(id job.ID) platform.Range {
-	return platform.Range{
-		Table: jobTable, Partition: jobPartition(id), From: cancelKey(id).Key, To: jobKey(id).Key + "\x00",
-	}
-}
-
-// submit stores a job once. A job that exists already, in any state, is not stored again;
-// that is no error.
-func (s *jobStore) submit(ctx context.Context, deadline time.Time, j job.Job, decision contact.Decision) error {
-	if known, err := s.lookupBeforeSubmit(ctx, j.ID, decision); known || err != nil {
-		return err
-	}
-	value, err := encodeRow(j)
-	if err != nil {
-		return err
-	}
-	if s.rowBytes > 0 && len(value) > s.rowBytes {
-		return errors.Wrapf(errTooLarge, "%d bytes after compression, limit %d", len(value), s.rowBytes)
-	}
-	tx := platform.Transaction{
-		Conditions: []platform.Condition{{RowKey: jobKey(j.ID)}, {RowKey: cancelKey(j.ID)}},
-		Writes:     []platform.Write{{RowKey: jobKey(j.ID), Value: value}},
-	}
-	maybeApplied, err := s.withRetries(ctx, deadline, jobPartition(j.ID), func(ctx context.Context) error {
-		_, err := s.table.Apply(ctx, tx)
-		return err
-	})
-	var conflict *platform.ConflictError
-	switch {
-	case err == nil, errors.As(err, &conflict):
-		return nil
-	case maybeApplied:
-		return errors.Wrap(errOutcomeUnknown, err.Error())
-	}
-	return err
-}
-
 // show returns a job's state. known is false if there is no such job.
 func (s *jobStore) show(ctx context.Context, deadline time.Time, id job.ID) (state job.State, known bool, err error) {
 	progressRow, jobRow, cancelRow, err := s.read(ctx, deadline, id)
@@ -254,7 +179,11 @@
 		if err != nil {
 			return false, err
 		}
-		if cancelRow != nil {
+		refused, err := isRefusal(cancelRow)
+		if err != nil {
+			return false, err
+		}
+		if cancelRow != nil && !refused {
 			return jobRow != nil, nil
 		}
 		stored, err := s.storeCancellation(ctx, deadline, id, jobRow)
--- a/io/node/load.go
+++ b/io/node/load.go
@@ -37,6 +37,8 @@
 		if err == nil {
 			o.jobFeedVersion = state.jobFeedVersion
 			o.restore(state)
+			// Beyond this version, some partitions were read earlier than others.
+			o.lastJobVersion = state.jobFeedVersion
 			return nil
 		}
 		o.log.Warn().Err(err).Str("event", "load_failed").Send()
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -54,6 +54,7 @@
 	election      *election
 	metrics       *processMetrics
 	decisions     *decisionLog
+	admission     *admissionGate
 	health        tableHealth
 	owner         atomic.Pointer[owner]
 	stopRequested atomic.Bool
@@ -76,8 +77,9 @@
 	n.health.log = log
 	n.decisions = &decisionLog{log: log, count: n.metrics.count, recordDuration: n.metrics.recordDuration}
 	n.view = &operatorView{table: n.table, log: log, onChange: n.reconfigured, health: &n.health}
+	n.admission = newAdmissionGate(p, log, n.metrics.count)
 	n.callers = &callerHandler{
-		view: n.view, health: &n.health, log: log, count: n.metrics.count, recordDuration: n.metrics.recordDuration,
+		view: n.view, health: &n.health, admission: n.admission, log: log, count: n.metrics.count, recordDuration: n.metrics.recordDuration,
 		jobs: &jobStore{
 			table: n.table, recordLatency: func(d time.Duration) { n.metrics.recordDuration("table_call", d) },
 			health: &n.health, rowBytes: s.RowBytes,
@@ -86,6 +88,7 @@
 	n.election = &election{
 		table: n.table, node: s.Node, runID: hex.EncodeToString(runID), log: log, serve: n.serve,
 		lowCapacity: s.Cores > 0 && s.Cores < lowCapacityCores, health: &n.health, readsPerSecond: s.TableReadsPerSecond,
+		onPoll: n.admission.polled,
 	}
 	return n, nil
 }
--- a/io/node/owner.go
+++ b/io/node/owner.go
@@ -39,6 +39,10 @@
 	workers        supervisor.Workers
 	jobFeedVersion platform.Version
 	backlog        backlogCount
+	outlook        outlookPublisher
+	refusals       refusalRecords
+	// lastJobVersion is the newest version of a job's row that the scheduler knows.
+	lastJobVersion platform.Version
 	// viewChangeCount is the change count of the operators' view that the scheduler has seen.
 	viewChangeCount uint64
 	// maintainedByWave holds the machines that former owners saw return from
@@ -60,6 +64,9 @@
 		recordLatency: func(d time.Duration) { n.metrics.recordDuration("table_commit", d) },
 		health:        &n.health,
 	}
+	if n.admission != nil {
+		o.committer.forecast = o.nextForecast
+	}
 	var g supervisor.Group
 	run := func(f func(ctx context.Context) error) {
 		g.Go(func() {
@@ -110,9 +117,12 @@
 		if r.Removed {
 			continue
 		}
+		o.lastJobVersion = max(o.lastJobVersion, r.Version)
 		id, isCancel := splitJobKey(r.Key)
 		if isCancel {
-			cancelled = append(cancelled, id)
+			if !o.recordRefusal(now, id, r) {
+				cancelled = append(cancelled, id)
+			}
 			continue
 		}
 		if p := progress[id]; p != nil && p.State.Final() {
@@ -131,6 +141,20 @@
 	}
 }
 
+// recordRefusal reports whether a job's cancellation records a refusal, and remembers it if so. A
+// row that can't be decoded counts as a cancellation.
+func (o *owner) recordRefusal(now time.Time, id job.ID, r *platform.Row) bool {
+	refused, err := isRefusal(r)
+	if err != nil {
+		o.log.Error().Err(err).Str("event", "row_ignored").Str("job", string(id)).Send()
+		return false
+	}
+	if refused {
+		o.refusals.add(now, id, r.Version)
+	}
+	return refused
+}
+
 func splitJobKey(key string) (id job.ID, isCancel bool) {
 	if n := len(key) - len(cancelSuffix); n > 0 && key[n:] == cancelSuffix {
 		return job.ID(key[:n]), true
@@ -172,6 +196,10 @@
 	o.scheduler.Tick(now)
 	o.scheduler.Assign(now, time.Now())
 	o.backlog.set(o.scheduler.Backlog(now))
+	o.publishOutlook(now)
+	for _, tx := range o.refusals.due(now) {
+		o.workers.Go(func() { o.deleteRefusals(ctx, tx) })
+	}
 	o.execute(ctx, o.scheduler.TakeCommands())
 }
 
--- a/io/node/rows.go
+++ b/io/node/rows.go
@@ -33,6 +33,9 @@
 
 	ownerKeyName   = "owner"
 	renewalKeyName = "renewal"
+	// forecastKeyName sorts between the two, so that a poll of the owner's rows reads the
+	// forecast too.
+	forecastKeyName = "pools"
 
 	// Suffixes of a job's keys: the submitted job and its cancellation.
 	jobSuffix    = "/job"
@@ -42,6 +45,8 @@
 var (
 	ownerKey   = platform.RowKey{Table: ownerTable, Partition: mainPartition, Key: ownerKeyName}
 	renewalKey = platform.RowKey{Table: ownerTable, Partition: mainPartition, Key: renewalKeyName}
+	// forecastKey holds the admission.Forecast of the owner.
+	forecastKey = platform.RowKey{Table: ownerTable, Partition: mainPartition, Key: forecastKeyName}
 )
 
 // jobPartition returns the partition of a job's rows. The partition depends only on the
