--- a/core/admission/controller.go
+++ b/core/admission/controller.go
@@ -13,13 +13,22 @@
 	maxForecastAge = 1500 * time.Millisecond
 	// maxPending bounds how long an admitted job counts as unseen by the owner.
 	maxPending = 3 * time.Second
+	// maxReadDelay is the usual age of a forecast when it is read.
+	maxReadDelay = 450 * time.Millisecond
+	// arrivalGrowth is how many times the measured arrivals may arrive between two forecasts
+	// without being admitted beyond the room that is left.
+	arrivalGrowth = 2
+	// arrivalHorizon is the time whose arrivals count as work before a job that can't be in
+	// time. Bursts may end at any moment, so it is short.
+	arrivalHorizon = time.Second
 )
 
 // Controller decides for one entry VM. The zero value has no forecast and admits every job.
 //
 // Between two forecasts each entry VM counts the work that it has admitted itself as often as
-// there are entry VMs. If the room that is left fits an amount of work, all entry VMs together
-// admit at most that, plus one job each.
+// there are entry VMs, up to twice the work that arrives by the forecast. If the room that is left
+// fits an amount of work, all entry VMs together admit at most that, plus one job each, unless the
+// arrivals more than double before the next forecast is read.
 type Controller struct {
 	forecast Forecast
 	// seenAt is when the forecast was first read.
@@ -98,38 +107,54 @@
 	return Admit{InTime}
 }
 
-// judge predicts the job's completion and reports whether it lies after the late limit.
+// judge predicts the job's completion and reports whether it lies after the late limit. A job that
+// can't be in time comes after the jobs that can, those that arrive meanwhile included, and
+// competes with the late ones.
 func (c *Controller) judge(now time.Time, p *Pool, j *job.Job, n needs, beyond bool) (Refuse, bool) {
-	entries := max(1, c.forecast.Entries)
-	unseen := c.unseen(p.Name, j.Terms.Priority, beyond) * CoreSeconds(entries)
-	before := p.workBefore(j.Terms.Priority, beyond) + unseen
 	r := Refuse{
-		LateLimit: now.Add(n.allowed), Work: n.work, Before: before, Unseen: unseen,
-		ServiceRate: CoreSeconds(p.coresAfter()) / CoreSeconds(entries),
+		LateLimit: now.Add(n.allowed), Work: n.work,
+		ServiceRate: max(CoreSeconds(p.coresAfter())-p.ArrivalRate, CoreSeconds(p.coresAfter())/2) / CoreSeconds(c.entries()),
 	}
+	r.Unseen = c.unseen(now, p, j.Terms.Priority, beyond)
+	r.Before = r.Unseen + p.workBefore(InTimeRank, j.Terms.Priority)
+	c.predict(now, p, n, &r)
+	if !beyond && !r.Complete.After(now.Add(n.objective)) {
+		return r, false
+	}
+	rank := LateRank
 	if beyond {
-		r.Reason = BeyondShare
+		rank, r.Reason = BeyondShareRank, BeyondShare
 	}
-	start, ok := p.doneAfter(before)
-	end, _ := p.doneAfter(before + n.work)
+	r.Before = r.Unseen + p.workBefore(rank, j.Terms.Priority) + p.ArrivalRate*CoreSeconds(arrivalHorizon.Seconds())
+	c.predict(now, p, n, &r)
+	r.RoomAt = now.Add(r.Complete.Sub(r.LateLimit))
+	return r, r.Complete.After(r.LateLimit)
+}
+
+// predict sets when a job starts and is complete after the work before it.
+func (c *Controller) predict(now time.Time, p *Pool, n needs, r *Refuse) {
+	start, ok := p.doneAfter(r.Before)
+	end, _ := p.doneAfter(r.Before + n.work)
 	if !ok {
 		start, end = maxOutlook, maxOutlook
 	}
 	r.Start = latest(now, c.seenAt.Add(start))
 	r.Complete = latest(r.Start.Add(n.chain), c.seenAt.Add(end))
-	r.RoomAt = now.Add(r.Complete.Sub(r.LateLimit))
-	return r, r.Complete.After(r.LateLimit)
 }
 
-// unseen returns the work before a new job that this entry VM has admitted since the forecast.
-func (c *Controller) unseen(p job.PoolName, priority int, beyond bool) CoreSeconds {
-	sum := CoreSeconds(0)
+func (c *Controller) entries() int { return max(1, c.forecast.Entries) }
+
+// unseen returns the work before a new job that all entry VMs may have admitted and the forecast
+// doesn't contain yet.
+func (c *Controller) unseen(now time.Time, p *Pool, priority int, beyond bool) CoreSeconds {
+	own := CoreSeconds(0)
 	for _, x := range c.pending {
-		if x.pool == p && (beyond || (!x.beyondShare && x.priority <= priority)) {
-			sum += x.work
+		if x.pool == p.Name && (beyond || (!x.beyondShare && x.priority <= priority)) {
+			own += x.work
 		}
 	}
-	return sum
+	arrived := arrivalGrowth * p.ArrivalRate * CoreSeconds((now.Sub(c.seenAt) + maxReadDelay).Seconds())
+	return max(own, min(own*CoreSeconds(c.entries()), arrived))
 }
 
 // Stored records the version of the row that holds an admitted job.
--- a/core/admission/forecast.go
+++ b/core/admission/forecast.go
@@ -90,20 +90,27 @@
 	return Queue{}
 }
 
-// workBefore returns the work that runs before a new job's.
-func (p *Pool) workBefore(priority int, beyondShare bool) CoreSeconds {
+// Rank is a group of jobs; groups with lower ranks run first.
+type Rank int
+
+// The ranks of jobs by what they can still reach.
+const (
+	// InTimeRank jobs can complete by their objectives.
+	InTimeRank Rank = iota
+	// LateRank jobs can't, but can complete by their late limits.
+	LateRank
+	// BeyondShareRank jobs are of accounts beyond their shares.
+	BeyondShareRank
+)
+
+// workBefore returns the work that runs before a new job of a rank and priority.
+func (p *Pool) workBefore(r Rank, priority int) CoreSeconds {
 	sum := p.Running
 	for _, q := range p.Queues {
-		if beyondShare {
-			sum += q.InTime + q.Late
-		}
-		if q.Priority > priority {
-			continue
-		}
-		if beyondShare {
-			sum += q.BeyondShare
-		} else {
-			sum += q.InTime
+		for i, w := range [...]CoreSeconds{q.InTime, q.Late, q.BeyondShare} {
+			if Rank(i) < r || (Rank(i) == r && q.Priority <= priority) {
+				sum += w
+			}
 		}
 	}
 	return sum
--- a/core/admission/publisher.go
+++ b/core/admission/publisher.go
@@ -49,8 +49,8 @@
 	for i := range b.Pools {
 		p, q := &a.Pools[i], &b.Pools[i]
 		if p.Name != q.Name || differ(CoreSeconds(p.Cores), CoreSeconds(q.Cores)) ||
-			differ(p.workBefore(math.MaxInt, false), q.workBefore(math.MaxInt, false)) ||
-			differ(p.workBefore(math.MaxInt, true), q.workBefore(math.MaxInt, true)) {
+			differ(p.workBefore(InTimeRank, math.MaxInt), q.workBefore(InTimeRank, math.MaxInt)) ||
+			differ(p.workBefore(BeyondShareRank, math.MaxInt), q.workBefore(BeyondShareRank, math.MaxInt)) {
 			return true
 		}
 	}
--- a/core/admission/request.go
+++ b/core/admission/request.go
@@ -32,8 +32,9 @@
 type needs struct {
 	work  CoreSeconds
 	chain time.Duration
-	// allowed is how long the job may take until its late limit.
-	allowed time.Duration
+	// objective and allowed are how long the job may take until it is late, and until it is of
+	// no use.
+	objective, allowed time.Duration
 }
 
 func (r Request) needs(q Queue) needs {
@@ -54,7 +55,8 @@
 	if stretch <= 0 {
 		stretch = defaultStretch
 	}
-	n.allowed = lateLimitFactor * (time.Duration(stretch*float64(n.chain)) + r.Job.Terms.LatencyAllowance)
+	n.objective = time.Duration(stretch*float64(n.chain)) + r.Job.Terms.LatencyAllowance
+	n.allowed = lateLimitFactor * n.objective
 	return n
 }
 
--- a/io/node/outlook.go
+++ b/io/node/outlook.go
@@ -59,6 +59,8 @@
 	f, due := o.outlook.next(now)
 	if due {
 		o.node.admission.update(now, f, o.tenure.runID)
+		o.log.Info().Str("event", "room_forecast").Int64("forecast", int64(f.Sequence)).Int("entries", f.Entries).
+			Interface("pools", f.Pools).Interface("beyond_share", f.BeyondShare).Send()
 	}
 	return f, due
 }
