--- a/core/schedule/outlook.go
+++ b/core/schedule/outlook.go
@@ -16,6 +16,8 @@
 	outlookInterval = 100 * time.Millisecond
 	// moveTime is how long a machine takes to arrive in another pool.
 	moveTime = 1500 * time.Millisecond
+	// drainTime is how long the tasks on a machine usually take to end.
+	drainTime = 1500 * time.Millisecond
 	// pausedTime is how long a VM that gets no tasks for a while is assumed to stay so.
 	pausedTime = time.Second
 	// arrivalStep is the resolution of arrival times.
@@ -40,6 +42,7 @@
 	admission.Pool
 	queues  map[job.QueueName]*admission.Queue
 	waiting admission.CoreSeconds
+	inTime  admission.CoreSeconds
 	// cpu and free are the capacity of the VMs that take tasks and its unused part, in
 	// thousandths of a core.
 	cpu, free int64
@@ -74,20 +77,16 @@
 		return admission.Forecast{}
 	}
 	s.addWork(now, pools)
-	spare := s.addCapacity(now, pools)
+	movable := s.addCapacity(now, pools)
 	maps.DeleteFunc(pools, func(_ job.PoolName, p *poolOutlook) bool { return !p.full() })
 	listed := slices.SortedFunc(maps.Values(pools), func(a, b *poolOutlook) int {
 		return cmp.Or(cmp.Compare(b.waiting, a.waiting), cmp.Compare(a.Name, b.Name))
 	})
 	listed = listed[:min(len(listed), maxOutlookPools)]
-	total := admission.CoreSeconds(0)
-	for _, p := range listed {
-		total += p.waiting
-	}
 	var f admission.Forecast
-	for _, p := range listed {
-		p.arriving[moveTime] += int64(float64(spare) * float64(p.waiting/total))
-		f.Pools = append(f.Pools, p.finish())
+	for i, share := range movableShares(listed) {
+		listed[i].addMovable(movable, share)
+		f.Pools = append(f.Pools, listed[i].finish())
 	}
 	if f.Scarce() {
 		f.BeyondShare = s.accountsBeyondShare(now)
@@ -130,6 +129,7 @@
 		switch s.rateJob(now, j).rank {
 		case rankInTime:
 			q.InTime += waiting
+			p.inTime += waiting
 		case rankLate:
 			q.Late += waiting
 		case rankBeyondShare:
--- a/core/schedule/outlookroom.go
+++ b/core/schedule/outlookroom.go
@@ -11,21 +11,44 @@
 	"lavenderpond/core/job"
 )
 
-// addCapacity adds the capacity of the pools, now and on its way. It returns the CPU of idle
-// machines of other pools, which may be moved, in thousandths of a core.
-func (s *Scheduler) addCapacity(now time.Time, pools map[job.PoolName]*poolOutlook) (spare int64) {
+// movable is the CPU, in thousandths of a core, of machines that other pools don't need: idle ones,
+// and those that will be idle once their tasks have ended.
+type movable struct{ idle, busy int64 }
+
+// addCapacity adds the capacity of the pools, now and on its way, and returns what may be moved to
+// them from other pools.
+func (s *Scheduler) addCapacity(now time.Time, pools map[job.PoolName]*poolOutlook) movable {
+	var out movable
+	busy := map[job.PoolName]int64{}
 	for _, v := range s.vms.All() {
 		p := pools[v.pool]
+		usable := s.usable(now, v)
 		switch {
-		case p != nil && s.usable(now, v):
+		case p != nil && usable:
 			p.cpu += v.capacity.CPU
 			p.free += max(0, v.freeCapacity().CPU)
 		case p != nil && (v.countsAsCapacity(now) || v.awaitsReport()):
 			p.arriving[pausedTime] += v.capacity.CPU
-		case p == nil && v.runs.Len() == 0 && s.usable(now, v):
-			spare += v.capacity.CPU
+		case p == nil && usable && v.runs.Len() == 0:
+			out.idle += v.capacity.CPU
+		}
+		if usable && v.longRunningRuns == 0 && (v.runs.Len() > 0 || p != nil) {
+			busy[v.pool] += v.capacity.CPU
+		}
+	}
+	for name, cpu := range busy {
+		if p := pools[name]; p == nil || p.inTime == 0 {
+			r := s.poolStats(name)
+			r.decayArrivals(now)
+			out.busy += max(0, cpu-int64(1000*r.arrivalRate/packingFraction))
 		}
 	}
+	out.idle += s.addMachines(now, pools)
+	return out
+}
+
+// addMachines adds the machines that move to the pools, and returns the CPU of those on standby.
+func (s *Scheduler) addMachines(now time.Time, pools map[job.PoolName]*poolOutlook) (standby int64) {
 	for _, m := range s.machines.All() {
 		if s.evacuatedZones.has(m.Zone) {
 			continue
@@ -40,10 +63,32 @@
 				p.arriving[pausedTime] += m.Capacity.CPU
 			}
 		case m.State == job.MachineUp && s.isStandby(m.Pool):
-			spare += m.Capacity.CPU
+			standby += m.Capacity.CPU
 		}
 	}
-	return spare
+	return standby
+}
+
+// movableShares returns the share of each pool in the machines that may be moved, by the work that
+// can still be in time.
+func movableShares(pools []*poolOutlook) []float64 {
+	out := make([]float64, len(pools))
+	total := admission.CoreSeconds(0)
+	for _, p := range pools {
+		total += p.inTime
+	}
+	for i, p := range pools {
+		if total > 0 {
+			out[i] = float64(p.inTime / total)
+		}
+	}
+	return out
+}
+
+// addMovable adds a share of the machines that may be moved.
+func (p *poolOutlook) addMovable(m movable, share float64) {
+	p.arriving[moveTime] += int64(share * float64(m.idle))
+	p.arriving[moveTime+drainTime] += int64(share * float64(m.busy))
 }
 
 // awaitsReport reports whether the VM takes tasks once it has reported to this owner.
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -104,6 +104,7 @@
 	backlog         map[job.QueueName]int
 	backlogExpires  time.Time
 	outlook         outlook
+	refusals        refusals
 }
 
 // New returns a scheduler that knows no jobs or VMs yet.
@@ -193,7 +194,7 @@
 	if _, over := s.endTimes[j.ID]; over {
 		return
 	}
-	st := &jobState{Job: j, arrived: now, inherited: inherited, longRunning: j.Body.LongRunning()}
+	st := &jobState{Job: j, arrived: s.refusals.take(now, j.ID), inherited: inherited, longRunning: j.Body.LongRunning()}
 	for k := range j.Body.OccurrenceCount() {
 		o := &occurrence{index: k, due: j.Body.Due(k), steps: make([]stepState, len(j.Body.Steps))}
 		for i := range o.steps {
--- a/io/node/outlook.go
+++ b/io/node/outlook.go
@@ -130,6 +130,17 @@
 	return out
 }
 
+// forgetRefusals deletes the records of refusals whose callers haven't returned.
+func (o *owner) forgetRefusals(ctx context.Context, now time.Time) {
+	for _, tx := range o.refusals.due(now) {
+		for _, key := range tx.Removals {
+			id, _ := splitJobKey(key.Key)
+			o.scheduler.ForgetRefusal(id)
+		}
+		o.workers.Go(func() { o.deleteRefusals(ctx, tx) })
+	}
+}
+
 // deleteRefusals deletes old records of refusals.
 func (o *owner) deleteRefusals(ctx context.Context, tx platform.Transaction) {
 	callCtx, cancel := context.WithTimeout(ctx, tableWriteTimeout)
--- a/io/node/owner.go
+++ b/io/node/owner.go
@@ -151,6 +151,7 @@
 	}
 	if refused {
 		o.refusals.add(now, id, r.Version)
+		o.scheduler.JobRefused(now, id)
 	}
 	return refused
 }
@@ -197,9 +198,7 @@
 	o.scheduler.Assign(now, time.Now())
 	o.backlog.set(o.scheduler.Backlog(now))
 	o.publishOutlook(now)
-	for _, tx := range o.refusals.due(now) {
-		o.workers.Go(func() { o.deleteRefusals(ctx, tx) })
-	}
+	o.forgetRefusals(ctx, now)
 	o.execute(ctx, o.scheduler.TakeCommands())
 }
 
