--- a/core/admission/publisher.go
+++ b/core/admission/publisher.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"encoding/json"
 	"math"
 	"slices"
 	"time"
@@ -16,31 +17,44 @@
 	materialChange = 0.1
 	// smallWork is the change in core-seconds that is never worth one.
 	smallWork CoreSeconds = 20
+	// publishBudget is how many bytes of forecasts are stored per second at most.
+	publishBudget = 10_000
 )
 
 // Publisher decides when the owner stores a forecast. The zero value has stored none.
 type Publisher struct {
 	last   Forecast
 	lastAt time.Time
-	stored bool
+	// nextAt is the earliest time of the next forecast.
+	nextAt time.Time
 }
 
 // Next returns the forecast to store now, with its sequence, or false if none is due. Without
 // a full pool, only the change to that is stored.
 func (p *Publisher) Next(now time.Time, f Forecast) (Forecast, bool) {
 	switch {
-	case p.stored && now.Sub(p.lastAt) < minPublishInterval:
+	case now.Before(p.nextAt):
 		return Forecast{}, false
 	case !f.Scarce() && !p.last.Scarce():
 		return Forecast{}, false
-	case p.stored && now.Sub(p.lastAt) < refreshInterval && !changed(p.last, f):
+	case now.Sub(p.lastAt) < refreshInterval && !changed(p.last, f):
 		return Forecast{}, false
 	}
 	f.Sequence = p.last.Sequence + 1
-	p.last, p.lastAt, p.stored = f, now, true
+	p.last, p.lastAt, p.nextAt = f, now, now.Add(max(minPublishInterval, sendTime(f)))
 	return f, true
 }
 
+// sendTime returns how long a forecast takes at the rate of publishBudget.
+func sendTime(f Forecast) time.Duration {
+	b, err := json.Marshal(f)
+	if err != nil {
+		// Only figures that aren't numbers can't be encoded. Storing the forecast reports them.
+		return 0
+	}
+	return time.Duration(float64(len(b)) / publishBudget * float64(time.Second))
+}
+
 // changed reports whether two forecasts differ materially.
 func changed(a, b Forecast) bool {
 	if len(a.Pools) != len(b.Pools) || !slices.Equal(a.BeyondShare, b.BeyondShare) {
--- a/core/admission/publisher_test.go
+++ b/core/admission/publisher_test.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
@@ -32,6 +33,24 @@
 	assert.Assert(t, !due)
 }
 
+// Load: the forecast of many full pools changes all the time. Its bytes a second stay bounded.
+func TestLargeForecastsAreStoredLessOften(t *testing.T) {
+	var p Publisher
+	bytes := 0
+	for i := range 1000 {
+		f := forecast(0, CoreSeconds(1000*(i%7)), 0)
+		for range 5 {
+			f.Pools = append(f.Pools, f.Pools...)
+		}
+		if f, due := p.Next(start.Add(time.Duration(i)*10*time.Millisecond), f); due {
+			b, err := json.Marshal(f)
+			assert.NilError(t, err)
+			bytes += len(b)
+		}
+	}
+	assert.Assert(t, bytes > 50_000 && bytes < 11*publishBudget, "%d", bytes)
+}
+
 // Checks that an unchanged forecast is stored again only to keep it in use.
 func TestUnchangedForecastIsRefreshed(t *testing.T) {
 	var p Publisher
--- a/core/schedule/outlook.go
+++ b/core/schedule/outlook.go
@@ -27,8 +27,8 @@
 	minRunFraction = 0.1
 	// maxOutlookPools and maxOutlookAccounts bound the size of an outlook. The pools with the
 	// most waiting work are listed; the others count as having room.
-	maxOutlookPools    = 12
-	maxOutlookAccounts = 64
+	maxOutlookPools    = 8
+	maxOutlookAccounts = 48
 )
 
 // outlook holds the last forecast for admission.
--- a/io/node/commit.go
+++ b/io/node/commit.go
@@ -184,9 +184,7 @@
 		return tx, err
 	}
 	tx.Writes = append(tx.Writes, platform.Write{RowKey: renewalKey, Value: value})
-	if err := c.addForecast(&tx); err != nil {
-		return tx, err
-	}
+	c.addForecast(&tx)
 	for _, change := range latestChanges(saves) {
 		if change.value == nil {
 			tx.Removals = append(tx.Removals, change.key)
@@ -201,20 +199,22 @@
 	return tx, nil
 }
 
-// addForecast adds the forecast to a transaction if one is due.
-func (c *committer) addForecast(tx *platform.Transaction) error {
+// addForecast adds the forecast to a transaction if one is due. Without it, the entry VMs take in
+// every job once the last one is too old.
+func (c *committer) addForecast(tx *platform.Transaction) {
 	if c.forecast == nil {
-		return nil
+		return
 	}
 	f, due := c.forecast()
 	if !due {
-		return nil
+		return
 	}
 	value, err := encodeRow(f)
-	if err == nil {
-		tx.Writes = append(tx.Writes, platform.Write{RowKey: forecastKey, Value: value})
+	if err != nil {
+		c.log.Error().Err(err).Str("event", "forecast_unstored").Send()
+		return
 	}
-	return err
+	tx.Writes = append(tx.Writes, platform.Write{RowKey: forecastKey, Value: value})
 }
 
 // store applies one transaction and retries it as often as necessary. It returns
