--- a/core/admission/controller.go
+++ b/core/admission/controller.go
@@ -127,7 +127,7 @@
 	}
 	r.Before = r.Unseen + p.workBefore(rank, j.Terms.Priority) + p.ArrivalRate*CoreSeconds(arrivalHorizon.Seconds())
 	c.predict(now, p, n, &r)
-	r.RoomAt = now.Add(r.Complete.Sub(r.LateLimit))
+	r.RoomAt = earliest(now.Add(r.Complete.Sub(r.LateLimit)), r.Start)
 	return r, r.Complete.After(r.LateLimit)
 }
 
@@ -171,6 +171,13 @@
 	c.pending = slices.DeleteFunc(c.pending, func(p pendingJob) bool { return p.id == id })
 }
 
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/core/admission/decision.go
+++ b/core/admission/decision.go
@@ -11,7 +11,8 @@
 // Refuse turns the job away.
 type Refuse struct {
 	Reason RefuseReason
-	// RoomAt is when a job like this could complete by its late limit again.
+	// RoomAt is when a new job like this could complete by its late limit again, or when all
+	// work before it is done.
 	RoomAt time.Time
 	// Start is when the job would start, Complete when it would be complete, and LateLimit
 	// when its result is of no use any more.
--- a/core/admission/request.go
+++ b/core/admission/request.go
@@ -20,7 +20,11 @@
 )
 
 // Request is a job that a caller submits.
-type Request struct{ Job *job.Job }
+type Request struct {
+	Job *job.Job
+	// Waited is how long ago the caller was refused for the first time; 0 if it wasn't.
+	Waited time.Duration
+}
 
 // alwaysAdmitted reports whether the job is taken in whatever waits: it runs for long, or at
 // times that its caller sets.
@@ -56,7 +60,8 @@
 		stretch = defaultStretch
 	}
 	n.objective = time.Duration(stretch*float64(n.chain)) + r.Job.Terms.LatencyAllowance
-	n.allowed = lateLimitFactor * n.objective
+	n.allowed = lateLimitFactor*n.objective - r.Waited
+	n.objective -= r.Waited
 	return n
 }
 
--- a/io/node/admission.go
+++ b/io/node/admission.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -32,6 +33,9 @@
 	refusals   map[refusalKey]int64
 	// version is the newest version of the table that this process has seen.
 	version platform.Version
+	// clock is the table's clock as of clockAt; 0 before the first poll.
+	clock   tableTime
+	clockAt time.Time
 }
 
 // refusalKey is what refusals are counted by.
@@ -60,6 +64,19 @@
 	}
 	g.sawVersion(rows.tableVersion)
 	g.update(now, rows.forecast, owner)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.clock, g.clockAt = rows.tableTime, now
+}
+
+// tableTime returns the table's time, or 0 if it isn't known.
+func (g *admissionGate) tableTime(now time.Time) tableTime {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.clock == 0 {
+		return 0
+	}
+	return g.clock + tableTime(now.Sub(g.clockAt).Milliseconds())
 }
 
 // update takes a forecast and the run ID of the owner.
@@ -83,15 +100,15 @@
 // gate no version is too new.
 func (g *admissionGate) tableVersion() platform.Version {
 	if g == nil {
-		return anyVersion
+		return math.MaxUint64
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.version
 }
 
-// decide decides about a job.
-func (g *admissionGate) decide(now, wall time.Time, j *job.Job) admission.Decision {
+// decide decides about a job, which may have been refused before.
+func (g *admissionGate) decide(now, wall time.Time, j *job.Job, firstRefusal tableTime) admission.Decision {
 	if g == nil {
 		return admission.Admit{}
 	}
@@ -99,8 +116,13 @@
 		g.count("admitted_exempt")
 		return admission.Admit{}
 	}
+	r := admission.Request{Job: j}
+	if t := g.tableTime(now); t != 0 && firstRefusal != 0 {
+		r.Waited = max(0, time.Duration(t-firstRefusal)*time.Millisecond)
+	}
 	g.mu.Lock()
-	d := g.controller.Decide(now, admission.Request{Job: j})
+	g.controller.Withdraw(j.ID)
+	d := g.controller.Decide(now, r)
 	g.mu.Unlock()
 	if d, ok := d.(admission.Admit); ok {
 		g.count("admitted_" + d.Reason.String())
--- a/io/node/admission_test.go
+++ b/io/node/admission_test.go
@@ -67,6 +67,9 @@
 	return false, snapshot.Version
 }
 
+// at returns an arrival of a call whose job is admitted.
+func at(v platform.Version) arrival { return arrival{v, func(tableTime) bool { return true }} }
+
 // Guards against a refused job that runs: earlier calls of its caller, and replacements of earlier
 // refusals, got no answer from the table and are applied after the refusal, in any order. Their
 // caller may still submit the job later.
@@ -77,20 +80,20 @@
 		for range 1 + r.IntN(3) {
 			_, version := stored(t, s)
 			if table.late = r.IntN(3) > 0; table.late {
-				_, err := s.submitSince(t.Context(), bootNow().Add(20*time.Millisecond), testJob(), contact.Call, version)
+				_, err := s.submitArrived(t.Context(), bootNow().Add(20*time.Millisecond), testJob(), contact.Call, at(version))
 				assert.Assert(t, errors.Is(err, errOutcomeUnknown), "seed %d: %v", seed, err)
 				table.late = false
 				continue
 			}
-			refused, err := s.refuse(t.Context(), bootNow().Add(time.Second), testJob().ID)
+			refused, err := s.refuse(t.Context(), bootNow().Add(time.Second), testJob().ID, 0)
 			assert.Assert(t, err == nil && refused, "seed %d: %v", seed, err)
 		}
-		refused, err := s.refuse(t.Context(), bootNow().Add(time.Second), testJob().ID)
+		refused, err := s.refuse(t.Context(), bootNow().Add(time.Second), testJob().ID, 0)
 		assert.Assert(t, err == nil && refused, "seed %d: %v", seed, err)
 		table.applyHeld(r)
 		isStored, version := stored(t, s)
 		assert.Assert(t, !isStored, "seed %d", seed)
-		got, err := s.submitSince(t.Context(), bootNow().Add(time.Second), testJob(), contact.Call, version)
+		got, err := s.submitArrived(t.Context(), bootNow().Add(time.Second), testJob(), contact.Call, at(version))
 		assert.Assert(t, err == nil && got > 0, "seed %d: %v", seed, err)
 		isStored, _ = stored(t, s)
 		assert.Assert(t, isStored, "seed %d", seed)
@@ -102,7 +105,7 @@
 func TestStoredJobIsNotRefused(t *testing.T) {
 	_, s := newLateTable(t)
 	assert.NilError(t, s.submit(t.Context(), bootNow().Add(time.Second), testJob(), contact.Call))
-	refused, err := s.refuse(t.Context(), bootNow().Add(time.Second), testJob().ID)
+	refused, err := s.refuse(t.Context(), bootNow().Add(time.Second), testJob().ID, 0)
 	assert.Assert(t, err == nil && !refused, "%v", err)
 }
 
@@ -111,9 +114,9 @@
 func TestRefusalStopsEarlierCall(t *testing.T) {
 	_, s := newLateTable(t)
 	_, arrived := stored(t, s)
-	_, err := s.refuse(t.Context(), bootNow().Add(time.Second), testJob().ID)
+	_, err := s.refuse(t.Context(), bootNow().Add(time.Second), testJob().ID, 0)
 	assert.NilError(t, err)
-	_, err = s.submitSince(t.Context(), bootNow().Add(time.Second), testJob(), contact.Call, arrived)
+	_, err = s.submitArrived(t.Context(), bootNow().Add(time.Second), testJob(), contact.Call, at(arrived))
 	assert.Assert(t, errors.Is(err, errRefusedMeanwhile), "%v", err)
 }
 
@@ -121,7 +124,7 @@
 // a call from before arrives again.
 func TestCancelledAfterRefusalIsNotStored(t *testing.T) {
 	_, s := newLateTable(t)
-	_, err := s.refuse(t.Context(), bootNow().Add(time.Second), testJob().ID)
+	_, err := s.refuse(t.Context(), bootNow().Add(time.Second), testJob().ID, 0)
 	assert.NilError(t, err)
 	known, err := s.cancel(t.Context(), bootNow().Add(time.Second), testJob().ID)
 	assert.Assert(t, err == nil && !known, "%v", err)
--- a/io/node/callers.go
+++ b/io/node/callers.go
@@ -143,12 +143,19 @@
 		Queue: q.Name, Pool: q.Pool, Account: c.account, Priority: q.Priority, MaxAttempts: q.MaxAttempts,
 		Stretch: q.Stretch, LatencyAllowance: q.LatencyAllowance,
 	}}
-	decision := h.admission.decide(bootNow(), time.Now(), &j)
-	if r, refused := decision.(admission.Refuse); refused && h.refuse(ctx, w, c, &j, r) {
+	if r, refused := h.admission.decide(bootNow(), time.Now(), &j, 0).(admission.Refuse); refused && h.refuse(ctx, w, c, &j, r) {
 		return
 	}
-	version, err := h.jobs.submitSince(ctx, c.deadline, j, c.decision, c.tableVersion)
+	var again admission.Refuse
+	version, err := h.jobs.submitArrived(ctx, c.deadline, j, c.decision, arrival{c.tableVersion, func(firstAt tableTime) bool {
+		refused := false
+		again, refused = h.admission.decide(bootNow(), time.Now(), &j, firstAt).(admission.Refuse)
+		return !refused
+	}})
 	h.admission.settle(j.ID, version, err)
+	if errors.Is(err, errRefusedAgain) && h.refuse(ctx, w, c, &j, again) {
+		return
+	}
 	if err != nil {
 		h.denyFailed(w, c, err)
 		return
@@ -162,7 +169,7 @@
 	if c.decision != contact.Call {
 		return false
 	}
-	refused, err := h.jobs.refuse(ctx, c.deadline, j.ID)
+	refused, err := h.jobs.refuse(ctx, c.deadline, j.ID, h.admission.tableTime(bootNow()))
 	if err != nil {
 		h.count("refusals_not_stored")
 		h.log.Info().Err(err).Str("event", "refusal_not_stored").Str("job", string(j.ID)).Send()
--- a/io/node/election.go
+++ b/io/node/election.go
@@ -93,11 +93,12 @@
 }
 
 // ownerRows holds the owner row, the owner's forecast, and the versions of the owner and renewal
-// rows as read. tableVersion is the version of the table.
+// rows as read. tableVersion and tableTime are those of the table.
 type ownerRows struct {
 	owner          ownerRow
 	forecast       admission.Forecast
 	tableVersion   platform.Version
+	tableTime      tableTime
 	ownerVersion   platform.Version
 	renewalVersion platform.Version
 }
@@ -130,7 +131,7 @@
 			rows.forecast = e.decodeForecast(r)
 		}
 	}
-	rows.tableVersion = snapshot.Version
+	rows.tableVersion, rows.tableTime = snapshot.Version, tableTime(snapshot.ClockMS)
 	if e.onPoll != nil {
 		e.onPoll(observation.Received, rows)
 	}
--- a/io/node/jobstore.go
+++ b/io/node/jobstore.go
@@ -179,7 +179,7 @@
 		if err != nil {
 			return false, err
 		}
-		refused, err := isRefusal(cancelRow)
+		_, refused, err := decodeRefusal(cancelRow)
 		if err != nil {
 			return false, err
 		}
--- a/io/node/refusal.go
+++ b/io/node/refusal.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -14,12 +15,27 @@
 type cancelRow struct {
 	// Refused is set if the job was refused and not cancelled. Its caller may submit it again.
 	Refused bool `json:"refused,omitempty"`
+	// FirstAt is when the job was first refused, or 0 if that isn't known.
+	FirstAt tableTime `json:"first_at,omitempty"`
 }
 
-// isRefusal reports whether a job's cancellation, which may be nil, records a refusal.
-func isRefusal(r *platform.Row) (bool, error) {
+// tableTime is a reading of the table's monotonic clock in milliseconds.
+type tableTime int64
+
+// refusal is the last refusal of a job. The zero value means none.
+type refusal struct {
+	version platform.Version
+	firstAt tableTime
+}
+
+// decodeRefusal decodes a job's cancellation, which may be nil, and reports whether it records a
+// refusal.
+func decodeRefusal(r *platform.Row) (last refusal, refused bool, err error) {
 	c, err := decodeRow[cancelRow](r)
-	return c.Refused, err
+	if err != nil || !c.Refused {
+		return refusal{}, false, err
+	}
+	return refusal{r.Version, c.FirstAt}, true, nil
 }
 
 // refusalStoreTimeout bounds storing a refusal. A job whose refusal can't be stored is submitted
@@ -34,28 +50,28 @@
 //
 // A submission expects that there is neither a job nor a cancellation, or the one refusal that
 // its call replaces. So a new version of the refusal makes all earlier submissions fail.
-func (s *jobStore) refuse(ctx context.Context, deadline time.Time, id job.ID) (refused bool, err error) {
-	value, err := encodeRow(cancelRow{Refused: true})
-	if err != nil {
-		return false, err
-	}
+// at is the table's time, from which the caller's waiting time counts if it submits the job again.
+func (s *jobStore) refuse(ctx context.Context, deadline time.Time, id job.ID, at tableTime) (refused bool, err error) {
 	if d := bootNow().Add(refusalStoreTimeout); d.Before(deadline) {
 		deadline = d
 	}
-	refusal := platform.Version(0)
+	var last refusal
 	for range maxCancelAttempts {
+		value, err := encodeRow(cancelRow{Refused: true, FirstAt: cmp.Or(last.firstAt, at)})
+		if err != nil {
+			return false, err
+		}
 		_, conflict, err := s.store(ctx, deadline, platform.Transaction{
-			Conditions: []platform.Condition{{RowKey: jobKey(id)}, {RowKey: cancelKey(id), Version: refusal}},
+			Conditions: []platform.Condition{{RowKey: jobKey(id)}, {RowKey: cancelKey(id), Version: last.version}},
 			Writes:     []platform.Write{{RowKey: cancelKey(id), Value: value}},
 		})
 		if err != nil || conflict == nil {
 			return err == nil, err
 		}
-		known, last, err := conflictRows(id, conflict).known()
-		if known || err != nil {
+		var known bool
+		if known, last, err = conflictRows(id, conflict).known(); known || err != nil {
 			return false, err
 		}
-		refusal = last
 	}
 	return false, errors.Wrap(errOutcomeUnknown, "the job keeps changing")
 }
--- a/io/node/submission.go
+++ b/io/node/submission.go
@@ -73,37 +73,52 @@
 	return jobRows{err.Row(jobKey(id)), err.Row(cancelKey(id))}
 }
 
-// known reports whether the job is stored or cancelled. If it isn't, refusal is the version of
-// the row that records its last refusal, or 0 if it wasn't refused.
-func (r jobRows) known() (known bool, refusal platform.Version, err error) {
+// known reports whether the job is stored or cancelled. If it isn't, last is its last refusal.
+func (r jobRows) known() (known bool, last refusal, err error) {
 	if r.submitted != nil || r.cancellation == nil {
-		return r.submitted != nil, 0, nil
+		return r.submitted != nil, refusal{}, nil
 	}
-	refused, err := isRefusal(r.cancellation)
-	if err != nil || !refused {
-		return err == nil, 0, err
-	}
-	return false, r.cancellation.Version, nil
+	last, refused, err := decodeRefusal(r.cancellation)
+	return err == nil && !refused, last, err
 }
 
-// anyVersion is a version of the table that no refusal exceeds.
-const anyVersion = platform.Version(math.MaxUint64)
+var (
+	// errRefusedMeanwhile means that the job was refused after the call had arrived, so the
+	// caller has been told already that it isn't stored.
+	errRefusedMeanwhile = errors.New("the job was refused at another entry VM")
+	// errRefusedAgain means that a job that was refused before isn't readmitted.
+	errRefusedAgain = errors.New("the job was refused before")
+)
 
-// errRefusedMeanwhile means that the job was refused after the call had arrived, so the caller
-// has been told already that it isn't stored.
-var errRefusedMeanwhile = errors.New("the job was refused at another entry VM")
+// arrival is what a submission needs to know of the call. A refusal up to version, the newest version
+// of the table when the call arrived, was given to an earlier call of the caller, which may
+// return. readmit decides whether the job then replaces the refusal.
+type arrival struct {
+	version platform.Version
+	readmit func(firstAt tableTime) bool
+}
+
+// check returns an error if the job may not replace its last refusal.
+func (a arrival) check(last refusal) error {
+	switch {
+	case last.version > a.version:
+		return errRefusedMeanwhile
+	case last.version != 0 && !a.readmit(last.firstAt):
+		return errRefusedAgain
+	}
+	return nil
+}
 
 // submit stores a job once. A job that exists already, in any state, is not stored again;
 // that is no error.
 func (s *jobStore) submit(ctx context.Context, deadline time.Time, j job.Job, decision contact.Decision) error {
-	_, err := s.submitSince(ctx, deadline, j, decision, anyVersion)
+	_, err := s.submitArrived(ctx, deadline, j, decision, arrival{math.MaxUint64, func(tableTime) bool { return true }})
 	return err
 }
 
-// submitSince is submit for a call that arrived when the table was at a version. A refusal up to
-// that version was given to an earlier call of the caller, which may return, and is replaced by
-// the job. submitSince returns the version of the job's row, or 0 if the job existed already.
-func (s *jobStore) submitSince(ctx context.Context, deadline time.Time, j job.Job, decision contact.Decision, arrived platform.Version) (platform.Version, error) {
+// submitArrived is submit for a job that may have been refused before. It returns the version of
+// the job's row, or 0 if the job existed already.
+func (s *jobStore) submitArrived(ctx context.Context, deadline time.Time, j job.Job, decision contact.Decision, a arrival) (platform.Version, error) {
 	rows, err := s.lookupBeforeSubmit(ctx, j.ID, decision)
 	if err != nil {
 		return 0, err
@@ -116,19 +131,19 @@
 		return 0, errors.Wrapf(errTooLarge, "%d bytes after compression, limit %d", len(value), s.rowBytes)
 	}
 	for range maxCancelAttempts {
-		known, refusal, err := rows.known()
-		switch {
-		case known || err != nil:
+		known, last, err := rows.known()
+		if known || err != nil {
+			return 0, err
+		}
+		if err := a.check(last); err != nil {
 			return 0, err
-		case refusal > arrived:
-			return 0, errRefusedMeanwhile
 		}
-		version, conflict, err := s.store(ctx, deadline, submissionTransaction(j.ID, value, refusal))
+		version, conflict, err := s.store(ctx, deadline, submissionTransaction(j.ID, value, last.version))
 		if err != nil || conflict == nil {
 			return version, err
 		}
 		rows = conflictRows(j.ID, conflict)
-		if refusal == 0 && rows == (jobRows{}) {
+		if last.version == 0 && rows == (jobRows{}) {
 			// A condition on the absence of a row fails only if it exists.
 			return 0, nil
 		}
