--- a/core/admission/controller.go
+++ b/core/admission/controller.go
@@ -21,6 +21,9 @@
 	// arrivalHorizon is the time whose arrivals count as work before a job that can't be in
 	// time. Bursts may end at any moment, so it is short.
 	arrivalHorizon = time.Second
+	// predictionError is how much sooner than predicted a job may be complete. Run times vary, and
+	// machines arrive that no pool has been given yet.
+	predictionError = 1.25
 )
 
 // Controller decides for one entry VM. The zero value has no forecast and admits every job.
@@ -107,7 +110,7 @@
 	return Admit{InTime}
 }
 
-// judge predicts the job's completion and reports whether it lies after the late limit. A job that
+// judge predicts the job's completion and reports whether it lies clearly after the late limit. A job that
 // can't be in time comes after the jobs that can, those that arrive meanwhile included, and
 // competes with the late ones.
 func (c *Controller) judge(now time.Time, p *Pool, j *job.Job, n needs, beyond bool) (Refuse, bool) {
@@ -127,8 +130,8 @@
 	}
 	r.Before = r.Unseen + p.workBefore(rank, j.Terms.Priority) + p.ArrivalRate*CoreSeconds(arrivalHorizon.Seconds())
 	c.predict(now, p, n, &r)
-	r.RoomAt = earliest(now.Add(r.Complete.Sub(r.LateLimit)), r.Start)
-	return r, r.Complete.After(r.LateLimit)
+	allowed := time.Duration(predictionError * float64(r.LateLimit.Sub(now)))
+	return r, r.Complete.Sub(now) > allowed
 }
 
 // predict sets when a job starts and is complete after the work before it.
@@ -171,13 +174,6 @@
 	c.pending = slices.DeleteFunc(c.pending, func(p pendingJob) bool { return p.id == id })
 }
 
-func earliest(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/core/admission/decision.go
+++ b/core/admission/decision.go
@@ -11,10 +11,7 @@
 // Refuse turns the job away.
 type Refuse struct {
 	Reason RefuseReason
-	// RoomAt is when a new job like this could complete by its late limit again, or when all
-	// work before it is done.
-	RoomAt time.Time
-	// Start is when the job would start, Complete when it would be complete, and LateLimit
+	// Start is when the job would start, since the work before it is done, Complete when it would be complete, and LateLimit
 	// when its result is of no use any more.
 	Start, Complete, LateLimit time.Time
 	// Work is the job's own work, Before that of the work that goes first, and Unseen the
--- a/io/node/admission.go
+++ b/io/node/admission.go
@@ -173,7 +173,7 @@
 	if r.ServiceRate > 0 {
 		interval = time.Duration(float64(r.Work/r.ServiceRate) * float64(time.Second))
 	}
-	return g.returns.Next(now, retry.Series(string(j.Terms.Pool)+"/"+r.Reason.String()), r.RoomAt, interval, string(j.ID))
+	return g.returns.Next(now, retry.Series(string(j.Terms.Pool)+"/"+r.Reason.String()), r.Start, interval, string(j.ID))
 }
 
 // unavailableDelay returns the delay after which a caller returns that this process can't serve.
