--- a/io/node/dump.go
+++ b/io/node/dump.go
@@ -27,6 +27,8 @@
 	// EntryLimits is missing while the limits aren't in force.
 	EntryLimits *limitsDump `json:"entry_limits,omitempty"`
 	Owner       *ownerDump  `json:"owner,omitempty"`
+	// Admission is the state of admission, if the policy calls for it.
+	Admission *admissionDump `json:"admission,omitempty"`
 }
 
 // ownerDump is the additional state of the process that is the owner.
@@ -53,6 +55,7 @@
 	if o := n.owner.Load(); o != nil {
 		d.Owner = o.dump(now)
 	}
+	d.Admission = n.admission.dump(now)
 	return d
 }
 
