core/schedule: order by accounts' shares in a pool that is full

With policy.FairShares, jobs of accounts that use at least their share come after the others of their rank in a pool with less room than work. Usage is stored with saves that are made anyway and restored by the next owner. The emulator passes a policy on and plays full pools with changes of owner. With the zero policy nothing changes.

--- a/core/emulator/owner.go
+++ b/core/emulator/owner.go
@@ -58,11 +58,15 @@
 		Fence: job.Fence(o.fence), AttemptBase: job.Attempt(o.tenureNumber * 10_000), TakeoverTime: now,
 		LeaseMax: leaseMax, TaskStopMax: taskStopMax,
 		MachineLease: 3 * time.Second,
+		Policy:       o.entryVM.w.policy,
 		Observer:     o,
 	})
 	s := o.scheduler
 	s.Configure(o.entryVM.w.config)
 	s.SetEvacuatedZones(o.entryVM.w.evacuatedZones())
+	for _, p := range slices.Sorted(maps.Keys(t.shares)) {
+		s.AddInheritedShares(now, now, p, t.shares[p])
+	}
 	for _, v := range valuesByKey(t.roster) {
 		s.AddInheritedVM(v)
 	}
@@ -161,7 +165,7 @@
 func (o *owner) execute(c schedule.Command) {
 	w := o.entryVM.w
 	switch c := c.(type) {
-	case schedule.Save, schedule.SaveVM, schedule.DropVM, schedule.SaveWave, schedule.SaveOrder, schedule.DropOrder:
+	case schedule.Save, schedule.SaveVM, schedule.DropVM, schedule.SaveWave, schedule.SaveOrder, schedule.DropOrder, schedule.SaveShares:
 		o.pendingSaves = append(o.pendingSaves, c)
 	case schedule.Start:
 		w.Stats.Starts++
--- a/core/emulator/scenario.go
+++ b/core/emulator/scenario.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"lavenderpond/core/job"
+	"lavenderpond/core/policy"
 )
 
 // Scenario configures a run. Its zero value has no load and no faults.
@@ -46,6 +47,8 @@
 	// ResizingShare is the share of machines whose VMs change their capacity while they
 	// run; half of these VMs start tasks even if they exceed the capacity.
 	ResizingShare float64
+	// Policy says which decisions under scarcity are in force.
+	Policy policy.Policy
 	// Trace, if set, is called with a line for each decision and fault.
 	Trace func(line string)
 }
@@ -137,7 +140,7 @@
 		now: epoch, rng: rand.New(rand.NewPCG(sc.Seed, 1)), vms: map[job.VMID]*vm{}, jobs: map[job.ID]*trackedJob{},
 		evacuated: map[job.ZoneName]time.Time{},
 	}
-	w.trace = sc.Trace
+	w.trace, w.policy = sc.Trace, sc.Policy
 	w.table = newTable(w)
 	w.checker = newChecker(w)
 	w.checker.lateOrderShare = sc.LateOrderShare
--- a/core/emulator/scenario_test.go
+++ b/core/emulator/scenario_test.go
@@ -44,6 +44,7 @@
 	resizingVMsFrom   = 7000
 	reusedIDsFrom     = 8000
 	zoneCutsFrom      = 9000
+	fairSharesFrom    = 10_000
 	seedRange         = 1000
 )
 
@@ -74,6 +75,9 @@
 	case reusedIDsFrom:
 		s.LateOrderShare = 0.05
 		s.Faults = append(emulator.RandomFaults(seed, s.Length, 3), emulator.RandomFaultsOf(emulator.VMsCrashSameID, seed, s.Length, 3)...)
+	case fairSharesFrom:
+		s.JobsPerSecond, s.Quota, s.Policy.FairShares = 5, 40_000, true
+		s.Faults = emulator.RandomFaults(seed, s.Length, 3)
 	case zoneCutsFrom:
 		s.Faults = emulator.RandomFaultsOf(emulator.CutZone, seed, s.Length, 5)
 	}
@@ -154,6 +158,10 @@
 // Guards against late orders that change which tasks run on a VM restarted under the same ID.
 func TestWithLateOrdersToRestartedVMs(t *testing.T) { runSeedRange(t, reusedIDsFrom, 8) }
 
+// Guards against an order by shares that breaks an invariant, such as a quota, or that leaves
+// accepted jobs waiting for ever, while pools are full and owners change.
+func TestWithFairShares(t *testing.T) { runSeedRange(t, fairSharesFrom, 3) }
+
 // Guards against two owners that both start a task while each of them cannot reach some of the
 // VMs.
 func TestWithZonesCutOff(t *testing.T) { runSeedRange(t, zoneCutsFrom, 4) }
--- a/core/emulator/table.go
+++ b/core/emulator/table.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"lavenderpond/core/fairshare"
 	"lavenderpond/core/job"
 	"lavenderpond/core/schedule"
 )
@@ -17,11 +18,12 @@
 	ownerVersion   int64
 	renewal        renewalRow
 	renewalVersion int64
-	// progress, roster, waves and orders are what owners have saved.
+	// progress, roster, waves, orders and shares are what owners have saved.
 	progress map[job.ID]job.Progress
 	roster   map[job.VMID]schedule.RosterVM
 	waves    map[int64][]job.MachineID
 	orders   map[job.MachineID]schedule.MachineOrder
+	shares   map[job.PoolName]fairshare.StoredUsage
 	// submitted and cancelled are in the order of the calls.
 	submitted []submission
 	cancelled []job.ID
@@ -70,7 +72,7 @@
 	return &table{
 		w: w, progress: map[job.ID]job.Progress{}, waves: map[int64][]job.MachineID{},
 		vms: map[job.VMID]job.VMRecord{}, roster: map[job.VMID]schedule.RosterVM{},
-		orders: map[job.MachineID]schedule.MachineOrder{}, disconnected: map[*entryVM]bool{},
+		orders: map[job.MachineID]schedule.MachineOrder{}, shares: map[job.PoolName]fairshare.StoredUsage{}, disconnected: map[*entryVM]bool{},
 	}
 }
 
@@ -124,6 +126,8 @@
 			t.orders[c.Order.Machine] = c.Order
 		case schedule.DropOrder:
 			delete(t.orders, c.Machine)
+		case schedule.SaveShares:
+			t.shares[c.Pool] = c.Usage
 		}
 	}
 	return commitResult{ok: true, version: v, owner: owner, renewal: v}
--- a/core/emulator/world.go
+++ b/core/emulator/world.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"lavenderpond/core/job"
+	"lavenderpond/core/policy"
 )
 
 // World is the state of a running simulation.
@@ -29,6 +30,7 @@
 	machines []*machine
 	jobs     map[job.ID]*trackedJob
 	config   *job.Configuration
+	policy   policy.Policy
 	// evacuated maps the availability zones in which no task may start to the time of
 	// the request.
 	evacuated map[job.ZoneName]time.Time
--- a/core/job/configuration.go
+++ b/core/job/configuration.go
@@ -80,6 +80,8 @@
 	accountNamesByKey map[string]AccountName
 	poolsByName       map[PoolName]*Pool
 	accountsByName    map[AccountName]*Account
+	// meanWeight is the mean weight of the accounts that have one, or 1 if none has.
+	meanWeight float64
 }
 
 // Index builds the lookup tables. It must be called once before any lookup method.
@@ -104,6 +106,21 @@
 			c.accountNamesByKey[k] = a.Name
 		}
 	}
+	c.meanWeight = meanWeight(c.Accounts)
+}
+
+func meanWeight(accounts []Account) float64 {
+	sum, n := 0.0, 0
+	for i := range accounts {
+		if w := accounts[i].Weight; w > 0 {
+			sum += w
+			n++
+		}
+	}
+	if n == 0 {
+		return 1
+	}
+	return sum / float64(n)
 }
 
 // Route returns the queue of the host with the longest prefix of path, or nil if there
@@ -134,3 +151,12 @@
 	a, ok := c.accountNamesByKey[key]
 	return a, ok
 }
+
+// ShareWeight returns the weight by which the account shares a pool that is full. An account
+// without a weight of its own, or without an entry, counts like the mean of the others.
+func (c *Configuration) ShareWeight(n AccountName) float64 {
+	if a := c.accountsByName[n]; a != nil && a.Weight > 0 {
+		return a.Weight
+	}
+	return c.meanWeight
+}
--- a/core/schedule/assign.go
+++ b/core/schedule/assign.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"lavenderpond/core/fairshare"
 	"lavenderpond/core/job"
 )
 
@@ -24,7 +25,11 @@
 	if len(waiting) == 0 {
 		return
 	}
+	var fleet job.Resources
 	for _, v := range s.vms.All() {
+		if s.settings.Policy.FairShares {
+			fleet = fleet.Add(v.capacity)
+		}
 		if q := waiting[v.pool]; q != nil && s.usable(now, v) {
 			q.vms = append(q.vms, v)
 		}
@@ -34,11 +39,10 @@
 		if len(q.vms) == 0 {
 			continue
 		}
-		a := assignment{s: s, now: now, wall: wall, poolQueue: q, index: newVMIndex(q.vms, q.minReservation)}
-		for _, c := range s.candidates(now, q.jobs) {
-			a.startJob(c.job)
-		}
+		a := assignment{s: s, now: now, wall: wall, fleet: fleet, poolQueue: q, index: newVMIndex(q.vms, q.minReservation)}
+		a.startCandidates(p, s.candidates(now, q.jobs))
 	}
+	s.planShareSave(now, wall)
 }
 
 // poolQueue holds the jobs that wait for VMs of a pool, and the usable VMs of that pool.
@@ -75,8 +79,13 @@
 type assignment struct {
 	s         *Scheduler
 	now, wall time.Time
+	// fleet is the capacity of all VMs.
+	fleet job.Resources
 	*poolQueue
 	index vmIndex
+	// division is how the pool is divided among accounts, or nil if shares are not in force or
+	// there is room for all that waits.
+	division *fairshare.Division
 	// vmsByRack holds the VMs of each rack. It is filled on first use.
 	vmsByRack map[job.Label][]*vmState
 }
@@ -87,7 +96,7 @@
 		return
 	}
 	for _, o := range j.occurrences {
-		if !o.due.IsZero() && a.wall.Before(o.due.Add(dueTimeSlack)) {
+		if !o.isDue(a.wall) {
 			return
 		}
 		for i := range o.steps {
@@ -101,6 +110,11 @@
 // dueTimeSlack keeps an occurrence from starting before its due time when the clock is coarse.
 const dueTimeSlack = 20 * time.Millisecond
 
+// isDue reports whether the occurrence may start.
+func (o *occurrence) isDue(wall time.Time) bool {
+	return o.due.IsZero() || !wall.Before(o.due.Add(dueTimeSlack))
+}
+
 // ready reports whether all steps that step i depends on are complete.
 func (o *occurrence) ready(i int) bool {
 	for _, after := range o.steps[i].def.After {
@@ -218,7 +232,7 @@
 	r.setKind(st.def)
 	r.crashSuspect, r.isolated = t.crashes.any(), t.crashes.needsIsolation()
 	s.recordStart(j, t, r)
-	s.addRun(r, st, t)
+	s.addRun(a.now, r, st, t)
 	if j.zone == "" {
 		j.zone = v.zone
 	}
--- a/core/schedule/command.go
+++ b/core/schedule/command.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"lavenderpond/core/fairshare"
 	"lavenderpond/core/job"
 )
 
@@ -105,6 +106,14 @@
 	Machine  job.MachineID
 }
 
+// SaveShares stores what the accounts of a pool have held recently. It is ordered with the
+// other saves.
+type SaveShares struct {
+	Sequence int64
+	Pool     job.PoolName
+	Usage    fairshare.StoredUsage
+}
+
 // MachineOrder names the issuer of a recent order for a machine.
 type MachineOrder struct {
 	Machine job.MachineID `json:"machine"`
@@ -130,6 +139,7 @@
 func (SaveWave) command()        {}
 func (SaveOrder) command()       {}
 func (DropOrder) command()       {}
+func (SaveShares) command()      {}
 func (DeleteJob) command()       {}
 func (RequestApproval) command() {}
 func (Move) command()            {}
@@ -151,6 +161,8 @@
 		return c.Sequence, true
 	case DropOrder:
 		return c.Sequence, true
+	case SaveShares:
+		return c.Sequence, true
 	}
 	return 0, false
 }
@@ -210,6 +222,19 @@
 	// Slack is the time left until the job's objective, minus the time that the job is
 	// predicted to need.
 	Slack time.Duration
+	// Share is set for decisions about an account's share.
+	Share *ShareFacts
+}
+
+// ShareFacts are the facts behind a decision about an account's share of a pool. Fractions are
+// those of the pool's capacity.
+type ShareFacts struct {
+	Account job.AccountName
+	Pool    job.PoolName
+	// Share is what the account may hold, and Usage what it holds or has held recently.
+	Share, Usage float64
+	// Waiting is the room that the account waits for.
+	Waiting job.Resources
 }
 
 // DecisionKind names a kind of decision.
@@ -219,6 +244,8 @@
 const (
 	JobAdopted        DecisionKind = "job_adopted"
 	JobBeyondShare    DecisionKind = "job_beyond_share"
+	AccountAboveShare DecisionKind = "account_above_share"
+	AccountWithin     DecisionKind = "account_within_share"
 	JobPlaced         DecisionKind = "job_placed"
 	JobEnded          DecisionKind = "job_ended"
 	JobCancelled      DecisionKind = "job_cancelled"
--- /dev/null
+++ b/core/schedule/fairreport.go
@@ -0,0 +1,175 @@
+package schedule
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"lavenderpond/core/fairshare"
+	"lavenderpond/core/job"
+)
+
+// fullPool is a pool in which work has waited for room recently.
+type fullPool struct {
+	division *fairshare.Division
+	// dividedAt is when the pool was last divided, and savedAt when its usage was last stored.
+	dividedAt, savedAt time.Time
+	// above holds the accounts that were last reported as above their shares, with the time of
+	// the report.
+	above map[job.AccountName]time.Time
+}
+
+const (
+	// standingReportInterval is how long an account stays reported as above its share, so that
+	// one that is close to its share isn't reported in each round.
+	standingReportInterval = time.Second
+	// fullRetention is how long a pool counts as full after its last division.
+	fullRetention = time.Second
+	// shareSaveInterval is the least time between two saves of the usage in one pool, and
+	// shareSaveSpacing between those in any two pools. They bound what is stored when all pools
+	// are full.
+	shareSaveInterval = time.Second
+	shareSaveSpacing  = 100 * time.Millisecond
+	// shareReportInterval is how often the report of all full pools is updated.
+	shareReportInterval = 500 * time.Millisecond
+)
+
+// recordDivision records the present division of a pool.
+func (f *fairness) recordDivision(now time.Time, p job.PoolName, d *fairshare.Division) {
+	x := f.full[p]
+	if x == nil {
+		if f.full == nil {
+			f.full = map[job.PoolName]*fullPool{}
+		}
+		x = &fullPool{above: map[job.AccountName]time.Time{}}
+		f.full[p] = x
+	}
+	x.division, x.dividedAt = d, now
+}
+
+// reportStandings reports the accounts of a pool that have got above their shares while others
+// wait below theirs, and those that are no longer above.
+func (s *Scheduler) reportStandings(now time.Time, p job.PoolName) {
+	f := s.fairness.full[p]
+	contended := f.division.AnyWaitsBelow()
+	for _, x := range f.division.Standings() {
+		since, reported := f.above[x.Account]
+		switch above := x.Above(); {
+		case above && contended && !reported:
+			f.above[x.Account] = now
+			s.reportStanding(now, AccountAboveShare, p, x)
+		case !above && reported && now.Sub(since) >= standingReportInterval:
+			delete(f.above, x.Account)
+			s.reportStanding(now, AccountWithin, p, x)
+		}
+	}
+}
+
+// reportStanding reports an account's standing. The age is that of usage that a former owner
+// stored, for as long as it matters.
+func (s *Scheduler) reportStanding(now time.Time, kind DecisionKind, p job.PoolName, x *fairshare.Standing) {
+	age := s.fairness.inheritedAge
+	if sinceTakeover := now.Sub(s.settings.TakeoverTime); sinceTakeover > 2*fairshare.Window || age == 0 {
+		age = 0
+	} else {
+		age += sinceTakeover
+	}
+	s.reportDecision(Decision{Kind: kind, Age: age, Share: &ShareFacts{
+		Account: x.Account, Pool: p, Share: x.Share.Fraction, Usage: x.Usage(), Waiting: x.Waiting,
+	}})
+}
+
+// planShareSave chooses the pool whose usage is stored next: the one that was stored longest ago
+// among those that are full and have changed.
+func (s *Scheduler) planShareSave(now, wall time.Time) {
+	f := &s.fairness
+	if len(f.full) == 0 || now.Before(f.nextSave) {
+		return
+	}
+	f.nextSave = now.Add(shareSaveSpacing)
+	s.pruneShares(now)
+	var chosen job.PoolName
+	for _, p := range slices.Sorted(maps.Keys(f.full)) {
+		x := f.full[p]
+		due := now.Sub(x.savedAt) >= shareSaveInterval && f.ledger.Changed(now, p)
+		if due && (chosen == "" || x.savedAt.Before(f.full[chosen].savedAt)) {
+			chosen = p
+		}
+	}
+	if chosen != "" {
+		f.full[chosen].savedAt = now
+		f.dirty = slices.DeleteFunc(f.dirty, func(c SaveShares) bool { return c.Pool == chosen })
+		f.dirty = append(f.dirty, SaveShares{Pool: chosen, Usage: f.ledger.Save(now, wall, chosen)})
+	}
+}
+
+// pruneShares forgets pools that are no longer full and usage that has decayed.
+func (s *Scheduler) pruneShares(now time.Time) {
+	f := &s.fairness
+	if now.Before(f.nextPrune) {
+		return
+	}
+	f.nextPrune = now.Add(fairshare.Window)
+	maps.DeleteFunc(f.full, func(_ job.PoolName, x *fullPool) bool { return now.Sub(x.dividedAt) > fairshare.Window })
+	f.ledger.Prune(now, func(p job.PoolName) bool { return f.full[p] != nil })
+}
+
+// flushShares issues the planned saves of usage. They go along with saves that are made anyway.
+func (s *Scheduler) flushShares() {
+	for _, c := range s.fairness.dirty {
+		c.Sequence = s.saveSequence
+		s.emit(c)
+	}
+	s.fairness.dirty = nil
+}
+
+// AddInheritedShares adds what the accounts of a pool held under a former owner.
+func (s *Scheduler) AddInheritedShares(now, wall time.Time, p job.PoolName, u fairshare.StoredUsage) {
+	if s.settings.Policy.FairShares {
+		age := s.fairness.ledger.Restore(now, wall, p, u)
+		s.fairness.inheritedAge = max(s.fairness.inheritedAge, min(age, 2*fairshare.Window))
+	}
+}
+
+// PoolShares describes a pool that is full.
+type PoolShares struct {
+	Pool     job.PoolName    `json:"pool"`
+	Accounts []AccountShares `json:"accounts"`
+}
+
+// AccountShares is the standing of an account in a pool that is full. Share and Usage are
+// fractions of the pool's capacity.
+type AccountShares struct {
+	Account job.AccountName `json:"account"`
+	Weight  float64         `json:"weight"`
+	Share   float64         `json:"share"`
+	Usage   float64         `json:"usage"`
+	Held    job.Resources   `json:"held"`
+	Waiting job.Resources   `json:"waiting"`
+	Above   bool            `json:"above,omitempty"`
+}
+
+// FullPools returns the standing of the accounts in each pool that is full. The result may be up
+// to shareReportInterval old and must not be modified.
+func (s *Scheduler) FullPools(now time.Time) []PoolShares {
+	f := &s.fairness
+	if now.Before(f.reportExpires) {
+		return f.report
+	}
+	f.reportExpires = now.Add(shareReportInterval)
+	f.report = nil
+	for _, p := range slices.Sorted(maps.Keys(f.full)) {
+		x := f.full[p]
+		if now.Sub(x.dividedAt) > fullRetention {
+			continue
+		}
+		out := PoolShares{Pool: p}
+		for _, a := range x.division.Standings() {
+			out.Accounts = append(out.Accounts, AccountShares{
+				Account: a.Account, Weight: a.Weight, Share: a.Share.Fraction, Usage: a.Usage(), Held: a.Held(), Waiting: a.Waiting, Above: a.Above(),
+			})
+		}
+		f.report = append(f.report, out)
+	}
+	return f.report
+}
--- a/core/schedule/recorded.go
+++ b/core/schedule/recorded.go
@@ -95,7 +95,7 @@
 		case x.LeaseExpired:
 			s.addExpiredRun(now, r)
 		default:
-			s.addRun(r, st, t)
+			s.addRun(now, r, st, t)
 		}
 	}
 }
--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -244,7 +244,7 @@
 		r.setKind(st.def)
 	}
 	wanted := j != nil && !j.over() && !t.done && (t.activeRun() == nil || st.def.Speculative)
-	s.addRun(r, st, t)
+	s.addRun(now, r, st, t)
 	s.reportDecision(Decision{Kind: TaskAdopted, Job: e.Task.Job, Task: e.Task, Attempt: e.Attempt, VM: v.id})
 	if !wanted {
 		s.stopRun(now, r, "no longer wanted")
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -65,11 +65,12 @@
 
 // addRun books a run on its VM, its account, and its step and task, which are nil if
 // unknown.
-func (s *Scheduler) addRun(r *run, st *stepState, t *taskState) {
+func (s *Scheduler) addRun(now time.Time, r *run, st *stepState, t *taskState) {
 	r.vm.runs.Set(runKey{r.task, r.attempt}, r)
 	r.vm.used = r.vm.used.Add(r.reservation)
 	r.vm.adjustKindCounts(r, 1)
 	s.usage[r.account] = s.usage[r.account].Add(r.quotaUsage)
+	s.chargeShare(now, r)
 	if t != nil {
 		t.runs = append(t.runs, r)
 		st.recount()
@@ -116,6 +117,7 @@
 	}
 	r.vm.idleSince = now
 	s.usage[r.account] = s.usage[r.account].Sub(r.quotaUsage)
+	s.creditShare(now, r)
 	j, _, st, t := s.task(r.task)
 	if t == nil {
 		return
--- a/core/schedule/save.go
+++ b/core/schedule/save.go
@@ -38,6 +38,7 @@
 		return
 	}
 	s.saveSequence++
+	s.flushShares()
 	s.flushVMs()
 	s.flushOrders()
 	for _, w := range s.dirtyWaves {
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -95,6 +95,7 @@
 	evacuatedZones zoneSet
 	pools          map[job.PoolName]*poolStats
 	shares         shares
+	fairness       fairness
 	nextSizing     time.Time
 	// anyUnreported is set while a VM on which a former owner's tasks may still run has not
 	// reported to this owner.
--- a/core/schedule/state.go
+++ b/core/schedule/state.go
@@ -35,6 +35,9 @@
 	// CPU, which isn't reserved.
 	account    job.AccountName
 	quotaUsage job.Resources
+	// sharePool is the pool in which the reservation counts as room that the account holds, or
+	// empty if it doesn't count.
+	sharePool job.PoolName
 	// startBy is the start's deadline on the VM's clock.
 	startBy job.VMClock
 	// confirmedClock is the VM's clock reading when it last reported the run.
