--- a/io/node/dump.go
+++ b/io/node/dump.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lavenderpond/core/job"
+	"lavenderpond/core/schedule"
 	"lavenderpond/platform"
 )
 
@@ -31,7 +32,9 @@
 	MayStartTasks    bool                  `json:"may_start"`
 	MayOrderMachines bool                  `json:"may_order"`
 	Backlog          map[job.QueueName]int `json:"waiting"`
-	Relays           map[string][]string   `json:"relays"`
+	// FullPools are the pools in which work waits for room, with the accounts' shares.
+	FullPools []schedule.PoolShares `json:"full_pools,omitempty"`
+	Relays    map[string][]string   `json:"relays"`
 }
 
 func (n *Node) dump(now time.Time) processDump {
@@ -49,10 +52,14 @@
 }
 
 func (o *owner) dump(now time.Time) *ownerDump {
-	return &ownerDump{
+	out := &ownerDump{
 		Fence: o.tenure.fence, TenureNumber: o.tenure.number, MayStartTasks: o.mayStartTasks(now), MayOrderMachines: o.tenure.mayOrderMachines(now),
 		Backlog: o.backlog.get(), Relays: o.relays.addresses(),
 	}
+	if pools := o.fullPools.Load(); pools != nil {
+		out.FullPools = *pools
+	}
+	return out
 }
 
 func (n *Node) serveDump(w http.ResponseWriter, _ *http.Request) {
--- a/io/node/load.go
+++ b/io/node/load.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"lavenderpond/core/fairshare"
 	"lavenderpond/core/job"
 	"lavenderpond/core/schedule"
 	"lavenderpond/io/supervisor"
@@ -24,7 +25,7 @@
 
 // storedState is the state that former owners left in the table.
 type storedState struct {
-	jobs, progress, waves, vms, orders []platform.Row
+	jobs, progress, waves, vms, orders, shares []platform.Row
 	// jobFeedVersion is the version from which the feed of jobs continues.
 	jobFeedVersion platform.Version
 }
@@ -49,7 +50,7 @@
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	var state storedState
-	var errs [4]error
+	var errs [5]error
 	var g supervisor.Group
 	read := func(err *error, rows *[]platform.Row, table string) {
 		g.Go(func() { *rows, _, *err = o.node.table.ListAll(ctx, table, mainPartition) })
@@ -57,7 +58,10 @@
 	read(&errs[0], &state.waves, waveTable)
 	read(&errs[1], &state.vms, vmTable)
 	read(&errs[2], &state.orders, machineOrderTable)
-	state.jobs, state.jobFeedVersion, errs[3] = o.loadJobs(ctx)
+	if o.node.policy.FairShares {
+		read(&errs[3], &state.shares, shareTable)
+	}
+	state.jobs, state.jobFeedVersion, errs[4] = o.loadJobs(ctx)
 	g.Wait()
 	for _, err := range errs {
 		if err != nil {
@@ -109,6 +113,10 @@
 		o.maintainedByWave[key] = w.Done
 	}
 	o.reconfigure(now)
+	shares := decodeRows[fairshare.StoredUsage](state.shares, o.log)
+	for _, pool := range slices.Sorted(maps.Keys(shares)) {
+		o.scheduler.AddInheritedShares(now, time.Now(), job.PoolName(pool), shares[pool])
+	}
 	vms := decodeRows[schedule.RosterVM](state.vms, o.log)
 	for _, id := range slices.Sorted(maps.Keys(vms)) {
 		o.scheduler.AddInheritedVM(vms[id])
--- a/io/node/owner.go
+++ b/io/node/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -39,6 +40,8 @@
 	workers        supervisor.Workers
 	jobFeedVersion platform.Version
 	backlog        backlogCount
+	// fullPools are the pools in which work waits for room, for the dump.
+	fullPools atomic.Pointer[[]schedule.PoolShares]
 	// viewChangeCount is the change count of the operators' view that the scheduler has seen.
 	viewChangeCount uint64
 	// maintainedByWave holds the machines that former owners saw return from
@@ -172,6 +175,9 @@
 	o.scheduler.Tick(now)
 	o.scheduler.Assign(now, time.Now())
 	o.backlog.set(o.scheduler.Backlog(now))
+	if pools := o.scheduler.FullPools(now); pools != nil || o.fullPools.Load() != nil {
+		o.fullPools.Store(&pools)
+	}
 	o.execute(ctx, o.scheduler.TakeCommands())
 }
 
--- a/io/node/rowchange.go
+++ b/io/node/rowchange.go
@@ -28,6 +28,8 @@
 		return rowChange{machineOrderKey(c.Order.Machine), c.Order}
 	case schedule.DropOrder:
 		return rowChange{machineOrderKey(c.Machine), nil}
+	case schedule.SaveShares:
+		return rowChange{shareKey(c.Pool), c.Usage}
 	}
 	panic("command is not a save")
 }
--- a/io/node/rows.go
+++ b/io/node/rows.go
@@ -30,6 +30,7 @@
 	waveTable         = "lavenderpond_wave"
 	vmTable           = "lavenderpond_vm"
 	machineOrderTable = "lavenderpond_machine"
+	shareTable        = "lavenderpond_share"
 
 	ownerKeyName   = "owner"
 	renewalKeyName = "renewal"
@@ -76,6 +77,11 @@
 	return platform.RowKey{Table: machineOrderTable, Partition: mainPartition, Key: string(id)}
 }
 
+// shareKey returns the key of the row of what accounts have held in a pool.
+func shareKey(p job.PoolName) platform.RowKey {
+	return platform.RowKey{Table: shareTable, Partition: mainPartition, Key: string(p)}
+}
+
 func progressKey(id job.ID) platform.RowKey {
 	return platform.RowKey{Table: progressTable, Partition: mainPartition, Key: string(id)}
 }
