--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -18,8 +18,7 @@
 	// rankLate: the job can only complete after its objective but before its late limit, when
 	// its result is worth only a fraction of its value.
 	rankLate
-	// rankBeyondShare: the job's account has submitted more than its share, and no usage is
-	// known by which accounts could be compared (see fairness.go).
+	// rankBeyondShare: the job's account has submitted more than its share.
 	rankBeyondShare
 	// rankTooLate: the job can only complete after its late limit. Nobody waits for it any
 	// more, but it was accepted and still has to run.
@@ -107,7 +106,7 @@
 	default:
 		c.rank = rankTooLate
 	}
-	if j.beyondShare && !s.settings.Policy.FairShares {
+	if j.beyondShare {
 		c.rank = max(c.rank, rankBeyondShare)
 	}
 	return c
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -209,7 +209,7 @@
 	}
 	st.objective, st.lateLimit = s.predictObjective(st)
 	if !st.longRunning && !inherited {
-		st.beyondShare = s.config != nil && s.shares.exceeds(now, s.config.Account(j.Terms.Account))
+		st.beyondShare = s.config != nil && !s.settings.Policy.FairShares && s.shares.exceeds(now, s.config.Account(j.Terms.Account))
 		remaining, total := s.predictWork(st)
 		s.poolStats(s.pool(st)).addArrival(now, remaining)
 		s.queueStats(j.Terms.Queue).addJob(total)
--- a/core/schedule/share.go
+++ b/core/schedule/share.go
@@ -13,7 +13,7 @@
 // shares tracks which jobs exceed their accounts' shares. Such jobs come last when
 // capacity is short, and run like any other job otherwise. Without this, an account that
 // sends many times its usual load would make the jobs of all other accounts late, because
-// its own jobs arrive first.
+// its own jobs arrive first. With fair shares of room (fairness.go) no job is marked.
 type shares map[job.AccountName]*tokenBucket
 
 // tokenBucket holds one token for each job that an account may still submit within its share.
