--- a/core/emulator/owner.go
+++ b/core/emulator/owner.go
@@ -64,6 +64,9 @@
 	s := o.scheduler
 	s.Configure(o.entryVM.w.config)
 	s.SetEvacuatedZones(o.entryVM.w.evacuatedZones())
+	for _, p := range slices.Sorted(maps.Keys(t.shares)) {
+		s.AddInheritedShares(now, now, p, t.shares[p])
+	}
 	for _, v := range valuesByKey(t.roster) {
 		s.AddInheritedVM(v)
 	}
@@ -162,7 +165,7 @@
 func (o *owner) execute(c schedule.Command) {
 	w := o.entryVM.w
 	switch c := c.(type) {
-	case schedule.Save, schedule.SaveVM, schedule.DropVM, schedule.SaveWave, schedule.SaveOrder, schedule.DropOrder:
+	case schedule.Save, schedule.SaveVM, schedule.DropVM, schedule.SaveWave, schedule.SaveOrder, schedule.DropOrder, schedule.SaveShares:
 		o.pendingSaves = append(o.pendingSaves, c)
 	case schedule.Start:
 		w.Stats.Starts++
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -98,6 +98,7 @@
 	evacuatedZones zoneSet
 	pools          map[job.PoolName]*poolStats
 	shares         shares
+	fairness       fairness
 	nextSizing     time.Time
 	// anyUnreported is set while a VM on which a former owner's tasks may still run has not
 	// reported to this owner.
@@ -220,7 +221,7 @@
 	}
 	st.objective, st.lateLimit = s.predictObjective(st)
 	if !st.longRunning && !inherited {
-		st.beyondShare = s.config != nil && s.shares.exceeds(now, s.config.Account(j.Terms.Account))
+		st.beyondShare = s.config != nil && !s.settings.Policy.FairShares && s.shares.exceeds(now, s.config.Account(j.Terms.Account))
 		remaining, total := s.predictWork(st)
 		s.poolStats(s.pool(st)).addArrival(now, remaining)
 		if !st.beyondShare {
--- a/io/node/dump.go
+++ b/io/node/dump.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lavenderpond/core/job"
+	"lavenderpond/core/schedule"
 	"lavenderpond/platform"
 )
 
@@ -39,8 +40,10 @@
 	MayOrderMachines bool                  `json:"may_order"`
 	Backlog          map[job.QueueName]int `json:"waiting"`
 	// Status is missing until the owner's loop has taken it.
-	Status *statusDump         `json:"status,omitempty"`
-	Relays map[string][]string `json:"relays"`
+	Status *statusDump `json:"status,omitempty"`
+	// FullPools are the pools in which work waits for room, with the accounts' shares.
+	FullPools []schedule.PoolShares `json:"full_pools,omitempty"`
+	Relays    map[string][]string   `json:"relays"`
 }
 
 func (n *Node) dump(now time.Time) processDump {
@@ -60,10 +63,14 @@
 }
 
 func (o *owner) dump(now time.Time) *ownerDump {
-	return &ownerDump{
+	out := &ownerDump{
 		Fence: o.tenure.fence, TenureNumber: o.tenure.number, MayStartTasks: o.mayStartTasks(now), MayOrderMachines: o.tenure.mayOrderMachines(now),
 		Backlog: o.backlog.get(), Status: dumpStatus(now, o.status.latest.Load()), Relays: o.relays.addresses(),
 	}
+	if pools := o.fullPools.Load(); pools != nil {
+		out.FullPools = *pools
+	}
+	return out
 }
 
 func (n *Node) serveDump(w http.ResponseWriter, _ *http.Request) {
--- a/io/node/owner.go
+++ b/io/node/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -47,6 +48,8 @@
 	refusals refusalRecords
 	// lastJobVersion is the newest version of a job's row that the scheduler knows.
 	lastJobVersion platform.Version
+	// fullPools are the pools in which work waits for room, for the dump.
+	fullPools atomic.Pointer[[]schedule.PoolShares]
 	// viewChangeCount is the change count of the operators' view that the scheduler has seen.
 	viewChangeCount uint64
 	// maintainedByWave holds the machines that former owners saw return from
@@ -204,6 +207,9 @@
 	o.publishStatus(now)
 	o.publishOutlook(now)
 	o.forgetRefusals(ctx, now)
+	if pools := o.scheduler.FullPools(now); pools != nil || o.fullPools.Load() != nil {
+		o.fullPools.Store(&pools)
+	}
 	o.execute(ctx, o.scheduler.TakeCommands())
 }
 
