Send a second start of a task only if its step allows two runs

Cause: with second runs switched on, a start that waited until it was stored was sent although a VM had meanwhile reported a run of a former owner, also where the step allows one run only.

Change: sendStart asks the step, as the choice of runs at risk does.

Result: TestPlannedStartIsDroppedIfAnotherRunIsFound failed before and passes.

--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -25,7 +25,8 @@
 		return
 	}
 	j, _, st, t := s.task(r.task)
-	if t == nil || j.over() || !s.rights.StartTasks || (len(t.runs) > 1 && !s.maySecondRun()) || s.mayHaveEnded(t) || !v.acceptsTasks() || v.overbooked() || !s.capacityKnown(now, v) {
+	if t == nil || j.over() || !s.rights.StartTasks || s.mayHaveEnded(t) || !v.acceptsTasks() || v.overbooked() || !s.capacityKnown(now, v) ||
+		(len(t.runs) > 1 && !s.maySecondRun(st.def)) {
 		s.release(now, r)
 		s.stopGang(now, r)
 		return
--- a/core/schedule/secondrun.go
+++ b/core/schedule/secondrun.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"lavenderpond/core/job"
 	"lavenderpond/core/policy"
 )
 
@@ -20,15 +21,20 @@
 	reason string
 }
 
-// maySecondRun reports whether second runs may start. Only an owner that has recently confirmed
+// maySecondRuns reports whether second runs may start. Only an owner that has recently confirmed
 // its ownership is sure that no other one knows of the first run's end.
-func (s *Scheduler) maySecondRun() bool {
+func (s *Scheduler) maySecondRuns() bool {
 	return s.settings.Policy.SecondRuns && s.rights.OrderMachines
 }
 
+// maySecondRun reports whether a second run of a task of the step may start.
+func (s *Scheduler) maySecondRun(st *job.Step) bool {
+	return s.maySecondRuns() && st.Speculative && !st.Gang && !st.LongRunning
+}
+
 // enqueueRunsAtRisk adds the runs at risk to the queues of their pools.
 func (s *Scheduler) enqueueRunsAtRisk(now, wall time.Time, waiting poolQueues) {
-	if !s.maySecondRun() {
+	if !s.maySecondRuns() {
 		return
 	}
 	for _, v := range s.vms.All() {
@@ -50,7 +56,7 @@
 // one. A task has two runs at most.
 func (s *Scheduler) atRisk(now time.Time, r *run) (runAtRisk, bool) {
 	j, _, st, t := s.task(r.task)
-	if t == nil || !st.def.Speculative || st.def.Gang || st.def.LongRunning || j.over() || t.done || len(t.runs) > 1 {
+	if t == nil || !s.maySecondRun(st.def) || j.over() || t.done || len(t.runs) > 1 {
 		return runAtRisk{}, false
 	}
 	// A task under which a VM has crashed, or may have, is started once at a time.
--- a/core/schedule/secondrun_test.go
+++ b/core/schedule/secondrun_test.go
@@ -98,3 +98,18 @@
 	task.crashes.attempts = []job.Attempt{1}
 	assert.Equal(t, len(commandsOfType[Start](h.silenceVM(first.VM))), 0)
 }
+
+// Guards against a second run of a task whose step doesn't allow one: a VM reports a run of a
+// former owner while the owner's own start waits until it is stored.
+func TestPlannedStartIsDroppedIfAnotherRunIsFound(t *testing.T) {
+	h := newHarness(t)
+	h.s.settings.Policy.SecondRuns = true
+	h.addReadyVMs("one", "two")
+	h.addJob("j", "free", smallStep)
+	h.s.Assign(h.now, h.now)
+	planned := h.s.plannedStarts
+	assert.Equal(t, len(planned), 1)
+	other := map[job.VMID]string{"one": "two", "two": "one"}[planned[0].vm.id]
+	h.answerHold(other, []job.RunningTask{{Task: planned[0].task, Attempt: 3, Percent: 10}})
+	assert.Equal(t, len(commandsOfType[Start](h.advance(10*time.Millisecond))), 0)
+}
