Stop runs that stand still also without a forecast

Cause: a run that stood still was stopped only while its task had stops as slow left, or in a queue with a heavy tail whose VM was found at fault. Else it stayed for good: after two such stops, when it was taken for a long task, and when nothing was known of the queue's run times.

If nothing is known, the usual run time is the one that the owner predicts for the task.

Result: TestStalledTaskMovesAfterItsStopsAreSpent, TestLongTaskThatStandsStillMoves and TestStalledTaskOfUnknownQueueMoves failed before and pass.

--- a/core/schedule/attribution.go
+++ b/core/schedule/attribution.go
@@ -20,11 +20,6 @@
 	// matureFactor is how many usual run times a queue must have been observed for before its
 	// usual run time is learned from: in the beginning only short runs have ended.
 	matureFactor = 4
-	// stallFactor is how many usual run times a run must stand still before it is stopped as
-	// stalled. The period doubles with each such stop of its task, at most maxStallDoublings
-	// times.
-	stallFactor       = 2
-	maxStallDoublings = 5
 	// minUsualRuns is how many other runs on the VM must progress as usual for a run to be
 	// counted in the statistics of long runs.
 	minUsualRuns = 2
@@ -38,12 +33,8 @@
 	wasUsual bool
 }
 
-// recordPace records a comparison by the given factor, since which the run has progressed by
-// some percentage points.
-func (r *run) recordPace(now time.Time, progressed int, slow bool, factor float64) {
-	if progressed > 0 || r.movedAt.IsZero() {
-		r.movedAt = now
-	}
+// recordPace records a comparison by the given factor.
+func (r *run) recordPace(now time.Time, slow bool, factor float64) {
 	r.pace.at, r.pace.slow = now, slow
 	// The factor for runs without siblings is too wide to tell a long task from others.
 	if !slow && factor == slowFactor {
@@ -76,6 +67,7 @@
 	}
 	for i, x := range slow {
 		s.judgeSlowRun(now, x, evidence[i])
+		s.stopStalled(now, x.run, x.step, x.state, x.usual)
 	}
 }
 
@@ -84,20 +76,14 @@
 func (s *Scheduler) judgeSlowRun(now time.Time, x slowRun, e straggler.Evidence) {
 	f := s.queueForecast(x.job.Terms.Queue)
 	s.learnLongTask(now, f, x, e)
-	q := s.queueStats(x.job.Terms.Queue)
-	q.hadHeavyTail = q.hadHeavyTail || f.LongRuns().Heavy || f.LargeSteps().Heavy
 	if !x.tail(f).Heavy {
 		s.handleSlowVM(now, x)
-		if q.hadHeavyTail {
-			s.stopStalled(now, x)
-		}
 		return
 	}
 	p := e.VMFault()
 	if p >= straggler.FaultProbability {
 		x.state.long = false
 		s.handleSlowVM(now, x)
-		s.stopStalled(now, x)
 		return
 	}
 	if !x.state.long {
@@ -118,17 +104,6 @@
 	}
 }
 
-// stopStalled stops a run that stands still after the stops of its task are used up, which may
-// have been spent on a long run. Otherwise it would stay for good.
-func (s *Scheduler) stopStalled(now time.Time, x slowRun) {
-	patience := stallFactor * x.usual << min(x.state.stallStops, maxStallDoublings)
-	if x.stopping || x.progressed > 0 || x.state.slowStops < maxSlowStops || x.step.def.Gang || now.Before(x.movedAt.Add(patience)) {
-		return
-	}
-	x.state.stallStops++
-	s.stopRun(now, x.run, "stalled")
-}
-
 // projected returns the total time that the run would take at its present pace.
 func (x slowRun) projected() time.Duration {
 	return time.Duration(float64(x.span) * 100 / float64(max(x.progressed, 1)))
--- a/core/schedule/attribution_test.go
+++ b/core/schedule/attribution_test.go
@@ -93,6 +93,22 @@
 	assert.Equal(t, onlyCommand[Stop](h, h.advance(time.Millisecond)).Task, step[0].Order.Task)
 }
 
+// Guards against a run that is taken for a long one and then stands still for good: its stops as
+// slow are spent, and runs of its length are known.
+func TestLongTaskThatStandsStillMoves(t *testing.T) {
+	h, step, _ := startBesideOthers(t)
+	_, _, _, task := h.s.task(step[0].Order.Task)
+	task.slowStops, task.long = maxSlowStops, true
+	for range 100 {
+		h.s.addSample(h.now, &h.s.queueForecast("q").Ratios, 200)
+	}
+	for _, c := range step[1:] {
+		h.answerHold(string(c.VM), nil, job.End{Number: 1, Task: c.Order.Task, Attempt: c.Order.Attempt, How: job.EndedDone})
+	}
+	again := h.waitForRestart(step[0], 10*time.Second)
+	assert.Assert(t, again.VM != step[0].VM)
+}
+
 // Guards against giving up a job as late because one of its tasks is long: its caller's
 // objective allows for the time that the task takes on a healthy VM.
 func TestObjectiveAllowsForLongTask(t *testing.T) {
--- a/core/schedule/objective.go
+++ b/core/schedule/objective.go
@@ -13,8 +13,6 @@
 	// meanLogRunTime is the running mean of the logarithm of run times in seconds.
 	meanLogRunTime float64
 	runs           int
-	// hadHeavyTail is set once the run times were found to have a heavy tail.
-	hadHeavyTail bool
 	// firstRunAt is when the first run ended, if the policy asks for forecasts.
 	firstRunAt time.Time
 	// stragglerRatio is the running mean, over steps samples, of the run time of the longest
--- a/core/schedule/placement.go
+++ b/core/schedule/placement.go
@@ -12,7 +12,7 @@
 
 // Costs of placing a task on a VM. Each outweighs all those below it.
 const (
-	// costFailedHere applies to the VM where the last run of the task failed.
+	// costFailedHere applies to the VM where the last run of the task failed or stood still.
 	costFailedHere = 1000.0
 	// costSuspect applies to each run on the VM of another task under which VMs have crashed.
 	costSuspect   = 500.0
--- a/core/schedule/slow.go
+++ b/core/schedule/slow.go
@@ -52,14 +52,19 @@
 	}
 	progressed := r.percent - r.progressPercent
 	r.progressAt, r.progressPercent = now, r.percent
+	r.recordMove(now, progressed)
+	if r.percent >= 100 {
+		return
+	}
 	usual, factor := s.usualRunTime(j, st, r)
-	// The run would have progressed this far if it took factor times the usual run time.
-	minProgress := 100 * span.Seconds() / (usual.Seconds() * factor)
-	if usual <= 0 || r.percent >= 100 {
+	if usual <= 0 {
+		s.stopStalled(now, r, st, t, s.predictRunTime(j, st.def))
 		return
 	}
+	// The run would have progressed this far if it took factor times the usual run time.
+	minProgress := 100 * span.Seconds() / (usual.Seconds() * factor)
 	slow := float64(progressed) < minProgress
-	r.recordPace(now, progressed, slow, factor)
+	r.recordPace(now, slow, factor)
 	if !slow {
 		return
 	}
@@ -73,6 +78,7 @@
 		return
 	}
 	s.handleSlowVM(now, x)
+	s.stopStalled(now, x.run, x.step, x.state, x.usual)
 }
 
 // slowRun is a run that has progressed by a number of percentage points within span, much less
--- a/core/schedule/slow_test.go
+++ b/core/schedule/slow_test.go
@@ -111,3 +111,49 @@
 		assert.Equal(t, len(commandsOfType[Stop](h.advance(400*time.Millisecond))), 0)
 	}
 }
+
+// Guards against a task that never ends: both its stops as slow are spent, and its run on a third
+// VM stands still. With and without a forecast it must be stopped, and start on another VM.
+func TestStalledTaskMovesAfterItsStopsAreSpent(t *testing.T) {
+	for _, forecast := range []bool{false, true} {
+		h, starts := startFourTasks(t)
+		h.s.settings.Policy.RunTimeForecast = forecast
+		stalled := starts[0]
+		_, _, _, task := h.s.task(stalled.Order.Task)
+		task.slowStops = maxSlowStops
+		h.advance(500 * time.Millisecond)
+		for _, c := range starts[1:] {
+			h.answerHold(string(c.VM), nil, job.End{Number: 1, Task: c.Order.Task, Attempt: c.Order.Attempt, How: job.EndedDone})
+		}
+		again := h.waitForRestart(stalled, 10*time.Second)
+		assert.Assert(t, again.VM != stalled.VM)
+	}
+}
+
+// waitForRestart lets a VM report a run that stands still at 40% until the run is stopped and its
+// task starts again.
+func (h *harness) waitForRestart(stalled Start, within time.Duration) Start {
+	h.t.Helper()
+	for end := h.now.Add(within); h.now.Before(end); {
+		h.answerHold(string(stalled.VM), []job.RunningTask{runningTask(stalled, 40)})
+		if len(commandsOfType[Stop](h.advance(500*time.Millisecond))) == 0 {
+			continue
+		}
+		h.answerHold(string(stalled.VM), nil, job.End{Number: 1, Task: stalled.Order.Task, Attempt: stalled.Order.Attempt, How: job.EndedStopped})
+		return onlyCommand[Start](h, h.advance(time.Millisecond))
+	}
+	h.t.Fatalf("the run isn't stopped within %s", within)
+	return Start{}
+}
+
+// Guards against a task that never ends because it stands still and nothing is known of the
+// queue's run times.
+func TestStalledTaskOfUnknownQueueMoves(t *testing.T) {
+	h := newHarness(t)
+	h.addReadyVMs("one", "two")
+	h.addJob("j", "free", smallStep)
+	stalled := onlyCommand[Start](h, h.advance(10*time.Millisecond))
+	h.confirm(stalled)
+	again := h.waitForRestart(stalled, 10*time.Second)
+	assert.Assert(t, again.VM != stalled.VM)
+}
--- a/core/schedule/state.go
+++ b/core/schedule/state.go
@@ -110,13 +110,13 @@
 	checkpoint     job.Checkpoint
 	// notBefore delays the next start after a failure.
 	notBefore time.Time
-	// avoidVM is the VM on which the last run failed.
+	// avoidVM is the VM on which the last run failed or stood still.
 	avoidVM job.VMID
 	// unavailableSince is when a long-running task's run ended. It is zero before the first
 	// run has ended, and again once the task is available.
 	unavailableSince time.Time
 	// slowStops counts the runs that were stopped as slow, and stallStops those that were
-	// stopped as stalled after that.
+	// stopped as stalled.
 	slowStops, stallStops int
 	// long is set once a slow run showed that the task takes long on any VM. tailCounted is set
 	// once that is counted in the queue's statistics.
