core/forecast: remove predictions that nothing asks for

Cause: RunTime, StepTime, StepTimeOf, Remaining, QuantileOfMax and MeanAbove have no caller. The objective uses the means of core/schedule.

The quantiles and the tail keep theirs.

--- a/core/forecast/distribution.go
+++ b/core/forecast/distribution.go
@@ -89,11 +89,6 @@
 	return v
 }
 
-// QuantileOfMax returns the quantile q of the largest of n independent values.
-func (d *Distribution) QuantileOfMax(q float64, n int) float64 {
-	return d.Quantile(math.Pow(q, 1/float64(max(n, 1))))
-}
-
 // ShareAbove returns the share of the samples above a value, or 0 if there are none.
 func (d *Distribution) ShareAbove(value float64) float64 {
 	above, _ := d.tail(value)
@@ -114,15 +109,6 @@
 	return above / all
 }
 
-// MeanAbove returns the mean of the samples above a value. ok is false if there are none.
-func (d *Distribution) MeanAbove(value float64) (mean float64, ok bool) {
-	above, sum := d.tail(value)
-	if above == 0 {
-		return 0, false
-	}
-	return sum / above, true
-}
-
 // tail returns the weight and the weighted sum of the samples above a value.
 func (d *Distribution) tail(value float64) (weight, sum float64) {
 	if d.sketch == nil {
--- a/core/forecast/forecast_test.go
+++ b/core/forecast/forecast_test.go
@@ -74,31 +74,6 @@
 	}
 }
 
-// Load: steps of one to sixteen tasks, of which 3 in 100 take seven times as long. Callers who
-// are told a time with 90% confidence must get their result by then in 85 to 95 of 100 cases.
-func TestForecastAt90PercentIsCalibrated(t *testing.T) {
-	for seed := range uint64(10) {
-		rng := rand.New(rand.NewPCG(seed, 2))
-		q := trained(t, rng, 3000, heavyTailed)
-		for _, n := range []int{1, 4, 8, 16} {
-			d, ok := q.StepTimeOf(0.9, time.Second, n)
-			assert.Assert(t, ok)
-			inTime := 0
-			const steps = 2000
-			for range steps {
-				longest := 0.0
-				for range n {
-					longest = max(longest, heavyTailed(rng))
-				}
-				if longest <= d.Seconds() {
-					inTime++
-				}
-			}
-			assert.Assert(t, inTime >= 0.85*steps && inTime <= 0.95*steps, "seed %d: %d of %d steps of %d tasks are in time", seed, inTime, steps, n)
-		}
-	}
-}
-
 // Guards against taking each long run for a fault of its VM, and each fault for a long run:
 // only a queue with rare runs that are many times longer has a heavy tail.
 func TestHeavyTailNeedsLongRuns(t *testing.T) {
@@ -113,17 +88,6 @@
 	assert.Assert(t, !(&forecast.Queue{}).LongRuns().Heavy)
 }
 
-// Guards against giving up a run that has outlasted its siblings as if it were about to end: of
-// a heavy-tailed queue it is then a long one.
-func TestRunThatOutlastsItsSiblingsIsLong(t *testing.T) {
-	rng := rand.New(rand.NewPCG(4, 4))
-	q := trained(t, rng, 5000, heavyTailed)
-	first, later := q.Remaining(0, time.Second), q.Remaining(3*time.Second, time.Second)
-	assert.Assert(t, first < 1500*time.Millisecond, "%s", first)
-	assert.Assert(t, later > 3*time.Second && later < 6*time.Second, "%s", later)
-	assert.Equal(t, q.Remaining(100*time.Second, time.Second), time.Duration(0))
-}
-
 // Guards against a new owner that knows nothing of the tail and stops long runs. What it finds
 // is stored in a few kilobytes, and counts for less the older it is.
 func TestSnapshotRestoresDistribution(t *testing.T) {
@@ -143,13 +107,3 @@
 	assert.NilError(t, err)
 	assert.Equal(t, empty.Times.Quantile(0.5), 0.0)
 }
-
-// Guards against estimates that are followed blindly, and against none being heard: an estimate
-// that is off by a factor of sixteen changes the forecast by a factor of two.
-func TestEstimateCorrectsForecast(t *testing.T) {
-	q := trained(t, rand.New(rand.NewPCG(6, 6)), 1000, heavyTailed)
-	usual, ok := q.RunTime(0.5, 0)
-	assert.Assert(t, ok)
-	estimated, _ := q.RunTime(0.5, 16*usual)
-	assert.Assert(t, math.Abs(estimated.Seconds()/usual.Seconds()-2) < 0.01)
-}
