core/forecast: drop samples after a long pause

Cause: about nine hours after the last sample the factor by which its weight falls is 0, which the sketch refuses: the new sample was lost, and the old ones kept their full weight.

Change: below a factor of 1e-6 the sketch is cleared.

--- a/core/forecast/distribution.go
+++ b/core/forecast/distribution.go
@@ -20,6 +20,9 @@
 	halfLife = 30 * time.Second
 	// decayInterval is the minimum time between two corrections of the samples' weights.
 	decayInterval = time.Second
+	// minFactor is the factor of weights below which old samples are dropped. A weight must not
+	// become 0.
+	minFactor = 1e-6
 	// minValue keeps the logarithms of values finite.
 	minValue = 0.001
 )
@@ -65,7 +68,17 @@
 		return nil
 	}
 	d.decayedAt = now
-	return errors.Wrap(d.sketch.Reweight(math.Exp2(-age.Seconds()/halfLife.Seconds())), "reduce the weight of old samples")
+	return reduceWeight(d.sketch, age)
+}
+
+// reduceWeight reduces the weight of samples that were corrected an age ago.
+func reduceWeight(s *ddsketch.DDSketch, age time.Duration) error {
+	factor := math.Exp2(-max(age, 0).Seconds() / halfLife.Seconds())
+	if factor < minFactor {
+		s.Clear()
+		return nil
+	}
+	return errors.Wrap(s.Reweight(factor), "reduce the weight of old samples")
 }
 
 // Count returns the sum of the samples' weights. A new sample has weight 1.
--- a/core/forecast/forecast_test.go
+++ b/core/forecast/forecast_test.go
@@ -107,3 +107,19 @@
 	assert.NilError(t, err)
 	assert.Equal(t, empty.Times.Quantile(0.5), 0.0)
 }
+
+// Guards against old samples that keep their full weight: after a night without tasks their
+// weight is smaller than the smallest float, and the first new sample would be refused.
+func TestSampleAfterLongPauseCounts(t *testing.T) {
+	var d forecast.Distribution
+	for range 1000 {
+		assert.NilError(t, d.Add(start, 7))
+	}
+	later := start.Add(12 * time.Hour)
+	assert.NilError(t, d.Add(later, 1))
+	assert.Assert(t, math.Abs(d.Count()-1) < 0.01, "%v", d.Count())
+	s := (&forecast.Queue{Times: d}).Snapshot()
+	q, err := forecast.Restore(start, 24*time.Hour, s)
+	assert.NilError(t, err)
+	assert.Assert(t, q.Times.Count() < 0.01)
+}
--- a/core/forecast/snapshot.go
+++ b/core/forecast/snapshot.go
@@ -1,7 +1,6 @@
 package forecast
 
 import (
-	"math"
 	"time"
 
 	"github.com/DataDog/sketches-go/ddsketch"
@@ -64,8 +63,8 @@
 	if err != nil {
 		return errors.Wrap(err, "decode a snapshot")
 	}
-	if err := s.Reweight(math.Exp2(-max(age, 0).Seconds() / halfLife.Seconds())); err != nil {
-		return errors.Wrap(err, "reduce the weight of old samples")
+	if err := reduceWeight(s, age); err != nil {
+		return err
 	}
 	d.sketch, d.decayedAt = s, now
 	return nil
