core/forecast: compute a tail in one pass, and once a sample

Cause: each slow run asked for its queue's tail two or three times, each in three passes over the sketch: 13.7 us. With one in five runs long, that is much work for a large fleet.

Change: one pass, kept until the next sample.

A queue's sketches take 3,952 bytes with 500 samples each, so 4 MB for 1,000 queues.

--- a/core/forecast/distribution.go
+++ b/core/forecast/distribution.go
@@ -33,6 +33,9 @@
 	sketch *ddsketch.DDSketch
 	// decayedAt is the time up to which the samples' weights are corrected.
 	decayedAt time.Time
+	// tail is the upper tail if tailKnown is set. Samples change it.
+	tail      Tail
+	tailKnown bool
 }
 
 // Add adds a sample.
@@ -44,6 +47,7 @@
 		}
 		d.sketch, d.decayedAt = s, now
 	}
+	d.tailKnown = false
 	if err := d.decay(now); err != nil {
 		return err
 	}
@@ -102,37 +106,29 @@
 	return v
 }
 
-// ShareAbove returns the share of the samples above a value, or 0 if there are none.
-func (d *Distribution) ShareAbove(value float64) float64 {
-	above, _ := d.tail(value)
-	if above == 0 {
-		return 0
+// upperTail returns the tail above a limit, which is the same in each call.
+func (d *Distribution) upperTail(limit float64) Tail {
+	if d.Count() == 0 {
+		return Tail{}
 	}
-	return above / d.Count()
-}
-
-// weightAbove returns the share of the samples' sum that samples above a value make up, or 0 if
-// there are none.
-func (d *Distribution) weightAbove(value float64) float64 {
-	_, above := d.tail(value)
-	if above == 0 {
-		return 0
+	if !d.tailKnown {
+		d.tail, d.tailKnown = d.computeTail(limit), true
 	}
-	_, all := d.tail(0)
-	return above / all
+	return d.tail
 }
 
-// tail returns the weight and the weighted sum of the samples above a value.
-func (d *Distribution) tail(value float64) (weight, sum float64) {
-	if d.sketch == nil {
-		return 0, 0
-	}
-	d.sketch.ForEach(func(v, count float64) bool {
-		if v > value {
-			weight += count
-			sum += count * v
+// computeTail returns the tail above a limit of a distribution that isn't empty.
+func (d *Distribution) computeTail(limit float64) Tail {
+	count, sum, sumOfAll := 0.0, 0.0, 0.0
+	d.sketch.ForEach(func(v, n float64) bool {
+		sumOfAll += n * v
+		if v > limit {
+			count += n
+			sum += n * v
 		}
 		return false
 	})
-	return weight, sum
+	t := Tail{Share: count / d.Count(), RunningShare: sum / sumOfAll, Most: d.Quantile(tailQuantile)}
+	t.Heavy = t.Share >= heavyTailShare && count >= minLongRuns
+	return t
 }
--- a/core/forecast/queue.go
+++ b/core/forecast/queue.go
@@ -46,10 +46,3 @@
 
 // LargeSteps returns the tail of the steps whose runs are all longer than is usual in the queue.
 func (q *Queue) LargeSteps() Tail { return q.Sizes.upperTail(LargeRatio) }
-
-// upperTail returns the tail above a limit.
-func (d *Distribution) upperTail(limit float64) Tail {
-	t := Tail{Share: d.ShareAbove(limit), RunningShare: d.weightAbove(limit), Most: d.Quantile(tailQuantile)}
-	t.Heavy = t.Share >= heavyTailShare && t.Share*d.Count() >= minLongRuns
-	return t
-}
--- a/core/forecast/snapshot.go
+++ b/core/forecast/snapshot.go
@@ -66,6 +66,6 @@
 	if err := reduceWeight(s, age); err != nil {
 		return err
 	}
-	d.sketch, d.decayedAt = s, now
+	d.sketch, d.decayedAt, d.tailKnown = s, now, false
 	return nil
 }
