--- a/core/schedule/secondrun_test.go
+++ b/core/schedule/secondrun_test.go
@@ -113,3 +113,42 @@
 	h.answerHold(other, []job.RunningTask{{Task: planned[0].task, Attempt: 3, Percent: 10}})
 	assert.Equal(t, len(commandsOfType[Start](h.advance(10*time.Millisecond))), 0)
 }
+
+// Guards against starts beyond the attempts of the queue: each failed run counts, also beside one
+// that is out of reach.
+func TestFailedSecondRunsUseUpAttempts(t *testing.T) {
+	h, first, more := startOnSilentVM(t, speculativeStep)
+	for n := int64(1); n <= 2; n++ {
+		second := more[0]
+		h.confirm(second)
+		h.answerHold(string(second.VM), nil, job.End{Number: n, Task: first.Order.Task, Attempt: second.Order.Attempt, How: job.EndedFailed})
+		more = commandsOfType[Start](h.advance(100 * time.Millisecond))
+		assert.Equal(t, len(more), int(2-n))
+	}
+	assert.Equal(t, h.s.jobs.Get("j").state, job.Failed)
+}
+
+// Guards against a third run after a takeover: the new owner finds two runs of the task, one of
+// whose VMs then becomes silent. The first end counts, and the other run is stopped.
+func TestTakeoverFindsBothRuns(t *testing.T) {
+	h := newHarness(t)
+	h.s.settings.Policy.SecondRuns = true
+	h.s.AddInheritedVM(RosterVM{ID: "one", Address: "one", Pool: poolA, Born: 1, Machine: "m-one"})
+	h.s.AddInheritedVM(RosterVM{ID: "two", Address: "two", Pool: poolA, Born: 1, Machine: "m-two"})
+	j := job.Job{ID: "j", Body: job.Body{Spec: "x", Steps: []job.Step{speculativeStep}}, Terms: job.Terms{Queue: "q", Pool: poolA, Account: "free", MaxAttempts: 2}}
+	h.s.AddJob(h.now, j, &job.Progress{State: job.Running, VMs: []job.VMID{"one", "two"}}, true)
+	for _, id := range []string{"one", "two", "three"} {
+		h.listVM(id)
+	}
+	h.advance(0)
+	task := job.TaskID{Job: "j"}
+	h.answerHold("one", []job.RunningTask{{Task: task, Attempt: 3, Percent: 10}})
+	h.answerHold("two", []job.RunningTask{{Task: task, Attempt: 4, Percent: 10}})
+	h.answerHold("three", nil)
+	commands := append(h.advance(30*time.Millisecond), h.silenceVM("one")...)
+	assert.Equal(t, len(commandsOfType[Start](commands))+len(commandsOfType[Stop](commands)), 0)
+	h.answerHold("two", nil, job.End{Number: 1, Task: task, Attempt: 4, How: job.EndedDone})
+	commands = h.advance(time.Millisecond)
+	assert.Equal(t, onlyCommand[Stop](h, commands).VM, job.VMID("one"))
+	assert.Equal(t, len(commandsOfType[Start](commands)), 0)
+}
