core/schedule: VMs take tasks again when ranked room is switched off

Cause: VMs that yielded to urgent work of another pool were let take tasks again only by the next plan of ranked room, which doesn't come once the operators switch it off: the VMs stayed empty.

Change: SetPolicy ends the yielding.

Result: TestYieldingEndsWithPolicy failed before and passes.

--- a/core/schedule/roomplan_test.go
+++ b/core/schedule/roomplan_test.go
@@ -69,3 +69,12 @@
 	h.addJobTo("qa", "urgent", job.Step{Count: 16, Resources: job.Resources{CPU: 2000, MemMB: 100}, Estimate: time.Second})
 	assert.Equal(t, len(commandsOfType[Stop](h.advance(sizingInterval))), 0)
 }
+
+// Guards against VMs that get no tasks any more: they yielded to urgent work when the operators
+// switched the policy off.
+func TestYieldingEndsWithPolicy(t *testing.T) {
+	h := newRoomHarness(t)
+	h.s.vms.Get("a1").yielding, h.s.vms.Get("a2").yielding = true, true
+	h.s.SetPolicy(policy.Policy{})
+	assert.Equal(t, len(h.fillPool("qa", "j")), 8)
+}
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -139,7 +139,12 @@
 }
 
 // SetPolicy puts the operators' policy in force from the next round on.
-func (s *Scheduler) SetPolicy(p policy.Policy) { s.settings.Policy = p }
+func (s *Scheduler) SetPolicy(p policy.Policy) {
+	s.settings.Policy = p
+	if !p.RankedRoom {
+		s.clearYielding()
+	}
+}
 
 // Policy returns the policy in force. Its exceptions must not be modified.
 func (s *Scheduler) Policy() policy.Policy { return s.settings.Policy }
