core/schedule: don't take less than a percent for no progress of a long task

Cause: a run that is taken for a long task was stopped as slow as soon as one list showed no progress. VMs report whole percents: a task of 70 s among siblings of 10 s often advances by less than one between two lists, and lost its work twice.

Change: such a run is stopped only by its measured pace; if it stands still, stopStalled ends it.

Result: TestLongTaskContinuesBetweenTwoPercents failed before and passes.

--- a/core/schedule/attribution.go
+++ b/core/schedule/attribution.go
@@ -98,7 +98,8 @@
 		})
 	}
 	cost := straggler.Run{Usual: x.usual, Remaining: x.remaining, Total: x.projected(), Stop: s.settings.TaskStopMax}
-	if !x.step.def.Gang && x.state.slowStops < maxSlowStops && cost.StopEndsSooner(p) {
+	// Between two lists a long run may advance by less than a percent, which isn't reported.
+	if x.progressed > 0 && !x.step.def.Gang && x.state.slowStops < maxSlowStops && cost.StopEndsSooner(p) {
 		x.state.slowStops++
 		s.stopRun(now, x.run, "slow")
 	}
--- a/core/schedule/attribution_test.go
+++ b/core/schedule/attribution_test.go
@@ -93,6 +93,18 @@
 	assert.Equal(t, onlyCommand[Stop](h, h.advance(time.Millisecond)).Task, step[0].Order.Task)
 }
 
+// Guards against stopping a long task since its progress is reported in whole percents: its
+// siblings take ten seconds, it takes seventy, and between two lists it advances by less than one.
+func TestLongTaskContinuesBetweenTwoPercents(t *testing.T) {
+	h, step, beside := startBesideOthers(t)
+	h.advance(500 * time.Millisecond)
+	all := append(step, beside...)
+	h.report(step[0], false, 10, all...)
+	h.advance(400 * time.Millisecond)
+	h.report(step[0], false, 14, all...)
+	assert.Equal(t, len(commandsOfType[Stop](h.advance(time.Millisecond))), 0)
+}
+
 // Guards against a run that is taken for a long one and then stands still for good: its stops as
 // slow are spent, and runs of its length are known.
 func TestLongTaskThatStandsStillMoves(t *testing.T) {
