Store what the owner knows of long tasks for the next one

Cause: a new owner knew of no long tasks, and stopped such runs as slow until it had seen two of them on sound VMs.

Change: the owner stores the distributions of a queue with a heavy tail in which it met a slow run: a table of its own, one row a queue, with the saves that it makes anyway, every 2 s at most and ten rows a second in all. A new owner restores them by their age, if the policy asks for forecasts. The emulator's owners do too.

Result: with 1,000 such queues all are stored within 120 s at ten rows a second (TestRunTimeSavesAreBounded); a row of three full sketches is below 5 kB.

--- a/core/emulator/owner.go
+++ b/core/emulator/owner.go
@@ -67,6 +67,9 @@
 	for _, p := range slices.Sorted(maps.Keys(t.shares)) {
 		s.AddInheritedShares(now, now, p, t.shares[p])
 	}
+	for _, n := range slices.Sorted(maps.Keys(t.runTimes)) {
+		s.AddInheritedRunTimes(now, now, n, t.runTimes[n])
+	}
 	for _, v := range valuesByKey(t.roster) {
 		s.AddInheritedVM(v)
 	}
@@ -165,7 +168,7 @@
 func (o *owner) execute(c schedule.Command) {
 	w := o.entryVM.w
 	switch c := c.(type) {
-	case schedule.Save, schedule.SaveVM, schedule.DropVM, schedule.SaveWave, schedule.SaveOrder, schedule.DropOrder, schedule.SaveShares:
+	case schedule.Save, schedule.SaveVM, schedule.DropVM, schedule.SaveWave, schedule.SaveOrder, schedule.DropOrder, schedule.SaveShares, schedule.SaveRunTimes:
 		o.pendingSaves = append(o.pendingSaves, c)
 	case schedule.Start:
 		w.Stats.Starts++
--- a/core/emulator/table.go
+++ b/core/emulator/table.go
@@ -18,12 +18,13 @@
 	ownerVersion   int64
 	renewal        renewalRow
 	renewalVersion int64
-	// progress, roster, waves, orders and shares are what owners have saved.
+	// progress, roster, waves, orders, shares and runTimes are what owners have saved.
 	progress map[job.ID]job.Progress
 	roster   map[job.VMID]schedule.RosterVM
 	waves    map[int64][]job.MachineID
 	orders   map[job.MachineID]schedule.MachineOrder
 	shares   map[job.PoolName]fairshare.StoredUsage
+	runTimes map[job.QueueName]schedule.StoredRunTimes
 	// submitted and cancelled are in the order of the calls.
 	submitted []submission
 	cancelled []job.ID
@@ -72,7 +73,7 @@
 	return &table{
 		w: w, progress: map[job.ID]job.Progress{}, waves: map[int64][]job.MachineID{},
 		vms: map[job.VMID]job.VMRecord{}, roster: map[job.VMID]schedule.RosterVM{},
-		orders: map[job.MachineID]schedule.MachineOrder{}, shares: map[job.PoolName]fairshare.StoredUsage{}, disconnected: map[*entryVM]bool{},
+		orders: map[job.MachineID]schedule.MachineOrder{}, shares: map[job.PoolName]fairshare.StoredUsage{}, runTimes: map[job.QueueName]schedule.StoredRunTimes{}, disconnected: map[*entryVM]bool{},
 	}
 }
 
@@ -128,6 +129,8 @@
 			delete(t.orders, c.Machine)
 		case schedule.SaveShares:
 			t.shares[c.Pool] = c.Usage
+		case schedule.SaveRunTimes:
+			t.runTimes[c.Queue] = c.RunTimes
 		}
 	}
 	return commitResult{ok: true, version: v, owner: owner, renewal: v}
--- a/core/schedule/assign.go
+++ b/core/schedule/assign.go
@@ -15,6 +15,7 @@
 	if !s.rights.StartTasks || s.config == nil {
 		return
 	}
+	s.planRunTimeSave(now, wall)
 	s.countPossibleUsage(now)
 	waiting := poolQueues{}
 	for _, j := range s.jobs.All() {
--- a/core/schedule/attribution.go
+++ b/core/schedule/attribution.go
@@ -80,6 +80,7 @@
 		s.handleSlowVM(now, x)
 		return
 	}
+	s.runTimeSaves.mark(x.job.Terms.Queue)
 	p := e.VMFault()
 	if p >= straggler.FaultProbability {
 		x.state.long = false
--- a/core/schedule/command.go
+++ b/core/schedule/command.go
@@ -114,6 +114,13 @@
 	Usage    fairshare.StoredUsage
 }
 
+// SaveRunTimes stores what is known of a queue's run times. It is ordered with the other saves.
+type SaveRunTimes struct {
+	Sequence int64
+	Queue    job.QueueName
+	RunTimes StoredRunTimes
+}
+
 // MachineOrder names the issuer of a recent order for a machine.
 type MachineOrder struct {
 	Machine job.MachineID `json:"machine"`
@@ -140,6 +147,7 @@
 func (SaveOrder) command()       {}
 func (DropOrder) command()       {}
 func (SaveShares) command()      {}
+func (SaveRunTimes) command()    {}
 func (DeleteJob) command()       {}
 func (RequestApproval) command() {}
 func (Move) command()            {}
@@ -163,6 +171,8 @@
 		return c.Sequence, true
 	case SaveShares:
 		return c.Sequence, true
+	case SaveRunTimes:
+		return c.Sequence, true
 	}
 	return 0, false
 }
--- a/core/schedule/save.go
+++ b/core/schedule/save.go
@@ -39,6 +39,7 @@
 	}
 	s.saveSequence++
 	s.flushShares()
+	s.flushRunTimes()
 	s.flushVMs()
 	s.flushOrders()
 	for _, w := range s.dirtyWaves {
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -89,8 +89,9 @@
 	fence  job.Fence
 	queues map[job.QueueName]*queueStats
 	// forecasts holds the distributions of run times, if the policy asks for them.
-	forecasts map[job.QueueName]*forecast.Queue
-	machines  orderedMap[job.MachineID, *machineState]
+	forecasts    map[job.QueueName]*forecast.Queue
+	runTimeSaves runTimeSaves
+	machines     orderedMap[job.MachineID, *machineState]
 	// directoryAsOf is the time up to which all changes to the directory are known.
 	directoryAsOf time.Time
 	waves         orderedMap[int64, *waveState]
--- a/io/node/load.go
+++ b/io/node/load.go
@@ -25,7 +25,7 @@
 
 // storedState is the state that former owners left in the table.
 type storedState struct {
-	jobs, progress, waves, vms, orders, shares []platform.Row
+	jobs, progress, waves, vms, orders, shares, runTimes []platform.Row
 	// jobFeedVersion is the version from which the feed of jobs continues.
 	jobFeedVersion platform.Version
 }
@@ -52,7 +52,7 @@
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	var state storedState
-	var errs [5]error
+	var errs [6]error
 	var g supervisor.Group
 	read := func(err *error, rows *[]platform.Row, table string) {
 		g.Go(func() { *rows, _, *err = o.node.table.ListAll(ctx, table, mainPartition) })
@@ -63,6 +63,9 @@
 	if o.node.currentPolicy().FairShares {
 		read(&errs[3], &state.shares, shareTable)
 	}
+	if o.node.currentPolicy().RunTimeForecast {
+		read(&errs[5], &state.runTimes, runTimeTable)
+	}
 	state.jobs, state.jobFeedVersion, errs[4] = o.loadJobs(ctx)
 	g.Wait()
 	for _, err := range errs {
@@ -119,6 +122,10 @@
 	for _, pool := range slices.Sorted(maps.Keys(shares)) {
 		o.scheduler.AddInheritedShares(now, time.Now(), job.PoolName(pool), shares[pool])
 	}
+	runTimes := decodeRows[schedule.StoredRunTimes](state.runTimes, o.log)
+	for _, queue := range slices.Sorted(maps.Keys(runTimes)) {
+		o.scheduler.AddInheritedRunTimes(now, time.Now(), job.QueueName(queue), runTimes[queue])
+	}
 	vms := decodeRows[schedule.RosterVM](state.vms, o.log)
 	for _, id := range slices.Sorted(maps.Keys(vms)) {
 		o.scheduler.AddInheritedVM(vms[id])
--- a/io/node/rowchange.go
+++ b/io/node/rowchange.go
@@ -30,6 +30,8 @@
 		return rowChange{machineOrderKey(c.Machine), nil}
 	case schedule.SaveShares:
 		return rowChange{shareKey(c.Pool), c.Usage}
+	case schedule.SaveRunTimes:
+		return rowChange{runTimeKey(c.Queue), c.RunTimes}
 	}
 	panic("command is not a save")
 }
--- a/io/node/rows.go
+++ b/io/node/rows.go
@@ -31,6 +31,7 @@
 	vmTable           = "lavenderpond_vm"
 	machineOrderTable = "lavenderpond_machine"
 	shareTable        = "lavenderpond_share"
+	runTimeTable      = "lavenderpond_run_time"
 
 	ownerKeyName   = "owner"
 	renewalKeyName = "renewal"
@@ -87,6 +88,11 @@
 	return platform.RowKey{Table: shareTable, Partition: mainPartition, Key: string(p)}
 }
 
+// runTimeKey returns the key of the row of what is known of a queue's run times.
+func runTimeKey(n job.QueueName) platform.RowKey {
+	return platform.RowKey{Table: runTimeTable, Partition: mainPartition, Key: string(n)}
+}
+
 func progressKey(id job.ID) platform.RowKey {
 	return platform.RowKey{Table: progressTable, Partition: mainPartition, Key: string(id)}
 }
