Second runs wait for gangs that can be in time

Cause: whether a job that can be in time waits for capacity was asked of the index of VMs, which knows nothing of gangs: a second run could take the room that one waited for.

Change: a gang that is ready, within its account's quota and hasn't started counts as waiting.

--- a/core/schedule/secondrun.go
+++ b/core/schedule/secondrun.go
@@ -100,11 +100,16 @@
 	})
 }
 
-// waitsForCapacity reports whether a task of the job fits on no VM.
+// waitsForCapacity reports whether a task of the job fits on no VM, or a gang not on all.
 func (a *assignment) waitsForCapacity(j *jobState) bool {
 	for _, o := range j.occurrences {
 		for i := range o.steps {
-			if o.steps[i].openTasks > 0 && o.ready(i) && a.index.isUnplaceable(o.steps[i].def.Reservation()) {
+			st := &o.steps[i]
+			if st.openTasks == 0 || !o.ready(i) {
+				continue
+			}
+			gangWaits := st.def.Gang && a.withinQuota(j, st.def.Resources.Mul(len(st.tasks)))
+			if gangWaits || a.index.isUnplaceable(st.def.Reservation()) {
 				return true
 			}
 		}
--- a/core/schedule/secondrun_test.go
+++ b/core/schedule/secondrun_test.go
@@ -86,6 +86,21 @@
 	}
 }
 
+// Guards against second runs that take capacity from a gang that can be in time. Its two members
+// need a VM each, and one VM has room.
+func TestNoSecondRunWhileInTimeGangWaits(t *testing.T) {
+	h := newHarness(t)
+	h.s.settings.Policy.SecondRuns = true
+	h.addReadyVMs("one", "two")
+	h.addJob("j", "free", speculativeStep)
+	c := onlyCommand[Start](h, h.advance(10*time.Millisecond))
+	h.confirm(c)
+	gang := pairStep
+	gang.Resources.CPU, gang.Estimate, gang.Gang = 8000, 20*time.Second, true
+	h.addJob("gang", "free", gang)
+	assert.Equal(t, len(commandsOfType[Start](h.silenceVM(c.VM))), 0)
+}
+
 // Guards against a task that crashes two VMs at a time.
 func TestTaskThatCrashedVMGetsNoSecondRun(t *testing.T) {
 	h := newHarness(t)
