--- a/core/forecast/distribution.go
+++ b/core/forecast/distribution.go
@@ -20,6 +20,9 @@
 	halfLife = 30 * time.Second
 	// decayInterval is the minimum time between two corrections of the samples' weights.
 	decayInterval = time.Second
+	// minFactor is the factor of weights below which old samples are dropped. A weight must not
+	// become 0.
+	minFactor = 1e-6
 	// minValue keeps the logarithms of values finite.
 	minValue = 0.001
 )
@@ -30,6 +33,9 @@
 	sketch *ddsketch.DDSketch
 	// decayedAt is the time up to which the samples' weights are corrected.
 	decayedAt time.Time
+	// tail is the upper tail if tailKnown is set. Samples change it.
+	tail      Tail
+	tailKnown bool
 }
 
 // Add adds a sample.
@@ -41,6 +47,7 @@
 		}
 		d.sketch, d.decayedAt = s, now
 	}
+	d.tailKnown = false
 	if err := d.decay(now); err != nil {
 		return err
 	}
@@ -65,7 +72,17 @@
 		return nil
 	}
 	d.decayedAt = now
-	return errors.Wrap(d.sketch.Reweight(math.Exp2(-age.Seconds()/halfLife.Seconds())), "reduce the weight of old samples")
+	return reduceWeight(d.sketch, age)
+}
+
+// reduceWeight reduces the weight of samples that were corrected an age ago.
+func reduceWeight(s *ddsketch.DDSketch, age time.Duration) error {
+	factor := math.Exp2(-max(age, 0).Seconds() / halfLife.Seconds())
+	if factor < minFactor {
+		s.Clear()
+		return nil
+	}
+	return errors.Wrap(s.Reweight(factor), "reduce the weight of old samples")
 }
 
 // Count returns the sum of the samples' weights. A new sample has weight 1.
@@ -89,51 +106,29 @@
 	return v
 }
 
-// QuantileOfMax returns the quantile q of the largest of n independent values.
-func (d *Distribution) QuantileOfMax(q float64, n int) float64 {
-	return d.Quantile(math.Pow(q, 1/float64(max(n, 1))))
-}
-
-// ShareAbove returns the share of the samples above a value, or 0 if there are none.
-func (d *Distribution) ShareAbove(value float64) float64 {
-	above, _ := d.tail(value)
-	if above == 0 {
-		return 0
-	}
-	return above / d.Count()
-}
-
-// weightAbove returns the share of the samples' sum that samples above a value make up, or 0 if
-// there are none.
-func (d *Distribution) weightAbove(value float64) float64 {
-	_, above := d.tail(value)
-	if above == 0 {
-		return 0
+// upperTail returns the tail above a limit, which is the same in each call.
+func (d *Distribution) upperTail(limit float64) Tail {
+	if d.Count() == 0 {
+		return Tail{}
 	}
-	_, all := d.tail(0)
-	return above / all
-}
-
-// MeanAbove returns the mean of the samples above a value. ok is false if there are none.
-func (d *Distribution) MeanAbove(value float64) (mean float64, ok bool) {
-	above, sum := d.tail(value)
-	if above == 0 {
-		return 0, false
+	if !d.tailKnown {
+		d.tail, d.tailKnown = d.computeTail(limit), true
 	}
-	return sum / above, true
+	return d.tail
 }
 
-// tail returns the weight and the weighted sum of the samples above a value.
-func (d *Distribution) tail(value float64) (weight, sum float64) {
-	if d.sketch == nil {
-		return 0, 0
-	}
-	d.sketch.ForEach(func(v, count float64) bool {
-		if v > value {
-			weight += count
-			sum += count * v
+// computeTail returns the tail above a limit of a distribution that isn't empty.
+func (d *Distribution) computeTail(limit float64) Tail {
+	count, sum, sumOfAll := 0.0, 0.0, 0.0
+	d.sketch.ForEach(func(v, n float64) bool {
+		sumOfAll += n * v
+		if v > limit {
+			count += n
+			sum += n * v
 		}
 		return false
 	})
-	return weight, sum
+	t := Tail{Share: count / d.Count(), RunningShare: sum / sumOfAll, Most: d.Quantile(tailQuantile)}
+	t.Heavy = t.Share >= heavyTailShare && count >= minLongRuns
+	return t
 }
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -89,8 +89,9 @@
 	fence  job.Fence
 	queues map[job.QueueName]*queueStats
 	// forecasts holds the distributions of run times, if the policy asks for them.
-	forecasts map[job.QueueName]*forecast.Queue
-	machines  orderedMap[job.MachineID, *machineState]
+	forecasts    map[job.QueueName]*forecast.Queue
+	runTimeSaves runTimeSaves
+	machines     orderedMap[job.MachineID, *machineState]
 	// directoryAsOf is the time up to which all changes to the directory are known.
 	directoryAsOf time.Time
 	waves         orderedMap[int64, *waveState]
@@ -139,7 +140,12 @@
 }
 
 // SetPolicy puts the operators' policy in force from the next round on.
-func (s *Scheduler) SetPolicy(p policy.Policy) { s.settings.Policy = p }
+func (s *Scheduler) SetPolicy(p policy.Policy) {
+	s.settings.Policy = p
+	if !p.RankedRoom {
+		s.clearYielding()
+	}
+}
 
 // Policy returns the policy in force. Its exceptions must not be modified.
 func (s *Scheduler) Policy() policy.Policy { return s.settings.Policy }
