--- /dev/null
+++ b/core/schedule/vmstate.go
@@ -0,0 +1,148 @@
+package schedule
+
+import (
+	"time"
+
+	"lavenderpond/core/job"
+	"lavenderpond/core/lease"
+)
+
+// vmState is the state of a VM as this owner knows it.
+//
+// A life of a VM is one boot of it. It is identified by the VM's ID and born, the time of the
+// boot. A VM that crashes and restarts under the same ID begins a new life with a greater
+// born: its runs are gone, its clock starts from zero and its ends are numbered from 1 again.
+// A machine hosts one life at a time.
+type vmState struct {
+	id       job.VMID
+	address  string
+	pool     job.PoolName
+	rack     job.Label
+	zone     job.ZoneName
+	labels   map[job.Label]bool
+	capacity job.Resources
+	used     job.Resources
+	machine  job.MachineID
+	// host is the state of the VM's machine, or nil if the machine isn't listed.
+	host *machineState
+	born job.Born
+	// entryBorn is the born of the life that the VM's directory entry describes.
+	entryBorn job.Born
+	// fence is greater than that of all orders sent to a previous life, so the current
+	// life refuses those that arrive late.
+	fence job.Fence
+	// listed is set while the VM has an entry in the directory.
+	listed     bool
+	unlistedAt time.Time
+	draining   bool
+	// evacuated is set while the VM's availability zone is being evacuated.
+	evacuated bool
+
+	clock lease.Clock
+	// leaseEnd is the time on the VM's clock up to which its lease may last: the latest
+	// deadline of any order sent to it.
+	leaseEnd job.VMClock
+	runs     orderedMap[runKey, *run]
+	// longRunningRuns, servingRuns and spareCPURuns count the runs of each kind, and
+	// stoppingRuns the runs that were ordered to stop. The counters avoid a scan of all runs
+	// in each round.
+	longRunningRuns, servingRuns, spareCPURuns int
+	stoppingRuns                               int
+	// crashSuspects counts the runs of tasks under which a VM has crashed.
+	crashSuspects int
+	// isolatedRuns counts the runs beside which nothing else may start.
+	isolatedRuns int
+	// unknownRuns counts the runs whose reservation is unknown. While there are any, the free
+	// capacity is unknown too.
+	unknownRuns int
+	// orderedRuns counts the starts that wait for an answer.
+	orderedRuns int
+	// unresponsive VMs have left a start unanswered and haven't answered anything since.
+	unresponsive bool
+	// probeInFlight is set while a probe is in flight. probedAt is when the last one was
+	// sent.
+	probeInFlight bool
+	probedAt      time.Time
+	// listClock is the VM's clock reading of the newest list applied. listCount is the
+	// number of lists applied.
+	listClock job.VMClock
+	listCount int64
+
+	// A VM numbers the ends of its runs. lastEnd is the number of the last end handled.
+	// acknowledgedEnd is the number of the last end that is stored together with all ends
+	// before it: holds acknowledge that end, and the VM may then delete all ends up to it.
+	// unsavedEnds are the ends between the two.
+	lastEnd         int64
+	acknowledgedEnd int64
+	unsavedEnds     []unsavedEnd
+
+	firstListedAt time.Time
+	// idleSince is when the VM last ran something.
+	idleSince    time.Time
+	holdInFlight bool
+	// reported is set once the current life of the VM has listed all of its runs and ends in
+	// answer to a hold.
+	reported bool
+	// firstReportedAt is when the VM first reported to this owner. From then on the VM
+	// refuses a former owner's orders.
+	firstReportedAt time.Time
+	nextHoldAt      time.Time
+	// nextPaceAt is when to adjust the pace of spare-CPU tasks next.
+	nextPaceAt time.Time
+	lastAnswer time.Time
+	silent     bool
+	// silentSince is when the VM was found silent.
+	silentSince  time.Time
+	holdFailures int
+	// failedRuns counts the failed runs since the last successful one.
+	failedRuns int
+	// suspectUntil is when the VM may get tasks again after failed runs or an unanswered start.
+	suspectUntil time.Time
+	// slowUntil is when the VM may get tasks again after a slow run.
+	slowUntil time.Time
+	// slowRuns are the slow runs of the list that is being applied. usualEndAt is when a run
+	// last ended here after a usual run time.
+	slowRuns   []slowRun
+	usualEndAt time.Time
+	// fullUntil is when the VM may get tasks again after it refused one for lack of capacity.
+	// refusals counts these refusals in a row.
+	fullUntil time.Time
+	refusals  int
+	// rosterEntry is the VM's entry in the roster, and rosterSave the save that stores
+	// it. Tasks may start on the VM once that is stored.
+	rosterEntry RosterVM
+	rosterSave  int64
+	// cordoned VMs get no new tasks because their machine is due for maintenance or moves to
+	// another pool.
+	cordoned bool
+	// vacating VMs get tasks only if no other VM has room.
+	vacating bool
+	// yielding VMs get no tasks, because urgent work of another pool needs their machines.
+	// Long-running tasks are excepted.
+	yielding bool
+	// lostStarts are unanswered starts that the VM's current life can no longer execute,
+	// but that the VM might still execute if it restarts under the same ID.
+	lostStarts []*run
+	// lifeEnded is set once the VM's current life is known to have ended, and cleared when
+	// the VM answers a hold.
+	lifeEnded bool
+	// expiredRuns are the runs that were freed because the lease expired. They are kept until
+	// it is known whether the VM crashed, or until expiredRunsUntil.
+	expiredRuns      []*run
+	expiredRunsUntil time.Time
+	// inheritedUntil is when no run of a former owner can remain here if the VM stays silent.
+	// It is zero once the VM's runs are known.
+	inheritedUntil time.Time
+}
+
+// runKey identifies a run on a VM.
+type runKey struct {
+	task    job.TaskID
+	attempt job.Attempt
+}
+
+// unsavedEnd is an end that may be acknowledged once the save with the sequence save is stored.
+type unsavedEnd struct {
+	endNumber int64
+	save      int64
+}
