core/emulator: overloads under the shipped policy, and with fair shares

TestOverloadEndsWithItsCause played every switch. It plays the policy that is shipped now, and TestOverloadEndsWithFairShares every switch, both with the same bound, causes and seeds. The run without a cause checks both policies.

--- a/core/emulator/overload_test.go
+++ b/core/emulator/overload_test.go
@@ -22,13 +22,21 @@
 	causeLength = 4 * time.Second
 )
 
+// shippedPolicy is the policy that operators start with. The emulator's entry VMs refuse no jobs,
+// so admission makes no difference here.
+func shippedPolicy() policy.Policy { return policy.Policy{RunTimeForecast: true, RankedRoom: true} }
+
+// fullPolicy is the policy with all decisions under scarcity in force.
+func fullPolicy() policy.Policy {
+	return policy.Policy{Admission: true, FairShares: true, RunTimeForecast: true, SecondRuns: true, RankedRoom: true, StandbyWhenIdle: true}
+}
+
 // underLoad returns a scenario that uses about half of the capacity, with accounts of skewed
-// size, callers that return, and all decisions under scarcity in force.
-func underLoad(seed uint64) emulator.Scenario {
+// size and callers that return.
+func underLoad(seed uint64, p policy.Policy) emulator.Scenario {
 	return emulator.Scenario{
 		Seed: seed, Length: 22 * time.Second, EntryVMs: 5, VMsPerPool: 8, StandbyMachines: 3, JobsPerSecond: 7,
-		Load:   emulator.Load{Accounts: 6, ReturningCallers: true},
-		Policy: policy.Policy{Admission: true, FairShares: true, RunTimeForecast: true, SecondRuns: true, RankedRoom: true, StandbyWhenIdle: true},
+		Load: emulator.Load{Accounts: 6, ReturningCallers: true}, Policy: p,
 	}
 }
 
@@ -61,12 +69,19 @@
 
 // Guards against an overload that outlasts its cause: late jobs and returning callers occupy the
 // capacity that new jobs need to complete in time.
-func TestOverloadEndsWithItsCause(t *testing.T) {
+func TestOverloadEndsWithItsCause(t *testing.T) { checkRecovery(t, shippedPolicy()) }
+
+// Guards against an overload that outlasts its cause because an account's share holds back jobs
+// that there is room for.
+func TestOverloadEndsWithFairShares(t *testing.T) { checkRecovery(t, fullPolicy()) }
+
+// checkRecovery checks that each cause of an overload is over soon after it ends.
+func checkRecovery(t *testing.T, p policy.Policy) {
 	for name, overload := range overloads {
 		for seed := range scenarioCount(2) {
 			t.Run(fmt.Sprint(name, " ", seed), func(t *testing.T) {
 				t.Parallel()
-				s := underLoad(seed)
+				s := underLoad(seed, p)
 				overload(&s)
 				violations, stats := emulator.Run(s)
 				t.Logf("%s: above 0.9 again after %s", name, stats.Recovery)
@@ -81,10 +96,12 @@
 // Guards against a check of overloads that nothing but the capacity decides: without a cause at
 // least 95% of the jobs complete in time.
 func TestUnderLoadWithoutCause(t *testing.T) {
-	for seed := range uint64(2) {
-		_, stats := emulator.Run(underLoad(seed))
-		for queue, s := range stats.Queues {
-			assert.Assert(t, s.InTime*100 >= 95*(s.InTime+s.Late+s.Useless), "seed %d, queue %s: %+v", seed, queue, s)
+	for _, p := range []policy.Policy{shippedPolicy(), fullPolicy()} {
+		for seed := range uint64(2) {
+			_, stats := emulator.Run(underLoad(seed, p))
+			for queue, s := range stats.Queues {
+				assert.Assert(t, s.InTime*100 >= 95*(s.InTime+s.Late+s.Useless), "policy %+v, seed %d, queue %s: %+v", p, seed, queue, s)
+			}
 		}
 	}
 }
