core/schedule: VMs stop yielding when the policy or the machines are gone

VMs that yielded when the policy was switched off, or when the list of machines became empty, took no tasks for ever. Each round of sizing clears the mark now. The emptying of VMs moves into a file of its own.

--- /dev/null
+++ b/core/schedule/emptying.go
@@ -0,0 +1,52 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+
+	"lavenderpond/core/room"
+)
+
+// emptyVMs selects the VMs that get no more tasks so that their machines can move. Where urgent
+// work needs the machine, runs whose results are of no use any more are stopped; they start again
+// when nobody else needs the room.
+func (s *Scheduler) emptyVMs(now time.Time, pools []room.Pool, fleet int64) {
+	var vms []room.VM
+	for _, v := range s.vms.All() {
+		if v.acceptsTasks() && !v.cordoned && v.longRunningRuns == 0 {
+			vms = append(vms, room.VM{ID: v.id, Pool: v.pool, CPU: v.capacity.CPU, Used: v.used.CPU})
+		}
+	}
+	emptying := room.Empty(pools, vms, fleet)
+	s.setVacating(slices.Concat(emptying.ForUrgent, emptying.ForTotal))
+	for _, id := range emptying.ForUrgent {
+		v := s.vms.Get(id)
+		v.yielding = true
+		s.stopTooLate(now, v)
+	}
+}
+
+// clearYielding lets all VMs take tasks again.
+func (s *Scheduler) clearYielding() {
+	for _, v := range s.vms.All() {
+		v.yielding = false
+	}
+}
+
+// stopTooLate stops the runs on the VM whose jobs are past their late limits.
+func (s *Scheduler) stopTooLate(now time.Time, v *vmState) {
+	for _, r := range v.runs.All() {
+		if s.mayStopTooLate(now, r) {
+			s.stopRun(now, r, "room for work in time")
+		}
+	}
+}
+
+// mayStopTooLate reports whether the run may be stopped because its result is of no use any more.
+func (s *Scheduler) mayStopTooLate(now time.Time, r *run) bool {
+	j, _, _, t := s.task(r.task)
+	if t == nil || j.longRunning || r.stopping || r.phase != runConfirmed {
+		return false
+	}
+	return now.After(j.lateLimit)
+}
--- a/core/schedule/pools.go
+++ b/core/schedule/pools.go
@@ -80,11 +80,16 @@
 
 // sizePools orders machines from pool to pool as demand shifts.
 func (s *Scheduler) sizePools(now time.Time) {
-	if s.config == nil || s.machines.Len() == 0 || now.Before(s.nextSizing) {
+	if s.machines.Len() == 0 {
+		s.clearYielding()
+		return
+	}
+	if s.config == nil || now.Before(s.nextSizing) {
 		return
 	}
 	s.nextSizing = now.Add(sizingInterval)
 	s.trackMoves(now)
+	s.clearYielding()
 	if s.settings.Policy.RankedRoom && s.planRoom(now) {
 		return
 	}
--- a/core/schedule/roomplan.go
+++ b/core/schedule/roomplan.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"lavenderpond/core/job"
@@ -35,7 +34,6 @@
 func (s *Scheduler) planRoom(now time.Time) bool {
 	pools := s.roomPools(now)
 	if !room.Scarce(pools) {
-		s.clearYielding()
 		return false
 	}
 	machines := s.roomMachines(now)
@@ -127,7 +125,7 @@
 		return
 	}
 	if now.After(j.objective) {
-		d.lateRunning += j.runningCPU()
+		d.lateRunning += j.lateRunningCPU()
 	}
 	if blocked || !now.Before(j.lateLimit) {
 		return
@@ -139,8 +137,8 @@
 	}
 }
 
-// runningCPU returns the CPU that the job's runs reserve.
-func (j *jobState) runningCPU() int64 {
+// lateRunningCPU returns the CPU that the runs of a late job reserve.
+func (j *jobState) lateRunningCPU() int64 {
 	sum := int64(0)
 	for _, o := range j.occurrences {
 		for i := range o.steps {
@@ -153,40 +151,3 @@
 	}
 	return sum
 }
-
-// emptyVMs selects the VMs that get no more tasks so that their machines can move. Where urgent
-// work needs the machine, runs whose results are of no use any more are stopped; they start again
-// when nobody else needs the room.
-func (s *Scheduler) emptyVMs(now time.Time, pools []room.Pool, fleet int64) {
-	var vms []room.VM
-	for _, v := range s.vms.All() {
-		if v.acceptsTasks() && !v.cordoned && v.longRunningRuns == 0 {
-			vms = append(vms, room.VM{ID: v.id, Pool: v.pool, CPU: v.capacity.CPU, Used: v.used.CPU})
-		}
-	}
-	emptying := room.Empty(pools, vms, fleet)
-	s.setVacating(slices.Concat(emptying.ForUrgent, emptying.ForTotal))
-	s.clearYielding()
-	for _, id := range emptying.ForUrgent {
-		v := s.vms.Get(id)
-		v.yielding = true
-		s.stopTooLate(now, v)
-	}
-}
-
-// clearYielding lets all VMs take tasks again.
-func (s *Scheduler) clearYielding() {
-	for _, v := range s.vms.All() {
-		v.yielding = false
-	}
-}
-
-// stopTooLate stops the runs on the VM whose jobs are past their late limits.
-func (s *Scheduler) stopTooLate(now time.Time, v *vmState) {
-	for _, r := range v.runs.All() {
-		j := s.jobs.Get(r.task.Job)
-		if j != nil && !j.longRunning && now.After(j.lateLimit) && r.phase == runConfirmed {
-			s.stopRun(now, r, "room for work in time")
-		}
-	}
-}
--- a/core/schedule/roomplan_test.go
+++ b/core/schedule/roomplan_test.go
@@ -69,3 +69,69 @@
 	h.addJobTo("qa", "urgent", job.Step{Count: 16, Resources: job.Resources{CPU: 2000, MemMB: 100}, Estimate: time.Second})
 	assert.Equal(t, len(commandsOfType[Stop](h.advance(sizingInterval))), 0)
 }
+
+// yieldingVMs counts the VMs that yield.
+func (h *harness) yieldingVMs() int {
+	n := 0
+	for _, v := range h.s.vms.All() {
+		if v.yielding {
+			n++
+		}
+	}
+	return n
+}
+
+// addUseless fills a pool with a job whose result is of no use 20 s later, when the next job of
+// another pool lacks room.
+func (h *harness) addUseless(step job.Step) {
+	h.addJobTo("qb", "useless", step)
+	running := map[job.VMID][]job.RunningTask{}
+	for _, c := range commandsOfType[Start](h.advance(0)) {
+		h.confirm(c)
+		running[c.VM] = append(running[c.VM], runningTask(c, 50))
+	}
+	h.now = h.now.Add(20 * time.Second)
+	for _, id := range []string{"a1", "a2", "b1", "b2"} {
+		h.answerHold(id, running[job.VMID(id)])
+	}
+}
+
+var fillingStep = job.Step{Count: 8, Resources: job.Resources{CPU: 2000, MemMB: 100}, Estimate: time.Second}
+
+func (h *harness) addUrgent(id string) {
+	step := fillingStep
+	step.Count = 16
+	h.addJobTo("qa", id, step)
+}
+
+// Guards against VMs that take no tasks for ever because they yielded when the operators switched
+// the policy off.
+func TestYieldingEndsWithPolicy(t *testing.T) {
+	h := newRoomHarness(t)
+	h.addUseless(fillingStep)
+	h.addUrgent("urgent")
+	h.advance(sizingInterval)
+	assert.Equal(t, h.yieldingVMs(), 2)
+	h.s.SetPolicy(policy.Policy{})
+	h.advance(sizingInterval)
+	assert.Equal(t, h.yieldingVMs(), 0)
+}
+
+// Guards against VMs that take no tasks for ever because the list of machines became empty while
+// they yielded.
+func TestYieldingEndsWithoutMachines(t *testing.T) {
+	h := newRoomHarness(t)
+	h.addUseless(fillingStep)
+	h.addUrgent("urgent")
+	h.advance(sizingInterval)
+	assert.Equal(t, h.yieldingVMs(), 2)
+	h.s.MachinesListed(h.now, nil)
+	h.advance(sizingInterval)
+	assert.Equal(t, h.yieldingVMs(), 0)
+}
+
+// assignOnly plays the assignment of a round, without the other work.
+func (h *harness) assignOnly() []Command {
+	h.s.Assign(h.now, h.now)
+	return h.s.TakeCommands()
+}
