core/schedule: empty only VMs whose machines may move

Without the right to order machines, as while the table is out of reach, or without a machine that may move, VMs yielded and their runs were stopped although no machine could follow.

--- a/core/schedule/emptying.go
+++ b/core/schedule/emptying.go
@@ -13,7 +13,7 @@
 func (s *Scheduler) emptyVMs(now time.Time, pools []room.Pool, fleet int64) {
 	var vms []room.VM
 	for _, v := range s.vms.All() {
-		if v.acceptsTasks() && !v.cordoned && v.longRunningRuns == 0 {
+		if v.longRunningRuns == 0 && s.mayEmpty(now, v) {
 			vms = append(vms, room.VM{ID: v.id, Pool: v.pool, CPU: v.capacity.CPU, Used: v.used.CPU})
 		}
 	}
@@ -26,6 +26,11 @@
 	}
 }
 
+// mayEmpty reports whether the VM's machine could move once it is idle.
+func (s *Scheduler) mayEmpty(now time.Time, v *vmState) bool {
+	return v.acceptsTasks() && !v.cordoned && v.host != nil && v.host.VM == v.id && s.mayMoveMachine(now, v.host)
+}
+
 // clearYielding lets all VMs take tasks again.
 func (s *Scheduler) clearYielding() {
 	for _, v := range s.vms.All() {
--- a/core/schedule/roomplan_test.go
+++ b/core/schedule/roomplan_test.go
@@ -130,6 +130,17 @@
 	assert.Equal(t, h.yieldingVMs(), 0)
 }
 
+// Guards against VMs that stand empty while the table is out of reach, for machines that the owner
+// may not move.
+func TestNothingYieldsWithoutRightToOrderMachines(t *testing.T) {
+	h := newRoomHarness(t)
+	h.addUseless(fillingStep)
+	h.s.SetRights(Rights{StartTasks: true, ExtendLeases: true})
+	h.addUrgent("urgent")
+	assert.Equal(t, len(commandsOfType[Stop](h.advance(sizingInterval))), 0)
+	assert.Equal(t, h.yieldingVMs(), 0)
+}
+
 // assignOnly plays the assignment of a round, without the other work.
 func (h *harness) assignOnly() []Command {
 	h.s.Assign(h.now, h.now)
