--- a/core/schedule/emptying.go
+++ b/core/schedule/emptying.go
@@ -7,6 +7,10 @@
 	"lavenderpond/core/room"
 )
 
+// maxRoomStops is how often a task is stopped to make room for urgent work. After that it runs to
+// its end, since its job was accepted.
+const maxRoomStops = 2
+
 // emptyVMs selects the VMs that get no more tasks so that their machines can move. Where urgent
 // work needs the machine, runs whose results are of no use any more are stopped; they start again
 // when nobody else needs the room.
@@ -42,6 +46,8 @@
 func (s *Scheduler) stopTooLate(now time.Time, v *vmState) {
 	for _, r := range v.runs.All() {
 		if s.mayStopTooLate(now, r) {
+			_, _, _, t := s.task(r.task)
+			t.roomStops++
 			s.stopRun(now, r, "room for work in time")
 		}
 	}
@@ -53,5 +59,5 @@
 	if t == nil || j.longRunning || r.stopping || r.phase != runConfirmed {
 		return false
 	}
-	return now.After(j.lateLimit)
+	return t.roomStops < maxRoomStops && now.After(j.lateLimit)
 }
--- a/core/schedule/roomplan_test.go
+++ b/core/schedule/roomplan_test.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -141,6 +142,33 @@
 	assert.Equal(t, h.yieldingVMs(), 0)
 }
 
+// Guards against a run that is stopped and started for as long as urgent work comes and goes, so
+// that its accepted job never ends.
+func TestUselessRunIsStoppedSeldom(t *testing.T) {
+	h := newRoomHarness(t)
+	h.addUseless(fillingStep)
+	stops := map[job.TaskID]int{}
+	for i := range 5 {
+		id := fmt.Sprint("urgent", i)
+		h.addUrgent(id)
+		for _, c := range commandsOfType[Stop](h.advance(sizingInterval)) {
+			stops[c.Task]++
+			r := h.s.vms.Get(c.VM).runs.Get(runKey{c.Task, c.Attempt})
+			h.s.release(h.now, r)
+		}
+		h.s.Cancel(h.now, job.ID(id))
+		h.s.SetPolicy(policy.Policy{})
+		for _, c := range commandsOfType[Start](h.advance(time.Second)) {
+			h.confirm(c)
+		}
+		h.s.SetPolicy(policy.Policy{RankedRoom: true})
+	}
+	assert.Equal(t, len(stops), 8)
+	for id, n := range stops {
+		assert.Assert(t, n <= maxRoomStops, "%v: %d", id, n)
+	}
+}
+
 // assignOnly plays the assignment of a round, without the other work.
 func (h *harness) assignOnly() []Command {
 	h.s.Assign(h.now, h.now)
--- a/core/schedule/state.go
+++ b/core/schedule/state.go
@@ -117,6 +117,8 @@
 	// slowStops counts the runs that were stopped as slow, and stallStops those that were
 	// stopped as stalled after that.
 	slowStops, stallStops int
+	// roomStops counts the runs that were stopped to make room for urgent work.
+	roomStops int
 	// long is set once a slow run showed that the task takes long on any VM. tailCounted is set
 	// once that is counted in the queue's statistics.
 	long, tailCounted bool
