core/schedule: gangs don't lose single members, and don't start on yielding VMs

Stopping one member of a gang leaves the others waiting for it, and gangs were placed without a look at VMs that yield. Gangs aren't stopped now, and start only elsewhere.

--- a/core/schedule/emptying.go
+++ b/core/schedule/emptying.go
@@ -54,9 +54,10 @@
 }
 
 // mayStopTooLate reports whether the run may be stopped because its result is of no use any more.
+// The other members of a gang would wait for one that is stopped.
 func (s *Scheduler) mayStopTooLate(now time.Time, r *run) bool {
-	j, _, _, t := s.task(r.task)
-	if t == nil || j.longRunning || r.stopping || r.phase != runConfirmed {
+	j, _, st, t := s.task(r.task)
+	if t == nil || j.longRunning || st.def.Gang || r.stopping || r.phase != runConfirmed {
 		return false
 	}
 	return t.roomStops < maxRoomStops && now.After(j.lateLimit)
--- a/core/schedule/gang.go
+++ b/core/schedule/gang.go
@@ -66,7 +66,7 @@
 func (a *assignment) packGang(st *stepState, rack job.Label) []*vmState {
 	var chosen []*vmState
 	for _, v := range a.vms {
-		if (rack != "" && v.rack != rack) || !a.s.usable(a.now, v) {
+		if (rack != "" && v.rack != rack) || (v.yielding && !st.def.LongRunning) || !a.s.usable(a.now, v) {
 			continue
 		}
 		if (st.def.Requires != "" && !v.labels[st.def.Requires]) || (st.tickets != nil && st.tickets[v.id] == "") {
--- a/core/schedule/roomplan_test.go
+++ b/core/schedule/roomplan_test.go
@@ -169,6 +169,26 @@
 	}
 }
 
+// Guards against a gang that lacks the member that was stopped for other work, and against one
+// that starts on VMs that should become idle.
+func TestGangsAndYielding(t *testing.T) {
+	h := newRoomHarness(t)
+	gang := fillingStep
+	gang.Gang = true
+	h.addUseless(gang)
+	h.addUrgent("urgent")
+	assert.Equal(t, len(commandsOfType[Stop](h.advance(sizingInterval))), 0)
+	assert.Equal(t, h.yieldingVMs(), 2)
+	for _, v := range h.s.vms.All() {
+		for _, r := range v.runs.All() {
+			if r.task.Job == "useless" {
+				h.s.release(h.now, r)
+			}
+		}
+	}
+	assert.Equal(t, len(commandsOfType[Start](h.assignOnly())), 0)
+}
+
 // assignOnly plays the assignment of a round, without the other work.
 func (h *harness) assignOnly() []Command {
 	h.s.Assign(h.now, h.now)
