core/schedule: predict the late limit anew before a run is stopped

A job whose tasks all run isn't rated, so its late limit could date from before the queue's run times were known, and runs that were still of use were stopped.

--- a/core/schedule/emptying.go
+++ b/core/schedule/emptying.go
@@ -60,5 +60,7 @@
 	if t == nil || j.longRunning || st.def.Gang || r.stopping || r.phase != runConfirmed {
 		return false
 	}
+	// The late limit may have been predicted before the queue's run times were known.
+	s.rateJob(now, j)
 	return t.roomStops < maxRoomStops && now.After(j.lateLimit)
 }
--- a/core/schedule/roomplan_test.go
+++ b/core/schedule/roomplan_test.go
@@ -194,3 +194,15 @@
 	h.s.Assign(h.now, h.now)
 	return h.s.TakeCommands()
 }
+
+// Guards against stopping a run that is of use, because its job's late limit was predicted before
+// the queue's run times were known.
+func TestLateLimitIsCurrentBeforeStop(t *testing.T) {
+	h := newRoomHarness(t)
+	h.addUseless(fillingStep)
+	for range 2 * minSamples {
+		h.s.learnRunTime(h.s.jobs.Get("useless"), time.Minute)
+	}
+	h.addUrgent("urgent")
+	assert.Equal(t, len(commandsOfType[Stop](h.advance(sizingInterval))), 0)
+}
