core/schedule: count late runs only where they are part of the capacity

The need of a pool for running work in time is what its VMs use less its late runs. Late runs on draining, silent or evacuated VMs, whose use isn't counted, were taken off too, so a pool seemed to need less than its work in time.

--- a/core/schedule/roomplan.go
+++ b/core/schedule/roomplan.go
@@ -87,7 +87,7 @@
 	// urgentWaiting and waiting are core-seconds. waiting includes urgentWaiting.
 	urgentWaiting, waiting float64
 	// lateRunning is the CPU of runs whose jobs can't complete in time any more, in thousandths
-	// of a core.
+	// of a core, on the VMs that count as capacity.
 	lateRunning int64
 	longRunning longRunningDemand
 }
@@ -125,7 +125,7 @@
 		return
 	}
 	if now.After(j.objective) {
-		d.lateRunning += j.lateRunningCPU()
+		d.lateRunning += j.lateRunningCPU(now)
 	}
 	if blocked || !now.Before(j.lateLimit) {
 		return
@@ -137,14 +137,16 @@
 	}
 }
 
-// lateRunningCPU returns the CPU that the runs of a late job reserve.
-func (j *jobState) lateRunningCPU() int64 {
+// lateRunningCPU returns the CPU that the runs of a late job reserve on VMs that count as capacity.
+func (j *jobState) lateRunningCPU(now time.Time) int64 {
 	sum := int64(0)
 	for _, o := range j.occurrences {
 		for i := range o.steps {
 			for t := range o.steps[i].tasks {
 				for _, r := range o.steps[i].tasks[t].runs {
-					sum += r.reservation.CPU
+					if r.vm.countsAsCapacity(now) {
+						sum += r.reservation.CPU
+					}
 				}
 			}
 		}
--- a/core/schedule/roomplan_test.go
+++ b/core/schedule/roomplan_test.go
@@ -206,3 +206,27 @@
 	h.addUrgent("urgent")
 	assert.Equal(t, len(commandsOfType[Stop](h.advance(sizingInterval))), 0)
 }
+
+// Guards against a pool that seems to need less than its work in time, because late runs on VMs
+// that don't count as its capacity are taken off.
+func TestLateRunsElsewhereAreNotTakenOff(t *testing.T) {
+	h := newRoomHarness(t)
+	h.addUseless(fillingStep)
+	for _, r := range h.s.vms.Get("b2").runs.All() {
+		h.s.release(h.now, r)
+	}
+	half := fillingStep
+	half.Count = 4
+	h.s.vms.Get("b1").draining = true
+	h.addJobTo("qb", "in time", half)
+	for _, c := range commandsOfType[Start](h.assignOnly()) {
+		h.confirm(c)
+	}
+	used := h.s.vms.Get("b2").used.CPU
+	assert.Equal(t, used, int64(8000))
+	late := int64(0)
+	for _, d := range h.s.rankedDemand(h.now) {
+		late += d.lateRunning
+	}
+	assert.Equal(t, late, int64(0))
+}
