core/schedule: scheduled occurrences aren't late from the start

Late limits count from a job's arrival, so a scheduled occurrence that began on time counted as useless and was stopped for urgent work of another pool. Scheduled occurrences neither count as late nor are stopped now.

--- a/core/schedule/emptying.go
+++ b/core/schedule/emptying.go
@@ -54,10 +54,11 @@
 }
 
 // mayStopTooLate reports whether the run may be stopped because its result is of no use any more.
-// The other members of a gang would wait for one that is stopped.
+// The other members of a gang would wait for one that is stopped. Late limits count from the
+// arrival of a job, so they don't tell whether a scheduled occurrence is late.
 func (s *Scheduler) mayStopTooLate(now time.Time, r *run) bool {
-	j, _, st, t := s.task(r.task)
-	if t == nil || j.longRunning || st.def.Gang || r.stopping || r.phase != runConfirmed {
+	j, o, st, t := s.task(r.task)
+	if t == nil || j.longRunning || st.def.Gang || !o.due.IsZero() || r.stopping || r.phase != runConfirmed {
 		return false
 	}
 	// The late limit may have been predicted before the queue's run times were known.
--- a/core/schedule/roomplan.go
+++ b/core/schedule/roomplan.go
@@ -138,9 +138,13 @@
 }
 
 // lateRunningCPU returns the CPU that the runs of a late job reserve on VMs that count as capacity.
+// Objectives count from the arrival of a job, so scheduled occurrences don't count as late.
 func (j *jobState) lateRunningCPU(now time.Time) int64 {
 	sum := int64(0)
 	for _, o := range j.occurrences {
+		if !o.due.IsZero() {
+			continue
+		}
 		for i := range o.steps {
 			for t := range o.steps[i].tasks {
 				for _, r := range o.steps[i].tasks[t].runs {
--- a/core/schedule/roomplan_test.go
+++ b/core/schedule/roomplan_test.go
@@ -230,3 +230,23 @@
 	}
 	assert.Equal(t, late, int64(0))
 }
+
+// Guards against stopping a scheduled occurrence that has begun on time, because its job arrived
+// long before.
+func TestScheduledOccurrenceIsNotStopped(t *testing.T) {
+	h := newRoomHarness(t)
+	j := h.jobOf("qb", "scheduled", fillingStep)
+	j.Body.Occurrences, j.Body.FirstDue = 1, h.now.Add(19*time.Second)
+	h.s.AddJob(h.now, j, nil, false)
+	h.now = h.now.Add(20 * time.Second)
+	for _, id := range []string{"a1", "a2", "b1", "b2"} {
+		h.answerHold(id, nil)
+	}
+	starts := commandsOfType[Start](h.advance(0))
+	assert.Equal(t, len(starts), 8)
+	for _, c := range starts {
+		h.confirm(c)
+	}
+	h.addUrgent("urgent")
+	assert.Equal(t, len(commandsOfType[Stop](h.advance(sizingInterval))), 0)
+}
