core/schedule: remember what fits only on yielding VMs

Each waiting task examined every yielding VM with room. The twin of the choice of VMs has yielding VMs and long-running jobs.

--- a/core/schedule/vmindex.go
+++ b/core/schedule/vmindex.go
@@ -15,8 +15,8 @@
 	vms []indexedVM
 	// largestCPU is the CPU of the largest VM.
 	largestCPU int64
-	// unplaceable holds reservations that fit on no VM. Free capacity only shrinks while tasks
-	// are placed, so a larger reservation doesn't fit either.
+	// unplaceable holds reservations that fit on no VM, apart from those that yield. Free capacity
+	// only shrinks while tasks are placed, so a larger reservation doesn't fit either.
 	unplaceable []job.Resources
 }
 
@@ -61,12 +61,12 @@
 	r.vms = slices.Insert(r.vms, at, s)
 }
 
-// isUnplaceable reports whether it is known that the reservation fits on no VM.
+// isUnplaceable reports whether it is known that the reservation fits on no VM that doesn't yield.
 func (r *vmIndex) isUnplaceable(reservation job.Resources) bool {
 	return slices.ContainsFunc(r.unplaceable, func(x job.Resources) bool { return x.FitsIn(reservation) })
 }
 
-// addUnplaceable records that the reservation fits on no VM.
+// addUnplaceable records that the reservation fits on no VM that doesn't yield.
 func (r *vmIndex) addUnplaceable(reservation job.Resources) {
 	r.unplaceable = slices.DeleteFunc(r.unplaceable, func(x job.Resources) bool { return reservation.FitsIn(x) })
 	r.unplaceable = append(r.unplaceable, reservation)
@@ -76,7 +76,8 @@
 // it.
 func (a *assignment) chooseVM(p placement) int {
 	reservation := p.step.def.Reservation()
-	if a.index.isUnplaceable(reservation) {
+	// Long-running tasks may start on VMs that yield, and other tasks may not.
+	if !p.job.longRunning && a.index.isUnplaceable(reservation) {
 		return -1
 	}
 	best, bestCost := -1, 0.0
@@ -87,13 +88,10 @@
 		if best >= 0 && x.freeFraction >= bestCost {
 			break
 		}
-		if !reservation.FitsIn(x.vm.freeCapacity()) {
+		if !reservation.FitsIn(x.vm.freeCapacity()) || (x.vm.yielding && !p.job.longRunning) {
 			continue
 		}
 		noneFits = false
-		if x.vm.yielding && !p.job.longRunning {
-			continue
-		}
 		if !p.step.mayRunOn(p.id.StepID(), x.vm) || p.task.mustBeSeparate(a.now, x.vm) || !a.s.usable(a.now, x.vm) {
 			continue
 		}
--- a/core/schedule/vmindex_test.go
+++ b/core/schedule/vmindex_test.go
@@ -15,7 +15,7 @@
 	var best *vmState
 	for _, v := range a.vms {
 		fits := p.step.def.Reservation().FitsIn(v.freeCapacity())
-		if !fits || !p.step.mayRunOn(p.id.StepID(), v) || !a.s.usable(a.now, v) {
+		if !fits || (v.yielding && !p.job.longRunning) || !p.step.mayRunOn(p.id.StepID(), v) || !a.s.usable(a.now, v) {
 			continue
 		}
 		if best == nil || a.cost(p, v) < a.cost(p, best) {
@@ -30,7 +30,7 @@
 	v := &vmState{
 		id: job.VMID(fmt.Sprintf("vm-%02d", i)), zone: job.ZoneName(rune('a' + i%3)), rack: job.Label(fmt.Sprintf("r%d", i/4)),
 		capacity: job.Resources{CPU: sizes[rng.IntN(3)], MemMB: 16000}, labels: map[job.Label]bool{}, listed: true, reported: true,
-		vacating: rng.IntN(6) == 0, longRunningRuns: rng.IntN(2), servingRuns: rng.IntN(2), spareCPURuns: rng.IntN(2),
+		vacating: rng.IntN(6) == 0, yielding: rng.IntN(6) == 0, longRunningRuns: rng.IntN(2), servingRuns: rng.IntN(2), spareCPURuns: rng.IntN(2),
 	}
 	v.clock.Observe(1, startTime)
 	v.used = job.Resources{CPU: rng.Int64N(v.capacity.CPU + 1), MemMB: rng.Int64N(v.capacity.MemMB)}
@@ -74,7 +74,7 @@
 		a := &assignment{s: New(Settings{}), now: startTime, poolQueue: &poolQueue{vms: vms}, index: newVMIndex(vms, job.Resources{})}
 		for range 40 {
 			def := randomStep(rng)
-			p := placement{job: &jobState{zone: "b"}, step: &stepState{def: &def}, task: &taskState{}}
+			p := placement{job: &jobState{zone: "b", longRunning: def.LongRunning}, step: &stepState{def: &def}, task: &taskState{}}
 			p.job.possibleVMs.Set(vms[0].id, 1)
 			want := chooseExhaustively(a, p)
 			n := a.chooseVM(p)
