--- a/io/soak/policy.go
+++ b/io/soak/policy.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"os/exec"
 	"strings"
+
+	"lavenderpond/core/policy"
 )
 
 // PolicyMode says which decisions under scarcity the daemons are told to make.
@@ -21,9 +23,6 @@
 // policyFlag is the daemon's flag for a policy file.
 const policyFlag = "--policy"
 
-// policySections are the sections of a policy file, one for each kind of decision.
-var policySections = []string{"admission", "fair_shares", "run_time_forecast", "second_runs", "ranked_room", "standby_when_idle"}
-
 // AcceptsPolicy reports whether a daemon's program has a flag for a policy file.
 func AcceptsPolicy(ctx context.Context, binary string) bool {
 	// A program without the flag may also fail to print its help.
@@ -35,9 +34,9 @@
 // probability one half.
 func (m PolicyMode) policyText(rng *rand.Rand) string {
 	var b strings.Builder
-	for _, section := range policySections {
+	for _, x := range policy.Switches() {
 		if m == FullPolicy || rng.IntN(2) == 0 {
-			b.WriteString("[" + section + "]\nenabled = true\n")
+			b.WriteString("[" + x.Name + "]\nenabled = true\n")
 		}
 	}
 	return b.String()
