--- a/core/room/plan.go
+++ b/core/room/plan.go
@@ -12,7 +12,6 @@
 type Machine struct {
 	ID   job.MachineID
 	Pool job.PoolName
-	Zone job.ZoneName
 	CPU  int64
 	// IdleSince is when it last ran something.
 	IdleSince time.Time
--- a/core/schedule/roomplan.go
+++ b/core/schedule/roomplan.go
@@ -48,7 +48,7 @@
 func (s *Scheduler) roomMachines(now time.Time) []room.Machine {
 	var out []room.Machine
 	for _, m := range s.idleMachines(now) {
-		out = append(out, room.Machine{ID: m.ID, Pool: m.Pool, Zone: m.Zone, CPU: m.CPU, IdleSince: m.IdleSince, Emptied: m.Vacated})
+		out = append(out, room.Machine{ID: m.ID, Pool: m.Pool, CPU: m.CPU, IdleSince: m.IdleSince, Emptied: m.Vacated})
 	}
 	return out
 }
