--- a/core/schedule/roomplan.go
+++ b/core/schedule/roomplan.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"lavenderpond/core/job"
@@ -35,7 +34,6 @@
 func (s *Scheduler) planRoom(now time.Time) bool {
 	pools := s.roomPools(now)
 	if !room.Scarce(pools) {
-		s.clearYielding()
 		return false
 	}
 	machines := s.roomMachines(now)
@@ -50,7 +48,7 @@
 func (s *Scheduler) roomMachines(now time.Time) []room.Machine {
 	var out []room.Machine
 	for _, m := range s.idleMachines(now) {
-		out = append(out, room.Machine{ID: m.ID, Pool: m.Pool, Zone: m.Zone, CPU: m.CPU, IdleSince: m.IdleSince, Emptied: m.Vacated})
+		out = append(out, room.Machine{ID: m.ID, Pool: m.Pool, CPU: m.CPU, IdleSince: m.IdleSince, Emptied: m.Vacated})
 	}
 	return out
 }
@@ -89,7 +87,7 @@
 	// urgentWaiting and waiting are core-seconds. waiting includes urgentWaiting.
 	urgentWaiting, waiting float64
 	// lateRunning is the CPU of runs whose jobs can't complete in time any more, in thousandths
-	// of a core.
+	// of a core, on the VMs that count as capacity.
 	lateRunning int64
 	longRunning longRunningDemand
 }
@@ -127,7 +125,7 @@
 		return
 	}
 	if now.After(j.objective) {
-		d.lateRunning += j.runningCPU()
+		d.lateRunning += j.lateRunningCPU(now)
 	}
 	if blocked || !now.Before(j.lateLimit) {
 		return
@@ -139,54 +137,23 @@
 	}
 }
 
-// runningCPU returns the CPU that the job's runs reserve.
-func (j *jobState) runningCPU() int64 {
+// lateRunningCPU returns the CPU that the runs of a late job reserve on VMs that count as capacity.
+// Objectives count from the arrival of a job, so scheduled occurrences don't count as late.
+func (j *jobState) lateRunningCPU(now time.Time) int64 {
 	sum := int64(0)
 	for _, o := range j.occurrences {
+		if !o.due.IsZero() {
+			continue
+		}
 		for i := range o.steps {
 			for t := range o.steps[i].tasks {
 				for _, r := range o.steps[i].tasks[t].runs {
-					sum += r.reservation.CPU
+					if r.vm.countsAsCapacity(now) {
+						sum += r.reservation.CPU
+					}
 				}
 			}
 		}
 	}
 	return sum
 }
-
-// emptyVMs selects the VMs that get no more tasks so that their machines can move. Where urgent
-// work needs the machine, runs whose results are of no use any more are stopped; they start again
-// when nobody else needs the room.
-func (s *Scheduler) emptyVMs(now time.Time, pools []room.Pool, fleet int64) {
-	var vms []room.VM
-	for _, v := range s.vms.All() {
-		if v.acceptsTasks() && !v.cordoned && v.longRunningRuns == 0 {
-			vms = append(vms, room.VM{ID: v.id, Pool: v.pool, CPU: v.capacity.CPU, Used: v.used.CPU})
-		}
-	}
-	emptying := room.Empty(pools, vms, fleet)
-	s.setVacating(slices.Concat(emptying.ForUrgent, emptying.ForTotal))
-	s.clearYielding()
-	for _, id := range emptying.ForUrgent {
-		v := s.vms.Get(id)
-		v.yielding = true
-		s.stopTooLate(now, v)
-	}
-}
-
-// clearYielding lets all VMs take tasks again.
-func (s *Scheduler) clearYielding() {
-	for _, v := range s.vms.All() {
-		v.yielding = false
-	}
-}
-
-// stopTooLate stops the runs on the VM whose jobs are past their late limits.
-func (s *Scheduler) stopTooLate(now time.Time, v *vmState) {
-	for _, r := range v.runs.All() {
-		j := s.jobs.Get(r.task.Job)
-		if j != nil && !j.longRunning && now.After(j.lateLimit) && r.phase == runConfirmed {
-			s.stopRun(now, r, "room for work in time")
-		}
-	}
-}
--- a/core/schedule/roomplan_test.go
+++ b/core/schedule/roomplan_test.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -70,11 +71,182 @@
 	assert.Equal(t, len(commandsOfType[Stop](h.advance(sizingInterval))), 0)
 }
 
-// Guards against VMs that get no tasks any more: they yielded to urgent work when the operators
-// switched the policy off.
+// yieldingVMs counts the VMs that yield.
+func (h *harness) yieldingVMs() int {
+	n := 0
+	for _, v := range h.s.vms.All() {
+		if v.yielding {
+			n++
+		}
+	}
+	return n
+}
+
+// addUseless fills a pool with a job whose result is of no use 20 s later, when the next job of
+// another pool lacks room.
+func (h *harness) addUseless(step job.Step) {
+	h.addJobTo("qb", "useless", step)
+	running := map[job.VMID][]job.RunningTask{}
+	for _, c := range commandsOfType[Start](h.advance(0)) {
+		h.confirm(c)
+		running[c.VM] = append(running[c.VM], runningTask(c, 50))
+	}
+	h.now = h.now.Add(20 * time.Second)
+	for _, id := range []string{"a1", "a2", "b1", "b2"} {
+		h.answerHold(id, running[job.VMID(id)])
+	}
+}
+
+var fillingStep = job.Step{Count: 8, Resources: job.Resources{CPU: 2000, MemMB: 100}, Estimate: time.Second}
+
+func (h *harness) addUrgent(id string) {
+	step := fillingStep
+	step.Count = 16
+	h.addJobTo("qa", id, step)
+}
+
+// Guards against VMs that take no tasks for ever because they yielded when the operators switched
+// the policy off.
 func TestYieldingEndsWithPolicy(t *testing.T) {
 	h := newRoomHarness(t)
-	h.s.vms.Get("a1").yielding, h.s.vms.Get("a2").yielding = true, true
+	h.addUseless(fillingStep)
+	h.addUrgent("urgent")
+	h.advance(sizingInterval)
+	assert.Equal(t, h.yieldingVMs(), 2)
 	h.s.SetPolicy(policy.Policy{})
-	assert.Equal(t, len(h.fillPool("qa", "j")), 8)
+	h.advance(sizingInterval)
+	assert.Equal(t, h.yieldingVMs(), 0)
+}
+
+// Guards against VMs that take no tasks for ever because the list of machines became empty while
+// they yielded.
+func TestYieldingEndsWithoutMachines(t *testing.T) {
+	h := newRoomHarness(t)
+	h.addUseless(fillingStep)
+	h.addUrgent("urgent")
+	h.advance(sizingInterval)
+	assert.Equal(t, h.yieldingVMs(), 2)
+	h.s.MachinesListed(h.now, nil)
+	h.advance(sizingInterval)
+	assert.Equal(t, h.yieldingVMs(), 0)
+}
+
+// Guards against VMs that stand empty while the table is out of reach, for machines that the owner
+// may not move.
+func TestNothingYieldsWithoutRightToOrderMachines(t *testing.T) {
+	h := newRoomHarness(t)
+	h.addUseless(fillingStep)
+	h.s.SetRights(Rights{StartTasks: true, ExtendLeases: true})
+	h.addUrgent("urgent")
+	assert.Equal(t, len(commandsOfType[Stop](h.advance(sizingInterval))), 0)
+	assert.Equal(t, h.yieldingVMs(), 0)
+}
+
+// Guards against a run that is stopped and started for as long as urgent work comes and goes, so
+// that its accepted job never ends.
+func TestUselessRunIsStoppedSeldom(t *testing.T) {
+	h := newRoomHarness(t)
+	h.addUseless(fillingStep)
+	stops := map[job.TaskID]int{}
+	for i := range 5 {
+		id := fmt.Sprint("urgent", i)
+		h.addUrgent(id)
+		for _, c := range commandsOfType[Stop](h.advance(sizingInterval)) {
+			stops[c.Task]++
+			r := h.s.vms.Get(c.VM).runs.Get(runKey{c.Task, c.Attempt})
+			h.s.release(h.now, r)
+		}
+		h.s.Cancel(h.now, job.ID(id))
+		h.s.SetPolicy(policy.Policy{})
+		for _, c := range commandsOfType[Start](h.advance(time.Second)) {
+			h.confirm(c)
+		}
+		h.s.SetPolicy(policy.Policy{RankedRoom: true})
+	}
+	assert.Equal(t, len(stops), 8)
+	for id, n := range stops {
+		assert.Assert(t, n <= maxRoomStops, "%v: %d", id, n)
+	}
+}
+
+// Guards against a gang that lacks the member that was stopped for other work, and against one
+// that starts on VMs that should become idle.
+func TestGangsAndYielding(t *testing.T) {
+	h := newRoomHarness(t)
+	gang := fillingStep
+	gang.Gang = true
+	h.addUseless(gang)
+	h.addUrgent("urgent")
+	assert.Equal(t, len(commandsOfType[Stop](h.advance(sizingInterval))), 0)
+	assert.Equal(t, h.yieldingVMs(), 2)
+	for _, v := range h.s.vms.All() {
+		for _, r := range v.runs.All() {
+			if r.task.Job == "useless" {
+				h.s.release(h.now, r)
+			}
+		}
+	}
+	assert.Equal(t, len(commandsOfType[Start](h.assignOnly())), 0)
+}
+
+// assignOnly plays the assignment of a round, without the other work.
+func (h *harness) assignOnly() []Command {
+	h.s.Assign(h.now, h.now)
+	return h.s.TakeCommands()
+}
+
+// Guards against stopping a run that is of use, because its job's late limit was predicted before
+// the queue's run times were known.
+func TestLateLimitIsCurrentBeforeStop(t *testing.T) {
+	h := newRoomHarness(t)
+	h.addUseless(fillingStep)
+	for range 2 * minSamples {
+		h.s.learnRunTime(h.s.jobs.Get("useless"), time.Minute)
+	}
+	h.addUrgent("urgent")
+	assert.Equal(t, len(commandsOfType[Stop](h.advance(sizingInterval))), 0)
+}
+
+// Guards against a pool that seems to need less than its work in time, because late runs on VMs
+// that don't count as its capacity are taken off.
+func TestLateRunsElsewhereAreNotTakenOff(t *testing.T) {
+	h := newRoomHarness(t)
+	h.addUseless(fillingStep)
+	for _, r := range h.s.vms.Get("b2").runs.All() {
+		h.s.release(h.now, r)
+	}
+	half := fillingStep
+	half.Count = 4
+	h.s.vms.Get("b1").draining = true
+	h.addJobTo("qb", "in time", half)
+	for _, c := range commandsOfType[Start](h.assignOnly()) {
+		h.confirm(c)
+	}
+	used := h.s.vms.Get("b2").used.CPU
+	assert.Equal(t, used, int64(8000))
+	late := int64(0)
+	for _, d := range h.s.rankedDemand(h.now) {
+		late += d.lateRunning
+	}
+	assert.Equal(t, late, int64(0))
+}
+
+// Guards against stopping a scheduled occurrence that has begun on time, because its job arrived
+// long before.
+func TestScheduledOccurrenceIsNotStopped(t *testing.T) {
+	h := newRoomHarness(t)
+	j := h.jobOf("qb", "scheduled", fillingStep)
+	j.Body.Occurrences, j.Body.FirstDue = 1, h.now.Add(19*time.Second)
+	h.s.AddJob(h.now, j, nil, false)
+	h.now = h.now.Add(20 * time.Second)
+	for _, id := range []string{"a1", "a2", "b1", "b2"} {
+		h.answerHold(id, nil)
+	}
+	starts := commandsOfType[Start](h.advance(0))
+	assert.Equal(t, len(starts), 8)
+	for _, c := range starts {
+		h.confirm(c)
+	}
+	h.addUrgent("urgent")
+	assert.Equal(t, len(commandsOfType[Stop](h.advance(sizingInterval))), 0)
 }
