io/node: delete the refusals of callers that gave up also where others returned

The owner remembered every refusal until its deletion ten minutes later, also those that the job or a cancellation had replaced. Deletions are one transaction a partition, on condition that each row is unchanged, so one caller that returned kept all refusals of its partition, and they were forgotten.

TestOwnerTakesJobAfterItsRefusal asserted that a deletion was due for a job that had replaced its refusal, which is the fault. Its part on deletions is now TestRefusalsOfCallersThatReturnedAreNotDeleted.

--- a/io/node/admission_test.go
+++ b/io/node/admission_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -200,23 +201,71 @@
 	assert.Assert(t, got.tableVersion >= got.renewalVersion && got.renewalVersion > 0)
 }
 
-// Guards against an owner that takes a refusal for a cancellation when the caller's next call is
-// stored with it in one batch, and against deleting a record that has changed.
-func TestOwnerTakesJobAfterItsRefusal(t *testing.T) {
-	o := &owner{scheduler: schedule.New(schedule.Settings{}), tenure: &tenure{}, log: zerolog.Nop()}
-	refusal, err := encodeRow(cancelRow{Refused: true})
+// refusalRow returns the row of a refusal.
+func refusalRow(t *testing.T, id job.ID, v platform.Version) platform.Row {
+	value, err := encodeRow(cancelRow{Refused: true})
 	assert.NilError(t, err)
-	value, err := encodeRow(testJob())
+	return platform.Row{RowKey: cancelKey(id), Value: value, Version: v}
+}
+
+// jobRow returns the row of a submitted job.
+func jobRow(t *testing.T, id job.ID, v platform.Version) platform.Row {
+	value, err := encodeRow(job.Job{ID: id})
 	assert.NilError(t, err)
-	now := bootNow()
-	o.applyJobRows(now, []platform.Row{{RowKey: cancelKey(testJob().ID), Value: refusal, Version: 5}}, nil)
-	o.applyJobRows(now, []platform.Row{
-		{RowKey: cancelKey(testJob().ID), Value: refusal, Version: 6}, {RowKey: jobKey(testJob().ID), Value: value, Version: 7},
-	}, nil)
+	return platform.Row{RowKey: jobKey(id), Value: value, Version: v}
+}
+
+func newOwnerOfRows() *owner {
+	return &owner{scheduler: schedule.New(schedule.Settings{}), tenure: &tenure{}, log: zerolog.Nop()}
+}
+
+// Guards against an owner that takes a refusal for a cancellation when the caller's next call is
+// stored with it in one batch.
+func TestOwnerTakesJobAfterItsRefusal(t *testing.T) {
+	o, id, now := newOwnerOfRows(), testJob().ID, bootNow()
+	o.applyJobRows(now, []platform.Row{refusalRow(t, id, 5)}, nil)
+	o.applyJobRows(now, []platform.Row{refusalRow(t, id, 6), jobRow(t, id, 7)}, nil)
 	assert.Equal(t, o.scheduler.Backlog(now)[job.QueueName("")], 1)
 	assert.Equal(t, o.lastJobVersion, platform.Version(7))
+}
+
+// Guards against refusals that stay in the table because others of their partition have been replaced
+// meanwhile: by their jobs, by cancellations or by later refusals. Only a refusal that is still
+// there is deleted, at its last version.
+func TestRefusalsOfCallersThatReturnedAreNotDeleted(t *testing.T) {
+	o, now := newOwnerOfRows(), bootNow()
+	var ids []job.ID
+	for i := 0; len(ids) < 5; i++ {
+		if id := job.ID(fmt.Sprintf("%016x", i)); jobPartition(id) == jobPartition("0000000000000000") {
+			ids = append(ids, id)
+		}
+	}
+	for _, id := range ids {
+		o.applyJobRows(now, []platform.Row{refusalRow(t, id, 5)}, nil)
+	}
+	removed := platform.Row{RowKey: cancelKey(ids[2]), Version: 7, Removed: true}
+	cancelled := platform.Row{RowKey: cancelKey(ids[3]), Value: []byte("{}"), Version: 8}
+	o.applyJobRows(now, []platform.Row{refusalRow(t, ids[0], 6), jobRow(t, ids[1], 7), removed, cancelled}, nil)
 	due := o.refusals.due(now.Add(refusalRetention))
 	assert.Equal(t, len(due), 1)
-	assert.DeepEqual(t, due[0].Conditions, []platform.Condition{{RowKey: cancelKey(testJob().ID), Version: 6}})
+	assert.DeepEqual(t, due[0].Conditions, []platform.Condition{
+		{RowKey: cancelKey(ids[4]), Version: 5}, {RowKey: cancelKey(ids[0]), Version: 6},
+	})
 	assert.Equal(t, len(o.refusals.records), 0)
 }
+
+// Load: 500 refusals a second for two minutes whose callers never return. They are all deleted
+// within two minutes of their retention, and no transaction is too large for the table.
+func TestRefusalsAreDeletedAsFastAsTheyCome(t *testing.T) {
+	var r refusalRecords
+	now := bootNow()
+	for i := range 60_000 {
+		r.add(now.Add(time.Duration(i)*2*time.Millisecond), job.ID(fmt.Sprintf("%016x", i)), 1)
+	}
+	for s := range 240 {
+		for _, tx := range r.due(now.Add(refusalRetention + time.Duration(s)*time.Second)) {
+			assert.Assert(t, len(tx.Conditions)+len(tx.Removals) <= platform.MaxTransactionRows)
+		}
+	}
+	assert.Equal(t, len(r.records), 0)
+}
--- a/io/node/owner.go
+++ b/io/node/owner.go
@@ -120,13 +120,17 @@
 	var cancelled []job.ID
 	for i := range rows {
 		r := &rows[i]
+		id, isCancel := splitJobKey(r.Key)
 		if r.Removed {
+			if isCancel {
+				o.refusals.remove(id)
+			}
 			continue
 		}
 		o.lastJobVersion = max(o.lastJobVersion, r.Version)
-		id, isCancel := splitJobKey(r.Key)
 		if isCancel {
 			if !o.recordRefusal(now, id, r) {
+				o.forgetRefusal(id)
 				cancelled = append(cancelled, id)
 			}
 			continue
@@ -141,6 +145,7 @@
 			continue
 		}
 		o.scheduler.AddJob(now, j, progress[j.ID], r.Version < o.tenure.fence)
+		o.forgetRefusal(id)
 	}
 	for _, id := range cancelled {
 		o.scheduler.Cancel(now, id)
@@ -206,7 +211,7 @@
 	o.backlog.set(o.scheduler.Backlog(now))
 	o.publishStatus(now)
 	o.publishOutlook(now)
-	o.forgetRefusals(ctx, now)
+	o.deleteOldRefusals(ctx, now)
 	if pools := o.scheduler.FullPools(now); pools != nil || o.fullPools.Load() != nil {
 		o.fullPools.Store(&pools)
 	}
