Forecasts: include only the jobs they count, and count on over the tenures of a process

Two faults of the forecasts for admission, both in what a new one claims.

Outlook is computed every 100 ms and was published with the newest job version of the round, so that entry VMs dropped admitted jobs from their count which the forecast didn't contain yet. Only a computed outlook is taken now, with the version of its round.

Each tenure's sequences began at 1. If a process lost its ownership and came back before another owner had stored a forecast, entry VMs read its last one and ignored the new ones until they passed that sequence: five a second at most, so that admission was off for minutes. Sequences start at the tenure number times 2^32.

TestForecastIncludesOnlyJobsItCounts and TestForecastsOfLaterTenureAreUsed failed before.

--- a/core/admission/publisher.go
+++ b/core/admission/publisher.go
@@ -23,6 +23,9 @@
 
 // Publisher decides when the owner stores a forecast. The zero value has stored none.
 type Publisher struct {
+	// After is a sequence below those of all forecasts.
+	After Sequence
+
 	last   Forecast
 	lastAt time.Time
 	// nextAt is the earliest time of the next forecast.
@@ -40,7 +43,7 @@
 	case now.Sub(p.lastAt) < refreshInterval && !changed(p.last, f):
 		return Forecast{}, false
 	}
-	f.Sequence = p.last.Sequence + 1
+	f.Sequence = max(p.After, p.last.Sequence) + 1
 	p.last, p.lastAt, p.nextAt = f, now, now.Add(max(minPublishInterval, sendTime(f)))
 	return f, true
 }
--- a/core/schedule/outlook.go
+++ b/core/schedule/outlook.go
@@ -58,12 +58,13 @@
 
 // Outlook returns the forecast for admission: the pools that are full and in which work waits
 // for room. It may be up to outlookInterval old, and is computed after Assign has given the
-// waiting work the room that there is.
-func (s *Scheduler) Outlook(now time.Time) admission.Forecast {
-	if s.config != nil && !now.Before(s.outlook.expires) {
+// waiting work the room that there is. fresh reports whether it was computed by this call.
+func (s *Scheduler) Outlook(now time.Time) (f admission.Forecast, fresh bool) {
+	fresh = s.config != nil && !now.Before(s.outlook.expires)
+	if fresh {
 		s.outlook = outlook{s.computeOutlook(now), now.Add(outlookInterval)}
 	}
-	return s.outlook.forecast
+	return s.outlook.forecast, fresh
 }
 
 func (s *Scheduler) computeOutlook(now time.Time) admission.Forecast {
--- a/core/schedule/outlook_test.go
+++ b/core/schedule/outlook_test.go
@@ -44,7 +44,7 @@
 }
 
 func (h *harness) outlook() *admission.Forecast {
-	f := h.s.Outlook(h.now)
+	f, _ := h.s.Outlook(h.now)
 	return &f
 }
 
--- a/io/node/admission_test.go
+++ b/io/node/admission_test.go
@@ -269,3 +269,47 @@
 	}
 	assert.Equal(t, len(r.records), 0)
 }
+
+// newPublishingOwner returns an owner with admission on and a configuration.
+func newPublishingOwner(tenureNumber int64) *owner {
+	o := newOwnerOfRows()
+	o.tenure = &tenure{runID: "o", number: tenureNumber}
+	o.outlook.startTenure(tenureNumber)
+	o.relays = newRelaySet("", zerolog.Nop())
+	o.node = &Node{admission: newAdmissionGate(func() *policy.Policy { return &policy.Policy{Admission: true} }, zerolog.Nop(), func(string) {})}
+	o.scheduler.Configure(&job.Configuration{})
+	return o
+}
+
+// Guards against entry VMs that stop counting a job they have admitted while the forecast doesn't
+// contain it yet: the job arrives after the forecast was computed and before it is stored.
+func TestForecastIncludesOnlyJobsItCounts(t *testing.T) {
+	o, now := newPublishingOwner(1), bootNow()
+	o.lastJobVersion = 5
+	o.publishOutlook(now)
+	o.lastJobVersion = 9
+	o.publishOutlook(now.Add(50 * time.Millisecond))
+	assert.Equal(t, o.outlook.forecast.Includes, uint64(5))
+	o.publishOutlook(now.Add(time.Second))
+	assert.Equal(t, o.outlook.forecast.Includes, uint64(9))
+}
+
+// Guards against forecasts that are ignored after a process has become the owner again: their
+// sequences start anew, below those of its tenure before.
+func TestForecastsOfLaterTenureAreUsed(t *testing.T) {
+	full := admission.Forecast{RunID: "o", Pools: []admission.Pool{{Cores: 1}}}
+	var c admission.Controller
+	now := bootNow()
+	for tenureNumber := range int64(2) {
+		o := newPublishingOwner(tenureNumber + 1)
+		for range 5 - 2*tenureNumber {
+			now = now.Add(time.Second)
+			o.outlook.set(full)
+			f, due := o.outlook.next(now)
+			assert.Assert(t, due)
+			c.Update(now, f, "o")
+		}
+	}
+	_, age, inForce := c.Forecast(now)
+	assert.Assert(t, inForce && age == 0, "%v", age)
+}
--- a/io/node/outlook.go
+++ b/io/node/outlook.go
@@ -16,6 +16,17 @@
 	known     bool
 }
 
+// tenureSequenceBits is the number of bits of a forecast's sequence that count within a tenure.
+const tenureSequenceBits = 32
+
+// startTenure begins the sequences of a tenure above those of the former ones: entry VMs that have
+// read a forecast of the same process ignore lower sequences.
+func (p *outlookPublisher) startTenure(number int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.publisher.After = admission.Sequence(number << tenureSequenceBits)
+}
+
 // set replaces the forecast.
 func (p *outlookPublisher) set(f admission.Forecast) {
 	p.mu.Lock()
@@ -48,7 +59,11 @@
 		o.outlook.clear()
 		return
 	}
-	f := o.scheduler.Outlook(now)
+	f, fresh := o.scheduler.Outlook(now)
+	if !fresh {
+		// The jobs that have arrived since aren't in it, so Includes must not change.
+		return
+	}
 	f.RunID, f.Includes, f.Entries = o.tenure.runID, uint64(o.lastJobVersion), o.relays.memberCount()
 	o.outlook.set(f)
 }
--- a/io/node/owner.go
+++ b/io/node/owner.go
@@ -71,6 +71,7 @@
 		recordLatency: func(d time.Duration) { n.metrics.recordDuration("table_commit", d) },
 		health:        &n.health,
 	}
+	o.outlook.startTenure(t.number)
 	o.committer.forecast = o.nextForecast
 	var g supervisor.Group
 	run := func(f func(ctx context.Context) error) {
