io/node: learn the versions of refusals from answers about jobs

A caller that returns to an entry VM which hasn't polled the owner's rows since the refusal is denied, since its call could be older than the refusal. While the owner's rows can't be read, but the jobs' partitions can, such callers were denied each time. The answers to submissions and refusals tell the version as well, so the next call is let in.

--- a/io/node/admission.go
+++ b/io/node/admission.go
@@ -141,7 +141,6 @@
 	switch {
 	case err == nil && version != 0:
 		g.controller.Stored(id, uint64(version))
-		g.version = max(g.version, version)
 	case !isOutcomeUnknown(err):
 		g.controller.Withdraw(id)
 	}
--- a/io/node/jobstore.go
+++ b/io/node/jobstore.go
@@ -50,6 +50,9 @@
 	// rowBytes is the size of the largest row that the table accepts; 0 means that it
 	// isn't known.
 	rowBytes int
+	// onVersion receives the table's versions in the answers to submissions and refusals, from
+	// which later calls know that refusals are older than they are; it may be nil.
+	onVersion func(v platform.Version)
 
 	latency latencyEstimator
 }
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -85,7 +85,7 @@
 		count: n.metrics.count, recordDuration: n.metrics.recordDuration,
 		jobs: &jobStore{
 			table: n.table, recordLatency: func(d time.Duration) { n.metrics.recordDuration("table_call", d) },
-			health: &n.health, rowBytes: s.RowBytes,
+			health: &n.health, rowBytes: s.RowBytes, onVersion: n.admission.sawVersion,
 		},
 	}
 	n.election = &election{
--- a/io/node/submission.go
+++ b/io/node/submission.go
@@ -163,6 +163,13 @@
 	return tx
 }
 
+// sawVersion reports a version of the table that an answer contained.
+func (s *jobStore) sawVersion(v platform.Version) {
+	if s.onVersion != nil {
+		s.onVersion(v)
+	}
+}
+
 // store applies a transaction on a job's rows. A condition that fails is no error.
 func (s *jobStore) store(ctx context.Context, deadline time.Time, tx platform.Transaction) (version platform.Version, conflict *platform.ConflictError, err error) {
 	maybeApplied, err := s.withRetries(ctx, deadline, tx.Conditions[0].Partition, func(ctx context.Context) (err error) {
@@ -171,8 +178,12 @@
 	})
 	switch {
 	case err == nil:
+		s.sawVersion(version)
 		return version, nil, nil
 	case errors.As(err, &conflict):
+		for i := range conflict.Rows {
+			s.sawVersion(conflict.Rows[i].Version)
+		}
 		return 0, conflict, nil
 	case maybeApplied:
 		return 0, nil, errors.Wrap(errOutcomeUnknown, err.Error())
