io/node: submit a job whose renewed refusal can't be stored

A job that had been refused before and is refused again was answered with 504 if the refusal couldn't be stored or the call was a probe, without being submitted.

TestProbeStoresJobThatWasRefused failed before (504).

--- a/io/node/admission_test.go
+++ b/io/node/admission_test.go
@@ -140,6 +140,7 @@
 	h := newCallerHandler(s.health)
 	h.jobs = s
 	h.admission = newAdmissionGate(func() *policy.Policy { return &policy.Policy{Admission: true} }, zerolog.Nop(), func(string) {})
+	s.onVersion = h.admission.sawVersion
 	for n := range admission.Sequence(2) {
 		h.admission.polled(bootNow(), ownerRows{owner: ownerRow{RunID: "o"}, forecast: admission.Forecast{
 			RunID: "o", Sequence: n + 1, Entries: 34,
@@ -177,6 +178,29 @@
 	assert.Equal(t, w.Code, http.StatusGatewayTimeout)
 }
 
+// Guards against denying a job for no reason: a probe finds a partition available again and the job
+// refused before. Its refusal isn't renewed by a probe, so the job is stored.
+func TestProbeStoresJobThatWasRefused(t *testing.T) {
+	_, h := newGatedHandler(t)
+	assert.Equal(t, sendCall(h, http.MethodPost, "/open/0123456789abcdef").Code, http.StatusTooManyRequests)
+	_, version := stored(t, h.jobs)
+	h.admission.sawVersion(version)
+	h.health = healthWithLastAnswer(time.Second)
+	h.jobs.health = h.health
+	assert.Equal(t, sendCall(h, http.MethodPost, "/open/0123456789abcdef").Code, http.StatusOK)
+}
+
+// Guards against denying callers that return as told while the owner's rows can't be polled: the
+// entry VM doesn't know how new their refusals are. It learns it from the answer about the job.
+func TestCallerReturnsWithoutPolls(t *testing.T) {
+	_, h := newGatedHandler(t)
+	_, err := newJobStore(h.jobs.table).refuse(t.Context(), bootNow().Add(time.Second), testJob().ID, 0)
+	assert.NilError(t, err)
+	h.admission.controller.Update(bootNow(), admission.Forecast{}, "")
+	assert.Equal(t, sendCall(h, http.MethodPost, "/open/0123456789abcdef").Code, http.StatusTooManyRequests)
+	assert.Equal(t, sendCall(h, http.MethodPost, "/open/0123456789abcdef").Code, http.StatusOK)
+}
+
 // Guards against refusals by a forecast from before the table became unreachable.
 func TestNothingIsRefusedWhileTheTableIsDark(t *testing.T) {
 	_, h := newGatedHandler(t)
--- a/io/node/callers.go
+++ b/io/node/callers.go
@@ -140,16 +140,8 @@
 
 func (h *callerHandler) submit(ctx context.Context, w http.ResponseWriter, r *http.Request, c routedCall) {
 	body, err := platform.DecodeJob(r.Body, c.config.Limits.BodyBytes)
-	if errors.Is(err, platform.ErrBodyTooLarge) {
-		h.deny(w, c.call, string(c.id), platform.DeniedTooLarge, err.Error())
-		return
-	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		h.deny(w, c.call, string(c.id), platform.DeniedUnavailable, "the body was not received in time")
-		return
-	}
 	if err != nil {
-		h.deny(w, c.call, string(c.id), platform.DeniedMalformed, err.Error())
+		h.denyBody(w, c, err)
 		return
 	}
 	q := c.queue
@@ -166,10 +158,13 @@
 		again, refused = h.admission.decide(bootNow(), time.Now(), &j, firstAt).(admission.Refuse)
 		return !refused
 	}})
-	h.admission.settle(j.ID, version, err)
-	if errors.Is(err, errRefusedAgain) && h.refuse(ctx, w, c, &j, again) {
-		return
+	if errors.Is(err, errRefusedAgain) {
+		if h.refuse(ctx, w, c, &j, again) {
+			return
+		}
+		version, err = h.jobs.submitArrived(ctx, c.deadline, j, c.decision, arrival{c.tableVersion, alwaysReadmit})
 	}
+	h.admission.settle(j.ID, version, err)
 	if err != nil {
 		h.denyFailed(w, c, err)
 		return
@@ -177,6 +172,18 @@
 	h.accept(w, c)
 }
 
+// denyBody answers a submission whose body couldn't be read or decoded.
+func (h *callerHandler) denyBody(w http.ResponseWriter, c routedCall, err error) {
+	d, reason := platform.DeniedMalformed, err.Error()
+	switch {
+	case errors.Is(err, platform.ErrBodyTooLarge):
+		d = platform.DeniedTooLarge
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		d, reason = platform.DeniedUnavailable, "the body was not received in time"
+	}
+	h.deny(w, c.call, string(c.id), d, reason)
+}
+
 // refuse answers a submission that is refused, and reports whether it has. If the refusal can't
 // be stored, or the table isn't known to be available, the job is submitted like any other.
 func (h *callerHandler) refuse(ctx context.Context, w http.ResponseWriter, c routedCall, j *job.Job, r admission.Refuse) bool {
--- a/io/node/submission.go
+++ b/io/node/submission.go
@@ -98,6 +98,9 @@
 	readmit func(firstAt tableTime) bool
 }
 
+// alwaysReadmit lets a job replace its refusal.
+func alwaysReadmit(tableTime) bool { return true }
+
 // check returns an error if the job may not replace its last refusal.
 func (a arrival) check(last refusal) error {
 	switch {
@@ -112,7 +115,7 @@
 // submit stores a job once. A job that exists already, in any state, is not stored again;
 // that is no error.
 func (s *jobStore) submit(ctx context.Context, deadline time.Time, j job.Job, decision contact.Decision) error {
-	_, err := s.submitArrived(ctx, deadline, j, decision, arrival{math.MaxUint64, func(tableTime) bool { return true }})
+	_, err := s.submitArrived(ctx, deadline, j, decision, arrival{math.MaxUint64, alwaysReadmit})
 	return err
 }
 
