io/node: no refusals beside entry VMs of an older release

An older release takes the row of a refusal for a cancellation: an entry VM answers 200 to the refused caller that returns, without storing the job, and an owner that reads refusal and job in one batch cancels the job.

Member rows now tell who knows refusals. The owner publishes no forecast, so that nothing is refused, before it has read them, while an entry VM doesn't, and for 10 s after (a stopped process serves callers for 2.8 s more). Going back to an older release still needs ten minutes without admission.

TestNoRefusalsBesideOlderRelease failed before.

--- a/io/node/admission_test.go
+++ b/io/node/admission_test.go
@@ -300,6 +300,7 @@
 	o.tenure = &tenure{runID: "o", number: tenureNumber}
 	o.outlook.startTenure(tenureNumber)
 	o.relays = newRelaySet("", zerolog.Nop())
+	o.relays.applyRows(nil, true)
 	o.node = &Node{admission: newAdmissionGate(func() *policy.Policy { return &policy.Policy{Admission: true} }, zerolog.Nop(), func(string) {})}
 	o.scheduler.Configure(&job.Configuration{})
 	return o
@@ -337,3 +338,29 @@
 	_, age, inForce := c.Forecast(now)
 	assert.Assert(t, inForce && age == 0, "%v", age)
 }
+
+// Guards against losing a job that a caller submits again after a refusal: an entry VM of an older
+// release takes the refusal for a cancellation and answers that the job is stored. No forecast is
+// published, so that none is refused, before the entry VMs are known, while such a one is among
+// them, and while it may still serve callers after its row was removed.
+func TestNoRefusalsBesideOlderRelease(t *testing.T) {
+	row := func(node, value string) platform.Row {
+		return platform.Row{RowKey: memberKey(node), Value: []byte(value), Version: 1}
+	}
+	newer, err := encodeRow(newMemberRow(&platform.Settings{}, "r"))
+	assert.NilError(t, err)
+	o, now := newPublishingOwner(1), bootNow()
+	published := func(after time.Duration) bool {
+		o.publishOutlook(now.Add(after))
+		return o.outlook.known
+	}
+	o.relays = newRelaySet("", zerolog.Nop())
+	assert.Assert(t, !published(time.Second), "the entry VMs aren't known")
+	o.relays.applyRows([]platform.Row{row("a", string(newer)), row("b", `{"zone":"z","address":"x","cores":1,"life":"r"}`)}, true)
+	assert.Assert(t, !published(2*time.Second), "an older release runs")
+	o.relays.applyRows([]platform.Row{row("b", string(newer))}, false)
+	assert.Assert(t, !published(3*time.Second), "its process may still serve callers")
+	assert.Assert(t, published(time.Minute))
+	o.relays.applyRows([]platform.Row{row("b", "{}")}, false)
+	assert.Assert(t, !published(2*time.Minute), "the older release is back")
+}
--- a/io/node/membership.go
+++ b/io/node/membership.go
@@ -35,6 +35,14 @@
 	LinkMbps float64 `json:"link_mbps,omitempty"`
 	// RunID identifies one run of the entry VM's process.
 	RunID string `json:"life"`
+	// Refusals is set if the entry VM tells refusals from cancellations. Older releases don't:
+	// they answer that a refused job that is submitted again is stored.
+	Refusals bool `json:"refusals,omitempty"`
+}
+
+// newMemberRow returns the row of this process.
+func newMemberRow(s *platform.Settings, runID string) memberRow {
+	return memberRow{Zone: s.Zone, Address: s.PeerAddress, Cores: s.Cores, LinkMbps: s.LinkMbps, RunID: runID, Refusals: true}
 }
 
 func memberKey(node string) platform.RowKey {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -156,9 +156,7 @@
 	if n.settings.PeerAddress == "" {
 		return nil
 	}
-	m := membership{table: n.table, node: n.settings.Node, log: n.log, row: memberRow{
-		Zone: n.settings.Zone, Address: n.settings.PeerAddress, Cores: n.settings.Cores, LinkMbps: n.settings.LinkMbps, RunID: n.election.runID,
-	}}
+	m := membership{table: n.table, node: n.settings.Node, log: n.log, row: newMemberRow(&n.settings, n.election.runID)}
 	return []supervisor.Child{
 		{Name: "relay", Run: func(context.Context) error { return (&Relay{}).run(serveCtx, n.settings.PeerAddress) }},
 		{Name: "membership", Run: func(context.Context) error { return m.run(ctx) }},
--- a/io/node/outlook.go
+++ b/io/node/outlook.go
@@ -59,6 +59,15 @@
 		o.outlook.clear()
 		return
 	}
+	known := o.relays.refusalsKnown(now)
+	if known == o.refusalsBlocked {
+		o.refusalsBlocked = !known
+		o.log.Info().Str("event", "refusals_blocked").Bool("blocked", !known).Send()
+	}
+	if !known {
+		o.outlook.clear()
+		return
+	}
 	f, fresh := o.scheduler.Outlook(now)
 	if !fresh {
 		// The jobs that have arrived since aren't in it, so Includes must not change.
--- a/io/node/owner.go
+++ b/io/node/owner.go
@@ -46,6 +46,9 @@
 	policy   *policy.Policy
 	outlook  outlookPublisher
 	refusals refusalRecords
+	// refusalsBlocked is set while no forecast is published because entry VMs aren't known or are
+	// of an older release.
+	refusalsBlocked bool
 	// lastJobVersion is the newest version of a job's row that the scheduler knows.
 	lastJobVersion platform.Version
 	// fullPools are the pools in which work waits for room, for the dump.
--- a/io/node/relayset.go
+++ b/io/node/relayset.go
@@ -51,6 +51,8 @@
 	mu sync.Mutex
 	// members holds the rows of entry VMs, by name.
 	members map[string]memberRow
+	// olderUntil is until when an entry VM that doesn't know refusals may serve callers.
+	olderUntil time.Time
 	// failedUntil holds the time until which a failed address isn't tried. relays holds the
 	// relays in use, by zone.
 	failedUntil map[string]time.Time
@@ -83,6 +85,9 @@
 func (s *relaySet) mergeMembers(rows []platform.Row, complete bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.hasOlderMember() {
+		s.olderUntil = bootNow().Add(olderMemberDrain)
+	}
 	if complete || s.members == nil {
 		s.members = map[string]memberRow{}
 	}
@@ -241,6 +246,27 @@
 	return len(s.members)
 }
 
+// olderMemberDrain is how long a process may still serve callers after its row was removed or
+// replaced; drainDuration and some more.
+const olderMemberDrain = 10 * time.Second
+
+// refusalsKnown reports whether all entry VMs tell refusals from cancellations.
+func (s *relaySet) refusalsKnown(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.members != nil && !s.hasOlderMember() && !now.Before(s.olderUntil)
+}
+
+// hasOlderMember reports whether an entry VM takes refusals for cancellations.
+func (s *relaySet) hasOlderMember() bool {
+	for _, m := range s.members {
+		if !m.Refusals {
+			return true
+		}
+	}
+	return false
+}
+
 // addresses returns the addresses of each zone's relays.
 func (s *relaySet) addresses() map[string][]string {
 	s.mu.Lock()
