--- a/io/node/admission_test.go
+++ b/io/node/admission_test.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -27,22 +29,28 @@
 // lateTable is a table that can leave transactions unanswered and apply them later.
 type lateTable struct {
 	*standin.Table
-	late bool
+	late atomic.Bool
+
+	mu   sync.Mutex
 	held [][]byte
 }
 
 func (l *lateTable) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if !l.late || r.Method != http.MethodPost {
+	if !l.late.Load() || r.Method != http.MethodPost {
 		l.Table.ServeHTTP(w, r)
 		return
 	}
 	body, _ := io.ReadAll(r.Body)
+	l.mu.Lock()
 	l.held = append(l.held, body)
+	l.mu.Unlock()
 	panic(http.ErrAbortHandler)
 }
 
 // applyHeld applies the unanswered transactions.
 func (l *lateTable) applyHeld(r *rand.Rand) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	for _, i := range r.Perm(len(l.held)) {
 		l.Table.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/rows-tx", bytes.NewReader(l.held[i])))
 	}
@@ -80,10 +88,10 @@
 		table, s := newLateTable(t)
 		for range 1 + r.IntN(3) {
 			_, version := stored(t, s)
-			if table.late = r.IntN(3) > 0; table.late {
+			if table.late.Store(r.IntN(3) > 0); table.late.Load() {
 				_, err := s.submitArrived(t.Context(), bootNow().Add(20*time.Millisecond), testJob(), contact.Call, at(version))
 				assert.Assert(t, errors.Is(err, errOutcomeUnknown), "seed %d: %v", seed, err)
-				table.late = false
+				table.late.Store(false)
 				continue
 			}
 			refused, err := s.refuse(t.Context(), bootNow().Add(time.Second), testJob().ID, 0)
@@ -173,7 +181,7 @@
 func TestRefusalThatCannotBeStoredIsNotGiven(t *testing.T) {
 	table, h := newGatedHandler(t)
 	h.view.config.Queues[1].Timeout = 700 * time.Millisecond
-	table.late = true
+	table.late.Store(true)
 	w := sendCall(h, http.MethodPost, "/open/0123456789abcdef")
 	assert.Equal(t, w.Code, http.StatusGatewayTimeout)
 }
