core/schedule: an outlook looks only at the tasks of steps in progress

At 10,000 VMs with 10,000 waiting and as many running jobs, an outlook took 28 to 30 ms, ten times a second, three quarters of it in splitWork, which looked at each task.

--- a/core/schedule/outlook.go
+++ b/core/schedule/outlook.go
@@ -167,18 +167,32 @@
 	for _, o := range j.occurrences {
 		for i := range o.steps {
 			st := &o.steps[i]
-			cores, run := float64(st.def.Reservation().CPU)/1000, s.predictRunTime(j, st.def)
-			for t := range st.tasks {
-				task := &st.tasks[t]
-				switch {
-				case task.done:
-				case len(task.runs) > 0:
-					left := run - now.Sub(task.runs[0].orderedAt)
-					running += admission.CoreSeconds(cores * max(left.Seconds(), minRunFraction*run.Seconds()))
-				default:
-					waiting += admission.CoreSeconds(cores * run.Seconds())
-				}
+			if st.complete() {
+				continue
 			}
+			r, w := st.splitWork(now, s.predictRunTime(j, st.def))
+			running, waiting = running+r, waiting+w
+		}
+	}
+	return running, waiting
+}
+
+// splitWork returns the work that the step's running tasks and its other tasks still need if a task
+// runs for the given time. Steps that haven't begun need no look at each task.
+func (st *stepState) splitWork(now time.Time, run time.Duration) (running, waiting admission.CoreSeconds) {
+	cores := float64(st.def.Reservation().CPU) / 1000
+	if st.openTasks == len(st.tasks) {
+		return 0, admission.CoreSeconds(cores * run.Seconds() * float64(st.openTasks))
+	}
+	for t := range st.tasks {
+		task := &st.tasks[t]
+		switch {
+		case task.done:
+		case len(task.runs) > 0:
+			left := run - now.Sub(task.runs[0].orderedAt)
+			running += admission.CoreSeconds(cores * max(left.Seconds(), minRunFraction*run.Seconds()))
+		default:
+			waiting += admission.CoreSeconds(cores * run.Seconds())
 		}
 	}
 	return running, waiting
