core/schedule: an account without a weight isn't listed as beyond its share

The owner ranks no job of such an account last, but the forecast listed the account if its weight had been taken away while its bucket was empty, and entry VMs then refused its jobs as beyond share for as long as the pool was full. TestAccountWithoutWeightIsNotBeyondShare failed before.

--- a/core/schedule/outlook.go
+++ b/core/schedule/outlook.go
@@ -203,7 +203,7 @@
 	var out []job.AccountName
 	for _, name := range slices.Sorted(maps.Keys(s.shares)) {
 		a, x := s.config.Account(name), s.shares[name]
-		if a != nil && x.tokens+a.Weight*now.Sub(x.updatedAt).Seconds() < 1 {
+		if a != nil && a.Weight > 0 && x.tokens+a.Weight*now.Sub(x.updatedAt).Seconds() < 1 {
 			out = append(out, name)
 		}
 	}
--- a/core/schedule/outlook_test.go
+++ b/core/schedule/outlook_test.go
@@ -122,3 +122,22 @@
 	assert.NilError(t, err)
 	assert.Assert(t, 22*len(b)/10 < 10_000, "%d bytes", len(b))
 }
+
+// Guards against ranking an account's jobs last at entry VMs, but not at the owner: a change of the
+// configuration has taken its weight, and with it the share that it could exceed.
+func TestAccountWithoutWeightIsNotBeyondShare(t *testing.T) {
+	s := New(Settings{})
+	configure := func(weight float64) {
+		c := &job.Configuration{Accounts: []job.Account{{Name: "a", Weight: weight}}}
+		c.Index()
+		s.Configure(c)
+	}
+	now := time.Unix(1_800_000_000, 0)
+	configure(1)
+	for range 6 {
+		s.shares.exceeds(now, s.config.Account("a"))
+	}
+	assert.DeepEqual(t, s.accountsBeyondShare(now), []job.AccountName{"a"})
+	configure(0)
+	assert.Equal(t, len(s.accountsBeyondShare(now)), 0)
+}
