io/node: send no refusals to a table that is too slow to store them

A refusal is given 0.4 s to be stored, and the job is submitted if it isn't. While the table's answers take longer on average, each refused job therefore cost a slow partition two transactions in place of one, under the load under which jobs are refused. TestNoRefusalIsSentToSlowTable failed before.

--- a/io/node/admission_test.go
+++ b/io/node/admission_test.go
@@ -186,6 +186,18 @@
 	assert.Equal(t, w.Code, http.StatusGatewayTimeout)
 }
 
+// Guards against twice the load on a slow table: refusals that can't be stored in time are sent, and
+// then the submissions.
+func TestNoRefusalIsSentToSlowTable(t *testing.T) {
+	_, s := newLateTable(t)
+	_, before := stored(t, s)
+	s.latency.observe(4*refusalStoreTimeout, false)
+	refused, err := s.refuse(t.Context(), bootNow().Add(time.Second), testJob().ID, 0)
+	assert.Assert(t, !refused && errors.Is(err, errNotStored), "%v", err)
+	_, after := stored(t, s)
+	assert.Equal(t, after, before)
+}
+
 // Guards against denying a job for no reason: a probe finds a partition available again and the job
 // refused before. Its refusal isn't renewed by a probe, so the job is stored.
 func TestProbeStoresJobThatWasRefused(t *testing.T) {
--- a/io/node/refusal.go
+++ b/io/node/refusal.go
@@ -52,6 +52,9 @@
 // its call replaces. So a new version of the refusal makes all earlier submissions fail.
 // at is the table's time, from which the caller's waiting time counts if it submits the job again.
 func (s *jobStore) refuse(ctx context.Context, deadline time.Time, id job.ID, at tableTime) (refused bool, err error) {
+	if s.latency.slowerThan(refusalStoreTimeout) {
+		return false, errors.Wrap(errNotStored, "the table is too slow to store a refusal in time")
+	}
 	if d := bootNow().Add(refusalStoreTimeout); d.Before(deadline) {
 		deadline = d
 	}
