--- a/io/node/owner.go
+++ b/io/node/owner.go
@@ -156,21 +156,6 @@
 	}
 }
 
-// recordRefusal reports whether a job's cancellation records a refusal, and remembers it if so. A
-// row that can't be decoded counts as a cancellation.
-func (o *owner) recordRefusal(now time.Time, id job.ID, r *platform.Row) bool {
-	_, refused, err := decodeRefusal(r)
-	if err != nil {
-		o.log.Error().Err(err).Str("event", "row_ignored").Str("job", string(id)).Send()
-		return false
-	}
-	if refused {
-		o.refusals.add(now, id, r.Version)
-		o.scheduler.JobRefused(now, id)
-	}
-	return refused
-}
-
 func splitJobKey(key string) (id job.ID, isCancel bool) {
 	if n := len(key) - len(cancelSuffix); n > 0 && key[n:] == cancelSuffix {
 		return job.ID(key[:n]), true
--- a/io/node/refusalrecords.go
+++ b/io/node/refusalrecords.go
@@ -88,6 +88,21 @@
 	return out
 }
 
+// recordRefusal reports whether a job's cancellation records a refusal, and remembers it if so. A
+// row that can't be decoded counts as a cancellation.
+func (o *owner) recordRefusal(now time.Time, id job.ID, r *platform.Row) bool {
+	_, refused, err := decodeRefusal(r)
+	if err != nil {
+		o.log.Error().Err(err).Str("event", "row_ignored").Str("job", string(id)).Send()
+		return false
+	}
+	if refused {
+		o.refusals.add(now, id, r.Version)
+		o.scheduler.JobRefused(now, id)
+	}
+	return refused
+}
+
 // forgetRefusal forgets a refusal that its job or a cancellation has replaced.
 func (o *owner) forgetRefusal(id job.ID) {
 	o.refusals.remove(id)
