--- a/core/schedule/outlook.go
+++ b/core/schedule/outlook.go
@@ -58,12 +58,13 @@
 
 // Outlook returns the forecast for admission: the pools that are full and in which work waits
 // for room. It may be up to outlookInterval old, and is computed after Assign has given the
-// waiting work the room that there is.
-func (s *Scheduler) Outlook(now time.Time) admission.Forecast {
-	if s.config != nil && !now.Before(s.outlook.expires) {
+// waiting work the room that there is. fresh reports whether it was computed by this call.
+func (s *Scheduler) Outlook(now time.Time) (f admission.Forecast, fresh bool) {
+	fresh = s.config != nil && !now.Before(s.outlook.expires)
+	if fresh {
 		s.outlook = outlook{s.computeOutlook(now), now.Add(outlookInterval)}
 	}
-	return s.outlook.forecast
+	return s.outlook.forecast, fresh
 }
 
 func (s *Scheduler) computeOutlook(now time.Time) admission.Forecast {
@@ -166,18 +167,32 @@
 	for _, o := range j.occurrences {
 		for i := range o.steps {
 			st := &o.steps[i]
-			cores, run := float64(st.def.Reservation().CPU)/1000, s.predictRunTime(j, st.def)
-			for t := range st.tasks {
-				task := &st.tasks[t]
-				switch {
-				case task.done:
-				case len(task.runs) > 0:
-					left := run - now.Sub(task.runs[0].orderedAt)
-					running += admission.CoreSeconds(cores * max(left.Seconds(), minRunFraction*run.Seconds()))
-				default:
-					waiting += admission.CoreSeconds(cores * run.Seconds())
-				}
+			if st.complete() {
+				continue
 			}
+			r, w := st.splitWork(now, s.predictRunTime(j, st.def))
+			running, waiting = running+r, waiting+w
+		}
+	}
+	return running, waiting
+}
+
+// splitWork returns the work that the step's running tasks and its other tasks still need if a task
+// runs for the given time. Steps that haven't begun need no look at each task.
+func (st *stepState) splitWork(now time.Time, run time.Duration) (running, waiting admission.CoreSeconds) {
+	cores := float64(st.def.Reservation().CPU) / 1000
+	if st.openTasks == len(st.tasks) {
+		return 0, admission.CoreSeconds(cores * run.Seconds() * float64(st.openTasks))
+	}
+	for t := range st.tasks {
+		task := &st.tasks[t]
+		switch {
+		case task.done:
+		case len(task.runs) > 0:
+			left := run - now.Sub(task.runs[0].orderedAt)
+			running += admission.CoreSeconds(cores * max(left.Seconds(), minRunFraction*run.Seconds()))
+		default:
+			waiting += admission.CoreSeconds(cores * run.Seconds())
 		}
 	}
 	return running, waiting
@@ -188,7 +203,7 @@
 	var out []job.AccountName
 	for _, name := range slices.Sorted(maps.Keys(s.shares)) {
 		a, x := s.config.Account(name), s.shares[name]
-		if a != nil && x.tokens+a.Weight*now.Sub(x.updatedAt).Seconds() < 1 {
+		if a != nil && a.Weight > 0 && x.tokens+a.Weight*now.Sub(x.updatedAt).Seconds() < 1 {
 			out = append(out, name)
 		}
 	}
--- a/io/node/owner.go
+++ b/io/node/owner.go
@@ -46,6 +46,9 @@
 	policy   *policy.Policy
 	outlook  outlookPublisher
 	refusals refusalRecords
+	// refusalsBlocked is set while no forecast is published because entry VMs aren't known or are
+	// of an older release.
+	refusalsBlocked bool
 	// lastJobVersion is the newest version of a job's row that the scheduler knows.
 	lastJobVersion platform.Version
 	// fullPools are the pools in which work waits for room, for the dump.
@@ -71,6 +74,7 @@
 		recordLatency: func(d time.Duration) { n.metrics.recordDuration("table_commit", d) },
 		health:        &n.health,
 	}
+	o.outlook.startTenure(t.number)
 	o.committer.forecast = o.nextForecast
 	var g supervisor.Group
 	run := func(f func(ctx context.Context) error) {
@@ -120,13 +124,17 @@
 	var cancelled []job.ID
 	for i := range rows {
 		r := &rows[i]
+		id, isCancel := splitJobKey(r.Key)
 		if r.Removed {
+			if isCancel {
+				o.refusals.remove(id)
+			}
 			continue
 		}
 		o.lastJobVersion = max(o.lastJobVersion, r.Version)
-		id, isCancel := splitJobKey(r.Key)
 		if isCancel {
 			if !o.recordRefusal(now, id, r) {
+				o.forgetRefusal(id)
 				cancelled = append(cancelled, id)
 			}
 			continue
@@ -141,27 +149,13 @@
 			continue
 		}
 		o.scheduler.AddJob(now, j, progress[j.ID], r.Version < o.tenure.fence)
+		o.forgetRefusal(id)
 	}
 	for _, id := range cancelled {
 		o.scheduler.Cancel(now, id)
 	}
 }
 
-// recordRefusal reports whether a job's cancellation records a refusal, and remembers it if so. A
-// row that can't be decoded counts as a cancellation.
-func (o *owner) recordRefusal(now time.Time, id job.ID, r *platform.Row) bool {
-	_, refused, err := decodeRefusal(r)
-	if err != nil {
-		o.log.Error().Err(err).Str("event", "row_ignored").Str("job", string(id)).Send()
-		return false
-	}
-	if refused {
-		o.refusals.add(now, id, r.Version)
-		o.scheduler.JobRefused(now, id)
-	}
-	return refused
-}
-
 func splitJobKey(key string) (id job.ID, isCancel bool) {
 	if n := len(key) - len(cancelSuffix); n > 0 && key[n:] == cancelSuffix {
 		return job.ID(key[:n]), true
@@ -206,7 +200,7 @@
 	o.backlog.set(o.scheduler.Backlog(now))
 	o.publishStatus(now)
 	o.publishOutlook(now)
-	o.forgetRefusals(ctx, now)
+	o.deleteOldRefusals(ctx, now)
 	if pools := o.scheduler.FullPools(now); pools != nil || o.fullPools.Load() != nil {
 		o.fullPools.Store(&pools)
 	}
--- a/io/node/submission.go
+++ b/io/node/submission.go
@@ -98,6 +98,9 @@
 	readmit func(firstAt tableTime) bool
 }
 
+// alwaysReadmit lets a job replace its refusal.
+func alwaysReadmit(tableTime) bool { return true }
+
 // check returns an error if the job may not replace its last refusal.
 func (a arrival) check(last refusal) error {
 	switch {
@@ -112,7 +115,7 @@
 // submit stores a job once. A job that exists already, in any state, is not stored again;
 // that is no error.
 func (s *jobStore) submit(ctx context.Context, deadline time.Time, j job.Job, decision contact.Decision) error {
-	_, err := s.submitArrived(ctx, deadline, j, decision, arrival{math.MaxUint64, func(tableTime) bool { return true }})
+	_, err := s.submitArrived(ctx, deadline, j, decision, arrival{math.MaxUint64, alwaysReadmit})
 	return err
 }
 
@@ -163,6 +166,13 @@
 	return tx
 }
 
+// sawVersion reports a version of the table that an answer contained.
+func (s *jobStore) sawVersion(v platform.Version) {
+	if s.onVersion != nil {
+		s.onVersion(v)
+	}
+}
+
 // store applies a transaction on a job's rows. A condition that fails is no error.
 func (s *jobStore) store(ctx context.Context, deadline time.Time, tx platform.Transaction) (version platform.Version, conflict *platform.ConflictError, err error) {
 	maybeApplied, err := s.withRetries(ctx, deadline, tx.Conditions[0].Partition, func(ctx context.Context) (err error) {
@@ -171,8 +181,12 @@
 	})
 	switch {
 	case err == nil:
+		s.sawVersion(version)
 		return version, nil, nil
 	case errors.As(err, &conflict):
+		for i := range conflict.Rows {
+			s.sawVersion(conflict.Rows[i].Version)
+		}
 		return 0, conflict, nil
 	case maybeApplied:
 		return 0, nil, errors.Wrap(errOutcomeUnknown, err.Error())
