core/policy: no switch for standby machines

Nothing read StandbyWhenIdle. The field, its section standby_when_idle and its row in the parts table are gone. A policy file that still has the section is refused like any other with an unknown section.

RandomPolicy and the soak's policies drew this switch last, so the others have the same values for each seed.

--- a/core/emulator/load.go
+++ b/core/emulator/load.go
@@ -219,6 +219,6 @@
 	rng := rand.New(rand.NewPCG(seed, 7))
 	on := func() bool { return rng.IntN(2) == 0 }
 	return policy.Policy{
-		Admission: on(), FairShares: on(), RunTimeForecast: on(), SecondRuns: on(), RankedRoom: on(), StandbyWhenIdle: on(),
+		Admission: on(), FairShares: on(), RunTimeForecast: on(), SecondRuns: on(), RankedRoom: on(),
 	}
 }
--- a/core/emulator/overload_test.go
+++ b/core/emulator/overload_test.go
@@ -28,7 +28,7 @@
 	return emulator.Scenario{
 		Seed: seed, Length: 22 * time.Second, EntryVMs: 5, VMsPerPool: 8, StandbyMachines: 3, JobsPerSecond: 7,
 		Load:   emulator.Load{Accounts: 6, ReturningCallers: true},
-		Policy: policy.Policy{Admission: true, FairShares: true, RunTimeForecast: true, SecondRuns: true, RankedRoom: true, StandbyWhenIdle: true},
+		Policy: policy.Policy{Admission: true, FairShares: true, RunTimeForecast: true, SecondRuns: true, RankedRoom: true},
 	}
 }
 
--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -22,8 +22,6 @@
 	SecondRuns bool
 	// RankedRoom gives machines to pools by the rank of the work that waits there.
 	RankedRoom bool
-	// StandbyWhenIdle moves machines that no pool is likely to need to a standby pool.
-	StandbyWhenIdle bool
 	// EntryLimits bounds the calls that an entry VM serves concurrently.
 	EntryLimits bool
 	// Exceptions exempt accounts or queues from decisions.
--- a/core/policy/switches.go
+++ b/core/policy/switches.go
@@ -28,8 +28,6 @@
 			func(p *Policy) *bool { return &p.SecondRuns }},
 		{"ranked_room", "Gives machines to pools by the rank of the work that waits there.",
 			func(p *Policy) *bool { return &p.RankedRoom }},
-		{"standby_when_idle", "Moves machines that no pool is likely to need to a standby pool.",
-			func(p *Policy) *bool { return &p.StandbyWhenIdle }},
 		{"entry_limits", "Bounds the calls that an entry VM serves concurrently by what the VM has.",
 			func(p *Policy) *bool { return &p.EntryLimits }},
 	}
--- a/io/soak/policy.go
+++ b/io/soak/policy.go
@@ -22,7 +22,7 @@
 const policyFlag = "--policy"
 
 // policySections are the sections of a policy file, one for each kind of decision.
-var policySections = []string{"admission", "fair_shares", "run_time_forecast", "second_runs", "ranked_room", "standby_when_idle"}
+var policySections = []string{"admission", "fair_shares", "run_time_forecast", "second_runs", "ranked_room"}
 
 // AcceptsPolicy reports whether a daemon's program has a flag for a policy file.
 func AcceptsPolicy(ctx context.Context, binary string) bool {
