io/ini: an exception that has ended doesn't keep a process from starting

A file that was right when it was deployed became wrong when an exception in it ended: each process that restarted after that ended with the exit status for settings, after a mass restart the whole fleet. Such an exception now loads, applies to nothing, and is named by the warning policy_exception_ended, at the start as at SIGHUP. It is kept and not dropped, so that a clock that is ahead at the start changes nothing for longer than it is ahead. The zero time as an end stays refused, since it would mean no end.

--- a/cmd/lavenderpond-edge/policy.go
+++ b/cmd/lavenderpond-edge/policy.go
@@ -1,8 +1,6 @@
 package main
 
 import (
-	"time"
-
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
@@ -16,7 +14,7 @@
 	if path == "" {
 		return policy.Policy{}, nil
 	}
-	return ini.LoadPolicy(path, time.Now())
+	return ini.LoadPolicy(path)
 }
 
 // reloadPolicy reads the policy file again. A policy with problems is refused as a whole, and
--- a/io/ini/policy.go
+++ b/io/ini/policy.go
@@ -46,7 +46,7 @@
 		func(e *policy.Exception, v string) bool { return setName(&e.Queue, v) }},
 	{"reason", true, "Why; shown in logs and dumps.", "a text that isn't empty",
 		func(e *policy.Exception, v string) bool { return setName(&e.Reason, v) }},
-	{"end", false, "When the exception ends. Not given: never.", "a time in the future, as in 2030-01-31T18:00:00Z", parseEnd},
+	{"end", false, "When the exception ends. Not given: never.", "a time, as in 2030-01-31T18:00:00Z", parseEnd},
 }
 
 func setName[T ~string](field *T, v string) bool {
@@ -62,10 +62,11 @@
 	return i >= 0
 }
 
+// parseEnd refuses the zero time, which would mean that the exception doesn't end.
 func parseEnd(e *policy.Exception, v string) bool {
 	end, err := time.Parse(time.RFC3339, v)
 	e.End = end
-	return err == nil
+	return err == nil && !end.IsZero()
 }
 
 func decisionNames() []string {
@@ -78,17 +79,18 @@
 
 // LoadPolicy reads the policy file at path. If the file can be read but has mistakes, the
 // error is a Problems.
-func LoadPolicy(path string, now time.Time) (policy.Policy, error) {
+func LoadPolicy(path string) (policy.Policy, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return policy.Policy{}, core.Errorf(core.CodeInvalidSetting, "%v; give the path of a policy file", err)
 	}
-	return ParsePolicy(path, data, now)
+	return ParsePolicy(path, data)
 }
 
-// ParsePolicy reads the operators' policy from data. An exception that has ended by now is a
-// mistake. The name file appears in errors. The error is a Problems that lists every mistake.
-func ParsePolicy(file string, data []byte, now time.Time) (policy.Policy, error) {
+// ParsePolicy reads the operators' policy from data. An exception that has ended is no mistake:
+// a process that is restarted after the end must start. The name file appears in errors. The
+// error is a Problems that lists every mistake.
+func ParsePolicy(file string, data []byte) (policy.Policy, error) {
 	x := indexLinesOf(policyHeaders, file, strings.TrimPrefix(string(data), "\ufeff"))
 	f, err := inilib.LoadSources(loadOptions, []byte(strings.Join(x.acceptedLines, "\n")))
 	if err != nil {
@@ -102,7 +104,7 @@
 	}
 	for _, section := range f.SectionStrings() {
 		if strings.HasPrefix(section, exceptionPrefix) {
-			p.Exceptions = append(p.Exceptions, x.parseException(section, f, now))
+			p.Exceptions = append(p.Exceptions, x.parseException(section, f))
 		}
 	}
 	if len(x.problems) > 0 {
@@ -169,7 +171,7 @@
 }
 
 // parseException reads the exception of a section.
-func (x *lineIndex) parseException(section string, f *inilib.File, now time.Time) policy.Exception {
+func (x *lineIndex) parseException(section string, f *inilib.File) policy.Exception {
 	e := policy.Exception{Name: strings.TrimPrefix(section, exceptionPrefix)}
 	for _, k := range exceptionKeys {
 		path := keyPath{section, k.key}
@@ -177,7 +179,7 @@
 		switch {
 		case n != 0:
 			v := f.Section(section).Key(k.key).Value()
-			if !k.parse(&e, v) || k.key == "end" && !e.End.After(now) {
+			if !k.parse(&e, v) {
 				x.addProblem(n, path.String(), v, k.allowed)
 			}
 		case k.required && !x.hasProblem(path):
--- a/io/node/policy.go
+++ b/io/node/policy.go
@@ -34,12 +34,17 @@
 	}
 }
 
-// logPolicy logs which decisions are in force and which exceptions apply.
+// logPolicy logs which decisions are in force and which exceptions apply. It warns of each
+// exception that has ended, so that operators remove it.
 func logPolicy(log zerolog.Logger, wall time.Time, p *policy.Policy) {
 	log.Info().Str("event", "policy_in_force").Strs("enabled", p.EnabledNames()).Int("exceptions", len(p.Exceptions)).Send()
 	for i := range p.Exceptions {
 		x := &p.Exceptions[i]
-		e := log.Info().Str("event", "policy_exception").Str("name", x.Name).Str("decision", x.Decision.String()).
+		level, event := zerolog.InfoLevel, "policy_exception"
+		if !x.InForce(wall) {
+			level, event = zerolog.WarnLevel, "policy_exception_ended"
+		}
+		e := log.WithLevel(level).Str("event", event).Str("name", x.Name).Str("decision", x.Decision.String()).
 			Str("account", string(x.Account)).Str("queue", string(x.Queue)).Str("reason", x.Reason).Bool("in_force", x.InForce(wall))
 		if !x.End.IsZero() {
 			e.Str("end", x.End.Format(time.RFC3339))
