core/schedule: shares count what is held when they are switched on

Runs that were started before a SIGHUP switched shares on were not in the ledger, so their account counted as one that holds nothing, and the pool as smaller than it is, until the last of them ended. The first round with shares on now counts all runs, and the first one without forgets the ledger and stops listing and storing full pools. Jobs that the bucket had marked before came after all late ones and claimed no room; with shares on, the mark has no effect, as docs/design/fair-shares.md says.

Both tests were red before.

--- a/core/fairshare/ledger.go
+++ b/core/fairshare/ledger.go
@@ -137,6 +137,14 @@
 	return out
 }
 
+// Held returns what all accounts together hold in a pool.
+func (l *Ledger) Held(p job.PoolName) job.Resources {
+	if pool := l.pools[p]; pool != nil {
+		return pool.held
+	}
+	return job.Resources{}
+}
+
 // Prune forgets accounts that hold nothing and whose mean has decayed, except in pools whose
 // divisions are in use.
 func (l *Ledger) Prune(now time.Time, inUse func(job.PoolName) bool) {
--- a/core/schedule/assign.go
+++ b/core/schedule/assign.go
@@ -12,6 +12,7 @@
 // Assign starts every task that can start. wall is the time of day, to which the due times of
 // occurrences are compared.
 func (s *Scheduler) Assign(now, wall time.Time) {
+	s.followShareSwitch(now)
 	if !s.rights.StartTasks || s.config == nil {
 		return
 	}
--- a/core/schedule/fairness.go
+++ b/core/schedule/fairness.go
@@ -12,6 +12,9 @@
 // fairness is the state of the fair shares of room. It is used only if the policy says so.
 type fairness struct {
 	ledger fairshare.Ledger
+	// counted is set once the ledger counts all runs, and not only those that started since
+	// shares were switched on.
+	counted bool
 	// full holds the pools in which work has waited for room recently.
 	full map[job.PoolName]*fullPool
 	// inheritedAge is how old the restored usage was at the takeover.
@@ -25,11 +28,32 @@
 	reportExpires       time.Time
 }
 
+// followShareSwitch counts what all runs hold when shares are switched on, and forgets everything
+// when they are switched off.
+func (s *Scheduler) followShareSwitch(now time.Time) {
+	on := s.settings.Policy.FairShares
+	if on == s.fairness.counted {
+		return
+	}
+	s.fairness.counted = on
+	if !on {
+		s.fairness = fairness{}
+	}
+	for _, v := range s.vms.All() {
+		for _, r := range v.runs.All() {
+			if !on {
+				r.sharePool = ""
+			}
+			s.chargeShare(now, r)
+		}
+	}
+}
+
 // chargeShare counts a run's reservation as room that its account holds. Long-running tasks
 // don't count: they start before all others, and would keep their account above its share for as
 // long as they run.
 func (s *Scheduler) chargeShare(now time.Time, r *run) {
-	if s.settings.Policy.FairShares && !r.longRunning && !r.unknownJob {
+	if s.settings.Policy.FairShares && !r.longRunning && !r.unknownJob && r.sharePool == "" {
 		r.sharePool = r.vm.pool
 		s.fairness.ledger.Add(now, r.sharePool, r.account, r.reservation)
 	}
--- a/core/schedule/fairness_test.go
+++ b/core/schedule/fairness_test.go
@@ -364,3 +364,40 @@
 		})
 	}
 }
+
+// Guards against runs that shares don't know because they were started before shares were
+// switched on: their account would get the room of the others as well, for as long as they run.
+func TestSharesSwitchedOnCountWhatIsHeld(t *testing.T) {
+	h := newFairHarness(t, 2, job.Account{Name: "a"}, job.Account{Name: "b"})
+	h.s.SetPolicy(policy.Policy{})
+	h.submit("a", 60, smallStep)
+	assert.Equal(t, len(h.round(0)), 16)
+	h.s.SetPolicy(policy.Policy{FairShares: true})
+	h.submit("b", 40, smallStep)
+	for range 24 {
+		h.round(50 * time.Millisecond)
+	}
+	assert.Equal(t, h.logged[AccountAboveShare], 1)
+	h.s.SetPolicy(policy.Policy{})
+	h.round(50 * time.Millisecond)
+	assert.Equal(t, len(h.s.FullPools(h.now.Add(shareReportInterval))), 0)
+	for range 100 {
+		h.round(50 * time.Millisecond)
+	}
+	h.s.SetPolicy(policy.Policy{FairShares: true})
+	h.round(50 * time.Millisecond)
+	assert.DeepEqual(t, h.s.fairness.ledger.Held(poolA), h.s.usage["a"].Add(h.s.usage["b"]))
+}
+
+// Guards against jobs that were marked as beyond the bucket of their account before shares were
+// switched on: they would come after all late ones, and claim no room.
+func TestSharesSwitchedOnOverrideBucket(t *testing.T) {
+	h := newFairHarness(t, 2, job.Account{Name: "a", Weight: 0.1})
+	h.s.SetPolicy(policy.Policy{})
+	h.submit("a", 4, smallStep)
+	last := h.s.jobs.Get("a-0004")
+	assert.Equal(t, h.s.rateJob(h.now, last).rank, rankBeyondShare)
+	h.s.SetPolicy(policy.Policy{FairShares: true})
+	h.now = h.now.Add(ratingInterval)
+	assert.Equal(t, h.s.rateJob(h.now, last).rank, rankInTime)
+}
--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -106,7 +106,7 @@
 	default:
 		c.rank = rankTooLate
 	}
-	if j.beyondShare {
+	if j.beyondShare && !s.settings.Policy.FairShares {
 		c.rank = max(c.rank, rankBeyondShare)
 	}
 	return c
