core/schedule: usage is forgotten also while no pool is full

The ledger was pruned only while a pool was full. On a fleet with room it kept each account in each pool that had ever run something, up to 620 accounts in 215 pools, until the owner changed. The test was red before. The test of the mean now checks the whole ledger, pools included.

--- a/core/fairshare/ledger.go
+++ b/core/fairshare/ledger.go
@@ -145,12 +145,18 @@
 	return job.Resources{}
 }
 
-// Prune forgets accounts that hold nothing and whose mean has decayed, except in pools whose
-// divisions are in use.
+// Empty reports whether the ledger holds no account.
+func (l *Ledger) Empty() bool { return len(l.pools)+len(l.fleet) == 0 }
+
+// Prune forgets accounts that hold nothing and whose mean has decayed, and pools without any,
+// except pools whose divisions are in use.
 func (l *Ledger) Prune(now time.Time, inUse func(job.PoolName) bool) {
 	for name, p := range l.pools {
-		if !inUse(name) {
-			prune(now, p.holdings)
+		if inUse(name) {
+			continue
+		}
+		if prune(now, p.holdings); len(p.holdings) == 0 {
+			delete(l.pools, name)
 		}
 	}
 	prune(now, l.fleet)
--- a/core/fairshare/ledger_test.go
+++ b/core/fairshare/ledger_test.go
@@ -40,7 +40,7 @@
 	l.Prune(start.Add(20*Window), func(job.PoolName) bool { return true })
 	assert.Equal(t, len(l.pools["p"].holdings), 1)
 	l.Prune(start.Add(20*Window), notInUse)
-	assert.Equal(t, len(l.pools["p"].holdings)+len(l.fleet), 0)
+	assert.Assert(t, l.Empty())
 }
 
 // Guards against accounts told apart by CPU alone: one that holds most of the accelerators is
--- a/core/schedule/assign.go
+++ b/core/schedule/assign.go
@@ -13,6 +13,7 @@
 // occurrences are compared.
 func (s *Scheduler) Assign(now, wall time.Time) {
 	s.followShareSwitch(now)
+	s.pruneShares(now)
 	if !s.rights.StartTasks || s.config == nil {
 		return
 	}
--- a/core/schedule/fairness_test.go
+++ b/core/schedule/fairness_test.go
@@ -401,3 +401,13 @@
 	h.now = h.now.Add(ratingInterval)
 	assert.Equal(t, h.s.rateJob(h.now, last).rank, rankInTime)
 }
+
+// Guards against a ledger that grows with each account that was ever there while no pool is full.
+func TestUsageIsForgottenWhileNoPoolIsFull(t *testing.T) {
+	h := newFairHarness(t, 2, job.Account{Name: "a"})
+	h.submit("a", 1, smallStep)
+	for range 20 {
+		h.round(fairshare.Window)
+	}
+	assert.Assert(t, h.s.fairness.ledger.Empty())
+}
--- a/core/schedule/fairreport.go
+++ b/core/schedule/fairreport.go
@@ -87,7 +87,6 @@
 		return
 	}
 	f.nextSave = now.Add(shareSaveSpacing)
-	s.pruneShares(now)
 	var chosen job.PoolName
 	for _, p := range slices.Sorted(maps.Keys(f.full)) {
 		x := f.full[p]
@@ -106,7 +105,7 @@
 // pruneShares forgets pools that are no longer full and usage that has decayed.
 func (s *Scheduler) pruneShares(now time.Time) {
 	f := &s.fairness
-	if now.Before(f.nextPrune) {
+	if !f.counted || now.Before(f.nextPrune) {
 		return
 	}
 	f.nextPrune = now.Add(fairshare.Window)
