io/node: usage of many pools doesn't exceed the limit of a transaction

The table takes 1 MB in a call and refuses more each time. While it was slow or down, the usage rows of up to 90 pools were collected into one transaction: 3.4 MB with 500 accounts in each. Such a transaction was retried until the ownership was lost. Smaller transactions would let usage keep jobs' saves waiting on a slow table, so a transaction now stores the latest rows, up to 1,666 accounts, and skips the others with a log line.

--- a/io/node/commit.go
+++ b/io/node/commit.go
@@ -185,7 +185,11 @@
 	}
 	tx.Writes = append(tx.Writes, platform.Write{RowKey: renewalKey, Value: value})
 	c.addForecast(&tx)
-	for _, change := range latestChanges(saves) {
+	changes, skipped := limitUsage(latestChanges(saves))
+	if skipped > 0 {
+		c.log.Info().Str("event", "usage_unstored").Int("pools", skipped).Send()
+	}
+	for _, change := range changes {
 		if change.value == nil {
 			tx.Removals = append(tx.Removals, change.key)
 			continue
--- a/io/node/rowchange.go
+++ b/io/node/rowchange.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"lavenderpond/core/fairshare"
 	"lavenderpond/core/schedule"
 	"lavenderpond/platform"
 )
@@ -48,3 +49,26 @@
 	}
 	return out
 }
+
+// maxStoredUsage is how many accounts' usage one transaction stores, over all pools. At 200 bytes
+// each, long names included, that is a third of what the table accepts.
+const maxStoredUsage = platform.MaxTransactionBytes / 3 / 200
+
+// limitUsage returns the changes without the usage of pools for which the transaction has no room,
+// and how many pools these are. The first ones are kept, which are the latest, and at least one. When
+// the table is slow, usage of many pools would otherwise exceed the limit of a transaction, or keep
+// jobs' saves waiting. A pool whose usage is skipped is stored again when it has changed.
+func limitUsage(changes []rowChange) (kept []rowChange, skipped int) {
+	stored := 0
+	for _, c := range changes {
+		if u, ok := c.value.(fairshare.StoredUsage); ok {
+			if stored > 0 && stored+len(u.Accounts) > maxStoredUsage {
+				skipped++
+				continue
+			}
+			stored += len(u.Accounts)
+		}
+		kept = append(kept, c)
+	}
+	return kept, skipped
+}
--- a/io/node/shares_test.go
+++ b/io/node/shares_test.go
@@ -1,6 +1,9 @@
 package node
 
 import (
+	"encoding/json"
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -27,3 +30,29 @@
 	rows := []platform.Row{{RowKey: changes[0].key, Value: value}, {RowKey: shareKey("other"), Value: []byte("{")}}
 	assert.DeepEqual(t, decodeRows[fairshare.StoredUsage](rows, zerolog.Nop()), map[string]fairshare.StoredUsage{"frames": usage})
 }
+
+// Guards against an owner that is lost because of usage that waits while the table is down: the
+// transaction with the usage of all pools would be refused each time, so no ownership is renewed.
+func TestUsageOfManyPoolsFitsInTransactions(t *testing.T) {
+	usage := fairshare.StoredUsage{Accounts: map[job.AccountName]job.Resources{}}
+	for i := range 500 {
+		usage.Accounts[job.AccountName(fmt.Sprintf("account-%04d", i))] = job.Resources{CPU: 1_000_000, MemMB: 1_000_000, GPU: 13}
+	}
+	c := newCommitter(nil)
+	for i := range int64(80) {
+		c.add([]schedule.Command{
+			schedule.SaveShares{Sequence: i, Pool: job.PoolName(fmt.Sprint(i)), Usage: usage},
+			schedule.DropVM{Sequence: i, VM: job.VMID(fmt.Sprint(i % 10))},
+		})
+	}
+	saves, last := c.nextBatch()
+	assert.Equal(t, last, int64(79), "usage keeps no other save waiting")
+	tx, err := c.transaction(saves)
+	assert.NilError(t, err)
+	body, err := json.Marshal(tx)
+	assert.NilError(t, err)
+	assert.Assert(t, len(body) <= platform.MaxTransactionBytes/2, "%d bytes", len(body))
+	assert.Equal(t, len(tx.Removals), 10)
+	latest := shareKey("79")
+	assert.Assert(t, slices.ContainsFunc(tx.Writes, func(w platform.Write) bool { return w.RowKey == latest }))
+}
