io/node: a takeover doesn't wait for accounts' usage

Usage only orders jobs, but a takeover failed and was repeated when its rows couldn't be read, and waited up to 12 s for them: at 215 pools with 620 accounts they are megabytes, on the link that jobs and renewals need. A takeover now waits for 1 s at most and goes on without them, with a warning. The test was red before.

--- a/io/node/load.go
+++ b/io/node/load.go
@@ -19,6 +19,10 @@
 // loadTimeout bounds reading whole tables. A read that makes no progress ends sooner.
 const loadTimeout = 12 * time.Second
 
+// sharesLoadTimeout bounds how long a takeover waits for the usage of accounts. It only orders
+// jobs, so the takeover goes on without it.
+const sharesLoadTimeout = time.Second
+
 // maxConcurrentReads is how many partitions of the job table are read concurrently. On a
 // slow link, more reads starve one another and the renewals of the ownership.
 const maxConcurrentReads = 8
@@ -52,7 +56,7 @@
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	var state storedState
-	var errs [5]error
+	var errs [4]error
 	var g supervisor.Group
 	read := func(err *error, rows *[]platform.Row, table string) {
 		g.Go(func() { *rows, _, *err = o.node.table.ListAll(ctx, table, mainPartition) })
@@ -61,9 +65,9 @@
 	read(&errs[1], &state.vms, vmTable)
 	read(&errs[2], &state.orders, machineOrderTable)
 	if o.node.currentPolicy().FairShares {
-		read(&errs[3], &state.shares, shareTable)
+		g.Go(func() { state.shares = o.readShares(ctx) })
 	}
-	state.jobs, state.jobFeedVersion, errs[4] = o.loadJobs(ctx)
+	state.jobs, state.jobFeedVersion, errs[3] = o.loadJobs(ctx)
 	g.Wait()
 	for _, err := range errs {
 		if err != nil {
@@ -77,6 +81,17 @@
 	return state, err
 }
 
+// readShares reads the usage of accounts, or returns nil if it can't be read in time.
+func (o *owner) readShares(ctx context.Context) []platform.Row {
+	ctx, cancel := context.WithTimeout(ctx, sharesLoadTimeout)
+	defer cancel()
+	rows, _, err := o.node.table.ListAll(ctx, shareTable, mainPartition)
+	if err != nil {
+		o.log.Warn().Err(err).Str("event", "shares_not_loaded").Send()
+	}
+	return rows
+}
+
 // loadJobs reads the jobs of all partitions. The feed continues from the oldest version
 // among the reads.
 func (o *owner) loadJobs(ctx context.Context) ([]platform.Row, platform.Version, error) {
--- a/io/node/shares_test.go
+++ b/io/node/shares_test.go
@@ -1,9 +1,13 @@
 package node
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -12,6 +16,7 @@
 
 	"lavenderpond/core/fairshare"
 	"lavenderpond/core/job"
+	"lavenderpond/core/policy"
 	"lavenderpond/core/schedule"
 	"lavenderpond/platform"
 )
@@ -56,3 +61,23 @@
 	latest := shareKey("79")
 	assert.Assert(t, slices.ContainsFunc(tx.Writes, func(w platform.Write) bool { return w.RowKey == latest }))
 }
+
+// Guards against a takeover that fails again and again because usage, which only orders jobs, can't
+// be read.
+func TestTakeoverGoesOnWithoutStoredShares(t *testing.T) {
+	var out bytes.Buffer
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("table") == shareTable {
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+		_, _ = w.Write([]byte(`{"ver":5,"rows":[]}`))
+	}))
+	defer s.Close()
+	n := &Node{table: platform.NewTable(strings.TrimPrefix(s.URL, "http://")), log: zerolog.Nop(), metrics: newProcessMetrics()}
+	n.SetPolicy(policy.Policy{FairShares: true})
+	state, err := (&owner{node: n, log: zerolog.New(&out)}).readStoredState(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, state.jobFeedVersion, platform.Version(5))
+	assert.Assert(t, strings.Contains(out.String(), "shares_not_loaded"), out.String())
+}
