core/schedule: the age of inherited usage is that of the pool's own row

Rows of pools that are no longer full stay in the table, and the log gave the age of the oldest of all rows, at most 8 s, for each pool. It now gives that of the pool. Usage that has decayed is no longer restored: an owner of 215 pools with 620 accounts held all of it in memory until the next pruning.

--- a/core/fairshare/ledger_test.go
+++ b/core/fairshare/ledger_test.go
@@ -74,6 +74,9 @@
 		assert.Equal(t, next.Restore(now, start.Add(age), "p", stored), max(0, age))
 		assert.Assert(t, math.Abs(next.pools["p"].holdings["a"].mean[0]-100_000*keep) < 10)
 	}
+	var late Ledger
+	late.Restore(now, start.Add(100*Window), "p", stored)
+	assert.Assert(t, late.Empty(), "rows of pools that were full long ago take no memory")
 	assert.Assert(t, !l.Changed(now.Add(time.Second/10), "p"))
 	l.Remove(now, "p", "a", job.Resources{CPU: 100_000, MemMB: 300})
 	assert.Assert(t, !l.Changed(now.Add(Window), "p"), "a reader knows the decay")
--- a/core/fairshare/stored.go
+++ b/core/fairshare/stored.go
@@ -58,17 +58,23 @@
 
 func round(x float64) int64 { return int64(math.Round(x)) }
 
-// Restore adds stored usage of a pool. It returns the age of the usage by the time of day, which
-// is 0 if the clock of the process that stored it was ahead.
+// Restore adds stored usage of a pool, without that which has decayed. It returns the age of the
+// usage by the time of day, which is 0 if the clock of the process that stored it was ahead.
 func (l *Ledger) Restore(now, wall time.Time, p job.PoolName, u StoredUsage) (age time.Duration) {
 	age = max(0, wall.Sub(u.StoredAt))
 	keep := decay(age)
-	pool := l.pool(p)
 	for a, r := range u.Accounts {
-		for _, h := range [...]*holding{pool.holding(a), l.fleetHolding(a)} {
+		mean := toVector(r)
+		for i := range mean {
+			mean[i] *= keep
+		}
+		if max(mean[0], mean[1], mean[2]) < negligibleMean {
+			continue
+		}
+		for _, h := range [...]*holding{l.pool(p).holding(a), l.fleetHolding(a)} {
 			h.advance(now)
-			for i, mean := range toVector(r) {
-				h.mean[i] += mean * keep
+			for i := range mean {
+				h.mean[i] += mean[i]
 			}
 		}
 	}
--- a/core/schedule/fairness.go
+++ b/core/schedule/fairness.go
@@ -17,8 +17,8 @@
 	counted bool
 	// full holds the pools in which work has waited for room recently.
 	full map[job.PoolName]*fullPool
-	// inheritedAge is how old the restored usage was at the takeover.
-	inheritedAge time.Duration
+	// inheritedAges is how old the restored usage of each pool was at the takeover, if it matters.
+	inheritedAges map[job.PoolName]time.Duration
 	// dirty holds usage to be stored with the next save.
 	dirty []SaveShares
 	// nextSave is the next time to store the usage of a pool, and nextPrune the next time to
--- a/core/schedule/fairness_test.go
+++ b/core/schedule/fairness_test.go
@@ -26,6 +26,7 @@
 	sent    map[job.AccountName]int
 	inTime  map[job.AccountName]int
 	logged  map[DecisionKind]int
+	lastAge time.Duration
 	saved   map[job.PoolName]fairshare.StoredUsage
 }
 
@@ -41,6 +42,9 @@
 
 func (h *fairHarness) Decided(d Decision) {
 	h.logged[d.Kind]++
+	if d.Kind == AccountAboveShare {
+		h.lastAge = d.Age
+	}
 	if j := h.s.jobs.Get(d.Job); d.Kind == JobEnded && d.Slack >= 0 && j != nil {
 		h.inTime[j.Terms.Account]++
 	}
@@ -281,9 +285,12 @@
 	}
 	next := newFairHarness(t, 1, accounts...)
 	next.s.AddInheritedShares(next.now, h.now.Add(500*time.Millisecond), poolA, h.saved[poolA])
+	next.s.AddInheritedShares(next.now, h.now.Add(time.Hour), "full long ago", h.saved[poolA])
 	next.submit("a", 20, smallStep)
 	next.submit("b", 20, smallStep)
 	assert.Equal(t, next.startsByAccount(next.round(0))["b"], 8)
+	next.s.reportStanding(next.s.settings.TakeoverTime, AccountAboveShare, poolA, next.s.fairness.full[poolA].division.Standings()[0])
+	assert.Equal(t, next.lastAge, h.now.Add(500*time.Millisecond).Sub(h.saved[poolA].StoredAt))
 }
 
 // Guards against rows of usage that load the table: at most one a second and pool, none while
--- a/core/schedule/fairreport.go
+++ b/core/schedule/fairreport.go
@@ -32,6 +32,8 @@
 	shareSaveSpacing  = 100 * time.Millisecond
 	// shareReportInterval is how often the report of all full pools is updated.
 	shareReportInterval = 500 * time.Millisecond
+	// inheritedAgeLimit is the age from which usage that a former owner stored hardly matters.
+	inheritedAgeLimit = 4 * fairshare.Window
 )
 
 // recordDivision records the present division of a pool.
@@ -68,11 +70,9 @@
 // reportStanding reports an account's standing. The age is that of usage that a former owner
 // stored, for as long as it matters.
 func (s *Scheduler) reportStanding(now time.Time, kind DecisionKind, p job.PoolName, x *fairshare.Standing) {
-	age := s.fairness.inheritedAge
-	if sinceTakeover := now.Sub(s.settings.TakeoverTime); sinceTakeover > 2*fairshare.Window || age == 0 {
+	age, inherited := s.fairness.inheritedAges[p]
+	if age += now.Sub(s.settings.TakeoverTime); !inherited || age > inheritedAgeLimit {
 		age = 0
-	} else {
-		age += sinceTakeover
 	}
 	s.reportDecision(Decision{Kind: kind, Age: age, Share: &ShareFacts{
 		Account: x.Account, Pool: p, Share: x.Share.Fraction, Usage: x.Usage(), Waiting: x.Waiting,
@@ -125,8 +125,10 @@
 // AddInheritedShares adds what the accounts of a pool held under a former owner.
 func (s *Scheduler) AddInheritedShares(now, wall time.Time, p job.PoolName, u fairshare.StoredUsage) {
 	if s.settings.Policy.FairShares {
-		age := s.fairness.ledger.Restore(now, wall, p, u)
-		s.fairness.inheritedAge = max(s.fairness.inheritedAge, min(age, 2*fairshare.Window))
+		if s.fairness.inheritedAges == nil {
+			s.fairness.inheritedAges = map[job.PoolName]time.Duration{}
+		}
+		s.fairness.inheritedAges[p] = s.fairness.ledger.Restore(now, wall, p, u)
 	}
 }
 
