core/intake: a length that a caller makes up lifts no limit

Where the configuration doesn't limit bodies, the cost of a call with a Content-Length near the largest integer overflowed: such a call counted as a negative amount of memory, and any number of others were taken in beside it. The length is now counted up to 1 TiB. The test was red before.

--- a/core/intake/amount.go
+++ b/core/intake/amount.go
@@ -43,10 +43,14 @@
 	// transfersPerBodyByte covers the body on its way in and the job's row, which is longer
 	// and in base64, on its way to the table.
 	transfersPerBodyByte = 3
+	// maxBodyBytes bounds the length that a caller may state, so that no sum of costs overflows.
+	// It exceeds the memory of any entry VM.
+	maxBodyBytes = 1 << 40
 )
 
 // CallCost returns what a call with a body of the given length uses.
 func CallCost(bodyBytes int64) Amount {
+	bodyBytes = min(bodyBytes, maxBodyBytes)
 	return Amount{
 		Calls:    1,
 		Memory:   callMemory + memoryPerBodyByte*bodyBytes,
--- a/core/intake/limiter_test.go
+++ b/core/intake/limiter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 
@@ -128,3 +129,16 @@
 		assert.Equal(t, l.Admit("a", CallCost(1<<20)), Decision(Admit{}))
 	}
 }
+
+// Guards against a length that a caller makes up, and whose cost overflows: the limits would let in
+// any number of calls beside it.
+func TestHugeLengthLiftsNoLimit(t *testing.T) {
+	l := Limiter{Limits: LimitsFor(smallestVM)}
+	assert.Equal(t, l.Admit("a", CallCost(math.MaxInt64)), Decision(Admit{}))
+	for _, r := range Resources() {
+		assert.Assert(t, l.InUse()[r] > 0, "%v", r)
+	}
+	refusal, _ := l.Admit("b", CallCost(math.MaxInt64)).(Refuse)
+	assert.Equal(t, refusal.Cause, Full)
+	assert.Equal(t, refusal.Resource, Memory)
+}
