cmd/lavenderpond-edge: a SIGHUP during the start is handled

The process asked for signals only once the node was made. A SIGHUP to the whole fleet killed the processes that were starting at that moment. It is now kept until the process watches for signals, so that it also reads a file that was replaced after it had read it.

--- a/cmd/lavenderpond-edge/main.go
+++ b/cmd/lavenderpond-edge/main.go
@@ -66,6 +66,8 @@
 		return exitSettings
 	}
 	log = log.With().Str("node", settings.Node).Logger()
+	signals := notifySignals()
+	defer signal.Stop(signals)
 	p, err := loadPolicy(o.Policy)
 	if err != nil {
 		logPolicyProblems(log, o.Policy, err)
@@ -82,7 +84,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var g supervisor.Group
-	g.Go(func() { watchSignals(ctx, cancel, n, o.Policy, log) })
+	g.Go(func() { watchSignals(ctx, signals, cancel, n, o.Policy, log) })
 	err = n.Run(ctx)
 	cancel()
 	g.Wait()
@@ -93,12 +95,18 @@
 	return exitOK
 }
 
-// watchSignals stops the process gracefully on SIGINT or SIGTERM. On SIGHUP it reads the policy
-// again; the settings can't change while the process runs.
-func watchSignals(ctx context.Context, stop context.CancelFunc, n *node.Node, policyPath string, log zerolog.Logger) {
+// notifySignals returns the channel of the signals that the process handles. It is called before the
+// policy is read: a SIGHUP that is sent to the whole fleet must neither kill a process that is
+// starting nor leave it with the policy that was replaced.
+func notifySignals() chan os.Signal {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
-	defer signal.Stop(signals)
+	return signals
+}
+
+// watchSignals stops the process gracefully on SIGINT or SIGTERM. On SIGHUP it reads the policy
+// again; the settings can't change while the process runs.
+func watchSignals(ctx context.Context, signals <-chan os.Signal, stop context.CancelFunc, n *node.Node, policyPath string, log zerolog.Logger) {
 	for {
 		select {
 		case <-ctx.Done():
--- a/cmd/lavenderpond-edge/policy_test.go
+++ b/cmd/lavenderpond-edge/policy_test.go
@@ -2,14 +2,19 @@
 
 import (
 	"bytes"
+	"context"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
 
+	"lavenderpond/core/policy"
 	"lavenderpond/io/node"
 	"lavenderpond/platform"
 )
@@ -41,3 +46,21 @@
 	reloadPolicy(n, path, log)
 	golden.Assert(t, out.String(), goldenPath)
 }
+
+// Guards against a SIGHUP that kills a process which is starting, or that it misses: the signal
+// arrives before the process watches for signals.
+func TestSignalDuringStartIsHandled(t *testing.T) {
+	var out bytes.Buffer
+	log := zerolog.New(&out)
+	n, err := node.New(platform.Settings{TableAddress: "127.0.0.1:1", MachinesAddress: "127.0.0.1:1"}, policy.Policy{}, zerolog.Nop())
+	assert.NilError(t, err)
+	signals := notifySignals()
+	defer signal.Stop(signals)
+	assert.NilError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+	signals <- <-signals
+	signals <- syscall.SIGTERM
+	ctx, cancel := context.WithCancel(t.Context())
+	watchSignals(ctx, signals, cancel, n, "", log)
+	assert.Assert(t, strings.HasPrefix(out.String(), `{"level":"info","event":"reload"`), out.String())
+	assert.Assert(t, ctx.Err() != nil)
+}
