--- a/io/node/decisions.go
+++ b/io/node/decisions.go
@@ -67,7 +67,7 @@
 	}
 	if x := d.Share; x != nil {
 		e.Str("account", string(x.Account)).Str("pool", string(x.Pool)).Float64("share", x.Share).Float64("usage", x.Usage).
-			Int64("waiting_cpu", x.Waiting.CPU).Int64("waiting_mem_mb", x.Waiting.MemMB)
+			Int64("waiting_cpu", x.Waiting.CPU).Int64("waiting_mem_mb", x.Waiting.MemMB).Int64("waiting_gpu", x.Waiting.GPU)
 	}
 	if omitted > 0 {
 		e.Int("omitted", omitted)
