--- a/core/emulator/overload_test.go
+++ b/core/emulator/overload_test.go
@@ -28,7 +28,7 @@
 
 // fullPolicy is the policy with all decisions under scarcity in force.
 func fullPolicy() policy.Policy {
-	return policy.Policy{Admission: true, FairShares: true, RunTimeForecast: true, SecondRuns: true, RankedRoom: true, StandbyWhenIdle: true}
+	return policy.Policy{Admission: true, FairShares: true, RunTimeForecast: true, SecondRuns: true, RankedRoom: true}
 }
 
 // underLoad returns a scenario that uses about half of the capacity, with accounts of skewed
--- a/core/fairshare/ledger.go
+++ b/core/fairshare/ledger.go
@@ -137,12 +137,26 @@
 	return out
 }
 
-// Prune forgets accounts that hold nothing and whose mean has decayed, except in pools whose
-// divisions are in use.
+// Held returns what all accounts together hold in a pool.
+func (l *Ledger) Held(p job.PoolName) job.Resources {
+	if pool := l.pools[p]; pool != nil {
+		return pool.held
+	}
+	return job.Resources{}
+}
+
+// Empty reports whether the ledger holds no account.
+func (l *Ledger) Empty() bool { return len(l.pools)+len(l.fleet) == 0 }
+
+// Prune forgets accounts that hold nothing and whose mean has decayed, and pools without any,
+// except pools whose divisions are in use.
 func (l *Ledger) Prune(now time.Time, inUse func(job.PoolName) bool) {
 	for name, p := range l.pools {
-		if !inUse(name) {
-			prune(now, p.holdings)
+		if inUse(name) {
+			continue
+		}
+		if prune(now, p.holdings); len(p.holdings) == 0 {
+			delete(l.pools, name)
 		}
 	}
 	prune(now, l.fleet)
--- a/core/fairshare/ledger_test.go
+++ b/core/fairshare/ledger_test.go
@@ -40,7 +40,7 @@
 	l.Prune(start.Add(20*Window), func(job.PoolName) bool { return true })
 	assert.Equal(t, len(l.pools["p"].holdings), 1)
 	l.Prune(start.Add(20*Window), notInUse)
-	assert.Equal(t, len(l.pools["p"].holdings)+len(l.fleet), 0)
+	assert.Assert(t, l.Empty())
 }
 
 // Guards against accounts told apart by CPU alone: one that holds most of the accelerators is
@@ -74,6 +74,9 @@
 		assert.Equal(t, next.Restore(now, start.Add(age), "p", stored), max(0, age))
 		assert.Assert(t, math.Abs(next.pools["p"].holdings["a"].mean[0]-100_000*keep) < 10)
 	}
+	var late Ledger
+	late.Restore(now, start.Add(100*Window), "p", stored)
+	assert.Assert(t, late.Empty(), "rows of pools that were full long ago take no memory")
 	assert.Assert(t, !l.Changed(now.Add(time.Second/10), "p"))
 	l.Remove(now, "p", "a", job.Resources{CPU: 100_000, MemMB: 300})
 	assert.Assert(t, !l.Changed(now.Add(Window), "p"), "a reader knows the decay")
--- a/core/schedule/fairness_test.go
+++ b/core/schedule/fairness_test.go
@@ -26,6 +26,7 @@
 	sent    map[job.AccountName]int
 	inTime  map[job.AccountName]int
 	logged  map[DecisionKind]int
+	lastAge time.Duration
 	saved   map[job.PoolName]fairshare.StoredUsage
 }
 
@@ -41,6 +42,9 @@
 
 func (h *fairHarness) Decided(d Decision) {
 	h.logged[d.Kind]++
+	if d.Kind == AccountAboveShare {
+		h.lastAge = d.Age
+	}
 	if j := h.s.jobs.Get(d.Job); d.Kind == JobEnded && d.Slack >= 0 && j != nil {
 		h.inTime[j.Terms.Account]++
 	}
@@ -281,9 +285,12 @@
 	}
 	next := newFairHarness(t, 1, accounts...)
 	next.s.AddInheritedShares(next.now, h.now.Add(500*time.Millisecond), poolA, h.saved[poolA])
+	next.s.AddInheritedShares(next.now, h.now.Add(time.Hour), "full long ago", h.saved[poolA])
 	next.submit("a", 20, smallStep)
 	next.submit("b", 20, smallStep)
 	assert.Equal(t, next.startsByAccount(next.round(0))["b"], 8)
+	next.s.reportStanding(next.s.settings.TakeoverTime, AccountAboveShare, poolA, next.s.fairness.full[poolA].division.Standings()[0])
+	assert.Equal(t, next.lastAge, h.now.Add(500*time.Millisecond).Sub(h.saved[poolA].StoredAt))
 }
 
 // Guards against rows of usage that load the table: at most one a second and pool, none while
@@ -364,3 +371,66 @@
 		})
 	}
 }
+
+// Guards against a report of all accounts in all pools, which at 620 accounts and 215 pools takes more
+// memory than the rest of the process.
+func TestReportListsAccountsThatUseMost(t *testing.T) {
+	h := newFairHarness(t, 2, job.Account{Name: "z"})
+	for i := range 2 * maxReportedAccounts {
+		h.submit(job.AccountName(fmt.Sprintf("a%02d", i)), 1, smallStep)
+	}
+	h.submit("z", 1, smallStep)
+	h.s.fairness.ledger.Add(h.now, poolA, "z", job.Resources{CPU: 100_000})
+	h.round(0)
+	report := h.s.FullPools(h.now)
+	assert.Equal(t, report[0].AccountCount, 2*maxReportedAccounts+1)
+	assert.Equal(t, len(report[0].Accounts), maxReportedAccounts)
+	assert.Equal(t, report[0].Accounts[0].Account, job.AccountName("z"))
+}
+
+// Guards against runs that shares don't know because they were started before shares were
+// switched on: their account would get the room of the others as well, for as long as they run.
+func TestSharesSwitchedOnCountWhatIsHeld(t *testing.T) {
+	h := newFairHarness(t, 2, job.Account{Name: "a"}, job.Account{Name: "b"})
+	h.s.SetPolicy(policy.Policy{})
+	h.submit("a", 60, smallStep)
+	assert.Equal(t, len(h.round(0)), 16)
+	h.s.SetPolicy(policy.Policy{FairShares: true})
+	h.submit("b", 40, smallStep)
+	for range 24 {
+		h.round(50 * time.Millisecond)
+	}
+	assert.Equal(t, h.logged[AccountAboveShare], 1)
+	h.s.SetPolicy(policy.Policy{})
+	h.round(50 * time.Millisecond)
+	assert.Equal(t, len(h.s.FullPools(h.now.Add(shareReportInterval))), 0)
+	for range 100 {
+		h.round(50 * time.Millisecond)
+	}
+	h.s.SetPolicy(policy.Policy{FairShares: true})
+	h.round(50 * time.Millisecond)
+	assert.DeepEqual(t, h.s.fairness.ledger.Held(poolA), h.s.usage["a"].Add(h.s.usage["b"]))
+}
+
+// Guards against jobs that were marked as beyond the bucket of their account before shares were
+// switched on: they would come after all late ones, and claim no room.
+func TestSharesSwitchedOnOverrideBucket(t *testing.T) {
+	h := newFairHarness(t, 2, job.Account{Name: "a", Weight: 0.1})
+	h.s.SetPolicy(policy.Policy{})
+	h.submit("a", 4, smallStep)
+	last := h.s.jobs.Get("a-0004")
+	assert.Equal(t, h.s.rateJob(h.now, last).rank, rankBeyondShare)
+	h.s.SetPolicy(policy.Policy{FairShares: true})
+	h.now = h.now.Add(ratingInterval)
+	assert.Equal(t, h.s.rateJob(h.now, last).rank, rankInTime)
+}
+
+// Guards against a ledger that grows with each account that was ever there while no pool is full.
+func TestUsageIsForgottenWhileNoPoolIsFull(t *testing.T) {
+	h := newFairHarness(t, 2, job.Account{Name: "a"})
+	h.submit("a", 1, smallStep)
+	for range 20 {
+		h.round(fairshare.Window)
+	}
+	assert.Assert(t, h.s.fairness.ledger.Empty())
+}
--- a/core/schedule/outlook.go
+++ b/core/schedule/outlook.go
@@ -141,8 +141,7 @@
 	}
 	for name, p := range pools {
 		r := s.poolStats(name)
-		r.decayArrivals(now)
-		p.ArrivalRate = admission.CoreSeconds(r.arrivalRate)
+		p.ArrivalRate = admission.CoreSeconds(r.arrivals.at(now))
 	}
 }
 
--- a/core/schedule/outlookroom.go
+++ b/core/schedule/outlookroom.go
@@ -39,8 +39,7 @@
 	for name, cpu := range busy {
 		if p := pools[name]; p == nil || p.inTime == 0 {
 			r := s.poolStats(name)
-			r.decayArrivals(now)
-			out.busy += max(0, cpu-int64(1000*r.arrivalRate/packingFraction))
+			out.busy += max(0, cpu-int64(1000*r.arrivals.at(now)/packingFraction))
 		}
 	}
 	out.idle += s.addMachines(now, pools)
--- a/core/schedule/pools.go
+++ b/core/schedule/pools.go
@@ -34,15 +34,12 @@
 
 // poolStats tracks the demand for a pool.
 type poolStats struct {
-	// arrivalRate is the arrival rate of work, in core-seconds per second.
-	arrivalRate float64
-	arrivalAt   time.Time
+	// arrivals is the arrival rate of all work, urgent that of work within the accounts' shares.
+	arrivals, urgent workRate
 	// peakNeed is the decaying maximum of the pool's need, in thousandths of a core. It never
 	// exceeds the capacity of the fleet.
 	peakNeed float64
 	peakAt   time.Time
-	// urgent is the arrival rate of work within the accounts' shares.
-	urgent workRate
 }
 
 // poolStats returns the statistics of a pool, which are created on first use.
@@ -55,20 +52,6 @@
 	return r
 }
 
-// addArrival adds work, in core-seconds, to the average arrival rate.
-func (r *poolStats) addArrival(now time.Time, work float64) {
-	r.decayArrivals(now)
-	r.arrivalRate += work / arrivalDecay.Seconds()
-}
-
-// decayArrivals lets the arrival rate decay up to now.
-func (r *poolStats) decayArrivals(now time.Time) {
-	if !r.arrivalAt.IsZero() {
-		r.arrivalRate *= math.Exp(-now.Sub(r.arrivalAt).Seconds() / arrivalDecay.Seconds())
-	}
-	r.arrivalAt = now
-}
-
 // updatePeak raises the decayed peak to the present need if that is larger.
 func (r *poolStats) updatePeak(now time.Time, need float64) {
 	if !r.peakAt.IsZero() {
@@ -111,8 +94,7 @@
 		x.Used = int64(float64(capacity.used[p.Name]) / packingFraction)
 		if !p.Standby {
 			r := s.poolStats(p.Name)
-			r.decayArrivals(now)
-			need := (r.arrivalRate + waiting[p.Name]/targetWait.Seconds()) * 1000 / packingFraction
+			need := (r.arrivals.at(now) + waiting[p.Name]/targetWait.Seconds()) * 1000 / packingFraction
 			r.updatePeak(now, min(need, float64(capacity.total())))
 			x.SpareWeight = r.peakNeed
 			l := longRunning[p.Name]
--- a/core/schedule/roomplan.go
+++ b/core/schedule/roomplan.go
@@ -1,7 +1,6 @@
 package schedule
 
 import (
-	"math"
 	"time"
 
 	"lavenderpond/core/job"
@@ -9,26 +8,6 @@
 	"lavenderpond/core/schedule/sizing"
 )
 
-// workRate is the rate at which work arrives at a pool, in core-seconds per second.
-type workRate struct {
-	mean   float64
-	seenAt time.Time
-}
-
-// add adds work, in core-seconds.
-func (r *workRate) add(now time.Time, work float64) {
-	r.decay(now)
-	r.mean += work / arrivalDecay.Seconds()
-}
-
-// decay lets the mean decay up to now.
-func (r *workRate) decay(now time.Time) {
-	if !r.seenAt.IsZero() {
-		r.mean *= math.Exp(-now.Sub(r.seenAt).Seconds() / arrivalDecay.Seconds())
-	}
-	r.seenAt = now
-}
-
 // planRoom orders machines from pool to pool by the rank of the work that waits there. It reports
 // whether the rank makes a difference; if not, it does nothing.
 func (s *Scheduler) planRoom(now time.Time) bool {
@@ -64,12 +43,10 @@
 		if d := demands[p.Name]; !p.Standby {
 			longRunning := d.longRunningCPU(capacity.largestVMCPU)
 			r := s.poolStats(p.Name)
-			r.decayArrivals(now)
-			r.urgent.decay(now)
 			running := int64(float64(capacity.used[p.Name]-d.lateRunning) / packingFraction)
-			x.Urgent = max(longRunning+neededCPU(r.urgent.mean, d.urgentWaiting), running)
+			x.Urgent = max(longRunning+neededCPU(r.urgent.at(now), d.urgentWaiting), running)
 			used := int64(float64(capacity.used[p.Name]) / packingFraction)
-			x.Total = max(x.Urgent, longRunning+neededCPU(r.arrivalRate, d.waiting), used)
+			x.Total = max(x.Urgent, longRunning+neededCPU(r.arrivals.at(now), d.waiting), used)
 		}
 		out = append(out, x)
 	}
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -224,7 +224,7 @@
 	if !st.longRunning && !inherited {
 		st.beyondShare = s.config != nil && !s.settings.Policy.FairShares && s.shares.exceeds(now, s.config.Account(j.Terms.Account))
 		remaining, total := s.predictWork(st)
-		s.poolStats(s.pool(st)).addArrival(now, remaining)
+		s.poolStats(s.pool(st)).arrivals.add(now, remaining)
 		if !st.beyondShare {
 			s.poolStats(s.pool(st)).urgent.add(now, remaining)
 		}
--- a/io/soak/policy_test.go
+++ b/io/soak/policy_test.go
@@ -5,7 +5,6 @@
 	"os"
 	"path/filepath"
 	"testing"
-	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -17,7 +16,7 @@
 func TestFullPolicyEnablesAllDecisions(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "policy.ini")
 	assert.NilError(t, os.WriteFile(path, []byte(FullPolicy.policyText(rand.New(rand.NewPCG(1, 1)))), 0o600))
-	p, err := ini.LoadPolicy(path, time.Now())
+	p, err := ini.LoadPolicy(path)
 	assert.NilError(t, err)
 	assert.Equal(t, len(p.EnabledNames()), len(policy.Switches()))
 }
