io/node: a look-up before the submission doesn't count as the stored job

Cause: TestLargeJobIsStoredWhole took the first request for the transaction; on a busy machine more than 100 ms passed before the submission, so that the job was looked up first. The fake answers reads by themselves now; what is checked stays.

--- a/io/node/node_test.go
+++ b/io/node/node_test.go
@@ -357,6 +357,7 @@
 // completely.
 func TestLargeJobIsStoredWhole(t *testing.T) {
 	f, table := newFakeTable(t, respondWith(http.StatusOK, `{"ver":1}`))
+	f.read = respondWith(http.StatusOK, `{"ver":1}`)
 	s := newJobStore(table)
 	s.rowBytes = rowBytes
 	j := testJob()
