--- a/core/schedule/pools.go
+++ b/core/schedule/pools.go
@@ -73,10 +73,11 @@
 	s.nextSizing = now.Add(sizingInterval)
 	s.trackMoves(now)
 	s.clearYielding()
-	if s.settings.Policy.RankedRoom && s.planRoom(now) {
+	demands, capacity := s.demand(now), s.poolCapacity(now)
+	if s.settings.Policy.RankedRoom && s.planRoom(now, demands, &capacity) {
 		return
 	}
-	pools := s.poolNeeds(now)
+	pools := s.poolNeeds(now, demands, &capacity)
 	for _, m := range sizing.Plan(now, pools, s.idleMachines(now)) {
 		s.orderMove(now, m)
 	}
@@ -84,9 +85,7 @@
 }
 
 // poolNeeds returns what each pool needs and what it has.
-func (s *Scheduler) poolNeeds(now time.Time) []sizing.Pool {
-	waiting, longRunning := s.demand(now)
-	capacity := s.poolCapacity(now)
+func (s *Scheduler) poolNeeds(now time.Time, demands map[job.PoolName]poolDemand, capacity *poolCapacity) []sizing.Pool {
 	var out []sizing.Pool
 	for i := range s.config.Pools {
 		p := &s.config.Pools[i]
@@ -94,10 +93,11 @@
 		x.Used = int64(float64(capacity.used[p.Name]) / packingFraction)
 		if !p.Standby {
 			r := s.poolStats(p.Name)
-			need := (r.arrivals.at(now) + waiting[p.Name]/targetWait.Seconds()) * 1000 / packingFraction
+			d := demands[p.Name]
+			need := (r.arrivals.at(now) + d.waiting/targetWait.Seconds()) * 1000 / packingFraction
 			r.updatePeak(now, min(need, float64(capacity.total())))
 			x.SpareWeight = r.peakNeed
-			l := longRunning[p.Name]
+			l := &d.longRunning
 			x.Need = max(l.cpu+int64(need), l.requiredVMs()*capacity.largestVMCPU) + l.waiting*capacity.largestVMCPU
 		}
 		out = append(out, x)
@@ -105,98 +105,6 @@
 	return out
 }
 
-// longRunningDemand is what the long-running tasks of a pool need.
-type longRunningDemand struct {
-	cpu int64
-	// minVMs is the number of VMs that the widest step with a bound on tasks per VM needs.
-	minVMs int
-	// waiting counts the tasks that have found no capacity.
-	waiting int64
-}
-
-// requiredVMs returns the number of VMs that the pool needs for tasks that may not share a VM.
-func (l *longRunningDemand) requiredVMs() int64 {
-	if l.minVMs == 0 {
-		return 0
-	}
-	return int64(l.minVMs + longRunningSpareVMs)
-}
-
-// demand returns the waiting work of each pool, in core-seconds, as far as it is still of use, and
-// what the pool's long-running tasks need. Waiting tasks of a job that may still run on a VM that
-// has not reported yet are left out: they can't start, so capacity for them would stand empty
-// while other queues wait.
-func (s *Scheduler) demand(now time.Time) (waiting map[job.PoolName]float64, longRunning map[job.PoolName]longRunningDemand) {
-	waiting, longRunning = map[job.PoolName]float64{}, map[job.PoolName]longRunningDemand{}
-	for _, j := range s.jobs.All() {
-		if j.over() {
-			continue
-		}
-		p := s.pool(j)
-		blocked := j.inherited && s.mayRunOnUnreportedVM(j)
-		switch {
-		case j.longRunning:
-			l := longRunning[p]
-			l.add(j)
-			if !blocked {
-				l.waiting += j.longWaitingTasks(now)
-			}
-			longRunning[p] = l
-		case now.Before(j.lateLimit) && !blocked:
-			waiting[p] += s.waitingWork(j)
-		}
-	}
-	return waiting, longRunning
-}
-
-// add adds the tasks of a long-running job.
-func (l *longRunningDemand) add(j *jobState) {
-	for _, o := range j.occurrences {
-		for i := range o.steps {
-			def := o.steps[i].def
-			l.cpu += def.Reservation().CPU * int64(def.Count)
-			if def.MaxPerVM > 0 {
-				l.minVMs = max(l.minVMs, (def.Count+def.MaxPerVM-1)/def.MaxPerVM)
-			}
-		}
-	}
-}
-
-// longWaitingTasks counts the tasks of a long-running job that have waited for capacity for longer
-// than longRunningWaitThreshold.
-func (j *jobState) longWaitingTasks(now time.Time) int64 {
-	if now.Sub(j.arrived) <= longRunningWaitThreshold {
-		return 0
-	}
-	n := int64(0)
-	for _, o := range j.occurrences {
-		for i := range o.steps {
-			for t := range o.steps[i].tasks {
-				task := &o.steps[i].tasks[t]
-				if task.open() && (task.unavailableSince.IsZero() || now.Sub(task.unavailableSince) > longRunningWaitThreshold) {
-					n++
-				}
-			}
-		}
-	}
-	return n
-}
-
-// waitingWork returns the core-seconds of the job's tasks that could start now.
-func (s *Scheduler) waitingWork(j *jobState) float64 {
-	sum := 0.0
-	for _, o := range j.occurrences {
-		for i := range o.steps {
-			st := &o.steps[i]
-			if st.openTasks == 0 || !o.ready(i) {
-				continue
-			}
-			sum += float64(st.openTasks) * float64(st.def.Reservation().CPU) / 1000 * s.predictRunTime(j, st.def).Seconds()
-		}
-	}
-	return sum
-}
-
 // poolCapacity is the CPU of each pool, in thousandths of a core.
 type poolCapacity struct {
 	// available counts the VMs that take tasks, and machines that are on their way to the pool.
--- a/core/schedule/roomplan.go
+++ b/core/schedule/roomplan.go
@@ -10,8 +10,8 @@
 
 // planRoom orders machines from pool to pool by the rank of the work that waits there. It reports
 // whether the rank makes a difference; if not, it does nothing.
-func (s *Scheduler) planRoom(now time.Time) bool {
-	pools := s.roomPools(now)
+func (s *Scheduler) planRoom(now time.Time, demands map[job.PoolName]poolDemand, capacity *poolCapacity) bool {
+	pools := s.roomPools(now, demands, capacity)
 	if !room.Scarce(pools) {
 		return false
 	}
@@ -33,9 +33,7 @@
 }
 
 // roomPools returns what the work of each pool needs and what it has.
-func (s *Scheduler) roomPools(now time.Time) []room.Pool {
-	demands := s.rankedDemand(now)
-	capacity := s.poolCapacity(now)
+func (s *Scheduler) roomPools(now time.Time, demands map[job.PoolName]poolDemand, capacity *poolCapacity) []room.Pool {
 	out := make([]room.Pool, 0, len(s.config.Pools))
 	for i := range s.config.Pools {
 		p := &s.config.Pools[i]
@@ -58,79 +56,3 @@
 func neededCPU(rate, waiting float64) int64 {
 	return int64((rate + waiting/targetWait.Seconds()) * 1000 / packingFraction)
 }
-
-// rankedDemand is the work that waits for a pool, by rank.
-type rankedDemand struct {
-	// urgentWaiting and waiting are core-seconds. waiting includes urgentWaiting.
-	urgentWaiting, waiting float64
-	// lateRunning is the CPU of runs whose jobs can't complete in time any more, in thousandths
-	// of a core, on the VMs that count as capacity.
-	lateRunning int64
-	longRunning longRunningDemand
-}
-
-// longRunningCPU returns the CPU that the pool's long-running tasks need.
-func (d *rankedDemand) longRunningCPU(largestVMCPU int64) int64 {
-	l := &d.longRunning
-	return max(l.cpu, l.requiredVMs()*largestVMCPU) + l.waiting*largestVMCPU
-}
-
-// rankedDemand returns the work of each pool. Waiting tasks of a job that may still run on a VM
-// that has not reported yet are left out, since they can't start.
-func (s *Scheduler) rankedDemand(now time.Time) map[job.PoolName]rankedDemand {
-	out := map[job.PoolName]rankedDemand{}
-	for _, j := range s.jobs.All() {
-		if j.over() {
-			continue
-		}
-		p := s.pool(j)
-		d := out[p]
-		s.addDemand(now, j, &d)
-		out[p] = d
-	}
-	return out
-}
-
-// addDemand adds the work of a job.
-func (s *Scheduler) addDemand(now time.Time, j *jobState, d *rankedDemand) {
-	blocked := j.inherited && s.mayRunOnUnreportedVM(j)
-	if j.longRunning {
-		d.longRunning.add(j)
-		if !blocked {
-			d.longRunning.waiting += j.longWaitingTasks(now)
-		}
-		return
-	}
-	if now.After(j.objective) {
-		d.lateRunning += j.lateRunningCPU(now)
-	}
-	if blocked || !now.Before(j.lateLimit) {
-		return
-	}
-	work := s.waitingWork(j)
-	d.waiting += work
-	if work > 0 && s.rateJob(now, j).rank <= rankInTime {
-		d.urgentWaiting += work
-	}
-}
-
-// lateRunningCPU returns the CPU that the runs of a late job reserve on VMs that count as capacity.
-// Objectives count from the arrival of a job, so scheduled occurrences don't count as late.
-func (j *jobState) lateRunningCPU(now time.Time) int64 {
-	sum := int64(0)
-	for _, o := range j.occurrences {
-		if !o.due.IsZero() {
-			continue
-		}
-		for i := range o.steps {
-			for t := range o.steps[i].tasks {
-				for _, r := range o.steps[i].tasks[t].runs {
-					if r.vm.countsAsCapacity(now) {
-						sum += r.reservation.CPU
-					}
-				}
-			}
-		}
-	}
-	return sum
-}
--- a/core/schedule/roomplan_test.go
+++ b/core/schedule/roomplan_test.go
@@ -225,7 +225,7 @@
 	used := h.s.vms.Get("b2").used.CPU
 	assert.Equal(t, used, int64(8000))
 	late := int64(0)
-	for _, d := range h.s.rankedDemand(h.now) {
+	for _, d := range h.s.demand(h.now) {
 		late += d.lateRunning
 	}
 	assert.Equal(t, late, int64(0))
