--- a/core/admission/controller.go
+++ b/core/admission/controller.go
@@ -15,8 +15,8 @@
 	maxPending = 3 * time.Second
 	// maxReadDelay is the usual age of a forecast when it is read.
 	maxReadDelay = 450 * time.Millisecond
-	// arrivalGrowth is how many times the measured arrivals may arrive between two forecasts
-	// without being admitted beyond the room that is left.
+	// arrivalGrowth is the largest growth of the arrival rate between two forecasts at which no
+	// more is admitted than there is room for.
 	arrivalGrowth = 2
 	// arrivalHorizon is the time whose arrivals count as work before a job that can't be in
 	// time. Bursts may end at any moment, so it is short.
--- a/core/emulator/service.go
+++ b/core/emulator/service.go
@@ -17,9 +17,8 @@
 const (
 	// lateLimitFactor is how many times its latency target a job may take and still be of use.
 	lateLimitFactor = 3
-	// inTimeGoal is the share of jobs in time at which an overload is over, recoveryWindow
-	// the period over which the share is measured, and recoveryStep the distance of these
-	// periods.
+	// inTimeGoal is the share of jobs in time at which an overload is over. The share is that of
+	// the jobs submitted within a recoveryWindow; a new window starts each recoveryStep.
 	inTimeGoal     = 0.9
 	recoveryWindow = 2 * time.Second
 	recoveryStep   = 100 * time.Millisecond
--- a/core/schedule/fairreport.go
+++ b/core/schedule/fairreport.go
@@ -56,8 +56,8 @@
 	x.division, x.dividedAt = d, now
 }
 
-// reportStandings reports the accounts of a pool that have got above their shares while others
-// wait below theirs, and those that are no longer above.
+// reportStandings reports each account of a pool whose standing has changed: above its share while
+// an account below its own waits, or within its share.
 func (s *Scheduler) reportStandings(now time.Time, p job.PoolName) {
 	f := s.fairness.full[p]
 	contended := f.division.AnyWaitsBelow()
--- a/core/schedule/secondrun_test.go
+++ b/core/schedule/secondrun_test.go
@@ -25,15 +25,27 @@
 	return nil
 }
 
-// startOnSilentVM starts a task of the step, whose VM then becomes silent. It returns that start
-// and those that follow.
-func startOnSilentVM(t *testing.T, st job.Step) (h *harness, first Start, more []Start) {
-	h = newHarness(t)
+// newSecondRunHarness returns a harness with two VMs, in which second runs are permitted.
+func newSecondRunHarness(t *testing.T) *harness {
+	h := newHarness(t)
 	h.s.settings.Policy.SecondRuns = true
 	h.addReadyVMs("one", "two")
+	return h
+}
+
+// startRun starts a task of the step as a job of its own.
+func (h *harness) startRun(st job.Step) Start {
 	h.addJob("j", "free", st)
-	first = onlyCommand[Start](h, h.advance(10*time.Millisecond))
-	h.confirm(first)
+	c := onlyCommand[Start](h, h.advance(10*time.Millisecond))
+	h.confirm(c)
+	return c
+}
+
+// startOnSilentVM starts a task of the step, whose VM then becomes silent. It returns that start
+// and those that follow.
+func startOnSilentVM(t *testing.T, st job.Step) (h *harness, first Start, more []Start) {
+	h = newSecondRunHarness(t)
+	first = h.startRun(st)
 	return h, first, commandsOfType[Start](h.silenceVM(first.VM))
 }
 
@@ -64,9 +76,7 @@
 // whole VM, and the second run would find room on the only VM that will be empty soon.
 func TestNoSecondRunWhileInTimeJobWaits(t *testing.T) {
 	for _, waits := range []bool{false, true} {
-		h := newHarness(t)
-		h.s.settings.Policy.SecondRuns = true
-		h.addReadyVMs("one", "two")
+		h := newSecondRunHarness(t)
 		start := func(on, other job.VMID, id string, st job.Step) {
 			h.s.vms.Get(other).fullUntil = h.now.Add(time.Hour)
 			h.addJob(id, "free", st)
@@ -89,12 +99,8 @@
 // Guards against second runs that take capacity from a gang that can be in time. Its two members
 // need a VM each, and one VM has room.
 func TestNoSecondRunWhileInTimeGangWaits(t *testing.T) {
-	h := newHarness(t)
-	h.s.settings.Policy.SecondRuns = true
-	h.addReadyVMs("one", "two")
-	h.addJob("j", "free", speculativeStep)
-	c := onlyCommand[Start](h, h.advance(10*time.Millisecond))
-	h.confirm(c)
+	h := newSecondRunHarness(t)
+	c := h.startRun(speculativeStep)
 	gang := pairStep
 	gang.Resources.CPU, gang.Estimate, gang.Gang = 8000, 20*time.Second, true
 	h.addJob("gang", "free", gang)
@@ -103,12 +109,8 @@
 
 // Guards against a task that crashes two VMs at a time.
 func TestTaskThatCrashedVMGetsNoSecondRun(t *testing.T) {
-	h := newHarness(t)
-	h.s.settings.Policy.SecondRuns = true
-	h.addReadyVMs("one", "two")
-	h.addJob("j", "free", speculativeStep)
-	first := onlyCommand[Start](h, h.advance(10*time.Millisecond))
-	h.confirm(first)
+	h := newSecondRunHarness(t)
+	first := h.startRun(speculativeStep)
 	_, _, _, task := h.s.task(first.Order.Task)
 	task.crashes.attempts = []job.Attempt{1}
 	assert.Equal(t, len(commandsOfType[Start](h.silenceVM(first.VM))), 0)
@@ -117,9 +119,7 @@
 // Guards against a second run of a task whose step doesn't allow one: a VM reports a run of a
 // former owner while the owner's own start waits until it is stored.
 func TestPlannedStartIsDroppedIfAnotherRunIsFound(t *testing.T) {
-	h := newHarness(t)
-	h.s.settings.Policy.SecondRuns = true
-	h.addReadyVMs("one", "two")
+	h := newSecondRunHarness(t)
 	h.addJob("j", "free", smallStep)
 	h.s.Assign(h.now, h.now)
 	planned := h.s.plannedStarts
--- a/io/node/admission_test.go
+++ b/io/node/admission_test.go
@@ -1,13 +1,11 @@
 package node
 
 import (
-	"bytes"
 	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -27,9 +25,7 @@
 type lateTable struct {
 	*standin.Table
 	late atomic.Bool
-
-	mu   sync.Mutex
-	held [][]byte
+	held heldTransactions
 }
 
 func (l *lateTable) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -38,22 +34,10 @@
 		return
 	}
 	body, _ := io.ReadAll(r.Body)
-	l.mu.Lock()
-	l.held = append(l.held, body)
-	l.mu.Unlock()
+	l.held.add(body)
 	panic(http.ErrAbortHandler)
 }
 
-// applyHeld applies the unanswered transactions.
-func (l *lateTable) applyHeld(r *rand.Rand) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, i := range r.Perm(len(l.held)) {
-		l.Table.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/rows-tx", bytes.NewReader(l.held[i])))
-	}
-	l.held = nil
-}
-
 func newLateTable(t *testing.T) (*lateTable, *jobStore) {
 	l := &lateTable{Table: standin.NewTable()}
 	s := httptest.NewServer(l)
@@ -96,7 +80,7 @@
 		}
 		refused, err := s.refuse(t.Context(), bootNow().Add(time.Second), testJob().ID, 0)
 		assert.Assert(t, err == nil && refused, "seed %d: %v", seed, err)
-		table.applyHeld(r)
+		table.held.apply(table.Table, r, table.held.count())
 		isStored, version := stored(t, s)
 		assert.Assert(t, !isStored, "seed %d", seed)
 		got, err := s.submitArrived(t.Context(), bootNow().Add(time.Second), testJob(), contact.Call, at(version))
--- a/io/node/refusal_test.go
+++ b/io/node/refusal_test.go
@@ -25,7 +25,7 @@
 	*standin.Table
 	mu   sync.Mutex
 	rand *rand.Rand
-	held []string
+	held heldTransactions
 }
 
 func (l *lossyTable) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -38,32 +38,24 @@
 	defer l.mu.Unlock()
 	switch l.rand.IntN(4) {
 	case 0:
-		l.held = append(l.held, string(body))
+		l.held.add(body)
 		panic(http.ErrAbortHandler)
 	case 1:
-		l.apply(httptest.NewRecorder(), string(body))
+		l.Transact(httptest.NewRecorder(), body)
 		panic(http.ErrAbortHandler)
 	}
-	l.apply(w, string(body))
-}
-
-func (l *lossyTable) apply(w http.ResponseWriter, body string) {
-	l.Table.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/rows-tx", strings.NewReader(body)))
+	l.Transact(w, body)
 }
 
 // applySome applies some of the held requests, or all, in any order.
 func (l *lossyTable) applySome(all bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.rand.Shuffle(len(l.held), func(i, j int) { l.held[i], l.held[j] = l.held[j], l.held[i] })
-	n := len(l.held)
+	n := l.held.count()
 	if !all {
 		n = l.rand.IntN(n + 1)
 	}
-	for _, body := range l.held[:n] {
-		l.apply(httptest.NewRecorder(), body)
-	}
-	l.held = l.held[n:]
+	l.held.apply(l.Table, l.rand, n)
 }
 
 // errRefusalStored is the answer of a call whose refusal was stored.
