core/room uses the machines, moves and choice of VMs of core/schedule/sizing; move time from the settings

Cause: room had its own copies of the types and of the loop that picks VMs to empty, and the outlook a constant for the time that the platform's settings tell.

--- a/core/room/empty.go
+++ b/core/room/empty.go
@@ -1,20 +1,12 @@
 package room
 
 import (
-	"cmp"
 	"slices"
 
 	"lavenderpond/core/job"
+	"lavenderpond/core/schedule/sizing"
 )
 
-// VM is a VM that runs no long-running task, with the CPU that its tasks use.
-type VM struct {
-	ID   job.VMID
-	Pool job.PoolName
-	CPU  int64
-	Used int64
-}
-
 // Emptying lists the VMs that should get no more tasks, by what their machines are needed for.
 type Emptying struct {
 	ForUrgent, ForTotal []job.VMID
@@ -25,44 +17,23 @@
 // pool are scattered over its VMs. Empty picks the VMs with the least work, no more than the
 // other pools are short of, and leaves each pool what its own work of the same urgency needs.
 // fleet is the CPU of all pools and of the machines that are off.
-func Empty(pools []Pool, vms []VM, fleet int64) Emptying {
+func Empty(pools []Pool, vms []sizing.VM, fleet int64) Emptying {
 	leveled := level(pools, fleet)
-	byLoad := slices.SortedFunc(slices.Values(vms), func(a, b VM) int {
-		return cmp.Or(cmp.Compare(a.Used, b.Used), cmp.Compare(a.ID, b.ID))
-	})
-	chosen := map[job.VMID]bool{}
-	return Emptying{
-		ForUrgent: choose(leveled, byLoad, chosen, func(p *Pool) int64 { return p.Urgent }),
-		ForTotal:  choose(leveled, byLoad, chosen, func(p *Pool) int64 { return p.Total }),
+	e := Emptying{ForUrgent: sizing.LeastLoaded(balances(leveled, urgent), vms)}
+	for _, id := range sizing.LeastLoaded(balances(leveled, total), vms) {
+		if !slices.Contains(e.ForUrgent, id) {
+			e.ForTotal = append(e.ForTotal, id)
+		}
 	}
+	return e
 }
 
-// choose picks VMs for the pools that have less than needed, from pools that have more, and adds
-// them to chosen.
-func choose(pools []Pool, byLoad []VM, chosen map[job.VMID]bool, needed func(p *Pool) int64) []job.VMID {
-	shortfall := int64(0)
+// balances returns what the pools lack and can spare if they should have what is needed.
+func balances(pools []Pool, needed amount) []sizing.Balance {
+	var out []sizing.Balance
 	for i := range pools {
 		if p := &pools[i]; !p.Standby {
-			shortfall += max(0, needed(p)-p.Have)
-		}
-	}
-	var out []job.VMID
-	for i := range pools {
-		p := &pools[i]
-		if p.Standby {
-			continue
-		}
-		spare := p.Have - needed(p)
-		for _, v := range byLoad {
-			if v.Pool != p.Name || spare < v.CPU || shortfall < v.CPU/2 {
-				continue
-			}
-			spare -= v.CPU
-			shortfall -= v.CPU
-			if !chosen[v.ID] {
-				chosen[v.ID] = true
-				out = append(out, v.ID)
-			}
+			out = append(out, sizing.Balance{Pool: p.Name, Short: needed(p) - p.Have, Spare: p.Have - needed(p)})
 		}
 	}
 	return out
--- a/core/room/room.go
+++ b/core/room/room.go
@@ -7,6 +7,7 @@
 package room
 
 import (
+	"cmp"
 	"slices"
 
 	"lavenderpond/core/job"
@@ -26,6 +27,12 @@
 	Have int64
 }
 
+// amount is one of the needs of a pool.
+type amount func(p *Pool) int64
+
+func urgent(p *Pool) int64 { return p.Urgent }
+func total(p *Pool) int64  { return p.Total }
+
 // Scarce reports whether a pool lacks room for urgent work while another has room for work that
 // isn't urgent. Without that, the rank of work makes no difference to where machines should be.
 func Scarce(pools []Pool) bool {
@@ -39,13 +46,13 @@
 func level(pools []Pool, fleet int64) []Pool {
 	out := slices.Clone(pools)
 	left := fleet - fill(out, fleet, func(p *Pool) *int64 { return &p.Urgent }, func(*Pool) int64 { return 0 })
-	fill(out, left, func(p *Pool) *int64 { return &p.Total }, func(p *Pool) int64 { return p.Urgent })
+	fill(out, left, func(p *Pool) *int64 { return &p.Total }, urgent)
 	return out
 }
 
 // fill reduces the amounts of the pools that exceed their bases to a common level above the
 // bases, so that the sum above the bases is at most available. It returns that sum.
-func fill(pools []Pool, available int64, amount func(*Pool) *int64, base func(*Pool) int64) int64 {
+func fill(pools []Pool, available int64, amount func(*Pool) *int64, base amount) int64 {
 	excess := func(p *Pool) int64 { return max(0, *amount(p)-base(p)) }
 	var order []*Pool
 	for i := range pools {
@@ -53,7 +60,7 @@
 			order = append(order, &pools[i])
 		}
 	}
-	slices.SortStableFunc(order, func(a, b *Pool) int { return int(min(1, max(-1, excess(a)-excess(b)))) })
+	slices.SortStableFunc(order, func(a, b *Pool) int { return cmp.Compare(excess(a), excess(b)) })
 	used := int64(0)
 	for i, p := range order {
 		share := max(0, available-used) / int64(len(order)-i)
--- a/core/room/room_test.go
+++ b/core/room/room_test.go
@@ -10,18 +10,19 @@
 
 	"lavenderpond/core/job"
 	"lavenderpond/core/room"
+	"lavenderpond/core/schedule/sizing"
 )
 
 var now = time.Unix(1_800_000_000, 0)
 
 const vmCPU = 32_000
 
-func idle(id, pool string, since time.Duration) room.Machine {
-	return room.Machine{ID: job.MachineID(id), Pool: job.PoolName(pool), CPU: vmCPU, IdleSince: now.Add(-since)}
+func idle(id, pool string, since time.Duration) sizing.Machine {
+	return sizing.Machine{ID: job.MachineID(id), Pool: job.PoolName(pool), CPU: vmCPU, IdleSince: now.Add(-since)}
 }
 
-func idleMachines(pool string, n int) []room.Machine {
-	var out []room.Machine
+func idleMachines(pool string, n int) []sizing.Machine {
+	var out []sizing.Machine
 	for i := range n {
 		out = append(out, idle(fmt.Sprintf("%s%02d", pool, i), pool, time.Second))
 	}
@@ -37,7 +38,7 @@
 	}
 	moves := room.Plan(now, pools, idleMachines("late", 5))
 	assert.Equal(t, fmt.Sprint(moves), "[{late00 late urgent} {late01 late urgent} {late02 late urgent}]")
-	emptying := room.Empty(pools, []room.VM{
+	emptying := room.Empty(pools, []sizing.VM{
 		{ID: "v1", Pool: "late", CPU: vmCPU, Used: 20_000}, {ID: "v2", Pool: "late", CPU: vmCPU, Used: 10_000},
 		{ID: "v3", Pool: "late", CPU: vmCPU, Used: 30_000}, {ID: "v4", Pool: "late", CPU: vmCPU, Used: vmCPU},
 	}, 6*vmCPU)
@@ -51,7 +52,7 @@
 		{Name: "flooded", Urgent: 100 * vmCPU, Total: 200 * vmCPU, Have: 9 * vmCPU},
 		{Name: "usual", Urgent: 3 * vmCPU, Total: 3 * vmCPU, Have: vmCPU},
 	}
-	emptying := room.Empty(pools, []room.VM{
+	emptying := room.Empty(pools, []sizing.VM{
 		{ID: "v1", Pool: "flooded", CPU: vmCPU, Used: vmCPU}, {ID: "v2", Pool: "flooded", CPU: vmCPU, Used: vmCPU},
 		{ID: "v3", Pool: "flooded", CPU: vmCPU, Used: vmCPU},
 	}, 10*vmCPU)
@@ -77,7 +78,7 @@
 // is probably on its way.
 func TestRecentlyIdleMachineStays(t *testing.T) {
 	pools := []room.Pool{{Name: "burst", Urgent: 3 * vmCPU, Total: 3 * vmCPU}, {Name: "quiet", Have: 2 * vmCPU}}
-	assert.Equal(t, len(room.Plan(now, pools, []room.Machine{idle("q1", "quiet", 10*time.Millisecond)})), 0)
+	assert.Equal(t, len(room.Plan(now, pools, []sizing.Machine{idle("q1", "quiet", 10*time.Millisecond)})), 0)
 }
 
 // Guards against machines that move back and forth, and against pools that are left below what
@@ -95,7 +96,7 @@
 }
 
 // randomFleet returns four pools of idle machines and a standby pool.
-func randomFleet(rng *rand.Rand) ([]room.Pool, []room.Machine) {
+func randomFleet(rng *rand.Rand) ([]room.Pool, []sizing.Machine) {
 	pools := []room.Pool{{Name: "off", Standby: true}}
 	machines := idleMachines("off", rng.IntN(10))
 	for i := range 4 {
@@ -110,7 +111,7 @@
 	return pools, machines
 }
 
-func apply(pools []room.Pool, machines []room.Machine, moves []room.Move) {
+func apply(pools []room.Pool, machines []sizing.Machine, moves []sizing.Move) {
 	for _, m := range moves {
 		for i := range pools {
 			switch pools[i].Name {
--- a/core/schedule/emptying.go
+++ b/core/schedule/emptying.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lavenderpond/core/room"
+	"lavenderpond/core/schedule/sizing"
 )
 
 // maxRoomStops is how often a task is stopped to make room for urgent work. After that it runs to
@@ -15,10 +16,10 @@
 // work needs the machine, runs whose results are of no use any more are stopped; they start again
 // when nobody else needs the room.
 func (s *Scheduler) emptyVMs(now time.Time, pools []room.Pool, fleet int64) {
-	var vms []room.VM
+	var vms []sizing.VM
 	for _, v := range s.vms.All() {
 		if v.longRunningRuns == 0 && s.mayEmpty(now, v) {
-			vms = append(vms, room.VM{ID: v.id, Pool: v.pool, CPU: v.capacity.CPU, Used: v.used.CPU})
+			vms = append(vms, sizing.VM{ID: v.id, Pool: v.pool, CPU: v.capacity.CPU, Used: v.used.CPU})
 		}
 	}
 	emptying := room.Empty(pools, vms, fleet)
--- a/core/schedule/outlook.go
+++ b/core/schedule/outlook.go
@@ -14,8 +14,6 @@
 const (
 	// outlookInterval is how often the outlook is computed.
 	outlookInterval = 100 * time.Millisecond
-	// moveTime is how long a machine takes to arrive in another pool.
-	moveTime = 1500 * time.Millisecond
 	// drainTime is how long the tasks on a machine usually take to end.
 	drainTime = 1500 * time.Millisecond
 	// pausedTime is how long a VM that gets no tasks for a while is assumed to stay so.
@@ -86,7 +84,7 @@
 	listed = listed[:min(len(listed), maxOutlookPools)]
 	var f admission.Forecast
 	for i, share := range movableShares(listed) {
-		listed[i].addMovable(movable, share)
+		listed[i].addMovable(movable, share, s.settings.MachineMoveTime)
 		f.Pools = append(f.Pools, listed[i].finish())
 	}
 	if f.Scarce() {
--- a/core/schedule/outlookroom.go
+++ b/core/schedule/outlookroom.go
@@ -55,7 +55,7 @@
 		switch {
 		case m.movingTo != "":
 			if p := pools[m.movingTo]; p != nil {
-				p.arriving[m.arrivesIn(now)] += m.Capacity.CPU
+				p.arriving[m.arrivesIn(now, s.settings.MachineMoveTime)] += m.Capacity.CPU
 			}
 		case m.State == job.MachineMoving:
 			if p := pools[m.Pool]; p != nil {
@@ -84,8 +84,8 @@
 	return out
 }
 
-// addMovable adds a share of the machines that may be moved.
-func (p *poolOutlook) addMovable(m movable, share float64) {
+// addMovable adds a share of the machines that may be moved, which takes moveTime.
+func (p *poolOutlook) addMovable(m movable, share float64, moveTime time.Duration) {
 	p.arriving[moveTime] += int64(share * float64(m.idle))
 	p.arriving[moveTime+drainTime] += int64(share * float64(m.busy))
 }
@@ -100,8 +100,8 @@
 	return p != nil && p.Standby
 }
 
-// arrivesIn returns how long it takes until a moving machine takes tasks.
-func (m *machineState) arrivesIn(now time.Time) time.Duration {
+// arrivesIn returns how long it takes until a moving machine takes tasks, if a move takes moveTime.
+func (m *machineState) arrivesIn(now time.Time, moveTime time.Duration) time.Duration {
 	left := moveTime
 	if !m.answeredAt.IsZero() {
 		left = m.answeredAt.Add(moveTime).Sub(now)
--- a/core/schedule/roomplan.go
+++ b/core/schedule/roomplan.go
@@ -5,7 +5,6 @@
 
 	"lavenderpond/core/job"
 	"lavenderpond/core/room"
-	"lavenderpond/core/schedule/sizing"
 )
 
 // planRoom orders machines from pool to pool by the rank of the work that waits there. It reports
@@ -15,23 +14,14 @@
 	if !room.Scarce(pools) {
 		return false
 	}
-	machines := s.roomMachines(now)
+	machines := s.idleMachines(now)
 	for _, m := range room.Plan(now, pools, machines) {
-		s.orderMove(now, sizing.Move(m))
+		s.orderMove(now, m)
 	}
 	s.emptyVMs(now, pools, room.FleetCPU(pools, machines))
 	return true
 }
 
-// roomMachines returns the machines that could move.
-func (s *Scheduler) roomMachines(now time.Time) []room.Machine {
-	var out []room.Machine
-	for _, m := range s.idleMachines(now) {
-		out = append(out, room.Machine{ID: m.ID, Pool: m.Pool, CPU: m.CPU, IdleSince: m.IdleSince, Emptied: m.Vacated})
-	}
-	return out
-}
-
 // roomPools returns what the work of each pool needs and what it has.
 func (s *Scheduler) roomPools(now time.Time, demands map[job.PoolName]poolDemand, capacity *poolCapacity) []room.Pool {
 	out := make([]room.Pool, 0, len(s.config.Pools))
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -40,6 +40,8 @@
 	// MachineLease is how long this owner doesn't order a machine after an order of another
 	// issuer.
 	MachineLease time.Duration
+	// MachineMoveTime is how long a machine takes to arrive in another pool.
+	MachineMoveTime time.Duration
 	// OrderIssuer identifies this owner in its orders for machines.
 	OrderIssuer string
 	// FormerOrders lists the machines that may have been given an order shortly before the
--- a/core/schedule/sizing/sizing.go
+++ b/core/schedule/sizing/sizing.go
@@ -46,10 +46,8 @@
 	To      job.PoolName
 }
 
-const (
-	// minIdle is how long a machine must be idle before another pool may have it.
-	minIdle = 150 * time.Millisecond
-)
+// MinIdle is how long a machine must be idle before another pool may have it.
+const MinIdle = 150 * time.Millisecond
 
 // Plan returns the moves to make now. Pools with the largest shortfall come first. They get
 // idle machines that other pools can spare, and then machines that are off. If no pool is
@@ -141,7 +139,7 @@
 		return true
 	}
 	from := p.pools[m.Pool]
-	idleLongEnough := m.Vacated || now.Sub(m.IdleSince) >= minIdle
+	idleLongEnough := m.Vacated || now.Sub(m.IdleSince) >= MinIdle
 	return from != nil && idleLongEnough && from.Have-m.CPU >= from.Need
 }
 
--- a/io/node/load.go
+++ b/io/node/load.go
@@ -160,17 +160,18 @@
 	b := o.node.settings.Bounds
 	o.policy = o.node.currentPolicy()
 	return schedule.New(schedule.Settings{
-		OrderIssuer:  o.node.settings.Node,
-		FormerOrders: formerOrders,
-		Fence:        job.Fence(o.tenure.fence),
-		AttemptBase:  job.Attempt(o.tenure.number * attemptsPerTenure),
-		TakeoverTime: o.takenOverAt,
-		LeaseMax:     b.LeaseMax,
-		TaskStopMax:  b.TaskStopMax,
-		ShrinkNotice: b.ContactDelayMax,
-		MachineLease: b.MachineLease,
-		Policy:       *o.policy,
-		Observer:     o.node.decisions,
+		OrderIssuer:     o.node.settings.Node,
+		FormerOrders:    formerOrders,
+		Fence:           job.Fence(o.tenure.fence),
+		AttemptBase:     job.Attempt(o.tenure.number * attemptsPerTenure),
+		TakeoverTime:    o.takenOverAt,
+		LeaseMax:        b.LeaseMax,
+		TaskStopMax:     b.TaskStopMax,
+		ShrinkNotice:    b.ContactDelayMax,
+		MachineLease:    b.MachineLease,
+		MachineMoveTime: b.MachineMoveTime,
+		Policy:          *o.policy,
+		Observer:        o.node.decisions,
 	})
 }
 
