core/schedule: urgent work shares the VMs that long-running tasks keep apart

Cause: ranked room added the need of urgent work to the VMs that long-running tasks require, while sizing lets both share them; a pool with two VMs and next to no load seemed to need 20 of its 16 cores, so that machines went there and other pools' VMs were emptied. One function for both.

--- a/core/schedule/demand.go
+++ b/core/schedule/demand.go
@@ -19,10 +19,16 @@
 	longRunning longRunningDemand
 }
 
-// longRunningCPU returns the CPU that the pool's long-running tasks need.
-func (d *poolDemand) longRunningCPU(largestVMCPU int64) int64 {
-	l := &d.longRunning
-	return max(l.cpu, l.requiredVMs()*largestVMCPU) + l.waiting*largestVMCPU
+// neededCPU returns the CPU, in thousandths of a core, that a pool needs for its long-running tasks
+// and for other work: what arrives at the given rate, and waiting work, in core-seconds, that
+// should begin within targetWait. Other work may share the VMs that long-running tasks keep apart.
+func (l *longRunningDemand) neededCPU(rate, waiting float64, largestVMCPU int64) int64 {
+	return max(l.cpu+int64(workCPU(rate, waiting)), l.requiredVMs()*largestVMCPU) + l.waiting*largestVMCPU
+}
+
+// workCPU returns the CPU that work needs, see neededCPU.
+func workCPU(rate, waiting float64) float64 {
+	return (rate + waiting/targetWait.Seconds()) * 1000 / packingFraction
 }
 
 // demand returns the work of each pool. Waiting tasks of a job that may still run on a VM that has
--- a/core/schedule/pools.go
+++ b/core/schedule/pools.go
@@ -94,11 +94,10 @@
 		if !p.Standby {
 			r := s.poolStats(p.Name)
 			d := demands[p.Name]
-			need := (r.arrivals.at(now) + d.waiting/targetWait.Seconds()) * 1000 / packingFraction
-			r.updatePeak(now, min(need, float64(capacity.total())))
+			rate := r.arrivals.at(now)
+			r.updatePeak(now, min(workCPU(rate, d.waiting), float64(capacity.total())))
 			x.SpareWeight = r.peakNeed
-			l := &d.longRunning
-			x.Need = max(l.cpu+int64(need), l.requiredVMs()*capacity.largestVMCPU) + l.waiting*capacity.largestVMCPU
+			x.Need = d.longRunning.neededCPU(rate, d.waiting, capacity.largestVMCPU)
 		}
 		out = append(out, x)
 	}
--- a/core/schedule/roomplan.go
+++ b/core/schedule/roomplan.go
@@ -29,20 +29,13 @@
 		p := &s.config.Pools[i]
 		x := room.Pool{Name: p.Name, Standby: p.Standby, Have: capacity.available[p.Name]}
 		if d := demands[p.Name]; !p.Standby {
-			longRunning := d.longRunningCPU(capacity.largestVMCPU)
 			r := s.poolStats(p.Name)
 			running := int64(float64(capacity.used[p.Name]-d.lateRunning) / packingFraction)
-			x.Urgent = max(longRunning+neededCPU(r.urgent.at(now), d.urgentWaiting), running)
+			x.Urgent = max(d.longRunning.neededCPU(r.urgent.at(now), d.urgentWaiting, capacity.largestVMCPU), running)
 			used := int64(float64(capacity.used[p.Name]) / packingFraction)
-			x.Total = max(x.Urgent, longRunning+neededCPU(r.arrivals.at(now), d.waiting), used)
+			x.Total = max(x.Urgent, d.longRunning.neededCPU(r.arrivals.at(now), d.waiting, capacity.largestVMCPU), used)
 		}
 		out = append(out, x)
 	}
 	return out
 }
-
-// neededCPU returns the CPU, in thousandths of a core, for work that arrives at the given rate
-// and for waiting work, in core-seconds, that should begin within targetWait.
-func neededCPU(rate, waiting float64) int64 {
-	return int64((rate + waiting/targetWait.Seconds()) * 1000 / packingFraction)
-}
--- a/core/schedule/roomplan_test.go
+++ b/core/schedule/roomplan_test.go
@@ -250,3 +250,17 @@
 	h.addUrgent("urgent")
 	assert.Equal(t, len(commandsOfType[Stop](h.advance(sizingInterval))), 0)
 }
+
+// Guards against machines that a pool takes for urgent work although its VMs have room beside the
+// long-running tasks that are kept apart.
+func TestUrgentWorkSharesVMsOfLongRunningTasks(t *testing.T) {
+	h := newRoomHarness(t)
+	lasting := job.Step{Count: 1, Resources: job.Resources{CPU: 1000, MemMB: 100}, LongRunning: true, MaxPerVM: 1}
+	h.addJobTo("qa", "lasting", lasting)
+	h.advance(0)
+	h.addJobTo("qa", "urgent", job.Step{Count: 1, Resources: job.Resources{CPU: 1000, MemMB: 100}, Estimate: time.Second})
+	capacity := h.s.poolCapacity(h.now)
+	for _, p := range h.s.roomPools(h.now, h.s.demand(h.now), &capacity) {
+		assert.Assert(t, p.Urgent <= p.Have, "%+v", p)
+	}
+}
