core/schedule: ordinary sizing decides in rounds in which rank orders nothing

Cause: any shortage of urgent work beside late work elsewhere kept ordinary sizing from the round, also one below half a machine, for which nothing moves.

--- a/core/schedule/emptying.go
+++ b/core/schedule/emptying.go
@@ -14,8 +14,8 @@
 
 // emptyVMs selects the VMs that get no more tasks so that their machines can move. Where urgent
 // work needs the machine, runs whose results are of no use any more are stopped; they start again
-// when nobody else needs the room.
-func (s *Scheduler) emptyVMs(now time.Time, pools []room.Pool, fleet int64) {
+// when nobody else needs the room. It reports whether it has selected any.
+func (s *Scheduler) emptyVMs(now time.Time, pools []room.Pool, fleet int64) bool {
 	var vms []sizing.VM
 	for _, v := range s.vms.All() {
 		if v.longRunningRuns == 0 && s.mayEmpty(now, v) {
@@ -23,12 +23,14 @@
 		}
 	}
 	emptying := room.Empty(pools, vms, fleet)
-	s.setVacating(slices.Concat(emptying.ForUrgent, emptying.ForTotal))
+	vacating := slices.Concat(emptying.ForUrgent, emptying.ForTotal)
+	s.setVacating(vacating)
 	for _, id := range emptying.ForUrgent {
 		v := s.vms.Get(id)
 		v.yielding = true
 		s.stopTooLate(now, v)
 	}
+	return len(vacating) > 0
 }
 
 // mayEmpty reports whether the VM's machine could move once it is idle.
--- a/core/schedule/roomplan.go
+++ b/core/schedule/roomplan.go
@@ -8,18 +8,21 @@
 )
 
 // planRoom orders machines from pool to pool by the rank of the work that waits there. It reports
-// whether the rank makes a difference; if not, it does nothing.
+// whether it has ordered a machine or emptied a VM. If not, the rank makes no difference.
 func (s *Scheduler) planRoom(now time.Time, demands map[job.PoolName]poolDemand, capacity *poolCapacity) bool {
 	pools := s.roomPools(now, demands, capacity)
-	if !room.Scarce(pools) {
-		return false
-	}
+	return room.Scarce(pools) && s.orderRoom(now, pools)
+}
+
+// orderRoom orders the moves for the pools, and empties VMs. It reports whether there were any.
+func (s *Scheduler) orderRoom(now time.Time, pools []room.Pool) bool {
 	machines := s.idleMachines(now)
-	for _, m := range room.Plan(now, pools, machines) {
+	moves := room.Plan(now, pools, machines)
+	for _, m := range moves {
 		s.orderMove(now, m)
 	}
-	s.emptyVMs(now, pools, room.FleetCPU(pools, machines))
-	return true
+	emptied := s.emptyVMs(now, pools, room.FleetCPU(pools, machines))
+	return len(moves) > 0 || emptied
 }
 
 // roomPools returns what the work of each pool needs and what it has.
--- a/core/schedule/roomplan_test.go
+++ b/core/schedule/roomplan_test.go
@@ -9,6 +9,7 @@
 
 	"lavenderpond/core/job"
 	"lavenderpond/core/policy"
+	"lavenderpond/core/room"
 )
 
 // newRoomHarness returns a harness with two pools of two VMs each, whose machines move by the
@@ -264,3 +265,12 @@
 		assert.Assert(t, p.Urgent <= p.Have, "%+v", p)
 	}
 }
+
+// Guards against a shortage that is too small to move a machine for, and keeps a pool that lacks
+// room for other work from getting any.
+func TestSmallShortageLeavesSizingToOthers(t *testing.T) {
+	h := newRoomHarness(t)
+	pools := []room.Pool{{Name: poolA, Urgent: 17_000, Total: 17_000, Have: 16_000}, {Name: poolB, Urgent: 1000, Total: 9000, Have: 16_000}}
+	assert.Assert(t, room.Scarce(pools))
+	assert.Assert(t, !h.s.orderRoom(h.now, pools))
+}
