core/objective: one copy of the prediction of objectives

Cause: admission had its own copies of the longest path, the weighted estimate, the defaults and the late limit of core/schedule; had one changed, entry VMs would have refused by another limit than the owner ranks by.

--- a/core/schedule/objective.go
+++ b/core/schedule/objective.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lavenderpond/core/job"
+	"lavenderpond/core/objective"
 )
 
 // queueStats are the learned run times and sizes of the jobs of a queue.
@@ -27,21 +28,10 @@
 const (
 	// minSampleWeight is the weight of a new sample once many are known.
 	minSampleWeight = 0.05
-	// estimateWeight is the weight of the caller's estimate against the queue's learned run
-	// time. Estimates are off by up to 0.9 of a log unit; run times of a queue vary by about
-	// half of one.
-	estimateWeight = 0.25
 	// minSamples is how many samples a learned value needs before it is used.
 	minSamples = 10
 	// minRunSeconds keeps the logarithms of run times finite.
 	minRunSeconds = 0.01
-	// defaultEstimate is used for tasks without an estimate.
-	defaultEstimate = time.Second
-	// lateLimitFactor is how many times its allowed time a job may take and still be of some use
-	// to its caller.
-	lateLimitFactor = 3
-	// defaultStretch is used for queues that set none.
-	defaultStretch = 1.5
 )
 
 // queueStats returns the statistics of a queue, which are created on first use.
@@ -114,21 +104,16 @@
 	if j.typicalRun > 0 {
 		return j.typicalRun
 	}
-	estimate := st.Estimate
-	if estimate <= 0 {
-		estimate = defaultEstimate
-	}
 	q := s.queueStats(j.Terms.Queue)
 	if q.runs < minSamples {
-		return estimate
+		return objective.Estimate(st.Estimate)
 	}
-	l := estimateWeight*math.Log(estimate.Seconds()) + (1-estimateWeight)*q.meanLogRunTime
-	return time.Duration(math.Exp(l) * float64(time.Second))
+	return objective.RunTime(st.Estimate, q.meanLogRunTime)
 }
 
 // remainingTime predicts how long the job's incomplete steps take if nothing delays them.
 func (s *Scheduler) remainingTime(j *jobState, o *occurrence) time.Duration {
-	return longestPath(j.Body.Steps, func(i int) time.Duration {
+	return objective.LongestPath(j.Body.Steps, func(i int) time.Duration {
 		if o.steps[i].complete() {
 			return 0
 		}
@@ -139,7 +124,7 @@
 // totalTime predicts how long the job's first occurrence takes from its beginning if nothing
 // delays it. Complete steps count with the time that they took.
 func (s *Scheduler) totalTime(j *jobState) time.Duration {
-	return longestPath(j.Body.Steps, func(i int) time.Duration {
+	return objective.LongestPath(j.Body.Steps, func(i int) time.Duration {
 		if known := j.occurrences[0].steps[i].longestRun; known > 0 {
 			return known
 		}
@@ -147,30 +132,11 @@
 	})
 }
 
-// longestPath returns how long the steps take if each begins as soon as all steps that it
-// depends on are complete.
-func longestPath(steps []job.Step, duration func(i int) time.Duration) time.Duration {
-	ends := make([]time.Duration, len(steps))
-	longest := time.Duration(0)
-	for i := range steps {
-		for _, a := range steps[i].After {
-			ends[i] = max(ends[i], ends[a])
-		}
-		ends[i] += duration(i)
-		longest = max(longest, ends[i])
-	}
-	return longest
-}
-
 // predictObjective predicts when the job is due, and the limit after which its result is of no
 // use to its caller.
 func (s *Scheduler) predictObjective(j *jobState) (due, lateLimit time.Time) {
-	stretch := j.Terms.Stretch
-	if stretch <= 0 {
-		stretch = defaultStretch
-	}
-	allowed := time.Duration(stretch*float64(s.totalTime(j))) + j.Terms.LatencyAllowance
-	return j.arrived.Add(allowed), j.arrived.Add(lateLimitFactor * allowed)
+	allowed := objective.Allowed(&j.Terms, s.totalTime(j))
+	return j.arrived.Add(allowed), j.arrived.Add(objective.LateFactor * allowed)
 }
 
 // predictWork predicts how many core-seconds the job still needs, and how many it needs in
