--- a/core/schedule/fairreport.go
+++ b/core/schedule/fairreport.go
@@ -112,7 +112,7 @@
 	}
 }
 
-// pruneShares forgets pools that are no longer full and usage that has decayed.
+// pruneShares forgets pools that have room, and usage that has decayed.
 func (s *Scheduler) pruneShares(now time.Time) {
 	f := &s.fairness
 	if !f.counted || now.Before(f.nextPrune) {
--- a/io/soak/checker.go
+++ b/io/soak/checker.go
@@ -5,7 +5,6 @@
 
 import (
 	"fmt"
-	"strconv"
 	"sync"
 	"time"
 
@@ -260,19 +259,6 @@
 	c.countSubmission(account)
 }
 
-// Answered checks the answer to a call: a refusal must say when to come back. It returns the time
-// to wait.
-func (c *Checker) Answered(id job.ID, status int, retryAfter string) time.Duration {
-	if status != 429 && status != 503 {
-		return 0
-	}
-	seconds, err := strconv.Atoi(retryAfter)
-	if err != nil || seconds < 1 {
-		c.Reportf("a call for %s was refused with status %d and Retry-After %q", id, status, retryAfter)
-	}
-	return time.Duration(seconds) * time.Second
-}
-
 // SubmitAnswered records the HTTP status of a submission; 0 means no answer.
 func (c *Checker) SubmitAnswered(id job.ID, status int) {
 	c.mu.Lock()
