core/schedule, io/node: jobs that wait for a silent VM, and until when, in log, dump and metrics

A job that may run on a VM that doesn't answer a new owner waits without a line in the log, so nobody could tell whether it waits for a lease, for room or for the crash limits, nor for which VM or until when.

vm_silent says until when the VM's tasks may run (wait_ms; its age is left out if the VM never answered this owner), job_blocked names job, VM and wait, and the owner's status has the silent VMs and the number of blocked jobs (dump silent_vms, blocked_jobs; gauges of the same names).

--- a/core/lease/clock.go
+++ b/core/lease/clock.go
@@ -27,6 +27,13 @@
 	return c.reading + job.VMClock(float64(now.Sub(c.readAt).Milliseconds())*MinClockRate)
 }
 
+// SurelyAt returns the time by which the VM's clock has passed the reading, even if it runs at
+// the slowest rate.
+func (c *Clock) SurelyAt(reading job.VMClock) time.Time {
+	remaining := float64(reading - c.reading)
+	return c.readAt.Add(time.Duration(remaining / MinClockRate * float64(time.Millisecond)))
+}
+
 // Estimate returns what the VM's clock shows at now if it runs at the nominal rate.
 func (c *Clock) Estimate(now time.Time) job.VMClock {
 	return c.reading + job.VMClock(now.Sub(c.readAt).Milliseconds())
--- a/core/schedule/assign.go
+++ b/core/schedule/assign.go
@@ -109,7 +109,7 @@
 
 // startJob starts the tasks of a job that can start, as far as capacity is free.
 func (a *assignment) startJob(j *jobState) {
-	if j.inherited && a.s.mayRunOnUnreportedVM(j) {
+	if j.inherited && a.s.blocked(a.now, j) {
 		return
 	}
 	for _, o := range j.occurrences {
--- a/core/schedule/command.go
+++ b/core/schedule/command.go
@@ -232,6 +232,9 @@
 	// Slack is the time left until the job's objective, minus the time that the job is
 	// predicted to need.
 	Slack time.Duration
+	// Wait is how long what the decision is about has to wait at most. For VMSilent it is the time
+	// until the VM's lease has certainly expired.
+	Wait time.Duration
 	// Share is set for decisions about an account's share.
 	Share *ShareFacts
 }
@@ -256,6 +259,7 @@
 	JobBeyondShare    DecisionKind = "job_beyond_share"
 	AccountAboveShare DecisionKind = "account_above_share"
 	AccountWithin     DecisionKind = "account_within_share"
+	JobBlocked        DecisionKind = "job_blocked"
 	JobPlaced         DecisionKind = "job_placed"
 	JobEnded          DecisionKind = "job_ended"
 	JobCancelled      DecisionKind = "job_cancelled"
--- a/core/schedule/harness_test.go
+++ b/core/schedule/harness_test.go
@@ -141,3 +141,21 @@
 
 // smallStep is a step of one short task.
 var smallStep = job.Step{Count: 1, Resources: job.Resources{CPU: 1000, MemMB: 100}, Estimate: time.Second}
+
+// decisionRecorder is an Observer that keeps all decisions.
+type decisionRecorder struct{ decisions []Decision }
+
+func (r *decisionRecorder) Decided(d Decision) { r.decisions = append(r.decisions, d) }
+
+// only returns the only decision of a kind, and fails the test if there isn't exactly one.
+func (r *decisionRecorder) only(t testing.TB, kind DecisionKind) Decision {
+	t.Helper()
+	var out []Decision
+	for _, d := range r.decisions {
+		if d.Kind == kind {
+			out = append(out, d)
+		}
+	}
+	assert.Equal(t, len(out), 1, "%s: %+v", kind, out)
+	return out[0]
+}
--- a/core/schedule/hold.go
+++ b/core/schedule/hold.go
@@ -127,12 +127,21 @@
 		s.recordAnswer(now, v, r)
 	} else if !v.silent {
 		v.silent, v.silentSince = true, now
-		s.reportDecision(Decision{Kind: VMSilent, VM: v.id, Reason: outcome.String(), Age: now.Sub(v.lastAnswer)})
+		s.reportSilent(now, v, outcome)
 	}
 	v.holdFailures++
 	v.nextHoldAt = now.Add(holdRetryDelay * time.Duration(min(v.holdFailures, 4)))
 }
 
+// reportSilent reports a VM that has become silent. Age is 0 if the VM never answered this owner.
+func (s *Scheduler) reportSilent(now time.Time, v *vmState, outcome Outcome) {
+	d := Decision{Kind: VMSilent, VM: v.id, Reason: outcome.String(), Wait: max(0, v.leaseOver().Sub(now))}
+	if !v.lastAnswer.IsZero() {
+		d.Age = now.Sub(v.lastAnswer)
+	}
+	s.reportDecision(d)
+}
+
 // advanceAcknowledged acknowledges the ends whose saves are stored.
 func (v *vmState) advanceAcknowledged(stored int64) {
 	n := 0
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -49,19 +49,39 @@
 // mayRunOnUnreportedVM reports whether a task of the job may run on a VM that has not reported
 // to this owner yet.
 func (s *Scheduler) mayRunOnUnreportedVM(j *jobState) bool {
+	return s.unreportedVM(j) != nil
+}
+
+// unreportedVM returns a VM that has not reported to this owner yet and on which a task of the job
+// may run, or nil.
+func (s *Scheduler) unreportedVM(j *jobState) *vmState {
 	if !j.inherited || !s.anyUnreported {
-		return false
+		return nil
 	}
 	for id := range j.possibleVMs.All() {
 		v := s.vms.Get(id)
 		if v != nil && v.unreported() {
-			return true
+			return v
 		}
 	}
 	// All of the job's VMs have reported, or can't run tasks of a former owner any more.
 	// Neither changes later.
 	j.inherited = false
-	return false
+	return nil
+}
+
+// blocked reports whether the job's tasks must not start because one of them may run on a VM that
+// has not reported to this owner yet. It reports the first such VM, and each later one.
+func (s *Scheduler) blocked(now time.Time, j *jobState) bool {
+	v := s.unreportedVM(j)
+	if v == nil {
+		return false
+	}
+	if j.blockedBy != v.id {
+		j.blockedBy = v.id
+		s.reportDecision(Decision{Kind: JobBlocked, Job: j.ID, VM: v.id, Reason: "may run on a silent VM", Wait: v.inheritedUntil.Sub(now)})
+	}
+	return true
 }
 
 // addRun books a run on its VM, its account, and its step and task, which are nil if
--- a/core/schedule/state.go
+++ b/core/schedule/state.go
@@ -209,6 +209,8 @@
 	// owner may have started tasks.
 	takenOver   bool
 	longRunning bool
+	// blockedBy is the VM that was last reported to block the job; see Scheduler.blocked.
+	blockedBy job.VMID
 	// beyondShare is set if the job's account had exceeded its share when the job
 	// arrived.
 	beyondShare bool
--- a/core/schedule/status.go
+++ b/core/schedule/status.go
@@ -15,6 +15,21 @@
 	AsOf     time.Time
 	Waiting  []WaitingGroup
 	Accounts []AccountUsage
+	// Silent lists the silent VMs on which tasks may still run, ordered by ID.
+	Silent []SilentVM
+	// Blocked is the number of jobs that wait for such VMs.
+	Blocked int
+}
+
+// SilentVM is a VM that doesn't answer and on which tasks may still run.
+type SilentVM struct {
+	VM job.VMID
+	// Runs is the number of known runs. A former owner may have started others if the VM is
+	// unreported.
+	Runs       int
+	Unreported bool
+	// LeaseOver is when no task can run there any more if the VM stays silent.
+	LeaseOver time.Time
 }
 
 // WaitingGroup describes the jobs of an account in a queue that have tasks to start, and wait
@@ -49,6 +64,7 @@
 		account job.AccountName
 		queue   job.QueueName
 	}
+	out := Status{AsOf: now, Accounts: s.accountUsage(), Silent: s.silentVMs()}
 	groups := map[groupKey]*WaitingGroup{}
 	for _, j := range s.jobs.All() {
 		tasks := j.startableTasks(wall)
@@ -60,8 +76,10 @@
 			groups[k] = &WaitingGroup{Account: k.account, Queue: k.queue, Pool: s.pool(j), JobsByRank: map[string]int{}}
 		}
 		groups[k].add(j, tasks)
+		if s.unreportedVM(j) != nil {
+			out.Blocked++
+		}
 	}
-	out := Status{AsOf: now, Accounts: s.accountUsage()}
 	for _, g := range groups {
 		out.Waiting = append(out.Waiting, *g)
 	}
@@ -71,6 +89,18 @@
 	return out
 }
 
+// silentVMs returns the silent VMs on which tasks may still run, ordered by ID.
+func (s *Scheduler) silentVMs() []SilentVM {
+	var out []SilentVM
+	for _, v := range s.vms.All() {
+		if v.silent && (v.runs.Len() > 0 || v.unreported()) {
+			out = append(out, SilentVM{VM: v.id, Runs: v.runs.Len(), Unreported: v.unreported(), LeaseOver: v.leaseOver()})
+		}
+	}
+	slices.SortFunc(out, func(a, b SilentVM) int { return cmp.Compare(a.VM, b.VM) })
+	return out
+}
+
 func (g *WaitingGroup) add(j *jobState, tasks int) {
 	g.Jobs++
 	g.Tasks += tasks
--- a/core/schedule/takeover_test.go
+++ b/core/schedule/takeover_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"lavenderpond/core/job"
+	"lavenderpond/core/lease"
 )
 
 // Guards against late starts after a takeover because the new owner sends holds to hundreds of
@@ -89,3 +90,27 @@
 	h.s.MachinesListed(h.now, []job.Machine{{ID: "m-one", Pool: poolA, State: job.MachineUp, VM: "next"}})
 	assert.Equal(t, len(commandsOfType[Start](h.advance(0))), 1)
 }
+
+// Guards against a job that waits for a silent VM's lease without a sign of it in the log or the
+// status.
+func TestBlockedJobIsReported(t *testing.T) {
+	h := newHarness(t)
+	o := &decisionRecorder{}
+	h.s.settings.Observer = o
+	h.s.AddInheritedVM(RosterVM{ID: "lost", Address: "lost", Pool: poolA})
+	h.addReadyVMs("one")
+	j := job.Job{ID: "j", Terms: job.Terms{Queue: "q", Pool: poolA}, Body: job.Body{Steps: []job.Step{smallStep}}}
+	h.s.AddJob(h.now, j, &job.Progress{State: job.Running, VMs: []job.VMID{"lost"}}, true)
+	h.now = h.now.Add(unlistedHoldDelay)
+	h.advance(0)
+	h.s.HoldAnswered(h.now, Hold{VM: "lost"}, Unanswered, job.Report{})
+	h.advance(0)
+	wait := lease.InheritedLeaseEnd(startTime, h.s.settings.LeaseMax).Sub(h.now)
+	silent, blocked := o.only(t, VMSilent), o.only(t, JobBlocked)
+	assert.Equal(t, silent.Wait, wait)
+	assert.Equal(t, silent.Age, time.Duration(0))
+	assert.Equal(t, blocked.VM, job.VMID("lost"))
+	st := h.s.Status(h.now, h.now)
+	assert.Equal(t, st.Blocked, 1)
+	assert.DeepEqual(t, st.Silent, []SilentVM{{VM: "lost", Unreported: true, LeaseOver: h.now.Add(wait)}})
+}
--- a/core/schedule/vm.go
+++ b/core/schedule/vm.go
@@ -224,6 +224,15 @@
 	return v.clock.Earliest(now) > v.leaseEnd+clockSlack
 }
 
+// leaseOver returns the time from which leaseExpired holds if the VM stays silent, or zero if no
+// lease is known.
+func (v *vmState) leaseOver() time.Time {
+	if !v.clock.Known() {
+		return v.inheritedUntil
+	}
+	return v.clock.SurelyAt(v.leaseEnd + clockSlack)
+}
+
 // freeExpiredRuns frees the runs of a VM whose lease has expired.
 func (s *Scheduler) freeExpiredRuns(now time.Time, v *vmState) {
 	for _, r := range v.runs.All() {
--- a/io/node/decisions.go
+++ b/io/node/decisions.go
@@ -65,6 +65,9 @@
 	if d.Slack != 0 {
 		e.Int64("slack_ms", d.Slack.Milliseconds())
 	}
+	if d.Wait != 0 {
+		e.Int64("wait_ms", d.Wait.Milliseconds())
+	}
 	if x := d.Share; x != nil {
 		e.Str("account", string(x.Account)).Str("pool", string(x.Pool)).Float64("share", x.Share).Float64("usage", x.Usage).
 			Int64("waiting_cpu", x.Waiting.CPU).Int64("waiting_mem_mb", x.Waiting.MemMB).Int64("waiting_gpu", x.Waiting.GPU)
--- a/io/node/metrics.go
+++ b/io/node/metrics.go
@@ -70,6 +70,8 @@
 		tasks += g.Tasks
 		oldest = max(oldest, s.AsOf.Sub(g.OldestArrival))
 	}
+	p.setGauge("silent_vms", int64(len(s.Silent)))
+	p.setGauge("blocked_jobs", int64(s.Blocked))
 	p.setGauge("waiting_jobs", int64(jobs))
 	p.setGauge("waiting_tasks", int64(tasks))
 	p.setGauge("waiting_oldest_ms", oldest.Milliseconds())
--- a/io/node/status.go
+++ b/io/node/status.go
@@ -68,6 +68,19 @@
 	AgeMS    int64         `json:"age_ms"`
 	Jobs     []waitingDump `json:"jobs"`
 	Accounts []usageDump   `json:"accounts"`
+	// Silent are the silent VMs on which tasks may still run, and BlockedJobs the number of jobs
+	// that wait for them.
+	Silent      []silentDump `json:"silent_vms,omitempty"`
+	BlockedJobs int          `json:"blocked_jobs,omitempty"`
+}
+
+// silentDump is a silent VM on which tasks may still run.
+type silentDump struct {
+	VM         job.VMID `json:"vm"`
+	Runs       int      `json:"runs"`
+	Unreported bool     `json:"unreported,omitempty"`
+	// WaitMS is the time until no task can run there any more.
+	WaitMS int64 `json:"wait_ms"`
 }
 
 // waitingDump describes the jobs of an account in a queue that have tasks to start.
@@ -93,7 +106,7 @@
 	if s == nil {
 		return nil
 	}
-	d := &statusDump{AgeMS: now.Sub(s.AsOf).Milliseconds(), Jobs: []waitingDump{}, Accounts: []usageDump{}}
+	d := &statusDump{AgeMS: now.Sub(s.AsOf).Milliseconds(), Jobs: []waitingDump{}, Accounts: []usageDump{}, BlockedJobs: s.Blocked}
 	for _, g := range s.Waiting {
 		d.Jobs = append(d.Jobs, waitingDump{
 			Account: g.Account, Queue: g.Queue, Pool: g.Pool, Jobs: g.Jobs, Tasks: g.Tasks,
@@ -103,5 +116,8 @@
 	for _, a := range s.Accounts {
 		d.Accounts = append(d.Accounts, usageDump(a))
 	}
+	for _, v := range s.Silent {
+		d.Silent = append(d.Silent, silentDump{VM: v.VM, Runs: v.Runs, Unreported: v.Unreported, WaitMS: v.LeaseOver.Sub(now).Milliseconds()})
+	}
 	return d
 }
