core/schedule: the former owner's lease counts on a VM that answered a new owner once

What callers could see: a task that runs twice. A VM answers a new owner's first hold, which extends no lease since the VM's clock isn't known yet, and is cut off before the second. leaseEnd is still 0 then, so the lease counts as over at once and the VM's tasks start elsewhere, while the VM keeps them for as long as the former owner's last hold allows. It takes an owner that may not extend leases at that moment, or whose second hold isn't sent.

TestFormerLeaseLastsOnVMThatAnsweredOnce fails without the change: the task starts elsewhere 100 ms after the VM's only answer. With it, the first clock reading of a VM that was inherited counts as the start of a full lease.

--- a/core/schedule/hold.go
+++ b/core/schedule/hold.go
@@ -102,6 +102,7 @@
 		v.born = r.Born
 	}
 	if r.Clock > 0 {
+		s.assumeFormerLease(v, r.Clock)
 		v.clock.Observe(r.Clock, now)
 	}
 	if v.silent {
--- a/core/schedule/takeover_test.go
+++ b/core/schedule/takeover_test.go
@@ -114,3 +114,23 @@
 	assert.Equal(t, st.Blocked, 1)
 	assert.DeepEqual(t, st.Silent, []SilentVM{{VM: "lost", Unreported: true, LeaseOver: h.now.Add(wait)}})
 }
+
+// Guards against a second run on a VM that answers a new owner once and is silent before its lease
+// is extended: the former owner's lease still lasts.
+func TestFormerLeaseLastsOnVMThatAnsweredOnce(t *testing.T) {
+	h := newHarness(t)
+	h.s.AddInheritedVM(RosterVM{ID: "one", Address: "one", Pool: poolA, Machine: "m-one", Born: 1})
+	h.s.SetRights(Rights{OrderMachines: true, StartTasks: true})
+	h.addReadyVMs("two")
+	j := job.Job{ID: "j", Terms: job.Terms{Queue: "q", Pool: poolA, Account: "free"}, Body: job.Body{Steps: []job.Step{smallStep}}}
+	h.s.AddJob(h.now, j, &job.Progress{State: job.Running, VMs: []job.VMID{"one"}}, true)
+	h.listVM("one")
+	h.answerHold("one", []job.RunningTask{{Task: job.TaskID{Job: "j"}, Attempt: 3}})
+	h.s.SetRights(Rights{OrderMachines: true, StartTasks: true, ExtendLeases: true})
+	h.s.HoldAnswered(h.now, Hold{VM: "one"}, Unanswered, job.Report{})
+	answered := h.now
+	for h.now.Sub(answered) < h.s.settings.LeaseMax {
+		h.answerHold("two", nil)
+		assert.Equal(t, len(commandsOfType[Start](h.advance(100*time.Millisecond))), 0, "after %s", h.now.Sub(answered))
+	}
+}
--- a/core/schedule/vm.go
+++ b/core/schedule/vm.go
@@ -216,6 +216,14 @@
 // has its new entry.
 func (v *vmState) entryCurrent() bool { return v.listed && v.entryBorn >= v.born }
 
+// assumeFormerLease allows for the lease that a former owner may have granted just before the VM
+// first answered this owner.
+func (s *Scheduler) assumeFormerLease(v *vmState, clock job.VMClock) {
+	if !v.clock.Known() && !v.inheritedUntil.IsZero() {
+		v.leaseEnd = max(v.leaseEnd, clock+job.VMClock(s.settings.LeaseMax.Milliseconds()))
+	}
+}
+
 // leaseExpired reports whether the lease of a silent VM has certainly expired.
 func (v *vmState) leaseExpired(now time.Time) bool {
 	if !v.clock.Known() {
