core/lease: owners grant leases of 6 s at most, and wait no longer than these can last

Cause: the wait after a takeover is 3 s (extensions of the former owner, counted from the takeover), 10.2 s (the longest lease that VMs allow, on a slow clock) and 1 s (a start in transit).

Change: owners grant what keeps that wait bounded, 6 s, and say so in the owner row (lease_ms), so that the next owner waits for what was granted; an owner of a release that doesn't say it granted what VMs allow. Leases are extended for 3 s after the last renewal was sent and no longer after its last confirmation. The renewal is 0.95 s old at a takeover, so 2.05 s remain. The second for starts in transit goes: a start's deadline is on the VM's clock and its lease ends with the last hold's. It stays for VMs that have restarted, whose new life grants its longest lease. Now 8.4 s in all. Starts end with the right to extend leases.

Price: where VMs allow 10 s, a cut of a VM from the owner ends its tasks after 5.3 s in place of 9.3 s, and an outage of the table after 9 s in place of 13 s, as on the deployments whose VMs allow 6 s.

--- a/core/lease/ownership.go
+++ b/core/lease/ownership.go
@@ -17,9 +17,9 @@
 	// the tasks started there are over. While no process can reach the table, none
 	// takes over, and callers' jobs continue.
 	taskStartPeriod = 2900 * time.Millisecond
-	// leaseExtensionPeriod is how long after its last confirmation the owner may extend
-	// the leases of VMs. It is long enough that short outages of the table end no tasks.
-	// It is limited so that a new owner knows when a VM that it can't reach is free.
+	// leaseExtensionPeriod is how long after its last renewal the owner may extend the
+	// leases of VMs. It is long enough that short outages of the table end no tasks. It is
+	// limited so that a new owner knows when a VM that it can't reach is free.
 	leaseExtensionPeriod = 3 * time.Second
 	// takeoverSilence is how long the owner may go without a renewal before another
 	// process takes over. It is longer than machineOrderPeriod: an owner that reaches the
@@ -40,11 +40,12 @@
 // certain that no other process had taken over. renewalSent is when it sent the first call
 // that may have caused the renewal. Other processes may have seen the renewal since that
 // time, and take over when it hasn't changed for takeoverSilence, regardless of later
-// confirmations.
+// confirmations. So leases are extended for leaseExtensionPeriod after renewalSent only, and a
+// process that takes over knows when that has ended.
 func (o *Ownership) Confirm(renewalSent, confirmationSent time.Time) {
 	extend(&o.machineOrdersUntil, renewalSent.Add(machineOrderPeriod))
 	extend(&o.taskStartsUntil, confirmationSent.Add(taskStartPeriod))
-	extend(&o.leaseExtensionsUntil, confirmationSent.Add(leaseExtensionPeriod))
+	extend(&o.leaseExtensionsUntil, renewalSent.Add(leaseExtensionPeriod))
 }
 
 // extend moves a deadline forward. It never moves it back, since answers may arrive out
@@ -59,8 +60,10 @@
 // tasks.
 func (o *Ownership) MayOrderMachines(now time.Time) bool { return now.Before(o.machineOrdersUntil) }
 
-// MayStartTasks reports whether the owner may start tasks.
-func (o *Ownership) MayStartTasks(now time.Time) bool { return now.Before(o.taskStartsUntil) }
+// MayStartTasks reports whether the owner may start tasks, whose leases it must be able to extend.
+func (o *Ownership) MayStartTasks(now time.Time) bool {
+	return now.Before(o.taskStartsUntil) && o.MayExtendLeases(now)
+}
 
 // MayExtendLeases reports whether the owner may extend the leases of VMs.
 func (o *Ownership) MayExtendLeases(now time.Time) bool { return now.Before(o.leaseExtensionsUntil) }
@@ -68,15 +71,23 @@
 // MinClockRate is the slowest rate of a VM's clock relative to real time.
 const MinClockRate = 0.98
 
-// InheritedLeaseEnd returns the time by which all tasks that a former owner started on
-// an unreachable VM have ended, given the time of the takeover. The former owner may
-// have extended the leases for another leaseExtensionPeriod, and each lease lasts up to
-// maxLease on the VM's clock, which may be slow.
-func InheritedLeaseEnd(takeover time.Time, maxLease time.Duration) time.Time {
-	lease := time.Duration(float64(maxLease) / MinClockRate)
-	return takeover.Add(leaseExtensionPeriod + lease + startTransitMargin)
+// maxGranted is the longest lease that an owner grants. A task whose VM is lost together with the
+// owner stays away until the next owner knows that the lease is over, so a longer lease saves
+// tasks from long cuts at the price of that absence.
+const maxGranted = 6 * time.Second
+
+// Granted returns the lease that an owner grants on VMs that allow leases of at most vmMax.
+func Granted(vmMax time.Duration) time.Duration { return min(vmMax, maxGranted) }
+
+// InheritedLeaseEnd returns the time by which all tasks that a former owner started on an
+// unreachable VM have ended, given the time of the takeover and the longest lease that the former
+// owner granted. Its last renewal was at least takeoverSilence before the takeover, and an owner
+// that gave up its ownership extends nothing after that. The lease lasts longer on a slow clock.
+func InheritedLeaseEnd(takeover time.Time, granted time.Duration) time.Time {
+	lastExtension := takeover.Add(leaseExtensionPeriod - takeoverSilence)
+	return lastExtension.Add(time.Duration(float64(granted)/MinClockRate) + clockReadingMargin)
 }
 
-// startTransitMargin covers a start order that was in transit when the former owner's
-// right to start tasks ended.
-const startTransitMargin = time.Second
+// clockReadingMargin covers the deviation of a VM's clock, which an owner estimates from an answer
+// that is up to a few seconds old, while the clock may be slow.
+const clockReadingMargin = 250 * time.Millisecond
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -12,6 +12,7 @@
 package schedule
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -30,8 +31,9 @@
 	AttemptBase job.Attempt
 	// TakeoverTime is when this owner took over the fleet.
 	TakeoverTime time.Time
-	// LeaseMax is the longest lease that a VM grants.
-	LeaseMax time.Duration
+	// LeaseMax is the longest lease that a VM allows, and FormerLease the longest that the former
+	// owner granted; 0 if that isn't known.
+	LeaseMax, FormerLease time.Duration
 	// TaskStopMax is the longest time that a task takes to stop.
 	TaskStopMax time.Duration
 	// ShrinkNotice is how long starts may still rely on the previous capacity of a VM after the
@@ -189,11 +191,16 @@
 		s.setMachine(v, r.Machine)
 	}
 	v.rosterEntry = r
-	v.inheritedUntil = lease.InheritedLeaseEnd(s.settings.TakeoverTime, s.settings.LeaseMax)
+	v.inheritedUntil = lease.InheritedLeaseEnd(s.settings.TakeoverTime, s.formerLease())
 	v.nextHoldAt = s.settings.TakeoverTime.Add(unlistedHoldDelay)
 	s.anyUnreported = true
 }
 
+// formerLease returns the longest lease that the former owner granted.
+func (s *Scheduler) formerLease() time.Duration {
+	return cmp.Or(s.settings.FormerLease, s.settings.LeaseMax)
+}
+
 // unlistedHoldDelay is how long after a takeover the first hold is sent to VMs that the
 // directory doesn't list, so that the listed VMs are held first.
 const unlistedHoldDelay = 700 * time.Millisecond
--- a/core/schedule/vm.go
+++ b/core/schedule/vm.go
@@ -162,6 +162,7 @@
 	v.clock, v.leaseEnd = lease.Clock{}, 0
 	v.lastEnd, v.acknowledgedEnd, v.unsavedEnds, v.listClock = 0, 0, nil, 0
 	v.reported, v.nextHoldAt = false, now
+	s.extendInheritedLease(v)
 	s.updateRoster(v)
 	for _, r := range v.lostStarts {
 		if now.Sub(r.orderedAt) < maxOrderDelay {
@@ -216,11 +217,26 @@
 // has its new entry.
 func (v *vmState) entryCurrent() bool { return v.listed && v.entryBorn >= v.born }
 
+// extendInheritedLease allows for a start of a former owner that was in transit when the VM
+// restarted. The new life's clock is behind the start's deadline, so the VM grants its longest lease.
+func (s *Scheduler) extendInheritedLease(v *vmState) {
+	if !v.unreported() {
+		return
+	}
+	end := lease.InheritedLeaseEnd(s.settings.TakeoverTime, s.settings.LeaseMax).Add(startTransitMax)
+	if end.After(v.inheritedUntil) {
+		v.inheritedUntil = end
+	}
+}
+
+// startTransitMax is how long a start that was answered in time can have been in transit.
+const startTransitMax = time.Second
+
 // assumeFormerLease allows for the lease that a former owner may have granted just before the VM
 // first answered this owner.
 func (s *Scheduler) assumeFormerLease(v *vmState, clock job.VMClock) {
 	if !v.clock.Known() && !v.inheritedUntil.IsZero() {
-		v.leaseEnd = max(v.leaseEnd, clock+job.VMClock(s.settings.LeaseMax.Milliseconds()))
+		v.leaseEnd = max(v.leaseEnd, clock+job.VMClock(s.formerLease().Milliseconds()))
 	}
 }
 
--- a/io/node/election.go
+++ b/io/node/election.go
@@ -45,6 +45,8 @@
 	// lowCapacity is set on an entry VM with too little CPU capacity for a large fleet.
 	lowCapacity bool
 	health      *tableHealth
+	// grantedLease is the longest lease that this process grants as the owner.
+	grantedLease time.Duration
 	// readsPerSecond is the table's read limit; 0 if it isn't known.
 	readsPerSecond float64
 	// onPoll receives what each poll has read; it may be nil.
@@ -169,7 +171,7 @@
 	ctx, cancel := context.WithTimeout(ctx, takeoverTimeout)
 	defer cancel()
 	number := rows.owner.TenureNumber + 1
-	owner, err := encodeRow(ownerRow{Node: e.node, RunID: e.runID, TenureNumber: number})
+	owner, err := encodeRow(e.ownerRow(number))
 	if err != nil {
 		return nil, 0, err
 	}
@@ -191,11 +193,18 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	t := &tenure{runID: e.runID, fence: version, number: number}
+	t := &tenure{
+		runID: e.runID, fence: version, number: number, formerLease: time.Duration(rows.owner.LeaseMS) * time.Millisecond,
+	}
 	t.confirm(sent, sent)
 	return t, version, nil
 }
 
+// ownerRow returns the owner row of a tenure of this process.
+func (e *election) ownerRow(tenureNumber int64) ownerRow {
+	return ownerRow{Node: e.node, RunID: e.runID, TenureNumber: tenureNumber, LeaseMS: e.grantedLease.Milliseconds()}
+}
+
 // confirmTakeover checks whether a takeover whose answer was lost was applied.
 func (e *election) confirmTakeover(number int64) (platform.Version, error) {
 	_, rows, err := e.readOwnerRows(context.Background())
@@ -210,7 +219,9 @@
 
 // vacate marks the owner row as vacant, so that another process takes over right away.
 func (e *election) vacate(t *tenure) {
-	value, err := encodeRow(ownerRow{Node: e.node, RunID: e.runID, TenureNumber: t.number, Vacant: true})
+	row := e.ownerRow(t.number)
+	row.Vacant = true
+	value, err := encodeRow(row)
 	tx := platform.Transaction{
 		Conditions: []platform.Condition{{RowKey: ownerKey, Version: t.fence}},
 		Writes:     []platform.Write{{RowKey: ownerKey, Value: value}},
--- a/io/node/load.go
+++ b/io/node/load.go
@@ -166,6 +166,7 @@
 		AttemptBase:     job.Attempt(o.tenure.number * attemptsPerTenure),
 		TakeoverTime:    o.takenOverAt,
 		LeaseMax:        b.LeaseMax,
+		FormerLease:     o.tenure.formerLease,
 		TaskStopMax:     b.TaskStopMax,
 		ShrinkNotice:    b.ContactDelayMax,
 		MachineLease:    b.MachineLease,
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"lavenderpond/core/lease"
 	"lavenderpond/core/policy"
 	"lavenderpond/io/supervisor"
 	"lavenderpond/platform"
@@ -91,7 +92,8 @@
 	n.election = &election{
 		table: n.table, node: s.Node, runID: hex.EncodeToString(runID), log: log, serve: n.serve,
 		lowCapacity: s.Cores > 0 && s.Cores < lowCapacityCores, health: &n.health, readsPerSecond: s.TableReadsPerSecond,
-		onPoll: n.admission.polled,
+		grantedLease: lease.Granted(s.Bounds.LeaseMax),
+		onPoll:       n.admission.polled,
 	}
 	return n, nil
 }
--- a/io/node/rows.go
+++ b/io/node/rows.go
@@ -106,6 +106,9 @@
 	TenureNumber int64 `json:"turn"`
 	// Vacant is set when the owner has given up its ownership.
 	Vacant bool `json:"vacant,omitempty"`
+	// LeaseMS is the longest lease that the owner grants to VMs, in milliseconds; 0 in rows of
+	// releases that grant what VMs allow.
+	LeaseMS int64 `json:"lease_ms,omitempty"`
 }
 
 // renewalRow changes with each of the owner's transactions.
--- a/io/node/tenure.go
+++ b/io/node/tenure.go
@@ -19,6 +19,8 @@
 	runID  string
 	fence  platform.Version
 	number int64
+	// formerLease is the longest lease that the former owner granted; 0 if it didn't say.
+	formerLease time.Duration
 
 	mu        sync.Mutex
 	ownership lease.Ownership
