core/emulator: VMs lost for good, longest lease of a scenario, limit on absences of long-running tasks

Adds a fault that takes VMs for good, Scenario.LeaseMax, and an invariant of all scenarios: a long-running task that could run isn't away for more than 9 s once the fleet has been undisturbed for 10 s. Stats have the longest absence and the largest total of a task.

--- a/core/emulator/checker.go
+++ b/core/emulator/checker.go
@@ -47,6 +47,9 @@
 	// stoppedAt is when each long-running task with a disruption budget was stopped by an
 	// order. The entry is removed once the startup of its next run is over.
 	stoppedAt map[job.TaskID]time.Time
+	// absences are those of long-running tasks, disturbances what excuses long ones.
+	absences     absences
+	disturbances disturbances
 }
 
 func newChecker(w *World) *checker {
@@ -56,6 +59,7 @@
 		crashes: map[job.TaskID]int{}, lastCrash: map[job.TaskID]time.Time{}, startsAfterCrashLimit: map[job.TaskID]int{}, mayFailFromCrashes: map[job.ID]bool{}, givenUp: map[job.TaskID]bool{},
 		states:    map[job.ID]job.State{},
 		lastStart: map[job.TaskID]time.Time{}, inMaintenance: map[job.MachineID]bool{}, stoppedAt: map[job.TaskID]time.Time{},
+		absences: newAbsences(),
 	}
 }
 
@@ -88,6 +92,7 @@
 		c.violationf("%v starts on %s in zone %s, which has been evacuated since %.3f s", r.task, v.id, v.machine.zone, requestedAt.Sub(epoch).Seconds())
 	}
 	if step.LongRunning {
+		c.absenceEnded(r.task)
 		c.w.after(longRunningStartup, func() { c.startupDone(r) })
 	}
 	for _, a := range step.After {
@@ -142,6 +147,7 @@
 	}
 	if len(c.running[r.task]) == 0 {
 		delete(c.running, r.task)
+		c.absences.since[r.task] = c.w.now
 	}
 }
 
--- a/core/emulator/crashes.go
+++ b/core/emulator/crashes.go
@@ -36,7 +36,9 @@
 			return
 		}
 		v.w.tracef("%v crashes %s", r.task, v.id)
-		v.w.crashVM(v, v.w.randomBetween(minDowntime, maxDowntime), v.w.chance(0.5))
+		downtime := v.w.randomBetween(minDowntime, maxDowntime)
+		v.w.checker.disturbances.vmCrashed(v.w.now, downtime)
+		v.w.crashVM(v, downtime, v.w.chance(0.5))
 	})
 }
 
--- a/core/emulator/fault.go
+++ b/core/emulator/fault.go
@@ -25,6 +25,8 @@
 	VMsFail
 	VMsSlow
 	VMsHang
+	// VMsLost ends VMs for good: their machines stay down.
+	VMsLost
 	faultKinds
 )
 
@@ -33,7 +35,7 @@
 	return [...]string{
 		"kill_owner", "freeze_owner", "kill_all", "stop_owner", "cut_owner_from_table", "cut_zone", "table_down",
 		"table_slow", "answers_lost", "answers_lost_late", "vms_crash", "vms_crash_same_id", "vms_fail", "vms_slow",
-		"vms_hang",
+		"vms_hang", "vms_lost",
 	}[k]
 }
 
@@ -194,6 +196,8 @@
 			w.crashVM(v, f.Duration, false)
 		case VMsCrashSameID:
 			w.crashVM(v, f.Duration, true)
+		case VMsLost:
+			w.loseVM(v)
 		case VMsFail:
 			v.failing = true
 			w.after(f.Duration, func() { v.failing = false })
--- a/core/emulator/machines.go
+++ b/core/emulator/machines.go
@@ -77,16 +77,8 @@
 	if !v.up {
 		return
 	}
-	w.Stats.Crashes++
+	w.loseVM(v)
 	m := v.machine
-	w.checker.vmCrashed(v)
-	v.terminate()
-	m.state = job.MachineDown
-	w.after(3*heartbeatInterval, func() {
-		if w.vms[v.id] == v {
-			w.table.dropVM(v.id)
-		}
-	})
 	w.after(d, func() {
 		if m.vm != v {
 			return
@@ -98,3 +90,16 @@
 		w.startVM(m, id)
 	})
 }
+
+// loseVM ends a VM without notice. Its machine stays down.
+func (w *World) loseVM(v *vm) {
+	w.Stats.Crashes++
+	w.checker.vmCrashed(v)
+	v.terminate()
+	v.machine.state = job.MachineDown
+	w.after(3*heartbeatInterval, func() {
+		if w.vms[v.id] == v {
+			w.table.dropVM(v.id)
+		}
+	})
+}
--- a/core/emulator/owner.go
+++ b/core/emulator/owner.go
@@ -56,7 +56,7 @@
 	o.scheduler = schedule.New(schedule.Settings{
 		OrderIssuer: o.entryVM.name, FormerOrders: valuesByKey(t.orders),
 		Fence: job.Fence(o.fence), AttemptBase: job.Attempt(o.tenureNumber * 10_000), TakeoverTime: now,
-		LeaseMax: leaseMax, TaskStopMax: taskStopMax,
+		LeaseMax: o.entryVM.w.leaseMax, FormerLease: lease.Granted(o.entryVM.w.leaseMax), TaskStopMax: taskStopMax,
 		MachineLease: 3 * time.Second,
 		Policy:       o.entryVM.w.policy,
 		Observer:     o,
--- a/core/emulator/scenario.go
+++ b/core/emulator/scenario.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -47,6 +48,8 @@
 	// ResizingShare is the share of machines whose VMs change their capacity while they
 	// run; half of these VMs start tasks even if they exceed the capacity.
 	ResizingShare float64
+	// LeaseMax is the longest lease that VMs grant; 0 means defaultLeaseMax.
+	LeaseMax time.Duration
 	// Load is what callers ask for beside the mean load.
 	Load Load
 	// Policy says which decisions under scarcity are in force.
@@ -133,6 +136,7 @@
 	for _, fault := range sc.Faults {
 		w.at(leadTime+fault.At, func() {
 			w.tracef("fault %s for %s", fault.Kind, fault.Duration)
+			w.checker.disturbances.faultBegan(w.now, fault)
 			fault.inject(w)
 		})
 	}
@@ -146,6 +150,7 @@
 		w.runUntil(end)
 	}
 	w.checkFinalState()
+	w.countAbsences()
 	w.countService()
 	w.Stats.Recovery = w.recovery(sc)
 	return w.checker.violations, w.Stats
@@ -165,6 +170,7 @@
 	w.checker = newChecker(w)
 	w.checker.lateOrderShare = sc.LateOrderShare
 	w.lateStartsBeforeHold = sc.LateStartsBeforeHold
+	w.leaseMax = cmp.Or(sc.LeaseMax, defaultLeaseMax)
 	w.checker.evacuationLimit = evacuationLimit
 	if len(sc.Faults) == 0 {
 		w.checker.evacuationLimit = evacuationLimitWithoutFaults
@@ -186,6 +192,7 @@
 		w.after(w.randomBetween(0, 300*time.Millisecond), e.startProcess)
 	}
 	w.scheduleJobs(sc)
+	w.after(absenceCheckInterval, w.checkAbsences)
 	if sc.WaveMachines > 0 {
 		w.at(leadTime+2*time.Second, func() { w.addWave(sc.WaveMachines) })
 	}
--- a/core/emulator/table.go
+++ b/core/emulator/table.go
@@ -92,6 +92,7 @@
 	t.owner, t.ownerVersion = row, v
 	t.renewal, t.renewalVersion = renewalRow{run: row.run, entryVM: row.entryVM}, v
 	t.w.Stats.Takeovers++
+	t.w.checker.disturbances.ownerTookOver(t.w.now)
 	return v, true
 }
 
--- a/core/emulator/vm.go
+++ b/core/emulator/vm.go
@@ -10,7 +10,7 @@
 
 // Durations and capacity of the emulated VMs. CPU is in thousandths of a core.
 const (
-	leaseMax           = 6 * time.Second
+	defaultLeaseMax    = 6 * time.Second
 	taskStopMax        = 400 * time.Millisecond
 	longRunningStartup = 700 * time.Millisecond
 	maintenancePeriod  = 2 * time.Second
@@ -168,9 +168,9 @@
 	v.runs = nil
 }
 
-// extendLease extends the lease to the deadline of an order, at most leaseMax from now.
+// extendLease extends the lease to the deadline of an order, at most the longest lease from now.
 func (v *vm) extendLease(deadline job.VMClock) {
-	limit := v.clock() + job.VMClock(leaseMax.Milliseconds())
+	limit := v.clock() + job.VMClock(v.w.leaseMax.Milliseconds())
 	v.lease = max(v.lease, min(deadline, limit))
 }
 
--- a/core/emulator/world.go
+++ b/core/emulator/world.go
@@ -46,6 +46,8 @@
 	// lateStartsBeforeHold lets late start orders reach a restarted VM before any owner
 	// has sent it a hold order.
 	lateStartsBeforeHold bool
+	// leaseMax is the longest lease that VMs grant.
+	leaseMax time.Duration
 }
 
 // Stats counts the events of a run.
@@ -62,6 +64,9 @@
 	SlowStops int
 	// LongestGap is the longest time without an owner that may start tasks.
 	LongestGap time.Duration
+	// LongestAbsence is the longest time that a long-running task was without a run,
+	// MostAbsence the most that one was in total.
+	LongestAbsence, MostAbsence time.Duration
 	// Accounts and Queues are what the callers of each account and of each queue got.
 	Accounts map[job.AccountName]Service
 	Queues   map[job.QueueName]Service
