core/schedule: the wait for a lost VM's lease continues under the next owner

Cause: what an owner knows of a VM that it can't reach, when its lease is over and which jobs have tasks there, ends with the owner. The next one counts the longest wait from its own takeover, and blocks each job that may ever have started a task there or elsewhere in the VM's rack. The class: a wait that a process counts from its own takeover and not to a stored deadline.

Change: the VM's row in the table holds, while the owner can't reach it, until when tasks may run there, as a time of the table's clock, and for each job with a task there until when that may run (vm_lease_stored). The next owner waits until then and blocks those jobs only; if it can't reach the VM either, the row stays. Once the VM answers, its lease isn't extended and nothing starts there before the row says so. Rows written before an owner of an older release are ignored. A VM must be silent for 0.5 s, since hundreds are for a moment when a relay fails.

--- a/core/schedule/command.go
+++ b/core/schedule/command.go
@@ -184,6 +184,19 @@
 	Address string        `json:"address"`
 	Pool    job.PoolName  `json:"pool"`
 	Born    job.Born      `json:"born,omitempty"`
+	// Lease is set while the owner can't reach the VM and extends its lease no more. Its times are
+	// those of the owner's clock, so it isn't part of the encoding.
+	Lease *RosterLease `json:"-"`
+}
+
+// RosterLease bounds what may still run on a VM that its owner can't reach.
+type RosterLease struct {
+	// End is when no task runs there any more.
+	End time.Time
+	// Jobs holds the jobs whose tasks may run there, each with the time until which they may. AnyJob
+	// is set if others may too, until End.
+	Jobs   map[job.ID]time.Time
+	AnyJob bool
 }
 
 // Outcome is the result of an order to a VM.
@@ -284,6 +297,7 @@
 	ForecastFailed    DecisionKind = "forecast_failed"
 	SecondRun         DecisionKind = "second_run"
 	TaskLong          DecisionKind = "task_long"
+	VMLeaseStored     DecisionKind = "vm_lease_stored"
 	VMVacated         DecisionKind = "vm_vacated"
 	ZoneEvacuated     DecisionKind = "zone_evacuated"
 	ZoneReopened      DecisionKind = "zone_reopened"
--- a/core/schedule/hold.go
+++ b/core/schedule/hold.go
@@ -32,7 +32,7 @@
 	// The VM may execute an unanswered hold later, so a hold to a silent VM doesn't
 	// extend the lease. Otherwise the lease of a VM that is gone would never expire for
 	// this owner.
-	if v.clock.Known() && !v.silent {
+	if v.clock.Known() && !v.silent && v.leaseSave <= s.storedSequence {
 		o.Deadline = v.clock.Estimate(now) + job.VMClock(lease.Granted(s.settings.LeaseMax).Milliseconds())
 		v.leaseEnd = max(v.leaseEnd, o.Deadline)
 	}
@@ -106,6 +106,7 @@
 		s.assumeFormerLease(v, r.Clock)
 		v.clock.Observe(r.Clock, now)
 	}
+	s.dropStoredLease(v)
 	if v.silent {
 		s.reportDecision(Decision{Kind: VMBack, VM: v.id, Age: now.Sub(v.lastAnswer)})
 	}
@@ -129,19 +130,20 @@
 		s.recordAnswer(now, v, r)
 	} else if !v.silent {
 		v.silent, v.silentSince = true, now
-		s.reportSilent(now, v, outcome)
+		s.reportDecision(Decision{
+			Kind: VMSilent, VM: v.id, Reason: outcome.String(), Age: v.silentFor(now), Wait: max(0, v.leaseOver().Sub(now)),
+		})
 	}
 	v.holdFailures++
 	v.nextHoldAt = now.Add(holdRetryDelay * time.Duration(min(v.holdFailures, 4)))
 }
 
-// reportSilent reports a VM that has become silent. Age is 0 if the VM never answered this owner.
-func (s *Scheduler) reportSilent(now time.Time, v *vmState, outcome Outcome) {
-	d := Decision{Kind: VMSilent, VM: v.id, Reason: outcome.String(), Wait: max(0, v.leaseOver().Sub(now))}
-	if !v.lastAnswer.IsZero() {
-		d.Age = now.Sub(v.lastAnswer)
+// silentFor returns the time since the VM's last answer, or 0 if it never answered this owner.
+func (v *vmState) silentFor(now time.Time) time.Duration {
+	if v.lastAnswer.IsZero() {
+		return 0
 	}
-	s.reportDecision(d)
+	return now.Sub(v.lastAnswer)
 }
 
 // advanceAcknowledged acknowledges the ends whose saves are stored.
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -60,7 +60,7 @@
 	}
 	for id := range j.possibleVMs.All() {
 		v := s.vms.Get(id)
-		if v != nil && v.unreported() {
+		if v != nil && v.mayRunInherited(j.ID) {
 			return v
 		}
 	}
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -12,13 +12,11 @@
 package schedule
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
 	"lavenderpond/core/forecast"
 	"lavenderpond/core/job"
-	"lavenderpond/core/lease"
 	"lavenderpond/core/policy"
 )
 
@@ -191,16 +189,11 @@
 		s.setMachine(v, r.Machine)
 	}
 	v.rosterEntry = r
-	v.inheritedUntil = lease.InheritedLeaseEnd(s.settings.TakeoverTime, s.formerLease())
+	s.inheritLease(v)
 	v.nextHoldAt = s.settings.TakeoverTime.Add(unlistedHoldDelay)
 	s.anyUnreported = true
 }
 
-// formerLease returns the longest lease that the former owner granted.
-func (s *Scheduler) formerLease() time.Duration {
-	return cmp.Or(s.settings.FormerLease, s.settings.LeaseMax)
-}
-
 // unlistedHoldDelay is how long after a takeover the first hold is sent to VMs that the
 // directory doesn't list, so that the listed VMs are held first.
 const unlistedHoldDelay = 700 * time.Millisecond
--- /dev/null
+++ b/core/schedule/storedlease.go
@@ -0,0 +1,91 @@
+package schedule
+
+import (
+	"maps"
+	"time"
+
+	"lavenderpond/core/job"
+)
+
+// leaseSaveDelay is how long a VM that has reported must be silent before the end of its lease is
+// stored. Many VMs are silent for a moment when a relay fails.
+const leaseSaveDelay = 500 * time.Millisecond
+
+// storeLease stores when the lease of an unreachable VM ends and which jobs may run there, so that
+// the wait for it neither begins anew with each owner nor holds up other jobs.
+func (s *Scheduler) storeLease(now time.Time, v *vmState) {
+	if v.storedLease != nil || v.rosterEntry.ID == "" || !s.unreachable(now, v) {
+		return
+	}
+	l := v.possibleRuns(now)
+	if l.End.IsZero() {
+		return
+	}
+	v.storedLease = &l
+	s.updateRoster(v)
+	s.reportDecision(Decision{Kind: VMLeaseStored, VM: v.id, Wait: l.End.Sub(now), Age: v.silentFor(now)})
+}
+
+// unreachable reports whether the VM has been out of reach for long enough to store its lease. A
+// VM that the directory no longer lists at a takeover is most likely lost.
+func (s *Scheduler) unreachable(now time.Time, v *vmState) bool {
+	if v.unreported() {
+		return v.silent || (!v.listed && !s.directoryAsOf.IsZero())
+	}
+	return v.silent && now.Sub(v.silentSince) >= leaseSaveDelay
+}
+
+// possibleRuns returns what may run on the VM while it stays silent, with an End of zero if it isn't
+// known until when.
+func (v *vmState) possibleRuns(now time.Time) RosterLease {
+	over := v.leaseOver()
+	l := RosterLease{End: now, Jobs: maps.Clone(v.inheritedJobs), AnyJob: v.unreported() && v.inheritedJobs == nil}
+	if l.Jobs == nil {
+		l.Jobs = map[job.ID]time.Time{}
+	}
+	if l.AnyJob {
+		l.End = over
+	}
+	for _, r := range v.runs.All() {
+		if r.phase != runPlanned {
+			l.add(r.task.Job, r.lastPossibleEnd(over))
+		}
+	}
+	for _, r := range v.lostStarts {
+		l.add(r.task.Job, r.orderedAt.Add(maxOrderDelay))
+	}
+	if over.IsZero() && v.runs.Len() > 0 {
+		l.End = over
+	}
+	return l
+}
+
+// add adds a run that may last until end.
+func (l *RosterLease) add(id job.ID, end time.Time) {
+	if end.After(l.Jobs[id]) {
+		l.Jobs[id] = end
+	}
+	if end.After(l.End) {
+		l.End = end
+	}
+}
+
+// lastPossibleEnd returns when the run can't last any longer on a silent VM whose lease is over at
+// the given time. A start without an answer may still be executed if the VM restarts.
+func (r *run) lastPossibleEnd(leaseOver time.Time) time.Time {
+	if late := r.orderedAt.Add(maxOrderDelay); r.phase != runConfirmed && late.After(leaseOver) {
+		return late
+	}
+	return leaseOver
+}
+
+// dropStoredLease removes a VM's lease from the roster because the VM can be reached again. Until
+// that is stored, the lease isn't extended: a new owner would rely on its end.
+func (s *Scheduler) dropStoredLease(v *vmState) {
+	if v.storedLease == nil {
+		return
+	}
+	v.storedLease = nil
+	s.updateRoster(v)
+	v.leaseSave = v.rosterSave
+}
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -12,6 +12,7 @@
 			continue
 		}
 		s.expire(now, v)
+		s.storeLease(now, v)
 		s.checkUnanswered(now, v)
 		if v.stoppingRuns > 0 {
 			s.repeatStops(now, v)
--- a/core/schedule/vm.go
+++ b/core/schedule/vm.go
@@ -99,7 +99,7 @@
 // updateRoster adds the VM to the roster, or updates its entry if that has changed. No
 // task starts on the VM before the entry is stored.
 func (s *Scheduler) updateRoster(v *vmState) {
-	r := RosterVM{ID: v.id, Address: v.address, Pool: v.pool, Born: v.born, Machine: v.machine}
+	r := RosterVM{ID: v.id, Address: v.address, Pool: v.pool, Born: v.born, Machine: v.machine, Lease: v.storedLease}
 	if r == v.rosterEntry {
 		return
 	}
@@ -163,6 +163,7 @@
 	v.lastEnd, v.acknowledgedEnd, v.unsavedEnds, v.listClock = 0, 0, nil, 0
 	v.reported, v.nextHoldAt = false, now
 	s.extendInheritedLease(v)
+	s.dropStoredLease(v)
 	s.updateRoster(v)
 	for _, r := range v.lostStarts {
 		if now.Sub(r.orderedAt) < maxOrderDelay {
@@ -217,29 +218,6 @@
 // has its new entry.
 func (v *vmState) entryCurrent() bool { return v.listed && v.entryBorn >= v.born }
 
-// extendInheritedLease allows for a start of a former owner that was in transit when the VM
-// restarted. The new life's clock is behind the start's deadline, so the VM grants its longest lease.
-func (s *Scheduler) extendInheritedLease(v *vmState) {
-	if !v.unreported() {
-		return
-	}
-	end := lease.InheritedLeaseEnd(s.settings.TakeoverTime, s.settings.LeaseMax).Add(startTransitMax)
-	if end.After(v.inheritedUntil) {
-		v.inheritedUntil = end
-	}
-}
-
-// startTransitMax is how long a start that was answered in time can have been in transit.
-const startTransitMax = time.Second
-
-// assumeFormerLease allows for the lease that a former owner may have granted just before the VM
-// first answered this owner.
-func (s *Scheduler) assumeFormerLease(v *vmState, clock job.VMClock) {
-	if !v.clock.Known() && !v.inheritedUntil.IsZero() {
-		v.leaseEnd = max(v.leaseEnd, clock+job.VMClock(s.formerLease().Milliseconds()))
-	}
-}
-
 // leaseExpired reports whether the lease of a silent VM has certainly expired.
 func (v *vmState) leaseExpired(now time.Time) bool {
 	if !v.clock.Known() {
@@ -286,8 +264,11 @@
 	if v.silent && v.runs.Len() > 0 && v.leaseExpired(now) {
 		s.freeExpiredRuns(now, v)
 	}
-	if s.rights.OrderMachines && !now.Before(v.inheritedUntil) {
-		v.inheritedUntil = time.Time{}
+	if s.rights.OrderMachines {
+		v.expireInheritedJobs(now)
+		if !now.Before(v.inheritedUntil) {
+			v.inheritedUntil = time.Time{}
+		}
 	}
 	if now.After(v.expiredRunsUntil) {
 		s.forgetExpiredRuns(v)
--- a/core/schedule/vmstate.go
+++ b/core/schedule/vmstate.go
@@ -133,6 +133,13 @@
 	// inheritedUntil is when no run of a former owner can remain here if the VM stays silent.
 	// It is zero once the VM's runs are known.
 	inheritedUntil time.Time
+	// inheritedJobs holds the jobs whose tasks a former owner may have left here, with the time
+	// until which they may run. nil stands for any job until inheritedUntil.
+	inheritedJobs map[job.ID]time.Time
+	// storedLease is what the VM's entry in the roster says of its lease. The lease may be extended
+	// once the save leaseSave is stored, which removes an earlier one.
+	storedLease *RosterLease
+	leaseSave   int64
 }
 
 // runKey identifies a run on a VM.
--- a/io/node/commit.go
+++ b/io/node/commit.go
@@ -133,7 +133,7 @@
 func (c *committer) nextBatchSize() int {
 	rows := map[platform.RowKey]bool{}
 	for i, s := range c.queue {
-		rows[rowChangeFor(s).key] = true
+		rows[rowChangeFor(s, &c.tenure.clock).key] = true
 		if len(rows) > maxBatchRows {
 			return i
 		}
@@ -185,7 +185,7 @@
 	}
 	tx.Writes = append(tx.Writes, platform.Write{RowKey: renewalKey, Value: value})
 	c.addForecast(&tx)
-	changes, skipped := limitUsage(latestChanges(saves))
+	changes, skipped := limitUsage(latestChanges(saves, &c.tenure.clock))
 	if skipped > 0 {
 		c.log.Info().Str("event", "usage_unstored").Int("pools", skipped).Send()
 	}
--- a/io/node/election.go
+++ b/io/node/election.go
@@ -98,6 +98,7 @@
 // rows as read. tableVersion and tableTime are those of the table.
 type ownerRows struct {
 	owner          ownerRow
+	observation    lease.Observation
 	forecast       admission.Forecast
 	tableVersion   platform.Version
 	tableTime      tableTime
@@ -133,6 +134,7 @@
 			rows.forecast = e.decodeForecast(r)
 		}
 	}
+	rows.observation = observation
 	rows.tableVersion, rows.tableTime = snapshot.Version, tableTime(snapshot.ClockMS)
 	if e.onPoll != nil {
 		e.onPoll(observation.Received, rows)
@@ -196,6 +198,7 @@
 	t := &tenure{
 		runID: e.runID, fence: version, number: number, formerLease: time.Duration(rows.owner.LeaseMS) * time.Millisecond,
 	}
+	t.clock.observe(rows.tableTime, rows.observation.Sent, rows.observation.Received)
 	t.confirm(sent, sent)
 	return t, version, nil
 }
--- a/io/node/load.go
+++ b/io/node/load.go
@@ -141,9 +141,14 @@
 	for _, queue := range slices.Sorted(maps.Keys(runTimes)) {
 		o.scheduler.AddInheritedRunTimes(now, time.Now(), job.QueueName(queue), runTimes[queue])
 	}
-	vms := decodeRows[schedule.RosterVM](state.vms, o.log)
+	vms := decodeRows[vmRow](state.vms, o.log)
+	leases := 0
 	for _, id := range slices.Sorted(maps.Keys(vms)) {
-		o.scheduler.AddInheritedVM(vms[id])
+		v := o.inheritedVM(vms[id])
+		if v.Lease != nil {
+			leases++
+		}
+		o.scheduler.AddInheritedVM(v)
 	}
 	progress := o.decodeProgress(state.progress)
 	for _, id := range slices.Sorted(maps.Keys(progress)) {
@@ -152,7 +157,16 @@
 		}
 	}
 	o.applyJobRows(now, state.jobs, progress)
-	o.log.Info().Str("event", "loaded").Int("jobs", len(state.jobs)).Int("vms", len(vms)).Send()
+	o.log.Info().Str("event", "loaded").Int("jobs", len(state.jobs)).Int("vms", len(vms)).Int("leases", leases).Send()
+}
+
+// inheritedVM returns a stored VM. A former owner of a release that doesn't store leases may have
+// extended one that another owner stored before.
+func (o *owner) inheritedVM(r vmRow) schedule.RosterVM {
+	if o.tenure.formerLease == 0 {
+		r.Lease = nil
+	}
+	return r.roster(&o.tenure.clock)
 }
 
 // newScheduler returns a scheduler for this tenure.
--- a/io/node/node_test.go
+++ b/io/node/node_test.go
@@ -130,7 +130,7 @@
 		schedule.Save{Sequence: 1, Job: "j", Progress: job.Progress{State: job.Running}},
 		schedule.Save{Sequence: 2, Job: "j", Progress: job.Progress{State: job.Completed}},
 	}
-	kept := latestChanges(saves)
+	kept := latestChanges(saves, &tableClock{})
 	assert.Equal(t, len(kept), 1)
 	assert.Equal(t, kept[0].value.(job.Progress).State, job.Completed)
 }
--- a/io/node/owner.go
+++ b/io/node/owner.go
@@ -88,6 +88,7 @@
 	run(o.committer.run)
 	run(func(ctx context.Context) error { return o.relays.follow(ctx, n.table) })
 	run(o.relays.run)
+	run(func(ctx context.Context) error { return t.clock.follow(ctx, n.table, n.log) })
 	// The VM directory and the list of machines are read concurrently with the state that
 	// former owners left. No task starts before both are known, and jobs that may be
 	// running on a VM that is gone wait for them.
--- a/io/node/rowchange.go
+++ b/io/node/rowchange.go
@@ -14,13 +14,13 @@
 	value any
 }
 
-// rowChangeFor returns the row change of a save.
-func rowChangeFor(c schedule.Command) rowChange {
+// rowChangeFor returns the row change of a save. Times are stored as times of the table's clock.
+func rowChangeFor(c schedule.Command, clock *tableClock) rowChange {
 	switch c := c.(type) {
 	case schedule.Save:
 		return rowChange{progressKey(c.Job), c.Progress}
 	case schedule.SaveVM:
-		return rowChange{vmKey(c.VM.ID), c.VM}
+		return rowChange{vmKey(c.VM.ID), newVMRow(c.VM, clock)}
 	case schedule.DropVM:
 		return rowChange{vmKey(c.VM), nil}
 	case schedule.SaveWave:
@@ -39,11 +39,11 @@
 
 // latestChanges returns the changes of the saves without those that a later save of the
 // same row replaces, because a transaction may name a row only once.
-func latestChanges(saves []schedule.Command) []rowChange {
+func latestChanges(saves []schedule.Command, clock *tableClock) []rowChange {
 	var out []rowChange
 	seen := map[platform.RowKey]bool{}
 	for _, c := range slices.Backward(saves) {
-		change := rowChangeFor(c)
+		change := rowChangeFor(c, clock)
 		if !seen[change.key] {
 			seen[change.key] = true
 			out = append(out, change)
--- a/io/node/rows.go
+++ b/io/node/rows.go
@@ -107,7 +107,7 @@
 	// Vacant is set when the owner has given up its ownership.
 	Vacant bool `json:"vacant,omitempty"`
 	// LeaseMS is the longest lease that the owner grants to VMs, in milliseconds; 0 in rows of
-	// releases that grant what VMs allow.
+	// releases that grant what VMs allow and don't store the leases of VMs out of reach.
 	LeaseMS int64 `json:"lease_ms,omitempty"`
 }
 
--- a/io/node/runtimes_test.go
+++ b/io/node/runtimes_test.go
@@ -26,7 +26,7 @@
 	changes := latestChanges([]schedule.Command{
 		schedule.SaveRunTimes{Sequence: 1, Queue: "frames"},
 		schedule.SaveRunTimes{Sequence: 2, Queue: "frames", RunTimes: stored},
-	})
+	}, &tableClock{})
 	assert.Equal(t, len(changes), 1)
 	value, err := encodeRow(changes[0].value)
 	assert.NilError(t, err)
--- a/io/node/shares_test.go
+++ b/io/node/shares_test.go
@@ -28,7 +28,7 @@
 	changes := latestChanges([]schedule.Command{
 		schedule.SaveShares{Sequence: 1, Pool: "frames"},
 		schedule.SaveShares{Sequence: 2, Pool: "frames", Usage: usage},
-	})
+	}, &tableClock{})
 	assert.Equal(t, len(changes), 1)
 	value, err := encodeRow(changes[0].value)
 	assert.NilError(t, err)
--- a/io/node/tenure.go
+++ b/io/node/tenure.go
@@ -21,6 +21,8 @@
 	number int64
 	// formerLease is the longest lease that the former owner granted; 0 if it didn't say.
 	formerLease time.Duration
+	// clock is the table's clock.
+	clock tableClock
 
 	mu        sync.Mutex
 	ownership lease.Ownership
