core/schedule: a start on a VM that restarted and is then lost is freed

What callers could see: a task that never starts again, while there is room. A VM restarts under its ID while a start to it has no answer, and is lost before it answers the owner. The restart clears the clock and the lease of the VM's former life; a lease with an unknown clock counted as over only for VMs of a former owner, so the start waited for ever.

The VM now has an end for that case: the last time at which it may execute the start, and the longest lease from then on.

--- a/core/lease/ownership.go
+++ b/core/lease/ownership.go
@@ -85,7 +85,12 @@
 // that gave up its ownership extends nothing after that. The lease lasts longer on a slow clock.
 func InheritedLeaseEnd(takeover time.Time, granted time.Duration) time.Time {
 	lastExtension := takeover.Add(leaseExtensionPeriod - takeoverSilence)
-	return lastExtension.Add(time.Duration(float64(granted)/MinClockRate) + clockReadingMargin)
+	return lastExtension.Add(Longest(granted) + clockReadingMargin)
+}
+
+// Longest returns how long a lease can last in real time, since a VM's clock may be slow.
+func Longest(granted time.Duration) time.Duration {
+	return time.Duration(float64(granted) / MinClockRate)
 }
 
 // clockReadingMargin covers the deviation of a VM's clock, which an owner estimates from an answer
--- a/core/schedule/inheritedlease.go
+++ b/core/schedule/inheritedlease.go
@@ -55,9 +55,7 @@
 		return
 	}
 	end := lease.InheritedLeaseEnd(s.settings.TakeoverTime, s.settings.LeaseMax).Add(startTransitMax)
-	if end.After(v.inheritedUntil) {
-		v.inheritedUntil = end
-	}
+	v.inheritedUntil = later(v.inheritedUntil, end)
 }
 
 // startTransitMax is how long a start that was answered in time can have been in transit.
--- a/core/schedule/restart_test.go
+++ b/core/schedule/restart_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"lavenderpond/core/job"
+	"lavenderpond/core/lease"
 )
 
 // Guards against a second run of a task that its VM started after a restart. Answers to starts
@@ -224,3 +225,25 @@
 	h.s.Cancel(h.now, "j")
 	assert.Equal(t, onlyCommand[Stop](h, h.roundWithoutStoring(startAnswerTimeout)).Fence, job.Fence(9))
 }
+
+// Guards against a task that never starts again: its VM restarts with the start unanswered, and is
+// lost before it answers.
+func TestStartOnRestartedVMThatIsLostIsFreed(t *testing.T) {
+	h := newHarness(t)
+	h.addReadyVMs("one")
+	h.addJob("j", "free", smallStep)
+	start := onlyCommand[Start](h, h.advance(0))
+	h.s.StartAnswered(h.now, start, Unanswered, job.Report{})
+	h.s.VMListed(h.now, job.VMRecord{ID: "one", Pool: poolA, Address: "one", Machine: "m-one", Born: 2})
+	h.s.VMUnlisted(h.now, "one")
+	h.addReadyVMs("two")
+	end := h.now.Add(maxOrderDelay + lease.Longest(h.s.settings.LeaseMax))
+	var again []Start
+	for h.now.Before(end.Add(time.Second)) {
+		again = append(again, commandsOfType[Start](h.advance(100*time.Millisecond))...)
+		h.answerHold("two", nil)
+		h.s.HoldAnswered(h.now, Hold{VM: "one"}, Unanswered, job.Report{})
+		assert.Assert(t, len(again) == 0 || h.now.Sub(startTime) > maxOrderDelay, "the VM may still execute the first start")
+	}
+	assert.Equal(t, len(again), 1)
+}
--- a/core/schedule/storedlease.go
+++ b/core/schedule/storedlease.go
@@ -62,21 +62,17 @@
 
 // add adds a run that may last until end.
 func (l *RosterLease) add(id job.ID, end time.Time) {
-	if end.After(l.Jobs[id]) {
-		l.Jobs[id] = end
-	}
-	if end.After(l.End) {
-		l.End = end
-	}
+	l.Jobs[id] = later(l.Jobs[id], end)
+	l.End = later(l.End, end)
 }
 
 // lastPossibleEnd returns when the run can't last any longer on a silent VM whose lease is over at
 // the given time. A start without an answer may still be executed if the VM restarts.
 func (r *run) lastPossibleEnd(leaseOver time.Time) time.Time {
-	if late := r.orderedAt.Add(maxOrderDelay); r.phase != runConfirmed && late.After(leaseOver) {
-		return late
+	if r.phase == runConfirmed {
+		return leaseOver
 	}
-	return leaseOver
+	return later(leaseOver, r.orderedAt.Add(maxOrderDelay))
 }
 
 // dropStoredLease removes a VM's lease from the roster because the VM can be reached again. Until
--- a/core/schedule/vm.go
+++ b/core/schedule/vm.go
@@ -190,6 +190,24 @@
 		r.confirmedClock = 0
 		s.stopRun(now, r, "VM restarted")
 	}
+	v.restartLeaseEnd = v.lastStartExecution(now).Add(lease.Longest(s.settings.LeaseMax))
+}
+
+// lastStartExecution returns the last time at which the VM may execute a start without an answer.
+func (v *vmState) lastStartExecution(now time.Time) time.Time {
+	last := now
+	for _, r := range v.runs.All() {
+		last = later(last, r.orderedAt.Add(maxOrderDelay))
+	}
+	return last
+}
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
 }
 
 // usable reports whether new tasks may start on the VM.
@@ -221,7 +239,8 @@
 // leaseExpired reports whether the lease of a silent VM has certainly expired.
 func (v *vmState) leaseExpired(now time.Time) bool {
 	if !v.clock.Known() {
-		return !v.inheritedUntil.IsZero() && !now.Before(v.inheritedUntil)
+		over := v.leaseOver()
+		return !over.IsZero() && !now.Before(over)
 	}
 	return v.clock.Earliest(now) > v.leaseEnd+clockSlack
 }
@@ -230,7 +249,7 @@
 // lease is known.
 func (v *vmState) leaseOver() time.Time {
 	if !v.clock.Known() {
-		return v.inheritedUntil
+		return later(v.inheritedUntil, v.restartLeaseEnd)
 	}
 	return v.clock.SurelyAt(v.leaseEnd + clockSlack)
 }
