core/schedule: a long-running task starts only on a VM that has just answered

What callers saw: a long-running task that is away for 11 to 16 s with one owner. Its VM is lost, the task starts again on a VM that was lost too and isn't found silent yet (an idle VM is after up to 2.6 s), and a start without an answer keeps the task from starting elsewhere for 13 s, since the VM may still execute it if it restarts.

The start now waits for an answer not older than 0.1 s, asked for by a probe if there is none; without an answer the task goes to another VM. Other tasks start as before: they wait less for a second choice than for a round trip. TestLongRunningTasksLeaveEvacuatedZone answers the probe that now precedes the start; its checks are the same.

--- a/core/schedule/assign.go
+++ b/core/schedule/assign.go
@@ -249,6 +249,7 @@
 	r.setKind(st.def)
 	r.crashSuspect, r.isolated = t.crashes.any(), t.crashes.needsIsolation()
 	s.recordStart(j, t, r)
+	s.requireAnswer(a.now, r)
 	s.addRun(a.now, r, st, t)
 	if j.zone == "" {
 		j.zone = v.zone
@@ -256,7 +257,7 @@
 	if st.def.SameRack && st.rack == "" {
 		st.rack = v.rack
 	}
-	if r.requiredSave <= s.storedSequence {
+	if s.readyToSend(a.now, r) {
 		s.sendStart(a.now, r)
 		return
 	}
--- a/core/schedule/evacuation_test.go
+++ b/core/schedule/evacuation_test.go
@@ -72,6 +72,7 @@
 	assert.Equal(t, len(first), 1, "want one task stopped at a time")
 	h.advance(300 * time.Millisecond)
 	h.answerHold(string(first[0].vm.id), nil, job.End{Number: 1, Task: first[0].task, Attempt: first[0].attempt, How: job.EndedStopped})
+	h.answerProbe(onlyCommand[Hold](h, h.advance(0)))
 	again := onlyCommand[Start](h, h.advance(0))
 	assert.Assert(t, again.VM == "three" || again.VM == "four", again.VM)
 	h.confirm(again)
--- a/core/schedule/hold.go
+++ b/core/schedule/hold.go
@@ -110,7 +110,7 @@
 	if v.silent {
 		s.reportDecision(Decision{Kind: VMBack, VM: v.id, Age: now.Sub(v.lastAnswer)})
 	}
-	v.lastAnswer, v.silent, v.holdFailures = now, false, 0
+	v.lastAnswer, v.silent, v.holdFailures, v.answerRequired = now, false, 0, false
 	return true
 }
 
--- a/core/schedule/probe.go
+++ b/core/schedule/probe.go
@@ -22,10 +22,10 @@
 // explicitly, which keeps it from beginning later, and its task then starts elsewhere.
 func (s *Scheduler) checkUnanswered(now time.Time, v *vmState) {
 	v.unresponsive = false
-	if v.orderedRuns == 0 && v.stoppingRuns == 0 {
+	if v.orderedRuns == 0 && v.stoppingRuns == 0 && !v.answerRequired {
 		return
 	}
-	needed := false
+	needed := v.answerRequired
 	for _, r := range v.runs.All() {
 		switch {
 		case r.phase == runOrdered && now.Sub(r.orderedAt) > startAnswerTimeout:
@@ -51,6 +51,9 @@
 // probeAnswered handles the outcome of a probe.
 func (s *Scheduler) probeAnswered(now time.Time, v *vmState, outcome Outcome, r job.Report) {
 	v.probeInFlight = false
+	if outcome != Answered {
+		s.releaseUnanswered(now, v)
+	}
 	if outcome != Answered || !r.Lists || !s.recordAnswer(now, v, r) {
 		return
 	}
@@ -62,3 +65,34 @@
 		}
 	}
 }
+
+// recentAnswerPeriod is how recently a VM must have answered to be given a long-running task.
+const recentAnswerPeriod = 100 * time.Millisecond
+
+// requireAnswer makes the start of a long-running task wait for an answer of the VM if the last one
+// is old. An idle VM that is lost is found silent after seconds only, and a start that it leaves
+// unanswered keeps the task from starting elsewhere for maxOrderDelay.
+func (s *Scheduler) requireAnswer(now time.Time, r *run) {
+	r.vm.answerRequired = r.vm.answerRequired || r.awaitsAnswer(now)
+}
+
+// awaitsAnswer reports whether the start must wait for an answer of the VM.
+func (r *run) awaitsAnswer(now time.Time) bool {
+	return r.longRunning && now.Sub(r.vm.lastAnswer) > recentAnswerPeriod
+}
+
+// releaseUnanswered releases the planned runs that wait for an answer which the VM doesn't give, so
+// that their tasks start on other VMs.
+func (s *Scheduler) releaseUnanswered(now time.Time, v *vmState) {
+	if !v.answerRequired {
+		return
+	}
+	v.answerRequired = false
+	v.suspectUntil = now.Add(noAnswerPause)
+	for _, r := range v.runs.All() {
+		if r.phase == runPlanned && r.awaitsAnswer(now) {
+			s.release(now, r)
+			s.stopGang(now, r)
+		}
+	}
+}
--- a/core/schedule/probe_test.go
+++ b/core/schedule/probe_test.go
@@ -97,3 +97,41 @@
 	})
 	assert.Equal(t, h.s.vms.Get("one").runs.Len(), 0)
 }
+
+// Guards against a long-running task that starts on a lost VM and can't start elsewhere for
+// maxOrderDelay, because the VM wasn't found silent yet.
+func TestLongRunningTaskStartsOnVMThatAnswers(t *testing.T) {
+	h := newHarness(t)
+	h.addReadyVMs("one", "two")
+	h.now = h.now.Add(time.Second)
+	h.addJob("l", "free", job.Step{Count: 1, Resources: job.Resources{CPU: 1000, MemMB: 100}, LongRunning: true})
+	lost := onlyCommand[Hold](h, h.advance(0))
+	assert.Assert(t, lost.Probe)
+	h.s.HoldAnswered(h.now, lost, Unanswered, job.Report{})
+	commands := h.advance(0)
+	assert.Equal(t, len(commandsOfType[Start](commands)), 0)
+	found := onlyCommand[Hold](h, commands)
+	assert.Assert(t, found.VM != lost.VM)
+	h.answerProbe(found)
+	assert.Equal(t, onlyCommand[Start](h, h.advance(0)).VM, found.VM)
+}
+
+// Guards against a long-running task that never starts because its VM's answer was recent only until
+// the start was stored.
+func TestStartIsProbedForAgainAfterSlowSave(t *testing.T) {
+	h := newHarness(t)
+	h.addReadyVMs("one")
+	h.addJob("l", "free", job.Step{Count: 1, Resources: job.Resources{CPU: 1000, MemMB: 100}, LongRunning: true})
+	h.s.Tick(h.now)
+	h.s.Assign(h.now, h.now)
+	saves := h.s.TakeCommands()
+	assert.Equal(t, len(commandsOfType[Start](saves)), 0)
+	h.now = h.now.Add(time.Second)
+	for _, c := range saves {
+		h.store(c)
+	}
+	probe := onlyCommand[Hold](h, h.advance(0))
+	assert.Assert(t, probe.Probe)
+	h.answerProbe(probe)
+	assert.Equal(t, len(commandsOfType[Start](h.advance(0))), 1)
+}
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -7,10 +7,13 @@
 	"lavenderpond/core/job"
 )
 
-// sendPlannedStarts sends the planned starts whose saves are stored.
+// sendPlannedStarts sends the planned starts that wait for nothing any more.
 func (s *Scheduler) sendPlannedStarts(now time.Time) {
 	s.plannedStarts = slices.DeleteFunc(s.plannedStarts, func(r *run) bool {
-		if r.requiredSave > s.storedSequence {
+		if !r.booked() {
+			return true
+		}
+		if !s.readyToSend(now, r) {
 			return false
 		}
 		s.sendStart(now, r)
@@ -18,10 +21,23 @@
 	})
 }
 
+// readyToSend reports whether the save that a planned start requires is stored, and its VM has
+// answered recently if that is required.
+func (s *Scheduler) readyToSend(now time.Time, r *run) bool {
+	if r.requiredSave > s.storedSequence {
+		return false
+	}
+	s.requireAnswer(now, r)
+	return !r.awaitsAnswer(now)
+}
+
+// booked reports whether the run hasn't been released.
+func (r *run) booked() bool { return r.vm.runs.Get(runKey{r.task, r.attempt}) == r }
+
 // sendStart sends a planned start, or releases the run if the task may not start any more.
 func (s *Scheduler) sendStart(now time.Time, r *run) {
 	v := r.vm
-	if v.runs.Get(runKey{r.task, r.attempt}) != r {
+	if !r.booked() {
 		return
 	}
 	j, _, st, t := s.task(r.task)
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -22,6 +22,7 @@
 		}
 		s.sendHold(now, v)
 	}
+	s.sendPlannedStarts(now)
 	s.stopOnDraining(now)
 	s.relocateEvacuated(now)
 	s.forgetEnded(now)
@@ -37,7 +38,7 @@
 // nothingDue reports whether the VM needs no work in this round: its hold is in flight,
 // and no start or stop waits for an answer.
 func (v *vmState) nothingDue() bool {
-	return v.holdInFlight && v.listed && !v.silent && !v.unresponsive && v.orderedRuns == 0 && v.stoppingRuns == 0 && v.spareCPURuns == 0 && len(v.lostStarts) == 0
+	return v.holdInFlight && v.listed && !v.silent && !v.unresponsive && v.orderedRuns == 0 && v.stoppingRuns == 0 && !v.answerRequired && v.spareCPURuns == 0 && len(v.lostStarts) == 0
 }
 
 // stopOnDraining stops long-running tasks on draining VMs, so that they move elsewhere.
--- a/core/schedule/vmstate.go
+++ b/core/schedule/vmstate.go
@@ -59,6 +59,8 @@
 	orderedRuns int
 	// unresponsive VMs have left a start unanswered and haven't answered anything since.
 	unresponsive bool
+	// answerRequired is set while a planned start waits for an answer of the VM.
+	answerRequired bool
 	// probeInFlight is set while a probe is in flight. probedAt is when the last one was
 	// sent.
 	probeInFlight bool
