--- a/core/lease/ownership.go
+++ b/core/lease/ownership.go
@@ -93,6 +93,15 @@
 	return time.Duration(float64(granted) / MinClockRate)
 }
 
-// clockReadingMargin covers the deviation of a VM's clock, which an owner estimates from an answer
-// that is up to a few seconds old, while the clock may be slow.
-const clockReadingMargin = 250 * time.Millisecond
+// clockReadingMargin allows for clocks that are read in whole milliseconds and drift slightly.
+const clockReadingMargin = 50 * time.Millisecond
+
+// OlderReleaseLeaseEnd is InheritedLeaseEnd for a former owner of a release that grants leases of
+// up to vmMax, extends them for leaseExtensionPeriod after its last confirmation, and estimates a
+// VM's clock as if it weren't slow.
+func OlderReleaseLeaseEnd(takeover time.Time, vmMax time.Duration) time.Time {
+	return takeover.Add(leaseExtensionPeriod + Longest(vmMax) + olderReleaseMargin)
+}
+
+// olderReleaseMargin covers the deviation of the clocks that such an owner estimated.
+const olderReleaseMargin = time.Second
--- a/core/schedule/hold.go
+++ b/core/schedule/hold.go
@@ -33,7 +33,7 @@
 	// extend the lease. Otherwise the lease of a VM that is gone would never expire for
 	// this owner.
 	if v.clock.Known() && !v.silent && v.leaseSave <= s.storedSequence {
-		o.Deadline = v.clock.Estimate(now) + job.VMClock(lease.Granted(s.settings.LeaseMax).Milliseconds())
+		o.Deadline = v.clock.Earliest(now) + job.VMClock(lease.Granted(s.settings.LeaseMax).Milliseconds())
 		v.leaseEnd = max(v.leaseEnd, o.Deadline)
 	}
 	if v.reported && !v.silent && len(v.unsavedEnds) == 0 {
--- a/core/schedule/inheritedlease.go
+++ b/core/schedule/inheritedlease.go
@@ -9,38 +9,60 @@
 	"lavenderpond/core/lease"
 )
 
-// inheritLease sets when the leases that former owners granted on the VM have ended, and which jobs
-// may run there until then.
+// inheritLease sets until when a former owner's tasks may run on the VM, and of which jobs. Rows of
+// a former owner of an older release may hold a lease that it extended since, so they are replaced.
 func (s *Scheduler) inheritLease(v *vmState) {
-	v.inheritedUntil = lease.InheritedLeaseEnd(s.settings.TakeoverTime, s.formerLease())
+	v.inheritedUntil = s.inheritedLeaseEnd()
 	l := v.rosterEntry.Lease
-	v.storedLease = l
-	if l == nil {
-		return
-	}
-	if l.End.Before(v.inheritedUntil) {
-		v.inheritedUntil = l.End
+	switch {
+	case l == nil:
+	case s.settings.FormerLease == 0:
+		s.updateRoster(v)
+		v.leaseSave = v.rosterSave
+	default:
+		v.storedLease, v.inheritedUntil = l, l.End
+		if !l.AnyJob {
+			v.inheritedJobs = maps.Clone(l.Jobs)
+		}
 	}
-	if l.AnyJob {
-		return
+}
+
+// inheritedLeaseEnd returns when the leases have ended that the former owner granted on VMs that
+// this owner doesn't reach.
+func (s *Scheduler) inheritedLeaseEnd() time.Time {
+	if s.settings.FormerLease == 0 {
+		return lease.OlderReleaseLeaseEnd(s.settings.TakeoverTime, s.settings.LeaseMax)
 	}
-	v.inheritedJobs = map[job.ID]time.Time{}
-	maps.Copy(v.inheritedJobs, l.Jobs)
+	return lease.InheritedLeaseEnd(s.settings.TakeoverTime, s.settings.FormerLease)
 }
 
-// expireInheritedJobs forgets the inherited jobs none of whose tasks can run any more.
-func (v *vmState) expireInheritedJobs(now time.Time) {
-	maps.DeleteFunc(v.inheritedJobs, func(_ job.ID, end time.Time) bool { return !now.Before(end) })
+// inheritedEnd returns until when a former owner's tasks of the job may run on the VM.
+func (v *vmState) inheritedEnd(id job.ID) time.Time {
+	if v.inheritedJobs == nil {
+		return v.inheritedUntil
+	}
+	return v.inheritedJobs[id]
 }
 
 // mayRunInherited reports whether a former owner's tasks of the job may run on the VM, which has
 // not reported to this owner yet.
 func (v *vmState) mayRunInherited(id job.ID) bool {
-	if !v.unreported() || v.inheritedJobs == nil {
-		return v.unreported()
+	return v.unreported() && !v.inheritedEnd(id).IsZero()
+}
+
+// expireInherited forgets the jobs whose tasks can't run on the VM any more, and frees the runs that
+// are known from a record. It makes no difference whether the VM was found silent: it has never
+// answered this owner.
+func (s *Scheduler) expireInherited(now time.Time, v *vmState) {
+	maps.DeleteFunc(v.inheritedJobs, func(_ job.ID, end time.Time) bool { return !now.Before(end) })
+	if !now.Before(v.inheritedUntil) {
+		v.inheritedUntil = time.Time{}
+	}
+	for _, r := range v.runs.All() {
+		if r.onlyRecorded() && !v.clock.Known() && !v.mayRunInherited(r.task.Job) && !now.Before(v.restartLeaseEnd) {
+			s.freeExpiredRun(now, v, r)
+		}
 	}
-	_, ok := v.inheritedJobs[id]
-	return ok
 }
 
 // formerLease returns the longest lease that the former owner granted.
@@ -56,6 +78,9 @@
 	}
 	end := lease.InheritedLeaseEnd(s.settings.TakeoverTime, s.settings.LeaseMax).Add(startTransitMax)
 	v.inheritedUntil = later(v.inheritedUntil, end)
+	for id := range v.inheritedJobs {
+		v.inheritedJobs[id] = later(v.inheritedJobs[id], end)
+	}
 }
 
 // startTransitMax is how long a start that was answered in time can have been in transit.
--- a/core/schedule/storedlease.go
+++ b/core/schedule/storedlease.go
@@ -17,8 +17,8 @@
 	if v.storedLease != nil || v.rosterEntry.ID == "" || !s.unreachable(now, v) {
 		return
 	}
-	l := v.possibleRuns(now)
-	if l.End.IsZero() {
+	l, ok := v.possibleRuns(now)
+	if !ok {
 		return
 	}
 	v.storedLease = &l
@@ -30,21 +30,22 @@
 // VM that the directory no longer lists at a takeover is most likely lost.
 func (s *Scheduler) unreachable(now time.Time, v *vmState) bool {
 	if v.unreported() {
-		return v.silent || (!v.listed && !s.directoryAsOf.IsZero())
+		return v.silent || (!v.listed && !s.directoryAsOf.IsZero() && v.lastAnswer.IsZero())
 	}
 	return v.silent && now.Sub(v.silentSince) >= leaseSaveDelay
 }
 
-// possibleRuns returns what may run on the VM while it stays silent, with an End of zero if it isn't
-// known until when.
-func (v *vmState) possibleRuns(now time.Time) RosterLease {
+// possibleRuns returns what may run on the VM while it stays silent, or false if it isn't known until
+// when.
+func (v *vmState) possibleRuns(now time.Time) (RosterLease, bool) {
 	over := v.leaseOver()
-	l := RosterLease{End: now, Jobs: maps.Clone(v.inheritedJobs), AnyJob: v.unreported() && v.inheritedJobs == nil}
-	if l.Jobs == nil {
-		l.Jobs = map[job.ID]time.Time{}
+	if over.IsZero() && v.runs.Len() > 0 {
+		return RosterLease{}, false
 	}
-	if l.AnyJob {
-		l.End = over
+	l := RosterLease{End: now, Jobs: map[job.ID]time.Time{}}
+	if v.unreported() {
+		l.End, l.AnyJob = v.inheritedUntil, v.inheritedJobs == nil
+		maps.Copy(l.Jobs, v.inheritedJobs)
 	}
 	for _, r := range v.runs.All() {
 		if r.phase != runPlanned {
@@ -54,10 +55,7 @@
 	for _, r := range v.lostStarts {
 		l.add(r.task.Job, r.orderedAt.Add(maxOrderDelay))
 	}
-	if over.IsZero() && v.runs.Len() > 0 {
-		l.End = over
-	}
-	return l
+	return l, true
 }
 
 // add adds a run that may last until end.
@@ -66,8 +64,9 @@
 	l.End = later(l.End, end)
 }
 
-// lastPossibleEnd returns when the run can't last any longer on a silent VM whose lease is over at
-// the given time. A start without an answer may still be executed if the VM restarts.
+// lastPossibleEnd returns until when the run keeps its task from starting elsewhere, on a silent VM
+// whose lease is over at the given time. A start without an answer may still be executed if the VM
+// restarts.
 func (r *run) lastPossibleEnd(leaseOver time.Time) time.Time {
 	if r.phase == runConfirmed {
 		return leaseOver
--- a/core/schedule/vm.go
+++ b/core/schedule/vm.go
@@ -260,13 +260,18 @@
 		if r.phase != runConfirmed && now.Sub(r.orderedAt) <= maxOrderDelay {
 			continue
 		}
-		if v.lifeEnded {
-			s.countCrash(now, r)
-		} else {
-			s.addExpiredRun(now, r)
-		}
-		s.freeWithUnknownEnd(now, r, "lease expired")
+		s.freeExpiredRun(now, v, r)
+	}
+}
+
+// freeExpiredRun frees a run that has ended because the VM's lease expired.
+func (s *Scheduler) freeExpiredRun(now time.Time, v *vmState, r *run) {
+	if v.lifeEnded {
+		s.countCrash(now, r)
+	} else {
+		s.addExpiredRun(now, r)
 	}
+	s.freeWithUnknownEnd(now, r, "lease expired")
 }
 
 // expire frees the runs of a VM whose lease has expired, and deletes the VM's state once
@@ -283,11 +288,8 @@
 	if v.silent && v.runs.Len() > 0 && v.leaseExpired(now) {
 		s.freeExpiredRuns(now, v)
 	}
-	if s.rights.OrderMachines {
-		v.expireInheritedJobs(now)
-		if !now.Before(v.inheritedUntil) {
-			v.inheritedUntil = time.Time{}
-		}
+	if s.rights.OrderMachines && !v.inheritedUntil.IsZero() {
+		s.expireInherited(now, v)
 	}
 	if now.After(v.expiredRunsUntil) {
 		s.forgetExpiredRuns(v)
--- a/io/node/load.go
+++ b/io/node/load.go
@@ -144,7 +144,7 @@
 	vms := decodeRows[vmRow](state.vms, o.log)
 	leases := 0
 	for _, id := range slices.Sorted(maps.Keys(vms)) {
-		v := o.inheritedVM(vms[id])
+		v := vms[id].roster(&o.tenure.clock)
 		if v.Lease != nil {
 			leases++
 		}
@@ -160,15 +160,6 @@
 	o.log.Info().Str("event", "loaded").Int("jobs", len(state.jobs)).Int("vms", len(vms)).Int("leases", leases).Send()
 }
 
-// inheritedVM returns a stored VM. A former owner of a release that doesn't store leases may have
-// extended one that another owner stored before.
-func (o *owner) inheritedVM(r vmRow) schedule.RosterVM {
-	if o.tenure.formerLease == 0 {
-		r.Lease = nil
-	}
-	return r.roster(&o.tenure.clock)
-}
-
 // newScheduler returns a scheduler for this tenure.
 func (o *owner) newScheduler(formerOrders []schedule.MachineOrder) *schedule.Scheduler {
 	b := o.node.settings.Bounds
