core/schedule: the wait after a former owner's machine order continues under the next owner

What operators see: while owners change every few seconds, a machine that was ordered once is never ordered again. Its wave stays "running" and its pool gets no machine, although an owner is at work all the time.

Cause: an owner counts the wait for a former owner's order (MachineLease and 1.5 s) from its own takeover, and drops the order's row 5 s after it. The class: a wait that a process counts from its own takeover and not to a stored deadline.

Change: the first owner that inherits an order stores with it, once, the time of its takeover, by which the order had been sent (sent_before, a time of the table's clock). Later owners count from that time, or from their own takeover if that is earlier. An order of the owner itself is stored without a time, as before, and replaces the row, so it counts from the next takeover. So do rows of an older release, and rows written or read without a reading of the table's clock. An older release ignores the field and writes rows without it. The issuer that comes back as the owner may order at once, as before.

Weighed: - The sending time in the row: it isn't known when the row is stored, which must come first, and a second write costs a save for each order, also where no owner changes. Written along with other saves it may be missing just when the owner is lost, so a bound from the takeover is needed anyway. - A deadline in the row that is set when the order is decided: a decided order may be sent seconds later, so it would have to be moved or the order refused. - The tenure in each row, and the times of the last takeovers in the owner row: no save at all, but two rows to keep consistent, and an older release drops the list. Price of what was chosen: a row for each inherited order, once, in the first saves after a takeover; 350 machines would be 4 transactions. An order waits up to a tenure longer than with the sending time.

--- a/core/schedule/command.go
+++ b/core/schedule/command.go
@@ -125,6 +125,9 @@
 type MachineOrder struct {
 	Machine job.MachineID `json:"machine"`
 	Issuer  string        `json:"holder"`
+	// SentBefore is when the issuer had certainly sent its last order; zero if no other owner has
+	// taken over since. It is a time of the owner's clock, so it isn't part of the encoding.
+	SentBefore time.Time `json:"-"`
 }
 
 // DeleteJob deletes the stored rows of a job that ended long ago.
--- a/core/schedule/machine.go
+++ b/core/schedule/machine.go
@@ -114,8 +114,33 @@
 // recentOrder is an order that was given to a machine recently.
 type recentOrder struct {
 	issuer string
-	// givenAt is when the order was given, or the time of the takeover if a former owner gave it.
+	// givenAt is when the order was given. If a former owner gave it, it is the time of the first
+	// takeover since.
 	givenAt time.Time
+	// inherited is set if a former owner gave the order.
+	inherited bool
+}
+
+// inheritOrder adds an order of a former owner, which sent nothing after this takeover. Until when
+// it may have sent the order is stored, so that the wait doesn't begin anew with each owner.
+func (s *Scheduler) inheritOrder(o MachineOrder) {
+	r := recentOrder{issuer: o.Issuer, givenAt: s.settings.TakeoverTime, inherited: true}
+	if o.SentBefore.IsZero() {
+		s.dirtyOrders = append(s.dirtyOrders, o.Machine)
+	} else if o.SentBefore.Before(r.givenAt) {
+		r.givenAt = o.SentBefore
+	}
+	s.recentOrders.Set(o.Machine, r)
+}
+
+// stored returns the order as the next owner needs it. An order of this owner is stored before it
+// is sent, so the next owner counts from its takeover.
+func (o recentOrder) stored(id job.MachineID) MachineOrder {
+	m := MachineOrder{Machine: id, Issuer: o.issuer}
+	if o.inherited {
+		m.SentBefore = o.givenAt
+	}
+	return m
 }
 
 // recentOrderPeriod is how long an order counts as recent. The next owner may order the machine
--- a/core/schedule/save.go
+++ b/core/schedule/save.go
@@ -163,7 +163,7 @@
 func (s *Scheduler) flushOrders() {
 	for _, id := range s.dirtyOrders {
 		if o := s.recentOrders.Get(id); o.issuer != "" {
-			s.emit(SaveOrder{Sequence: s.saveSequence, Order: MachineOrder{Machine: id, Issuer: o.issuer}})
+			s.emit(SaveOrder{Sequence: s.saveSequence, Order: o.stored(id)})
 		} else {
 			s.emit(DropOrder{Sequence: s.saveSequence, Machine: id})
 		}
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -126,9 +126,8 @@
 		pools:     map[job.PoolName]*poolStats{},
 		shares:    shares{},
 	}
-	// These orders are stored with this owner's own, so that the next owner knows of them too.
 	for _, o := range s.FormerOrders {
-		out.recentOrders.Set(o.Machine, recentOrder{issuer: o.Issuer, givenAt: s.TakeoverTime})
+		out.inheritOrder(o)
 	}
 	return out
 }
--- a/io/node/load.go
+++ b/io/node/load.go
@@ -123,9 +123,9 @@
 func (o *owner) restore(state storedState) {
 	now := bootNow()
 	var formerOrders []schedule.MachineOrder
-	orders := decodeRows[schedule.MachineOrder](state.orders, o.log)
+	orders := decodeRows[orderRow](state.orders, o.log)
 	for _, id := range slices.Sorted(maps.Keys(orders)) {
-		formerOrders = append(formerOrders, orders[id])
+		formerOrders = append(formerOrders, orders[id].order(&o.tenure.clock))
 	}
 	o.scheduler = o.newScheduler(formerOrders)
 	o.maintainedByWave = map[string][]job.MachineID{}
--- a/io/node/rowchange.go
+++ b/io/node/rowchange.go
@@ -26,7 +26,7 @@
 	case schedule.SaveWave:
 		return rowChange{waveKey(c.Wave), waveRow{Done: c.Done}}
 	case schedule.SaveOrder:
-		return rowChange{machineOrderKey(c.Order.Machine), c.Order}
+		return rowChange{machineOrderKey(c.Order.Machine), newOrderRow(c.Order, clock)}
 	case schedule.DropOrder:
 		return rowChange{machineOrderKey(c.Machine), nil}
 	case schedule.SaveShares:
