core/schedule: a machine's order that waits for its save isn't forgotten

What operators could see: a machine that two owners order within its lease. An order waits for its save; if that takes longer than 5 s (slow table), the order counted as old and its row was dropped, and the order was sent after that. The next owner knew nothing of it.

TestOrderThatWaitsForItsSaveIsNotForgotten fails before (the row is dropped).

--- a/core/schedule/machine.go
+++ b/core/schedule/machine.go
@@ -166,20 +166,26 @@
 // pruneOrdersInterval is how often machine orders that are no longer recent are removed.
 const pruneOrdersInterval = time.Second
 
-// pruneOrders removes machine orders that are no longer recent.
+// pruneOrders removes machine orders that are no longer recent. An order that waits for its save may
+// still be sent.
 func (s *Scheduler) pruneOrders(now time.Time) {
 	if now.Before(s.nextPruneOrders) {
 		return
 	}
 	s.nextPruneOrders = now.Add(pruneOrdersInterval)
 	for id, o := range s.recentOrders.All() {
-		if now.Sub(o.givenAt) > s.recentOrderPeriod() {
+		if now.Sub(o.givenAt) > s.recentOrderPeriod() && !s.orderPending(id) {
 			s.recentOrders.Delete(id)
 			s.dirtyOrders = append(s.dirtyOrders, id)
 		}
 	}
 }
 
+// orderPending reports whether an order for the machine waits for its save.
+func (s *Scheduler) orderPending(id job.MachineID) bool {
+	return slices.ContainsFunc(s.pendingOrders, func(o pendingOrder) bool { return o.machine == id })
+}
+
 // sendPendingOrders sends the orders whose saves are stored. An order for a machine on which a
 // task has begun in the meantime counts as refused.
 func (s *Scheduler) sendPendingOrders(now time.Time) {
--- a/core/schedule/takeover_test.go
+++ b/core/schedule/takeover_test.go
@@ -156,3 +156,22 @@
 	hold := onlyCommand[Hold](h, h.advance(50*time.Millisecond))
 	assert.Assert(t, hold.Order.Deadline <= h.clock()+6000, "deadline %d at %d", hold.Order.Deadline, h.clock())
 }
+
+// Guards against a machine that two owners order within its lease: the first one forgets the order
+// while it waits for its save, and sends it afterwards.
+func TestOrderThatWaitsForItsSaveIsNotForgotten(t *testing.T) {
+	h := newHarness(t)
+	h.s.MachinesListed(h.now, []job.Machine{{ID: "m-1", Pool: poolOff, State: job.MachineUp}})
+	h.s.AddWave(h.now, job.Wave{Number: 1, Machines: []job.MachineID{"m-1"}, MaxConcurrent: 1}, nil)
+	h.s.Tick(h.now)
+	saves := h.s.TakeCommands()
+	for end := h.now.Add(2 * h.s.recentOrderPeriod()); h.now.Before(end); {
+		h.now = h.now.Add(200 * time.Millisecond)
+		h.s.Tick(h.now)
+		assert.Equal(t, len(commandsOfType[DropOrder](h.s.TakeCommands())), 0)
+	}
+	for _, c := range saves {
+		h.store(c)
+	}
+	assert.Equal(t, len(commandsOfType[Maintain](h.s.TakeCommands())), 1)
+}
