core/schedule: a run's time until it counts as stable continues under the next owner

Cause: crash counts are stored with the job, but the five seconds of a run that clear them are counted from when this owner first saw it, so they begin anew with each owner. A run that a new owner finds also loses its record: the owner after that knows nothing of it.

Change: once the VM has confirmed a run of a task under which VMs have crashed, the job's row holds from which reading of the VM's clock the run is stable (stable_at of a start). A run is stable once its VM lists it at that reading or later. The next owner that finds the run goes by the stored reading if it is of the same life of the VM, and keeps the record. Without a reading, as in rows of older releases, or with one of another life, the run counts from now. A VM's clock that runs slow makes a run stable later (5.1 s at 2%), never earlier. Such starts need one save more, when the VM confirms or a new owner finds them.

Also changes: whether other runs on a VM can be the cause of its crash (isSoleSuspect, anyUnstable) goes by the same reading, so that by the last list in place of the last answer of any kind, and across owners where a record has a reading; runs of tasks without crashes have none and count from the owner's first sight as before. A crash under a run that was found by an owner counts with the next one too, since its record stays. crashedAtStart is unchanged: it never counts runs of a former owner.

--- a/core/job/state.go
+++ b/core/job/state.go
@@ -74,6 +74,9 @@
 	// LeaseExpired is set if the run is over because the lease of its VM expired. The VM may
 	// turn out to have crashed.
 	LeaseExpired bool `json:"lapsed,omitempty"`
+	// StableAt is the reading of the VM's clock from which the run counts as stable; 0 until the
+	// VM has confirmed the run.
+	StableAt VMClock `json:"stable_at,omitempty"`
 }
 
 // StepDone lists the tasks of a step that succeeded.
--- a/core/schedule/crash.go
+++ b/core/schedule/crash.go
@@ -131,10 +131,26 @@
 	return !slices.ContainsFunc(r.vm.expiredRuns, func(other *run) bool { return other != r && !other.stable() })
 }
 
-// stable reports whether the run had already lasted for stableAfter at its VM's last
-// answer.
+// stable reports whether the run had already lasted for stableAfter when its VM last reported
+// it.
 func (r *run) stable() bool {
-	return r.phase == runConfirmed && r.vm.lastAnswer.Sub(r.confirmedAt) >= stableAfter
+	return r.phase == runConfirmed && r.confirmedClock >= r.stableClock
+}
+
+// stableClockAfter returns when a run that began at the given reading of its VM's clock is stable.
+func stableClockAfter(clock job.VMClock) job.VMClock {
+	return clock + job.VMClock(stableAfter.Milliseconds())
+}
+
+// recordStability stores when the run is stable if VMs have crashed under its task. The next owner
+// can't see how long the run has lasted.
+func (s *Scheduler) recordStability(r *run) {
+	j, _, _, t := s.task(r.task)
+	if t == nil || j.over() || !t.crashes.any() {
+		return
+	}
+	r.recorded = true
+	s.markDirty(j)
 }
 
 // clearCrashes resets the crash counts of a task whose run is stable.
--- a/core/schedule/recorded.go
+++ b/core/schedule/recorded.go
@@ -88,6 +88,9 @@
 			reservation: st.def.Reservation(), quotaUsage: st.def.Resources, account: j.Terms.Account, pacePercent: 100,
 		}
 		r.setKind(st.def)
+		if x.Born != 0 && x.Born == v.born {
+			r.stableClock = x.StableAt
+		}
 		t.lastAttempt = max(t.lastAttempt, x.Attempt)
 		switch {
 		case x.Born != 0 && v.born > x.Born:
@@ -136,6 +139,6 @@
 func (r *run) startRecord(leaseExpired bool) job.TaskStart {
 	return job.TaskStart{
 		Occurrence: r.task.Occurrence, Step: r.task.Step, Task: r.task.Index, Attempt: r.attempt,
-		VM: r.vm.id, Born: r.vm.born, LeaseExpired: leaseExpired,
+		VM: r.vm.id, Born: r.vm.born, LeaseExpired: leaseExpired, StableAt: r.stableClock,
 	}
 }
--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -197,12 +197,13 @@
 // applyRunning applies one entry of the list of running tasks.
 func (s *Scheduler) applyRunning(now time.Time, v *vmState, clock job.VMClock, e *job.RunningTask) {
 	r := v.runs.Get(runKey{e.Task, e.Attempt})
-	if r != nil && r.onlyRecorded() {
-		s.release(now, r)
-		r = nil
-	}
 	if r == nil {
-		s.adoptRun(now, v, clock, e)
+		s.adoptRun(now, v, clock, e, 0)
+		return
+	}
+	if r.onlyRecorded() {
+		s.release(now, r)
+		s.adoptRun(now, v, clock, e, r.stableClock)
 		return
 	}
 	r.lastListCount = v.listCount
@@ -233,13 +234,17 @@
 }
 
 // adoptRun adds a run that this owner hasn't ordered. Either a former owner ordered it,
-// or it is no longer wanted.
-func (s *Scheduler) adoptRun(now time.Time, v *vmState, clock job.VMClock, e *job.RunningTask) {
+// or it is no longer wanted. stableClock is when a record says that it is stable, or 0.
+func (s *Scheduler) adoptRun(now time.Time, v *vmState, clock job.VMClock, e *job.RunningTask, stableClock job.VMClock) {
 	j, _, st, t := s.task(e.Task)
 	r := &run{
 		task: e.Task, attempt: e.Attempt, vm: v, phase: runConfirmed, confirmedClock: clock,
 		orderedAt: now, confirmedAt: now, percent: e.Percent, load: e.Load,
 		pacePercent: 100, adopted: true, unknownJob: j == nil, lastListCount: v.listCount,
+		stableClock: stableClockAfter(clock),
+	}
+	if stableClock > 0 {
+		r.stableClock = min(r.stableClock, stableClock)
 	}
 	if j != nil {
 		r.reservation, r.quotaUsage, r.account = st.def.Reservation(), st.def.Resources, j.Terms.Account
@@ -261,6 +266,8 @@
 	}
 	s.markBegun(j)
 	s.updateAvailability(r)
+	s.recordStability(r)
+	s.clearCrashes(r)
 }
 
 // applyMissing handles a run that is missing from a list. It frees the run only if the
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -252,6 +252,8 @@
 		r.progressAt = now
 	}
 	r.confirmedClock = max(r.confirmedClock, clock)
+	r.stableClock = stableClockAfter(clock)
+	s.recordStability(r)
 	if r.confirmedByNewLife() && v.clock.Known() {
 		// The VM has restarted, and this owner knows the clock of the previous life only.
 		// The new life grants a full lease, whatever that clock says.
--- a/core/schedule/state.go
+++ b/core/schedule/state.go
@@ -41,9 +41,12 @@
 	startBy job.VMClock
 	// confirmedClock is the VM's clock reading when it last reported the run.
 	confirmedClock job.VMClock
-	orderedAt      time.Time
-	confirmedAt    time.Time
-	percent        int
+	// stableClock is the reading of the VM's clock from which the run is stable, or 0 if the VM
+	// has not confirmed the run.
+	stableClock job.VMClock
+	orderedAt   time.Time
+	confirmedAt time.Time
+	percent     int
 	// load is the tail latency in milliseconds of a task that serves users, and the CPU
 	// usage of other tasks.
 	load int64
--- a/core/schedule/vm.go
+++ b/core/schedule/vm.go
@@ -187,7 +187,7 @@
 			continue
 		}
 		r.setPhase(runUnanswered)
-		r.confirmedClock = 0
+		r.confirmedClock, r.stableClock = 0, 0
 		s.stopRun(now, r, "VM restarted")
 	}
 	v.restartLeaseEnd = v.lastStartExecution(now).Add(lease.Longest(s.settings.LeaseMax))
