core/schedule: runs of lost VMs are forgotten at a stored time

What callers see: a long-running task whose VMs leave for good isn't started any more, if owners change more often than every 30 s.

Cause: a run whose VM's lease expired is remembered for 30 s, since the VM may have crashed, and each owner counts them from its takeover. With shorter tenures they are never forgotten, and add up; at four, the task waits until it is known what became of them (mayReachCrashLimit). Evidence: TestRunsOfLostVMsAreForgottenDespiteOwnerChanges, tenures of 4 s, on the code before: crashowner_test.go:77: assertion failed: ok is false: the task stays away after 5 lost VMs

Change: the record of such a start says until when it is remembered. Its core form is a time of the owner's clock; io/node stores it as a time of the table's clock (forget_at) and converts it back, so that the next owner forgets the run no earlier, and later by no more than the readings of the clock took. Rows without it, of older releases or of an owner without a reading, count from the takeover as before. Older releases read the rows as before.

Tests: the one above, TestExpiredRunIsForgottenAtStoredTime, and three in io/node for the row. TestLaterSaveReplacesEarlier looks at the same field in the type that is now stored.

--- a/core/job/state.go
+++ b/core/job/state.go
@@ -1,5 +1,7 @@
 package job
 
+import "time"
+
 // State is the state of a job as shown to callers.
 type State int
 
@@ -77,6 +79,9 @@
 	// StableAt is the reading of the VM's clock from which the run counts as stable; 0 until the
 	// VM has confirmed the run.
 	StableAt VMClock `json:"stable_at,omitempty"`
+	// ForgetAt is when the run is forgotten if LeaseExpired is set, or zero if that isn't known. It
+	// is a time of the owner's clock, so it isn't part of the encoding.
+	ForgetAt time.Time `json:"-"`
 }
 
 // StepDone lists the tasks of a step that succeeded.
--- a/core/schedule/crash_test.go
+++ b/core/schedule/crash_test.go
@@ -236,7 +236,7 @@
 	former := c.s
 	c.s = New(Settings{
 		Fence: former.settings.Fence + 1, AttemptBase: former.settings.AttemptBase + 100, TakeoverTime: c.now,
-		LeaseMax: 6 * time.Second, TaskStopMax: 400 * time.Millisecond, MachineLease: 3 * time.Second, OrderIssuer: "here",
+		LeaseMax: 6 * time.Second, FormerLease: 6 * time.Second, TaskStopMax: 400 * time.Millisecond, MachineLease: 3 * time.Second, OrderIssuer: "here",
 	})
 	c.s.Configure(former.config)
 	c.s.SetRights(former.rights)
--- a/core/schedule/crashowner_test.go
+++ b/core/schedule/crashowner_test.go
@@ -60,3 +60,70 @@
 		assert.Equal(t, !h.s.jobs.Get("j").occurrences[0].steps[0].tasks[0].crashes.any(), c.forgotten, name)
 	}
 }
+
+// Guards against a long-running task that never starts again because each owner waits anew for lost VMs.
+func TestRunsOfLostVMsAreForgottenDespiteOwnerChanges(t *testing.T) {
+	const tenure, maxAbsence = 4 * time.Second, 45 * time.Second
+	task := job.TaskID{Job: "j"}
+	vms := []string{"one", "two", "three", "four", "five", "six", "seven"}
+	c := newCrashHarness(t, vms...)
+	step := job.Step{Count: 1, Resources: smallStep.Resources, LongRunning: true}
+	c.addJob("j", "free", step)
+	for n := range vms {
+		o, ok := c.startOf(task)
+		for end := c.now.Add(maxAbsence); !ok && c.now.Before(end); o, ok = c.startWithin(task, tenure) {
+			c.takeOver("j", step)
+		}
+		assert.Assert(t, ok, "the task stays away after %d lost VMs", n)
+		c.confirm(o)
+		c.lose(o.VM)
+	}
+}
+
+// Guards against a lost VM that is remembered for longer than stored, or not at all without a time.
+func TestExpiredRunIsForgottenAtStoredTime(t *testing.T) {
+	for name, c := range map[string]struct{ stored, want time.Duration }{
+		"stored time":  {stored: 2 * time.Second, want: 2 * time.Second},
+		"past time":    {stored: -time.Second},
+		"without time": {want: expiredRunRetention},
+	} {
+		h := newHarness(t)
+		start := job.TaskStart{Attempt: 7, VM: "one", Born: 1, LeaseExpired: true}
+		if c.stored != 0 {
+			start.ForgetAt = h.now.Add(c.stored)
+		}
+		p := job.Progress{State: job.Running, VMs: []job.VMID{"one"}, Started: []job.TaskStart{start}}
+		h.s.AddInheritedVM(RosterVM{ID: "one", Address: "one", Pool: poolA, Machine: "m-one", Born: 1})
+		h.s.AddJob(h.now, newTestJob("j", smallStep), &p, true)
+		task := &h.s.jobs.Get("j").occurrences[0].steps[0].tasks[0]
+		h.advance(c.want)
+		assert.Equal(t, len(task.expiredRuns) > 0, c.want > 0, name)
+		h.advance(100 * time.Millisecond)
+		assert.Equal(t, len(task.expiredRuns), 0, name)
+	}
+}
+
+// lose makes a VM leave for good without a word.
+func (c *crashHarness) lose(vm job.VMID) {
+	delete(c.lives, vm)
+	c.s.VMUnlisted(c.now, vm)
+}
+
+// startWithin returns the start of a task, or false if there is none within d. VMs that have left
+// don't answer.
+func (c *crashHarness) startWithin(task job.TaskID, d time.Duration) (Start, bool) {
+	for end := c.now.Add(d); c.now.Before(end); {
+		for _, o := range commandsOfType[Start](c.advance(100 * time.Millisecond)) {
+			if o.Order.Task == task {
+				return o, true
+			}
+		}
+		c.answerAllHolds()
+		for id := range c.s.vms.All() {
+			if c.lives[id] == nil {
+				c.s.HoldAnswered(c.now, Hold{VM: id}, Unanswered, job.Report{})
+			}
+		}
+	}
+	return Start{}, false
+}
--- a/core/schedule/recorded.go
+++ b/core/schedule/recorded.go
@@ -20,14 +20,14 @@
 	s.forgetExpiredRuns(v)
 }
 
-// addExpiredRun remembers a run that is freed because its VM's lease has expired.
-func (s *Scheduler) addExpiredRun(now time.Time, r *run) {
+// addExpiredRun remembers until forgetAt a run that was freed because its VM's lease has expired.
+func (s *Scheduler) addExpiredRun(r *run, forgetAt time.Time) {
 	j, _, _, t := s.task(r.task)
 	if t == nil || j.over() {
 		return
 	}
 	r.vm.expiredRuns = append(r.vm.expiredRuns, r)
-	r.vm.expiredRunsUntil = now.Add(expiredRunRetention)
+	r.vm.expiredRunsUntil = later(r.vm.expiredRunsUntil, forgetAt)
 	t.expiredRuns = append(t.expiredRuns, r)
 	s.markDirty(j)
 }
@@ -96,13 +96,21 @@
 		case x.Born != 0 && v.born > x.Born:
 			s.countCrash(now, r)
 		case x.LeaseExpired:
-			s.addExpiredRun(now, r)
+			s.addExpiredRun(r, restoredForgetAt(now, x))
 		default:
 			s.addRun(now, r, st, t)
 		}
 	}
 }
 
+// restoredForgetAt returns when a run whose lease expired under a former owner is forgotten.
+func restoredForgetAt(now time.Time, x job.TaskStart) time.Time {
+	if x.ForgetAt.IsZero() {
+		return now.Add(expiredRunRetention)
+	}
+	return x.ForgetAt
+}
+
 // onlyRecorded reports whether the run is known only from a former owner's record.
 func (r *run) onlyRecorded() bool { return r.adopted && r.phase == runUnanswered }
 
@@ -131,7 +139,9 @@
 		}
 	}
 	for _, r := range t.expiredRuns {
-		p.Started = append(p.Started, r.startRecord(true))
+		x := r.startRecord(true)
+		x.ForgetAt = r.vm.expiredRunsUntil
+		p.Started = append(p.Started, x)
 	}
 }
 
--- a/core/schedule/vm.go
+++ b/core/schedule/vm.go
@@ -269,7 +269,7 @@
 	if v.lifeEnded {
 		s.countCrash(now, r)
 	} else {
-		s.addExpiredRun(now, r)
+		s.addExpiredRun(r, now.Add(expiredRunRetention))
 	}
 	s.freeWithUnknownEnd(now, r, "lease expired")
 }
--- a/io/node/load.go
+++ b/io/node/load.go
@@ -183,7 +183,8 @@
 
 func (o *owner) decodeProgress(rows []platform.Row) map[job.ID]*job.Progress {
 	progress := map[job.ID]*job.Progress{}
-	for key, p := range decodeRows[job.Progress](rows, o.log) {
+	for key, r := range decodeRows[progressRow](rows, o.log) {
+		p := r.progress(&o.tenure.clock)
 		progress[job.ID(key)] = &p
 	}
 	return progress
--- a/io/node/node_test.go
+++ b/io/node/node_test.go
@@ -132,7 +132,7 @@
 	}
 	kept := latestChanges(saves, &tableClock{})
 	assert.Equal(t, len(kept), 1)
-	assert.Equal(t, kept[0].value.(job.Progress).State, job.Completed)
+	assert.Equal(t, kept[0].value.(progressRow).State, job.Completed)
 }
 
 // newJobStore returns a store whose table has just answered.
--- a/io/node/rowchange.go
+++ b/io/node/rowchange.go
@@ -18,7 +18,7 @@
 func rowChangeFor(c schedule.Command, clock *tableClock) rowChange {
 	switch c := c.(type) {
 	case schedule.Save:
-		return rowChange{progressKey(c.Job), c.Progress}
+		return rowChange{progressKey(c.Job), newProgressRow(c.Progress, clock)}
 	case schedule.SaveVM:
 		return rowChange{vmKey(c.VM.ID), newVMRow(c.VM, clock)}
 	case schedule.DropVM:
