--- a/core/schedule/command.go
+++ b/core/schedule/command.go
@@ -44,6 +44,8 @@
 	VM    job.VMID
 	Order job.HoldOrder
 	Probe bool
+	// Direct is set if the hold must not be forwarded by a relay, which may have lost an order.
+	Direct bool
 }
 
 // Save stores a job's progress. Saves must be stored in the order of Sequence.
--- a/core/schedule/formerowner_test.go
+++ b/core/schedule/formerowner_test.go
@@ -65,7 +65,13 @@
 	h.loseOrderRight()
 	for range 110 {
 		h.answerHold("one", nil)
-		assert.Equal(t, len(commandsOfType[Start](h.advance(100*time.Millisecond))), 0)
+		commands := h.advance(100 * time.Millisecond)
+		assert.Equal(t, len(commandsOfType[Start](commands)), 0)
+		for _, c := range commandsOfType[Hold](commands) {
+			if c.VM == "unreported" {
+				h.s.HoldAnswered(h.now, c, Unanswered, job.Report{})
+			}
+		}
 	}
 	h.s.SetRights(Rights{OrderMachines: true, StartTasks: true, ExtendLeases: true})
 	h.answerHold("one", nil)
--- a/core/schedule/hold.go
+++ b/core/schedule/hold.go
@@ -80,7 +80,7 @@
 	s.applyLists(now, v, r)
 	if !v.reported && len(r.Finished) < maxListedEnds {
 		v.reported, v.firstReportedAt = true, now
-		v.inheritedUntil = time.Time{}
+		v.inheritedUntil, v.restartLeaseEnd = time.Time{}, time.Time{}
 	}
 	v.nextHoldAt = now.Add(minHoldInterval)
 	if len(v.unsavedEnds) > 0 {
--- a/core/schedule/inheritedlease.go
+++ b/core/schedule/inheritedlease.go
@@ -51,9 +51,12 @@
 }
 
 // expireInherited forgets the jobs whose tasks can't run on the VM any more, and frees the runs that
-// are known from a record. It makes no difference whether the VM was found silent: it has never
-// answered this owner.
+// are known from a record, whether or not the VM was found silent. A VM that has answered, but not
+// reported all of its runs and ends, is an exception: its lease may have been extended.
 func (s *Scheduler) expireInherited(now time.Time, v *vmState) {
+	if v.clock.Known() && !(v.silent && v.leaseExpired(now)) {
+		return
+	}
 	maps.DeleteFunc(v.inheritedJobs, func(_ job.ID, end time.Time) bool { return !now.Before(end) })
 	if !now.Before(v.inheritedUntil) {
 		v.inheritedUntil = time.Time{}
--- a/core/schedule/inheritedlease_test.go
+++ b/core/schedule/inheritedlease_test.go
@@ -152,3 +152,23 @@
 	at := o.playUntilStart(30 * time.Second)
 	assert.Assert(t, !at.Before(lease.OlderReleaseLeaseEnd(first, 10*time.Second)))
 }
+
+// Guards against a task that runs again because its end isn't among the 500 that its VM lists.
+func TestJobWaitsForAllEndsOfVMThatAnswers(t *testing.T) {
+	h := newHarness(t)
+	end := h.now.Add(time.Second)
+	l := &RosterLease{End: end, Jobs: map[job.ID]time.Time{"j": end}}
+	h.s.AddInheritedVM(RosterVM{ID: "one", Address: "one", Pool: poolA, Machine: "m-one", Born: 1, Lease: l})
+	h.addReadyVMs("two")
+	h.listVM("one")
+	h.s.AddJob(h.now, newTestJob("j", smallStep), &job.Progress{State: job.Running, VMs: []job.VMID{"one"}}, true)
+	var ends []job.End
+	for n := range int64(maxListedEnds) {
+		ends = append(ends, job.End{Number: n + 1, Task: job.TaskID{Job: "other", Index: int(n)}, How: job.EndedDone})
+	}
+	for h.now.Before(end.Add(time.Second)) {
+		h.answerHold("one", nil, ends...)
+		h.answerHold("two", nil)
+		assert.Equal(t, len(commandsOfType[Start](h.advance(50*time.Millisecond))), 0)
+	}
+}
--- a/core/schedule/probe.go
+++ b/core/schedule/probe.go
@@ -19,27 +19,28 @@
 // Meanwhile a VM that is unreachable would be given more tasks, which can't be freed for
 // the whole of its lease. So a VM that leaves a start unanswered gets no more tasks until
 // it answers, and a probe asks what it runs. A run that isn't on the list is stopped
-// explicitly, which keeps it from beginning later, and its task then starts elsewhere.
+// explicitly, which keeps it from beginning later, and its task then starts elsewhere. A probe also
+// asks for the answer that a planned start requires.
 func (s *Scheduler) checkUnanswered(now time.Time, v *vmState) {
 	v.unresponsive = false
 	if v.orderedRuns == 0 && v.stoppingRuns == 0 && !v.answerRequired {
 		return
 	}
-	needed := v.answerRequired
+	unanswered := false
 	for _, r := range v.runs.All() {
 		switch {
 		case r.phase == runOrdered && now.Sub(r.orderedAt) > startAnswerTimeout:
-			needed = true
+			unanswered = true
 			v.unresponsive = v.unresponsive || v.lastAnswer.Before(r.orderedAt)
 		case r.stopAccepted():
-			needed = true
+			unanswered = true
 		}
 	}
-	if !needed || v.probeInFlight || now.Before(v.probedAt.Add(probeInterval)) || !s.rights.ExtendLeases {
+	if !(unanswered || v.answerRequired) || v.probeInFlight || now.Before(v.probedAt.Add(probeInterval)) || !s.rights.ExtendLeases {
 		return
 	}
 	v.probeInFlight, v.probedAt = true, now
-	s.emit(Hold{VM: v.id, Probe: true, Order: job.HoldOrder{Fence: v.fence}})
+	s.emit(Hold{VM: v.id, Probe: true, Direct: unanswered, Order: job.HoldOrder{Fence: v.fence}})
 }
 
 // stopAccepted reports whether the VM has accepted the stop of an unanswered start. The
@@ -66,7 +67,8 @@
 	}
 }
 
-// recentAnswerPeriod is how recently a VM must have answered to be given a long-running task.
+// recentAnswerPeriod is how recently a VM must have answered to be given a long-running task. It must
+// be longer than an owner's round, since an answer is acted on in the next round.
 const recentAnswerPeriod = 100 * time.Millisecond
 
 // requireAnswer makes the start of a long-running task wait for an answer of the VM if the last one
@@ -88,9 +90,9 @@
 		return
 	}
 	v.answerRequired = false
-	v.suspectUntil = now.Add(noAnswerPause)
 	for _, r := range v.runs.All() {
 		if r.phase == runPlanned && r.awaitsAnswer(now) {
+			v.suspectUntil = now.Add(noAnswerPause)
 			s.release(now, r)
 			s.stopGang(now, r)
 		}
--- a/core/schedule/probe_test.go
+++ b/core/schedule/probe_test.go
@@ -106,7 +106,7 @@
 	h.now = h.now.Add(time.Second)
 	h.addJob("l", "free", job.Step{Count: 1, Resources: job.Resources{CPU: 1000, MemMB: 100}, LongRunning: true})
 	lost := onlyCommand[Hold](h, h.advance(0))
-	assert.Assert(t, lost.Probe)
+	assert.Assert(t, lost.Probe && !lost.Direct, "the path of the start counts")
 	h.s.HoldAnswered(h.now, lost, Unanswered, job.Report{})
 	commands := h.advance(0)
 	assert.Equal(t, len(commandsOfType[Start](commands)), 0)
@@ -135,3 +135,15 @@
 	h.answerProbe(probe)
 	assert.Equal(t, len(commandsOfType[Start](h.advance(0))), 1)
 }
+
+// Guards against a VM that is paused because it left a probe unanswered for which nothing waits.
+func TestFailedProbeWithoutPlannedStartPausesNoVM(t *testing.T) {
+	h := newHarness(t)
+	h.addReadyVMs("one")
+	h.now = h.now.Add(time.Second)
+	h.addJob("l", "free", job.Step{Count: 1, Resources: job.Resources{CPU: 1000, MemMB: 100}, LongRunning: true})
+	probe := onlyCommand[Hold](h, h.advance(0))
+	h.s.Cancel(h.now, "l")
+	h.s.HoldAnswered(h.now, probe, Unanswered, job.Report{})
+	assert.Assert(t, h.s.usable(h.now, h.s.vms.Get("one")))
+}
--- a/core/schedule/restart_test.go
+++ b/core/schedule/restart_test.go
@@ -247,3 +247,28 @@
 	}
 	assert.Equal(t, len(again), 1)
 }
+
+// Guards against a second run: a restarted VM answers once, before it executes a start late, and is
+// cut off.
+func TestStartOnRestartedVMThatAnsweredOnceIsAwaited(t *testing.T) {
+	h := newHarness(t)
+	h.now = h.now.Add(20 * time.Second)
+	h.addReadyVMs("one")
+	h.addJob("j", "free", smallStep)
+	start := onlyCommand[Start](h, h.advance(0))
+	ordered := h.now
+	h.s.StartAnswered(h.now, start, Unanswered, job.Report{})
+	h.now = h.now.Add(500 * time.Millisecond)
+	h.s.HoldAnswered(h.now, Hold{VM: "one"}, Answered, job.Report{Clock: 50, Born: 2})
+	h.addReadyVMs("two")
+	for h.now.Sub(ordered) < maxOrderDelay+lease.Longest(h.s.settings.LeaseMax)-100*time.Millisecond {
+		commands := h.advance(100 * time.Millisecond)
+		assert.Equal(t, len(commandsOfType[Start](commands)), 0, "%s after the order", h.now.Sub(ordered))
+		h.answerHold("two", nil)
+		for _, c := range commandsOfType[Hold](commands) {
+			if c.VM == "one" {
+				h.s.HoldAnswered(h.now, c, Unanswered, job.Report{})
+			}
+		}
+	}
+}
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -22,7 +22,7 @@
 }
 
 // readyToSend reports whether the save that a planned start requires is stored, and its VM has
-// answered recently if that is required.
+// answered recently if that is required. If only the answer is missing, it asks for one.
 func (s *Scheduler) readyToSend(now time.Time, r *run) bool {
 	if r.requiredSave > s.storedSequence {
 		return false
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -76,7 +76,7 @@
 	// finishedJobs holds the jobs that are over but not yet forgotten.
 	finishedJobs []*jobState
 	// plannedStarts and pendingOrders are starts of tasks and orders for machines that wait
-	// until a save is stored.
+	// until a save is stored. Starts may also wait for an answer of their VM.
 	plannedStarts []*run
 	pendingOrders []pendingOrder
 	// recentOrders holds the machines that were given an order recently.
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -36,7 +36,7 @@
 func (v *vmState) unreported() bool { return !v.reported && !v.inheritedUntil.IsZero() }
 
 // nothingDue reports whether the VM needs no work in this round: its hold is in flight,
-// and no start or stop waits for an answer.
+// and no start or stop waits for an answer or requires one.
 func (v *vmState) nothingDue() bool {
 	return v.holdInFlight && v.listed && !v.silent && !v.unresponsive && v.orderedRuns == 0 && v.stoppingRuns == 0 && !v.answerRequired && v.spareCPURuns == 0 && len(v.lostStarts) == 0
 }
--- a/core/schedule/vm.go
+++ b/core/schedule/vm.go
@@ -238,20 +238,17 @@
 
 // leaseExpired reports whether the lease of a silent VM has certainly expired.
 func (v *vmState) leaseExpired(now time.Time) bool {
-	if !v.clock.Known() {
-		over := v.leaseOver()
-		return !over.IsZero() && !now.Before(over)
-	}
-	return v.clock.Earliest(now) > v.leaseEnd+clockSlack
+	over := v.leaseOver()
+	return !over.IsZero() && now.After(over)
 }
 
-// leaseOver returns the time from which leaseExpired holds if the VM stays silent, or zero if no
+// leaseOver returns when the lease of the VM has certainly expired if it stays silent, or zero if no
 // lease is known.
 func (v *vmState) leaseOver() time.Time {
 	if !v.clock.Known() {
 		return later(v.inheritedUntil, v.restartLeaseEnd)
 	}
-	return v.clock.SurelyAt(v.leaseEnd + clockSlack)
+	return later(v.clock.SurelyAt(v.leaseEnd+clockSlack), v.restartLeaseEnd)
 }
 
 // freeExpiredRuns frees the runs of a VM whose lease has expired.
@@ -297,7 +294,7 @@
 	for len(v.lostStarts) > 0 && now.Sub(v.lostStarts[0].orderedAt) > maxOrderDelay {
 		v.lostStarts = v.lostStarts[1:]
 	}
-	gone := !v.listed && v.runs.Len() == 0 && !now.Before(v.inheritedUntil) && now.Sub(v.lastAnswer) > forgetAfter && now.Sub(v.unlistedAt) > forgetAfter
+	gone := !v.listed && v.runs.Len() == 0 && v.inheritedUntil.IsZero() && now.Sub(v.lastAnswer) > forgetAfter && now.Sub(v.unlistedAt) > forgetAfter
 	if gone && !v.holdInFlight && len(v.expiredRuns) == 0 && len(v.lostStarts) == 0 {
 		s.vms.Delete(v.id)
 		s.dirtyVMs = append(s.dirtyVMs, v.id)
--- a/core/schedule/vmstate.go
+++ b/core/schedule/vmstate.go
@@ -135,8 +135,8 @@
 	// inheritedUntil is when no run of a former owner can remain here if the VM stays silent.
 	// It is zero once the VM's runs are known.
 	inheritedUntil time.Time
-	// restartLeaseEnd is when no run can remain here any more if the VM restarted and hasn't
-	// answered since.
+	// restartLeaseEnd is when no run can remain here any more if the VM has restarted. It is zero
+	// once the VM's runs are known.
 	restartLeaseEnd time.Time
 	// inheritedJobs holds the jobs whose tasks a former owner may have left here, with the time
 	// until which they may run. nil stands for any job until inheritedUntil.
--- a/io/node/execute.go
+++ b/io/node/execute.go
@@ -88,10 +88,9 @@
 	return relaySender{relays: r.owner.relays, relay: relay, vm: id, address: address, direct: direct}
 }
 
-// holdSenderFor returns the sender for a hold. A probe goes to the VM directly: it follows
-// up an order without an answer, and the relay may be the reason for that.
+// holdSenderFor returns the sender for a hold.
 func (r *orderRouter) holdSenderFor(now time.Time, c schedule.Hold) orderSender {
-	if c.Probe {
+	if c.Direct {
 		return directSender{r.client(c.VM)}
 	}
 	return r.senderFor(now, c.VM)
