io/node: the owner passes on every kind of save

What operators saw: nothing that tells; after each change of the owner the run times of queues, and with fair shares what accounts had held, were unknown, though docs/design say that they are kept. The owner's switch over commands didn't name SaveShares and SaveRunTimes, so both were dropped on the deployed path; the emulator, whose tests show them kept, names them. Found while looking for the same class (what an owner knows ends with it).

All commands with a sequence are passed on now. TestEveryKindOfSaveIsCommitted fails before.

--- a/io/node/commit_test.go
+++ b/io/node/commit_test.go
@@ -51,6 +51,17 @@
 	assert.Assert(t, rows >= 2000, "%d rows", rows)
 }
 
+// Guards against a kind of save that the owner never passes on, so that the next owner knows nothing of it.
+func TestEveryKindOfSaveIsCommitted(t *testing.T) {
+	saves := []schedule.Command{
+		schedule.Save{}, schedule.SaveVM{}, schedule.DropVM{}, schedule.SaveWave{}, schedule.SaveOrder{}, schedule.DropOrder{},
+		schedule.SaveShares{}, schedule.SaveRunTimes{},
+	}
+	o := &owner{committer: newCommitter(nil)}
+	o.execute(t.Context(), saves)
+	assert.DeepEqual(t, o.committer.queue, saves)
+}
+
 // Checks that a VM that is saved and dropped in one transaction has its row removed, not
 // written.
 func TestDroppedVMRowIsRemoved(t *testing.T) {
--- a/io/node/execute.go
+++ b/io/node/execute.go
@@ -107,9 +107,11 @@
 	var saves []schedule.Command
 	now := bootNow()
 	for _, c := range commands {
-		switch c := c.(type) {
-		case schedule.Save, schedule.SaveVM, schedule.DropVM, schedule.SaveWave, schedule.SaveOrder, schedule.DropOrder:
+		if _, isSave := schedule.SequenceOf(c); isSave {
 			saves = append(saves, c)
+			continue
+		}
+		switch c := c.(type) {
 		case schedule.Start:
 			vm := o.router.senderFor(now, c.VM)
 			o.workers.Go(func() { o.start(ctx, vm, c) })
