--- a/core/schedule/inheritedlease.go
+++ b/core/schedule/inheritedlease.go
@@ -12,7 +12,7 @@
 // inheritLease sets until when a former owner's tasks may run on the VM, and of which jobs. Rows of
 // a former owner of an older release may hold a lease that it extended since, so they are replaced.
 func (s *Scheduler) inheritLease(v *vmState) {
-	v.inheritedUntil = s.inheritedLeaseEnd()
+	v.inheritedUntil = s.formerLeaseEnd()
 	l := v.rosterEntry.Lease
 	switch {
 	case l == nil:
@@ -27,17 +27,17 @@
 	}
 }
 
-// inheritedLeaseEnd returns when the leases have ended that the former owner granted on VMs that
+// formerLeaseEnd returns when the leases have ended that the former owner granted on VMs that
 // this owner doesn't reach.
-func (s *Scheduler) inheritedLeaseEnd() time.Time {
+func (s *Scheduler) formerLeaseEnd() time.Time {
 	if s.settings.FormerLease == 0 {
 		return lease.OlderReleaseLeaseEnd(s.settings.TakeoverTime, s.settings.LeaseMax)
 	}
 	return lease.InheritedLeaseEnd(s.settings.TakeoverTime, s.settings.FormerLease)
 }
 
-// inheritedEnd returns until when a former owner's tasks of the job may run on the VM.
-func (v *vmState) inheritedEnd(id job.ID) time.Time {
+// inheritedEndOf returns until when a former owner's tasks of the job may run on the VM.
+func (v *vmState) inheritedEndOf(id job.ID) time.Time {
 	if v.inheritedJobs == nil {
 		return v.inheritedUntil
 	}
@@ -47,7 +47,7 @@
 // mayRunInherited reports whether a former owner's tasks of the job may run on the VM, which has
 // not reported to this owner yet.
 func (v *vmState) mayRunInherited(id job.ID) bool {
-	return v.unreported() && !v.inheritedEnd(id).IsZero()
+	return v.unreported() && !v.inheritedEndOf(id).IsZero()
 }
 
 // expireInherited forgets the jobs whose tasks can't run on the VM any more, and frees the runs that
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -95,7 +95,7 @@
 	}
 	if j.blockedBy != v.id {
 		j.blockedBy = v.id
-		s.reportDecision(Decision{Kind: JobBlocked, Job: j.ID, VM: v.id, Reason: "may run on a silent VM", Wait: v.inheritedEnd(j.ID).Sub(now)})
+		s.reportDecision(Decision{Kind: JobBlocked, Job: j.ID, VM: v.id, Reason: "may run on a silent VM", Wait: v.inheritedEndOf(j.ID).Sub(now)})
 	}
 	return true
 }
--- a/core/schedule/vm.go
+++ b/core/schedule/vm.go
@@ -24,9 +24,10 @@
 	forgetAfter = 3 * time.Second
 )
 
-// maxOrderDelay is the period after sending an order within which a VM may still execute it if
-// it was not answered. The start's deadline doesn't prevent a late execution on a VM that
-// crashed and restarted under the same ID, because its clock starts again from zero.
+// maxOrderDelay is the period after sending an order within which a VM may still execute it, or
+// begin the run that it starts, if it was not answered. The start's deadline doesn't prevent a late
+// execution on a VM that crashed and restarted under the same ID, because its clock starts again
+// from zero.
 const maxOrderDelay = 13 * time.Second
 
 // rackLabelPrefix is the prefix of rack labels.
--- a/core/schedule/vmstate.go
+++ b/core/schedule/vmstate.go
@@ -139,7 +139,7 @@
 	// once the VM's runs are known.
 	restartLeaseEnd time.Time
 	// inheritedJobs holds the jobs whose tasks a former owner may have left here, with the time
-	// until which they may run. nil stands for any job until inheritedUntil.
+	// until which they may run. If it is nil, any job's may run until inheritedUntil.
 	inheritedJobs map[job.ID]time.Time
 	// storedLease is what the VM's entry in the roster says of its lease. The lease may be extended
 	// once the save leaseSave is stored, which removes an earlier one.
