--- a/core/schedule/inheritedlease.go
+++ b/core/schedule/inheritedlease.go
@@ -54,7 +54,7 @@
 // are known from a record, whether or not the VM was found silent. A VM that has answered, but not
 // reported all of its runs and ends, is an exception: its lease may have been extended.
 func (s *Scheduler) expireInherited(now time.Time, v *vmState) {
-	if v.clock.Known() && !(v.silent && v.leaseExpired(now)) {
+	if v.clock.Known() && (!v.silent || !v.leaseExpired(now)) {
 		return
 	}
 	maps.DeleteFunc(v.inheritedJobs, func(_ job.ID, end time.Time) bool { return !now.Before(end) })
--- a/core/schedule/probe.go
+++ b/core/schedule/probe.go
@@ -36,7 +36,8 @@
 			unanswered = true
 		}
 	}
-	if !(unanswered || v.answerRequired) || v.probeInFlight || now.Before(v.probedAt.Add(probeInterval)) || !s.rights.ExtendLeases {
+	needed := unanswered || v.answerRequired
+	if !needed || v.probeInFlight || now.Before(v.probedAt.Add(probeInterval)) || !s.rights.ExtendLeases {
 		return
 	}
 	v.probeInFlight, v.probedAt = true, now
