review/2: a job of tasks that last is shown as failed after three crashes of its rack

Breaks LOST: "... or it is shown as `failed` or `cancelled` without cause (only ends `failed` count as attempts)", and its part on tasks that last.

Order of events: a job of four tasks that last runs on the four workers of one rack; the rack crashes three times, 5 s apart, and is back 1.5 s later each time; with the third crash each of its tasks is given up, and the job with them; nothing starts it again.

--- a/review/driver/client.go
+++ b/review/driver/client.go
@@ -21,6 +21,11 @@
 	MemMB       int64 `json:"mem_mb"`
 	EstimatedMS int64 `json:"estimated_ms"`
 	After       []int `json:"after,omitempty"`
+	MaxPerVM    int   `json:"max_per_server,omitempty"`
+	LongRunning bool  `json:"long_running,omitempty"`
+	MayMiss     *int  `json:"may_miss,omitempty"`
+	// Requires is the label that the worker must have.
+	Requires string `json:"requirements,omitempty"`
 }
 
 // submission is the body of a submission.
--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -21,6 +21,7 @@
 type scenario func(w *world, trouble bool) ([]string, error)
 
 var scenarios = map[string]scenario{
+	"crashes":  playCrashes,
 	"schedule": playLongSchedule,
 	"takeover": playTakeover,
 }
--- a/review/driver/worker.go
+++ b/review/driver/worker.go
@@ -21,16 +21,25 @@
 	workersPerRack = 4
 	// stopTime is how long a task takes to stop, within stop_grace_ms.
 	stopTime = 50 * time.Millisecond
+	// startup is how long a task that lasts takes until it is at work.
+	startup = 300 * time.Millisecond
 	// workerTick is how often a worker looks for runs that are due to end.
 	workerTick = 5 * time.Millisecond
 	// heartbeat is heartbeat_ms, how often a worker writes its entry.
 	heartbeat = 1500 * time.Millisecond
 )
 
+// Kinds of workers, which are labels: those of the first rack are of another kind than the others.
+const (
+	kindOfFirstRack = "b"
+	kindOfOthers    = "a"
+)
+
 // taskSpec is the spec of the jobs of the cases: what a task of theirs needs and does.
 type taskSpec struct {
 	CPU   int64 `json:"cpu"`
 	MemMB int64 `json:"mem_mb"`
+	// RunMS is how long the task runs; 0 for one that lasts.
 	RunMS int64 `json:"run_ms"`
 }
 
@@ -40,12 +49,14 @@
 	id         string
 	machine    string
 	zone       string
-	rack       string
+	kind, rack string
 	address    string
-	born       time.Time
 	cpu, memMB int64
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// born is the start of the worker's present life. While it is down it answers nothing.
+	born     time.Time
+	down     bool
 	fence    int64
 	leaseEnd int64
 	sequence int64
@@ -57,11 +68,10 @@
 }
 
 type workerRun struct {
-	task    string
-	attempt int64
-	spec    taskSpec
-	endsAt  time.Time
-	stopAt  time.Time
+	task              string
+	attempt           int64
+	spec              taskSpec
+	startedAt, stopAt time.Time
 }
 
 type workerEnd struct {
@@ -94,10 +104,15 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	status, out := v.execute(r.URL.Path, o)
+	life := v.life()
+	status, out := v.execute(r.URL.Path, o, life)
 	if r.URL.Path == "/hold" && status == http.StatusOK && o.Wait > 0 {
 		v.awaitEnd(r, o)
-		status, out = v.execute(r.URL.Path, o)
+		status, out = v.execute(r.URL.Path, o, life)
+	}
+	if status == 0 {
+		<-r.Context().Done()
+		return
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
@@ -118,9 +133,24 @@
 	}
 }
 
-func (v *worker) execute(path string, o workerOrder) (int, map[string]any) {
+// life returns the start of the worker's present life, or zero while it is down.
+func (v *worker) life() time.Time {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if v.down {
+		return time.Time{}
+	}
+	return v.born
+}
+
+// execute carries out an order that arrived in the given life. Status 0 means that there is no
+// answer, because that life is over.
+func (v *worker) execute(path string, o workerOrder, life time.Time) (int, map[string]any) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.down || !life.Equal(v.born) {
+		return 0, nil
+	}
 	v.endDue()
 	out := map[string]any{"clock_ms": v.clock(), "born": v.born.UnixMilli()}
 	if o.Fence < v.fence {
@@ -146,8 +176,7 @@
 		}
 		running, finished := [][]any{}, [][]any{}
 		for _, r := range v.runs {
-			percent := max(0, min(99, 100-100*time.Until(r.endsAt).Milliseconds()/max(1, r.spec.RunMS)))
-			running = append(running, []any{r.task, r.attempt, "", percent, r.spec.CPU})
+			running = append(running, []any{r.task, r.attempt, "", r.percent(), r.spec.CPU})
 		}
 		for _, e := range v.ended[:min(len(v.ended), maxListedEnds)] {
 			finished = append(finished, []any{e.number, e.task, e.attempt, e.how, ""})
@@ -160,6 +189,22 @@
 	return http.StatusOK, out
 }
 
+// percent returns the progress of a run. A task that lasts is at work after a short startup.
+func (r *workerRun) percent() int64 {
+	if r.spec.RunMS == 0 {
+		if time.Since(r.startedAt) < startup {
+			return 0
+		}
+		return 100
+	}
+	return min(99, 100*time.Since(r.startedAt).Milliseconds()/r.spec.RunMS)
+}
+
+// done reports whether the run has come to its end.
+func (r *workerRun) done(now time.Time) bool {
+	return r.spec.RunMS > 0 && now.Sub(r.startedAt).Milliseconds() >= r.spec.RunMS
+}
+
 // extend moves the lease's end, which applies to everything that runs here.
 func (v *worker) extend(deadline int64) {
 	v.leaseEnd = max(v.leaseEnd, min(deadline, v.clock()+maxLeaseMS))
@@ -185,7 +230,7 @@
 	if cpu > v.cpu || mem > v.memMB {
 		return "room"
 	}
-	v.runs[o.Task] = &workerRun{task: o.Task, attempt: o.Attempt, spec: s, endsAt: time.Now().Add(time.Duration(s.RunMS) * time.Millisecond)}
+	v.runs[o.Task] = &workerRun{task: o.Task, attempt: o.Attempt, spec: s, startedAt: time.Now()}
 	v.w.runStarted(v, o.Task, o.Attempt)
 	return ""
 }
@@ -195,7 +240,7 @@
 	now, lapsed := time.Now(), v.clock() > v.leaseEnd
 	var due []string
 	for name, r := range v.runs {
-		if lapsed || now.After(r.endsAt) || (!r.stopAt.IsZero() && now.After(r.stopAt)) {
+		if lapsed || r.done(now) || (!r.stopAt.IsZero() && now.After(r.stopAt)) {
 			due = append(due, name)
 		}
 	}
@@ -205,7 +250,7 @@
 		switch {
 		case lapsed:
 			how = "lapsed"
-		case !now.After(r.endsAt):
+		case !r.done(now):
 			how = "stopped"
 		}
 		delete(v.runs, name)
@@ -221,9 +266,12 @@
 	next := time.Now()
 	for !v.w.closed() {
 		v.mu.Lock()
-		v.endDue()
+		if !v.down {
+			v.endDue()
+		}
+		down := v.down
 		v.mu.Unlock()
-		if now := time.Now(); !now.Before(next) {
+		if now := time.Now(); !down && !now.Before(next) {
 			next = now.Add(heartbeat)
 			v.writeEntry()
 		}
@@ -231,12 +279,32 @@
 	}
 }
 
+// crash ends the worker's life. It answers nothing for the time, and is then back under its ID with
+// nothing of before.
+func (v *worker) crash(down time.Duration) {
+	v.mu.Lock()
+	v.w.logf("DISRUPTION worker %s crashes and is silent for %s", v.id, down)
+	v.down = true
+	for _, r := range v.runs {
+		v.w.runEnded(v, r.task, r.attempt, "lost")
+	}
+	v.runs, v.ended, v.highest = map[string]*workerRun{}, nil, map[string]int64{}
+	v.fence, v.leaseEnd, v.sequence, v.numEnds = 0, 0, 0, 0
+	v.mu.Unlock()
+	time.Sleep(down)
+	v.mu.Lock()
+	v.born, v.down = time.Now(), false
+	v.mu.Unlock()
+	v.w.logf("worker %s is back", v.id)
+	v.writeEntry()
+}
+
 func (v *worker) writeEntry() {
 	v.mu.Lock()
 	v.sequence++
 	entry := fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":8,"state":"ready","cold_left_ms":0,`+
-		`"capacity":{"cpu":%d,"mem_mb":%d,"gpu":0},"labels":["a",%q],"machine":%q,"clock_ms":%d,"born":%d,"seq_num":%d}`,
-		servicePool, v.address, v.zone, v.cpu, v.memMB, v.rack, v.machine, v.clock(), v.born.UnixMilli(), v.sequence)
+		`"capacity":{"cpu":%d,"mem_mb":%d,"gpu":0},"labels":[%q,%q],"machine":%q,"clock_ms":%d,"born":%d,"seq_num":%d}`,
+		servicePool, v.address, v.zone, v.cpu, v.memMB, v.kind, v.rack, v.machine, v.clock(), v.born.UnixMilli(), v.sequence)
 	v.mu.Unlock()
 	v.w.table.Put(platform.RowKey{Table: platform.VMTable, Key: v.id}, []byte(entry))
 }
@@ -244,10 +312,13 @@
 // addWorkers starts n workers on machines of their own, four a rack.
 func (w *world) addWorkers(n int, cpu, memMB int64) error {
 	for i := range n {
-		rack := i / workersPerRack
+		rack, kind := i/workersPerRack, kindOfOthers
+		if rack == 0 {
+			kind = kindOfFirstRack
+		}
 		zone := zones[rack%len(zones)]
 		v := &worker{
-			w: w, id: fmt.Sprintf("worker-%02d.%s.%s.qld-south.example", i, servicePool, zone), machine: fmt.Sprintf("m-%02d", i), zone: zone,
+			w: w, id: fmt.Sprintf("worker-%02d.%s.%s.qld-south.example", i, servicePool, zone), machine: fmt.Sprintf("m-%02d", i), zone: zone, kind: kind,
 			rack: fmt.Sprintf("r%d-%d", rack%len(zones)+1, rack), cpu: cpu, memMB: memMB, born: time.Now(),
 			runs: map[string]*workerRun{}, highest: map[string]int64{},
 		}
--- a/review/driver/world.go
+++ b/review/driver/world.go
@@ -69,6 +69,10 @@
 	// done. active counts the runs that are on workers, of each job and of all.
 	begun, done, active map[string]int
 	running             int
+	// taskRuns counts the runs of each task that are on workers, and lastRun is when the last one
+	// of them ended.
+	taskRuns map[string]int
+	lastRun  map[string]time.Time
 }
 
 func newWorld(recordFile string) (*world, error) {
@@ -83,6 +87,7 @@
 	w := &world{
 		folder: folder, table: standin.NewTable(), machines: &standin.Machines{}, started: time.Now(), file: f, record: bufio.NewWriter(f),
 		begun: map[string]int{}, done: map[string]int{}, active: map[string]int{},
+		taskRuns: map[string]int{}, lastRun: map[string]time.Time{},
 	}
 	if w.machinesAddress, err = w.serve(w.machines); err != nil {
 		return nil, err
@@ -153,6 +158,7 @@
 	w.begun[jobOf(task)]++
 	w.active[jobOf(task)]++
 	w.running++
+	w.taskRuns[task]++
 	w.writeLine("worker %s: start %s attempt %d", v.id, task, attempt)
 }
 
@@ -161,6 +167,8 @@
 	defer w.mu.Unlock()
 	w.active[jobOf(task)]--
 	w.running--
+	w.taskRuns[task]--
+	w.lastRun[task] = time.Now()
 	if how == "done" {
 		w.done[jobOf(task)]++
 	}
@@ -175,6 +183,13 @@
 	return w.begun[id], w.done[id], w.active[id], w.running
 }
 
+// taskActive reports whether a task runs on a worker, and when its last run ended.
+func (w *world) taskActive(task string) (active bool, lastRun time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.taskRuns[task] > 0, w.lastRun[task]
+}
+
 func (w *world) noteTransaction(size int) { raise(&w.largestCall, int64(size)) }
 
 func (w *world) notePeak(mb int) { raise(&w.peakMB, int64(mb)) }
