--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -44,6 +44,7 @@
 		return exitNotRun
 	}
 	defer w.close()
+	w.endOnSignal()
 	broken, err := play(w, os.Getenv("TROUBLE") != "0")
 	switch {
 	case err != nil:
--- a/review/driver/world.go
+++ b/review/driver/world.go
@@ -6,9 +6,11 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -122,6 +124,18 @@
 
 func (w *world) closed() bool { return w.ended.Load() }
 
+// endOnSignal makes a signal that ends this process end all processes that it started as well.
+func (w *world) endOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	var g supervisor.Group
+	g.Go(func() {
+		<-signals
+		w.close()
+		os.Exit(exitNotRun)
+	})
+}
+
 // close ends all processes and servers that the world started.
 func (w *world) close() {
 	w.ended.Store(true)
