io/node: log why a transaction of the owner fails, with its entries and bytes

The logs didn't tell why: failed attempts of the owner's transactions were debug lines without their size. Three hypotheses:

1. the table refuses the transaction for its size, and it is repeated unchanged 2. the table doesn't answer in time (load), so that ownership runs out 3. jobs wait for VMs on which a former owner may have started them

transaction_failed now has the error, the attempt, entries and bytes.

--- a/io/node/commit.go
+++ b/io/node/commit.go
@@ -58,7 +58,9 @@
 	// memory measures this process; it may be nil.
 	memory        *memoryMeter
 	recordLatency func(d time.Duration)
-	health        *tableHealth
+	// count increments a counter.
+	count  func(name string)
+	health *tableHealth
 	// forecast returns the forecast to store now, if one is due; it may be nil.
 	forecast func() (admission.Forecast, bool)
 
@@ -262,11 +264,22 @@
 			// fast.
 			supervisor.Sleep(ctx, minOverdueDelay)
 		}
-		c.log.Debug().Err(err).Int64("batch", c.batch).Msg("transaction attempt failed, retrying")
+		c.logFailedAttempt(err, attempt, tx)
 	}
 	return context.Cause(ctx)
 }
 
+// logFailedAttempt counts a failed attempt. It logs the first one and then each time that the number
+// of attempts has doubled.
+func (c *committer) logFailedAttempt(err error, attempt int, tx platform.Transaction) {
+	c.count("transaction_failed")
+	if attempt&(attempt+1) != 0 {
+		return
+	}
+	c.log.Warn().Err(err).Str("event", "transaction_failed").Int64("batch", c.batch).Int("attempt", attempt+1).
+		Int("entries", tx.Entries()).Int("bytes", tx.Size()).Send()
+}
+
 func (c *committer) apply(ctx context.Context, tx platform.Transaction, timeout time.Duration) (platform.Version, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
--- a/io/node/node_test.go
+++ b/io/node/node_test.go
@@ -67,7 +67,7 @@
 func newCommitter(table *platform.Table) *committer {
 	return &committer{
 		table: table, tenure: &tenure{runID: "me", fence: 10}, log: zerolog.Nop(), renewal: 10,
-		backlog: func() map[job.QueueName]int { return nil }, recordLatency: func(time.Duration) {}, health: &tableHealth{},
+		backlog: func() map[job.QueueName]int { return nil }, recordLatency: func(time.Duration) {}, count: func(string) {}, health: &tableHealth{},
 	}
 }
 
--- a/io/node/owner.go
+++ b/io/node/owner.go
@@ -75,6 +75,7 @@
 		entries:       func() int { return o.relays.memberCount() },
 		memory:        &memoryMeter{},
 		recordLatency: func(d time.Duration) { n.metrics.recordDuration("table_commit", d) },
+		count:         n.metrics.count,
 		health:        &n.health,
 	}
 	o.outlook.startTenure(t.number)
