io/node: a batch of saves is divided by its bytes, too

Cause: a batch was bounded by its rows alone. After a takeover each start of an inherited job is recorded before it is sent, 110 bytes a task, so 60 jobs of 180 tasks that come due together are a transaction of 1.67 MB. The table refuses more than 1 MB, and store repeated it unchanged; each next owner built the same one.

Change: the rows of a batch are encoded once and grouped into transactions of at most 800 kB; the rest is for renewal and forecast, one row each. Rows keep the order of their last saves. Nothing waits for a part of a batch: it is reported as stored with its last transaction, as a sequence that was split by its rows always was.

--- a/io/node/commit.go
+++ b/io/node/commit.go
@@ -181,11 +181,11 @@
 	return c.memory.megabytes(bootNow())
 }
 
-// transaction builds the transaction that stores the saves. Its conditions require the
+// transaction builds the transaction that stores the updates. Its conditions require the
 // owner's row and the last renewal to be unchanged. The first condition keeps a former
 // owner from writing. The second keeps an earlier transaction whose answer was lost from
 // being applied after this one and undoing it.
-func (c *committer) transaction(saves []schedule.Command) (platform.Transaction, error) {
+func (c *committer) transaction(updates []rowUpdate) (platform.Transaction, error) {
 	tx := platform.Transaction{Conditions: []platform.Condition{
 		{RowKey: ownerKey, Version: c.tenure.fence},
 		{RowKey: renewalKey, Version: c.renewal},
@@ -197,20 +197,8 @@
 	}
 	tx.Writes = append(tx.Writes, platform.Write{RowKey: renewalKey, Value: value})
 	c.addForecast(&tx)
-	changes, skipped := limitUsage(latestChanges(saves, &c.tenure.clock))
-	if skipped > 0 {
-		c.log.Info().Str("event", "usage_unstored").Int("pools", skipped).Send()
-	}
-	for _, change := range changes {
-		if change.value == nil {
-			tx.Removals = append(tx.Removals, change.key)
-			continue
-		}
-		value, err := encodeRow(change.value)
-		if err != nil {
-			return tx, err
-		}
-		tx.Writes = append(tx.Writes, platform.Write{RowKey: change.key, Value: value})
+	for i := range updates {
+		updates[i].addTo(&tx)
 	}
 	return tx, nil
 }
@@ -233,12 +221,27 @@
 	tx.Writes = append(tx.Writes, platform.Write{RowKey: forecastKey, Value: value})
 }
 
-// store applies one transaction and retries it as often as necessary. It returns
-// errOwnershipLost once the ownership is lost. If ctx ends before the transaction is known to be
-// stored, it returns the cause.
+// store stores saves, in as many transactions as their size requires. Each of them renews the
+// ownership. It returns errOwnershipLost once the ownership is lost. If ctx ends before everything
+// is known to be stored, it returns the cause.
 func (c *committer) store(ctx context.Context, saves []schedule.Command) error {
+	updates, err := c.encodeUpdates(saves)
+	if err != nil {
+		return err
+	}
+	for _, group := range groupUpdates(updates) {
+		if err := c.storeGroup(ctx, group); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// storeGroup applies the transaction that stores a group of updates and retries it as often as
+// necessary.
+func (c *committer) storeGroup(ctx context.Context, group []rowUpdate) error {
 	c.batch++
-	tx, err := c.transaction(saves)
+	tx, err := c.transaction(group)
 	if err != nil {
 		return err
 	}
--- a/io/node/node_test.go
+++ b/io/node/node_test.go
@@ -71,6 +71,13 @@
 	}
 }
 
+// encodedUpdates returns what the committer stores of saves.
+func encodedUpdates(t *testing.T, c *committer, saves []schedule.Command) []rowUpdate {
+	updates, err := c.encodeUpdates(saves)
+	assert.NilError(t, err)
+	return updates
+}
+
 // conflictAnswer is the table's answer to a failed condition, with the given version of
 // the owner row and the given value of the renewal row.
 func conflictAnswer(fence int, renewal string) string {
