io/node, core/schedule: a row that the table refuses for good stops one thing only

What callers see: any transaction that the table refuses for good (400, 403, 413) was repeated unchanged by each owner, nothing else was stored, no ownership renewed and no task of any job started.

Change: a refused group is stored in halves, down to the row that is refused. That row is set aside with a log line and a counter, and from then on stored apart from the others.

--- a/core/schedule/assign.go
+++ b/core/schedule/assign.go
@@ -21,7 +21,7 @@
 	s.countPossibleUsage(now)
 	waiting := poolQueues{}
 	for _, j := range s.jobs.All() {
-		if !j.over() {
+		if !j.over() && !j.refused.any() {
 			s.enqueue(waiting, j)
 		}
 	}
--- a/core/schedule/command.go
+++ b/core/schedule/command.go
@@ -280,6 +280,7 @@
 	JobBlocked        DecisionKind = "job_blocked"
 	JobPlaced         DecisionKind = "job_placed"
 	JobEnded          DecisionKind = "job_ended"
+	JobUnstored       DecisionKind = "job_unstored"
 	JobCancelled      DecisionKind = "job_cancelled"
 	TaskOrdered       DecisionKind = "task_ordered"
 	TaskNotBegun      DecisionKind = "task_not_begun"
--- a/core/schedule/hold.go
+++ b/core/schedule/hold.go
@@ -157,9 +157,9 @@
 }
 
 // advanceAcknowledged acknowledges the ends whose saves are stored.
-func (v *vmState) advanceAcknowledged(stored int64) {
+func (s *Scheduler) advanceAcknowledged(v *vmState) {
 	n := 0
-	for n < len(v.unsavedEnds) && v.unsavedEnds[n].save <= stored {
+	for n < len(v.unsavedEnds) && s.endStored(v.unsavedEnds[n]) {
 		v.acknowledgedEnd = v.unsavedEnds[n].endNumber
 		n++
 	}
--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -48,15 +48,15 @@
 	if !s.applyEnd(now, v, e) {
 		s.reportRedundantEnd(v, e)
 	}
-	save := s.saveSequenceOf(e.Task.Job)
-	if save <= s.storedSequence && len(v.unsavedEnds) == 0 {
+	end := unsavedEnd{endNumber: e.Number, job: e.Task.Job, save: s.saveSequenceOf(e.Task.Job)}
+	if s.endStored(end) && len(v.unsavedEnds) == 0 {
 		v.acknowledgedEnd = e.Number
 		return
 	}
 	if len(v.unsavedEnds) == 0 {
 		s.unsavedVMs = append(s.unsavedVMs, v)
 	}
-	v.unsavedEnds = append(v.unsavedEnds, unsavedEnd{endNumber: e.Number, save: save})
+	v.unsavedEnds = append(v.unsavedEnds, end)
 }
 
 // reportRedundantEnd reports an end that changes nothing, because its job is over, its task is
--- a/core/schedule/save.go
+++ b/core/schedule/save.go
@@ -60,10 +60,11 @@
 // waited for them.
 func (s *Scheduler) SavesStored(now time.Time, sequence int64) {
 	s.storedSequence = max(s.storedSequence, sequence)
+	s.releaseStoredJobs()
 	s.sendPlannedStarts(now)
 	s.sendPendingOrders(now)
 	s.unsavedVMs = slices.DeleteFunc(s.unsavedVMs, func(v *vmState) bool {
-		v.advanceAcknowledged(s.storedSequence)
+		s.advanceAcknowledged(v)
 		return len(v.unsavedEnds) == 0
 	})
 	s.dropFinishedJobs()
@@ -73,7 +74,7 @@
 // still run.
 func (s *Scheduler) dropFinishedJobs() {
 	s.finishedJobs = slices.DeleteFunc(s.finishedJobs, func(j *jobState) bool {
-		if j.lastSave > s.storedSequence || j.hasRuns() {
+		if j.lastSave > s.storedSequence || j.refused.any() || j.hasRuns() {
 			return false
 		}
 		s.jobs.Delete(j.ID)
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -76,6 +76,8 @@
 	storedSequence int64
 	// finishedJobs holds the jobs that are over but not yet forgotten.
 	finishedJobs []*jobState
+	// refusedJobs are the jobs whose progress the table refuses to store.
+	refusedJobs []*jobState
 	// plannedStarts and pendingOrders are starts of tasks and orders for machines that wait
 	// until a save is stored. Starts may also wait for an answer of their VM.
 	plannedStarts []*run
--- a/core/schedule/secondrun.go
+++ b/core/schedule/secondrun.go
@@ -56,7 +56,7 @@
 // one. A task has two runs at most.
 func (s *Scheduler) atRisk(now time.Time, r *run) (runAtRisk, bool) {
 	j, _, st, t := s.task(r.task)
-	if t == nil || !s.maySecondRun(st.def) || j.over() || t.done || len(t.runs) > 1 {
+	if t == nil || !s.maySecondRun(st.def) || j.over() || j.refused.any() || t.done || len(t.runs) > 1 {
 		return runAtRisk{}, false
 	}
 	// A task under which a VM has crashed, or may have, is started once at a time.
--- a/core/schedule/state.go
+++ b/core/schedule/state.go
@@ -225,6 +225,8 @@
 	// sequence of its last save.
 	dirty    bool
 	lastSave int64
+	// refused tells whether the table refuses the job's progress.
+	refused refusedSaves
 	// endedAt is when the job ended.
 	endedAt time.Time
 	// possibleVMs maps each VM on which a task may have been started to the save that records
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -26,6 +26,7 @@
 	s.stopOnDraining(now)
 	s.relocateEvacuated(now)
 	s.forgetEnded(now)
+	s.retryRefusedSaves(now)
 	s.pruneOrders(now)
 	s.advanceWaves(now)
 	s.sizePools(now)
--- a/core/schedule/vm.go
+++ b/core/schedule/vm.go
@@ -237,7 +237,7 @@
 // usable reports whether new tasks may start on the VM.
 func (s *Scheduler) usable(now time.Time, v *vmState) bool {
 	paused := v.unresponsive || v.slow(now) || now.Before(v.suspectUntil) || now.Before(v.fullUntil)
-	return v.acceptsTasks() && !v.cordoned() && !v.departing && !paused && v.rosterSave <= s.storedSequence && v.unknownRuns == 0 && v.isolatedRuns == 0 && s.capacityKnown(now, v)
+	return v.acceptsTasks() && !v.cordoned() && !v.departing && !paused && v.rosterSave <= s.storedSequence && !v.rosterRefused && v.unknownRuns == 0 && v.isolatedRuns == 0 && s.capacityKnown(now, v)
 }
 
 // freeCapacity returns the VM's unused capacity. It is negative if the capacity has shrunk
--- a/core/schedule/vmstate.go
+++ b/core/schedule/vmstate.go
@@ -114,6 +114,8 @@
 	// it. Tasks may start on the VM once that is stored.
 	rosterEntry RosterVM
 	rosterSave  int64
+	// rosterRefused is set once the table has refused the entry for good.
+	rosterRefused bool
 	// waveCordoned VMs get no new tasks because their machine is due for maintenance.
 	waveCordoned bool
 	// departing VMs leave because their machine is ordered into another pool. They are idle and
@@ -158,5 +160,6 @@
 // unsavedEnd is an end that may be acknowledged once the save with the sequence save is stored.
 type unsavedEnd struct {
 	endNumber int64
+	job       job.ID
 	save      int64
 }
--- a/io/node/batch_test.go
+++ b/io/node/batch_test.go
@@ -1,15 +1,22 @@
 package node
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
+	"io"
+	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"lavenderpond/core/fairshare"
 	"lavenderpond/core/job"
 	"lavenderpond/core/schedule"
 	"lavenderpond/platform"
@@ -78,3 +85,88 @@
 		assert.Equal(t, len(r.Started), tasks)
 	}
 }
+
+// refusingTable refuses each transaction that contains a row of refused, as a table does whose
+// limits aren't known.
+type refusingTable struct {
+	*standin.Table
+	refused map[platform.RowKey]bool
+	status  int
+
+	mu sync.Mutex
+	// refusals counts the refused transactions.
+	refusals int
+}
+
+func (r *refusingTable) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	body, err := io.ReadAll(req.Body)
+	if err != nil {
+		return
+	}
+	var tx platform.Transaction
+	if req.Method == http.MethodPost && json.Unmarshal(body, &tx) == nil && r.refuses(&tx) {
+		r.mu.Lock()
+		r.refusals++
+		r.mu.Unlock()
+		w.WriteHeader(r.status)
+		return
+	}
+	req.Body = io.NopCloser(bytes.NewReader(body))
+	r.Table.ServeHTTP(w, req)
+}
+
+func (r *refusingTable) refuses(tx *platform.Transaction) bool {
+	return slices.ContainsFunc(tx.Writes, func(w platform.Write) bool { return r.refused[w.RowKey] })
+}
+
+// jobSaves returns a save of each of n jobs.
+func jobSaves(n int, sequence int64) []schedule.Command {
+	var out []schedule.Command
+	for i := range n {
+		out = append(out, schedule.Save{Sequence: sequence, Job: job.ID(fmt.Sprintf("%016x", i)), Progress: job.Progress{State: job.Running}})
+	}
+	return out
+}
+
+// Guards against an owner that repeats a refused transaction for good, so that nothing else is stored and its ownership ends.
+func TestRefusedRowStopsNothingElse(t *testing.T) {
+	const jobs, refusedJob = 40, 17
+	for _, status := range []int{http.StatusBadRequest, http.StatusForbidden, http.StatusRequestEntityTooLarge} {
+		saves := jobSaves(jobs, 1)
+		refused := saves[refusedJob].(schedule.Save)
+		server := &refusingTable{Table: standin.NewTable(), refused: map[platform.RowKey]bool{progressKey(refused.Job): true}, status: status}
+		s := httptest.NewServer(server)
+		t.Cleanup(s.Close)
+		table := platform.NewTable(strings.TrimPrefix(s.URL, "http://"))
+		c := newOwningCommitter(t, table)
+		var setAside []schedule.Command
+		c.onRefused = func(x schedule.Command) { setAside = append(setAside, x) }
+		c.add(saves)
+		runUntilStored(t, c, 1)
+		assert.DeepEqual(t, setAside, []schedule.Command{refused})
+		rows, _, err := table.ListAll(t.Context(), progressTable, mainPartition)
+		assert.NilError(t, err)
+		assert.Equal(t, len(rows), jobs-1, "status %d", status)
+		assert.Assert(t, c.tenure.mayStartTasks(bootNow()))
+
+		before := server.refusals
+		c.add(jobSaves(jobs, 2))
+		runUntilStored(t, c, 2)
+		assert.Equal(t, server.refusals, before+1, "a row that was refused is stored apart from the others")
+	}
+}
+
+// Guards against a row that can't be encoded, which would end each tenure.
+func TestRowThatCannotBeEncodedStopsNothingElse(t *testing.T) {
+	_, table := newTableServer(t)
+	c := newOwningCommitter(t, table)
+	var setAside []schedule.Command
+	c.onRefused = func(x schedule.Command) { setAside = append(setAside, x) }
+	broken := schedule.SaveShares{Sequence: 1, Pool: "p", Usage: fairshare.StoredUsage{StoredAt: time.Date(10_000, 1, 1, 0, 0, 0, 0, time.UTC)}}
+	c.add([]schedule.Command{broken, schedule.Save{Sequence: 1, Job: "j"}})
+	runUntilStored(t, c, 1)
+	assert.Equal(t, len(setAside), 1)
+	row, _, err := table.Get(t.Context(), progressKey("j"))
+	assert.NilError(t, err)
+	assert.Assert(t, row != nil)
+}
--- a/io/node/commit.go
+++ b/io/node/commit.go
@@ -47,6 +47,11 @@
 	renewal platform.Version
 	batch   int64
 	latency latencyEstimator
+	// onRefused is called for each save that the table refuses for good, before onStored is called
+	// for its sequence.
+	onRefused func(save schedule.Command)
+	// refusedRows are the rows whose last update was refused for good.
+	refusedRows map[platform.RowKey]bool
 	// onStored is called after each transaction with the last sequence that is stored
 	// completely.
 	onStored func(sequence int64)
@@ -225,11 +230,7 @@
 // ownership. It returns errOwnershipLost once the ownership is lost. If ctx ends before everything
 // is known to be stored, it returns the cause.
 func (c *committer) store(ctx context.Context, saves []schedule.Command) error {
-	updates, err := c.encodeUpdates(saves)
-	if err != nil {
-		return err
-	}
-	for _, group := range groupUpdates(updates) {
+	for _, group := range c.groupUpdates(c.encodeUpdates(saves)) {
 		if err := c.storeGroup(ctx, group); err != nil {
 			return err
 		}
@@ -237,9 +238,32 @@
 	return nil
 }
 
-// storeGroup applies the transaction that stores a group of updates and retries it as often as
-// necessary.
+// storeGroup stores a group of updates. A group that the table refuses for good is stored in halves,
+// down to the single row that it refuses, so that this row keeps no other waiting.
 func (c *committer) storeGroup(ctx context.Context, group []rowUpdate) error {
+	err := c.applyGroup(ctx, group)
+	if !platform.RefusedForGood(err) {
+		return err
+	}
+	switch n := len(group); n {
+	case 0:
+		// Nothing can be left out of a renewal.
+		supervisor.Sleep(ctx, refusedRetryDelay)
+		return nil
+	case 1:
+		c.setAside(&group[0], err)
+		return nil
+	default:
+		if err := c.storeGroup(ctx, group[:n/2]); err != nil {
+			return err
+		}
+		return c.storeGroup(ctx, group[n/2:])
+	}
+}
+
+// applyGroup applies the transaction that stores a group of updates. It retries until the outcome is
+// known, unless the table refuses the transaction for good.
+func (c *committer) applyGroup(ctx context.Context, group []rowUpdate) error {
 	c.batch++
 	tx, err := c.transaction(group)
 	if err != nil {
@@ -257,9 +281,13 @@
 		switch {
 		case err == nil:
 			c.recordStored(firstSent, sent, version)
+			c.forgetRefusals(group)
 			return nil
 		case errors.As(err, &conflict):
 			return c.resolveConflict(firstSent, sent, conflict)
+		case platform.RefusedForGood(err):
+			c.logFailedAttempt(err, attempt, tx)
+			return err
 		case refused:
 			supervisor.Sleep(ctx, refusedRetryDelay)
 		case bootNow().Sub(sent) < minOverdueDelay:
@@ -321,6 +349,13 @@
 	return nil
 }
 
+// forgetRefusals records that a group of updates is stored.
+func (c *committer) forgetRefusals(group []rowUpdate) {
+	for i := range group {
+		delete(c.refusedRows, group[i].key)
+	}
+}
+
 // recordStored records that the transaction was applied. firstSent is when the first call
 // that may have applied the transaction was sent, and sent is when the call whose answer
 // confirms it was sent.
--- a/io/node/commit_test.go
+++ b/io/node/commit_test.go
@@ -40,7 +40,7 @@
 		if len(saves) == 0 {
 			break
 		}
-		tx, err := c.transaction(encodedUpdates(t, c, saves))
+		tx, err := c.transaction(c.encodeUpdates(saves))
 		assert.NilError(t, err)
 		assert.Assert(t, len(tx.Writes)+len(tx.Conditions) <= platform.MaxTransactionRows)
 		for _, w := range tx.Writes {
@@ -66,7 +66,7 @@
 // written.
 func TestDroppedVMRowIsRemoved(t *testing.T) {
 	c := newCommitter(nil)
-	tx, err := c.transaction(encodedUpdates(t, c, []schedule.Command{
+	tx, err := c.transaction(c.encodeUpdates([]schedule.Command{
 		schedule.SaveVM{Sequence: 1, VM: schedule.RosterVM{ID: "v"}}, schedule.DropVM{Sequence: 2, VM: "v"},
 	}))
 	assert.NilError(t, err)
@@ -90,7 +90,7 @@
 	}
 	saves, last := c.nextBatch()
 	assert.Equal(t, last, sequence)
-	tx, err := c.transaction(encodedUpdates(t, c, saves))
+	tx, err := c.transaction(c.encodeUpdates(saves))
 	assert.NilError(t, err)
 	assert.Equal(t, len(tx.Writes), maxBatchRows+1)
 }
--- a/io/node/event.go
+++ b/io/node/event.go
@@ -27,6 +27,8 @@
 	directoryRead struct{ asOf time.Time }
 	// savesStored reports that all saves up to sequence are in the table.
 	savesStored struct{ sequence int64 }
+	// saveRefused reports that the table refuses a save for good.
+	saveRefused struct{ save schedule.Command }
 	// startAnswered, stopAnswered and holdAnswered carry the answers of VMs.
 	startAnswered struct {
 		order   schedule.Start
@@ -73,6 +75,7 @@
 func (vmRowsChanged) event()    {}
 func (directoryRead) event()    {}
 func (savesStored) event()      {}
+func (saveRefused) event()      {}
 func (startAnswered) event()    {}
 func (stopAnswered) event()     {}
 func (holdAnswered) event()     {}
--- a/io/node/node_test.go
+++ b/io/node/node_test.go
@@ -68,16 +68,10 @@
 	return &committer{
 		table: table, tenure: &tenure{runID: "me", fence: 10}, log: zerolog.Nop(), renewal: 10,
 		backlog: func() map[job.QueueName]int { return nil }, recordLatency: func(time.Duration) {}, count: func(string) {}, health: &tableHealth{},
+		onRefused: func(schedule.Command) {},
 	}
 }
 
-// encodedUpdates returns what the committer stores of saves.
-func encodedUpdates(t *testing.T, c *committer, saves []schedule.Command) []rowUpdate {
-	updates, err := c.encodeUpdates(saves)
-	assert.NilError(t, err)
-	return updates
-}
-
 // conflictAnswer is the table's answer to a failed condition, with the given version of
 // the owner row and the given value of the renewal row.
 func conflictAnswer(fence int, renewal string) string {
--- a/io/node/owner.go
+++ b/io/node/owner.go
@@ -71,6 +71,7 @@
 	o.committer = &committer{
 		table: n.table, tenure: t, log: n.log, renewal: renewal, wake: make(chan struct{}, 1),
 		onStored:      func(s int64) { o.send(ctx, savesStored{s}) },
+		onRefused:     func(c schedule.Command) { o.send(ctx, saveRefused{c}) },
 		backlog:       o.backlog.get,
 		entries:       func() int { return o.relays.memberCount() },
 		memory:        &memoryMeter{},
@@ -251,6 +252,8 @@
 		s.DirectoryRead(e.asOf)
 	case savesStored:
 		s.SavesStored(now, e.sequence)
+	case saveRefused:
+		s.SaveRefused(now, e.save)
 	case startAnswered:
 		s.StartAnswered(now, e.order, e.outcome, e.report)
 	case stopAnswered:
--- a/io/node/rowchange.go
+++ b/io/node/rowchange.go
@@ -12,27 +12,28 @@
 type rowChange struct {
 	key   platform.RowKey
 	value any
+	save  schedule.Command
 }
 
 // rowChangeFor returns the row change of a save. Times are stored as times of the table's clock.
 func rowChangeFor(c schedule.Command, clock *tableClock) rowChange {
 	switch c := c.(type) {
 	case schedule.Save:
-		return rowChange{progressKey(c.Job), newProgressRow(c.Progress, clock)}
+		return rowChange{progressKey(c.Job), newProgressRow(c.Progress, clock), c}
 	case schedule.SaveVM:
-		return rowChange{vmKey(c.VM.ID), newVMRow(c.VM, clock)}
+		return rowChange{vmKey(c.VM.ID), newVMRow(c.VM, clock), c}
 	case schedule.DropVM:
-		return rowChange{vmKey(c.VM), nil}
+		return rowChange{vmKey(c.VM), nil, c}
 	case schedule.SaveWave:
-		return rowChange{waveKey(c.Wave), waveRow{Done: c.Done}}
+		return rowChange{waveKey(c.Wave), waveRow{Done: c.Done}, c}
 	case schedule.SaveOrder:
-		return rowChange{machineOrderKey(c.Order.Machine), newOrderRow(c.Order, clock)}
+		return rowChange{machineOrderKey(c.Order.Machine), newOrderRow(c.Order, clock), c}
 	case schedule.DropOrder:
-		return rowChange{machineOrderKey(c.Machine), nil}
+		return rowChange{machineOrderKey(c.Machine), nil, c}
 	case schedule.SaveShares:
-		return rowChange{shareKey(c.Pool), c.Usage}
+		return rowChange{shareKey(c.Pool), c.Usage, c}
 	case schedule.SaveRunTimes:
-		return rowChange{runTimeKey(c.Queue), c.RunTimes}
+		return rowChange{runTimeKey(c.Queue), c.RunTimes, c}
 	}
 	panic("command is not a save")
 }
--- a/io/node/shares_test.go
+++ b/io/node/shares_test.go
@@ -52,7 +52,7 @@
 	}
 	saves, last := c.nextBatch()
 	assert.Equal(t, last, int64(79), "usage keeps no other save waiting")
-	tx, err := c.transaction(encodedUpdates(t, c, saves))
+	tx, err := c.transaction(c.encodeUpdates(saves))
 	assert.NilError(t, err)
 	body, err := json.Marshal(tx)
 	assert.NilError(t, err)
