io/node: a row beyond the table's limit is divided into parts

What callers see: a job whose progress is larger than row_bytes, such as one of very many tasks after a takeover, is refused by the table for good.

Change: the value of such a row is written as a header and parts, each a row of its own, in one transaction. The header has the job's state, so that entry VMs show the job with the one read that they make. Readers of the owner's tables join the parts, and fail (and read again) if one is missing. A shorter value removes the parts that it no longer needs, also under the next owner.

--- a/io/node/commit.go
+++ b/io/node/commit.go
@@ -52,6 +52,8 @@
 	onRefused func(save schedule.Command)
 	// refusedRows are the rows whose last update was refused for good.
 	refusedRows map[platform.RowKey]bool
+	// rowBytes is the largest value of a row that the table accepts; 0 if it isn't known.
+	rowBytes int
 	// onStored is called after each transaction with the last sequence that is stored
 	// completely.
 	onStored func(sequence int64)
@@ -71,6 +73,8 @@
 
 	mu    sync.Mutex
 	queue []schedule.Command
+	// parts holds the number of stored parts of each divided row.
+	parts map[platform.RowKey]int
 	wake  chan struct{}
 }
 
@@ -281,10 +285,14 @@
 		switch {
 		case err == nil:
 			c.recordStored(firstSent, sent, version)
-			c.forgetRefusals(group)
+			c.recordGroup(group)
 			return nil
 		case errors.As(err, &conflict):
-			return c.resolveConflict(firstSent, sent, conflict)
+			err := c.resolveConflict(firstSent, sent, conflict)
+			if err == nil {
+				c.recordGroup(group)
+			}
+			return err
 		case platform.RefusedForGood(err):
 			c.logFailedAttempt(err, attempt, tx)
 			return err
@@ -349,13 +357,6 @@
 	return nil
 }
 
-// forgetRefusals records that a group of updates is stored.
-func (c *committer) forgetRefusals(group []rowUpdate) {
-	for i := range group {
-		delete(c.refusedRows, group[i].key)
-	}
-}
-
 // recordStored records that the transaction was applied. firstSent is when the first call
 // that may have applied the transaction was sent, and sent is when the call whose answer
 // confirms it was sent.
--- a/io/node/load.go
+++ b/io/node/load.go
@@ -59,7 +59,7 @@
 	var errs [4]error
 	var g supervisor.Group
 	read := func(err *error, rows *[]platform.Row, table string) {
-		g.Go(func() { *rows, _, *err = o.node.table.ListAll(ctx, table, mainPartition) })
+		g.Go(func() { *rows, *err = o.listRows(ctx, table) })
 	}
 	read(&errs[0], &state.waves, waveTable)
 	read(&errs[1], &state.vms, vmTable)
@@ -80,15 +80,31 @@
 	// The progress is read after the jobs, so that a job that ends in between is known to
 	// have ended.
 	var err error
-	state.progress, _, err = o.node.table.ListAll(ctx, progressTable, mainPartition)
+	state.progress, err = o.listRows(ctx, progressTable)
 	return state, err
 }
 
+// listRows reads a table that the owner writes, with its divided rows joined.
+func (o *owner) listRows(ctx context.Context, table string) ([]platform.Row, error) {
+	rows, _, err := o.node.table.ListAll(ctx, table, mainPartition)
+	if err != nil {
+		return nil, err
+	}
+	joined, parts, err := joinParts(rows)
+	if err != nil {
+		return nil, err
+	}
+	for k, n := range parts {
+		o.committer.setParts(k, n)
+	}
+	return joined, nil
+}
+
 // readOptional reads a table that the owner can do without, or returns nil if that takes too long.
 func (o *owner) readOptional(ctx context.Context, table string) []platform.Row {
 	ctx, cancel := context.WithTimeout(ctx, optionalLoadTimeout)
 	defer cancel()
-	rows, _, err := o.node.table.ListAll(ctx, table, mainPartition)
+	rows, err := o.listRows(ctx, table)
 	if err != nil {
 		o.log.Warn().Err(err).Str("event", "table_not_loaded").Str("table", table).Send()
 	}
--- a/io/node/owner.go
+++ b/io/node/owner.go
@@ -77,6 +77,7 @@
 		memory:        &memoryMeter{},
 		recordLatency: func(d time.Duration) { n.metrics.recordDuration("table_commit", d) },
 		count:         n.metrics.count,
+		rowBytes:      n.settings.RowBytes,
 		health:        &n.health,
 	}
 	o.outlook.startTenure(t.number)
@@ -335,7 +336,7 @@
 			if err != nil {
 				return nil, 0, err
 			}
-			progress, _, err = o.node.table.ListAll(ctx, progressTable, mainPartition)
+			progress, err = o.listRows(ctx, progressTable)
 			return jobs, version, err
 		},
 	}
--- a/io/node/rowupdate.go
+++ b/io/node/rowupdate.go
@@ -16,25 +16,55 @@
 	key platform.RowKey
 	// save is the last of the saves.
 	save schedule.Command
-	// value is what is written; nil removes the row.
-	value []byte
+	// writes and removals are those of the row and of its parts, if it is divided.
+	writes   []platform.Write
+	removals []platform.RowKey
 }
 
 // addTo adds the update to a transaction.
 func (u *rowUpdate) addTo(tx *platform.Transaction) {
-	if u.value == nil {
-		tx.Removals = append(tx.Removals, u.key)
-		return
-	}
-	tx.Writes = append(tx.Writes, platform.Write{RowKey: u.key, Value: u.value})
+	tx.Writes = append(tx.Writes, u.writes...)
+	tx.Removals = append(tx.Removals, u.removals...)
 }
 
+// entries returns how many entries of a transaction the update takes.
+func (u *rowUpdate) entries() int { return len(u.writes) + len(u.removals) }
+
 // size returns an upper bound of the bytes that the update takes in the body of a transaction.
 func (u *rowUpdate) size() int {
-	w := platform.Write{RowKey: u.key, Value: u.value}
-	return w.Size()
+	tx := platform.Transaction{Writes: u.writes, Removals: u.removals}
+	return tx.Size()
+}
+
+// encode returns the update that makes a change. It removes the parts of the row that the change no
+// longer needs.
+func (c *committer) encode(change rowChange) (rowUpdate, error) {
+	u := rowUpdate{key: change.key, save: change.save}
+	switch {
+	case change.value == nil:
+		u.removals = []platform.RowKey{change.key}
+	default:
+		value, err := encodeRow(change.value)
+		if err != nil {
+			return u, err
+		}
+		u.writes = []platform.Write{{RowKey: change.key, Value: value}}
+		if c.rowBytes > 0 && len(value) > c.rowBytes {
+			u.writes, err = divide(change.key, value, stateOf(change.value), c.rowBytes)
+			if err != nil {
+				return u, err
+			}
+		}
+	}
+	for n := u.parts(); n < c.storedParts(change.key); n++ {
+		u.removals = append(u.removals, partKey(change.key, n))
+	}
+	return u, nil
 }
 
+// parts returns the number of parts that the row has after the update.
+func (u *rowUpdate) parts() int { return max(0, len(u.writes)-1) }
+
 // encodeUpdates returns the updates of the saves, one for each row, in the order of the rows' last
 // saves. A row that can't be encoded is set aside.
 func (c *committer) encodeUpdates(saves []schedule.Command) []rowUpdate {
@@ -44,14 +74,10 @@
 	}
 	var out []rowUpdate
 	for _, change := range slices.Backward(changes) {
-		u := rowUpdate{key: change.key, save: change.save}
-		if change.value != nil {
-			value, err := encodeRow(change.value)
-			if err != nil {
-				c.setAside(&u, err)
-				continue
-			}
-			u.value = value
+		u, err := c.encode(change)
+		if err != nil {
+			c.setAside(&u, err)
+			continue
 		}
 		out = append(out, u)
 	}
@@ -63,7 +89,7 @@
 func (c *committer) setAside(u *rowUpdate, cause error) {
 	c.count("row_set_aside")
 	c.log.Error().Err(cause).Str("event", "row_set_aside").Str("table", u.key.Table).Str("key", u.key.Key).
-		Int("bytes", len(u.value)).Send()
+		Int("bytes", u.size()).Send()
 	if c.refusedRows == nil {
 		c.refusedRows = map[platform.RowKey]bool{}
 	}
@@ -75,16 +101,48 @@
 // is at least one group, which may be empty. A row that was refused before has a group of its own.
 func (c *committer) groupUpdates(updates []rowUpdate) [][]rowUpdate {
 	groups := [][]rowUpdate{nil}
-	size, closed := 0, false
+	size, entries, closed := 0, 0, false
 	for i := range updates {
-		n, apart := updates[i].size(), c.refusedRows[updates[i].key]
+		u := &updates[i]
+		apart := c.refusedRows[u.key]
+		full := size+u.size() > maxBatchBytes || entries+u.entries() > maxBatchRows
 		last := len(groups) - 1
-		if len(groups[last]) > 0 && (closed || apart || size+n > maxBatchBytes) {
+		if len(groups[last]) > 0 && (closed || apart || full) {
 			groups = append(groups, nil)
-			last, size = last+1, 0
+			last, size, entries = last+1, 0, 0
 		}
-		groups[last] = append(groups[last], updates[i])
-		size, closed = size+n, apart
+		groups[last] = append(groups[last], *u)
+		size, entries, closed = size+u.size(), entries+u.entries(), apart
 	}
 	return groups
 }
+
+// recordGroup records that a group of updates is stored.
+func (c *committer) recordGroup(group []rowUpdate) {
+	for i := range group {
+		u := &group[i]
+		delete(c.refusedRows, u.key)
+		c.setParts(u.key, u.parts())
+	}
+}
+
+// storedParts returns how many parts of a row may be stored.
+func (c *committer) storedParts(k platform.RowKey) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.parts[k]
+}
+
+// setParts records how many parts of a row are stored.
+func (c *committer) setParts(k platform.RowKey, n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n == 0 {
+		delete(c.parts, k)
+		return
+	}
+	if c.parts == nil {
+		c.parts = map[platform.RowKey]int{}
+	}
+	c.parts[k] = n
+}
