platform, io/node: a feed whose answer is too long reads all rows anew

What callers see: the platform names no limit for the answer of a feed. One of more than 4 MB, such as of 70 large jobs submitted at once, was cut, taken for malformed and asked for again unchanged, for as long as the table kept the history: submitted jobs stayed unknown to the owner, a configuration out of force.

--- a/io/node/operator.go
+++ b/io/node/operator.go
@@ -244,6 +244,11 @@
 		case errors.Is(err, platform.ErrHistoryGone):
 			after = 0
 			continue
+		case errors.Is(err, platform.ErrAnswerTooLong):
+			// The same call would get the same answer, while all rows are read in pages.
+			f.log.Warn().Err(err).Str("event", "feed_too_long").Str("table", f.tableName).Send()
+			after = 0
+			continue
 		case err != nil:
 			lost = f.handleFailure(ctx, err, lost)
 			continue
--- a/io/node/operator_test.go
+++ b/io/node/operator_test.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"context"
+	"strconv"
 	"testing"
 	"time"
 
@@ -58,3 +60,31 @@
 	n.view.recordContact(now.Add(-4100 * time.Millisecond))
 	assert.Assert(t, !o.mayStartTasks(now))
 }
+
+// Guards against a feed that asks again and again for an answer that it can't take, so that submitted jobs stay unknown to the owner.
+func TestFeedWithTooLongAnswerReadsAllRows(t *testing.T) {
+	const changes = 70
+	server, table := newTableServer(t)
+	key := func(i int) platform.RowKey {
+		return platform.RowKey{Table: "t", Partition: "p", Key: strconv.Itoa(i)}
+	}
+	server.Put(key(0), []byte("x"))
+	first, _, err := table.Get(t.Context(), key(0))
+	assert.NilError(t, err)
+	for i := range changes {
+		server.Put(key(i), make([]byte, rowBytes))
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), commitTimeout)
+	defer cancel()
+	f := feed{table: table, tableName: "t", partition: "p", from: first.Version, log: zerolog.Nop()}
+	seen := map[string]bool{}
+	assert.NilError(t, f.run(ctx, func(rows []platform.Row, _ bool) {
+		for _, r := range rows {
+			seen[r.Key] = true
+		}
+		if len(seen) == changes {
+			cancel()
+		}
+	}, func(time.Time) {}))
+	assert.Equal(t, len(seen), changes)
+}
