io/node: a completed wave isn't shown as running again

What operators may see: a completed wave shown as running, for good. The two states of a wave were written by two calls at once, without a condition: a write of "running" that is executed late undid "completed", and a new owner published "running" again for each completed wave. A status that the table refuses was written again without a pause.

Change: one call at a time publishes the latest state of a wave. It reads the row, never leaves "completed", and its condition bars late writes. A refusal for good ends it, other failures pause it.

Before: TestCompletedWaveStaysCompleted ({"state":"running"}), TestRefusedWaveStatusIsGivenUp (repeated until the test's time-out).

--- a/core/job/machine.go
+++ b/core/job/machine.go
@@ -31,6 +31,14 @@
 	WaveCompleted
 )
 
+// String returns the state in snake case.
+func (s WaveState) String() string {
+	if s == WaveCompleted {
+		return "completed"
+	}
+	return "running"
+}
+
 // MachineID identifies a machine. A machine runs one VM after another.
 type MachineID string
 
--- a/io/node/batch_test.go
+++ b/io/node/batch_test.go
@@ -99,10 +99,7 @@
 }
 
 func (r *refusingTable) ServeHTTP(w http.ResponseWriter, req *http.Request) {
-	body, err := io.ReadAll(req.Body)
-	if err != nil {
-		return
-	}
+	body := readAndRestore(req)
 	var tx platform.Transaction
 	if req.Method == http.MethodPost && json.Unmarshal(body, &tx) == nil && r.refuses(&tx) {
 		r.mu.Lock()
@@ -111,10 +108,19 @@
 		w.WriteHeader(r.status)
 		return
 	}
-	req.Body = io.NopCloser(bytes.NewReader(body))
 	r.Table.ServeHTTP(w, req)
 }
 
+// readAndRestore returns the body of a request, which can be read again.
+func readAndRestore(r *http.Request) []byte {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		body = nil
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	return body
+}
+
 func (r *refusingTable) refuses(tx *platform.Transaction) bool {
 	return slices.ContainsFunc(tx.Writes, func(w platform.Write) bool { return r.refused[w.RowKey] })
 }
--- a/io/node/execute.go
+++ b/io/node/execute.go
@@ -23,7 +23,7 @@
 	// approvalTimeout bounds a request for approvals. The service decides on one request
 	// at a time.
 	approvalTimeout = 2 * time.Second
-	// tableWriteTimeout bounds publishing a wave's state and deleting a job's rows.
+	// tableWriteTimeout bounds an attempt to publish a wave's state and deleting a job's rows.
 	tableWriteTimeout = time.Second
 )
 
@@ -213,20 +213,6 @@
 	return outcomeFromError(err), refusal
 }
 
-// publishWave publishes a wave's state and retries until it is stored.
-func (o *owner) publishWave(ctx context.Context, c schedule.PublishWave) {
-	tx := platform.Transaction{Writes: []platform.Write{platform.WaveStatus(c.Wave, c.State)}}
-	for ctx.Err() == nil {
-		callCtx, cancel := context.WithTimeout(ctx, tableWriteTimeout)
-		_, err := o.node.table.Apply(callCtx, tx)
-		cancel()
-		if err == nil {
-			return
-		}
-		o.log.Warn().Err(err).Str("event", "wave_status_failed").Int64("wave", c.Wave).Send()
-	}
-}
-
 // deleteJobRows deletes a job's rows. The submitted job and its cancellation go first,
 // because a job without progress would look new to the next owner. If a deletion fails,
 // the next owner retries it.
--- a/io/node/owner.go
+++ b/io/node/owner.go
@@ -42,6 +42,7 @@
 	jobFeedVersion platform.Version
 	backlog        backlogCount
 	status         statusPublisher
+	waveStatuses   waveStatuses
 	// policy is the policy that the scheduler follows.
 	policy   *policy.Policy
 	outlook  outlookPublisher
