core/schedule: an order that is rejected for good isn't taken for a sign of an unhealthy VM

What callers see: a start that VMs reject as malformed (400) counted as refused by an unhealthy VM. It was repeated unchanged on one VM after the other, each of which then got no task of any job for a second. Orders for machines that are rejected so (no such machine, a pool of other machines) were repeated every half second and shrank the number of moves in flight as if the service were busy.

Change: such an outcome is Rejected. The start is repeated after ten seconds, on another VM if there is one, and its VM stays in use; so are orders for machines.

--- a/core/schedule/command.go
+++ b/core/schedule/command.go
@@ -219,11 +219,13 @@
 	Unhealthy
 	// OtherLife: the VM has restarted since, or another VM answers at its address.
 	OtherLife
+	// Rejected: the order was not executed, and would be rejected each time.
+	Rejected
 )
 
 // String returns the outcome in snake case.
 func (o Outcome) String() string {
-	return [...]string{"answered", "not_done", "unanswered", "unhealthy", "other_life"}[o]
+	return [...]string{"answered", "not_done", "unanswered", "unhealthy", "other_life", "rejected"}[o]
 }
 
 // Observer receives the scheduler's decisions, for logs and metrics.
--- a/core/schedule/maintenanceorder.go
+++ b/core/schedule/maintenanceorder.go
@@ -126,9 +126,9 @@
 		o.uncertain = true
 		o.retryAt = now.Add(machineRetryDelay)
 	case o.uncertain:
-		o.refusedAt, o.retryAt = now, now.Add(machineRetryDelay)
+		o.refusedAt, o.retryAt = now, now.Add(machineRetryPause(outcome))
 	default:
 		s.forgetOrder(w, m.ID)
-		m.retryAt = now.Add(machineRetryDelay)
+		m.retryAt = now.Add(machineRetryPause(outcome))
 	}
 }
--- a/core/schedule/move.go
+++ b/core/schedule/move.go
@@ -81,10 +81,19 @@
 	default:
 		s.cancelDeparture(m)
 		m.movingTo = ""
-		m.retryAt = now.Add(machineRetryDelay)
+		m.retryAt = now.Add(machineRetryPause(outcome))
 	}
 }
 
+// machineRetryPause returns the pause before a machine is ordered again after an order for it wasn't
+// executed.
+func machineRetryPause(o Outcome) time.Duration {
+	if o == Rejected {
+		return rejectedOrderPause
+	}
+	return machineRetryDelay
+}
+
 // beginDeparture removes an idle VM from the roster, together with the save that its machine's order
 // waits for. Nothing runs there any more, so its silence keeps no task waiting, here or under the
 // next owner.
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -304,12 +304,27 @@
 		v.markFull(now)
 	case outcome == Answered && rep.Refused == job.RefusedTicket:
 		s.dropTickets(c.Order.Task)
+	case outcome == Rejected:
+		// The VM is sound, so other tasks may start there.
+		s.pauseTask(now, c.Order.Task, v.id)
 	case outcome != Answered:
 		v.suspectUntil = now.Add(noAnswerPause)
 	}
 	s.releaseNotBegun(now, r, outcome, rep.Refused)
 }
 
+// rejectedOrderPause is the pause before an order is repeated that was rejected. It would be rejected
+// again unless something has changed since.
+const rejectedOrderPause = 10 * time.Second
+
+// pauseTask delays the next start of a task whose start a VM has rejected.
+func (s *Scheduler) pauseTask(now time.Time, id job.TaskID, vm job.VMID) {
+	if _, _, _, t := s.task(id); t != nil {
+		t.notBefore = now.Add(rejectedOrderPause)
+		t.avoidVM = vm
+	}
+}
+
 const (
 	// fullPause is how long a VM that refused a task for lack of capacity gets no new ones,
 	// unless its directory entry shows another capacity or a restart before. The directory
--- a/io/node/execute.go
+++ b/io/node/execute.go
@@ -128,8 +128,10 @@
 		return schedule.Answered
 	case errors.Is(err, platform.ErrNotSent):
 		return schedule.NotDone
-	case errors.Is(err, platform.ErrBusy), errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrMalformed):
+	case errors.Is(err, platform.ErrBusy), errors.Is(err, platform.ErrUnavailable):
 		return schedule.Unhealthy
+	case platform.RefusedForGood(err):
+		return schedule.Rejected
 	case errors.Is(err, platform.ErrOtherLife):
 		return schedule.OtherLife
 	}
