--- a/io/node/rowupdate.go
+++ b/io/node/rowupdate.go
@@ -40,21 +40,14 @@
 // longer needs.
 func (c *committer) encode(change rowChange) (rowUpdate, error) {
 	u := rowUpdate{key: change.key, save: change.save}
-	switch {
-	case change.value == nil:
+	if change.value == nil {
 		u.removals = []platform.RowKey{change.key}
-	default:
-		value, err := encodeRow(change.value)
+	} else {
+		writes, err := c.encodeWrites(change)
 		if err != nil {
 			return u, err
 		}
-		u.writes = []platform.Write{{RowKey: change.key, Value: value}}
-		if c.rowBytes > 0 && len(value) > c.rowBytes {
-			u.writes, err = divide(change.key, value, stateOf(change.value), c.rowBytes)
-			if err != nil {
-				return u, err
-			}
-		}
+		u.writes = writes
 	}
 	for n := u.parts(); n < c.storedParts(change.key); n++ {
 		u.removals = append(u.removals, partKey(change.key, n))
@@ -62,6 +55,18 @@
 	return u, nil
 }
 
+// encodeWrites returns the write of a row, and those of its parts if it must be divided.
+func (c *committer) encodeWrites(change rowChange) ([]platform.Write, error) {
+	value, err := encodeRow(change.value)
+	if err != nil {
+		return nil, err
+	}
+	if c.rowBytes > 0 && len(value) > c.rowBytes {
+		return divide(change.key, value, stateOf(change.value), c.rowBytes)
+	}
+	return []platform.Write{{RowKey: change.key, Value: value}}, nil
+}
+
 // parts returns the number of parts that the row has after the update.
 func (u *rowUpdate) parts() int { return max(0, len(u.writes)-1) }
 
