core/schedule: a refused repetition doesn't end a move that may still be executed

What callers see: tasks that start on a VM and are lost when its machine moves. A move whose first attempt got no answer was forgotten when a later attempt was refused (busy, too many calls) or not sent, although the first may still be executed, and may be what the machine is busy with. So two orders could be under way for one machine.

Change: after an attempt without an answer, only an accepted or a rejected one ends the move; the VM gets no tasks until then.

Before: TestRefusalAfterUnansweredMoveReleasesNothing (the machine stays, its VM gets tasks).

--- a/core/schedule/departure_test.go
+++ b/core/schedule/departure_test.go
@@ -128,3 +128,25 @@
 	}
 	assert.Equal(t, silent, len(moves))
 }
+
+// Guards against tasks that start on a VM whose machine may still be moved: an attempt that got no answer may be executed although a later one was refused.
+func TestRefusalAfterUnansweredMoveReleasesNothing(t *testing.T) {
+	for _, outcome := range []Outcome{Answered, Unhealthy, NotDone} {
+		h, _ := newBurstHarness(t, 3, 8)
+		moves := commandsOfType[Move](h.advance(sizingInterval))
+		assert.Assert(t, len(moves) > 0)
+		h.answerMoves(moves, Unanswered)
+		again := commandsOfType[Move](h.advance(moveRetryDelay + time.Millisecond))
+		assert.DeepEqual(t, again, moves)
+		for _, m := range again {
+			h.s.MoveAnswered(h.now, m, outcome, job.MachineBusy)
+		}
+		h.advance(time.Millisecond)
+		for _, m := range moves {
+			x := h.s.machines.Get(m.Machine)
+			assert.Equal(t, x.movingTo, m.Pool, "%v", outcome)
+			assert.Assert(t, h.s.vms.Get(x.VM).cordoned())
+		}
+		assert.DeepEqual(t, commandsOfType[Move](h.advance(moveRetryDelay+time.Millisecond)), moves)
+	}
+}
--- a/core/schedule/machine.go
+++ b/core/schedule/machine.go
@@ -14,8 +14,9 @@
 	listedAt time.Time
 	// answeredAt is when the last move was answered.
 	answeredAt time.Time
-	// awaitingAnswer is set while a move has no answer yet.
-	awaitingAnswer bool
+	// awaitingAnswer is set while a move has no answer yet. moveUncertain is set if an earlier attempt
+	// of the move got none, so that it may have been executed or may still be.
+	awaitingAnswer, moveUncertain bool
 	// orderedVM is the VM that ran on the machine when the move was ordered.
 	orderedVM job.VMID
 	// retryAt is when an order that got no answer or was refused may be given again.
--- a/core/schedule/move.go
+++ b/core/schedule/move.go
@@ -51,7 +51,7 @@
 func (s *Scheduler) orderMove(now time.Time, x sizing.Move) {
 	m := s.machines.Get(x.Machine)
 	m.movingTo, m.awaitingAnswer, m.orderedVM = x.To, true, m.VM
-	m.answeredAt = time.Time{}
+	m.answeredAt, m.moveUncertain = time.Time{}, false
 	if v := s.vms.Get(m.VM); v != nil {
 		s.beginDeparture(v)
 	}
@@ -77,6 +77,10 @@
 	case outcome == Unanswered:
 		// The move may be executed at any time, so the VM gets no tasks until its outcome is
 		// known.
+		m.moveUncertain = true
+		m.retryAt = now.Add(moveRetryDelay)
+	case m.moveUncertain && outcome != Rejected:
+		// This attempt was not executed, but an earlier one may still be.
 		m.retryAt = now.Add(moveRetryDelay)
 	default:
 		s.cancelDeparture(m)
