--- a/io/node/batch_test.go
+++ b/io/node/batch_test.go
@@ -14,8 +14,10 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
+	"lavenderpond/core/admission"
 	"lavenderpond/core/fairshare"
 	"lavenderpond/core/job"
 	"lavenderpond/core/schedule"
@@ -176,3 +178,30 @@
 	assert.NilError(t, err)
 	assert.Assert(t, row != nil)
 }
+
+// Guards against a forecast that is too large for its row and is taken for a fault of the rows that are stored with it.
+func TestForecastBeyondRowBytesIsLeftOut(t *testing.T) {
+	_, table := newTableServer(t)
+	c := newOwningCommitter(t, table)
+	c.rowBytes = rowBytes
+	c.onRefused = func(x schedule.Command) { t.Errorf("refused: %T", x) }
+	c.forecast = func() (admission.Forecast, bool) {
+		var f admission.Forecast
+		for _, name := range incompressibleProgress(3 * rowBytes).VMs {
+			f.Pools = append(f.Pools, admission.Pool{Name: job.PoolName(name)})
+		}
+		return f, true
+	}
+	c.add(jobSaves(1, 1))
+	runUntilStored(t, c, 1)
+}
+
+// Guards against a row of an entry VM that is written again and again although the table refuses it for good.
+func TestRefusedMemberRowIsNotRepeated(t *testing.T) {
+	f, table := newFakeTable(t, respondWith(http.StatusBadRequest, ""))
+	m := membership{table: table, node: "n", log: zerolog.Nop()}
+	ctx, cancel := context.WithTimeout(t.Context(), 3*memberRetryDelay)
+	defer cancel()
+	assert.NilError(t, m.run(ctx))
+	assert.Equal(t, len(f.requests), 1)
+}
--- a/io/node/commit.go
+++ b/io/node/commit.go
@@ -223,6 +223,9 @@
 		return
 	}
 	value, err := encodeRow(f)
+	if err == nil && c.rowBytes > 0 && len(value) > c.rowBytes {
+		err = errors.Errorf("%d bytes, limit %d", len(value), c.rowBytes)
+	}
 	if err != nil {
 		c.log.Error().Err(err).Str("event", "forecast_unstored").Send()
 		return
--- a/io/node/membership.go
+++ b/io/node/membership.go
@@ -72,6 +72,10 @@
 			m.leave(version)
 			return nil
 		}
+		if platform.RefusedForGood(err) {
+			m.log.Error().Err(err).Str("event", "member_refused").Send()
+			return nil
+		}
 		m.log.Debug().Err(err).Msg("member row could not be written")
 		supervisor.Sleep(ctx, memberRetryDelay)
 	}
