io/node: a submission that the table refuses for good is answered as not stored

What callers see: such a submission got 504 (outcome unknown), although it is certain that nothing was stored and nothing runs. It is 503 now, unless an earlier attempt got no answer.

Before: TestSubmissionRefusedForGoodIsNotStored (ErrMalformed, not errNotStored).

--- a/io/node/jobstore.go
+++ b/io/node/jobstore.go
@@ -89,6 +89,8 @@
 		case refused:
 		case errors.Is(err, platform.ErrNoAnswer):
 			maybeApplied = true
+		case platform.RefusedForGood(err) && !maybeApplied:
+			return false, errors.Wrap(errNotStored, err.Error())
 		default:
 			return maybeApplied, err
 		}
--- a/io/node/node_test.go
+++ b/io/node/node_test.go
@@ -383,3 +383,15 @@
 	assert.Assert(t, errors.Is(err, errTooLarge), "%v", err)
 	assert.Equal(t, len(f.requests), 0)
 }
+
+// Guards against an unknown outcome for a submission that the table refuses for good, since it certainly isn't stored.
+func TestSubmissionRefusedForGoodIsNotStored(t *testing.T) {
+	f, table := newFakeTable(t, respondWith(http.StatusBadRequest, ""))
+	err := newJobStore(table).submit(t.Context(), bootNow().Add(3*time.Second), testJob(), contact.Call)
+	assert.Assert(t, errors.Is(err, errNotStored), "%v", err)
+	assert.Equal(t, len(f.requests), 1)
+
+	_, table = newFakeTable(t, dropAnswer, respondWith(http.StatusBadRequest, ""))
+	err = newJobStore(table).submit(t.Context(), bootNow().Add(3*time.Second), testJob(), contact.Call)
+	assert.Assert(t, errors.Is(err, errOutcomeUnknown), "an earlier attempt got no answer: %v", err)
+}
