core/schedule: orders for maintenance are counted by machine; no lease beyond what is stored

A machine's orders were looked up in each wave, also the completed ones. And a VM whose entry was refused kept its lease extended, although the next owner may know an earlier end of it.

--- a/core/schedule/hold.go
+++ b/core/schedule/hold.go
@@ -37,7 +37,7 @@
 	// The VM may execute an unanswered hold later, so a hold to a silent VM doesn't
 	// extend the lease. Otherwise the lease of a VM that is gone would never expire for
 	// this owner.
-	if v.clock.Known() && !v.silent && v.leaseSave <= s.storedSequence {
+	if v.clock.Known() && !v.silent && v.leaseSave <= s.storedSequence && !v.rosterRefused {
 		o.Deadline = v.clock.Earliest(now) + job.VMClock(lease.Granted(s.settings.LeaseMax).Milliseconds())
 		v.leaseEnd = max(v.leaseEnd, o.Deadline)
 	}
--- a/core/schedule/maintenance.go
+++ b/core/schedule/maintenance.go
@@ -41,7 +41,7 @@
 		x.done[id] = true
 	}
 	for _, id := range p.Ordered {
-		x.orders[id] = &maintenanceOrder{uncertain: true}
+		s.addOrder(x, id, &maintenanceOrder{uncertain: true})
 	}
 	s.waves.Set(w.Number, x)
 	s.reportDecision(Decision{Kind: WaveChanged, Reason: "begun"})
@@ -174,7 +174,7 @@
 		}
 		if len(w.orders)+unattributed < slots && m.State == job.MachineUp && s.mayOrderMachine(now, m.ID) && !now.Before(m.retryAt) {
 			o := &maintenanceOrder{orderedAt: now}
-			w.orders[m.ID] = o
+			s.addOrder(w, m.ID, o)
 			s.markWaveDirty(w)
 			s.sendMaintenance(now, w, m, o)
 		}
--- a/core/schedule/maintenanceorder.go
+++ b/core/schedule/maintenanceorder.go
@@ -24,26 +24,27 @@
 	refusedAt, retryAt time.Time
 }
 
-// inMaintenance reports whether the machine is in maintenance for a wave, or may be.
-func (s *Scheduler) inMaintenance(id job.MachineID) bool {
-	for _, w := range s.waves.All() {
-		if w.orders[id] != nil {
-			return true
-		}
-	}
-	return false
+// addOrder adds the order for a machine of a wave.
+func (s *Scheduler) addOrder(w *waveState, id job.MachineID, o *maintenanceOrder) {
+	w.orders[id] = o
+	s.maintenanceOrders[id]++
 }
 
-// inMaintenanceElsewhere reports whether the machine has an order of another wave.
-func (s *Scheduler) inMaintenanceElsewhere(w *waveState, id job.MachineID) bool {
-	for _, x := range s.waves.All() {
-		if x != w && x.orders[id] != nil {
-			return true
-		}
+// forgetOrder forgets the order for a machine of a wave, if there is one.
+func (s *Scheduler) forgetOrder(w *waveState, id job.MachineID) {
+	if w.orders[id] == nil {
+		return
+	}
+	delete(w.orders, id)
+	s.markWaveDirty(w)
+	if s.maintenanceOrders[id]--; s.maintenanceOrders[id] == 0 {
+		delete(s.maintenanceOrders, id)
 	}
-	return false
 }
 
+// inMaintenance reports whether the machine is in maintenance for a wave, or may be.
+func (s *Scheduler) inMaintenance(id job.MachineID) bool { return s.maintenanceOrders[id] > 0 }
+
 // sendMaintenance sends an order, once the wave's progress with it is stored.
 func (s *Scheduler) sendMaintenance(now time.Time, w *waveState, m *machineState, o *maintenanceOrder) {
 	o.vm, o.awaitingAnswer = m.VM, true
@@ -61,7 +62,7 @@
 			w.done[m.ID] = true
 			s.forgetOrder(w, m.ID)
 		}
-	case m.State == job.MachineMaintenance && m.listedAt.After(o.orderedAt) && !s.inMaintenanceElsewhere(w, m.ID):
+	case m.State == job.MachineMaintenance && m.listedAt.After(o.orderedAt) && s.maintenanceOrders[m.ID] == 1:
 		s.maintenanceBegan(now, o, m.listedAt)
 	default:
 		s.repeatMaintenance(now, w, m, o)
@@ -98,14 +99,6 @@
 	}
 }
 
-// forgetOrder forgets the order for a machine.
-func (s *Scheduler) forgetOrder(w *waveState, id job.MachineID) {
-	if w.orders[id] != nil {
-		delete(w.orders, id)
-		s.markWaveDirty(w)
-	}
-}
-
 // MaintainAnswered handles the outcome of an order for maintenance.
 func (s *Scheduler) MaintainAnswered(now time.Time, c Maintain, outcome Outcome, refusal job.MachineRefusal) {
 	m, w := s.machines.Get(c.Machine), s.waves.Get(c.Wave)
--- a/core/schedule/refusedsave.go
+++ b/core/schedule/refusedsave.go
@@ -35,8 +35,9 @@
 	case Save:
 		s.holdJob(now, c)
 	case SaveVM:
-		// No task may start on a VM that the next owner wouldn't know of.
-		if v := s.vms.Get(c.VM.ID); v != nil {
+		// No task may start on a VM of which the next owner wouldn't know, or would know that its
+		// lease is over.
+		if v := s.vms.Get(c.VM.ID); v != nil && c.Sequence >= v.rosterSave {
 			v.rosterRefused = true
 		}
 	case SaveOrder:
--- a/core/schedule/refusedsave_test.go
+++ b/core/schedule/refusedsave_test.go
@@ -113,7 +113,9 @@
 	}
 	h.answerHold("v1", nil)
 	h.addJob("j", "free", job.Step{Count: 1, Resources: job.Resources{CPU: 1000}, Estimate: time.Second})
-	assert.Equal(t, len(commandsOfType[Start](h.advance(30*time.Millisecond))), 0)
+	commands := h.advance(30 * time.Millisecond)
+	assert.Equal(t, len(commandsOfType[Start](commands)), 0)
+	assert.Equal(t, onlyCommand[Hold](h, commands).Order.Deadline, job.VMClock(0), "its lease isn't extended")
 }
 
 // Guards against an order for a machine of which the next owner wouldn't know.
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -106,6 +106,9 @@
 	// directoryAsOf is the time up to which all changes to the directory are known.
 	directoryAsOf time.Time
 	waves         orderedMap[int64, *waveState]
+	// maintenanceOrders counts the orders for the maintenance of each machine, over all waves. It
+	// is more than one only if former owners have left it so.
+	maintenanceOrders map[job.MachineID]int
 	// anyWaveCordon is set while a VM is cordoned for maintenance.
 	anyWaveCordon bool
 	// drainingVMs counts the VMs that are draining.
@@ -130,14 +133,15 @@
 // New returns a scheduler that knows no jobs or VMs yet.
 func New(s Settings) *Scheduler {
 	out := &Scheduler{
-		settings:  s,
-		fence:     s.Fence,
-		endTimes:  map[job.ID]time.Time{},
-		usage:     map[job.AccountName]job.Resources{},
-		queues:    map[job.QueueName]*queueStats{},
-		forecasts: map[job.QueueName]*forecast.Queue{},
-		pools:     map[job.PoolName]*poolStats{},
-		shares:    shares{},
+		settings:          s,
+		maintenanceOrders: map[job.MachineID]int{},
+		fence:             s.Fence,
+		endTimes:          map[job.ID]time.Time{},
+		usage:             map[job.AccountName]job.Resources{},
+		queues:            map[job.QueueName]*queueStats{},
+		forecasts:         map[job.QueueName]*forecast.Queue{},
+		pools:             map[job.PoolName]*poolStats{},
+		shares:            shares{},
 	}
 	for _, o := range s.FormerOrders {
 		out.inheritOrder(o)
--- a/core/schedule/vm.go
+++ b/core/schedule/vm.go
@@ -119,7 +119,7 @@
 		return
 	}
 	v.rosterEntry = r
-	v.rosterSave = s.nextSaveSequence()
+	v.rosterSave, v.rosterRefused = s.nextSaveSequence(), false
 	s.dirtyVMs = append(s.dirtyVMs, v.id)
 }
 
--- a/core/schedule/vmstate.go
+++ b/core/schedule/vmstate.go
@@ -114,7 +114,7 @@
 	// it. Tasks may start on the VM once that is stored.
 	rosterEntry RosterVM
 	rosterSave  int64
-	// rosterRefused is set once the table has refused the entry for good.
+	// rosterRefused is set if the table refuses the entry for good.
 	rosterRefused bool
 	// waveCordoned VMs get no new tasks because their machine is due for maintenance.
 	waveCordoned bool
