core/schedule: the record of a start outlasts the owner that finds the run

What callers see: a task that crashes its VMs is started more often than the limit on crashes allows.

Cause, from its logs: attempt 40001 was recorded by the fourth owner before it was sent. The fifth owner found the run, took it over without its record, and its next save of the job dropped the record. Owner and VM were lost together, and the sixth owner counted no crash: its count began anew. (The first attempt, 20001, was of a first owner, which records no starts: as before.)

Change: a run that is found keeps its record.

Before: TestRecordOfStartOutlastsOwnerThatFindsTheRun (0 recorded starts, not 1).

--- a/core/schedule/crashowner_test.go
+++ b/core/schedule/crashowner_test.go
@@ -127,3 +127,25 @@
 	}
 	return Start{}, false
 }
+
+// Guards against a crash that the next owner doesn't count, because the record of the run's start was dropped when this owner found it.
+func TestRecordOfStartOutlastsOwnerThatFindsTheRun(t *testing.T) {
+	h := newHarness(t)
+	record := job.TaskStart{Attempt: 7, VM: "one", Born: 1}
+	p := job.Progress{State: job.Running, VMs: []job.VMID{"one"}, Started: []job.TaskStart{record}}
+	h.s.AddInheritedVM(RosterVM{ID: "one", Address: "one", Pool: poolA, Machine: "m-one", Born: 1})
+	step := smallStep
+	step.Count = 2
+	h.s.AddJob(h.now, newTestJob("j", step), &p, true)
+	h.listVM("one")
+	h.advance(0)
+	found := []job.RunningTask{{Task: job.TaskID{Job: "j"}, Attempt: 7, Percent: 50}, {Task: job.TaskID{Job: "j", Index: 1}, Attempt: 8, Percent: 50}}
+	h.answerHold("one", found)
+	h.now = h.now.Add(time.Second)
+	h.answerHold("one", found[:1], job.End{Number: 1, Task: found[1].Task, Attempt: 8, How: job.EndedDone})
+	saves := commandsOfType[Save](h.advance(0))
+	assert.Assert(t, len(saves) > 0)
+	started := saves[len(saves)-1].Progress.Started
+	assert.Equal(t, len(started), 1)
+	assert.Equal(t, started[0].Attempt, job.Attempt(7))
+}
--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -201,12 +201,12 @@
 func (s *Scheduler) applyRunning(now time.Time, v *vmState, clock job.VMClock, e *job.RunningTask) {
 	r := v.runs.Get(runKey{e.Task, e.Attempt})
 	if r == nil {
-		s.adoptRun(now, v, clock, e, 0)
+		s.adoptRun(now, v, clock, e, nil)
 		return
 	}
 	if r.onlyRecorded() {
 		s.release(now, r)
-		s.adoptRun(now, v, clock, e, r.stableClock)
+		s.adoptRun(now, v, clock, e, r)
 		return
 	}
 	r.lastListCount = v.listCount
@@ -237,8 +237,8 @@
 }
 
 // adoptRun adds a run that this owner hasn't ordered. Either a former owner ordered it,
-// or it is no longer wanted. stableClock is when a record says that it is stable, or 0.
-func (s *Scheduler) adoptRun(now time.Time, v *vmState, clock job.VMClock, e *job.RunningTask, stableClock job.VMClock) {
+// or it is no longer wanted. record is the run as it was known from a record, or nil.
+func (s *Scheduler) adoptRun(now time.Time, v *vmState, clock job.VMClock, e *job.RunningTask, record *run) {
 	j, _, st, t := s.task(e.Task)
 	r := &run{
 		task: e.Task, attempt: e.Attempt, vm: v, phase: runConfirmed, confirmedClock: clock,
@@ -246,8 +246,12 @@
 		pacePercent: 100, adopted: true, unknownJob: j == nil, lastListCount: v.listCount,
 		stableClock: stableClockAfter(clock),
 	}
-	if stableClock > 0 {
-		r.stableClock = min(r.stableClock, stableClock)
+	if record != nil {
+		// The record is kept for the owner after this one, which counts a crash of the VM by it.
+		r.recorded = record.recorded
+		if record.stableClock > 0 {
+			r.stableClock = min(r.stableClock, record.stableClock)
+		}
 	}
 	if j != nil {
 		r.reservation, r.quotaUsage, r.account = st.def.Reservation(), st.def.Resources, j.Terms.Account
