--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -237,7 +237,7 @@
 }
 
 // adoptRun adds a run that this owner hasn't ordered. Either a former owner ordered it,
-// or it is no longer wanted. record is the run as it was known from a record, or nil.
+// or it is no longer wanted. record is the run that its stored record describes, or nil.
 func (s *Scheduler) adoptRun(now time.Time, v *vmState, clock job.VMClock, e *job.RunningTask, record *run) {
 	j, _, st, t := s.task(e.Task)
 	r := &run{
--- a/io/node/batch_fuzz_test.go
+++ b/io/node/batch_fuzz_test.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"net/http/httptest"
-	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -39,10 +37,7 @@
 		const jobs, batches = 40, 6
 		r := rand.New(rand.NewPCG(seed, 1))
 		server := &refusingTable{Table: standin.NewTable(), refused: map[platform.RowKey]bool{}, status: http.StatusBadRequest}
-		s := httptest.NewServer(server)
-		defer s.Close()
-		table := platform.NewTable(strings.TrimPrefix(s.URL, "http://"))
-		defer table.Close()
+		table := serveTable(t, server)
 		c := newOwningCommitter(t, table)
 		c.rowBytes = rowBytes
 		last := map[job.ID]schedule.Save{}
--- a/io/node/batch_test.go
+++ b/io/node/batch_test.go
@@ -31,9 +31,16 @@
 // newTableServer returns a table with the limits of the platform's, and a client of it.
 func newTableServer(t *testing.T) (*standin.Table, *platform.Table) {
 	table := standin.NewTable()
-	s := httptest.NewServer(table)
+	return table, serveTable(t, table)
+}
+
+// serveTable returns a client of the table that a handler serves.
+func serveTable(t *testing.T, handler http.Handler) *platform.Table {
+	s := httptest.NewServer(handler)
 	t.Cleanup(s.Close)
-	return table, platform.NewTable(strings.TrimPrefix(s.URL, "http://"))
+	table := platform.NewTable(strings.TrimPrefix(s.URL, "http://"))
+	t.Cleanup(table.Close)
+	return table
 }
 
 // newOwningCommitter returns a committer of the process that owns the table's rows.
@@ -155,9 +162,7 @@
 		saves := jobSaves(jobs, 1)
 		refused := saves[refusedJob].(schedule.Save)
 		server := &refusingTable{Table: standin.NewTable(), refused: map[platform.RowKey]bool{progressKey(refused.Job): true}, status: status}
-		s := httptest.NewServer(server)
-		t.Cleanup(s.Close)
-		table := platform.NewTable(strings.TrimPrefix(s.URL, "http://"))
+		table := serveTable(t, server)
 		c := newOwningCommitter(t, table)
 		var setAside []schedule.Command
 		c.onRefused = func(x schedule.Command) { setAside = append(setAside, x) }
--- a/io/node/node_test.go
+++ b/io/node/node_test.go
@@ -59,9 +59,7 @@
 
 func newFakeTable(t *testing.T, answers ...func(w http.ResponseWriter)) (*fakeTable, *platform.Table) {
 	f := &fakeTable{answers: answers}
-	s := httptest.NewServer(f)
-	t.Cleanup(s.Close)
-	return f, platform.NewTable(strings.TrimPrefix(s.URL, "http://"))
+	return f, serveTable(t, f)
 }
 
 func newCommitter(table *platform.Table) *committer {
--- a/io/node/wavestatus_test.go
+++ b/io/node/wavestatus_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -43,9 +42,7 @@
 	encoded, err := encodeRow(running.Value)
 	assert.NilError(t, err)
 	server := &delayingTable{Table: standin.NewTable(), text: string(encoded), release: make(chan struct{})}
-	s := httptest.NewServer(server)
-	t.Cleanup(s.Close)
-	table := platform.NewTable(strings.TrimPrefix(s.URL, "http://"))
+	table := serveTable(t, server)
 	newOwner := func() *owner {
 		return &owner{node: &Node{table: table}, log: zerolog.Nop()}
 	}
