review: case 6 is now a small job that waits for good after a burst of another queue (LOST)

Promise: an accepted job runs (LOST). A burst of one queue takes all nine idle machines of another service. A job of one small task for that service is accepted and has nothing running 60 s after the burst, while all 18 machines are idle.

--- a/review/driver2/cases.go
+++ b/review/driver2/cases.go
@@ -16,25 +16,6 @@
 	otherJob = "6d1f8b32ea5c47a9"
 )
 
-// hostOf returns the machine whose worker runs a task, or nil.
-func (w *world) hostOf(task string) *machine {
-	for _, m := range w.machines {
-		m.mu.Lock()
-		x := m.life
-		m.mu.Unlock()
-		if x == nil {
-			continue
-		}
-		x.mu.Lock()
-		found := slices.ContainsFunc(x.runs, func(r *run) bool { return r.task == task })
-		x.mu.Unlock()
-		if found {
-			return m
-		}
-	}
-	return nil
-}
-
 // await waits until the condition holds and reports whether it did.
 func (w *world) await(within time.Duration, condition func() bool) bool {
 	for until := time.Now().Add(within); w.ctx.Err() == nil && time.Now().Before(until); w.sleep(20 * time.Millisecond) {
@@ -45,51 +26,6 @@
 	return condition()
 }
 
-// playCrashes crashes the worker under the only task of a job, one worker at a time, and looks
-// whether the job is shown as failed although no run of it ended so.
-func playCrashes(w *world, trouble bool) (string, error) {
-	const (
-		crashes  = 3
-		runsFor  = 2500 * time.Millisecond
-		downtime = 1500 * time.Millisecond
-	)
-	w.configure(false)
-	if err := w.start(9, 0, 3); err != nil {
-		return "", err
-	}
-	j := &submission{Spec: "calibrate", Steps: []stepDef{{Count: 1, CPU: 1800, MemMB: 1800, EstimateMS: 4000, RunMS: 4000}}}
-	if err := w.submit(probeJob, queueHost, j); err != nil {
-		return "", err
-	}
-	task := probeJob + ".0.0.0"
-	for n := 0; trouble && n < crashes; n++ {
-		var m *machine
-		if !w.await(15*time.Second, func() bool { m = w.hostOf(task); return m != nil }) {
-			break
-		}
-		w.sleep(runsFor)
-		m.crash("crash of one of nine workers")
-		w.sleep(downtime)
-		m.boot()
-	}
-	var status int
-	var state string
-	w.await(40*time.Second, func() bool {
-		w.sleep(time.Second)
-		status, state = w.state(j)
-		return state == "completed" || state == "failed" || status == http.StatusGone
-	})
-	failed := w.endCount(probeJob, "failed")
-	w.record("runs of the job that ended failed: %d, done: %d", failed, w.endCount(probeJob, "done"))
-	if state == "failed" && failed == 0 {
-		return "LOST: an accepted job that nobody cancelled is shown as failed, and no run of it ended failed", nil
-	}
-	if state != "completed" {
-		return fmt.Sprintf("LOST: the job is shown as %q (status %d) 40 s later", state, status), nil
-	}
-	return "", nil
-}
-
 // playAdvice hands in a job whose step only some workers may run, and looks whether it ever starts.
 func playAdvice(w *world, trouble bool) (string, error) {
 	const workers, allowed = 40, 8
@@ -283,7 +219,7 @@
 		workers   = 9
 		longJobs  = 9
 		perSecond = 5.65
-		longRun   = 60 * time.Second
+		longRun   = 80 * time.Second
 		longGap   = 3 * time.Second
 		before    = 6 * time.Second
 		after     = 12 * time.Second
--- a/review/driver2/main.go
+++ b/review/driver2/main.go
@@ -25,7 +25,6 @@
 type scenario func(w *world, trouble bool) (broken string, err error)
 
 var scenarios = map[string]scenario{
-	"crashes": playCrashes,
 	"advice":  playAdvice,
 	"repeats": playRepeats,
 	"pools":   playPools,
