core/schedule: a step asks about further VMs until enough of them are approved

Cause: each request named the first thirty usable VMs in the order of their listing, and an answer without approval left no trace.

Change: a step keeps which lives of VMs are approved (with the expiry of each ticket) and which are denied. Requests name undecided VMs, those with room first, and more of them after an answer without approval. The same cause on related paths: approved VMs without room, gangs, answers after the timeout, refused requests, short tickets, refused tickets. Steps without room ask one after another, since the service decides on one request at a time. step_approval logs each answer with its age.

--- a/core/schedule/assign.go
+++ b/core/schedule/assign.go
@@ -142,12 +142,20 @@
 	return true
 }
 
-// startStep starts the open tasks of a step, as far as capacity is free.
+// startStep starts the open tasks of a step, as far as capacity is free and VMs are approved.
 func (a *assignment) startStep(j *jobState, o *occurrence, i int) {
 	st := &o.steps[i]
-	if !a.approved(j, o, i) {
-		return
+	if a.approved(j, st) {
+		a.startOpenTasks(j, o, i)
+	}
+	if st.approval.required && a.anyStartable(st) {
+		a.requestApproval(j, o, i)
 	}
+}
+
+// startOpenTasks starts the open tasks of a step, as far as capacity is free.
+func (a *assignment) startOpenTasks(j *jobState, o *occurrence, i int) {
+	st := &o.steps[i]
 	if st.def.Gang {
 		a.startGang(j, o, i)
 		return
--- a/core/schedule/command.go
+++ b/core/schedule/command.go
@@ -69,10 +69,13 @@
 }
 
 // RequestApproval asks the queue's approval service which VMs may run a step. The service
-// issues a ticket for each approved VM. The answer is passed to Scheduler.ApprovalAnswered.
+// issues a ticket for each approved VM. The answer is passed to Scheduler.ApprovalAnswered, also if
+// the request failed.
 type RequestApproval struct {
 	Step job.StepID
 	VMs  []job.VMID
+	// AnswerDue is when a request without an answer has failed.
+	SentAt, AnswerDue time.Time
 }
 
 // Move orders a machine into another pool.
@@ -302,6 +305,7 @@
 	VMDraining        DecisionKind = "vm_draining"
 	VMSuspected       DecisionKind = "vm_suspected"
 	VMSlow            DecisionKind = "vm_slow"
+	StepApproval      DecisionKind = "step_approval"
 	ForecastFailed    DecisionKind = "forecast_failed"
 	SecondRun         DecisionKind = "second_run"
 	TaskLong          DecisionKind = "task_long"
--- a/core/schedule/evacuation.go
+++ b/core/schedule/evacuation.go
@@ -79,6 +79,6 @@
 		return -1
 	}
 	return slices.IndexFunc(vms, func(v *vmState) bool {
-		return r.reservation.FitsIn(v.freeCapacity()) && st.mayRunOn(r.task.StepID(), v)
+		return r.reservation.FitsIn(v.freeCapacity()) && st.eligible(r.task.StepID(), v) && st.approval.mayPermit(v)
 	})
 }
--- a/core/schedule/gang.go
+++ b/core/schedule/gang.go
@@ -69,7 +69,7 @@
 		if (rack != "" && v.rack != rack) || (v.yielding && !st.def.LongRunning) || !a.s.usable(a.now, v) {
 			continue
 		}
-		if (st.def.Requires != "" && !v.labels[st.def.Requires]) || (st.tickets != nil && st.tickets[v.id] == "") {
+		if (st.def.Requires != "" && !v.labels[st.def.Requires]) || !st.approval.permits(a.now, v) {
 			continue
 		}
 		free := v.freeCapacity()
--- a/core/schedule/placement.go
+++ b/core/schedule/placement.go
@@ -102,18 +102,15 @@
 	return n
 }
 
-// mayRunOn reports whether a task of the step may run on the VM, leaving aside whether the VM
-// has room for it.
-func (st *stepState) mayRunOn(step job.StepID, v *vmState) bool {
+// eligible reports whether a task of the step may run on the VM, leaving aside whether the VM
+// has room for it and is approved.
+func (st *stepState) eligible(step job.StepID, v *vmState) bool {
 	if st.def.Requires != "" && !v.labels[st.def.Requires] {
 		return false
 	}
 	if st.def.MaxPerVM > 0 && v.runsOfStep(step) >= st.def.MaxPerVM {
 		return false
 	}
-	if st.tickets != nil && st.tickets[v.id] == "" {
-		return false
-	}
 	// A spare-CPU task can go elsewhere or wait; a serving task beside it would be slowed down.
 	return !st.def.SpareCPU || v.interferingRuns(st.def) == 0
 }
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -41,7 +41,7 @@
 		return
 	}
 	j, _, st, t := s.task(r.task)
-	if t == nil || j.over() || !s.rights.StartTasks || s.mayHaveEnded(t) || !v.acceptsTasks() || v.overbooked() || !s.capacityKnown(now, v) ||
+	if t == nil || j.over() || !s.rights.StartTasks || s.mayHaveEnded(t) || !v.acceptsTasks() || v.overbooked() || !s.capacityKnown(now, v) || !st.approval.permits(now, v) ||
 		(len(t.runs) > 1 && !s.maySecondRun(st.def)) {
 		s.release(now, r)
 		s.stopGang(now, r)
@@ -58,7 +58,7 @@
 	})
 	s.emit(Start{VM: v.id, Life: v.born, Zone: v.zone, Order: job.StartOrder{
 		Task: r.task, Attempt: r.attempt, Spec: j.Body.Spec, Fence: v.fence, Checkpoint: t.checkpoint,
-		Deadline: r.startBy, Ticket: st.tickets[v.id],
+		Deadline: r.startBy, Ticket: st.approval.tickets[v.id].value,
 	}})
 }
 
@@ -293,6 +293,7 @@
 	switch {
 	case outcome == Answered && rep.Refused == job.NotRefused:
 		s.confirmRun(now, r, rep.Clock)
+		s.ticketAccepted(c.Order.Task)
 		return
 	case outcome == Unanswered:
 		r.setPhase(runUnanswered)
@@ -303,7 +304,7 @@
 	case outcome == Answered && rep.Refused == job.RefusedCapacity:
 		v.markFull(now)
 	case outcome == Answered && rep.Refused == job.RefusedTicket:
-		s.dropTickets(c.Order.Task)
+		s.ticketRefused(now, c.Order.Task, v.id)
 	case outcome == Rejected:
 		// The VM is sound, so other tasks may start there.
 		s.pauseTask(now, c.Order.Task, v.id)
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -50,6 +50,9 @@
 	FormerOrders []MachineOrder
 	// Policy says which decisions under scarcity are in force.
 	Policy policy.Policy
+	// ApprovalMaxVMs is the most VMs that one request for an approval may name; 0 if that isn't
+	// known.
+	ApprovalMaxVMs int
 	// Observer receives the scheduler's decisions; it may be nil.
 	Observer Observer
 }
@@ -124,10 +127,12 @@
 	anyUnreported bool
 	// nextPruneOrders is the next time to remove machine orders that are no longer recent.
 	nextPruneOrders time.Time
-	backlog         map[job.QueueName]int
-	backlogExpires  time.Time
-	outlook         outlook
-	refusals        refusals
+	// approvalRequests counts the requests for approvals without an answer.
+	approvalRequests int
+	backlog          map[job.QueueName]int
+	backlogExpires   time.Time
+	outlook          outlook
+	refusals         refusals
 }
 
 // New returns a scheduler that knows no jobs or VMs yet.
--- a/core/schedule/secondrun.go
+++ b/core/schedule/secondrun.go
@@ -122,7 +122,8 @@
 	if a.now.Before(x.state.notBefore) || a.s.mayHaveEnded(x.state) || !a.withinQuota(x.job, x.step.def.Resources) {
 		return
 	}
-	if !a.approved(x.job, x.job.occurrences[x.task.Occurrence], x.task.Step) {
+	if !a.approved(x.job, x.step) {
+		a.requestApproval(x.job, x.job.occurrences[x.task.Occurrence], x.task.Step)
 		return
 	}
 	n := a.chooseVM(placement{job: x.job, step: x.step, task: x.state, id: x.task})
--- a/core/schedule/state.go
+++ b/core/schedule/state.go
@@ -157,12 +157,7 @@
 	doneTasks int
 	// openTasks counts the tasks that wait for a start.
 	openTasks int
-	// tickets holds a ticket for each VM that may run the step, if its queue requires an
-	// approval. The tickets are used until ticketsUntil.
-	tickets           map[job.VMID]string
-	ticketsUntil      time.Time
-	approvalRequested bool
-	approvalRetryAt   time.Time
+	approval  stepApproval
 	// rack is where the step's first task was placed, if its tasks should share a rack.
 	rack job.Label
 	// runTimes are the durations of the successful runs.
--- a/core/schedule/vmindex.go
+++ b/core/schedule/vmindex.go
@@ -92,7 +92,7 @@
 			continue
 		}
 		noneFits = false
-		if !p.step.mayRunOn(p.id.StepID(), x.vm) || p.task.mustBeSeparate(a.now, x.vm) || !a.s.usable(a.now, x.vm) {
+		if !p.step.eligible(p.id.StepID(), x.vm) || !p.step.approval.permits(a.now, x.vm) || p.task.mustBeSeparate(a.now, x.vm) || !a.s.usable(a.now, x.vm) {
 			continue
 		}
 		if c := a.cost(p, x.vm); best < 0 || c < bestCost {
--- a/core/schedule/vmindex_test.go
+++ b/core/schedule/vmindex_test.go
@@ -15,7 +15,7 @@
 	var best *vmState
 	for _, v := range a.vms {
 		fits := p.step.def.Reservation().FitsIn(v.freeCapacity())
-		if !fits || (v.yielding && !p.job.longRunning) || !p.step.mayRunOn(p.id.StepID(), v) || !a.s.usable(a.now, v) {
+		if !fits || (v.yielding && !p.job.longRunning) || !p.step.eligible(p.id.StepID(), v) || !p.step.approval.permits(a.now, v) || !a.s.usable(a.now, v) {
 			continue
 		}
 		if best == nil || a.cost(p, v) < a.cost(p, best) {
--- a/io/node/event.go
+++ b/io/node/event.go
@@ -62,10 +62,10 @@
 		outcome schedule.Outcome
 		refusal job.MachineRefusal
 	}
-	// approvalAnswered carries the VMs that are approved for a step, with their tickets.
+	// approvalAnswered carries the answer to a request for approvals.
 	approvalAnswered struct {
-		step      job.StepID
-		approvals platform.Approvals
+		request schedule.RequestApproval
+		answer  schedule.ApprovalAnswer
 	}
 	// reconfigured reports that the operators' view has changed.
 	reconfigured struct{}
--- a/io/node/execute.go
+++ b/io/node/execute.go
@@ -20,9 +20,6 @@
 	holdGrace = 600 * time.Millisecond
 	// machineOrderTimeout bounds an order for a machine.
 	machineOrderTimeout = 2 * time.Second
-	// approvalTimeout bounds a request for approvals. The service decides on one request
-	// at a time.
-	approvalTimeout = 2 * time.Second
 	// tableWriteTimeout bounds an attempt to publish a wave's state and deleting a job's rows.
 	tableWriteTimeout = time.Second
 )
@@ -176,13 +173,14 @@
 }
 
 func (o *owner) requestApprovals(ctx context.Context, c schedule.RequestApproval) {
-	callCtx, cancel := context.WithTimeout(ctx, approvalTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, c.AnswerDue.Sub(bootNow()))
 	defer cancel()
 	a, err := o.node.approvals.Approve(callCtx, c.Step, c.VMs)
 	if err != nil {
-		o.log.Warn().Err(err).Str("event", "advice_failed").Str("job", string(c.Step.Job)).Send()
+		o.log.Warn().Err(err).Str("event", "approval_failed").Str("job", string(c.Step.Job)).Int("vms", len(c.VMs)).
+			Int64("age_ms", bootNow().Sub(c.SentAt).Milliseconds()).Send()
 	}
-	o.send(ctx, approvalAnswered{c.Step, a})
+	o.send(ctx, approvalAnswered{c, schedule.ApprovalAnswer{Failed: err != nil, Tickets: a.Tickets, ValidPeriod: a.ValidPeriod}})
 }
 
 func (o *owner) orderIssuer() job.OrderIssuer {
--- a/io/node/load.go
+++ b/io/node/load.go
@@ -178,6 +178,7 @@
 	b := o.node.settings.Bounds
 	o.policy = o.node.currentPolicy()
 	return schedule.New(schedule.Settings{
+		ApprovalMaxVMs:  platform.MaxApprovalVMs,
 		OrderIssuer:     o.node.settings.Node,
 		FormerOrders:    formerOrders,
 		Fence:           job.Fence(o.tenure.fence),
--- a/io/node/owner.go
+++ b/io/node/owner.go
@@ -268,7 +268,7 @@
 	case moveAnswered:
 		s.MoveAnswered(now, e.order, e.outcome, e.refusal)
 	case approvalAnswered:
-		s.ApprovalAnswered(now, e.step, e.approvals.Tickets, e.approvals.ValidPeriod)
+		s.ApprovalAnswered(now, e.request, e.answer)
 	case reconfigured:
 		// The next round checks the view.
 	}
