io/node, platform: a queue whose approval service isn't named denies its jobs and stops nobody

What callers saw: if the settings name no approval service and a queue requires approvals, the first job that is accepted there panics the owner in a goroutine that nothing recovers, and then each process that takes over: no job of any queue runs.

Cause: Node.approvals was nil, and requestApprovals called it.

Change: the zero ApprovalService refuses calls; the request then counts as failed. A submission to such a queue is denied at once (503, not stored), since it can't be served. Jobs accepted before wait, and approval_failed says why.

--- a/io/node/callers.go
+++ b/io/node/callers.go
@@ -32,9 +32,11 @@
 
 // callerHandler serves the HTTP calls that submit, show and cancel jobs and show backlogs.
 type callerHandler struct {
-	view           *operatorView
-	health         *tableHealth
-	jobs           *jobStore
+	view   *operatorView
+	health *tableHealth
+	jobs   *jobStore
+	// canApprove is set if there is a service that approves VMs for the queues that require it.
+	canApprove     bool
 	limits         *entryLimits
 	admission      *admissionGate
 	log            zerolog.Logger
@@ -145,6 +147,10 @@
 		return
 	}
 	q := c.queue
+	if q.Approval != nil && !h.canApprove {
+		h.deny(w, c.call, string(c.id), platform.DeniedUnavailable, "the queue requires approvals, and the settings name no service for them")
+		return
+	}
 	j := job.Job{ID: c.id, Body: body, Terms: job.Terms{
 		Queue: q.Name, Pool: q.Pool, Account: c.account, Priority: q.Priority, MaxAttempts: q.MaxAttempts,
 		Stretch: q.Stretch, LatencyAllowance: q.LatencyAllowance,
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -50,7 +50,7 @@
 	log           zerolog.Logger
 	table         *platform.Table
 	machines      *platform.Machines
-	approvals     *platform.ApprovalService
+	approvals     platform.ApprovalService
 	view          *operatorView
 	callers       *callerHandler
 	election      *election
@@ -70,19 +70,17 @@
 	}
 	n := &Node{
 		settings: s, log: log, metrics: newProcessMetrics(),
-		table:    platform.NewTable(s.TableAddress),
-		machines: platform.NewMachines(s.MachinesAddress),
+		table:     platform.NewTable(s.TableAddress),
+		machines:  platform.NewMachines(s.MachinesAddress),
+		approvals: platform.NewApprovalService(s.ApprovalAddress),
 	}
 	n.SetPolicy(p)
-	if s.ApprovalAddress != "" {
-		n.approvals = platform.NewApprovalService(s.ApprovalAddress)
-	}
 	n.health.log = log
 	n.decisions = &decisionLog{log: log, count: n.metrics.count, recordDuration: n.metrics.recordDuration}
 	n.view = &operatorView{table: n.table, log: log, onChange: n.reconfigured, health: &n.health}
 	n.admission = newAdmissionGate(n.currentPolicy, log, n.metrics.count)
 	n.callers = &callerHandler{
-		view: n.view, health: &n.health, limits: newEntryLimits(&s, n.currentPolicy, log, n.metrics), admission: n.admission, log: log,
+		view: n.view, health: &n.health, canApprove: n.approvals.Known(), limits: newEntryLimits(&s, n.currentPolicy, log, n.metrics), admission: n.admission, log: log,
 		count: n.metrics.count, recordDuration: n.metrics.recordDuration,
 		jobs: &jobStore{
 			table: n.table, recordLatency: func(d time.Duration) { n.metrics.recordDuration("table_call", d) },
