core/schedule: only work that is due, and tasks that have begun, take memory

Cause: AddJob made the state of all occurrences, steps and tasks at once.

Change: occurrences get a state a second before they are due and lose it when they are over; tasks get one when they start and lose it when they are done. What is done is a set of indexes, also in the stored progress of jobs of more than 5,000 tasks; smaller jobs are stored as before, for owners of older releases.

--- a/core/job/job.go
+++ b/core/job/job.go
@@ -3,7 +3,10 @@
 // goroutines.
 package job
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // ID identifies a job and is chosen by the caller.
 type ID string
@@ -64,9 +67,19 @@
 	return Resources{CPU: min(r.CPU, o.CPU), MemMB: min(r.MemMB, o.MemMB), GPU: min(r.GPU, o.GPU)}
 }
 
-// Mul returns r multiplied by n.
+// maxProduct bounds the result of Mul, so that sums of many results don't overflow.
+const maxProduct = 1 << 52
+
+// Mul returns r multiplied by n, at most maxProduct of each resource.
 func (r Resources) Mul(n int) Resources {
-	return Resources{CPU: r.CPU * int64(n), MemMB: r.MemMB * int64(n), GPU: r.GPU * int64(n)}
+	return Resources{CPU: multiply(r.CPU, n), MemMB: multiply(r.MemMB, n), GPU: multiply(r.GPU, n)}
+}
+
+func multiply(amount int64, n int) int64 {
+	if n > 0 && amount > maxProduct/int64(n) {
+		return maxProduct
+	}
+	return amount * int64(n)
 }
 
 // FitsIn reports whether available covers r for every resource.
@@ -141,9 +154,16 @@
 	if b.Occurrences == 0 {
 		return time.Time{}
 	}
+	if b.Interval > 0 && k > int(maxSchedule/b.Interval) {
+		return b.FirstDue.Add(maxSchedule)
+	}
 	return b.FirstDue.Add(time.Duration(k) * b.Interval)
 }
 
+// maxSchedule is the longest time from the first occurrence of a job to a later one. All that lie beyond
+// count as due then.
+const maxSchedule = time.Duration(math.MaxInt64 / 2)
+
 // LongRunning reports whether the job runs until it is cancelled.
 func (b *Body) LongRunning() bool {
 	for i := range b.Steps {
--- a/core/job/state.go
+++ b/core/job/state.go
@@ -38,6 +38,9 @@
 // continue the job.
 type Progress struct {
 	State State `json:"state"`
+	// DoneBefore is the number of occurrences, from the first on, that are complete and that Done
+	// doesn't list.
+	DoneBefore int `json:"done_before,omitempty"`
 	// Done lists the tasks that succeeded, by occurrence and step.
 	Done []StepDone `json:"done,omitempty"`
 	// Failed lists the failed runs of each task that has any.
@@ -84,10 +87,11 @@
 	ForgetAt time.Time `json:"-"`
 }
 
-// StepDone lists the tasks of a step that succeeded.
+// StepDone lists the tasks of a step that succeeded: those below Before, and Tasks.
 type StepDone struct {
 	Occurrence int   `json:"k,omitempty"`
 	Step       int   `json:"s"`
+	Before     int   `json:"b,omitempty"`
 	Tasks      []int `json:"t"`
 }
 
--- a/core/schedule/approval.go
+++ b/core/schedule/approval.go
@@ -73,9 +73,10 @@
 
 // anyStartable reports whether one of the step's tasks waits for nothing but a VM.
 func (a *assignment) anyStartable(st *stepState) bool {
-	return st.openTasks > 0 && slices.ContainsFunc(st.tasks, func(t taskState) bool {
-		return t.open() && !a.now.Before(t.notBefore) && !a.s.mayHaveEnded(&t)
-	})
+	startable := func(t *taskState) bool {
+		return t.open() && !a.now.Before(t.notBefore) && !a.s.mayHaveEnded(t)
+	}
+	return st.openTasks > 0 && (slices.ContainsFunc(st.live, startable) || st.newTasks() > 0)
 }
 
 // approvalCandidates returns the VMs that could run tasks of the step if they were approved, those
--- a/core/schedule/assign.go
+++ b/core/schedule/assign.go
@@ -18,13 +18,14 @@
 		return
 	}
 	s.planRunTimeSave(now, wall)
-	s.countPossibleUsage(now)
 	waiting := poolQueues{}
 	for _, j := range s.jobs.All() {
 		if !j.over() && !j.refused.any() {
+			s.addDueOccurrences(now, wall, j)
 			s.enqueue(waiting, j)
 		}
 	}
+	s.countPossibleUsage(wall)
 	s.enqueueRunsAtRisk(now, wall, waiting)
 	if len(waiting) == 0 {
 		return
@@ -160,23 +161,34 @@
 		a.startGang(j, o, i)
 		return
 	}
-	for t := range st.tasks {
-		task := &st.tasks[t]
+	for _, task := range st.live {
 		if !task.open() || a.now.Before(task.notBefore) || a.s.mayHaveEnded(task) {
 			continue
 		}
-		if !a.withinQuota(j, st.def.Resources) {
-			return
-		}
-		id := job.TaskID{Job: j.ID, Occurrence: o.index, Step: i, Index: t}
-		n := a.chooseVM(placement{job: j, step: st, task: task, id: id})
-		if n < 0 {
+		if !a.startOpenTask(j, o, i, task) {
 			// The step's other tasks need the same resources.
 			return
 		}
-		a.startTask(j, st, id, task, a.index.vms[n].vm, a.s.nextAttempt(task))
-		a.index.reposition(n)
 	}
+	for task := st.nextTask(); task != nil && a.startOpenTask(j, o, i, task); {
+		task = st.nextTask()
+	}
+}
+
+// startOpenTask starts a task and reports whether there was capacity for it.
+func (a *assignment) startOpenTask(j *jobState, o *occurrence, i int, task *taskState) bool {
+	st := &o.steps[i]
+	if !a.withinQuota(j, st.def.Resources) {
+		return false
+	}
+	id := job.TaskID{Job: j.ID, Occurrence: o.index, Step: i, Index: task.index}
+	n := a.chooseVM(placement{job: j, step: st, task: task, id: id})
+	if n < 0 {
+		return false
+	}
+	a.startTask(j, st, id, task, a.index.vms[n].vm, a.s.nextAttempt(task))
+	a.index.reposition(n)
+	return true
 }
 
 // nextAttempt returns the number of the task's next attempt.
@@ -189,7 +201,7 @@
 // this owner: the tasks without a known run of jobs that were started there. The former owner
 // may know of ends that this owner hasn't seen, so it may already have started later steps of
 // these jobs.
-func (s *Scheduler) countPossibleUsage(now time.Time) {
+func (s *Scheduler) countPossibleUsage(wall time.Time) {
 	s.possibleUsage = nil
 	if !s.anyUnreported {
 		return
@@ -201,9 +213,11 @@
 		if s.possibleUsage == nil {
 			s.possibleUsage = map[job.AccountName]job.Resources{}
 		}
+		usage := j.newOccurrence(0).maxUnknownUsage().Mul(j.dueWithoutState(wall))
 		for _, o := range j.occurrences {
-			s.possibleUsage[j.Terms.Account] = s.possibleUsage[j.Terms.Account].Add(o.maxUnknownUsage())
+			usage = usage.Add(o.maxUnknownUsage())
 		}
+		s.possibleUsage[j.Terms.Account] = s.possibleUsage[j.Terms.Account].Add(usage)
 	}
 }
 
@@ -213,10 +227,11 @@
 	var sum, largest job.Resources
 	sequential := true
 	for i := range o.steps {
-		var r job.Resources
-		for t := range o.steps[i].tasks {
-			if task := &o.steps[i].tasks[t]; !task.done && len(task.runs) == 0 {
-				r = r.Add(o.steps[i].def.Resources)
+		st := &o.steps[i]
+		r := st.def.Resources.Mul(st.newTasks())
+		for _, t := range st.live {
+			if !t.done && len(t.runs) == 0 {
+				r = r.Add(st.def.Resources)
 			}
 		}
 		sum, largest = sum.Add(r), largest.Max(r)
--- a/core/schedule/attribution.go
+++ b/core/schedule/attribution.go
@@ -161,8 +161,8 @@
 // countSiblings counts the runs of the same step on other VMs that recently progressed slowly or
 // as usual.
 func (x slowRun) countSiblings(now time.Time) (slow, usual int) {
-	for i := range x.step.tasks {
-		for _, o := range x.step.tasks[i].runs {
+	for _, t := range x.step.live {
+		for _, o := range t.runs {
 			switch {
 			case o.vm == x.vm || !o.pace.recent(now):
 			case o.pace.slow:
@@ -270,5 +270,5 @@
 
 // hasLongTask reports whether a task of the step takes long on any VM.
 func (s *stepState) hasLongTask() bool {
-	return slices.ContainsFunc(s.tasks, func(t taskState) bool { return t.long })
+	return s.longTaskDone || slices.ContainsFunc(s.live, func(t *taskState) bool { return t.long })
 }
--- a/core/schedule/attribution_test.go
+++ b/core/schedule/attribution_test.go
@@ -128,7 +128,7 @@
 	after := wideStep
 	after.After = []int{0}
 	j := h.newJob("j", wideStep, after)
-	j.occurrences[0].steps[0].tasks[3].long = true
+	j.occurrences[0].steps[0].task(3).long = true
 	before, _ := h.s.predictObjective(j)
 	h.completeStep(j, 0, time.Second, time.Second, time.Second, 7*time.Second)
 	due, _ := h.s.predictObjective(j)
--- a/core/schedule/crash.go
+++ b/core/schedule/crash.go
@@ -105,14 +105,17 @@
 func (j *jobState) noTaskCanRun() bool {
 	for _, o := range j.occurrences {
 		for i := range o.steps {
-			for t := range o.steps[i].tasks {
-				if x := &o.steps[i].tasks[t]; !x.done && !x.crashes.limitReached() {
+			for _, t := range o.steps[i].live {
+				if !t.done && !t.crashes.limitReached() {
 					return false
 				}
 			}
+			if o.steps[i].newTasks() > 0 {
+				return false
+			}
 		}
 	}
-	return true
+	return j.nextOccurrence >= j.Body.OccurrenceCount()
 }
 
 // crashedAtStart reports whether the run had only just begun when its VM crashed. The
--- a/core/schedule/crash_test.go
+++ b/core/schedule/crash_test.go
@@ -344,7 +344,7 @@
 		c.s.StartAnswered(c.now, o, Unanswered, job.Report{})
 		c.advance(30 * time.Millisecond)
 		c.silence(o.VM, 8*time.Second)
-		if n := len(c.s.jobs.Get("j").occurrences[0].steps[0].tasks[0].crashes.attempts); n < maxCrashes-1 {
+		if n := len(c.s.jobs.Get("j").occurrences[0].steps[0].task(0).crashes.attempts); n < maxCrashes-1 {
 			c.restart(o.VM)
 			c.answerStops()
 			continue
@@ -372,7 +372,7 @@
 		c.full = true
 		c.silence(starts[0].VM, after)
 		c.restart(starts[0].VM)
-		for i, x := range c.s.jobs.Get("j").occurrences[0].steps[0].tasks {
+		for i, x := range c.s.jobs.Get("j").occurrences[0].steps[0].live {
 			assert.Equal(t, x.crashes.confirmed, 1, "%s, task %d", name, i)
 			assert.Equal(t, x.crashes.soleSuspect, 0, "%s, task %d", name, i)
 		}
--- a/core/schedule/crashowner_test.go
+++ b/core/schedule/crashowner_test.go
@@ -57,7 +57,7 @@
 		h.s.AddInheritedVM(RosterVM{ID: "one", Address: "one", Pool: poolA, Machine: "m-one", Born: 1})
 		h.s.AddJob(h.now, newTestJob("j", job.Step{Count: 1, Resources: smallStep.Resources, LongRunning: true}), &p, true)
 		h.answerHold("one", []job.RunningTask{{Task: job.TaskID{Job: "j"}, Attempt: 7, Percent: 100}})
-		assert.Equal(t, !h.s.jobs.Get("j").occurrences[0].steps[0].tasks[0].crashes.any(), c.forgotten, name)
+		assert.Equal(t, !h.s.jobs.Get("j").occurrences[0].steps[0].task(0).crashes.any(), c.forgotten, name)
 	}
 }
 
@@ -95,7 +95,7 @@
 		p := job.Progress{State: job.Running, VMs: []job.VMID{"one"}, Started: []job.TaskStart{start}}
 		h.s.AddInheritedVM(RosterVM{ID: "one", Address: "one", Pool: poolA, Machine: "m-one", Born: 1})
 		h.s.AddJob(h.now, newTestJob("j", smallStep), &p, true)
-		task := &h.s.jobs.Get("j").occurrences[0].steps[0].tasks[0]
+		task := h.s.jobs.Get("j").occurrences[0].steps[0].task(0)
 		h.advance(c.want)
 		assert.Equal(t, len(task.expiredRuns) > 0, c.want > 0, name)
 		h.advance(100 * time.Millisecond)
--- a/core/schedule/demand.go
+++ b/core/schedule/demand.go
@@ -81,8 +81,8 @@
 			continue
 		}
 		for i := range o.steps {
-			for t := range o.steps[i].tasks {
-				for _, r := range o.steps[i].tasks[t].runs {
+			for _, t := range o.steps[i].live {
+				for _, r := range t.runs {
 					if r.vm.countsAsCapacity(now) {
 						sum += r.reservation.CPU
 					}
@@ -115,7 +115,7 @@
 	for _, o := range j.occurrences {
 		for i := range o.steps {
 			def := o.steps[i].def
-			l.cpu += def.Reservation().CPU * int64(def.Count)
+			l.cpu += def.Reservation().Mul(def.Count).CPU
 			if def.MaxPerVM > 0 {
 				l.minVMs = max(l.minVMs, (def.Count+def.MaxPerVM-1)/def.MaxPerVM)
 			}
@@ -132,8 +132,8 @@
 	n := int64(0)
 	for _, o := range j.occurrences {
 		for i := range o.steps {
-			for t := range o.steps[i].tasks {
-				task := &o.steps[i].tasks[t]
+			n += int64(o.steps[i].newTasks())
+			for _, task := range o.steps[i].live {
 				if task.open() && (task.unavailableSince.IsZero() || now.Sub(task.unavailableSince) > longRunningWaitThreshold) {
 					n++
 				}
--- a/core/schedule/gang.go
+++ b/core/schedule/gang.go
@@ -11,8 +11,7 @@
 func (a *assignment) startGang(j *jobState, o *occurrence, i int) {
 	st := &o.steps[i]
 	checkpoint := job.Checkpoint("")
-	for t := range st.tasks {
-		task := &st.tasks[t]
+	for _, task := range st.live {
 		if !task.open() || a.now.Before(task.notBefore) || a.s.mayHaveEnded(task) {
 			return
 		}
@@ -20,7 +19,7 @@
 			checkpoint = task.checkpoint
 		}
 	}
-	if !a.withinQuota(j, st.def.Resources.Mul(len(st.tasks))) {
+	if !a.withinQuota(j, st.def.Resources.Mul(st.def.Count)) {
 		return
 	}
 	chosen := a.chooseGang(st)
@@ -29,11 +28,11 @@
 	}
 	defer func() { a.index = newVMIndex(a.vms, a.minReservation) }()
 	st.gangAttempt = max(st.gangAttempt, a.s.settings.AttemptBase) + 1
-	for t := range st.tasks {
-		task := &st.tasks[t]
+	for t, v := range chosen {
+		task := st.task(t)
 		task.checkpoint, task.lastAttempt = checkpoint, st.gangAttempt
 		id := job.TaskID{Job: j.ID, Occurrence: o.index, Step: i, Index: t}
-		a.startTask(j, st, id, task, chosen[t], st.gangAttempt)
+		a.startTask(j, st, id, task, v, st.gangAttempt)
 	}
 }
 
@@ -64,6 +63,10 @@
 // packGang assigns all members to VMs of the rack, or to any VMs of the pool if rack is empty.
 // It returns nil if they don't all fit.
 func (a *assignment) packGang(st *stepState, rack job.Label) []*vmState {
+	size := st.def.Count
+	if size > maxLiveTasks {
+		return nil
+	}
 	var chosen []*vmState
 	for _, v := range a.vms {
 		if (rack != "" && v.rack != rack) || (v.yielding && !st.def.LongRunning) || !a.s.usable(a.now, v) {
@@ -74,7 +77,7 @@
 		}
 		free := v.freeCapacity()
 		reservation := st.def.Reservation()
-		for n := 0; len(chosen) < len(st.tasks) && reservation.FitsIn(free); n++ {
+		for n := 0; len(chosen) < size && reservation.FitsIn(free); n++ {
 			if st.def.MaxPerVM > 0 && n >= st.def.MaxPerVM {
 				break
 			}
@@ -82,7 +85,7 @@
 			free = free.Sub(reservation)
 		}
 	}
-	if len(chosen) < len(st.tasks) {
+	if len(chosen) < size {
 		return nil
 	}
 	return chosen
@@ -96,8 +99,8 @@
 	if st == nil || !st.def.Gang {
 		return
 	}
-	for i := range st.tasks {
-		for _, x := range slices.Clone(st.tasks[i].runs) {
+	for _, t := range slices.Clone(st.live) {
+		for _, x := range slices.Clone(t.runs) {
 			if x != r && x.attempt == r.attempt {
 				s.stopRun(now, x, "a gang member did not start")
 			}
--- a/core/schedule/maintenance.go
+++ b/core/schedule/maintenance.go
@@ -263,10 +263,9 @@
 // counts as unavailable from its stop until it is listed as fully running again. Without a
 // budget, no other task may be unavailable.
 func (s *Scheduler) withinDisruptionBudget(now time.Time, st *stepState, r *run) bool {
-	unavailable := 0
-	for i := range st.tasks {
-		t := &st.tasks[i]
-		if i == r.task.Index {
+	unavailable := st.newTasks()
+	for _, t := range st.live {
+		if t.index == r.task.Index {
 			continue
 		}
 		x := t.activeRun()
--- a/core/schedule/objective.go
+++ b/core/schedule/objective.go
@@ -60,7 +60,7 @@
 
 // learnStep adds the run times of all tasks of a step to the statistics of the queue.
 func (s *Scheduler) learnStep(now time.Time, j *jobState, st *stepState) {
-	if len(st.runTimes) < len(st.tasks) {
+	if st.observedRuns < st.def.Count {
 		// Some tasks ran under a former owner or from a checkpoint, so their full run times are
 		// unknown.
 		return
@@ -111,10 +111,11 @@
 	return objective.RunTime(st.Estimate, q.meanLogRunTime)
 }
 
-// remainingTime predicts how long the job's incomplete steps take if nothing delays them.
+// remainingTime predicts how long the occurrence's incomplete steps take if nothing delays them. Without
+// an occurrence, all steps are incomplete.
 func (s *Scheduler) remainingTime(j *jobState, o *occurrence) time.Duration {
 	return objective.LongestPath(j.Body.Steps, func(i int) time.Duration {
-		if o.steps[i].complete() {
+		if o != nil && o.steps[i].complete() {
 			return 0
 		}
 		return s.predictStepTime(j, &j.Body.Steps[i])
@@ -125,8 +126,8 @@
 // delays it. Complete steps count with the time that they took.
 func (s *Scheduler) totalTime(j *jobState) time.Duration {
 	return objective.LongestPath(j.Body.Steps, func(i int) time.Duration {
-		if known := j.occurrences[0].steps[i].longestRun; known > 0 {
-			return known
+		if len(j.occurrences) > 0 && j.occurrences[0].steps[i].longestRun > 0 {
+			return j.occurrences[0].steps[i].longestRun
 		}
 		return s.predictStepTime(j, &j.Body.Steps[i])
 	})
@@ -139,16 +140,23 @@
 	return j.arrived.Add(allowed), j.arrived.Add(objective.LateFactor * allowed)
 }
 
-// predictWork predicts how many core-seconds the job still needs, and how many it needs in
-// total.
+// predictWork predicts how many core-seconds the occurrences of the job that are due still need, and
+// how many they need in total.
 func (s *Scheduler) predictWork(j *jobState) (remaining, total float64) {
 	for _, o := range j.occurrences {
-		for i := range o.steps {
-			st := o.steps[i].def
-			perTask := float64(st.Resources.CPU) / 1000 * s.predictRunTime(j, st).Seconds()
-			total += perTask * float64(st.Count)
-			remaining += perTask * float64(st.Count-o.steps[i].doneTasks)
-		}
+		r, t := s.predictOccurrenceWork(j, o)
+		remaining, total = remaining+r, total+t
+	}
+	return remaining, total
+}
+
+// predictOccurrenceWork is predictWork for one occurrence.
+func (s *Scheduler) predictOccurrenceWork(j *jobState, o *occurrence) (remaining, total float64) {
+	for i := range o.steps {
+		st := o.steps[i].def
+		perTask := float64(st.Resources.CPU) / 1000 * s.predictRunTime(j, st).Seconds()
+		total += perTask * float64(st.Count)
+		remaining += perTask * float64(st.Count-o.steps[i].done.Len())
 	}
 	return remaining, total
 }
--- a/core/schedule/objective_test.go
+++ b/core/schedule/objective_test.go
@@ -12,7 +12,8 @@
 // completeStep marks a job's step as complete, with the run times of its tasks.
 func (h *harness) completeStep(j *jobState, step int, took ...time.Duration) {
 	st := &j.occurrences[0].steps[step]
-	st.runTimes, st.doneTasks = took, len(took)
+	st.runTimes, st.observedRuns = took, len(took)
+	st.done.AddBelow(len(took))
 	for _, d := range took {
 		h.s.learnRunTime(j, d)
 	}
--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -112,12 +112,15 @@
 	return c
 }
 
-// currentOccurrence returns the first occurrence that isn't complete.
+// currentOccurrence returns the first occurrence that isn't complete, or nil if none is due.
 func (j *jobState) currentOccurrence() *occurrence {
 	for _, o := range j.occurrences {
 		if o.doneSteps < len(o.steps) {
 			return o
 		}
 	}
-	return j.occurrences[len(j.occurrences)-1]
+	if len(j.occurrences) > 0 {
+		return j.occurrences[len(j.occurrences)-1]
+	}
+	return nil
 }
--- a/core/schedule/outlook.go
+++ b/core/schedule/outlook.go
@@ -178,11 +178,11 @@
 // runs for the given time. Steps that haven't begun need no look at each task.
 func (st *stepState) splitWork(now time.Time, run time.Duration) (running, waiting admission.CoreSeconds) {
 	cores := float64(st.def.Reservation().CPU) / 1000
-	if st.openTasks == len(st.tasks) {
+	if st.openTasks == st.def.Count {
 		return 0, admission.CoreSeconds(cores * run.Seconds() * float64(st.openTasks))
 	}
-	for t := range st.tasks {
-		task := &st.tasks[t]
+	waiting = admission.CoreSeconds(cores * run.Seconds() * float64(st.newTasks()))
+	for _, task := range st.live {
 		switch {
 		case task.done:
 		case len(task.runs) > 0:
--- a/core/schedule/recorded.go
+++ b/core/schedule/recorded.go
@@ -69,7 +69,7 @@
 	for _, c := range p.Crashed {
 		if t := j.taskAt(c.Occurrence, c.Step, c.Task); t != nil {
 			t.crashes = crashes{attempts: c.Attempts, confirmed: c.Confirmed, atStart: c.AtStart, soleSuspect: c.SoleSuspect}
-			j.occurrences[c.Occurrence].steps[c.Step].recount()
+			j.occurrence(c.Occurrence).steps[c.Step].recount()
 		}
 	}
 }
@@ -81,7 +81,7 @@
 		if t == nil || t.done || v == nil {
 			continue
 		}
-		st := &j.occurrences[x.Occurrence].steps[x.Step]
+		st := &j.occurrence(x.Occurrence).steps[x.Step]
 		r := &run{
 			task: job.TaskID{Job: j.ID, Occurrence: x.Occurrence, Step: x.Step, Index: x.Task}, attempt: x.Attempt, vm: v,
 			phase: runUnanswered, adopted: true, recorded: true, crashSuspect: t.crashes.any(),
@@ -116,10 +116,11 @@
 
 // taskAt returns a task of the job, or nil.
 func (j *jobState) taskAt(occurrence, step, index int) *taskState {
-	if occurrence >= len(j.occurrences) || step >= len(j.Body.Steps) || index >= j.Body.Steps[step].Count {
+	o := j.occurrence(occurrence)
+	if o == nil || step >= len(j.Body.Steps) || index >= j.Body.Steps[step].Count {
 		return nil
 	}
-	return &j.occurrences[occurrence].steps[step].tasks[index]
+	return o.steps[step].task(index)
 }
 
 // addCrashes adds a task's crashes and recorded starts to the progress to be stored.
--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -135,16 +135,12 @@
 	s.countSuccess(v)
 	if ranFor > 0 {
 		s.learnRunTime(j, ranFor)
-		st.runTimes = append(st.runTimes, ranFor)
+		st.addRunTime(ranFor)
 	}
 	if st.def.Gang {
-		for i := range st.tasks {
-			st.tasks[i].done = true
-		}
-		st.doneTasks = len(st.tasks)
+		st.finishAll()
 	} else {
-		t.done = true
-		st.doneTasks++
+		st.finishTask(t)
 	}
 	st.recount()
 	j.ratedAt = time.Time{}
@@ -152,6 +148,7 @@
 	for _, other := range slices.Clone(t.runs) {
 		s.stopRun(now, other, "another run completed")
 	}
+	st.forgetDone()
 	if !st.complete() {
 		return true
 	}
@@ -160,8 +157,8 @@
 	if o.doneSteps < len(o.steps) {
 		return true
 	}
-	j.doneOccurrences++
-	if j.doneOccurrences == len(j.occurrences) {
+	j.doneOccurrences.Add(o.index)
+	if j.doneOccurrences.Len() == j.Body.OccurrenceCount() {
 		s.finish(now, j, job.Completed)
 	}
 	return true
@@ -180,7 +177,7 @@
 	}
 	if st.def.Gang {
 		// A gang fails as a whole, so one count stands for all members.
-		t = &st.tasks[0]
+		t = st.task(0)
 		if slices.Contains(t.failedAttempts, e.Attempt) {
 			return false
 		}
@@ -240,10 +237,11 @@
 // or it is no longer wanted. record is the run that its stored record describes, or nil.
 func (s *Scheduler) adoptRun(now time.Time, v *vmState, clock job.VMClock, e *job.RunningTask, record *run) {
 	j, _, st, t := s.task(e.Task)
+	owner, def := s.definition(e.Task)
 	r := &run{
 		task: e.Task, attempt: e.Attempt, vm: v, phase: runConfirmed, confirmedClock: clock,
 		orderedAt: now, confirmedAt: now, percent: e.Percent, load: e.Load,
-		pacePercent: 100, adopted: true, unknownJob: j == nil, lastListCount: v.listCount,
+		pacePercent: 100, adopted: true, unknownJob: def == nil, lastListCount: v.listCount,
 		stableClock: stableClockAfter(clock),
 	}
 	if record != nil {
@@ -253,9 +251,9 @@
 			r.stableClock = min(r.stableClock, record.stableClock)
 		}
 	}
-	if j != nil {
-		r.reservation, r.quotaUsage, r.account = st.def.Reservation(), st.def.Resources, j.Terms.Account
-		r.setKind(st.def)
+	if def != nil {
+		r.reservation, r.quotaUsage, r.account = def.Reservation(), def.Resources, owner.Terms.Account
+		r.setKind(def)
 	}
 	wanted := j != nil && !j.over() && !t.done && (t.activeRun() == nil || st.def.Speculative)
 	s.addRun(now, r, st, t)
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -110,6 +110,7 @@
 	s.chargeShare(now, r)
 	if t != nil {
 		t.runs = append(t.runs, r)
+		st.keep(t)
 		st.recount()
 	}
 }
@@ -163,6 +164,9 @@
 		s.markDirty(j)
 	}
 	t.runs = slices.DeleteFunc(t.runs, func(o *run) bool { return o == r })
+	if t.done {
+		st.forgetDone()
+	}
 	st.recount()
 	if st.def.LongRunning && t.unavailableSince.IsZero() {
 		t.unavailableSince = now
--- a/core/schedule/save.go
+++ b/core/schedule/save.go
@@ -1,11 +1,13 @@
 package schedule
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
 
 	"lavenderpond/core/job"
+	"lavenderpond/core/schedule/indexset"
 )
 
 // markDirty makes the next save include the job.
@@ -103,16 +105,7 @@
 
 // hasRuns reports whether any task of the job has a run.
 func (j *jobState) hasRuns() bool {
-	for _, o := range j.occurrences {
-		for i := range o.steps {
-			for t := range o.steps[i].tasks {
-				if len(o.steps[i].tasks[t].runs) > 0 {
-					return true
-				}
-			}
-		}
-	}
-	return false
+	return slices.ContainsFunc(j.occurrences, (*occurrence).hasRuns)
 }
 
 // progress returns the state of the job that must be stored. A job that is over needs no
@@ -123,28 +116,68 @@
 		return p
 	}
 	p.VMs = j.possibleVMs.Keys()
+	j.addDone(&p)
 	for _, o := range j.occurrences {
 		for i := range o.steps {
-			d := job.StepDone{Occurrence: o.index, Step: i}
-			for t := range o.steps[i].tasks {
-				task := &o.steps[i].tasks[t]
-				if task.done {
-					d.Tasks = append(d.Tasks, t)
-				}
-				task.addCrashes(&p, job.TaskID{Job: j.ID, Occurrence: o.index, Step: i, Index: t})
-				if len(task.failedAttempts) > 0 && !task.done {
-					f := job.TaskFailures{Occurrence: o.index, Step: i, Task: t, Attempts: slices.Clone(task.failedAttempts)}
+			for _, t := range o.steps[i].live {
+				t.addCrashes(&p, job.TaskID{Job: j.ID, Occurrence: o.index, Step: i, Index: t.index})
+				if len(t.failedAttempts) > 0 && !t.done {
+					f := job.TaskFailures{Occurrence: o.index, Step: i, Task: t.index, Attempts: slices.Clone(t.failedAttempts)}
 					p.Failed = append(p.Failed, f)
 				}
 			}
-			if len(d.Tasks) > 0 {
-				p.Done = append(p.Done, d)
-			}
 		}
 	}
 	return p
 }
 
+// maxListedTasks is the number of tasks up to which a job's stored progress lists each one that is
+// done, as owners of older releases read it. They can't hold larger jobs.
+const maxListedTasks = 5000
+
+// listsTasks reports whether the job's stored progress lists each task that is done.
+func (j *jobState) listsTasks() bool {
+	n := 0.0
+	for i := range j.Body.Steps {
+		n += float64(j.Body.Steps[i].Count)
+	}
+	return n*float64(j.Body.OccurrenceCount()) <= maxListedTasks
+}
+
+// addDone adds the tasks that are done to the progress to be stored.
+func (j *jobState) addDone(p *job.Progress) {
+	listed := j.listsTasks()
+	complete := j.doneOccurrences.Beyond()
+	if listed {
+		complete = j.doneOccurrences.All()
+	} else {
+		p.DoneBefore = j.doneOccurrences.Before()
+	}
+	for _, k := range complete {
+		for i := range j.Body.Steps {
+			var all indexset.Set
+			all.AddBelow(j.Body.Steps[i].Count)
+			p.Done = append(p.Done, stepDone(k, i, &all, listed))
+		}
+	}
+	for _, o := range j.occurrences {
+		for i := range o.steps {
+			if done := &o.steps[i].done; done.Len() > 0 && !j.doneOccurrences.Has(o.index) {
+				p.Done = append(p.Done, stepDone(o.index, i, done, listed))
+			}
+		}
+	}
+	slices.SortStableFunc(p.Done, func(x, y job.StepDone) int { return cmp.Compare(x.Occurrence, y.Occurrence) })
+}
+
+// stepDone returns the stored form of the tasks of a step that are done, with or without a list of all.
+func stepDone(k, step int, done *indexset.Set, listed bool) job.StepDone {
+	if listed {
+		return job.StepDone{Occurrence: k, Step: step, Tasks: done.All()}
+	}
+	return job.StepDone{Occurrence: k, Step: step, Before: done.Before(), Tasks: done.Beyond()}
+}
+
 // flushVMs saves the changes of the roster. Each VM has a row of its own: the table bounds the
 // size of a row, and a single row for 350 VMs would exceed it.
 func (s *Scheduler) flushVMs() {
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -12,6 +12,7 @@
 package schedule
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -230,14 +231,9 @@
 		return
 	}
 	st := &jobState{Job: j, arrived: s.refusals.take(now, j.ID), inherited: inherited, longRunning: j.Body.LongRunning()}
-	for k := range j.Body.OccurrenceCount() {
-		o := &occurrence{index: k, due: j.Body.Due(k), steps: make([]stepState, len(j.Body.Steps))}
-		for i := range o.steps {
-			o.steps[i].def = &j.Body.Steps[i]
-			o.steps[i].tasks = make([]taskState, j.Body.Steps[i].Count)
-			o.steps[i].openTasks = j.Body.Steps[i].Count
-		}
-		st.occurrences = append(st.occurrences, o)
+	if !st.scheduled() {
+		st.nextOccurrence = 1
+		st.occurrence(0)
 	}
 	if p != nil {
 		st.restore(p)
@@ -246,12 +242,9 @@
 	st.objective, st.lateLimit = s.predictObjective(st)
 	if !st.longRunning && !inherited {
 		st.beyondShare = s.config != nil && !s.settings.Policy.FairShares && s.shares.exceeds(now, s.config.Account(j.Terms.Account))
-		remaining, total := s.predictWork(st)
-		s.poolStats(s.pool(st)).arrivals.add(now, remaining)
-		if !st.beyondShare {
-			s.poolStats(s.pool(st)).urgent.add(now, remaining)
+		for _, o := range st.occurrences {
+			s.countArrival(now, st, o)
 		}
-		s.queueStats(j.Terms.Queue).addJob(total)
 	}
 	s.jobs.Set(j.ID, st)
 	if st.takenOver {
@@ -270,27 +263,15 @@
 	for _, v := range p.VMs {
 		j.possibleVMs.Set(v, 0)
 	}
+	j.doneOccurrences.AddBelow(min(p.DoneBefore, j.Body.OccurrenceCount()))
+	done := map[int][]job.StepDone{}
 	for _, d := range p.Done {
-		if d.Occurrence >= len(j.occurrences) || d.Step >= len(j.Body.Steps) {
-			continue
-		}
-		o := j.occurrences[d.Occurrence]
-		st := &o.steps[d.Step]
-		for _, t := range d.Tasks {
-			if t < len(st.tasks) && !st.tasks[t].done {
-				st.tasks[t].done = true
-				st.doneTasks++
-			}
-		}
-		st.recount()
-		if st.complete() {
-			o.doneSteps++
+		if d.Step < len(j.Body.Steps) {
+			done[d.Occurrence] = append(done[d.Occurrence], d)
 		}
 	}
-	for _, o := range j.occurrences {
-		if o.doneSteps == len(o.steps) {
-			j.doneOccurrences++
-		}
+	for _, k := range slices.Sorted(maps.Keys(done)) {
+		j.applyDone(k, done[k])
 	}
 	for _, f := range p.Failed {
 		if t := j.taskAt(f.Occurrence, f.Step, f.Task); t != nil {
@@ -319,8 +300,8 @@
 	})
 	for _, o := range j.occurrences {
 		for i := range o.steps {
-			for t := range o.steps[i].tasks {
-				for _, r := range slices.Clone(o.steps[i].tasks[t].runs) {
+			for _, t := range slices.Clone(o.steps[i].live) {
+				for _, r := range slices.Clone(t.runs) {
 					s.stopRun(now, r, "job "+state.String())
 				}
 			}
@@ -349,16 +330,30 @@
 	return max(1, j.Terms.MaxAttempts)
 }
 
-// task returns a task with its step, occurrence and job, or nil for all if it is unknown.
+// task returns a task with its step, occurrence and job, or nil for all if it is unknown or its
+// occurrence is over.
 func (s *Scheduler) task(t job.TaskID) (*jobState, *occurrence, *stepState, *taskState) {
-	j := s.jobs.Get(t.Job)
-	if j == nil || t.Occurrence >= len(j.occurrences) || t.Step >= len(j.Body.Steps) || t.Occurrence < 0 || t.Step < 0 {
+	j, def := s.definition(t)
+	if def == nil {
 		return nil, nil, nil, nil
 	}
-	o := j.occurrences[t.Occurrence]
-	st := &o.steps[t.Step]
-	if t.Index < 0 || t.Index >= len(st.tasks) {
+	o := j.occurrence(t.Occurrence)
+	if o == nil {
 		return nil, nil, nil, nil
 	}
-	return j, o, st, &st.tasks[t.Index]
+	st := &o.steps[t.Step]
+	return j, o, st, st.task(t.Index)
+}
+
+// definition returns the job of a task and its step, or nil if the task is unknown.
+func (s *Scheduler) definition(t job.TaskID) (*jobState, *job.Step) {
+	j := s.jobs.Get(t.Job)
+	if j == nil || t.Step < 0 || t.Step >= len(j.Body.Steps) || t.Occurrence < 0 || t.Occurrence >= j.Body.OccurrenceCount() {
+		return nil, nil
+	}
+	def := &j.Body.Steps[t.Step]
+	if t.Index < 0 || t.Index >= def.Count {
+		return nil, nil
+	}
+	return j, def
 }
--- a/core/schedule/secondrun.go
+++ b/core/schedule/secondrun.go
@@ -108,7 +108,7 @@
 			if st.openTasks == 0 || !o.ready(i) {
 				continue
 			}
-			gangWaits := st.def.Gang && a.withinQuota(j, st.def.Resources.Mul(len(st.tasks)))
+			gangWaits := st.def.Gang && a.withinQuota(j, st.def.Resources.Mul(st.def.Count))
 			if gangWaits || a.index.isUnplaceable(st.def.Reservation()) {
 				return true
 			}
--- a/core/schedule/slow.go
+++ b/core/schedule/slow.go
@@ -137,8 +137,8 @@
 // projected ones of the runs that match.
 func (st *stepState) knownRunTimes(matches func(x *run) bool) []time.Duration {
 	known := slices.Clone(st.runTimes)
-	for i := range st.tasks {
-		for _, x := range st.tasks[i].runs {
+	for _, t := range st.live {
+		for _, x := range t.runs {
 			if matches(x) && x.phase == runConfirmed && x.fullyObserved() && x.percent >= minProjectedPercent {
 				known = append(known, x.listedAt.Sub(x.confirmedAt)*100/time.Duration(x.percent))
 			}
--- a/core/schedule/state.go
+++ b/core/schedule/state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"lavenderpond/core/job"
+	"lavenderpond/core/schedule/indexset"
 )
 
 // runPhase is the progress of a run's start, as known to the owner.
@@ -105,6 +106,7 @@
 
 // taskState is the state of one task of a step.
 type taskState struct {
+	index          int
 	done           bool
 	failedAttempts []job.Attempt
 	runs           []*run
@@ -150,53 +152,16 @@
 	return nil
 }
 
-// stepState is the state of one step of an occurrence.
-type stepState struct {
-	def       *job.Step
-	tasks     []taskState
-	doneTasks int
-	// openTasks counts the tasks that wait for a start.
-	openTasks int
-	approval  stepApproval
-	// rack is where the step's first task was placed, if its tasks should share a rack.
-	rack job.Label
-	// runTimes are the durations of the successful runs.
-	runTimes []time.Duration
-	// longestRun is the longest of runTimes, once all tasks have ended.
-	longestRun time.Duration
-	// sizeCounted is set once the step's size is counted in the queue's forecast.
-	sizeCounted bool
-	// gangAttempt is the attempt that all members of a gang share.
-	gangAttempt job.Attempt
-}
-
-func (s *stepState) complete() bool { return s.doneTasks == len(s.tasks) }
-
-// recount updates the count of open tasks after a task has changed.
-func (s *stepState) recount() {
-	s.openTasks = 0
-	for i := range s.tasks {
-		if s.tasks[i].open() {
-			s.openTasks++
-		}
-	}
-}
-
-// occurrence is one scheduled execution of a job's steps.
-type occurrence struct {
-	index     int
-	due       time.Time
-	steps     []stepState
-	doneSteps int
-}
-
 // jobState is a job that isn't over, or whose end isn't stored yet.
 type jobState struct {
 	job.Job
-	arrived         time.Time
-	state           job.State
+	arrived time.Time
+	state   job.State
+	// occurrences holds the occurrences that are due and not over, by ascending index. All before
+	// nextOccurrence have had a state, or are in doneOccurrences, which holds the complete ones.
 	occurrences     []*occurrence
-	doneOccurrences int
+	nextOccurrence  int
+	doneOccurrences indexset.Set
 	begun           bool
 	// placed is set once the job's first task has been given a VM.
 	placed bool
--- a/core/schedule/storedlease_test.go
+++ b/core/schedule/storedlease_test.go
@@ -99,9 +99,9 @@
 }
 
 // newTestJob returns a job of one step.
-func newTestJob(id job.ID, step job.Step) job.Job {
+func newTestJob(id job.ID, steps ...job.Step) job.Job {
 	return job.Job{
-		ID: id, Body: job.Body{Spec: "x", Steps: []job.Step{step}},
+		ID: id, Body: job.Body{Spec: "x", Steps: steps},
 		Terms: job.Terms{Queue: "q", Pool: poolA, Account: "free", MaxAttempts: 2, Stretch: 1.6, LatencyAllowance: time.Second},
 	}
 }
