core/schedule: rounds don't slow down with the tasks of a step, starts on a VM are bounded

A step of many small tasks took rounds of minutes, in which the owner loses its ownership; 25,000 starts at once took a call each.

Cause: each change of a task counted all tasks of its step anew, and each choice of a VM all runs there. Evidence: the test did not end in 140 s, its stack stood in recount.

Change: both counts are kept as runs begin and end. A VM gets no further start while 256 are planned or unanswered.

--- a/core/schedule/crash.go
+++ b/core/schedule/crash.go
@@ -59,7 +59,7 @@
 // run that may not have begun counts too, since the VM may have crashed before it
 // answered.
 func (s *Scheduler) countCrash(now time.Time, r *run) {
-	j, _, _, t := s.task(r.task)
+	j, _, st, t := s.task(r.task)
 	if t == nil || t.done || j.over() || r.vm.draining || slices.Contains(t.crashes.attempts, r.attempt) {
 		return
 	}
@@ -67,6 +67,7 @@
 	if r.phase == runConfirmed {
 		t.crashes.addConfirmed(r)
 	}
+	st.update(t)
 	t.separateUntil = now.Add(separationPeriod)
 	if t.crashes.needsIsolation() {
 		t.separateUntil = now.Add(isolationWait)
--- a/core/schedule/placement.go
+++ b/core/schedule/placement.go
@@ -117,12 +117,4 @@
 
 // runsOfStep counts the runs of one step of one occurrence on the VM, including those that are
 // being stopped.
-func (v *vmState) runsOfStep(step job.StepID) int {
-	n := 0
-	for k := range v.runs.All() {
-		if k.task.StepID() == step {
-			n++
-		}
-	}
-	return n
-}
+func (v *vmState) runsOfStep(step job.StepID) int { return v.stepRuns[step] }
--- a/core/schedule/recorded.go
+++ b/core/schedule/recorded.go
@@ -22,13 +22,14 @@
 
 // addExpiredRun remembers until forgetAt a run that was freed because its VM's lease has expired.
 func (s *Scheduler) addExpiredRun(r *run, forgetAt time.Time) {
-	j, _, _, t := s.task(r.task)
+	j, _, st, t := s.task(r.task)
 	if t == nil || j.over() {
 		return
 	}
 	r.vm.expiredRuns = append(r.vm.expiredRuns, r)
 	r.vm.expiredRunsUntil = later(r.vm.expiredRunsUntil, forgetAt)
 	t.expiredRuns = append(t.expiredRuns, r)
+	st.update(t)
 	s.markDirty(j)
 }
 
@@ -41,7 +42,7 @@
 			continue
 		}
 		t.expiredRuns = slices.DeleteFunc(t.expiredRuns, func(o *run) bool { return o == r })
-		st.recount()
+		st.update(t)
 		s.markDirty(j)
 	}
 	v.expiredRuns = nil
@@ -69,7 +70,7 @@
 	for _, c := range p.Crashed {
 		if t := j.taskAt(c.Occurrence, c.Step, c.Task); t != nil {
 			t.crashes = crashes{attempts: c.Attempts, confirmed: c.Confirmed, atStart: c.AtStart, soleSuspect: c.SoleSuspect}
-			j.occurrence(c.Occurrence).steps[c.Step].recount()
+			j.occurrence(c.Occurrence).steps[c.Step].update(t)
 		}
 	}
 }
--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -142,13 +142,12 @@
 	} else {
 		st.finishTask(t)
 	}
-	st.recount()
 	j.ratedAt = time.Time{}
 	s.markDirty(j)
 	for _, other := range slices.Clone(t.runs) {
 		s.stopRun(now, other, "another run completed")
 	}
-	st.forgetDone()
+	st.forget(t)
 	if !st.complete() {
 		return true
 	}
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -106,12 +106,15 @@
 	r.vm.runs.Set(runKey{r.task, r.attempt}, r)
 	r.vm.used = r.vm.used.Add(r.reservation)
 	r.vm.adjustKindCounts(r, 1)
+	if r.phase == runPlanned {
+		r.vm.plannedRuns++
+	}
 	s.usage[r.account] = s.usage[r.account].Add(r.quotaUsage)
 	s.chargeShare(now, r)
 	if t != nil {
 		t.runs = append(t.runs, r)
 		st.keep(t)
-		st.recount()
+		st.update(t)
 	}
 }
 
@@ -135,6 +138,17 @@
 	if r.unknownJob {
 		v.unknownRuns += n
 	}
+	v.countStepRun(r.task.StepID(), n)
+}
+
+// countStepRun adds n to the number of runs of a step.
+func (v *vmState) countStepRun(step job.StepID, n int) {
+	if v.stepRuns == nil {
+		v.stepRuns = map[job.StepID]int{}
+	}
+	if v.stepRuns[step] += n; v.stepRuns[step] == 0 {
+		delete(v.stepRuns, step)
+	}
 }
 
 // release removes a run from its VM, task and account. The run must be certain not to
@@ -147,8 +161,12 @@
 	r.vm.runs.Delete(k)
 	r.vm.used = r.vm.used.Sub(r.reservation)
 	r.vm.adjustKindCounts(r, -1)
-	if r.phase == runOrdered {
+	switch r.phase {
+	case runPlanned:
+		r.vm.plannedRuns--
+	case runOrdered:
 		r.vm.orderedRuns--
+	case runUnanswered, runConfirmed:
 	}
 	if r.stopping {
 		r.vm.stoppingRuns--
@@ -164,10 +182,8 @@
 		s.markDirty(j)
 	}
 	t.runs = slices.DeleteFunc(t.runs, func(o *run) bool { return o == r })
-	if t.done {
-		st.forgetDone()
-	}
-	st.recount()
+	st.update(t)
+	st.forget(t)
 	if st.def.LongRunning && t.unavailableSince.IsZero() {
 		t.unavailableSince = now
 	}
--- a/core/schedule/state.go
+++ b/core/schedule/state.go
@@ -95,8 +95,12 @@
 
 // setPhase moves the run to another phase.
 func (r *run) setPhase(p runPhase) {
-	if r.phase == runOrdered {
+	switch r.phase {
+	case runPlanned:
+		r.vm.plannedRuns--
+	case runOrdered:
 		r.vm.orderedRuns--
+	case runUnanswered, runConfirmed:
 	}
 	if p == runOrdered {
 		r.vm.orderedRuns++
@@ -106,8 +110,10 @@
 
 // taskState is the state of one task of a step.
 type taskState struct {
-	index          int
-	done           bool
+	index int
+	done  bool
+	// busy is set while the task is counted as one that neither is done nor waits for a start.
+	busy           bool
 	failedAttempts []job.Attempt
 	runs           []*run
 	lastAttempt    job.Attempt
--- a/core/schedule/steptasks.go
+++ b/core/schedule/steptasks.go
@@ -20,9 +20,10 @@
 	done indexset.Set
 	// nextNew is a lower bound of the indexes of the tasks that haven't begun.
 	nextNew int
-	// openTasks counts the tasks that wait for a start.
-	openTasks int
-	approval  stepApproval
+	// openTasks counts the tasks that wait for a start, busyTasks those of live that don't and aren't
+	// done, and finishedLive those of live that are done.
+	openTasks, busyTasks, finishedLive int
+	approval                           stepApproval
 	// rack is where the step's first task was placed, if its tasks should share a rack.
 	rack job.Label
 	// runTimes are the durations of the latest successful runs, and observedRuns counts all of them.
@@ -71,8 +72,13 @@
 
 // keep adds a task to live.
 func (s *stepState) keep(t *taskState) {
-	if i, found := s.find(t.index); !found {
-		s.live = slices.Insert(s.live, i, t)
+	i, found := s.find(t.index)
+	if found {
+		return
+	}
+	s.live = slices.Insert(s.live, i, t)
+	if t.done {
+		s.finishedLive++
 	}
 }
 
@@ -92,20 +98,19 @@
 
 // newTasks returns the number of tasks that haven't begun.
 func (s *stepState) newTasks() int {
-	n := s.def.Count - s.done.Len()
-	for _, t := range s.live {
-		if !t.done {
-			n--
-		}
-	}
-	return n
+	return s.def.Count - s.done.Len() - (len(s.live) - s.finishedLive)
 }
 
-// finishTask records that a task is done.
+// finishTask records that a live task is done.
 func (s *stepState) finishTask(t *taskState) {
+	if t.done {
+		return
+	}
 	s.longTaskDone = s.longTaskDone || t.long
 	t.done = true
 	s.done.Add(t.index)
+	s.finishedLive++
+	s.update(t)
 }
 
 // finishAll records that all tasks are done.
@@ -114,11 +119,15 @@
 		s.finishTask(t)
 	}
 	s.done.AddBelow(s.def.Count)
+	s.recount()
 }
 
-// forgetDone forgets the tasks that are done and have no runs.
-func (s *stepState) forgetDone() {
-	s.live = slices.DeleteFunc(s.live, func(t *taskState) bool { return t.done && len(t.runs) == 0 })
+// forget forgets a task if it is done and has no runs.
+func (s *stepState) forget(t *taskState) {
+	if i, found := s.find(t.index); found && t.done && len(t.runs) == 0 {
+		s.live = slices.Delete(s.live, i, i+1)
+		s.finishedLive--
+	}
 }
 
 // addRunTime adds the duration of a successful run.
@@ -130,12 +139,18 @@
 	s.runTimes = append(s.runTimes, d)
 }
 
-// recount updates the count of open tasks after a task has changed.
-func (s *stepState) recount() {
-	s.openTasks = s.def.Count - s.done.Len()
-	for _, t := range s.live {
-		if !t.done && !t.open() {
-			s.openTasks--
+// update updates the counts after a task has changed.
+func (s *stepState) update(t *taskState) {
+	if busy := !t.done && !t.open(); busy != t.busy {
+		t.busy = busy
+		if busy {
+			s.busyTasks++
+		} else {
+			s.busyTasks--
 		}
 	}
+	s.recount()
 }
+
+// recount updates the count of open tasks after the set of those that are done has changed.
+func (s *stepState) recount() { s.openTasks = s.def.Count - s.done.Len() - s.busyTasks }
--- a/core/schedule/vm.go
+++ b/core/schedule/vm.go
@@ -234,9 +234,12 @@
 	return a
 }
 
+// maxPendingStarts bounds the starts on a VM that it hasn't answered. Each of them takes a call.
+const maxPendingStarts = 256
+
 // usable reports whether new tasks may start on the VM.
 func (s *Scheduler) usable(now time.Time, v *vmState) bool {
-	paused := v.unresponsive || v.slow(now) || now.Before(v.suspectUntil) || now.Before(v.fullUntil)
+	paused := v.unresponsive || v.slow(now) || now.Before(v.suspectUntil) || now.Before(v.fullUntil) || v.plannedRuns+v.orderedRuns >= maxPendingStarts
 	return v.acceptsTasks() && !v.cordoned() && !v.departing && !paused && v.rosterSave <= s.storedSequence && !v.rosterRefused && v.unknownRuns == 0 && v.isolatedRuns == 0 && s.capacityKnown(now, v)
 }
 
--- a/core/schedule/vmstate.go
+++ b/core/schedule/vmstate.go
@@ -55,8 +55,11 @@
 	// unknownRuns counts the runs whose reservation is unknown. While there are any, the free
 	// capacity is unknown too.
 	unknownRuns int
-	// orderedRuns counts the starts that wait for an answer.
-	orderedRuns int
+	// plannedRuns counts the starts that aren't sent yet, and orderedRuns those that wait for an
+	// answer.
+	plannedRuns, orderedRuns int
+	// stepRuns counts the runs of each step.
+	stepRuns map[job.StepID]int
 	// unresponsive VMs have left a start unanswered and haven't answered anything since.
 	unresponsive bool
 	// answerRequired is set while a planned start waits for an answer of the VM.
