core/lease, io/node: a process whose runs keep ending as the owner leaves the takeover to others

Cause: TakeoverDue lets a previous run of the process take over at once, however often that happens.

Change: the owner row tells when its tenure began and whether it resumed one of its own node. A process whose last tenure was such and ended within a minute waits three seconds longer than the others. A single end is still resumed at once. A panic in a worker or feed of the owner ends the tenure and not the process.

--- a/core/emulator/entry_vm.go
+++ b/core/emulator/entry_vm.go
@@ -146,6 +146,7 @@
 		}, func(ok bool) {
 			seen.Received = e.w.now
 			seen.PreviousRun = row.entryVM == e.name && row.run != run
+			seen.Resumed, seen.Tenure = row.resumed, e.w.now.Sub(row.takenOverAt)
 			if ok && e.watcher.TakeoverDue(seen) {
 				e.takeOver(run, seen, row)
 				return
@@ -162,7 +163,9 @@
 	tenureNumber := row.tenureNumber + 1
 	version, won := int64(0), false
 	e.callTable(time.Second, true, func() {
-		version, won = t.swapOwner(int64(seen.Owner), int64(seen.Renewal), ownerRow{entryVM: e.name, run: run, tenureNumber: tenureNumber})
+		version, won = t.swapOwner(int64(seen.Owner), int64(seen.Renewal), ownerRow{
+			entryVM: e.name, run: run, tenureNumber: tenureNumber, takenOverAt: sent, resumed: seen.PreviousRun && !seen.Vacant,
+		})
 	}, func(ok bool) {
 		if !ok || !won {
 			e.w.after(pollInterval+e.w.randomBetween(0, pollInterval), func() { e.pollOwner(run) })
--- a/core/emulator/table.go
+++ b/core/emulator/table.go
@@ -48,6 +48,8 @@
 	run          int
 	tenureNumber int64
 	vacant       bool
+	takenOverAt  time.Time
+	resumed      bool
 }
 
 // renewalRow is the owner's last renewal. batch identifies the commit that wrote it.
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -91,6 +91,25 @@
 	}
 }
 
+// Guards against an entry VM that takes the ownership back each time its owner ends, before all others.
+func TestFailingOwnerLeavesTakeoverToOthers(t *testing.T) {
+	at := func(d time.Duration, previousRun bool) lease.Observation {
+		s := start.Add(d)
+		return lease.Observation{Sent: s, Received: s, Owner: 3, Renewal: 4, PreviousRun: previousRun, Resumed: true, Tenure: 5 * time.Second}
+	}
+	var failing, other lease.Watcher
+	assert.Assert(t, !failing.TakeoverDue(at(0, true)))
+	assert.Assert(t, !other.TakeoverDue(at(time.Second, false)))
+	assert.Assert(t, !failing.TakeoverDue(at(2*time.Second, true)))
+	assert.Assert(t, other.TakeoverDue(at(2*time.Second, false)))
+	assert.Assert(t, failing.TakeoverDue(at(4*time.Second, true)), "there may be no other process")
+
+	var w lease.Watcher
+	long := at(0, true)
+	long.Tenure = time.Hour
+	assert.Assert(t, w.TakeoverDue(long), "a tenure that lasted")
+}
+
 // When there is no owner, all entry VMs notice it at the same time. Without a delay, an entry
 // VM with low capacity would become the owner as often as one with enough capacity and then
 // fall behind. It waits so that a VM with enough capacity is first, and takes over if there is
--- a/core/lease/watcher.go
+++ b/core/lease/watcher.go
@@ -12,8 +12,25 @@
 	Vacant bool
 	// PreviousRun is set if the owner is a previous run of this process.
 	PreviousRun bool
+	// Resumed is set if the owner took over from a previous run of its own process.
+	Resumed bool
+	// Tenure is the time from the owner's takeover to this read.
+	Tenure time.Duration
 }
 
+// keepsFailing reports whether two runs of this process in a row have ended as the owner, the last one
+// soon after it took over.
+func (o *Observation) keepsFailing() bool {
+	return o.PreviousRun && o.Resumed && !o.Vacant && o.Tenure < shortTenure
+}
+
+// shortTenure is the tenure up to which the end of the owner's process may be due to the takeover.
+const shortTenure = time.Minute
+
+// failingOwnerDelay is how much longer a process waits whose runs keep ending as the owner, so that each
+// other process is first. It would otherwise keep the ownership for good.
+const failingOwnerDelay = 3 * time.Second
+
 // lowCapacityDelay is how much longer an entry VM with low capacity waits before it takes
 // over. It covers two reads by an entry VM with enough capacity, which are 300 ms apart, and
 // that VM's takeover attempt.
@@ -41,20 +58,21 @@
 // attempt must require both versions to be unchanged, so that a renewal made in the meantime
 // prevents the takeover.
 func (w *Watcher) TakeoverDue(o Observation) bool {
-	unowned := o.Owner == 0 || o.Vacant || o.PreviousRun
+	failing := o.keepsFailing()
+	unowned := o.Owner == 0 || o.Vacant || (o.PreviousRun && !failing)
 	if unowned && !w.LowCapacity && !w.LowMemory {
 		return true
 	}
 	if o.Owner != w.owner || o.Renewal != w.renewal || w.takeoverAt.IsZero() {
 		w.owner, w.renewal = o.Owner, o.Renewal
-		w.takeoverAt = o.Received.Add(w.waitPeriod(unowned))
+		w.takeoverAt = o.Received.Add(w.waitPeriod(unowned, failing))
 		return false
 	}
 	return !o.Sent.Before(w.takeoverAt)
 }
 
 // waitPeriod returns how long the owner's rows must remain unchanged before a takeover.
-func (w *Watcher) waitPeriod(unowned bool) time.Duration {
+func (w *Watcher) waitPeriod(unowned, failing bool) time.Duration {
 	d := time.Duration(0)
 	if !unowned {
 		d += takeoverSilence
@@ -65,5 +83,8 @@
 	if w.LowMemory {
 		d += lowMemoryDelay
 	}
+	if failing {
+		d += failingOwnerDelay
+	}
 	return d
 }
--- a/io/node/election.go
+++ b/io/node/election.go
@@ -87,7 +87,7 @@
 			supervisor.Sleep(ctx, basePollInterval+rand.N(basePollInterval))
 			continue
 		}
-		e.log.Info().Str("event", "owner").Uint64("fence", uint64(t.fence)).Int64("turn", t.number).
+		e.log.Info().Str("event", "owner").Bool("resumed", observation.PreviousRun && !observation.Vacant).Int64("former_tenure_ms", observation.Tenure.Milliseconds()).Uint64("fence", uint64(t.fence)).Int64("turn", t.number).
 			Str("former", rows.owner.Node).Bool("vacant", rows.owner.Vacant).Send()
 		err = e.serve(ctx, t, renewal)
 		e.log.Info().Err(err).Str("event", "owner_no_more").Uint64("fence", uint64(t.fence)).Send()
@@ -152,6 +152,8 @@
 	}
 	observation.Owner, observation.Renewal = uint64(rows.ownerVersion), uint64(rows.renewalVersion)
 	observation.Vacant = rows.owner.Vacant
+	observation.Resumed = rows.owner.Resumed
+	observation.Tenure = time.Duration(rows.tableTime-rows.owner.TakenOverAt) * time.Millisecond
 	observation.PreviousRun = rows.owner.Node == e.node && rows.owner.RunID != e.runID
 	return observation, rows, nil
 }
@@ -193,7 +195,9 @@
 	ctx, cancel := context.WithTimeout(ctx, takeoverTimeout)
 	defer cancel()
 	number := rows.owner.TenureNumber + 1
-	owner, err := encodeRow(e.ownerRow(number))
+	row := e.ownerRow(number)
+	row.TakenOverAt, row.Resumed = rows.tableTime, rows.owner.Node == e.node && rows.owner.RunID != e.runID && !rows.owner.Vacant
+	owner, err := encodeRow(row)
 	if err != nil {
 		return nil, 0, err
 	}
--- a/io/node/owner.go
+++ b/io/node/owner.go
@@ -85,12 +85,13 @@
 	var g supervisor.Group
 	run := func(f func(ctx context.Context) error) {
 		g.Go(func() {
-			if err := f(ctx); err != nil {
+			if err := supervisor.Recover(func() error { return f(ctx) }); err != nil {
 				cancel(err)
 			}
 		})
 	}
 	o.relays = newRelaySet(n.settings.PeerAddress, n.log)
+	o.workers.OnPanic = func(err error) { cancel(err) }
 	run(o.committer.run)
 	run(func(ctx context.Context) error { return o.relays.follow(ctx, n.table) })
 	run(o.relays.run)
--- a/io/node/rows.go
+++ b/io/node/rows.go
@@ -104,6 +104,10 @@
 	RunID string `json:"life"`
 	// TenureNumber counts the takeovers. Attempts are numbered from it.
 	TenureNumber int64 `json:"turn"`
+	// TakenOverAt is the table's time of the takeover, or shortly before it; 0 in rows of older releases.
+	TakenOverAt tableTime `json:"taken_over_ms,omitempty"`
+	// Resumed is set if the former owner was a previous run of the same node.
+	Resumed bool `json:"resumed,omitempty"`
 	// Vacant is set when the owner has given up its ownership.
 	Vacant bool `json:"vacant,omitempty"`
 	// LeaseMS is the longest lease that the owner grants to VMs, in milliseconds; 0 in rows of
--- a/io/supervisor/supervisor.go
+++ b/io/supervisor/supervisor.go
@@ -63,7 +63,7 @@
 // supervise runs c until it finishes without an error or ctx ends.
 func (n *Node) supervise(ctx context.Context, c Child) {
 	for failures := 1; ; failures++ {
-		err := runRecovering(ctx, c)
+		err := Recover(func() error { return c.Run(ctx) })
 		if err == nil || ctx.Err() != nil {
 			return
 		}
@@ -78,15 +78,15 @@
 	return min(time.Duration(failures)*restartDelayStep, maxRestartDelay)
 }
 
-// runRecovering runs c and returns a panic as an error. A fault in one child must not
-// end the process and with it the requests that the other children serve.
-func runRecovering(ctx context.Context, c Child) (err error) {
+// Recover runs f and returns a panic as an error. A fault in one part of the process must not
+// end it, and with it the requests that the other parts serve.
+func Recover(f func() error) (err error) {
 	defer func() {
 		if p := recover(); p != nil {
 			err = errors.Errorf("panic: %v\n%s", p, debug.Stack())
 		}
 	}()
-	return c.Run(ctx)
+	return f()
 }
 
 // Sleep waits for d and returns true. If ctx ends first, it returns false immediately.
--- a/io/supervisor/workers.go
+++ b/io/supervisor/workers.go
@@ -9,6 +9,9 @@
 // goroutine starts with a small stack, and every dispatch of a request would have to
 // grow and copy it again. Its zero value is ready to use.
 type Workers struct {
+	// OnPanic is called with the panic of a function, if it is set. Otherwise the process ends.
+	OnPanic func(err error)
+
 	group Group
 
 	mu sync.Mutex
@@ -46,7 +49,7 @@
 func (w *Workers) runWorker(f func()) {
 	next := make(chan func(), 1)
 	for f != nil {
-		f()
+		w.call(f)
 		if !w.putIdle(next) {
 			return
 		}
@@ -54,6 +57,18 @@
 	}
 }
 
+// call calls f.
+func (w *Workers) call(f func()) {
+	if w.OnPanic == nil {
+		f()
+		return
+	}
+	err := Recover(func() error { f(); return nil })
+	if err != nil {
+		w.OnPanic(err)
+	}
+}
+
 // takeIdle removes an idle goroutine from the list and returns the channel on which
 // it receives its next function. It returns nil if no goroutine is idle.
 func (w *Workers) takeIdle() chan func() {
