core/schedule, core/objective: slow runs are judged by estimates and other runs, and hold half of a pool

Cause: a run with few siblings was compared with its queue's usual run time only, each slow reading extended its VM's pause, and nothing kept all VMs of a pool from being paused.

Change: an estimate that clearly differs from the queue's others counts beyond its roughness, for the suspicion, predictions and later steps; readings shorter than a percent of progress say nothing; other runs that go as usual show a long task; a single run pauses its VM for 4 s at most; suspicions, and tasks that need a VM of their own, hold at most half of a pool. Forecasts carry the typical estimate, so that entry VMs predict alike.

--- a/core/admission/forecast.go
+++ b/core/admission/forecast.go
@@ -4,10 +4,13 @@
 package admission
 
 import (
+	"cmp"
+	"math"
 	"slices"
 	"time"
 
 	"lavenderpond/core/job"
+	"lavenderpond/core/objective"
 )
 
 // CoreSeconds is an amount of work: the use of one core for a second.
@@ -64,10 +67,18 @@
 	BeyondShare CoreSeconds `json:"beyond,omitempty"`
 	// RunSeconds is the typical run time of a task, or 0 before enough runs are known.
 	RunSeconds float64 `json:"run_s,omitempty"`
+	// EstimateSeconds is the typical estimate of the callers whose tasks these were; 0 in forecasts of
+	// older releases, which don't know it.
+	EstimateSeconds float64 `json:"estimate_s,omitempty"`
 	// StragglerRatio is the run time of a step's longest task divided by the typical one.
 	StragglerRatio float64 `json:"stragglers,omitempty"`
 }
 
+// typical returns the typical run time and estimate of the queue's tasks.
+func (q *Queue) typical() objective.Queue {
+	return objective.Queue{MeanLogRunTime: math.Log(q.RunSeconds), MeanLogEstimate: math.Log(cmp.Or(q.EstimateSeconds, q.RunSeconds))}
+}
+
 // Scarce reports whether any pool is full.
 func (f *Forecast) Scarce() bool { return len(f.Pools) > 0 }
 
--- a/core/admission/request.go
+++ b/core/admission/request.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"math"
 	"time"
 
 	"lavenderpond/core/job"
@@ -49,5 +48,5 @@
 	if q.RunSeconds <= 0 {
 		return objective.Estimate(estimate)
 	}
-	return objective.RunTime(estimate, math.Log(q.RunSeconds))
+	return objective.RunTime(estimate, q.typical())
 }
--- a/core/objective/objective.go
+++ b/core/objective/objective.go
@@ -17,6 +17,8 @@
 	// time. Estimates are off by up to 0.9 of a log unit; run times of a queue vary by about
 	// half of one.
 	estimateWeight = 0.25
+	// roughness is by how much estimates are off, in log units.
+	roughness = 0.9
 	// defaultEstimate is used for tasks without an estimate.
 	defaultEstimate = time.Second
 	// defaultStretch is used for queues that set none.
@@ -41,13 +43,35 @@
 	return estimate
 }
 
-// RunTime predicts the run time of a task from the caller's estimate and the mean logarithm of the
-// queue's run times in seconds.
-func RunTime(estimate time.Duration, meanLog float64) time.Duration {
-	l := estimateWeight*math.Log(Estimate(estimate).Seconds()) + (1-estimateWeight)*meanLog
+// Queue is what is known of the runs of a queue: the mean logarithms of their run times and of their
+// callers' estimates, both in seconds.
+type Queue struct {
+	MeanLogRunTime, MeanLogEstimate float64
+}
+
+// RunTime predicts the run time of a task from the caller's estimate and the runs of its queue. An
+// estimate that differs from the queue's others by more than estimates are off tells of another kind of
+// task, and counts in full beyond that.
+func RunTime(estimate time.Duration, q Queue) time.Duration {
+	l := estimateWeight*LogEstimate(estimate) + (1-estimateWeight)*(q.MeanLogRunTime+excess(estimate, q.MeanLogEstimate))
 	return time.Duration(math.Exp(l) * float64(time.Second))
 }
 
+// LogEstimate returns the logarithm of an estimate in seconds.
+func LogEstimate(estimate time.Duration) float64 { return math.Log(Estimate(estimate).Seconds()) }
+
+// Scale returns how many times as long as tasks with usual estimates, whose mean logarithm is given, a
+// task takes at least by its own estimate, or at most if that is below 1.
+func Scale(estimate time.Duration, meanLogEstimate float64) float64 {
+	return math.Exp(excess(estimate, meanLogEstimate))
+}
+
+// excess returns by how much an estimate differs from the usual ones beyond its roughness, in log units.
+func excess(estimate time.Duration, meanLogEstimate float64) float64 {
+	d := LogEstimate(estimate) - meanLogEstimate
+	return math.Copysign(max(0, math.Abs(d)-roughness), d)
+}
+
 // LongestPath returns how long the steps take if each begins as soon as all steps that it
 // depends on are complete.
 func LongestPath(steps []job.Step, duration func(i int) time.Duration) time.Duration {
--- a/core/schedule/assign.go
+++ b/core/schedule/assign.go
@@ -35,10 +35,14 @@
 		if s.settings.Policy.FairShares {
 			fleet = fleet.Add(v.capacity)
 		}
-		if q := waiting[v.pool]; q != nil && s.usable(now, v) {
-			q.vms = append(q.vms, v)
+		v.pauseWaived = false
+		if q := waiting[v.pool]; q != nil {
+			q.addVM(v, s.usableIfSound(now, v), v.suspected(now))
 		}
 	}
+	for _, q := range waiting {
+		q.waivePauses()
+	}
 	for _, p := range slices.Sorted(maps.Keys(waiting)) {
 		q := waiting[p]
 		if len(q.vms) == 0 {
@@ -59,6 +63,11 @@
 	// minReservation is a lower bound of the reservations of all waiting tasks.
 	minReservation job.Resources
 	vms            []*vmState
+	// suspected are the VMs that get no tasks only because they are suspected.
+	suspected []*vmState
+	// accepting counts the VMs that accept tasks, and isolated those of them that run a task beside
+	// which nothing else may start.
+	accepting, isolated int
 }
 
 // poolQueues holds the queue of each pool that has one.
@@ -162,7 +171,7 @@
 		return
 	}
 	for _, task := range st.live {
-		if !task.open() || a.now.Before(task.notBefore) || a.s.mayHaveEnded(task) {
+		if !task.open() || a.now.Before(task.notBefore) || a.s.mayHaveEnded(task) || !a.mayIsolate(task) {
 			continue
 		}
 		if !a.startOpenTask(j, o, i, task) {
@@ -271,6 +280,9 @@
 	}
 	r.setKind(st.def)
 	r.crashSuspect, r.isolated = t.crashes.any(), t.crashes.needsIsolation()
+	if r.isolated {
+		a.isolated++
+	}
 	s.recordStart(j, t, r)
 	s.requireAnswer(a.now, r)
 	s.addRun(a.now, r, st, t)
--- a/core/schedule/attribution.go
+++ b/core/schedule/attribution.go
@@ -7,6 +7,7 @@
 
 	"lavenderpond/core/forecast"
 	"lavenderpond/core/job"
+	"lavenderpond/core/objective"
 	"lavenderpond/core/straggler"
 )
 
@@ -77,7 +78,7 @@
 	f := s.queueForecast(x.job.Terms.Queue)
 	s.learnLongTask(now, f, x, e)
 	if !x.tail(f).Heavy {
-		s.handleSlowVM(now, x)
+		s.judgeWithoutTail(now, x)
 		return
 	}
 	s.runTimeSaves.mark(x.job.Terms.Queue)
@@ -91,7 +92,7 @@
 		x.state.long = true
 		if !x.bySiblings {
 			// The objective allows for the size of the whole job.
-			x.job.typicalRun = x.projected()
+			x.job.typicalRun, x.job.typicalLogEstimate = x.projected(), objective.LogEstimate(x.step.def.Estimate)
 		}
 		s.reportDecision(Decision{
 			Kind: TaskLong, Job: x.job.ID, Task: x.task, Attempt: x.attempt, VM: x.vm.id, Age: x.span, After: x.remaining,
@@ -138,6 +139,42 @@
 	return e
 }
 
+// judgeWithoutTail decides about a slow run in a queue of which no long tasks are known.
+func (s *Scheduler) judgeWithoutTail(now time.Time, x slowRun) {
+	if !x.isLong(now) {
+		s.handleSlowVM(now, x)
+		return
+	}
+	if !x.state.long {
+		x.state.long = true
+		s.reportDecision(Decision{
+			Kind: TaskLong, Job: x.job.ID, Task: x.task, Attempt: x.attempt, VM: x.vm.id, Age: x.span, After: x.remaining,
+			Reason: "other runs show a sound vm",
+		})
+	}
+}
+
+// isLong reports whether other runs show that a task is long which is slow in comparison with its queue:
+// those on its VM progress and end as usual, or all of its step that run on other VMs are as slow.
+func (x slowRun) isLong(now time.Time) bool {
+	if x.bySiblings {
+		return false
+	}
+	slow, usual := x.countSiblings(now)
+	return x.provenHealthy(now) || (slow > 0 && usual == 0)
+}
+
+// usualEndFactor is the multiple of its predicted time up to which a run has ended as usual.
+const usualEndFactor = 2
+
+// learnUsualEnd records that a run has ended on the VM as usual.
+func (s *Scheduler) learnUsualEnd(now time.Time, j *jobState, st *stepState, v *vmState, ranFor time.Duration) {
+	q := s.queueStats(j.Terms.Queue)
+	if q.runs >= minSamples && ranFor <= usualEndFactor*s.queueRunTime(q, st.def) {
+		v.usualEnds[0], v.usualEnds[1] = now, v.usualEnds[0]
+	}
+}
+
 // recent reports whether the pace tells of the present speed of the run's VM.
 func (p pace) recent(now time.Time) bool { return !p.at.IsZero() && now.Sub(p.at) <= paceMaxAge }
 
@@ -178,6 +215,11 @@
 // provenHealthy reports whether the VM's other runs show that it isn't slow.
 func (x slowRun) provenHealthy(now time.Time) bool {
 	slow, usual := x.countOthers(now)
+	for _, at := range x.vm.usualEnds {
+		if !at.IsZero() && now.Sub(at) <= paceMaxAge {
+			usual++
+		}
+	}
 	return slow == 0 && usual >= minUsualRuns && !x.vm.slow(now)
 }
 
--- a/core/schedule/objective.go
+++ b/core/schedule/objective.go
@@ -11,9 +11,9 @@
 
 // queueStats are the learned run times and sizes of the jobs of a queue.
 type queueStats struct {
-	// meanLogRunTime is the running mean of the logarithm of run times in seconds.
-	meanLogRunTime float64
-	runs           int
+	// typical holds the running means of run times and of their estimates.
+	typical objective.Queue
+	runs    int
 	// firstRunAt is when the first run ended, if the policy asks for forecasts.
 	firstRunAt time.Time
 	// stragglerRatio is the running mean, over steps samples, of the run time of the longest
@@ -50,12 +50,13 @@
 	q.meanWork += max(minSampleWeight, 1/float64(q.jobs)) * (work - q.meanWork)
 }
 
-// learnRunTime adds the run time of a task to the queue's statistics.
-func (s *Scheduler) learnRunTime(j *jobState, ranFor time.Duration) {
+// learnRunTime adds the run time of a task of the step to the queue's statistics.
+func (s *Scheduler) learnRunTime(j *jobState, st *job.Step, ranFor time.Duration) {
 	q := s.queueStats(j.Terms.Queue)
 	q.runs++
 	w := max(minSampleWeight, 1/float64(q.runs))
-	q.meanLogRunTime += w * (math.Log(max(ranFor.Seconds(), minRunSeconds)) - q.meanLogRunTime)
+	q.typical.MeanLogRunTime += w * (math.Log(max(ranFor.Seconds(), minRunSeconds)) - q.typical.MeanLogRunTime)
+	q.typical.MeanLogEstimate += w * (objective.LogEstimate(st.Estimate) - q.typical.MeanLogEstimate)
 }
 
 // learnStep adds the run times of all tasks of a step to the statistics of the queue.
@@ -70,7 +71,7 @@
 		sum += math.Log(max(d.Seconds(), minRunSeconds))
 	}
 	typical := math.Exp(sum / float64(len(st.runTimes)))
-	j.typicalRun = time.Duration(typical * float64(time.Second))
+	j.typicalRun, j.typicalLogEstimate = time.Duration(typical*float64(time.Second)), objective.LogEstimate(st.def.Estimate)
 	s.learnSize(now, j, st, typical)
 	longest := slices.Max(st.runTimes)
 	ratio := longest.Seconds() / typical
@@ -98,19 +99,27 @@
 }
 
 // predictRunTime predicts how long a task of the step runs: as long as the tasks of the job's
-// last complete step if there is one, else a weighted mean of the queue's run times and the
-// caller's estimate.
+// last complete step if there is one and its estimate doesn't clearly differ, else a weighted mean of
+// the queue's run times and the caller's estimate.
 func (s *Scheduler) predictRunTime(j *jobState, st *job.Step) time.Duration {
 	if j.typicalRun > 0 {
-		return j.typicalRun
+		return scaled(j.typicalRun, objective.Scale(st.Estimate, j.typicalLogEstimate))
 	}
 	q := s.queueStats(j.Terms.Queue)
 	if q.runs < minSamples {
 		return objective.Estimate(st.Estimate)
 	}
-	return objective.RunTime(st.Estimate, q.meanLogRunTime)
+	return objective.RunTime(st.Estimate, q.typical)
 }
 
+// scaled multiplies a duration.
+func scaled(d time.Duration, factor float64) time.Duration {
+	return time.Duration(min(factor*float64(d), float64(maxPredicted)))
+}
+
+// maxPredicted bounds predictions from callers' estimates.
+const maxPredicted = 1000 * time.Hour
+
 // remainingTime predicts how long the occurrence's incomplete steps take if nothing delays them. Without
 // an occurrence, all steps are incomplete.
 func (s *Scheduler) remainingTime(j *jobState, o *occurrence) time.Duration {
--- a/core/schedule/objective_test.go
+++ b/core/schedule/objective_test.go
@@ -15,7 +15,7 @@
 	st.runTimes, st.observedRuns = took, len(took)
 	st.done.AddBelow(len(took))
 	for _, d := range took {
-		h.s.learnRunTime(j, d)
+		h.s.learnRunTime(j, st.def, d)
 	}
 	h.s.learnStep(h.now, j, st)
 }
@@ -84,3 +84,39 @@
 	assert.Equal(t, j.typicalRun, time.Duration(0))
 	assert.Equal(t, h.s.queueStats("q").steps, 0)
 }
+
+// Guards against a long step that is predicted to take as long as the short one before it, so that its job
+// counts as useless while it runs.
+func TestLongStepAfterShortOneIsPredictedLong(t *testing.T) {
+	h := newHarness(t)
+	long := smallStep
+	long.Estimate, long.After = 80*time.Second, []int{0}
+	j := h.newJob("j", smallStep, long)
+	h.completeStep(j, 0, time.Second)
+	assert.Assert(t, h.s.predictRunTime(j, j.occurrences[0].steps[1].def) > 20*time.Second)
+	h.s.rateJob(h.now, j)
+	assert.Assert(t, j.lateLimit.After(h.now.Add(80*time.Second)))
+}
+
+// Guards against a run that counts as slow because it takes long for each percent, as it is estimated to.
+func TestRunOfManySecondsForEachPercentIsNotSlow(t *testing.T) {
+	h := newHarness(t)
+	h.addReadyVMs("one", "two")
+	short := h.newJob("short", smallStep)
+	for range 2 * minSamples {
+		h.s.learnRunTime(short, &smallStep, time.Second)
+	}
+	long := smallStep
+	long.Estimate = 1000 * time.Second
+	h.addJob("long", "free", long)
+	for _, c := range commandsOfType[Start](h.advance(10 * time.Millisecond)) {
+		h.confirm(c)
+		if c.Order.Task.Job != "long" {
+			continue
+		}
+		for second := range 60 {
+			h.answerHold(string(c.VM), []job.RunningTask{runningTask(c, second/10)})
+			assert.Equal(t, len(commandsOfType[Stop](h.advance(time.Second))), 0, "after %d s", second)
+		}
+	}
+}
--- a/core/schedule/outlook.go
+++ b/core/schedule/outlook.go
@@ -149,7 +149,8 @@
 	if q == nil {
 		q = &admission.Queue{Name: j.Terms.Queue, Priority: j.Terms.Priority}
 		if known := s.queueStats(j.Terms.Queue); known.runs >= minSamples {
-			q.RunSeconds = roundTo(math.Exp(known.meanLogRunTime), 1000)
+			q.RunSeconds = roundTo(math.Exp(known.typical.MeanLogRunTime), 1000)
+			q.EstimateSeconds = roundTo(math.Exp(known.typical.MeanLogEstimate), 1000)
 			if known.steps >= minSamples {
 				q.StragglerRatio = roundTo(known.stragglerRatio, 100)
 			}
--- /dev/null
+++ b/core/schedule/pausewaiver.go
@@ -0,0 +1,46 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+)
+
+// addVM adds a VM of the pool, which gets tasks if it is usable and not suspected.
+func (q *poolQueue) addVM(v *vmState, usable, suspected bool) {
+	if v.acceptsTasks() {
+		q.accepting++
+	}
+	if v.isolatedRuns > 0 {
+		q.isolated++
+	}
+	switch {
+	case usable && suspected:
+		q.suspected = append(q.suspected, v)
+	case usable:
+		q.vms = append(q.vms, v)
+	}
+}
+
+// mayIsolate reports whether the task may start as far as it needs a VM of its own. Such tasks take at
+// most half of a pool's VMs, so that the others can go on.
+func (q *poolQueue) mayIsolate(t *taskState) bool {
+	return !t.crashes.needsIsolation() || q.isolated < max(1, q.accepting/2)
+}
+
+// waivePauses lets suspected VMs get tasks if more than half of the pool's VMs are suspected, those whose
+// pause ends first before the others. So many faulty VMs at once are unlikely: what they have in common
+// are the tasks, which would have no VM left.
+func (q *poolQueue) waivePauses() {
+	missing := (len(q.vms)+len(q.suspected)+1)/2 - len(q.vms)
+	if missing <= 0 {
+		return
+	}
+	slices.SortStableFunc(q.suspected, func(x, y *vmState) int { return x.pauseEnd().Compare(y.pauseEnd()) })
+	for _, v := range q.suspected[:missing] {
+		v.pauseWaived = true
+		q.vms = append(q.vms, v)
+	}
+}
+
+// pauseEnd returns when the VM is no longer suspected.
+func (v *vmState) pauseEnd() time.Time { return later(v.slowUntil, v.suspectUntil) }
--- a/core/schedule/probe.go
+++ b/core/schedule/probe.go
@@ -93,7 +93,7 @@
 	v.answerRequired = false
 	for _, r := range v.runs.All() {
 		if r.phase == runPlanned && r.awaitsAnswer(now) {
-			v.suspectUntil = now.Add(noAnswerPause)
+			v.noAnswerUntil = now.Add(noAnswerPause)
 			s.release(now, r)
 			s.stopGang(now, r)
 		}
--- a/core/schedule/report.go
+++ b/core/schedule/report.go
@@ -134,7 +134,8 @@
 	}
 	s.countSuccess(v)
 	if ranFor > 0 {
-		s.learnRunTime(j, ranFor)
+		s.learnRunTime(j, st.def, ranFor)
+		s.learnUsualEnd(now, j, st, v, ranFor)
 		st.addRunTime(ranFor)
 	}
 	if st.def.Gang {
--- a/core/schedule/roomplan_test.go
+++ b/core/schedule/roomplan_test.go
@@ -202,7 +202,7 @@
 	h := newRoomHarness(t)
 	h.addUseless(fillingStep)
 	for range 2 * minSamples {
-		h.s.learnRunTime(h.s.jobs.Get("useless"), time.Minute)
+		h.s.learnRunTime(h.s.jobs.Get("useless"), &smallStep, time.Minute)
 	}
 	h.addUrgent("urgent")
 	assert.Equal(t, len(commandsOfType[Stop](h.advance(sizingInterval))), 0)
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -318,7 +318,7 @@
 	case outcome == Unanswered:
 		r.setPhase(runUnanswered)
 		if v.lastAnswer.Before(r.orderedAt) {
-			v.suspectUntil = now.Add(noAnswerPause)
+			v.noAnswerUntil = now.Add(noAnswerPause)
 		}
 		return
 	case outcome == Answered && rep.Refused == job.RefusedCapacity:
@@ -329,7 +329,7 @@
 		// The VM is sound, so other tasks may start there.
 		s.pauseTask(now, c.Order.Task, v.id)
 	case outcome != Answered:
-		v.suspectUntil = now.Add(noAnswerPause)
+		v.noAnswerUntil = now.Add(noAnswerPause)
 	}
 	s.releaseNotBegun(now, r, outcome, rep.Refused)
 }
--- a/core/schedule/slow.go
+++ b/core/schedule/slow.go
@@ -4,6 +4,9 @@
 	"math"
 	"slices"
 	"time"
+
+	"lavenderpond/core/job"
+	"lavenderpond/core/objective"
 )
 
 const (
@@ -51,18 +54,22 @@
 		return
 	}
 	progressed := r.percent - r.progressPercent
+	usual, factor := s.usualRunTime(j, st, r)
+	// The run would have progressed this far if it took factor times the usual run time.
+	minProgress := 100 * span.Seconds() / (usual.Seconds() * factor)
+	if usual > 0 && progressed == 0 && minProgress < 1 {
+		// VMs report whole percents, so the run may have progressed as usual.
+		return
+	}
 	r.progressAt, r.progressPercent = now, r.percent
 	r.recordMove(now, progressed)
 	if r.percent >= 100 {
 		return
 	}
-	usual, factor := s.usualRunTime(j, st, r)
 	if usual <= 0 {
 		s.stopStalled(now, r, st, t, s.predictRunTime(j, st.def))
 		return
 	}
-	// The run would have progressed this far if it took factor times the usual run time.
-	minProgress := 100 * span.Seconds() / (usual.Seconds() * factor)
 	slow := float64(progressed) < minProgress
 	r.recordPace(now, slow, factor)
 	if !slow {
@@ -77,7 +84,7 @@
 		r.vm.slowRuns = append(r.vm.slowRuns, x)
 		return
 	}
-	s.handleSlowVM(now, x)
+	s.judgeWithoutTail(now, x)
 	s.stopStalled(now, x.run, x.step, x.state, x.usual)
 }
 
@@ -99,7 +106,12 @@
 // handleSlowVM pauses the VM of a slow run, and stops the run if its task ends sooner on another
 // VM.
 func (s *Scheduler) handleSlowVM(now time.Time, x slowRun) {
-	x.vm.slowUntil = now.Add(slowPause)
+	if x.suspectedAt.IsZero() {
+		x.suspectedAt = now
+	}
+	if x.mayPause(now) {
+		x.vm.slowUntil = now.Add(slowPause)
+	}
 	s.reportDecision(Decision{Kind: VMSlow, Job: x.job.ID, Task: x.task, Attempt: x.attempt, VM: x.vm.id, Age: x.span, After: x.remaining})
 	if x.step.def.Gang || x.state.slowStops >= maxSlowStops {
 		return
@@ -130,7 +142,27 @@
 	if q.runs < minSamples {
 		return 0, 1
 	}
-	return time.Duration(math.Exp(q.meanLogRunTime) * float64(time.Second)), queueSlowFactor
+	return s.queueRunTime(q, st.def), queueSlowFactor
+}
+
+// queueRunTime returns the usual run time of a queue, or a longer one if the caller's estimate for the step
+// is clearly longer than the queue's other estimates.
+func (s *Scheduler) queueRunTime(q *queueStats, st *job.Step) time.Duration {
+	usual := time.Duration(math.Exp(q.typical.MeanLogRunTime) * float64(time.Second))
+	return scaled(usual, max(1, objective.Scale(st.Estimate, q.typical.MeanLogEstimate)))
+}
+
+// maxSuspicion is how long a single run may keep its VM paused.
+const maxSuspicion = 4 * time.Second
+
+// mayPause reports whether the run may pause its VM. Without another slow run there, only new runs can
+// show whether the VM is slow, so the pause ends, and there is none if the task was slow elsewhere.
+func (x slowRun) mayPause(now time.Time) bool {
+	if otherSlow, _ := x.countOthers(now); otherSlow > 0 {
+		return true
+	}
+	slowElsewhere := !x.bySiblings && x.state.slowStops > 0
+	return !slowElsewhere && now.Sub(x.suspectedAt) < maxSuspicion
 }
 
 // knownRunTimes returns the run times of the step's tasks: of those that are done, and the
--- a/core/schedule/state.go
+++ b/core/schedule/state.go
@@ -84,6 +84,8 @@
 	// progressed.
 	pace    pace
 	movedAt time.Time
+	// suspectedAt is when the run was first taken for a sign that its VM is slow.
+	suspectedAt time.Time
 	// expectedEnd is when the run ends at its last pace, if that was slow.
 	expectedEnd time.Time
 }
@@ -201,6 +203,9 @@
 	// typicalRun is the typical run time of the last complete step, or 0 if there is
 	// none.
 	typicalRun time.Duration
+	// typicalLogEstimate is the logarithm of that step's estimate in seconds, or of the estimate of the
+	// long task that typicalRun was learned from.
+	typicalLogEstimate float64
 	// zone is the availability zone of the job's first placed task.
 	zone job.ZoneName
 	// rating is the job's rank in its pool, as of ratedAt.
--- a/core/schedule/vm.go
+++ b/core/schedule/vm.go
@@ -239,7 +239,15 @@
 
 // usable reports whether new tasks may start on the VM.
 func (s *Scheduler) usable(now time.Time, v *vmState) bool {
-	paused := v.unresponsive || v.slow(now) || now.Before(v.suspectUntil) || now.Before(v.fullUntil) || v.plannedRuns+v.orderedRuns >= maxPendingStarts
+	return s.usableIfSound(now, v) && (v.pauseWaived || !v.suspected(now))
+}
+
+// suspected reports whether the VM is taken to be slow or faulty.
+func (v *vmState) suspected(now time.Time) bool { return v.slow(now) || now.Before(v.suspectUntil) }
+
+// usableIfSound reports whether new tasks may start on the VM as far as it isn't suspected.
+func (s *Scheduler) usableIfSound(now time.Time, v *vmState) bool {
+	paused := v.unresponsive || now.Before(v.noAnswerUntil) || now.Before(v.fullUntil) || v.plannedRuns+v.orderedRuns >= maxPendingStarts
 	return v.acceptsTasks() && !v.cordoned() && !v.departing && !paused && v.rosterSave <= s.storedSequence && !v.rosterRefused && v.unknownRuns == 0 && v.isolatedRuns == 0 && s.capacityKnown(now, v)
 }
 
--- a/core/schedule/vmstate.go
+++ b/core/schedule/vmstate.go
@@ -101,14 +101,20 @@
 	holdFailures int
 	// failedRuns counts the failed runs since the last successful one.
 	failedRuns int
-	// suspectUntil is when the VM may get tasks again after failed runs or an unanswered start.
-	suspectUntil time.Time
+	// suspectUntil is when the VM may get tasks again after failed runs, and noAnswerUntil after a start
+	// that it left unanswered or refused as unhealthy.
+	suspectUntil, noAnswerUntil time.Time
 	// slowUntil is when the VM may get tasks again after a slow run.
 	slowUntil time.Time
 	// slowRuns are the slow runs of the list that is being applied. usualEndAt is when a run
 	// last ended here after a usual run time.
 	slowRuns   []slowRun
 	usualEndAt time.Time
+	// usualEnds are when the last two runs ended here that took no longer than is usual in their
+	// queues.
+	usualEnds [2]time.Time
+	// pauseWaived is set while the VM gets tasks although it is suspected, see waivePauses.
+	pauseWaived bool
 	// fullUntil is when the VM may get tasks again after it refused one for lack of capacity.
 	// refusals counts these refusals in a row.
 	fullUntil time.Time
