core/schedule: a wave leaves half of a pool to tasks

A wave that may empty as many machines as a pool has cordons all of its VMs while long tasks end, and a pool of two has none while one machine is in maintenance and the next one waits.

Change: at most half of a pool's VMs that accept tasks are cordoned for waves, and not the last one while others are in maintenance. The only VM of a pool still is.

Red on: TestWaveLeavesHalfOfPoolToTasks, TestWaveLeavesLastVMToTasks.

--- a/core/schedule/maintenance.go
+++ b/core/schedule/maintenance.go
@@ -68,13 +68,66 @@
 // advanceWaves advances each wave: it empties machines, orders their maintenance and waits for
 // them to come back.
 func (s *Scheduler) advanceWaves(now time.Time) {
-	cordoned := map[job.MachineID]bool{}
+	cordoned := cordons{machines: map[job.MachineID]bool{}}
 	for _, w := range s.waves.All() {
-		if w.publishedState != job.WaveCompleted || !w.published {
-			s.advanceWave(now, w, cordoned)
+		if w.publishedState == job.WaveCompleted && w.published {
+			continue
+		}
+		if cordoned.free == nil {
+			cordoned.free = s.cordonLimits()
+		}
+		s.advanceWave(now, w, cordoned)
+	}
+	s.cordonForWaves(cordoned.machines)
+}
+
+// cordons are the machines to cordon, and how many VMs of each pool may still be.
+type cordons struct {
+	machines map[job.MachineID]bool
+	free     map[job.PoolName]int
+}
+
+// cordonLimits returns how many VMs of each pool may be cordoned at a time: half of those that accept
+// tasks, so that the pool's work goes on while others wait for a long task to end or for their turn. The
+// only VM of a pool may be cordoned, but not the last one while others are in maintenance.
+func (s *Scheduler) cordonLimits() map[job.PoolName]int {
+	limits := map[job.PoolName]int{}
+	for _, v := range s.vms.All() {
+		if v.acceptsTasks() {
+			limits[v.pool]++
+		}
+	}
+	away := map[job.PoolName]bool{}
+	for _, m := range s.machines.All() {
+		if m.State == job.MachineMaintenance {
+			away[m.Pool] = true
+		}
+	}
+	for p, n := range limits {
+		if n > 1 || !away[p] {
+			limits[p] = max(1, n/2)
+			continue
 		}
+		limits[p] = 0
+	}
+	return limits
+}
+
+// mayCordon reports whether the machine may be cordoned in addition to the others.
+func (s *Scheduler) mayCordon(c cordons, m *machineState) bool {
+	v := s.vms.Get(m.VM)
+	return v == nil || !v.acceptsTasks() || c.machines[m.ID] || c.free[v.pool] > 0
+}
+
+// cordon adds a machine.
+func (s *Scheduler) cordon(c cordons, m *machineState) {
+	if c.machines[m.ID] {
+		return
+	}
+	c.machines[m.ID] = true
+	if v := s.vms.Get(m.VM); v != nil && v.acceptsTasks() {
+		c.free[v.pool]--
 	}
-	s.cordonForWaves(cordoned)
 }
 
 // cordonForWaves cordons the VMs of these machines, and no others, for maintenance.
@@ -95,7 +148,7 @@
 }
 
 // advanceWave advances one wave and adds the machines to cordon for it to cordoned.
-func (s *Scheduler) advanceWave(now time.Time, w *waveState, cordoned map[job.MachineID]bool) {
+func (s *Scheduler) advanceWave(now time.Time, w *waveState, cordoned cordons) {
 	if !w.published {
 		w.published = true
 		s.emit(PublishWave{Wave: w.Number, State: job.WaveRunning})
@@ -113,15 +166,15 @@
 			s.forgetOrder(w, id)
 		case w.done[id], m.movingTo != "":
 		case o != nil:
-			cordoned[id] = true
+			s.cordon(cordoned, m)
 			s.advanceOrder(now, w, m, o)
 		case s.inMaintenance(id):
 			// For another wave, after which this one has its turn.
-			cordoned[id] = true
+			s.cordon(cordoned, m)
 		case m.State == job.MachineMaintenance:
 			// A former owner ordered it without storing for which wave. It counts against the
 			// limit of each, and completes none.
-			cordoned[id] = true
+			s.cordon(cordoned, m)
 			unattributed++
 		default:
 			remaining = append(remaining, m)
@@ -161,7 +214,7 @@
 // maintainNext cordons the next machines and orders maintenance for those that are empty. The number
 // of machines in maintenance never exceeds the wave's limit. unattributed is how many may be in
 // maintenance for the wave without an order that this owner knows.
-func (s *Scheduler) maintainNext(now time.Time, w *waveState, remaining []*machineState, unattributed int, cordoned map[job.MachineID]bool) {
+func (s *Scheduler) maintainNext(now time.Time, w *waveState, remaining []*machineState, unattributed int, cordoned cordons) {
 	slots := max(1, w.MaxConcurrent)
 	emptying := 0
 	for _, m := range remaining {
@@ -172,8 +225,11 @@
 			// It takes no place among the machines that are emptied next.
 			continue
 		}
+		if !s.mayCordon(cordoned, m) {
+			continue
+		}
 		emptying++
-		cordoned[m.ID] = true
+		s.cordon(cordoned, m)
 		if !s.emptied(now, m) {
 			continue
 		}
--- a/core/schedule/waveorder_test.go
+++ b/core/schedule/waveorder_test.go
@@ -86,3 +86,34 @@
 	assert.Equal(t, busiest.runs.Len(), 5)
 	assert.Assert(t, busiest.waveCordoned)
 }
+
+// Guards against a wave that keeps all VMs of a pool from getting tasks while long tasks end.
+func TestWaveLeavesHalfOfPoolToTasks(t *testing.T) {
+	h := newHarness(t)
+	h.addReadyVMs("1", "2", "3", "4")
+	h.listMachines()
+	h.addJob("long", "free", job.Step{Count: 4, Resources: job.Resources{CPU: 5000, MemMB: 100}, Estimate: time.Hour})
+	for _, c := range commandsOfType[Start](h.advance(100 * time.Millisecond)) {
+		h.confirm(c)
+	}
+	h.s.AddWave(h.now, job.Wave{Number: 1, Machines: []job.MachineID{"m-1", "m-2", "m-3", "m-4"}, MaxConcurrent: 4}, job.WaveProgress{})
+	h.advance(100 * time.Millisecond)
+	h.addJob("short", "free", job.Step{Count: 4, Resources: job.Resources{CPU: 1000, MemMB: 100}, Estimate: time.Second})
+	assert.Equal(t, len(commandsOfType[Start](h.advance(100*time.Millisecond))), 4)
+}
+
+// Guards against a wave that cordons the last VM of a pool while another is in maintenance.
+func TestWaveLeavesLastVMToTasks(t *testing.T) {
+	h := newHarness(t)
+	h.addReadyVMs("1", "2")
+	h.listMachines()
+	h.s.AddWave(h.now, job.Wave{Number: 1, Machines: []job.MachineID{"m-1", "m-2"}, MaxConcurrent: 1}, job.WaveProgress{})
+	order := onlyCommand[Maintain](h, h.advance(100*time.Millisecond))
+	h.s.MaintainAnswered(h.now, order, Answered, job.MachineAccepted)
+	h.s.VMUnlisted(h.now, "1")
+	h.s.MachinesListed(h.now, []job.Machine{
+		{ID: "m-1", Pool: poolA, State: job.MachineMaintenance}, {ID: "m-2", Pool: poolA, State: job.MachineUp, VM: "2"},
+	})
+	h.addJob("j", "free", smallStep)
+	assert.Equal(t, onlyCommand[Start](h, h.advance(100*time.Millisecond)).VM, job.VMID("2"))
+}
