--- a/core/schedule/attribution.go
+++ b/core/schedule/attribution.go
@@ -62,6 +62,13 @@
 	}
 	slow := v.slowRuns
 	v.slowRuns = nil
+	if !s.settings.Policy.RunTimeForecast {
+		for _, x := range slow {
+			s.judgeWithoutTail(now, x)
+			s.stopStalled(now, x.run, x.step, x.state, x.usual)
+		}
+		return
+	}
 	evidence := make([]straggler.Evidence, len(slow))
 	for i, x := range slow {
 		evidence[i] = x.evidence(now, s.queueForecast(x.job.Terms.Queue))
--- a/core/schedule/slow.go
+++ b/core/schedule/slow.go
@@ -80,12 +80,7 @@
 		span: span, progressed: progressed, remaining: remainingTime(span, progressed, r.percent),
 	}
 	r.expectedEnd = now.Add(min(x.remaining, maxRemaining))
-	if s.settings.Policy.RunTimeForecast {
-		r.vm.slowRuns = append(r.vm.slowRuns, x)
-		return
-	}
-	s.judgeWithoutTail(now, x)
-	s.stopStalled(now, x.run, x.step, x.state, x.usual)
+	r.vm.slowRuns = append(r.vm.slowRuns, x)
 }
 
 // slowRun is a run that has progressed by a number of percentage points within span, much less
