core/schedule: a refused large task closes a VM to tasks of its size only

A task that fits by the directory and that every VM refuses for lack of capacity closes each of them to all tasks, for up to 3.2 s at a time, and small ones wait.

Change: a VM keeps what it has refused, and takes smaller tasks. Machines with such a VM are moved, and counted in forecasts, as before.

Red on: TestSmallTasksStartWhereLargeOneIsRefused (a small task waits).

--- a/core/schedule/approval.go
+++ b/core/schedule/approval.go
@@ -86,7 +86,7 @@
 	for _, v := range a.vms {
 		switch {
 		case !st.eligible(step, v) || !st.approval.unknown(a.now, v):
-		case reservation.FitsIn(v.freeCapacity()) && (!v.yielding || st.def.LongRunning):
+		case v.mayHold(a.now, reservation) && (!v.yielding || st.def.LongRunning):
 			withRoom = append(withRoom, v)
 		default:
 			full = append(full, v)
--- a/core/schedule/capacity_test.go
+++ b/core/schedule/capacity_test.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -148,3 +149,30 @@
 		assert.Assert(t, len(commandsOfType[Start](h.advance(0))) > 0)
 	}
 }
+
+// Guards against a large task that every VM refuses and that keeps small ones waiting.
+func TestSmallTasksStartWhereLargeOneIsRefused(t *testing.T) {
+	h := newHarness(t)
+	h.addReadyVMs("one", "two")
+	h.addJob("large", "free", job.Step{Count: 2, Resources: job.Resources{CPU: 8000, MemMB: 100}, Estimate: time.Second})
+	submitted := map[job.ID]time.Time{}
+	ends := map[job.VMID]int64{}
+	for i := range 200 {
+		if i%4 == 0 {
+			id := job.ID(fmt.Sprintf("small-%d", i))
+			submitted[id] = h.now
+			h.addJob(string(id), "free", job.Step{Count: 1, Resources: job.Resources{CPU: 10, MemMB: 1}, Estimate: time.Minute})
+		}
+		for _, c := range commandsOfType[Start](h.advance(50 * time.Millisecond)) {
+			if c.Order.Task.Job == "large" {
+				h.s.StartAnswered(h.now, c, Answered, job.Report{Clock: h.clock(), Born: 1, Refused: job.RefusedCapacity})
+				continue
+			}
+			waited := h.now.Sub(submitted[c.Order.Task.Job])
+			assert.Assert(t, waited <= 200*time.Millisecond, "%s waited for %s", c.Order.Task.Job, waited)
+			ends[c.VM]++
+			h.confirm(c)
+			h.answerHold(string(c.VM), nil, job.End{Number: ends[c.VM], Task: c.Order.Task, Attempt: c.Order.Attempt, How: job.EndedDone})
+		}
+	}
+}
--- a/core/schedule/evacuation.go
+++ b/core/schedule/evacuation.go
@@ -53,7 +53,7 @@
 			free = s.usableByPool(now)
 		}
 		for _, r := range v.runs.All() {
-			if to := s.findVM(r, free[v.pool]); to >= 0 && s.mayRelocate(now, r) {
+			if to := s.findVM(now, r, free[v.pool]); to >= 0 && s.mayRelocate(now, r) {
 				s.stopRun(now, r, "availability zone evacuated")
 				free[v.pool] = slices.Delete(free[v.pool], to, to+1)
 			}
@@ -73,12 +73,12 @@
 }
 
 // findVM returns the index of a VM that could take the run's task, or -1.
-func (s *Scheduler) findVM(r *run, vms []*vmState) int {
+func (s *Scheduler) findVM(now time.Time, r *run, vms []*vmState) int {
 	_, _, st, _ := s.task(r.task)
 	if st == nil {
 		return -1
 	}
 	return slices.IndexFunc(vms, func(v *vmState) bool {
-		return r.reservation.FitsIn(v.freeCapacity()) && st.eligible(r.task.StepID(), v) && st.approval.mayPermit(v)
+		return v.mayHold(now, r.reservation) && st.eligible(r.task.StepID(), v) && st.approval.mayPermit(v)
 	})
 }
--- a/core/schedule/gang.go
+++ b/core/schedule/gang.go
@@ -75,8 +75,11 @@
 		if (st.def.Requires != "" && !v.labels[st.def.Requires]) || !st.approval.permits(a.now, v) {
 			continue
 		}
-		free := v.freeCapacity()
 		reservation := st.def.Reservation()
+		if !v.mayHold(a.now, reservation) {
+			continue
+		}
+		free := v.freeCapacity()
 		for n := 0; len(chosen) < size && reservation.FitsIn(free); n++ {
 			if st.def.MaxPerVM > 0 && n >= st.def.MaxPerVM {
 				break
--- a/core/schedule/outlookroom.go
+++ b/core/schedule/outlookroom.go
@@ -22,7 +22,7 @@
 	busy := map[job.PoolName]int64{}
 	for _, v := range s.vms.All() {
 		p := pools[v.pool]
-		usable := s.usable(now, v)
+		usable := s.usable(now, v) && !now.Before(v.fullUntil)
 		switch {
 		case p != nil && usable:
 			p.cpu += v.capacity.CPU
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -322,7 +322,7 @@
 		}
 		return
 	case outcome == Answered && rep.Refused == job.RefusedCapacity:
-		v.markFull(now)
+		v.markFull(now, r.reservation)
 	case outcome == Answered && rep.Refused == job.RefusedTicket:
 		s.ticketRefused(now, c.Order.Task, v.id)
 	case outcome == Rejected:
@@ -359,10 +359,12 @@
 
 // markFull records that the VM refused a task for lack of capacity. Refusals of starts that
 // were in flight at the same time count as one.
-func (v *vmState) markFull(now time.Time) {
+func (v *vmState) markFull(now time.Time, refused job.Resources) {
 	if now.Before(v.fullUntil) {
+		v.fullFor = v.fullFor.Min(refused)
 		return
 	}
+	v.fullFor = refused
 	if now.Sub(v.fullUntil) > refusalWindow {
 		v.refusals = 0
 	}
@@ -370,6 +372,13 @@
 	v.refusals++
 }
 
+// mayHold reports whether the VM has room for the reservation as far as is known: by what runs there, and
+// by what it has refused recently. Smaller tasks may fit where a large one was refused.
+func (v *vmState) mayHold(now time.Time, reservation job.Resources) bool {
+	refused := now.Before(v.fullUntil) && v.fullFor.FitsIn(reservation)
+	return !refused && reservation.FitsIn(v.freeCapacity())
+}
+
 // releaseNotBegun releases a run that is known not to have begun.
 func (s *Scheduler) releaseNotBegun(now time.Time, r *run, outcome Outcome, refusal job.Refusal) {
 	reason := outcome.String()
--- a/core/schedule/vm.go
+++ b/core/schedule/vm.go
@@ -247,7 +247,7 @@
 
 // usableIfSound reports whether new tasks may start on the VM as far as it isn't suspected.
 func (s *Scheduler) usableIfSound(now time.Time, v *vmState) bool {
-	paused := v.unresponsive || now.Before(v.noAnswerUntil) || now.Before(v.fullUntil) || v.plannedRuns+v.orderedRuns >= maxPendingStarts
+	paused := v.unresponsive || now.Before(v.noAnswerUntil) || v.plannedRuns+v.orderedRuns >= maxPendingStarts
 	return v.acceptsTasks() && !v.cordoned() && !v.departing && !paused && v.rosterSave <= s.storedSequence && !v.rosterRefused && v.unknownRuns == 0 && v.isolatedRuns == 0 && s.capacityKnown(now, v)
 }
 
--- a/core/schedule/vmstate.go
+++ b/core/schedule/vmstate.go
@@ -115,9 +115,11 @@
 	usualEnds [2]time.Time
 	// pauseWaived is set while the VM gets tasks although it is suspected, see waivePauses.
 	pauseWaived bool
-	// fullUntil is when the VM may get tasks again after it refused one for lack of capacity.
+	// fullUntil is when the VM may get tasks of at least fullFor again after it refused one for lack of
+	// capacity.
 	// refusals counts these refusals in a row.
 	fullUntil time.Time
+	fullFor   job.Resources
 	refusals  int
 	// rosterEntry is the VM's entry in the roster, and rosterSave the save that stores
 	// it. Tasks may start on the VM once that is stored.
