--- a/core/schedule/pausewaiver.go
+++ b/core/schedule/poolqueue.go
@@ -3,8 +3,39 @@
 import (
 	"slices"
 	"time"
+
+	"lavenderpond/core/job"
 )
 
+// poolQueue holds the jobs that wait for VMs of a pool, and the usable VMs of that pool.
+type poolQueue struct {
+	jobs []*jobState
+	// atRisk are the runs whose tasks may have a second run.
+	atRisk []runAtRisk
+	// minReservation is a lower bound of the reservations of all waiting tasks.
+	minReservation job.Resources
+	vms            []*vmState
+	// suspected are the VMs that get no tasks only because they are suspected.
+	suspected []*vmState
+	// accepting counts the VMs that accept tasks, and isolated those of them that run a task beside
+	// which nothing else may start.
+	accepting, isolated int
+}
+
+// poolQueues holds the queue of each pool that has one.
+type poolQueues map[job.PoolName]*poolQueue
+
+// queue returns the queue of a pool, to which a task with the reservation is added.
+func (w poolQueues) queue(p job.PoolName, reservation job.Resources) *poolQueue {
+	q := w[p]
+	if q == nil {
+		q = &poolQueue{minReservation: reservation}
+		w[p] = q
+	}
+	q.minReservation = q.minReservation.Min(reservation)
+	return q
+}
+
 // addVM adds a VM of the pool, which gets tasks if it is usable and not suspected.
 func (q *poolQueue) addVM(v *vmState, usable, suspected bool) {
 	if v.acceptsTasks() {
--- a/core/schedule/vmstate.go
+++ b/core/schedule/vmstate.go
@@ -113,7 +113,7 @@
 	// usualEnds are when the last two runs ended here that took no longer than is usual in their
 	// queues.
 	usualEnds [2]time.Time
-	// pauseWaived is set while the VM gets tasks although it is suspected, see waivePauses.
+	// pauseWaived is set while the VM gets tasks although it is suspected, see poolQueue.waivePauses.
 	pauseWaived bool
 	// fullUntil is when the VM may get tasks of at least fullFor again after it refused one for lack of
 	// capacity.
