--- a/core/schedule/poolqueue.go
+++ b/core/schedule/poolqueue.go
@@ -73,5 +73,5 @@
 	}
 }
 
-// pauseEnd returns when the VM is no longer suspected.
+// pauseEnd returns when the suspicion of the VM ends.
 func (v *vmState) pauseEnd() time.Time { return later(v.slowUntil, v.suspectUntil) }
--- a/core/schedule/vmstate.go
+++ b/core/schedule/vmstate.go
@@ -110,7 +110,7 @@
 	// last ended here after a usual run time.
 	slowRuns   []slowRun
 	usualEndAt time.Time
-	// usualEnds are when the last two runs ended here that took no longer than is usual in their
+	// usualEnds are when the last two runs ended here that took at most as long as is usual in their
 	// queues.
 	usualEnds [2]time.Time
 	// pauseWaived is set while the VM gets tasks although it is suspected, see poolQueue.waivePauses.
