core/schedule, io/node: lines tell what is believed of each machine of a wave

Operators read that a wave is completed and can't tell why one of its machines wasn't maintained: no line named the machines of a wave, the wave of an order, what counted as the evidence that a machine is done, or that an entry was lost from the list of machines.

wave_machine names wave, machine, what is believed and what the list says, with the list's age: when the wave begins, when an order is forgotten, when a machine counts as done, and when a wave is completed without waiting for it. machine_unlisted: an entry was lost. upkeep_ordered, machine_upkept and wave_changed name the wave, machine_seen the machine in a field of its own. No decision changes.

--- a/core/schedule/command.go
+++ b/core/schedule/command.go
@@ -245,8 +245,11 @@
 	Task    job.TaskID
 	Attempt job.Attempt
 	VM      job.VMID
+	Machine job.MachineID
+	Wave    int64
 	Reason  string
-	// Age is the age of the information behind the decision. For TaskEnded it is the run time,
+	// Age is the age of the information behind the decision: for those about machines, of the list
+	// that doesn't contain the machine or shows its state. For TaskEnded it is the run time,
 	// for VMSlow the period over which progress was measured, and for VMSuspected the pause.
 	Age time.Duration
 	// After is the time since the arrival of the job or wave. For VMSlow it is the predicted
@@ -314,7 +317,9 @@
 	ZoneEvacuated     DecisionKind = "zone_evacuated"
 	ZoneReopened      DecisionKind = "zone_reopened"
 	WaveChanged       DecisionKind = "wave_changed"
+	WaveMachine       DecisionKind = "wave_machine"
 	MachineSeen       DecisionKind = "machine_seen"
+	MachineUnlisted   DecisionKind = "machine_unlisted"
 	MachineMoved      DecisionKind = "machine_moved"
 	MachineMaintained DecisionKind = "machine_upkept"
 )
--- a/core/schedule/machine.go
+++ b/core/schedule/machine.go
@@ -39,7 +39,7 @@
 			s.machines.Set(m.ID, x)
 		}
 		if x.State != m.State || x.VM != m.VM {
-			s.reportDecision(Decision{Kind: MachineSeen, VM: m.VM, Reason: string(m.ID) + " " + string(m.State)})
+			s.reportDecision(Decision{Kind: MachineSeen, Machine: m.ID, VM: m.VM, Reason: string(m.State)})
 		}
 		x.Machine, x.listedAt = m, requestedAt
 		if v := s.vms.Get(m.VM); v != nil {
@@ -48,6 +48,7 @@
 	}
 	for id, m := range s.machines.All() {
 		if !present[id] {
+			s.reportDecision(Decision{Kind: MachineUnlisted, Machine: id, VM: m.VM, Reason: string(m.State), Age: requestedAt.Sub(m.listedAt)})
 			s.cancelDeparture(m)
 			s.machines.Delete(id)
 		}
--- a/core/schedule/maintenance.go
+++ b/core/schedule/maintenance.go
@@ -44,7 +44,21 @@
 		s.addOrder(x, id, &maintenanceOrder{uncertain: true})
 	}
 	s.waves.Set(w.Number, x)
-	s.reportDecision(Decision{Kind: WaveChanged, Reason: "begun"})
+	s.reportDecision(Decision{Kind: WaveChanged, Wave: w.Number, Reason: "begun"})
+	for _, id := range w.Machines {
+		s.reportWaveMachine(now, x, id, "belongs to the wave")
+	}
+}
+
+// reportWaveMachine reports what is believed of a machine of a wave, together with what the list of
+// machines says of it.
+func (s *Scheduler) reportWaveMachine(now time.Time, w *waveState, id job.MachineID, belief string) {
+	d := Decision{Kind: WaveMachine, Wave: w.Number, Machine: id, Reason: belief + ", not listed"}
+	if m := s.machines.Get(id); m != nil {
+		d.VM, d.Age = m.VM, now.Sub(m.listedAt)
+		d.Reason = belief + ", listed as " + string(m.State)
+	}
+	s.reportDecision(d)
 }
 
 // markWaveDirty makes the next save include the wave.
@@ -163,6 +177,9 @@
 		m, o := s.machines.Get(id), w.orders[id]
 		switch {
 		case m == nil:
+			if o != nil {
+				s.reportWaveMachine(now, w, id, "order forgotten")
+			}
 			s.forgetOrder(w, id)
 		case w.done[id], m.movingTo != "":
 		case o != nil:
@@ -206,8 +223,13 @@
 
 // completeWave publishes the wave as completed.
 func (s *Scheduler) completeWave(now time.Time, w *waveState) {
+	for _, id := range w.Machines {
+		if !w.done[id] {
+			s.reportWaveMachine(now, w, id, "not waited for")
+		}
+	}
 	w.publishedState = job.WaveCompleted
-	s.reportDecision(Decision{Kind: WaveChanged, Reason: "completed", After: now.Sub(w.arrived)})
+	s.reportDecision(Decision{Kind: WaveChanged, Wave: w.Number, Reason: "completed", After: now.Sub(w.arrived)})
 	s.emit(PublishWave{Wave: w.Number, State: job.WaveCompleted})
 }
 
--- a/core/schedule/maintenanceorder.go
+++ b/core/schedule/maintenanceorder.go
@@ -59,10 +59,12 @@
 	case !o.begunAt.IsZero():
 		// A list that was requested before the maintenance began may show the machine as up.
 		if m.State == job.MachineUp && m.listedAt.After(o.begunAt) {
+			s.reportWaveMachine(now, w, m.ID, "done: listed as up after the maintenance began")
 			w.done[m.ID] = true
 			s.forgetOrder(w, m.ID)
 		}
 	case m.State == job.MachineMaintenance && m.listedAt.After(o.orderedAt) && s.maintenanceOrders[m.ID] == 1:
+		s.reportWaveMachine(now, w, m.ID, "begun: listed in maintenance")
 		s.maintenanceBegan(now, o, m.listedAt)
 	default:
 		s.repeatMaintenance(now, w, m, o)
@@ -109,9 +111,10 @@
 	o.awaitingAnswer = false
 	switch {
 	case outcome == Answered && refusal == job.MachineAccepted:
-		s.reportDecision(Decision{Kind: MachineMaintained, VM: o.vm, Reason: string(m.ID)})
+		s.reportDecision(Decision{Kind: MachineMaintained, Wave: w.Number, Machine: m.ID, VM: o.vm})
 		s.maintenanceBegan(now, o, now)
 	case outcome == Answered && refusal == job.MachineOtherWave:
+		s.reportWaveMachine(now, w, m.ID, "done: refused as not of the wave")
 		w.done[m.ID] = true
 		s.forgetOrder(w, m.ID)
 	case outcome == Unanswered:
--- a/io/node/decisions.go
+++ b/io/node/decisions.go
@@ -53,6 +53,12 @@
 	if d.VM != "" {
 		e.Str("vm", string(d.VM))
 	}
+	if d.Wave != 0 {
+		e.Int64("wave", d.Wave)
+	}
+	if d.Machine != "" {
+		e.Str("machine", string(d.Machine))
+	}
 	if d.Reason != "" {
 		e.Str("reason", d.Reason)
 	}
--- a/io/node/execute.go
+++ b/io/node/execute.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
 
 	"lavenderpond/core/job"
 	"lavenderpond/core/schedule"
@@ -188,28 +189,29 @@
 }
 
 func (o *owner) startMaintenance(ctx context.Context, c schedule.Maintain) {
-	outcome, refusal := o.orderMachine(ctx, "upkeep_ordered", c.Machine, func(ctx context.Context) (job.MachineRefusal, error) {
+	log := o.log.With().Int64("wave", c.Wave).Logger()
+	outcome, refusal := o.orderMachine(ctx, log, "upkeep_ordered", c.Machine, func(ctx context.Context) (job.MachineRefusal, error) {
 		return o.node.machines.Maintain(ctx, o.orderIssuer(), c.Machine, c.Wave)
 	})
 	o.send(ctx, maintainAnswered{c, outcome, refusal})
 }
 
 func (o *owner) moveMachine(ctx context.Context, c schedule.Move) {
-	outcome, refusal := o.orderMachine(ctx, "move_ordered", c.Machine, func(ctx context.Context) (job.MachineRefusal, error) {
+	outcome, refusal := o.orderMachine(ctx, o.log, "move_ordered", c.Machine, func(ctx context.Context) (job.MachineRefusal, error) {
 		return o.node.machines.Move(ctx, o.orderIssuer(), c.Machine, c.Pool)
 	})
 	o.send(ctx, moveAnswered{c, outcome, refusal})
 }
 
 // orderMachine sends an order for a machine if this process still may order machines.
-func (o *owner) orderMachine(ctx context.Context, event string, m job.MachineID, order func(ctx context.Context) (job.MachineRefusal, error)) (schedule.Outcome, job.MachineRefusal) {
+func (o *owner) orderMachine(ctx context.Context, log zerolog.Logger, event string, m job.MachineID, order func(ctx context.Context) (job.MachineRefusal, error)) (schedule.Outcome, job.MachineRefusal) {
 	if !o.tenure.mayOrderMachines(bootNow()) {
 		return schedule.NotDone, job.MachineAccepted
 	}
 	callCtx, cancel := context.WithTimeout(ctx, machineOrderTimeout)
 	defer cancel()
 	refusal, err := order(callCtx)
-	o.log.Info().Err(err).Str("event", event).Str("machine", string(m)).Str("refused", string(refusal)).Send()
+	log.Info().Err(err).Str("event", event).Str("machine", string(m)).Str("refused", string(refusal)).Send()
 	return outcomeFromError(err), refusal
 }
 
