--- /dev/null
+++ b/core/schedule/absentmachine_test.go
@@ -0,0 +1,102 @@
+package schedule
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lavenderpond/core/job"
+)
+
+// twoMachines is a wave of two machines, one at a time.
+var twoMachines = job.Wave{Number: 1, Machines: []job.MachineID{"m-1", "m-2"}, MaxConcurrent: 1}
+
+// up returns the states of machines that are all up.
+func up(machines ...job.MachineID) map[job.MachineID]job.MachineState {
+	states := map[job.MachineID]job.MachineState{}
+	for _, id := range machines {
+		states[id] = job.MachineUp
+	}
+	return states
+}
+
+// advanceListing lists the machines after d, and returns the commands of the rounds that follow.
+func (h *harness) advanceListing(d time.Duration, states map[job.MachineID]job.MachineState) []Command {
+	h.now = h.now.Add(d)
+	h.listStandby(states)
+	return h.advance(10 * time.Millisecond)
+}
+
+// Guards against a wave that is completed before the list of machines contains one that has just arrived.
+func TestMachineThatIsNotListedYetIsAwaited(t *testing.T) {
+	h := newHarness(t)
+	h.listStandby(up("m-1"))
+	h.s.AddWave(h.now, twoMachines, job.WaveProgress{})
+	h.maintain(onlyCommand[Maintain](h, h.advance(0)))
+	commands := h.advanceListing(2*time.Second, up("m-1"))
+	assert.Equal(t, published(commands, 1), job.WaveState(-1))
+	h.maintain(onlyCommand[Maintain](h, h.advanceListing(2*time.Second, up("m-1", "m-2"))))
+	assert.Equal(t, published(h.advanceListing(2*time.Second, up("m-1", "m-2")), 1), job.WaveCompleted)
+}
+
+// Guards against a wave's limit that is exceeded while the list of machines lacks the one in maintenance.
+func TestMachineInMaintenanceThatIsNotListedKeepsItsPlace(t *testing.T) {
+	h := newHarness(t)
+	h.listStandby(up("m-1", "m-2"))
+	h.s.AddWave(h.now, twoMachines, job.WaveProgress{})
+	first := onlyCommand[Maintain](h, h.advance(0))
+	h.s.MaintainAnswered(h.now, first, Answered, job.MachineAccepted)
+	assert.Equal(t, len(commandsOfType[Maintain](h.advanceListing(time.Second, up("m-2")))), 0)
+	second := onlyCommand[Maintain](h, h.advanceListing(7*time.Second, up("m-1", "m-2")))
+	assert.Equal(t, second.Machine, job.MachineID("m-2"))
+}
+
+// Guards against an answer that is dropped since the list of machines lacks the machine when it arrives.
+func TestAnswerForMachineThatIsNotListedCounts(t *testing.T) {
+	h := newHarness(t)
+	h.listStandby(up("m-1", "m-2"))
+	h.s.AddWave(h.now, twoMachines, job.WaveProgress{})
+	first := onlyCommand[Maintain](h, h.advance(0))
+	h.advanceListing(100*time.Millisecond, up("m-2"))
+	h.s.MaintainAnswered(h.now, first, Answered, job.MachineAccepted)
+	second := onlyCommand[Maintain](h, h.advanceListing(7*time.Second, up("m-1", "m-2")))
+	assert.Equal(t, second.Machine, job.MachineID("m-2"))
+}
+
+// Guards against a machine that counts as maintained since its service doesn't know the wave's latest machines.
+func TestRefusalAsOfOtherWaveCompletesNothing(t *testing.T) {
+	h := newHarness(t)
+	h.listStandby(up("m-1"))
+	h.s.AddWave(h.now, job.Wave{Number: 1, Machines: []job.MachineID{"m-1"}, MaxConcurrent: 1}, job.WaveProgress{})
+	order := onlyCommand[Maintain](h, h.advance(0))
+	h.s.MaintainAnswered(h.now, order, Answered, job.MachineOtherWave)
+	assert.Equal(t, published(h.advanceListing(time.Second, up("m-1")), 1), job.WaveState(-1))
+	h.maintain(onlyCommand[Maintain](h, h.advanceListing(rejectedOrderPause, up("m-1"))))
+	assert.Equal(t, published(h.advanceListing(2*time.Second, up("m-1")), 1), job.WaveCompleted)
+}
+
+// Guards against a list that lags and shows the maintenance for an earlier wave, which completes an order that wasn't executed.
+func TestListedMaintenanceCompletesNoUnansweredOrder(t *testing.T) {
+	h := newHarness(t)
+	h.listStandby(up("m-1"))
+	h.s.AddWave(h.now, job.Wave{Number: 1, Machines: []job.MachineID{"m-1"}, MaxConcurrent: 1}, job.WaveProgress{})
+	order := onlyCommand[Maintain](h, h.advance(0))
+	h.s.MaintainAnswered(h.now, order, Unanswered, job.MachineAccepted)
+	h.advanceListing(time.Second, map[job.MachineID]job.MachineState{"m-1": job.MachineMaintenance})
+	commands := h.advanceListing(2*time.Second, up("m-1"))
+	assert.Equal(t, published(commands, 1), job.WaveState(-1))
+	assert.Equal(t, onlyCommand[Maintain](h, commands), order)
+}
+
+// Guards against a wave's limit that is exceeded since a list that lags shows the machine as up before its maintenance.
+func TestListThatLagsEndsNoMaintenance(t *testing.T) {
+	h := newHarness(t)
+	h.listStandby(up("m-1", "m-2"))
+	h.s.AddWave(h.now, twoMachines, job.WaveProgress{})
+	order := onlyCommand[Maintain](h, h.advance(0))
+	h.s.MaintainAnswered(h.now, order, Answered, job.MachineAccepted)
+	assert.Equal(t, len(commandsOfType[Maintain](h.advanceListing(500*time.Millisecond, up("m-1", "m-2")))), 0)
+	h.advanceListing(500*time.Millisecond, map[job.MachineID]job.MachineState{"m-1": job.MachineMaintenance, "m-2": job.MachineUp})
+	assert.Equal(t, onlyCommand[Maintain](h, h.advanceListing(2*time.Second, up("m-1", "m-2"))).Machine, job.MachineID("m-2"))
+}
