core/schedule: only the machines' service tells that a machine of a wave is done or gone

Cause: a list of machines was taken as evidence of what it may not show yet, or no longer. - A machine that isn't listed counted as gone: its order was forgotten (which freed its place under the wave's limit), the answer to it dropped, and the wave completed without it. - The refusal "not of that wave" counted as done. - A machine listed in maintenance counted as an order carried out, and one listed as up as back, though a list may be older than the order.

Now a machine is done once its order was accepted and it is back: listed as away in between, or with a VM that booted later, or in a list that is too young to lag. It is gone if the list has lacked it for 5 s and the service, asked by an order, doesn't know it (stored as gone). An order is kept while its machine isn't listed. An order of which it isn't known whether it was executed is repeated; the service executes it once a wave. No order is sent while a task is known to run on any VM of the machine. What counts as an answer that a machine is unknown is the service's 400 to an order for maintenance.

TestNewOwnerContinuesStoredMaintenance took the list as the evidence; it now asks for the repeated order, and as before that it isn't followed by another one too early. TestRefusedMachinesDoNotHoldUpWave lists a maintained machine as away before it is back, as the service does. The faults share the evidence and so one commit.

--- a/core/emulator/owner.go
+++ b/core/emulator/owner.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"lavenderpond/core/job"
@@ -387,5 +388,6 @@
 	if d.Kind == schedule.TaskStopping && d.Reason == "slow" {
 		o.entryVM.w.Stats.SlowStops++
 	}
-	o.entryVM.w.tracef("%s %s %v attempt %d vm %s: %s, age %s", o.entryVM.name, d.Kind, d.Task, d.Attempt, d.VM, d.Reason, d.Age)
+	reason := strings.TrimSpace(string(d.Machine) + " " + d.Reason)
+	o.entryVM.w.tracef("%s %s %v attempt %d vm %s: %s, age %s", o.entryVM.name, d.Kind, d.Task, d.Attempt, d.VM, reason, d.Age)
 }
--- a/core/job/machine.go
+++ b/core/job/machine.go
@@ -2,9 +2,13 @@
 
 import "time"
 
+// WaveRevision orders the definitions of a wave. A later definition has a higher revision.
+type WaveRevision uint64
+
 // Wave is an operator's request to maintain a set of machines.
 type Wave struct {
 	Number   int64
+	Revision WaveRevision
 	Machines []MachineID
 	// Within is the period in which all machines must be maintained.
 	Within time.Duration
@@ -20,6 +24,8 @@
 	// Ordered lists the machines whose maintenance for this wave may have been ordered and isn't known
 	// to be complete.
 	Ordered []MachineID `json:"ordered,omitempty"`
+	// Gone lists the machines that don't exist any more.
+	Gone []MachineID `json:"gone,omitempty"`
 }
 
 // WaveState is the state of a wave that is shown to operators.
@@ -69,12 +75,13 @@
 type MachineRefusal string
 
 // The refusals of the machines service. MachineAccepted means that the order was
-// accepted.
+// accepted, MachineUnknown that there is no such machine.
 const (
 	MachineAccepted  MachineRefusal = ""
 	MachineFenced    MachineRefusal = "fence"
 	MachineBusy      MachineRefusal = "busy"
 	MachineOtherWave MachineRefusal = "wave"
+	MachineUnknown   MachineRefusal = "unknown"
 )
 
 // OrderIssuer identifies the owner that issues orders for machines.
--- a/core/schedule/absentmachine_test.go
+++ b/core/schedule/absentmachine_test.go
@@ -100,3 +100,36 @@
 	h.advanceListing(500*time.Millisecond, map[job.MachineID]job.MachineState{"m-1": job.MachineMaintenance, "m-2": job.MachineUp})
 	assert.Equal(t, onlyCommand[Maintain](h, h.advanceListing(2*time.Second, up("m-1", "m-2"))).Machine, job.MachineID("m-2"))
 }
+
+// Guards against a wave that is completed although the operators have added a machine to it.
+func TestRewrittenWaveIncludesItsNewMachines(t *testing.T) {
+	h := newHarness(t)
+	h.listStandby(up("m-1", "m-2"))
+	h.s.AddWave(h.now, job.Wave{Number: 1, Machines: []job.MachineID{"m-1"}, MaxConcurrent: 1}, job.WaveProgress{})
+	h.maintain(onlyCommand[Maintain](h, h.advance(0)))
+	rewritten := twoMachines
+	rewritten.Revision = 2
+	h.s.AddWave(h.now, rewritten, job.WaveProgress{})
+	commands := h.advanceListing(2*time.Second, up("m-1", "m-2"))
+	assert.Equal(t, published(commands, 1), job.WaveRunning)
+	second := onlyCommand[Maintain](h, commands)
+	assert.Equal(t, second.Machine, job.MachineID("m-2"))
+	h.maintain(second)
+	done := onlyCommand[PublishWave](h, h.advanceListing(2*time.Second, up("m-1", "m-2")))
+	assert.DeepEqual(t, done, PublishWave{Wave: 1, Revision: 2, State: job.WaveCompleted})
+}
+
+// Guards against a wave that isn't completed since one of its machines was removed for good.
+func TestMachineThatTheServiceDoesNotKnowIsGone(t *testing.T) {
+	h := newHarness(t)
+	h.listStandby(up("m-1"))
+	h.s.AddWave(h.now, twoMachines, job.WaveProgress{Done: []job.MachineID{"m-1"}})
+	assert.Equal(t, len(commandsOfType[Maintain](h.advanceListing(time.Second, up("m-1")))), 0)
+	order := onlyCommand[Maintain](h, h.advanceListing(unlistedPeriod, up("m-1")))
+	assert.Equal(t, order.Machine, job.MachineID("m-2"))
+	h.s.MaintainAnswered(h.now, order, Answered, job.MachineUnknown)
+	commands := h.advanceListing(time.Second, up("m-1"))
+	assert.Equal(t, published(commands, 1), job.WaveCompleted)
+	save := onlyCommand[SaveWave](h, commands)
+	assert.DeepEqual(t, save.Progress, job.WaveProgress{Done: []job.MachineID{"m-1"}, Gone: []job.MachineID{"m-2"}})
+}
--- a/core/schedule/command.go
+++ b/core/schedule/command.go
@@ -138,10 +138,11 @@
 // DeleteJob deletes the stored rows of a job that ended long ago.
 type DeleteJob struct{ Job job.ID }
 
-// PublishWave publishes the state of a wave.
+// PublishWave publishes the state of a wave as of a revision of its definition.
 type PublishWave struct {
-	Wave  int64
-	State job.WaveState
+	Wave     int64
+	Revision job.WaveRevision
+	State    job.WaveState
 }
 
 func (Start) command()           {}
--- a/core/schedule/machine.go
+++ b/core/schedule/machine.go
@@ -12,6 +12,8 @@
 	job.Machine
 	// listedAt is when the machine list that showed this state was requested.
 	listedAt time.Time
+	// listedAwayAt is when the latest list was requested that showed the machine as not up.
+	listedAwayAt time.Time
 	// answeredAt is when the last move was answered.
 	answeredAt time.Time
 	// awaitingAnswer is set while a move has no answer yet. moveUncertain is set if an earlier attempt
@@ -42,6 +44,9 @@
 			s.reportDecision(Decision{Kind: MachineSeen, Machine: m.ID, VM: m.VM, Reason: string(m.State)})
 		}
 		x.Machine, x.listedAt = m, requestedAt
+		if m.State != job.MachineUp {
+			x.listedAwayAt = requestedAt
+		}
 		if v := s.vms.Get(m.VM); v != nil {
 			v.machine = m.ID
 		}
@@ -197,13 +202,7 @@
 		if o.saveSequence > s.storedSequence {
 			return false
 		}
-		m := s.machines.Get(o.machine)
-		if m == nil {
-			s.withdrawOrder(now, o.command)
-			return true
-		}
-		v := s.vms.Get(m.VM)
-		if s.rights.OrderMachines && (v == nil || v.runs.Len() == 0) {
+		if s.rights.OrderMachines && s.nothingRunsOn(o.machine) {
 			// The order's age counts from its sending and not from the decision: when the table
 			// is slow, seconds lie between them.
 			s.recentOrders.Set(o.machine, recentOrder{issuer: s.settings.OrderIssuer, givenAt: now})
@@ -215,6 +214,17 @@
 	})
 }
 
+// nothingRunsOn reports whether no task is known to run on a machine. The list may lag and show the VM
+// that the machine hosted before one that the directory knows.
+func (s *Scheduler) nothingRunsOn(id job.MachineID) bool {
+	for _, v := range s.vms.All() {
+		if v.machine == id && v.runs.Len() > 0 && !v.lifeEnded {
+			return false
+		}
+	}
+	return true
+}
+
 // withdrawOrder handles an order for a machine that isn't sent after all.
 func (s *Scheduler) withdrawOrder(now time.Time, c Command) {
 	switch c := c.(type) {
--- a/core/schedule/maintenance.go
+++ b/core/schedule/maintenance.go
@@ -2,27 +2,12 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
 	"lavenderpond/core/job"
 )
 
-// waveState is a maintenance wave that isn't over. done holds the machines whose maintenance is
-// complete, and orders those whose maintenance is ordered. published is set once the wave was
-// published as running, and publishedState is WaveCompleted once that was published.
-type waveState struct {
-	job.Wave
-	arrived        time.Time
-	done           map[job.MachineID]bool
-	orders         map[job.MachineID]*maintenanceOrder
-	publishedState job.WaveState
-	published      bool
-	// dirty is set while the wave has changes that no save contains.
-	dirty bool
-}
-
 const (
 	// cordonAhead is how many machines beyond the wave's limit are emptied in advance, so that
 	// the next one is empty when one comes back.
@@ -31,54 +16,6 @@
 	machineRetryDelay = 500 * time.Millisecond
 )
 
-// AddWave adds a wave with its stored progress. A wave that is already known is left unchanged.
-func (s *Scheduler) AddWave(now time.Time, w job.Wave, p job.WaveProgress) {
-	if s.waves.Get(w.Number) != nil {
-		return
-	}
-	x := &waveState{Wave: w, arrived: now, done: map[job.MachineID]bool{}, orders: map[job.MachineID]*maintenanceOrder{}}
-	for _, id := range p.Done {
-		x.done[id] = true
-	}
-	for _, id := range p.Ordered {
-		s.addOrder(x, id, &maintenanceOrder{uncertain: true})
-	}
-	s.waves.Set(w.Number, x)
-	s.reportDecision(Decision{Kind: WaveChanged, Wave: w.Number, Reason: "begun"})
-	for _, id := range w.Machines {
-		s.reportWaveMachine(now, x, id, "belongs to the wave")
-	}
-}
-
-// reportWaveMachine reports what is believed of a machine of a wave, together with what the list of
-// machines says of it.
-func (s *Scheduler) reportWaveMachine(now time.Time, w *waveState, id job.MachineID, belief string) {
-	d := Decision{Kind: WaveMachine, Wave: w.Number, Machine: id, Reason: belief + ", not listed"}
-	if m := s.machines.Get(id); m != nil {
-		d.VM, d.Age = m.VM, now.Sub(m.listedAt)
-		d.Reason = belief + ", listed as " + string(m.State)
-	}
-	s.reportDecision(d)
-}
-
-// markWaveDirty makes the next save include the wave.
-func (s *Scheduler) markWaveDirty(w *waveState) {
-	if !w.dirty {
-		w.dirty = true
-		s.dirtyWaves = append(s.dirtyWaves, w)
-	}
-}
-
-// flushWaves saves the progress of the waves that have changed.
-func (s *Scheduler) flushWaves() {
-	for _, w := range s.dirtyWaves {
-		w.dirty = false
-		p := job.WaveProgress{Done: slices.Sorted(maps.Keys(w.done)), Ordered: slices.Sorted(maps.Keys(w.orders))}
-		s.emit(SaveWave{Sequence: s.saveSequence, Wave: w.Number, Progress: p})
-	}
-	s.dirtyWaves = nil
-}
-
 // advanceWaves advances each wave: it empties machines, orders their maintenance and waits for
 // them to come back.
 func (s *Scheduler) advanceWaves(now time.Time) {
@@ -165,26 +102,28 @@
 func (s *Scheduler) advanceWave(now time.Time, w *waveState, cordoned cordons) {
 	if !w.published {
 		w.published = true
-		s.emit(PublishWave{Wave: w.Number, State: job.WaveRunning})
+		s.emit(PublishWave{Wave: w.Number, Revision: w.Revision, State: job.WaveRunning})
 	}
 	if s.machines.Len() == 0 {
 		// The machines haven't been listed yet.
 		return
 	}
 	var remaining []*machineState
+	var unlisted []job.MachineID
 	unattributed := 0
-	for _, id := range w.Machines {
+	for _, id := range w.tracked() {
 		m, o := s.machines.Get(id), w.orders[id]
+		s.trackListing(now, w, id, m)
 		switch {
-		case m == nil:
-			if o != nil {
-				s.reportWaveMachine(now, w, id, "order forgotten")
-			}
-			s.forgetOrder(w, id)
-		case w.done[id], m.movingTo != "":
+		case w.done[id], w.gone[id]:
 		case o != nil:
-			s.cordon(cordoned, m)
-			s.advanceOrder(now, w, m, o)
+			if m != nil {
+				s.cordon(cordoned, m)
+			}
+			s.advanceOrder(now, w, id, m, o)
+		case m == nil:
+			unlisted = append(unlisted, id)
+		case m.movingTo != "":
 		case s.inMaintenance(id):
 			// For another wave, after which this one has its turn.
 			s.cordon(cordoned, m)
@@ -197,7 +136,7 @@
 			remaining = append(remaining, m)
 		}
 	}
-	if len(remaining) == 0 && len(w.orders) == 0 && s.waveDone(w) {
+	if w.over() {
 		s.completeWave(now, w)
 		return
 	}
@@ -209,28 +148,7 @@
 		)
 	})
 	s.maintainNext(now, w, remaining, unattributed, cordoned)
-}
-
-// waveDone reports whether all machines of the wave that still exist are done.
-func (s *Scheduler) waveDone(w *waveState) bool {
-	for _, id := range w.Machines {
-		if s.machines.Get(id) != nil && !w.done[id] {
-			return false
-		}
-	}
-	return true
-}
-
-// completeWave publishes the wave as completed.
-func (s *Scheduler) completeWave(now time.Time, w *waveState) {
-	for _, id := range w.Machines {
-		if !w.done[id] {
-			s.reportWaveMachine(now, w, id, "not waited for")
-		}
-	}
-	w.publishedState = job.WaveCompleted
-	s.reportDecision(Decision{Kind: WaveChanged, Wave: w.Number, Reason: "completed", After: now.Sub(w.arrived)})
-	s.emit(PublishWave{Wave: w.Number, State: job.WaveCompleted})
+	s.maintainUnlisted(now, w, unlisted, unattributed)
 }
 
 // maintainNext cordons the next machines and orders maintenance for those that are empty. The number
@@ -256,10 +174,7 @@
 			continue
 		}
 		if len(w.orders)+unattributed < slots && m.State == job.MachineUp && s.mayOrderMachine(now, m.ID) && !now.Before(m.retryAt) {
-			o := &maintenanceOrder{orderedAt: now}
-			s.addOrder(w, m.ID, o)
-			s.markWaveDirty(w)
-			s.sendMaintenance(now, w, m, o)
+			s.orderMaintenance(now, w, m.ID)
 		}
 	}
 }
--- a/core/schedule/maintenance_test.go
+++ b/core/schedule/maintenance_test.go
@@ -109,6 +109,12 @@
 	h.listStandby(map[job.MachineID]job.MachineState{"m-1": job.MachineMaintenance, "m-2": job.MachineUp})
 	assert.Equal(t, len(commandsOfType[Maintain](h.advance(time.Second))), 0)
 	h.listStandby(map[job.MachineID]job.MachineState{"m-1": job.MachineUp, "m-2": job.MachineUp})
+	repeated := onlyCommand[Maintain](h, h.advance(10*time.Millisecond))
+	assert.Equal(t, repeated, Maintain{Machine: "m-1", Wave: 1}, "only its answer tells for which wave the machine was away")
+	h.s.MaintainAnswered(h.now, repeated, Answered, job.MachineAccepted)
+	assert.Equal(t, len(commandsOfType[Maintain](h.advance(time.Second))), 0)
+	h.now = h.now.Add(machineListLagMax)
+	h.listStandby(map[job.MachineID]job.MachineState{"m-1": job.MachineUp, "m-2": job.MachineUp})
 	orders := commandsOfType[Maintain](h.advance(10 * time.Millisecond))
 	assert.DeepEqual(t, orders, []Maintain{{Machine: "m-2", Wave: 1}, {Machine: "m-1", Wave: 2}})
 }
--- a/core/schedule/maintenanceorder.go
+++ b/core/schedule/maintenanceorder.go
@@ -9,11 +9,9 @@
 // maintenanceOrder is the order for the maintenance of a machine in a wave. It is kept until the
 // maintenance is over, and stored, since the list of machines doesn't tell for which wave a machine is
 // in maintenance. The machines' service executes the order once for each wave, however often it is
-// sent.
+// sent. Only its answer tells that the maintenance has begun: the list may lag.
 type maintenanceOrder struct {
-	// orderedAt is when the order was first given, or zero if a former owner gave it.
-	orderedAt time.Time
-	// vm is the VM that ran on the machine then.
+	// vm is the VM that ran on the machine when the order was last sent.
 	vm             job.VMID
 	awaitingAnswer bool
 	// begunAt is when the maintenance had certainly begun, or zero if that isn't known.
@@ -24,6 +22,9 @@
 	refusedAt, retryAt time.Time
 }
 
+// machineListLagMax is how much older than its request a list of machines may be.
+const machineListLagMax = 3 * time.Second
+
 // addOrder adds the order for a machine of a wave.
 func (s *Scheduler) addOrder(w *waveState, id job.MachineID, o *maintenanceOrder) {
 	w.orders[id] = o
@@ -45,30 +46,56 @@
 // inMaintenance reports whether the machine is in maintenance for a wave, or may be.
 func (s *Scheduler) inMaintenance(id job.MachineID) bool { return s.maintenanceOrders[id] > 0 }
 
+// orderMaintenance orders the maintenance of a machine that has no order in the wave.
+func (s *Scheduler) orderMaintenance(now time.Time, w *waveState, id job.MachineID) {
+	o := &maintenanceOrder{}
+	s.addOrder(w, id, o)
+	s.markWaveDirty(w)
+	s.sendMaintenance(now, w, id, o)
+}
+
 // sendMaintenance sends an order, once the wave's progress with it is stored.
-func (s *Scheduler) sendMaintenance(now time.Time, w *waveState, m *machineState, o *maintenanceOrder) {
-	o.vm, o.awaitingAnswer = m.VM, true
-	s.orderMachine(now, m.ID, Maintain{Machine: m.ID, Wave: w.Number})
+func (s *Scheduler) sendMaintenance(now time.Time, w *waveState, id job.MachineID, o *maintenanceOrder) {
+	o.vm, o.awaitingAnswer = "", true
+	if m := s.machines.Get(id); m != nil {
+		o.vm = m.VM
+	}
+	s.orderMachine(now, id, Maintain{Machine: id, Wave: w.Number})
 }
 
 // advanceOrder completes the maintenance of a machine that is back, and repeats an order whose outcome
-// isn't known.
-func (s *Scheduler) advanceOrder(now time.Time, w *waveState, m *machineState, o *maintenanceOrder) {
+// isn't known. m is nil if the machine isn't listed.
+func (s *Scheduler) advanceOrder(now time.Time, w *waveState, id job.MachineID, m *machineState, o *maintenanceOrder) {
 	switch {
 	case o.awaitingAnswer:
-	case !o.begunAt.IsZero():
-		// A list that was requested before the maintenance began may show the machine as up.
-		if m.State == job.MachineUp && m.listedAt.After(o.begunAt) {
-			s.reportWaveMachine(now, w, m.ID, "done: listed as up after the maintenance began")
-			w.done[m.ID] = true
-			s.forgetOrder(w, m.ID)
+	case m == nil:
+		if !now.Before(o.retryAt) && s.mayAskForUnlisted(now, w, id) {
+			w.askAt[id] = now.Add(unlistedPeriod)
+			s.sendMaintenance(now, w, id, o)
 		}
-	case m.State == job.MachineMaintenance && m.listedAt.After(o.orderedAt) && s.maintenanceOrders[m.ID] == 1:
-		s.reportWaveMachine(now, w, m.ID, "begun: listed in maintenance")
-		s.maintenanceBegan(now, o, m.listedAt)
-	default:
+	case o.begunAt.IsZero():
 		s.repeatMaintenance(now, w, m, o)
+	case s.back(m, o):
+		s.reportWaveMachine(now, w, id, "done: back after its maintenance began")
+		w.done[id] = true
+		s.forgetOrder(w, id)
+	}
+}
+
+// back reports whether a machine is up after its maintenance. The list may lag: it must have shown the
+// machine as away, or show a VM that booted after the former one, or have had the time to catch up.
+func (s *Scheduler) back(m *machineState, o *maintenanceOrder) bool {
+	if m.State != job.MachineUp || !m.listedAt.After(o.begunAt) {
+		return false
 	}
+	caughtUp := !m.listedAt.Before(o.begunAt.Add(machineListLagMax))
+	return caughtUp || m.listedAwayAt.After(o.begunAt) || s.bootedLater(m.VM, o.vm)
+}
+
+// bootedLater reports whether the first VM is known to have booted after the second.
+func (s *Scheduler) bootedLater(first, second job.VMID) bool {
+	a, b := s.vms.Get(first), s.vms.Get(second)
+	return first != second && a != nil && a.listed && (b == nil || a.born > b.born)
 }
 
 // repeatMaintenance sends an order again if the machine is up and empty.
@@ -78,7 +105,7 @@
 		return
 	}
 	if s.mayOrderMachine(now, m.ID) && !s.ordersMachine(m.ID) {
-		s.sendMaintenance(now, w, m, o)
+		s.sendMaintenance(now, w, m.ID, o)
 	}
 }
 
@@ -94,8 +121,8 @@
 }
 
 // maintenanceBegan records that the maintenance has begun, which ended the VM of the machine.
-func (s *Scheduler) maintenanceBegan(now time.Time, o *maintenanceOrder, at time.Time) {
-	o.begunAt = at
+func (s *Scheduler) maintenanceBegan(now time.Time, o *maintenanceOrder) {
+	o.begunAt = now
 	if v := s.vms.Get(o.vm); v != nil {
 		s.endLife(now, v, "machine is in upkeep")
 	}
@@ -103,31 +130,45 @@
 
 // MaintainAnswered handles the outcome of an order for maintenance.
 func (s *Scheduler) MaintainAnswered(now time.Time, c Maintain, outcome Outcome, refusal job.MachineRefusal) {
-	m, w := s.machines.Get(c.Machine), s.waves.Get(c.Wave)
-	if m == nil || w == nil || w.orders[c.Machine] == nil {
+	w := s.waves.Get(c.Wave)
+	if w == nil || w.orders[c.Machine] == nil {
 		return
 	}
 	o := w.orders[c.Machine]
 	o.awaitingAnswer = false
 	switch {
 	case outcome == Answered && refusal == job.MachineAccepted:
-		s.reportDecision(Decision{Kind: MachineMaintained, Wave: w.Number, Machine: m.ID, VM: o.vm})
-		s.maintenanceBegan(now, o, now)
-	case outcome == Answered && refusal == job.MachineOtherWave:
-		s.reportWaveMachine(now, w, m.ID, "done: refused as not of the wave")
-		w.done[m.ID] = true
-		s.forgetOrder(w, m.ID)
+		s.reportDecision(Decision{Kind: MachineMaintained, Wave: w.Number, Machine: c.Machine, VM: o.vm})
+		s.maintenanceBegan(now, o)
+	case outcome == Answered && refusal == job.MachineUnknown:
+		s.unlistedAnswered(now, w, c.Machine)
 	case outcome == Unanswered:
 		// The order may be executed later, so it is repeated until its outcome is known.
 		o.uncertain = true
 		o.retryAt = now.Add(machineRetryDelay)
-	case o.uncertain:
+	case o.uncertain && refusal != job.MachineOtherWave:
 		o.refusedAt, o.retryAt = now, now.Add(machineRetryPause(outcome))
 	default:
-		s.forgetOrder(w, m.ID)
-		m.retryAt = now.Add(machineRetryPause(outcome))
-		if outcome == Answered || outcome == Rejected {
-			m.maintenanceRefusals++
-		}
+		s.maintenanceRefused(now, w, c.Machine, outcome, refusal)
+	}
+}
+
+// maintenanceRefused handles an order of which no attempt was or will be executed. The service refuses
+// a machine as not of the wave if it knows another definition of the wave than this owner.
+func (s *Scheduler) maintenanceRefused(now time.Time, w *waveState, id job.MachineID, outcome Outcome, refusal job.MachineRefusal) {
+	s.forgetOrder(w, id)
+	pause := machineRetryPause(outcome)
+	if refusal == job.MachineOtherWave {
+		s.reportWaveMachine(now, w, id, "refused as not of the wave")
+		pause = rejectedOrderPause
+	}
+	m := s.machines.Get(id)
+	if m == nil {
+		w.askAt[id] = now.Add(pause)
+		return
+	}
+	m.retryAt = now.Add(pause)
+	if outcome == Answered || outcome == Rejected {
+		m.maintenanceRefusals++
 	}
 }
--- a/core/schedule/waveorder_test.go
+++ b/core/schedule/waveorder_test.go
@@ -22,7 +22,11 @@
 			}
 			out[c.Machine] = true
 			h.s.MaintainAnswered(h.now, c, Answered, job.MachineAccepted)
-			h.now = h.now.Add(100 * time.Millisecond)
+			h.now = h.now.Add(50 * time.Millisecond)
+			states := h.upExcept(wave, nil)
+			states[c.Machine] = job.MachineMaintenance
+			h.listStandby(states)
+			h.now = h.now.Add(50 * time.Millisecond)
 			h.listStandby(h.upExcept(wave, nil))
 		}
 	}
