io/node, platform: a wave that is written again is taken up, and its status belongs to its definition

Operators who add machines to a wave saw it completed without them: a known wave's row was ignored, and a completed status stood for good, also if an owner wrote it that didn't know the later row. The version of the operators' row is now the wave's revision. A later one replaces the definition and reopens the wave; a status is written only while the row has the revision that it was decided on, and one that is older than the row says nothing.

--- a/io/node/operator.go
+++ b/io/node/operator.go
@@ -175,11 +175,11 @@
 		if v.waves == nil {
 			v.waves = map[int64]job.Wave{}
 		}
-		if _, known := v.waves[c.Number]; known {
+		if former, known := v.waves[c.Number]; known && c.Revision <= former.Revision {
 			return false
 		}
 		v.waves[c.Number] = c.Wave
-		v.log.Info().Str("event", "wave_known").Int64("wave", c.Number).Int("machines", len(c.Machines)).
+		v.log.Info().Str("event", "wave_known").Int64("wave", c.Number).Uint64("revision", uint64(c.Revision)).Int("machines", len(c.Machines)).
 			Int("at_once", c.MaxConcurrent).Dur("within_ms", c.Within).Send()
 		return true
 	case platform.EvacuationChange:
--- a/io/node/wavestatus.go
+++ b/io/node/wavestatus.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"lavenderpond/core/job"
 	"lavenderpond/core/schedule"
 	"lavenderpond/io/supervisor"
@@ -19,79 +21,100 @@
 type waveStatuses struct {
 	mu sync.Mutex
 	// latest holds the state to publish of each wave that a call publishes now.
-	latest map[int64]job.WaveState
+	latest map[int64]schedule.PublishWave
 }
 
 // set sets the state to publish, and reports whether the caller has to publish it because no other
 // call does.
-func (w *waveStatuses) set(number int64, s job.WaveState) bool {
+func (w *waveStatuses) set(c schedule.PublishWave) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.latest == nil {
-		w.latest = map[int64]job.WaveState{}
+		w.latest = map[int64]schedule.PublishWave{}
 	}
-	_, busy := w.latest[number]
-	w.latest[number] = s
+	_, busy := w.latest[c.Wave]
+	w.latest[c.Wave] = c
 	return !busy
 }
 
 // get returns the state to publish.
-func (w *waveStatuses) get(number int64) job.WaveState {
+func (w *waveStatuses) get(number int64) schedule.PublishWave {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.latest[number]
 }
 
 // finish ends the publication of a state, and reports whether it is still the latest one.
-func (w *waveStatuses) finish(number int64, s job.WaveState) bool {
+func (w *waveStatuses) finish(c schedule.PublishWave) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.latest[number] != s {
+	if w.latest[c.Wave] != c {
 		return false
 	}
-	delete(w.latest, number)
+	delete(w.latest, c.Wave)
 	return true
 }
 
-// publishWave publishes a wave's state and retries until it is stored.
+// publishWave publishes a wave's state and retries until it is stored or the wave has another definition.
 func (o *owner) publishWave(ctx context.Context, c schedule.PublishWave) {
-	if !o.waveStatuses.set(c.Wave, c.State) {
+	if !o.waveStatuses.set(c) {
 		return
 	}
 	for ctx.Err() == nil {
-		state := o.waveStatuses.get(c.Wave)
-		err := o.storeWaveStatus(ctx, c.Wave, state)
+		latest := o.waveStatuses.get(c.Wave)
+		err := o.storeWaveStatus(ctx, latest)
 		if err != nil {
-			o.log.Warn().Err(err).Str("event", "wave_status_failed").Int64("wave", c.Wave).Str("state", state.String()).Send()
+			o.log.Warn().Err(err).Str("event", "wave_status_failed").Int64("wave", c.Wave).
+				Uint64("revision", uint64(latest.Revision)).Str("state", latest.State.String()).Send()
 		}
-		if err != nil && !platform.RefusedForGood(err) {
+		if err != nil && !platform.RefusedForGood(err) && !errors.Is(err, errWaveRedefined) {
 			supervisor.Sleep(ctx, waveStatusRetryDelay)
 			continue
 		}
-		if o.waveStatuses.finish(c.Wave, state) {
+		if o.waveStatuses.finish(latest) {
 			return
 		}
 	}
 }
 
+// errWaveRedefined means that a state belongs to a definition of the wave that isn't in force.
+var errWaveRedefined = errors.New("wave has another definition")
+
 // storeWaveStatus stores a wave's state unless it is stored already or the wave is completed. Its
-// condition keeps a write that is executed late from undoing a later one.
-func (o *owner) storeWaveStatus(ctx context.Context, number int64, s job.WaveState) error {
+// conditions keep a write that is executed late from undoing a later one, and from saying that a wave
+// is completed whose definition has changed.
+func (o *owner) storeWaveStatus(ctx context.Context, c schedule.PublishWave) error {
 	ctx, cancel := context.WithTimeout(ctx, tableWriteTimeout)
 	defer cancel()
-	write := platform.WaveStatus(number, s)
+	write := platform.WaveStatus(c.Wave, c.State)
 	row, _, err := o.node.table.Get(ctx, write.RowKey)
 	if err != nil {
 		return err
 	}
-	condition := platform.Condition{RowKey: write.RowKey}
+	status := platform.Condition{RowKey: write.RowKey}
 	if row != nil {
-		stored, err := platform.DecodeWaveStatus(*row)
-		if err == nil && (stored == s || stored == job.WaveCompleted) {
+		if waveStatusStands(*row, c) {
 			return nil
 		}
-		condition.Version = row.Version
+		status.Version = row.Version
+	}
+	definition := platform.Condition{RowKey: platform.WaveKey(c.Wave), Version: platform.Version(c.Revision)}
+	_, err = o.node.table.Apply(ctx, platform.Transaction{Conditions: []platform.Condition{status, definition}, Writes: []platform.Write{write}})
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) {
+		if d := conflict.Row(definition.RowKey); d == nil || d.Version != definition.Version {
+			return errors.Wrapf(errWaveRedefined, "wave %d", c.Wave)
+		}
 	}
-	_, err = o.node.table.Apply(ctx, platform.Transaction{Conditions: []platform.Condition{condition}, Writes: []platform.Write{write}})
 	return err
 }
+
+// waveStatusStands reports whether the stored state needs no write. A status that is older than the
+// definition of the wave says nothing about it.
+func waveStatusStands(row platform.Row, c schedule.PublishWave) bool {
+	stored, err := platform.DecodeWaveStatus(row)
+	if err != nil || row.Version < platform.Version(c.Revision) {
+		return false
+	}
+	return stored == c.State || stored == job.WaveCompleted
+}
