io/soak: maintenance waves amid faults

The soak drew no maintenance, so it could not see a wave that is said to be completed without one of its machines. Waves now begin, overlap and are rewritten amid the other faults, drawn from a stream of their own; machines arrive in a wave before they are listed, leave, and are lost from the list. The checker compares the waves' states in the table with what the machines' service carried out: MIXED, LIMIT, and completion within maxSettleTime.

--- a/io/soak/checker.go
+++ b/io/soak/checker.go
@@ -35,6 +35,10 @@
 	// the request.
 	evacuated map[job.ZoneName]time.Time
 	usage     map[job.AccountName]*accountUsage
+	waves     map[int64]*trackedWave
+	// machines are the machines that exist. terminated counts the runs that maintenance ended.
+	machines   map[job.MachineID]bool
+	terminated int
 }
 
 // Placement describes a VM: its availability zone and its capacity.
@@ -104,7 +108,7 @@
 		acknowledged: map[job.TaskID]bool{}, jobs: map[job.ID]*submittedJob{},
 		crashes: map[job.TaskID]int{}, startsAfterCrashLimit: map[job.TaskID]int{},
 		placements: map[job.VMID]*Placement{}, evacuated: map[job.ZoneName]time.Time{},
-		usage: map[job.AccountName]*accountUsage{},
+		usage: map[job.AccountName]*accountUsage{}, waves: map[int64]*trackedWave{}, machines: map[job.MachineID]bool{},
 	}
 }
 
@@ -239,6 +243,8 @@
 		c.done[t] = true
 	case "lost":
 		c.crashes[t]++
+	case "terminated":
+		c.terminated++
 	}
 }
 
@@ -315,8 +321,9 @@
 	return false
 }
 
-// Unfinished describes the accepted jobs that have no final state and the long-running tasks
-// that do not run. It leaves out jobs with a task that crashes VMs.
+// Unfinished describes the accepted jobs that have no final state, the long-running tasks that
+// do not run, and the waves that are not completed. It leaves out jobs with a task that crashes
+// VMs.
 func (c *Checker) Unfinished() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -334,11 +341,17 @@
 			out = append(out, fmt.Sprintf("%s was accepted and has not finished", id))
 		}
 	}
+	for number, w := range c.waves {
+		missing := c.missing(w)
+		if w.state != waveCompleted || len(missing) > 0 {
+			out = append(out, fmt.Sprintf("wave %d is shown as %q, and the maintenance of %v hasn't begun", number, w.state, missing))
+		}
+	}
 	return out
 }
 
-// Settled reports whether all accepted jobs have finished or, if long-running, run. Jobs with
-// a task that crashes VMs must have finished.
+// Settled reports whether all accepted jobs have finished or, if long-running, run, and all
+// waves are completed. Jobs with a task that crashes VMs must have finished.
 func (c *Checker) Settled() bool {
 	if len(c.Unfinished()) > 0 {
 		return false
@@ -383,5 +396,10 @@
 			crashing++
 		}
 	}
-	return fmt.Sprintf("%d jobs, %d accepted, %d completed, %d with a task that crashes VMs, %d starts", len(c.jobs), accepted, completed, crashing, c.startCount)
+	maintained := 0
+	for _, w := range c.waves {
+		maintained += len(w.begun)
+	}
+	return fmt.Sprintf("%d jobs, %d accepted, %d completed, %d with a task that crashes VMs, %d starts, %d waves, %d machines maintained, %d runs ended by that",
+		len(c.jobs), accepted, completed, crashing, c.startCount, len(c.waves), maintained, c.terminated)
 }
--- a/io/soak/fleet.go
+++ b/io/soak/fleet.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -28,17 +29,24 @@
 	checker         *Checker
 	entries         []*entry
 	machines        []*machine
-	rng             *rand.Rand
-	servers         []*http.Server
-	group           supervisor.Group
-	configVersion   int
+	// spares are machines that arrive later, if at all.
+	spares []*machine
+	// listChanged is set if the list of machines is to be published before the next heartbeat.
+	listChanged atomic.Bool
+	// publishing is held while the list of machines is published.
+	publishing    sync.Mutex
+	rng           *rand.Rand
+	servers       []*http.Server
+	group         supervisor.Group
+	configVersion int
 	// policyFile is the daemons' policy file; an empty string means none.
 	policyFile string
-	// mu guards rng, evacuated and hot. evacuated counts the evacuation requests in force for
+	// mu guards rng, evacuated, hot and waves. evacuated counts the evacuation requests in force for
 	// each availability zone, hot the load faults that make each account hot.
 	mu        sync.Mutex
 	evacuated map[job.ZoneName]int
 	hot       map[job.AccountName]int
+	waves     []standin.WaveBody
 }
 
 // zone returns the availability zone of the i-th daemon or machine.
@@ -128,10 +136,17 @@
 		return err
 	}
 	f.reconfigure()
-	for i := range machines {
-		if err := f.addMachine(ctx, i); err != nil {
+	for i := range machines + spareMachines {
+		m, err := f.addMachine(ctx, i)
+		if err != nil {
 			return err
 		}
+		if i >= machines {
+			f.spares = append(f.spares, m)
+			continue
+		}
+		f.machines = append(f.machines, m)
+		f.arrive(m)
 	}
 	f.publishMachines()
 	for i := range entries {
--- a/io/soak/soak.go
+++ b/io/soak/soak.go
@@ -35,7 +35,7 @@
 const (
 	// maxSettleTime is how long after the last fault accepted jobs may take to finish. Leases
 	// of unreachable VMs expire after 10 s, and tasks that waited for that run afterwards.
-	// Jobs whose tasks crash VMs must be given up within the same time.
+	// Jobs whose tasks crash VMs must be given up, and waves be completed, within the same time.
 	maxSettleTime = 40 * time.Second
 	// settlePollInterval is the interval at which unfinished jobs are checked.
 	settlePollInterval = 200 * time.Millisecond
@@ -52,9 +52,11 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	f := &fleet{
-		binary: s.Binary, folder: s.Folder, table: standin.NewTable(), machinesService: &standin.Machines{},
+		binary: s.Binary, folder: s.Folder, table: standin.NewTable(),
 		checker: NewChecker(), rng: rand.New(rand.NewPCG(s.Seed, 1)),
 	}
+	f.table.OnChange = f.checker.RowChanged
+	f.machinesService = &standin.Machines{Host: f, Table: f.table, PageSize: machinesPageSize}
 	defer f.close()
 	defer cancel()
 	if err := s.writePolicy(f); err != nil {
@@ -89,10 +91,11 @@
 	return f.checker.Violations(), f.checker.Summary(), nil
 }
 
-// loadSeed selects the stream of random numbers for load faults.
-const loadSeed = math.MaxUint64
+// loadSeed and waveSeed select the streams of random numbers for load faults and wave faults.
+const loadSeed, waveSeed = math.MaxUint64, math.MaxUint64 - 1
 
-// injectFaults injects faults and load that exceeds the capacity until ctx ends.
+// injectFaults injects faults, load that exceeds the capacity and maintenance waves until ctx
+// ends.
 func (s Soak) injectFaults(ctx context.Context, f *fleet) {
 	var mu sync.Mutex
 	report := func(line string) {
@@ -106,6 +109,11 @@
 	g.Go(func() {
 		f.injectFaults(ctx, loadFaults, meanLoadFaultInterval, rand.New(rand.NewPCG(s.Seed, loadSeed)), report)
 	})
+	g.Go(func() {
+		rng := rand.New(rand.NewPCG(s.Seed, waveSeed))
+		report("wave " + f.beginWave(rng, nil))
+		f.injectFaults(ctx, waveFaults, meanWaveFaultInterval, rng, report)
+	})
 	f.injectFaults(ctx, faults, meanFaultInterval, rand.New(rand.NewPCG(s.Seed, 0)), report)
 	g.Wait()
 }
--- a/io/soak/soak_test.go
+++ b/io/soak/soak_test.go
@@ -22,7 +22,10 @@
 // Faults overlap: daemons are killed, stopped, paused, and cut off from the table, callers and
 // VMs in one or both directions; the table fails in five ways; VMs crash, slow down, shrink and
 // delay orders; tasks crash VMs; accounts submit several times their usual load, also while all
-// daemons are killed; and refused callers come back. No task may run twice at a time or before its step is due,
+// daemons are killed; refused callers come back; and maintenance waves overlap and are rewritten
+// while the list of machines lags and loses entries, orders for machines stay unanswered, and
+// machines arrive and leave. No wave may exceed its limit or be shown as completed without one of
+// its machines, and all waves must be completed. No task may run twice at a time or before its step is due,
 // no refused job may run, refusals must say when to come back, no account that stays within its
 // weight may be starved, no VM may be overloaded, tasks that crash VMs must be given up, and all
 // other accepted jobs must finish.
