core/maintenance: only a VM whose reboot was accepted is maintained

What operators saw: `vms return` of a VM that was stopped but not yet rebooted (the platform had refused the reboot, or did not answer) put it into verification, and when it served again it counted as maintained. The wave finished although the VM was never rebooted.

Cause: the driver took the deadline of the reboot, which is set at the stop, as evidence of the reboot.

Evidence: TestReturnWithoutRebootIsNoMaintenance, red before (1 VM maintained in place of 0).

Change: the VM's row records when the accepted reboot was requested (rebooted_at, optional). Without it, the return keeps the VM due. A VM that an older daemon rebooted during an upgrade is rebooted once more.

--- a/core/fleet/rules.go
+++ b/core/fleet/rules.go
@@ -131,6 +131,13 @@
 	return newTransaction(rowWrites{vm: &vm, vmValue: v})
 }
 
+// VerifyReboot marks a stopped VM, whose reboot the platform has accepted, as being
+// verified. now is a time before the reboot.
+func (r Rules) VerifyReboot(now time.Time, vm VMRow, backBy time.Time) (table.Transaction, error) {
+	vm.VM.RebootedAt = now
+	return r.Verify(now, vm, backBy)
+}
+
 // Return puts a verified VM back into service. nextDue is the deadline of its next
 // maintenance. A zero nextDue keeps the deadline in the row, for a VM that was not
 // maintained.
@@ -165,7 +172,7 @@
 		return table.Transaction{}, nil
 	}
 	v := vm.VM
-	v.State, v.Since = Failed, now
+	v.State, v.Since, v.RebootedAt = Failed, now, time.Time{}
 	if v.MoveTo != "" {
 		v.MoveTo, v.Resize = "", false
 	}
@@ -221,7 +228,7 @@
 		p.Size++
 	}
 	v.State, v.Since, v.MoveTo, v.Resize = Serving, now, "", false
-	v.DrainBy, v.StopAfter, v.RebootBy, v.BackBy = time.Time{}, time.Time{}, time.Time{}, time.Time{}
+	v.DrainBy, v.StopAfter, v.RebootBy, v.RebootedAt, v.BackBy = time.Time{}, time.Time{}, time.Time{}, time.Time{}, time.Time{}
 	return r.transaction(rowWrites{vm: &vm, vmValue: v, pool: &pool, poolValue: p})
 }
 
--- a/core/fleet/vm.go
+++ b/core/fleet/vm.go
@@ -84,6 +84,9 @@
 	StopAfter time.Time `json:"stop_after,omitzero"`
 	// RebootBy is the latest time at which a reboot may be requested.
 	RebootBy time.Time `json:"reboot_by,omitzero"`
+	// RebootedAt is a time right before the reboot of the current stop. It is zero until the
+	// platform has accepted the reboot.
+	RebootedAt time.Time `json:"rebooted_at,omitzero"`
 	// BackBy is when a stopped VM that has not come back counts as failed.
 	BackBy time.Time `json:"back_by,omitzero"`
 	// LastMaintained is when the VM last came back from a planned stop.
--- a/core/maintenance/driver.go
+++ b/core/maintenance/driver.go
@@ -164,7 +164,7 @@
 	case s.now.After(v.RebootBy):
 		return s.stop()
 	}
-	step, err := transactionStep(s.Rules.Verify(s.now, s.vm, v.BackBy))
+	step, err := transactionStep(s.Rules.VerifyReboot(s.now, s.vm, v.BackBy))
 	step.Reboot, step.NotAfter = true, v.RebootBy
 	return step, err
 }
@@ -213,11 +213,12 @@
 	return s.pool.Pool.Headroom() < 0 || s.now.After(s.vm.VM.DrainBy)
 }
 
-// nextDue returns the deadline of the next maintenance, or zero if the VM was out of
-// service for another reason than a planned reboot.
+// nextDue returns the deadline of the next maintenance, or zero if the platform accepted no
+// planned reboot of the VM. An operator may return a stopped VM that still waits for its
+// reboot.
 func (s *stepper) nextDue() time.Time {
 	out, ok := s.pool.Pool.FindOutVM(s.vm.Ref)
-	if !ok || !out.Planned || s.vm.VM.RebootBy.IsZero() {
+	if !ok || !out.Planned || s.vm.VM.RebootedAt.IsZero() {
 		return time.Time{}
 	}
 	return s.now.Add(s.Timing.MaintenanceInterval)
--- a/core/maintenance/driver_test.go
+++ b/core/maintenance/driver_test.go
@@ -45,3 +45,30 @@
 	pool.Out = pool.Out[:2]
 	assert.Assert(t, next().Reboot, "the reboot must be requested again within the budget")
 }
+
+// Guards against a wave that counts a VM as maintained that an operator returned before the
+// platform accepted its reboot.
+func TestReturnWithoutRebootIsNoMaintenance(t *testing.T) {
+	ref := fleet.Ref{Zone: "z", VM: "v0"}
+	pool, err := fleet.DecodePool(table.MustRow(table.PoolStateKey("p"), 7, fleet.Pool{
+		MaxUnavailable: 2, Size: 10, Members: 10, Out: []fleet.OutVM{{Ref: ref, Planned: true}},
+	}))
+	assert.NilError(t, err)
+	vm := fleet.VM{Pool: "p", State: fleet.Stopped, RebootBy: testStart.Add(time.Minute), BackBy: testStart.Add(time.Hour)}
+	apply := func(tx table.Transaction, err error) {
+		assert.NilError(t, err)
+		vm = fleet.VM{}
+		assert.NilError(t, json.Unmarshal(tx.Writes[0].Value, &vm))
+	}
+	row := func() fleet.VMRow {
+		r, err := fleet.DecodeVM(table.MustRow(ref.Key(), 3, vm))
+		assert.NilError(t, err)
+		return r
+	}
+	apply(fleet.Rules{}.Verify(testStart, row(), testStart.Add(time.Hour)))
+	step, err := maintenance.Driver{}.Next(testStart.Add(2*time.Minute), row(), map[core.PoolID]fleet.PoolRow{"p": pool}, &maintenance.Observation{Up: true})
+	apply(step.Transaction, err)
+	assert.Equal(t, vm.State, fleet.Serving)
+	progress := maintenance.ProgressOf(testStart.Add(2*time.Minute), "z", maintenance.Wave{PlannedAt: testStart}, []fleet.VMRow{row()})
+	assert.Equal(t, progress.Maintained, 0)
+}
