core/fleet: a VM is maintained as of its reboot, not of its return

What operators saw: they paused a zone, planned it anew (for another image) and started it. A VM that had been rebooted before the new plan and came back after it counted as maintained, and the new wave finished without rebooting it.

Cause: the return set last_maintained to the time of the return, which is compared with the time of the plan.

Evidence: TestRebootBeforePlanIsNoMaintenance, red before (vm00000 not rebooted after the plan).

Change: last_maintained is the time right before the accepted reboot.

--- a/core/fleet/rules.go
+++ b/core/fleet/rules.go
@@ -140,7 +140,8 @@
 
 // Return puts a verified VM back into service. nextDue is the deadline of its next
 // maintenance. A zero nextDue keeps the deadline in the row, for a VM that was not
-// maintained.
+// maintained. A VM counts as maintained at its reboot: if it counted at its return, a reboot
+// from before a plan would meet the plan.
 //
 // Return fails until RebootBy has passed. Until then, a controller process that was
 // suspended may still request the reboot, which would kill the work of a VM that serves
@@ -156,7 +157,7 @@
 		return table.Transaction{}, core.Errorf(core.CodeConflict, "VM %s must not serve yet; it may still be rebooted until %s", vm.Ref, vm.VM.RebootBy)
 	}
 	if !nextDue.IsZero() {
-		vm.VM.LastMaintained, vm.VM.NextDue = now, nextDue
+		vm.VM.LastMaintained, vm.VM.NextDue = vm.VM.RebootedAt, nextDue
 	}
 	return r.returnToService(now, vm, pool)
 }
--- a/core/fleet/vm.go
+++ b/core/fleet/vm.go
@@ -89,7 +89,7 @@
 	RebootedAt time.Time `json:"rebooted_at,omitzero"`
 	// BackBy is when a stopped VM that has not come back counts as failed.
 	BackBy time.Time `json:"back_by,omitzero"`
-	// LastMaintained is when the VM last came back from a planned stop.
+	// LastMaintained is RebootedAt of the last planned stop that the VM came back from.
 	LastMaintained time.Time `json:"last_maintained,omitzero"`
 	// NextDue is the deadline of the next maintenance.
 	NextDue time.Time `json:"next_due,omitzero"`
--- a/core/maintenance/session_test.go
+++ b/core/maintenance/session_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -129,3 +130,35 @@
 	submitChange(t, z, "start-1")
 	assert.Equal(t, try(plan(testStart.Add(time.Hour), 1)), core.CodeConflict)
 }
+
+// Guards against a wave that counts a VM as maintained that was rebooted before the wave was
+// planned and came back after.
+func TestRebootBeforePlanIsNoMaintenance(t *testing.T) {
+	z := newZone(7)
+	submitChange(t, z, "plan-1")
+	submitChange(t, z, "start-1")
+	verifying := func() bool {
+		return slices.ContainsFunc(z.World.VMs(), func(m *sim.SimulatedVM) bool { return z.World.Row(m.Ref).VM.State == fleet.Verifying })
+	}
+	for n := 0; n < 360 && !verifying(); n++ {
+		z.World.Advance(10 * time.Second)
+		assert.NilError(t, z.Tick())
+	}
+	z.World.Advance(time.Second)
+	assert.Assert(t, verifying())
+	for _, change := range []string{"pause-1", "plan-2", "start-2"} {
+		submitChange(t, z, change)
+	}
+	reboots := make(map[fleet.Ref]int)
+	for _, m := range z.World.VMs() {
+		reboots[m.Ref] = m.Reboots
+	}
+	for n := 0; n < 6*360 && z.Wave().Status == maintenance.Running; n++ {
+		z.World.Advance(10 * time.Second)
+		assert.NilError(t, z.Tick())
+	}
+	assert.Equal(t, z.Wave().Status, maintenance.Finished)
+	for _, m := range z.World.VMs() {
+		assert.Assert(t, m.Reboots > reboots[m.Ref], "%s wasn't rebooted after the plan", m.Ref)
+	}
+}
