core/maintenance: a wave doesn't finish without an unreadable VM

What operators saw: a VM whose row this daemon can't decode (a state of a newer version) was left out of the zone, and the wave was `finished`, "every VM of the zone was maintained", although that VM was not.

Cause: the cache drops such a row from the list of VMs, and the planners took the list for the whole zone.

Evidence: TestWaveWaitsForUnreadableVM, red before (finished in place of running).

Change: the view counts the zone's unreadable VMs, taken together with the list.

Result: the test passes: the wave waits, and goes on once the row can be read; core/maintenance and io/platform pass.

--- a/core/maintenance/fixed/fixed.go
+++ b/core/maintenance/fixed/fixed.go
@@ -32,7 +32,7 @@
 	}
 	waveName := v.Wave.Name(v.Zone)
 	var commands []maintenance.Command
-	due := 0
+	due := v.Unreadable
 	for _, r := range v.VMs {
 		maintained := !r.VM.LastMaintained.Before(v.Wave.PlannedAt)
 		if r.VM.Wave == waveName && r.VM.State != fleet.Serving && !maintained {
--- a/core/maintenance/planner.go
+++ b/core/maintenance/planner.go
@@ -14,6 +14,9 @@
 	// VMs are the zone's VMs, sorted by name. The slice and its rows are shared and
 	// must not be modified.
 	VMs []*fleet.VMRow
+	// Unreadable counts the zone's VMs whose rows can't be decoded. They are not
+	// in VMs.
+	Unreadable int
 	// Pools are the pools of those VMs. A pool's row counts its VMs of all zones.
 	Pools map[core.PoolID]fleet.PoolRow
 }
@@ -38,7 +41,7 @@
 // Halt stops the wave until an operator starts it again.
 type Halt struct{ Reason string }
 
-// Finish ends the wave after every VM was maintained.
+// Finish ends the wave after every VM was maintained, which is unknown of an unreadable one.
 type Finish struct{}
 
 func (TakeOut) isCommand()     {}
--- a/core/maintenance/wave.go
+++ b/core/maintenance/wave.go
@@ -173,6 +173,7 @@
 
 // Progress summarises a zone's maintenance for operators.
 type Progress struct {
+	// Total counts all of the zone's VMs, also those whose rows can't be decoded.
 	Total      int `json:"total"`
 	Maintained int `json:"maintained"`
 	Out        int `json:"out"`
@@ -185,7 +186,7 @@
 
 // Progress returns the progress of the view's wave.
 func (v View) Progress(now time.Time) Progress {
-	p := Progress{Total: len(v.VMs)}
+	p := Progress{Total: len(v.VMs) + v.Unreadable}
 	waveName := v.Wave.Name(v.Zone)
 	for _, r := range v.VMs {
 		p.count(now, v.Wave, waveName, &r.VM)
--- a/io/platform/controller_step.go
+++ b/io/platform/controller_step.go
@@ -131,7 +131,8 @@
 }
 
 func (c *Controller) view(wave maintenance.WaveRow) maintenance.View {
-	return maintenance.View{Zone: c.Zone, Wave: wave.Wave, VMs: c.rows().VMs(), Pools: c.rows().Pools()}
+	vms, unreadable := c.rows().AllVMs()
+	return maintenance.View{Zone: c.Zone, Wave: wave.Wave, VMs: vms, Unreadable: unreadable, Pools: c.rows().Pools()}
 }
 
 func (c *Controller) transact(ctx context.Context, t table.Transaction) error {
--- a/io/platform/controller_test.go
+++ b/io/platform/controller_test.go
@@ -11,6 +11,7 @@
 	"lavenderpond/core/fleet"
 	"lavenderpond/core/maintenance"
 	"lavenderpond/core/route"
+	"lavenderpond/core/table"
 )
 
 // simulationTotals sums up the results of some simulations.
@@ -103,3 +104,29 @@
 	assert.Assert(t, ok && pool.Headroom() == 2)
 	assert.Equal(t, changes, 4)
 }
+
+// Guards against a wave that finishes without a VM whose row this version can't read.
+func TestWaveWaitsForUnreadableVM(t *testing.T) {
+	s := newZoneSimulation(t, 1, faults{})
+	ref := s.world.VMs()[0].Ref
+	row := s.world.Table.Read(ref.Key())
+	s.writeVM(ref, map[string]string{"state": "hibernated"})
+	for range 1000 {
+		s.advance()
+		s.tick(0)
+	}
+	assert.Equal(t, s.wave().Status, maintenance.Running)
+	progress := s.controllers[0].State().Progress
+	assert.Equal(t, progress.Total-progress.Maintained, 1)
+
+	s.writeVM(ref, row.Value)
+	assert.Equal(t, s.run().Status, maintenance.Finished)
+	assert.Equal(t, s.world.VM(ref).Reboots, 1)
+}
+
+// writeVM replaces a VM's row without a check.
+func (s *zoneSimulation) writeVM(ref fleet.Ref, value any) {
+	var tx table.Transaction
+	assert.NilError(s.t, tx.Set(ref.Key(), value))
+	assert.NilError(s.t, s.world.Table.Transact(tx))
+}
--- a/io/platform/fleet_rows.go
+++ b/io/platform/fleet_rows.go
@@ -124,17 +124,25 @@
 // VMs returns the zone's VMs, sorted by name. The caller must modify neither the slice
 // nor the rows.
 func (r *FleetRows) VMs() []*fleet.VMRow {
+	vms, _ := r.AllVMs()
+	return vms
+}
+
+// AllVMs returns VMs and, as of the same time, the number of the zone's VMs whose rows
+// can't be decoded.
+func (r *FleetRows) AllVMs() (vms []*fleet.VMRow, unreadable int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	unreadable = len(r.vms.undecodable)
 	if r.sortedVMs != nil {
-		return r.sortedVMs
+		return r.sortedVMs, unreadable
 	}
 	r.sortedVMs = make([]*fleet.VMRow, 0, len(r.vms.rows))
 	for _, vm := range r.vms.rows {
 		r.sortedVMs = append(r.sortedVMs, vm)
 	}
 	slices.SortFunc(r.sortedVMs, func(a, b *fleet.VMRow) int { return strings.Compare(string(a.Ref.VM), string(b.Ref.VM)) })
-	return r.sortedVMs
+	return r.sortedVMs, unreadable
 }
 
 // Pools returns the pools by id. The caller must not modify the map.
