--- a/core/fleet/rules.go
+++ b/core/fleet/rules.go
@@ -131,9 +131,17 @@
 	return newTransaction(rowWrites{vm: &vm, vmValue: v})
 }
 
+// VerifyReboot marks a stopped VM, whose reboot the platform has accepted, as being
+// verified. now is a time before the reboot.
+func (r Rules) VerifyReboot(now time.Time, vm VMRow, backBy time.Time) (table.Transaction, error) {
+	vm.VM.RebootedAt = now
+	return r.Verify(now, vm, backBy)
+}
+
 // Return puts a verified VM back into service. nextDue is the deadline of its next
 // maintenance. A zero nextDue keeps the deadline in the row, for a VM that was not
-// maintained.
+// maintained. A VM counts as maintained at its reboot: if it counted at its return, a reboot
+// from before a plan would meet the plan.
 //
 // Return fails until RebootBy has passed. Until then, a controller process that was
 // suspended may still request the reboot, which would kill the work of a VM that serves
@@ -149,7 +157,7 @@
 		return table.Transaction{}, core.Errorf(core.CodeConflict, "VM %s must not serve yet; it may still be rebooted until %s", vm.Ref, vm.VM.RebootBy)
 	}
 	if !nextDue.IsZero() {
-		vm.VM.LastMaintained, vm.VM.NextDue = now, nextDue
+		vm.VM.LastMaintained, vm.VM.NextDue = vm.VM.RebootedAt, nextDue
 	}
 	return r.returnToService(now, vm, pool)
 }
@@ -165,7 +173,7 @@
 		return table.Transaction{}, nil
 	}
 	v := vm.VM
-	v.State, v.Since = Failed, now
+	v.State, v.Since, v.RebootedAt = Failed, now, time.Time{}
 	if v.MoveTo != "" {
 		v.MoveTo, v.Resize = "", false
 	}
@@ -221,7 +229,7 @@
 		p.Size++
 	}
 	v.State, v.Since, v.MoveTo, v.Resize = Serving, now, "", false
-	v.DrainBy, v.StopAfter, v.RebootBy, v.BackBy = time.Time{}, time.Time{}, time.Time{}, time.Time{}
+	v.DrainBy, v.StopAfter, v.RebootBy, v.RebootedAt, v.BackBy = time.Time{}, time.Time{}, time.Time{}, time.Time{}, time.Time{}
 	return r.transaction(rowWrites{vm: &vm, vmValue: v, pool: &pool, poolValue: p})
 }
 
