io/node: a job that is deleted while all rows are read doesn't run again

After a gap in the table's history the owner read the jobs and then their progress. A job that had ended ten minutes before, and whose rows the owner deleted between the two reads, was among the jobs, had no progress and was remembered no more: it was taken in as new and ran a second time.

Cause: the deletion removes the job first and its progress last, and the reads went in the same order, so what was absent from the later read counted as never begun.

Evidence: TestJobDeletedDuringReadStaysEnded was red with the reads in the former order (one job waits, none should). Change: the progress is read first. A job that is still stored then has the progress that was stored with it, and the owner itself remembers the jobs that end during the read. Takeovers keep their order: nobody else stores progress during theirs. Result: the test is green.

--- a/io/node/owner.go
+++ b/io/node/owner.go
@@ -332,12 +332,8 @@
 	var progress []platform.Row
 	f := feed{
 		table: o.node.table, tableName: jobTable, allPartitions: true, log: o.log, from: o.jobFeedVersion,
-		readSnapshot: func(ctx context.Context) ([]platform.Row, platform.Version, error) {
-			jobs, version, err := o.loadJobs(ctx)
-			if err != nil {
-				return nil, 0, err
-			}
-			progress, err = o.listRows(ctx, progressTable)
+		readSnapshot: func(ctx context.Context) (jobs []platform.Row, version platform.Version, err error) {
+			jobs, progress, version, err = o.readJobs(ctx)
 			return jobs, version, err
 		},
 	}
@@ -347,6 +343,17 @@
 	}, func(time.Time) {})
 }
 
+// readJobs reads all jobs and their progress for an owner that has loaded before. The progress is read
+// first: this owner remembers the jobs that end during the read, but deletes the rows of those that
+// ended long ago, and their progress last.
+func (o *owner) readJobs(ctx context.Context) (jobs, progress []platform.Row, version platform.Version, err error) {
+	if progress, err = o.listRows(ctx, progressTable); err != nil {
+		return nil, nil, 0, err
+	}
+	jobs, version, err = o.loadJobs(ctx)
+	return jobs, progress, version, err
+}
+
 func (o *owner) followVMs(ctx context.Context) error {
 	f := feed{table: o.node.table, tableName: platform.VMTable, log: o.log}
 	return f.run(ctx, func(rows []platform.Row, complete bool) {
--- a/io/node/owner_test.go
+++ b/io/node/owner_test.go
@@ -1,10 +1,12 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -15,6 +17,7 @@
 	"lavenderpond/core/schedule"
 	"lavenderpond/io/supervisor"
 	"lavenderpond/platform"
+	"lavenderpond/platform/standin"
 )
 
 // Guards against assigning tasks to a VM by an outdated directory row that was replaced by
@@ -59,3 +62,36 @@
 	cancel()
 	assert.Assert(t, second.asOf.Sub(first.asOf) >= feedWait)
 }
+
+// Guards against running a job again that ended long ago, and whose rows this owner deletes while it
+// reads all rows after a gap in the table's history.
+func TestJobDeletedDuringReadStaysEnded(t *testing.T) {
+	const id = job.ID("j")
+	rows := standin.NewTable()
+	put := func(k platform.RowKey, v any) {
+		value, err := encodeRow(v)
+		assert.NilError(t, err)
+		rows.Put(k, value)
+	}
+	put(jobKey(id), job.Job{ID: id, Body: job.Body{Steps: []job.Step{{Count: 1}}}})
+	put(progressKey(id), progressRow{Progress: job.Progress{State: job.Completed}})
+	var mu sync.Mutex
+	first := ""
+	table := serveTable(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		name := r.URL.Query().Get("table")
+		first = cmp.Or(first, name)
+		if name != first {
+			// The first table has been read.
+			rows.Put(jobKey(id), nil)
+			rows.Put(progressKey(id), nil)
+		}
+		mu.Unlock()
+		rows.ServeHTTP(w, r)
+	}))
+	o := &owner{node: &Node{table: table}, tenure: &tenure{}, committer: &committer{}, log: zerolog.Nop(), scheduler: schedule.New(schedule.Settings{})}
+	jobs, progress, _, err := o.readJobs(t.Context())
+	assert.NilError(t, err)
+	o.handle(bootNow(), jobRowsChanged{rows: jobs, progress: progress})
+	assert.Equal(t, len(o.scheduler.Backlog(bootNow())), 0)
+}
