core/schedule: an approval counts for the life of the VM that was asked about

A VM that restarted while the approval service was deciding got the decision about its former life: a denial kept it from all of the step's tasks until the denied VMs were asked about again, after up to 32 s, and the ticket of an approval was sent with starts that the new life refuses, which makes all tickets of the step expire.

Cause: the answer was recorded for the life known when it arrived, not for the one known when it was asked for.

Evidence: TestApprovalOfFormerLifeIsNotUsed was red (no second request after a denial). Change: a request names the lives, and the answer says nothing of a VM that has restarted since. Result: the test is green.

--- a/core/schedule/approval.go
+++ b/core/schedule/approval.go
@@ -100,6 +100,9 @@
 	terms := s.config.Queue(j.Terms.Queue).Approval
 	needed := terms.DecisionTime + time.Duration(len(c.VMs))*terms.TimePerVM
 	s.approvalRequests++
+	for _, id := range c.VMs {
+		c.Lives = append(c.Lives, s.vms.Get(id).born)
+	}
 	c.SentAt = now
 	c.AnswerDue = now.Add(p.timeout() + time.Duration(s.approvalRequests)*needed)
 	p.answerDue, p.retryAt = c.AnswerDue, now.Add(approvalRetryDelay)
@@ -140,8 +143,9 @@
 		answer.ValidPeriod = q.Approval.ValidPeriod
 	}
 	p.answered(now, answer)
-	for _, vm := range c.VMs {
-		if v := s.vms.Get(vm); v != nil {
+	for i, vm := range c.VMs {
+		// An answer says nothing of a VM that has restarted since.
+		if v := s.vms.Get(vm); v != nil && v.born == c.Lives[i] {
 			p.record(now, v, answer)
 		}
 	}
--- a/core/schedule/approval_test.go
+++ b/core/schedule/approval_test.go
@@ -215,3 +215,24 @@
 	h.addReadyVMs(string(vmNumber(9)))
 	assert.Equal(t, len(h.run(500*time.Millisecond)), 1)
 }
+
+// Guards against a decision about the former life of a VM that counts for the life after its restart.
+func TestApprovalOfFormerLifeIsNotUsed(t *testing.T) {
+	for _, approved := range []bool{false, true} {
+		h := newApprovalHarness(t, 1, 0)
+		h.addJob("j", "free", smallStep)
+		c := onlyCommand[RequestApproval](h.harness, h.advance(time.Second))
+		record := job.VMRecord{ID: vmNumber(0), Pool: poolA, Address: "a", Capacity: job.Resources{CPU: 8000, MemMB: 8000}, Born: 2}
+		h.s.VMListed(h.now, record)
+		h.s.HoldAnswered(h.now, Hold{VM: vmNumber(0)}, Answered, job.Report{Clock: 10, Born: 2, Lists: true})
+		answer := ApprovalAnswer{ValidPeriod: h.valid}
+		if approved {
+			answer.Tickets = map[job.VMID]string{vmNumber(0): "former"}
+		}
+		h.s.ApprovalAnswered(h.now, c, answer)
+		commands := h.advance(50 * time.Millisecond)
+		assert.Equal(t, len(commandsOfType[Start](commands)), 0, "approved: %v", approved)
+		again := onlyCommand[RequestApproval](h.harness, commands)
+		assert.DeepEqual(t, again.VMs, []job.VMID{vmNumber(0)})
+	}
+}
--- a/core/schedule/command.go
+++ b/core/schedule/command.go
@@ -74,6 +74,8 @@
 type RequestApproval struct {
 	Step job.StepID
 	VMs  []job.VMID
+	// Lives are the boots of the VMs that the request asks about, in the same order.
+	Lives []job.Born
 	// AnswerDue is when a request without an answer has failed.
 	SentAt, AnswerDue time.Time
 }
