core/schedule: a repeated order for maintenance ends no VM that booted after it

A repeated order is answered as accepted also if its first attempt was executed long ago; the VM that runs now was then taken for ended, until its next report. TestRepeatedMaintenanceEndsNoLaterVM was red.

--- a/core/schedule/absentmachine_test.go
+++ b/core/schedule/absentmachine_test.go
@@ -133,3 +133,15 @@
 	save := onlyCommand[SaveWave](h, commands)
 	assert.DeepEqual(t, save.Progress, job.WaveProgress{Done: []job.MachineID{"m-1"}, Gone: []job.MachineID{"m-2"}})
 }
+
+// Guards against a VM that counts as ended since a repeated order was already executed before the VM booted.
+func TestRepeatedMaintenanceEndsNoLaterVM(t *testing.T) {
+	h := newHarness(t)
+	h.addReadyVMs("one")
+	h.s.MachinesListed(h.now, []job.Machine{{ID: "m-one", Pool: poolA, State: job.MachineUp, VM: "one"}})
+	wave := job.Wave{Number: 1, Machines: []job.MachineID{"m-one"}, MaxConcurrent: 1}
+	h.s.AddWave(h.now, wave, job.WaveProgress{Ordered: wave.Machines})
+	order := onlyCommand[Maintain](h, h.advance(100*time.Millisecond))
+	h.s.MaintainAnswered(h.now, order, Answered, job.MachineAccepted)
+	assert.Assert(t, !h.s.vms.Get("one").lifeEnded)
+}
--- a/core/schedule/maintenanceorder.go
+++ b/core/schedule/maintenanceorder.go
@@ -120,10 +120,11 @@
 	return false
 }
 
-// maintenanceBegan records that the maintenance has begun, which ended the VM of the machine.
+// maintenanceBegan records that the maintenance has begun, which ended the VM of the machine. If an
+// earlier attempt may have been executed, the VM that runs now may have booted after the maintenance.
 func (s *Scheduler) maintenanceBegan(now time.Time, o *maintenanceOrder) {
 	o.begunAt = now
-	if v := s.vms.Get(o.vm); v != nil {
+	if v := s.vms.Get(o.vm); v != nil && !o.uncertain {
 		s.endLife(now, v, "machine is in upkeep")
 	}
 }
