core/emulator: lists of machines that lag, and waves that are rewritten

The emulator read its machines themselves, and no machine arrived or was removed, so it could not draw a wave that is completed without one of its machines. Owners now read lists of machines: pages of an age and a moment of their own, that lose entries for seconds and list an arrived machine late (Scenario.MachineLists). Machines arrive, named in a wave that begins then, and are removed for good; waves are rewritten at random, after takeovers and as their last maintenance has begun; owners see that late, and orders without an answer are executed late (Scenario.Waves). The service refuses what isn't of the wave in force. The checker takes the definition in force at the publication, machines that exist, and the highest limit that may still apply.

Not done: a status isn't yet stored on the condition of the version of the operators' row, since commands don't name it yet; and an unknown machine is answered as rejected, as the present client does.

--- a/core/emulator/checker.go
+++ b/core/emulator/checker.go
@@ -233,7 +233,7 @@
 			n++
 		}
 	}
-	if limit := c.w.waves[wave].MaxConcurrent; n > limit {
+	if limit := c.w.waves.maxConcurrent(wave); n > limit {
 		c.violationf("%d machines are in maintenance for wave %d, the limit is %d", n, wave, limit)
 	}
 }
@@ -247,13 +247,25 @@
 	if s != job.WaveCompleted {
 		return
 	}
-	for _, id := range c.w.waves[wave].Machines {
-		if !c.w.findMachine(id).maintainedFor[wave] {
-			c.violationf("wave %d is completed, and the maintenance of %s hasn't begun", wave, id)
+	for _, id := range c.notBegun(wave) {
+		c.violationf("wave %d is completed, and the maintenance of %s hasn't begun", wave, id)
+	}
+}
+
+// notBegun returns the machines of a wave that exist and whose maintenance for it hasn't begun.
+func (c *checker) notBegun(wave int64) []job.MachineID {
+	var out []job.MachineID
+	for _, id := range c.w.waves.inForce(wave).Machines {
+		if m := c.w.findMachine(id); m != nil && !m.maintainedFor[wave] {
+			out = append(out, id)
 		}
 	}
+	return out
 }
 
+// waveRewritten records that a wave was requested anew, and so isn't completed.
+func (c *checker) waveRewritten(wave int64) { delete(c.waveStates, wave) }
+
 // jobStatePublished checks and records the state of a job that callers see from now on.
 func (c *checker) jobStatePublished(id job.ID, s job.State) {
 	t := c.w.jobs[id]
--- a/core/emulator/disturbances.go
+++ b/core/emulator/disturbances.go
@@ -27,6 +27,9 @@
 	extend(&d.until, now.Add(downtime))
 }
 
+// machineRemoved records that a machine was removed for good, which disturbs the fleet only then.
+func (d *disturbances) machineRemoved(now time.Time) { extend(&d.until, now) }
+
 // ownerTookOver ends the disturbance by a lost owner. A takeover for other reasons is not a
 // disturbance.
 func (d *disturbances) ownerTookOver(now time.Time) {
--- a/core/emulator/machines.go
+++ b/core/emulator/machines.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"slices"
 	"time"
 
 	"lavenderpond/core/job"
@@ -22,12 +23,16 @@
 	return out
 }
 
-// acceptMachineOrder decides whether a machine accepts an order. It reports a violation
-// if the fence goes back, or if two entry VMs order the same machine within 3 s.
-func (w *World) acceptMachineOrder(id job.MachineID, f job.Fence, issuer string) job.MachineRefusal {
+// acceptMachineOrder decides whether a machine accepts an order, which is for the maintenance in a wave
+// unless wave is 0. It reports a violation if the fence goes back, or if two entry VMs order the same
+// machine within 3 s.
+func (w *World) acceptMachineOrder(id job.MachineID, wave int64, f job.Fence, issuer string) job.MachineRefusal {
 	m := w.findMachine(id)
-	if m == nil || m.state != job.MachineUp {
-		return job.MachineBusy
+	if m == nil {
+		return machineUnknown
+	}
+	if refusal := w.refuseMachineOrder(m, wave); refusal != job.MachineAccepted {
+		return refusal
 	}
 	if f < m.fence {
 		w.checker.violationf("machine %s: order with fence %d from %s after fence %d from %s", id, f, issuer, m.fence, m.issuer)
@@ -39,6 +44,44 @@
 	return job.MachineAccepted
 }
 
+// refuseMachineOrder returns why the state of a machine or its wave doesn't allow an order.
+func (w *World) refuseMachineOrder(m *machine, wave int64) job.MachineRefusal {
+	switch {
+	case m.state != job.MachineUp:
+		return job.MachineBusy
+	case wave != 0 && !slices.Contains(w.waves.inForce(wave).Machines, m.id):
+		return job.MachineOtherWave
+	}
+	return job.MachineAccepted
+}
+
+// executeLate carries out an order for the maintenance of a machine that got no answer, unless an
+// order with a higher fence came first.
+func (w *World) executeLate(id job.MachineID, wave int64, f job.Fence) {
+	m := w.findMachine(id)
+	if m == nil || f < m.fence || w.refuseMachineOrder(m, wave) != job.MachineAccepted {
+		return
+	}
+	w.tracef("%s: maintenance for wave %d is executed late", id, wave)
+	m.fence = f
+	w.startMaintenance(m, wave)
+}
+
+// machineUnknown is the answer to an order for a machine that doesn't exist.
+const machineUnknown = job.MachineRefusal("unknown")
+
+// removeMachine removes a machine for good, with all that runs on it.
+func (w *World) removeMachine(m *machine) {
+	w.tracef("%s is removed", m.id)
+	w.checker.disturbances.machineRemoved(w.now)
+	if m.vm != nil && m.vm.up {
+		w.loseVM(m.vm)
+	}
+	m.removed, m.vm = true, nil
+	w.checker.machineReturned(m)
+	w.machines = slices.DeleteFunc(w.machines, func(o *machine) bool { return o == m })
+}
+
 // startMaintenance takes a machine out of service for its maintenance, unless it was maintained for
 // the wave before.
 func (w *World) startMaintenance(m *machine, wave int64) {
@@ -51,6 +94,7 @@
 	m.maintainedFor[wave] = true
 	w.Stats.MaintenanceStarts++
 	w.checker.maintenanceStarted(m, wave)
+	w.waves.maintenanceStarted(wave)
 	w.takeOutOfService(m, job.MachineMaintenance, maintenancePeriod)
 }
 
@@ -71,6 +115,9 @@
 	}
 	m.state, m.vm = s, nil
 	w.after(d, func() {
+		if m.removed {
+			return
+		}
 		m.state = job.MachineUp
 		w.checker.machineReturned(m)
 		if p := w.config.Pool(m.pool); p == nil || !p.Standby {
--- a/core/emulator/owner.go
+++ b/core/emulator/owner.go
@@ -32,6 +32,8 @@
 	jobsRead      int
 	cancelsRead   int
 	vmChangesRead int
+	// storedWaves is the progress of waves that former owners stored.
+	storedWaves map[int64]job.WaveProgress
 	// ended is set once another process is the owner.
 	ended bool
 }
@@ -75,9 +77,8 @@
 	}
 	o.readJobs(now)
 	o.readVMs(now)
-	for _, w := range valuesByKey(o.entryVM.w.waves) {
-		s.AddWave(now, w, t.waves[w.Number])
-	}
+	o.storedWaves = maps.Clone(t.waves)
+	o.entryVM.w.waves.restore(o)
 }
 
 // valuesByKey returns the values of m in the order of their keys, as the table lists its
@@ -193,15 +194,15 @@
 			o.scheduler.HoldAnswered(now, c, out, r)
 		})
 	case schedule.Maintain:
-		o.sendMachineOrder(c.Machine, func(m *machine) { w.startMaintenance(m, c.Wave) }, func(out schedule.Outcome, refusal job.MachineRefusal) {
+		o.sendMachineOrder(c.Machine, c.Wave, func(m *machine) { w.startMaintenance(m, c.Wave) }, func(out schedule.Outcome, refusal job.MachineRefusal) {
 			o.scheduler.MaintainAnswered(w.now, c, out, refusal)
 		})
 	case schedule.Move:
-		o.sendMachineOrder(c.Machine, func(m *machine) { w.startMove(m, c.Pool) }, func(out schedule.Outcome, refusal job.MachineRefusal) {
+		o.sendMachineOrder(c.Machine, 0, func(m *machine) { w.startMove(m, c.Pool) }, func(out schedule.Outcome, refusal job.MachineRefusal) {
 			o.scheduler.MoveAnswered(w.now, c, out, refusal)
 		})
 	case schedule.PublishWave:
-		w.checker.wavePublished(c.Wave, c.State)
+		w.waves.publish(c)
 	case schedule.Pace, schedule.RequestApproval, schedule.DeleteJob:
 	}
 }
@@ -248,9 +249,10 @@
 // machineOrderTimeout is how long the owner waits for the answer to an order for a machine.
 const machineOrderTimeout = 2 * time.Second
 
-// sendMachineOrder sends an order to a machine while the owner may order machines. A share of the
-// orders gets no answer, and half of these aren't executed either.
-func (o *owner) sendMachineOrder(id job.MachineID, apply func(m *machine), answer func(schedule.Outcome, job.MachineRefusal)) {
+// sendMachineOrder sends an order to a machine while the owner may order machines. The order is for the
+// maintenance in a wave unless wave is 0. A share of the orders gets no answer, and half of these aren't
+// executed either, or late.
+func (o *owner) sendMachineOrder(id job.MachineID, wave int64, apply func(m *machine), answer func(schedule.Outcome, job.MachineRefusal)) {
 	w, e := o.entryVM.w, o.entryVM
 	if !o.ownership.MayOrderMachines(w.now) {
 		// The process may have been frozen since the scheduler decided.
@@ -258,8 +260,12 @@
 		return
 	}
 	if w.unansweredMachineOrderShare > 0 && w.chance(w.unansweredMachineOrderShare) {
-		if w.chance(0.5) && w.acceptMachineOrder(id, job.Fence(o.fence), e.name) == job.MachineAccepted {
-			apply(w.findMachine(id))
+		if w.chance(0.5) {
+			if w.acceptMachineOrder(id, wave, job.Fence(o.fence), e.name) == job.MachineAccepted {
+				apply(w.findMachine(id))
+			}
+		} else if wave != 0 {
+			w.waves.executeLate(id, wave, job.Fence(o.fence))
 		}
 		w.after(machineOrderTimeout, func() {
 			e.callIfRunning(o.run, func() {
@@ -271,13 +277,15 @@
 		return
 	}
 	w.after(w.networkDelay(), func() {
-		refusal := w.acceptMachineOrder(id, job.Fence(o.fence), e.name)
+		refusal := w.acceptMachineOrder(id, wave, job.Fence(o.fence), e.name)
 		if refusal == job.MachineAccepted {
 			apply(w.findMachine(id))
 		}
 		w.after(w.networkDelay(), func() {
 			e.callIfRunning(o.run, func() {
-				if !o.ended {
+				if !o.ended && refusal == machineUnknown {
+					answer(schedule.Rejected, job.MachineAccepted)
+				} else if !o.ended {
 					answer(schedule.Answered, refusal)
 				}
 			})
@@ -292,8 +300,7 @@
 			return
 		}
 		requestedAt := o.entryVM.w.now
-		list := o.entryVM.w.listMachines()
-		o.entryVM.w.after(4*time.Millisecond, func() {
+		o.entryVM.w.lists.read(func(list []job.Machine) {
 			o.entryVM.callIfRunning(o.run, func() {
 				if !o.ended {
 					o.scheduler.MachinesListed(requestedAt, list)
--- a/core/emulator/scenario.go
+++ b/core/emulator/scenario.go
@@ -3,10 +3,8 @@
 import (
 	"cmp"
 	"fmt"
-	"maps"
 	"math"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"lavenderpond/core/job"
@@ -35,6 +33,10 @@
 	// UnansweredMachineOrderShare is the share of orders for machines that get no answer. Half of
 	// them aren't executed either.
 	UnansweredMachineOrderShare float64
+	// MachineLists is how the lists of machines that owners read differ from the machines.
+	MachineLists MachineLists
+	// Waves is what happens to maintenance waves and their machines.
+	Waves Waves
 	// Evacuations are the requests of operators to evacuate availability zones.
 	Evacuations []Evacuation
 	// Faults are the faults that are injected.
@@ -177,7 +179,7 @@
 	w.table = newTable(w)
 	w.checker = newChecker(w)
 	w.checker.lateOrderShare = sc.LateOrderShare
-	w.waves, w.unansweredMachineOrderShare = map[int64]job.Wave{}, sc.UnansweredMachineOrderShare
+	w.unansweredMachineOrderShare = sc.UnansweredMachineOrderShare
 	w.lateStartsBeforeHold = sc.LateStartsBeforeHold
 	w.leaseMax = cmp.Or(sc.LeaseMax, defaultLeaseMax)
 	w.checker.evacuationLimit = evacuationLimit
@@ -195,6 +197,7 @@
 	w.addAccounts(sc)
 	w.config.Index()
 	w.addMachines(sc)
+	w.waves, w.lists = newWaveRequests(w, sc), newMachineLists(w, sc)
 	for i := range sc.EntryVMs {
 		e := &entryVM{w: w, name: fmt.Sprintf("entry-%d", i), zone: zoneName(i), unreachable: map[job.ZoneName]bool{}}
 		w.entryVMs = append(w.entryVMs, e)
@@ -329,12 +332,7 @@
 			wave.Machines = append(wave.Machines, m.id)
 		}
 	}
-	w.waves[wave.Number] = wave
-	for _, e := range w.entryVMs {
-		if o := e.owner; o != nil && o.scheduler != nil {
-			o.scheduler.AddWave(w.now, wave, job.WaveProgress{})
-		}
-	}
+	w.waves.request(wave)
 }
 
 // checkFinalState checks at the end of a run that nothing was lost: every submitted job
@@ -351,7 +349,7 @@
 			w.checker.violationf("%s, submitted at %.3f s, is still %s", t.ID, t.submittedAt.Sub(epoch).Seconds(), state)
 		}
 	}
-	for _, number := range slices.Sorted(maps.Keys(w.waves)) {
+	for _, number := range w.waves.numbers() {
 		if w.checker.waveStates[number] != job.WaveCompleted && !w.checker.anyLongRunningGivenUp() {
 			w.checker.violationf("maintenance wave %d is not completed", number)
 		}
--- a/core/emulator/table.go
+++ b/core/emulator/table.go
@@ -95,6 +95,7 @@
 	t.renewal, t.renewalVersion = renewalRow{run: row.run, entryVM: row.entryVM}, v
 	t.w.Stats.Takeovers++
 	t.w.checker.disturbances.ownerTookOver(t.w.now)
+	t.w.waves.ownerTookOver()
 	return v, true
 }
 
--- a/core/emulator/vm.go
+++ b/core/emulator/vm.go
@@ -39,6 +39,8 @@
 	lastOrderAt time.Time
 	// maintainedFor holds the waves for which its maintenance has begun.
 	maintainedFor map[int64]bool
+	// removed is set once the machine is removed for good.
+	removed bool
 }
 
 // vm is one life of a VM, from its start to its crash or removal. A VM that starts again
--- a/core/emulator/world.go
+++ b/core/emulator/world.go
@@ -38,8 +38,9 @@
 	nextVM int
 	trace  func(line string)
 	Stats  Stats
-	// waves are the requested maintenance waves by number.
-	waves  map[int64]job.Wave
+	// waves are the requested maintenance waves, lists the lists of machines that owners read.
+	waves  *waveRequests
+	lists  *machineLists
 	policy policy.Policy
 	// unansweredMachineOrderShare is the share of orders for machines that get no answer.
 	unansweredMachineOrderShare float64
