core/emulator: tests of waves with missing machines, lists that lag and rewritten waves

Statuses are stored only while the definition that they belong to is in force, and an unknown machine is answered as such, as in the product.

--- a/core/emulator/machines.go
+++ b/core/emulator/machines.go
@@ -29,7 +29,7 @@
 func (w *World) acceptMachineOrder(id job.MachineID, wave int64, f job.Fence, issuer string) job.MachineRefusal {
 	m := w.findMachine(id)
 	if m == nil {
-		return machineUnknown
+		return job.MachineUnknown
 	}
 	if refusal := w.refuseMachineOrder(m, wave); refusal != job.MachineAccepted {
 		return refusal
@@ -67,9 +67,6 @@
 	w.startMaintenance(m, wave)
 }
 
-// machineUnknown is the answer to an order for a machine that doesn't exist.
-const machineUnknown = job.MachineRefusal("unknown")
-
 // removeMachine removes a machine for good, with all that runs on it.
 func (w *World) removeMachine(m *machine) {
 	w.tracef("%s is removed", m.id)
--- a/core/emulator/owner.go
+++ b/core/emulator/owner.go
@@ -284,7 +284,8 @@
 		}
 		w.after(w.networkDelay(), func() {
 			e.callIfRunning(o.run, func() {
-				if !o.ended && refusal == machineUnknown {
+				if !o.ended && refusal == job.MachineUnknown && wave == 0 {
+					// For a move, the service answers as to a malformed order.
 					answer(schedule.Rejected, job.MachineAccepted)
 				} else if !o.ended {
 					answer(schedule.Answered, refusal)
--- a/core/emulator/scenario_test.go
+++ b/core/emulator/scenario_test.go
@@ -90,6 +90,8 @@
 		s.Faults = append(emulator.RandomFaultsOf(emulator.KillOwner, seed, s.Length, 2), emulator.RandomFaults(seed, s.Length, 2)...)
 	case zoneCutsFrom:
 		s.Faults = emulator.RandomFaultsOf(emulator.CutZone, seed, s.Length, 5)
+	case missingMachinesFrom, laggingListsFrom, rewrittenWavesFrom, changingWavesFrom:
+		addWaveChanges(&s)
 	default:
 		addLoad(&s)
 	}
--- a/core/emulator/waves.go
+++ b/core/emulator/waves.go
@@ -62,13 +62,15 @@
 	versions map[int64][]waveRequest
 	// rewritesLeft counts how often each wave is still to be rewritten, at most until rewritesEnd.
 	rewritesLeft map[int64]int
-	rewritesEnd  time.Time
-	machines     int
+	// completed has the revision of each wave that was said to be completed.
+	completed   map[int64]job.WaveRevision
+	rewritesEnd time.Time
+	machines    int
 }
 
 func newWaveRequests(w *World, sc Scenario) *waveRequests {
 	r := &waveRequests{
-		Waves: sc.Waves, w: w, rng: rand.New(rand.NewPCG(sc.Seed, 9)), versions: map[int64][]waveRequest{}, rewritesLeft: map[int64]int{},
+		Waves: sc.Waves, w: w, rng: rand.New(rand.NewPCG(sc.Seed, 9)), versions: map[int64][]waveRequest{}, rewritesLeft: map[int64]int{}, completed: map[int64]job.WaveRevision{},
 		rewritesEnd: epoch.Add(leadTime + sc.Length), machines: sc.WaveMachines,
 	}
 	for i := range sc.Waves.Arrivals {
@@ -95,6 +97,7 @@
 // request writes the operators' row of a wave.
 func (r *waveRequests) request(wave job.Wave) {
 	_, known := r.versions[wave.Number]
+	wave.Revision = job.WaveRevision(len(r.versions[wave.Number]) + 1)
 	v := waveRequest{Wave: wave, at: r.w.now}
 	r.versions[wave.Number] = append(r.versions[wave.Number], v)
 	for _, e := range r.w.entryVMs {
@@ -184,17 +187,25 @@
 	}
 }
 
-// publish stores the status of a wave after a delay. A status never goes back from completed.
+// publish stores the status of a wave after a delay.
 func (r *waveRequests) publish(c schedule.PublishWave) {
 	if r.StatusDelay == 0 {
-		r.w.checker.wavePublished(c.Wave, c.State)
+		r.storeStatus(c)
 		return
 	}
-	r.w.after(randomDuration(r.rng, 0, r.StatusDelay), func() {
-		if r.w.checker.waveStates[c.Wave] != job.WaveCompleted {
-			r.w.checker.wavePublished(c.Wave, c.State)
-		}
-	})
+	r.w.after(randomDuration(r.rng, 0, r.StatusDelay), func() { r.storeStatus(c) })
+}
+
+// storeStatus stores the status of a wave while its definition is in force. It never goes back from
+// completed under one definition.
+func (r *waveRequests) storeStatus(c schedule.PublishWave) {
+	if c.Revision != r.inForce(c.Wave).Revision || r.completed[c.Wave] == c.Revision {
+		return
+	}
+	if c.State == job.WaveCompleted {
+		r.completed[c.Wave] = c.Revision
+	}
+	r.w.checker.wavePublished(c.Wave, c.State)
 }
 
 // executeLate carries out an order for maintenance that got no answer, at a random time.
