core/schedule: a machine that is removed during its maintenance doesn't keep its wave from ending

The order that had begun was taken for a reason not to ask the service whether the machine still exists, so the wave ran for good.

--- a/core/schedule/absentmachine_test.go
+++ b/core/schedule/absentmachine_test.go
@@ -145,3 +145,17 @@
 	h.s.MaintainAnswered(h.now, order, Answered, job.MachineAccepted)
 	assert.Assert(t, !h.s.vms.Get("one").lifeEnded)
 }
+
+// Guards against a wave that isn't completed since a machine was removed for good while in its maintenance.
+func TestMachineRemovedDuringItsMaintenanceIsGone(t *testing.T) {
+	h := newHarness(t)
+	h.listStandby(up("m-1", "m-2"))
+	h.s.AddWave(h.now, twoMachines, job.WaveProgress{Done: []job.MachineID{"m-1"}})
+	order := onlyCommand[Maintain](h, h.advance(0))
+	h.s.MaintainAnswered(h.now, order, Answered, job.MachineAccepted)
+	assert.Equal(t, len(commandsOfType[Maintain](h.advanceListing(time.Second, up("m-1")))), 0)
+	again := onlyCommand[Maintain](h, h.advanceListing(unlistedPeriod, up("m-1")))
+	assert.Equal(t, again, order)
+	h.s.MaintainAnswered(h.now, again, Answered, job.MachineUnknown)
+	assert.Equal(t, published(h.advanceListing(time.Second, up("m-1")), 1), job.WaveCompleted)
+}
--- a/core/schedule/unlistedmachine.go
+++ b/core/schedule/unlistedmachine.go
@@ -40,7 +40,18 @@
 
 // mayAskForUnlisted reports whether the maintenance of a machine that isn't listed may be ordered.
 func (s *Scheduler) mayAskForUnlisted(now time.Time, w *waveState, id job.MachineID) bool {
-	return !now.Before(w.askAt[id]) && s.mayOrderMachine(now, id) && !s.ordersMachine(id) && s.vmOfUnlisted(id) == nil
+	return !now.Before(w.askAt[id]) && s.mayOrderMachine(now, id) && !s.awaitsAnswer(id) && s.vmOfUnlisted(id) == nil
+}
+
+// awaitsAnswer reports whether an order for the maintenance of the machine awaits its answer, in any
+// wave.
+func (s *Scheduler) awaitsAnswer(id job.MachineID) bool {
+	for _, w := range s.waves.All() {
+		if o := w.orders[id]; o != nil && o.awaitingAnswer {
+			return true
+		}
+	}
+	return false
 }
 
 // vmOfUnlisted returns a VM that says that it runs on a machine that isn't listed, or nil.
