core/schedule: a VM that left the directory doesn't keep its machine from being asked about

A wave whose machine was removed for good was completed 40 s late, since the service is asked whether the machine exists only once no VM is known to run there, and a VM without runs was kept that long.

--- a/core/schedule/unlistedmachine.go
+++ b/core/schedule/unlistedmachine.go
@@ -54,10 +54,12 @@
 	return false
 }
 
-// vmOfUnlisted returns a VM that says that it runs on a machine that isn't listed, or nil.
+// vmOfUnlisted returns a VM on a machine that isn't listed, or nil. A VM that left the directory counts
+// only while tasks may run there.
 func (s *Scheduler) vmOfUnlisted(id job.MachineID) *vmState {
 	for _, v := range s.vms.All() {
-		if v.machine == id && !v.lifeEnded {
+		mayRun := v.listed || !v.reported || v.runs.Len() > 0
+		if v.machine == id && !v.lifeEnded && mayRun {
 			return v
 		}
 	}
