core/schedule: a list that lags frees no machine's place in its wave

A machine counted as back once a list had shown it as away and then as up; lists whose pages are up to 3 s old in no order show both as they were before. Now its VM must be one that the directory has listed only since the maintenance began; without a VM, or otherwise, the list must be too young to lag.

--- a/core/schedule/maintenanceorder.go
+++ b/core/schedule/maintenanceorder.go
@@ -82,20 +82,21 @@
 	}
 }
 
-// back reports whether a machine is up after its maintenance. The list may lag: it must have shown the
-// machine as away, or show a VM that booted after the former one, or have had the time to catch up.
+// back reports whether a machine is up after its maintenance. The list may lag: it must show a VM that
+// the directory has listed only since the maintenance began, or have shown a machine without VM as away,
+// or have had the time to catch up.
 func (s *Scheduler) back(m *machineState, o *maintenanceOrder) bool {
 	if m.State != job.MachineUp || !m.listedAt.After(o.begunAt) {
 		return false
 	}
-	caughtUp := !m.listedAt.Before(o.begunAt.Add(machineListLagMax))
-	return caughtUp || m.listedAwayAt.After(o.begunAt) || s.bootedLater(m.VM, o.vm)
-}
-
-// bootedLater reports whether the first VM is known to have booted after the second.
-func (s *Scheduler) bootedLater(first, second job.VMID) bool {
-	a, b := s.vms.Get(first), s.vms.Get(second)
-	return first != second && a != nil && a.listed && (b == nil || a.born > b.born)
+	if !m.listedAt.Before(o.begunAt.Add(machineListLagMax)) {
+		return true
+	}
+	if m.VM == "" {
+		return m.listedAwayAt.After(o.begunAt)
+	}
+	v := s.vms.Get(m.VM)
+	return v != nil && v.listed && v.firstListedAt.After(o.begunAt)
 }
 
 // repeatMaintenance sends an order again if the machine is up and empty.
