io/node: a later state of a wave isn't replaced by an earlier one

A takeover after the last maintenance gives a wave's running and completed states in one round; each is passed on by a goroutine of its own. If the first came second, the wave stayed shown as running until the next takeover (found by review). TestEarlierWaveStateReplacesNoLaterOne was red.

--- a/io/node/wavestatus.go
+++ b/io/node/wavestatus.go
@@ -32,11 +32,20 @@
 	if w.latest == nil {
 		w.latest = map[int64]schedule.PublishWave{}
 	}
-	_, busy := w.latest[c.Wave]
+	former, busy := w.latest[c.Wave]
+	if busy && supersedes(former, c) {
+		return false
+	}
 	w.latest[c.Wave] = c
 	return !busy
 }
 
+// supersedes reports whether state a is later than state b of the same wave. Commands may be executed in
+// another order than they were given in.
+func supersedes(a, b schedule.PublishWave) bool {
+	return a.Revision > b.Revision || (a.Revision == b.Revision && a.State == job.WaveCompleted)
+}
+
 // get returns the state to publish.
 func (w *waveStatuses) get(number int64) schedule.PublishWave {
 	w.mu.Lock()
--- a/io/node/wavestatus_test.go
+++ b/io/node/wavestatus_test.go
@@ -76,3 +76,13 @@
 	o.workers.Wait()
 	assert.Equal(t, len(f.requests), 1)
 }
+
+// Guards against a completed wave that stays shown as running since its two states are passed on in the other order.
+func TestEarlierWaveStateReplacesNoLaterOne(t *testing.T) {
+	var w waveStatuses
+	completed := schedule.PublishWave{Wave: 1, Revision: 2, State: job.WaveCompleted}
+	assert.Assert(t, w.set(completed))
+	assert.Assert(t, !w.set(schedule.PublishWave{Wave: 1, Revision: 2, State: job.WaveRunning}))
+	assert.Assert(t, !w.set(schedule.PublishWave{Wave: 1, Revision: 1, State: job.WaveCompleted}))
+	assert.Equal(t, w.get(1), completed)
+}
