core/schedule: a refusal forgets no order whose maintenance has begun

A machine in maintenance that the list lacks is asked about by its order; if that was refused as busy, or not sent, the order was forgotten and its place under the wave's limit free (found by review; new with the order that asks).

--- a/core/schedule/maintenanceorder.go
+++ b/core/schedule/maintenanceorder.go
@@ -148,6 +148,9 @@
 		// The order may be executed later, so it is repeated until its outcome is known.
 		o.uncertain = true
 		o.retryAt = now.Add(machineRetryDelay)
+	case !o.begunAt.IsZero():
+		// The machine is away for its maintenance: only its return or its removal ends the order.
+		o.retryAt = now.Add(machineRetryPause(outcome))
 	case o.uncertain && refusal != job.MachineOtherWave:
 		o.refusedAt, o.retryAt = now, now.Add(machineRetryPause(outcome))
 	default:
