--- a/core/schedule/absentmachine_test.go
+++ b/core/schedule/absentmachine_test.go
@@ -159,3 +159,28 @@
 	h.s.MaintainAnswered(h.now, again, Answered, job.MachineUnknown)
 	assert.Equal(t, published(h.advanceListing(time.Second, up("m-1")), 1), job.WaveCompleted)
 }
+
+// Guards against a wave's limit that is exceeded since a machine in maintenance refuses the order that asks whether it exists.
+func TestRefusalDuringMaintenanceKeepsItsPlace(t *testing.T) {
+	for _, outcome := range []Outcome{Answered, Unhealthy, NotDone} {
+		h := newHarness(t)
+		h.listStandby(up("m-1", "m-2"))
+		h.s.AddWave(h.now, twoMachines, job.WaveProgress{})
+		h.s.MaintainAnswered(h.now, onlyCommand[Maintain](h, h.advance(0)), Answered, job.MachineAccepted)
+		h.advanceListing(100*time.Millisecond, up("m-2"))
+		again := onlyCommand[Maintain](h, h.advanceListing(unlistedPeriod, up("m-2")))
+		h.s.MaintainAnswered(h.now, again, outcome, job.MachineBusy)
+		assert.Equal(t, len(commandsOfType[Maintain](h.advanceListing(time.Second, up("m-2")))), 0, "%s", outcome)
+	}
+}
+
+// Guards against tasks that start on a machine whose maintenance is ordered since a list lacks the machine.
+func TestVMOfOrderedMachineThatIsNotListedStaysCordoned(t *testing.T) {
+	h := newHarness(t)
+	h.addReadyVMs("one")
+	h.s.MachinesListed(h.now, []job.Machine{{ID: "m-one", Pool: poolA, State: job.MachineUp, VM: "one"}})
+	h.s.AddWave(h.now, job.Wave{Number: 1, Machines: []job.MachineID{"m-one"}, MaxConcurrent: 1}, job.WaveProgress{})
+	h.s.MaintainAnswered(h.now, onlyCommand[Maintain](h, h.advance(0)), Unanswered, job.MachineAccepted)
+	h.advanceListing(100*time.Millisecond, up("m-other"))
+	assert.Assert(t, h.s.vms.Get("one").waveCordoned)
+}
--- a/core/schedule/maintenance.go
+++ b/core/schedule/maintenance.go
@@ -81,6 +81,15 @@
 	}
 }
 
+// cordonOrdered adds a machine whose maintenance is ordered; m is nil if it isn't listed.
+func (s *Scheduler) cordonOrdered(c cordons, id job.MachineID, m *machineState) {
+	if m == nil {
+		c.machines[id] = true
+		return
+	}
+	s.cordon(c, m)
+}
+
 // cordonForWaves cordons the VMs of these machines, and no others, for maintenance.
 func (s *Scheduler) cordonForWaves(machines map[job.MachineID]bool) {
 	if len(machines) == 0 && !s.anyWaveCordon {
@@ -88,7 +97,7 @@
 	}
 	s.anyWaveCordon = len(machines) > 0
 	for _, v := range s.vms.All() {
-		v.waveCordoned = v.host != nil && machines[v.host.ID]
+		v.waveCordoned = machines[v.machine]
 	}
 }
 
@@ -117,9 +126,7 @@
 		switch {
 		case w.done[id], w.gone[id]:
 		case o != nil:
-			if m != nil {
-				s.cordon(cordoned, m)
-			}
+			s.cordonOrdered(cordoned, id, m)
 			s.advanceOrder(now, w, id, m, o)
 		case m == nil:
 			unlisted = append(unlisted, id)
