core/schedule: the move of a machine that isn't listed any more is withdrawn, as before

Since orders outlive a missing entry, a move that waited for its save was sent as well, though its VM was back among those that get tasks. Found by reading. TestMoveOfMachineThatIsNotListedIsWithdrawn was red.

--- a/core/schedule/absentmachine_test.go
+++ b/core/schedule/absentmachine_test.go
@@ -184,3 +184,12 @@
 	h.advanceListing(100*time.Millisecond, up("m-other"))
 	assert.Assert(t, h.s.vms.Get("one").waveCordoned)
 }
+
+// Guards against tasks that are lost since a machine moves whose VM got tasks again when a list lacked the machine.
+func TestMoveOfMachineThatIsNotListedIsWithdrawn(t *testing.T) {
+	h := newHarness(t)
+	h.listStandby(up("m-1"))
+	h.s.moves.Ordered()
+	h.s.orderMachine(h.now, "m-2", Move{Machine: "m-2", Pool: poolA})
+	assert.Equal(t, len(commandsOfType[Move](h.advance(0))), 0)
+}
--- a/core/schedule/machine.go
+++ b/core/schedule/machine.go
@@ -202,7 +202,7 @@
 		if o.saveSequence > s.storedSequence {
 			return false
 		}
-		if s.rights.OrderMachines && s.nothingRunsOn(o.machine) {
+		if s.rights.OrderMachines && s.nothingRunsOn(o.machine) && !s.movesUnlisted(o) {
 			// The order's age counts from its sending and not from the decision: when the table
 			// is slow, seconds lie between them.
 			s.recentOrders.Set(o.machine, recentOrder{issuer: s.settings.OrderIssuer, givenAt: now})
@@ -214,6 +214,13 @@
 	})
 }
 
+// movesUnlisted reports whether the order is a move of a machine that isn't listed any more. Its VM may
+// get tasks again.
+func (s *Scheduler) movesUnlisted(o pendingOrder) bool {
+	_, move := o.command.(Move)
+	return move && s.machines.Get(o.machine) == nil
+}
+
 // nothingRunsOn reports whether no task is known to run on a machine. The list may lag and show the VM
 // that the machine hosted before one that the directory knows.
 func (s *Scheduler) nothingRunsOn(id job.MachineID) bool {
