--- a/core/schedule/wave.go
+++ b/core/schedule/wave.go
@@ -27,7 +27,7 @@
 	dirty bool
 }
 
-// tracked returns the machines of the wave, and those that are ordered and belong to it no longer.
+// tracked returns the machines of the wave, and ordered ones that its definition lacks.
 func (w *waveState) tracked() []job.MachineID {
 	tracked := w.Machines
 	for _, id := range slices.Sorted(maps.Keys(w.orders)) {
