--- a/review/driver3/fuzz.go
+++ b/review/driver3/fuzz.go
@@ -238,7 +238,7 @@
 	var g sync.WaitGroup
 	kinds := strings.Split(os.Getenv("KINDS"), ",")
 	if kinds[0] == "" {
-		kinds = []string{"kill", "kill", "freeze", "cut_store", "crash", "crash", "reborn", "cut", "late", "store", "term", "gone", "slow", "history", "draining", "config", "wave"}
+		kinds = []string{"kill", "kill", "freeze", "cut_store", "crash", "crash", "reborn", "cut", "late", "store", "term", "gone", "slow", "history", "draining", "config", "wave", "cloud"}
 	}
 	for time.Now().Before(end.Add(-8 * time.Second)) {
 		kind := kinds[rng.IntN(len(kinds))]
@@ -317,6 +317,10 @@
 		locked(func() { m.lateOdds = 0.3 })
 		time.Sleep(length)
 		locked(func() { m.lateOdds = 0 })
+	case "cloud":
+		locked(func() { w.cloudOdds = 0.6 })
+		time.Sleep(length)
+		locked(func() { w.cloudOdds = 0 })
 	case "slow":
 		locked(func() { m.slow = 6 })
 		time.Sleep(length)
--- a/review/driver3/worker.go
+++ b/review/driver3/worker.go
@@ -34,6 +34,7 @@
 	Spread int64  `json:"spread_ms,omitempty"`
 	// FailPercent is how many of a hundred runs fail.
 	FailPercent uint32     `json:"fail,omitempty"`
+	Pad         string     `json:"pad,omitempty"`
 	Steps       []stepSpec `json:"steps"`
 }
 
@@ -112,6 +113,9 @@
 	nextBeat time.Time
 	silent   time.Time
 	gone     bool
+	// holder and fence are those of the last order for the machine.
+	holder string
+	fence  int64
 }
 
 func (k *worker) clock() int64 { return time.Since(k.started).Milliseconds() }
