--- a/review/driver3/takeover.go
+++ b/review/driver3/takeover.go
@@ -132,8 +132,8 @@
 	}
 	var ordinary sync.WaitGroup
 	defer ordinary.Wait()
-	ordinary.Go(func() { w.traffic(55*time.Second, &g, 0) })
-	time.Sleep(34 * time.Second)
+	ordinary.Go(func() { w.traffic(50*time.Second, &g, 0) })
+	time.Sleep(28 * time.Second)
 	if trouble {
 		if err := w.killOwner(); err != nil {
 			return err
