--- a/review/driver3/fuzz.go
+++ b/review/driver3/fuzz.go
@@ -267,6 +267,14 @@
 		f()
 	}
 	switch kind {
+	case "kill", "term", "freeze":
+		// One at a time: a frozen process can't be stopped.
+		if !d.busy.TryLock() {
+			return
+		}
+		defer d.busy.Unlock()
+	}
+	switch kind {
 	case "kill":
 		d.kill()
 		time.Sleep(length / 4)
--- a/review/driver3/world.go
+++ b/review/driver3/world.go
@@ -489,6 +489,8 @@
 	store    *link.Link
 	cmd      *exec.Cmd
 	exited   chan struct{}
+	// busy is held while a play stops or freezes the process.
+	busy sync.Mutex
 }
 
 // settingsText is the settings file of a daemon.
