Review: a new owner shows a backlog of 0 where hundreds of jobs wait

Order of events (driver3 backlog): 53 ordinary jobs a second, links of 10 Mbit/s. After 28 s the owner is killed, and started again 3 s later. Another daemon takes over and reads for 8 to 10 s. From about 7 s after the restart all daemons answer 0, until the play ends 17 s later; up to 895 jobs wait.

The random plays now check backlogs, that jobs never start whose client gave up when they were refused (ONCE), and that a job that is handed in again remains one (AGAIN). They can have more workers, a higher rate, jobs of many steps and less memory (SIZE, RATE, BIG, MEMORY_MB, UNCAPPED, DRAIN_S). A job that is shown as failed is checked against the runs that ended failed, also before they are taken note of: the earlier check was stricter than the rule.

--- a/review/driver3/fuzz.go
+++ b/review/driver3/fuzz.go
@@ -17,6 +17,9 @@
 	"lavenderpond/platform/standin"
 )
 
+// contact is contact_ms of the settings, and a second in which processes start.
+const contact = 4 * time.Second
+
 // fuzz plays random jobs with random trouble.
 func fuzz(w *world, trouble bool) error {
 	seed, _ := strconv.ParseUint(os.Getenv("SEED"), 10, 64)
@@ -40,6 +43,20 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	size, _ := strconv.Atoi(os.Getenv("SIZE"))
+	rate, _ := strconv.Atoi(os.Getenv("RATE"))
+	rate = max(rate, 1)
+	// The second account has a cap.
+	accounts := 2
+	if os.Getenv("UNCAPPED") != "" {
+		accounts = 1
+	}
+	drain := 30 * time.Second
+	if s, err := strconv.Atoi(os.Getenv("DRAIN_S")); err == nil {
+		drain = time.Duration(s) * time.Second
+	}
+	if m := os.Getenv("MEMORY_MB"); m != "" {
+		w.settings = strings.NewReplacer("memory_mb = 284", "memory_mb = "+m)
+	}
 	for i := range cmp.Or(size, 10) {
 		if _, err := w.addMachine(fmt.Sprintf("m-%d", i), pools[i%2], fmt.Sprintf("r1-%d", i/4), string(rune('a'+i%3)), 16000); err != nil {
 			return err
@@ -58,18 +75,36 @@
 	if trouble {
 		g.Go(func() { w.makeTrouble(rng, end) })
 	}
+	for _, x := range []struct{ key, queue string }{{"k1", "plain"}, {"k1", "advised"}, {"k1", "gangs"}} {
+		w.group.Go(func() { w.watchBacklogs(ctx, x.key, x.queue) })
+	}
 	n := 0
 	for time.Now().Before(end) {
 		n++
 		j := randomJob(rng, n)
-		key := "k" + strconv.Itoa(1+n%2)
+		if os.Getenv("BIG") != "" && rng.IntN(3) == 0 {
+			j = wideJob(rng, n)
+		}
+		key := "k" + strconv.Itoa(1+n%accounts)
 		j.key = key
+		j.once = os.Getenv("ONCE") != ""
 		drop := rng.IntN(10) == 0
+		again := time.Duration(0)
+		if os.Getenv("AGAIN") != "" && rng.IntN(2) == 0 {
+			drop = rng.IntN(3) == 0
+			again = time.Duration(1+rng.IntN(8000)) * time.Millisecond
+		}
 		after := time.Duration(rng.IntN(3000)) * time.Millisecond
 		g.Go(func() {
 			if !w.submit(j, key, time.Now().Add(20*time.Second)) {
 				return
 			}
+			if again > 0 {
+				w.group.Go(func() {
+					time.Sleep(again)
+					w.submitAgain(j, key)
+				})
+			}
 			if drop || j.lasts {
 				if j.lasts {
 					after *= 5
@@ -82,7 +117,7 @@
 				}
 				w.cancel(j, key, time.Now().Add(20*time.Second))
 			}
-			for time.Now().Before(end.Add(30 * time.Second)) {
+			for time.Now().Before(end.Add(drain)) {
 				switch w.look(j, key) {
 				case "completed", "failed", "cancelled":
 					w.mu.Lock()
@@ -99,7 +134,7 @@
 			}
 			w.broken("LOST", "%s (%s) is still %q: %v", j.id, j.queue, j.state, j.steps)
 		})
-		time.Sleep(time.Duration(rng.IntN(1000)) * time.Millisecond)
+		time.Sleep(time.Duration(rng.IntN(1000)) * time.Millisecond / time.Duration(rate))
 	}
 	g.Wait()
 	return nil
@@ -233,6 +268,18 @@
 	return j
 }
 
+// wideJob returns a job with many short steps.
+func wideJob(rng *rand.Rand, n int) *jobRecord {
+	id := fmt.Sprintf("%016x", uint64(n)<<32|uint64(rng.Uint32()))
+	j := &jobRecord{id: id, attempts: 4, queue: "plain"}
+	j.spec = taskSpec{Job: id, RunMS: 100, Spread: 100, Alike: true}
+	for range 200 + rng.IntN(1000) {
+		j.spec.Steps = append(j.spec.Steps, stepSpec{Count: 1, CPU: 500})
+		j.steps = append(j.steps, map[string]any{"count": 1, "cpu": 500})
+	}
+	return j
+}
+
 // makeTrouble makes random trouble until end.
 func (w *world) makeTrouble(rng *rand.Rand, end time.Time) {
 	var g sync.WaitGroup
@@ -266,6 +313,16 @@
 		defer w.mu.Unlock()
 		f()
 	}
+	disturb := func(change int) {
+		locked(func() {
+			switch kind {
+			case "kill", "term", "freeze", "cut_store":
+				d.calm.change(change, contact)
+			case "store", "history":
+				w.calm.change(change, contact)
+			}
+		})
+	}
 	switch kind {
 	case "kill", "term", "freeze":
 		// One at a time: a frozen process can't be stopped.
@@ -274,6 +331,8 @@
 		}
 		defer d.busy.Unlock()
 	}
+	disturb(1)
+	defer disturb(-1)
 	switch kind {
 	case "kill":
 		d.kill()
--- a/review/driver3/takeover.go
+++ b/review/driver3/takeover.go
@@ -16,6 +16,8 @@
 	grownMbps = 10
 	// padBytes fills a spec up to 4,000 bytes.
 	padBytes = 3880
+	// grownContact is contact_ms there, and a second in which a process starts.
+	grownContact = 5 * time.Second
 	// restartDelay is how long a killed process is down.
 	restartDelay = 3 * time.Second
 )
@@ -58,9 +60,16 @@
 		return fmt.Errorf("no daemon owns the fleet")
 	}
 	w.logf("TROUBLE %s, the owner, is killed", o.name)
+	w.mu.Lock()
+	o.calm.change(1, grownContact)
+	w.mu.Unlock()
 	o.kill()
 	time.Sleep(restartDelay)
-	return o.start()
+	err := o.start()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	o.calm.change(-1, grownContact)
+	return err
 }
 
 // reload plays ordinary jobs for about a minute, and then a kill of the owner.
@@ -145,3 +154,26 @@
 	time.Sleep(25 * time.Second)
 	return nil
 }
+
+// backlog plays ordinary jobs, and asks for their number while a new owner reads what the former one left.
+func backlog(w *world, trouble bool) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if err := grown(ctx, w); err != nil {
+		return err
+	}
+	w.group.Go(func() { w.watchBacklogs(ctx, "k1", "plain") })
+	var g sync.WaitGroup
+	defer g.Wait()
+	var ordinary sync.WaitGroup
+	defer ordinary.Wait()
+	ordinary.Go(func() { w.traffic(50*time.Second, &g, 0) })
+	time.Sleep(28 * time.Second)
+	if trouble {
+		if err := w.killOwner(); err != nil {
+			return err
+		}
+	}
+	time.Sleep(25 * time.Second)
+	return nil
+}
--- a/review/driver3/worker.go
+++ b/review/driver3/worker.go
@@ -36,6 +36,17 @@
 	FailPercent uint32     `json:"fail,omitempty"`
 	Pad         string     `json:"pad,omitempty"`
 	Steps       []stepSpec `json:"steps"`
+	// Alike is set if the first step stands for all.
+	Alike bool `json:"alike,omitempty"`
+}
+
+// text returns the spec as it is submitted.
+func (t taskSpec) text() string {
+	if t.Alike {
+		t.Steps = t.Steps[:1]
+	}
+	b, _ := json.Marshal(t)
+	return string(b)
 }
 
 // stepSpec is what a worker needs to know of a step.
@@ -63,7 +74,12 @@
 	percent        int64
 }
 
-func (r *run) def() stepSpec { return r.spec.Steps[r.step] }
+func (r *run) def() stepSpec {
+	if r.spec.Alike {
+		return r.spec.Steps[0]
+	}
+	return r.spec.Steps[r.step]
+}
 
 // end is the end of a run that a worker lists.
 type end struct {
@@ -316,7 +332,7 @@
 	r.k, _ = strconv.Atoi(parts[1])
 	r.step, _ = strconv.Atoi(parts[2])
 	r.index, _ = strconv.Atoi(parts[3])
-	if json.Unmarshal([]byte(spec), &r.spec) != nil || r.spec.Job != r.job || r.step >= len(r.spec.Steps) {
+	if json.Unmarshal([]byte(spec), &r.spec) != nil || r.spec.Job != r.job || (r.step >= len(r.spec.Steps) && !r.spec.Alike) {
 		k.w.broken("UNASKED", "%s is told to start %s with another spec", k.id, task)
 		return "old"
 	}
--- a/review/driver3/world.go
+++ b/review/driver3/world.go
@@ -51,7 +51,11 @@
 	tickets  map[string]ticket
 	validMS  int64
 	trouble  time.Time
-	servers  []*http.Server
+	// capCPU is the cap of the tenant with the key k2.
+	capCPU int64
+	// calm is the calm of the store.
+	calm    calm
+	servers []*http.Server
 	// mbps is the bandwidth of the daemons' links to the store in Mbit/s; 0 means no limit.
 	mbps float64
 	// settings replaces text in the daemons' settings.
@@ -68,6 +72,21 @@
 	upkept       map[string]bool
 }
 
+// calm tells since when nothing is disturbed.
+type calm struct {
+	disturbances int
+	since        time.Time
+}
+
+// change adds a disturbance, or ends one; after the last one there is calm once a time has passed.
+func (c *calm) change(n int, after time.Duration) {
+	c.disturbances += n
+	c.since = time.Now().Add(after)
+}
+
+// at reports whether there was calm at a time.
+func (c *calm) at(t time.Time) bool { return c.disturbances == 0 && t.After(c.since) }
+
 // ticket permits starts of a step on one life of a worker.
 type ticket struct {
 	born  int64
@@ -76,12 +95,13 @@
 
 // taskRecord is what happened to a task.
 type taskRecord struct {
-	live     map[string]time.Time
-	done     *end
-	doneAt   time.Time
-	noted    bool
-	failures int
-	starts   int
+	live   map[string]time.Time
+	done   *end
+	doneAt time.Time
+	noted  bool
+	// failedEnds counts the runs that ended failed, and failures those of them that were taken note of.
+	failedEnds, failures int
+	starts               int
 }
 
 // jobRecord is what happened to a job.
@@ -99,6 +119,9 @@
 	attempts             int
 	queue                string
 	key                  string
+	// once is set if the client gives up once the job is refused, and refused once it has. unanswered is
+	// set if the outcome of an attempt isn't known.
+	once, refused, unanswered bool
 }
 
 func newWorld(folder string) (*world, error) {
@@ -108,7 +131,7 @@
 	}
 	return &world{
 		folder: folder, record: f, begun: time.Now(), table: standin.NewTable(), entries: map[string]string{}, guards: true,
-		settings: strings.NewReplacer(), cancelMax: 3 * time.Second,
+		settings: strings.NewReplacer(), cancelMax: 3 * time.Second, capCPU: 60_000,
 		tasks: map[string]*taskRecord{}, jobs: map[string]*jobRecord{}, tickets: map[string]ticket{},
 	}, nil
 }
@@ -155,6 +178,9 @@
 		}
 	}
 	t.live[k.id] = time.Now()
+	if j.refused {
+		w.broken("REFUSED", "%s starts on %s, and its job was refused", r.task, k.id)
+	}
 	if j.key == "k2" {
 		sum := int64(0)
 		for _, m := range w.machines {
@@ -167,7 +193,7 @@
 				}
 			}
 		}
-		if limit := int64(66000) + r.def().CPU; sum > limit {
+		if limit := w.capCPU*11/10 + r.def().CPU; sum > limit {
 			w.broken("QUOTA", "%s brings its tenant to %d of %d", r.task, sum, limit)
 		}
 	}
@@ -217,6 +243,13 @@
 	if how == "done" {
 		t.done, t.doneAt = e, time.Now()
 	}
+	if how == "failed" && e != nil {
+		x := t
+		if e.gang != "" {
+			x = w.task(e.gang)
+		}
+		x.failedEnds++
+	}
 	if how == "alone" && time.Since(w.trouble) > 8*time.Second {
 		if j := w.jobs[r.job]; j != nil && j.cancelSent.IsZero() {
 			w.broken("GANG", "%s run %d on %s ends alone", r.task, r.attempt, k.id)
@@ -489,6 +522,8 @@
 	store    *link.Link
 	cmd      *exec.Cmd
 	exited   chan struct{}
+	// calm is the calm of the process and its links.
+	calm calm
 	// busy is held while a play stops or freezes the process.
 	busy sync.Mutex
 }
