Review: a new owner doesn't count what a cancelled job still runs

QUOTA: "A start brings what a tenant has running above `cap` x (1 + `quota_overage`) and one task more".

Order of events (driver3 ended): a tenant with a cap of 24 cores has one job of four tasks of 6 cores running and another one waiting. Three of the workers are cut off and run on (node_cut), the owner gets SIGTERM (roll_term), and the first job is cancelled (give_up). The new owner takes the job as ended, forgets it once that is stored, since it knows no run of it, and starts the second one 0.3 s after the stop: 42 cores run, where 32.4 are allowed.

--- a/review/driver3/cases.go
+++ b/review/driver3/cases.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"syscall"
 	"time"
 
 	"lavenderpond/platform/standin"
@@ -330,3 +331,64 @@
 	w.broken("LOST", "the second step of %s hasn't ended, and there is room for it", j.id)
 	return nil
 }
+
+// cappedJob returns a job of four tasks that take all of a cap of 24 cores, each on a worker of its own.
+func cappedJob(id string) *jobRecord {
+	j := &jobRecord{id: id, queue: "plain", attempts: 4, key: "k2"}
+	j.spec = taskSpec{Job: id, RunMS: 30_000, Steps: []stepSpec{{Count: 4, CPU: 6000}}}
+	j.steps = []map[string]any{{"count": 4, "cpu": 6000, "mem_mb": 512, "estimated_ms": 30_000, "max_per_server": 1}}
+	return j
+}
+
+// ended plays two jobs of a tenant whose cap lets one of them run. The one that runs is cancelled while the
+// ownership is handed over, and three of its workers are cut off and run on.
+func ended(w *world, trouble bool) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	w.capCPU = 24_000
+	if err := oneService(ctx, w, 10); err != nil {
+		return err
+	}
+	w.tenants += `,{"name":"t2","api_keys":["k2"],"weight":8,"cap":{"cpu":24000,"mem_mb":0,"gpu":0}}`
+	w.configure(2)
+	time.Sleep(2500 * time.Millisecond)
+	first, second := cappedJob("00000000000000a2"), cappedJob("00000000000000a3")
+	if !w.submit(first, "k2", time.Now().Add(15*time.Second)) {
+		return fmt.Errorf("%s was not accepted", first.id)
+	}
+	runs := func(j *jobRecord) func() bool {
+		return func() bool { return w.host(j.id+".0.0.0") != nil && w.host(j.id+".0.0.3") != nil }
+	}
+	if err := w.await("start", 15*time.Second, runs(first)); err != nil {
+		return err
+	}
+	if !w.submit(second, "k2", time.Now().Add(15*time.Second)) {
+		return fmt.Errorf("%s was not accepted", second.id)
+	}
+	time.Sleep(2 * time.Second)
+	if trouble {
+		o := w.owner()
+		if o == nil {
+			return fmt.Errorf("no daemon owns the fleet")
+		}
+		w.mu.Lock()
+		for i := range 3 {
+			m := w.host(fmt.Sprintf("%s.0.0.%d", first.id, i))
+			w.logf("TROUBLE %s is cut off and runs on", m.name)
+			m.cut = true
+			time.AfterFunc(4*time.Second, func() {
+				w.mu.Lock()
+				defer w.mu.Unlock()
+				m.cut = false
+			})
+		}
+		w.mu.Unlock()
+		o.signal(syscall.SIGTERM)
+	}
+	w.cancel(first, "k2", time.Now().Add(10*time.Second))
+	if err := w.await("start of the second job", 20*time.Second, runs(second)); err != nil {
+		return err
+	}
+	time.Sleep(time.Second)
+	return nil
+}
--- a/review/driver3/main.go
+++ b/review/driver3/main.go
@@ -20,7 +20,7 @@
 
 // cases are the cases by their names.
 var cases = map[string]func(w *world, trouble bool) error{
-	"fuzz": fuzz, "fills": fills, "crashes": crashes, "wave": wave, "lowered": lowered, "withdrawn": withdrawn, "reload": reload, "unasked": unasked, "backlog": backlog,
+	"fuzz": fuzz, "fills": fills, "crashes": crashes, "wave": wave, "lowered": lowered, "withdrawn": withdrawn, "reload": reload, "unasked": unasked, "backlog": backlog, "ended": ended,
 }
 
 func main() {
