core/schedule: a wave stops a long-running task only once another VM has room for it

A wave stopped as many tasks as their budgets allowed and didn't ask whether another VM had room. With the budgets used up the machine was never empty, and its VM stayed cordoned.

A machine is cordoned only if each of its long-running tasks has room elsewhere, or may be away during the maintenance. A task claims the room before it stops, and short tasks leave that room alone. Evacuations use the same claims.

--- a/core/schedule/approval.go
+++ b/core/schedule/approval.go
@@ -82,11 +82,10 @@
 // approvalCandidates returns the VMs that could run tasks of the step if they were approved, those
 // with room for a task apart from the others.
 func (a *assignment) approvalCandidates(st *stepState, step job.StepID) (withRoom, full []*vmState) {
-	reservation := st.def.Reservation()
 	for _, v := range a.vms {
 		switch {
 		case !st.eligible(step, v) || !st.approval.unknown(a.now, v):
-		case v.mayHold(a.now, reservation) && (!v.yielding || st.def.LongRunning):
+		case v.mayHold(a.now, st.def) && (!v.yielding || st.def.LongRunning):
 			withRoom = append(withRoom, v)
 		default:
 			full = append(full, v)
--- a/core/schedule/assign.go
+++ b/core/schedule/assign.go
@@ -142,14 +142,20 @@
 		a.startGang(j, o, i)
 		return
 	}
+	full := false
 	for _, task := range st.live {
 		if !task.open() || a.now.Before(task.notBefore) || a.s.mayHaveEnded(task) || !a.mayIsolate(task) {
 			continue
 		}
-		if !a.startOpenTask(j, o, i, task) {
-			// The step's other tasks need the same resources.
-			return
+		id := job.TaskID{Job: j.ID, Occurrence: o.index, Step: i, Index: task.index}
+		if full && !a.s.claims.Has(id) {
+			continue
 		}
+		// The step's other tasks need the same resources, apart from those that have claimed some.
+		full = !a.startOpenTask(j, o, i, task) || full
+	}
+	if full {
+		return
 	}
 	for task := st.nextTask(); task != nil && a.startOpenTask(j, o, i, task); {
 		task = st.nextTask()
@@ -163,7 +169,11 @@
 		return false
 	}
 	id := job.TaskID{Job: j.ID, Occurrence: o.index, Step: i, Index: task.index}
-	n := a.chooseVM(placement{job: j, step: st, task: task, id: id})
+	p := placement{job: j, step: st, task: task, id: id}
+	if c := a.s.claims.Get(id); c != nil && a.startClaimed(p, c) {
+		return true
+	}
+	n := a.chooseVM(p)
 	if n < 0 {
 		return false
 	}
--- a/core/schedule/demand.go
+++ b/core/schedule/demand.go
@@ -33,7 +33,7 @@
 
 // demand returns the work of each pool. Waiting tasks of a job that may still run on a VM that has
 // not reported yet are left out: they can't start, so capacity for them would stand empty while
-// other queues wait.
+// other queues wait. A pool whose machines can't be emptied for lack of room needs one more.
 func (s *Scheduler) demand(now time.Time) map[job.PoolName]poolDemand {
 	out := map[job.PoolName]poolDemand{}
 	for _, j := range s.jobs.All() {
@@ -45,6 +45,11 @@
 		s.addDemand(now, j, &d)
 		out[p] = d
 	}
+	for p := range s.crampedPools() {
+		d := out[p]
+		d.longRunning.waiting++
+		out[p] = d
+	}
 	return out
 }
 
--- a/core/schedule/emptying.go
+++ b/core/schedule/emptying.go
@@ -18,7 +18,7 @@
 func (s *Scheduler) emptyVMs(now time.Time, pools []room.Pool, fleet int64) bool {
 	var vms []sizing.VM
 	for _, v := range s.vms.All() {
-		if v.longRunningRuns == 0 && s.mayEmpty(now, v) {
+		if v.longRunningRuns == 0 && len(v.claims) == 0 && s.mayEmpty(now, v) {
 			vms = append(vms, sizing.VM{ID: v.id, Pool: v.pool, CPU: v.capacity.CPU, Used: v.used.CPU})
 		}
 	}
--- a/core/schedule/evacuation.go
+++ b/core/schedule/evacuation.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"time"
 
 	"lavenderpond/core/job"
 )
@@ -40,45 +39,19 @@
 
 // relocateEvacuated moves long-running tasks out of evacuated zones, each one as soon as a VM
 // elsewhere has room for it.
-func (s *Scheduler) relocateEvacuated(now time.Time) {
+func (a *relocations) relocateEvacuated() {
+	s := a.s
 	if len(s.evacuatedZones) == 0 || s.config == nil {
 		return
 	}
-	var free map[job.PoolName][]*vmState
 	for _, v := range s.vms.All() {
 		if !v.evacuated || v.longRunningRuns == 0 || v.silent {
 			continue
 		}
-		if free == nil {
-			free = s.usableByPool(now)
-		}
 		for _, r := range v.runs.All() {
-			if to := s.findVM(now, r, free[v.pool]); to >= 0 && s.mayRelocate(now, r) {
-				s.stopRun(now, r, "availability zone evacuated")
-				free[v.pool] = slices.Delete(free[v.pool], to, to+1)
+			if s.mayRelocate(a.now, r) {
+				a.relocate(r, "availability zone evacuated")
 			}
 		}
 	}
 }
-
-// usableByPool returns the VMs of each pool on which tasks may start.
-func (s *Scheduler) usableByPool(now time.Time) map[job.PoolName][]*vmState {
-	out := map[job.PoolName][]*vmState{}
-	for _, v := range s.vms.All() {
-		if s.usable(now, v) {
-			out[v.pool] = append(out[v.pool], v)
-		}
-	}
-	return out
-}
-
-// findVM returns the index of a VM that could take the run's task, or -1.
-func (s *Scheduler) findVM(now time.Time, r *run, vms []*vmState) int {
-	_, _, st, _ := s.task(r.task)
-	if st == nil {
-		return -1
-	}
-	return slices.IndexFunc(vms, func(v *vmState) bool {
-		return v.mayHold(now, r.reservation) && st.eligible(r.task.StepID(), v) && st.approval.mayPermit(v)
-	})
-}
--- a/core/schedule/gang.go
+++ b/core/schedule/gang.go
@@ -22,8 +22,12 @@
 	if !a.withinQuota(j, st.def.Resources.Mul(st.def.Count)) {
 		return
 	}
+	claims := a.s.takeClaims(st, job.StepID{Job: j.ID, Occurrence: o.index, Step: i})
 	chosen := a.chooseGang(st)
 	if chosen == nil {
+		for _, c := range claims {
+			a.s.addClaim(c)
+		}
 		return
 	}
 	defer func() { a.index = newVMIndex(a.vms, a.minReservation) }()
@@ -76,10 +80,10 @@
 			continue
 		}
 		reservation := st.def.Reservation()
-		if !v.mayHold(a.now, reservation) {
+		if !v.mayHold(a.now, st.def) {
 			continue
 		}
-		free := v.freeCapacity()
+		free := v.freeFor(st.def)
 		for n := 0; len(chosen) < size && reservation.FitsIn(free); n++ {
 			if st.def.MaxPerVM > 0 && n >= st.def.MaxPerVM {
 				break
--- a/core/schedule/machine.go
+++ b/core/schedule/machine.go
@@ -26,6 +26,14 @@
 	// maintenanceRefusals counts the refused orders for its maintenance. Machines with fewer come
 	// first, so that those with refusals don't keep the others waiting.
 	maintenanceRefusals int
+	// obstacle says why the machine can't be emptied for a wave, as of obstacleUntil less obstaclePeriod.
+	// It is empty if it can. lacksRoom is set if it can once its pool has more room.
+	obstacle      string
+	lacksRoom     bool
+	obstacleUntil time.Time
+	// awayUntil is until when tasks that have stopped for the machine's maintenance don't start there
+	// again.
+	awayUntil time.Time
 	// movingTo is the pool that the machine is moving to; empty if it stays.
 	movingTo job.PoolName
 }
--- a/core/schedule/maintenance.go
+++ b/core/schedule/maintenance.go
@@ -18,16 +18,19 @@
 
 // advanceWaves advances each wave: it empties machines, orders their maintenance and waits for
 // them to come back.
-func (s *Scheduler) advanceWaves(now time.Time) {
+func (a *relocations) advanceWaves() {
+	s := a.s
 	cordoned := cordons{machines: map[job.MachineID]bool{}}
+	a.cordoned = cordoned.machines
 	for _, w := range s.waves.All() {
 		if w.publishedState == job.WaveCompleted && w.published {
 			continue
 		}
 		if cordoned.free == nil {
 			cordoned.free = s.cordonLimits()
+			a.due = s.dueMachines()
 		}
-		s.advanceWave(now, w, cordoned)
+		a.advanceWave(w, cordoned)
 	}
 	s.cordonForWaves(cordoned.machines)
 }
@@ -108,7 +111,8 @@
 }
 
 // advanceWave advances one wave and adds the machines to cordon for it to cordoned.
-func (s *Scheduler) advanceWave(now time.Time, w *waveState, cordoned cordons) {
+func (a *relocations) advanceWave(w *waveState, cordoned cordons) {
+	s, now := a.s, a.now
 	if !w.published {
 		w.published = true
 		s.emit(PublishWave{Wave: w.Number, Revision: w.Revision, State: job.WaveRunning})
@@ -130,7 +134,7 @@
 		case w.done[id], w.gone[id]:
 		case o != nil:
 			s.cordonOrdered(cordoned, id, m)
-			s.advanceOrder(now, w, id, m, o)
+			a.advanceOrder(w, id, m, o)
 		case m == nil:
 			unlisted = append(unlisted, id)
 		case m.movingTo != "":
@@ -157,14 +161,15 @@
 			cmp.Compare(a.ID, b.ID),
 		)
 	})
-	s.maintainNext(now, w, remaining, unattributed, cordoned)
+	a.maintainNext(w, remaining, unattributed, cordoned)
 	s.maintainUnlisted(now, w, unlisted, unattributed)
 }
 
-// maintainNext cordons the next machines and orders maintenance for those that are empty. The number
-// of machines in maintenance never exceeds the wave's limit. unattributed is how many may be in
-// maintenance for the wave without an order that this owner knows.
-func (s *Scheduler) maintainNext(now time.Time, w *waveState, remaining []*machineState, unattributed int, cordoned cordons) {
+// maintainNext cordons the next machines that can be emptied, and orders maintenance for those that are
+// empty. The number of machines in maintenance never exceeds the wave's limit. unattributed is how many
+// may be in maintenance for the wave without an order that this owner knows.
+func (a *relocations) maintainNext(w *waveState, remaining []*machineState, unattributed int, cordoned cordons) {
+	s, now := a.s, a.now
 	slots := max(1, w.MaxConcurrent)
 	emptying := 0
 	for _, m := range remaining {
@@ -175,36 +180,41 @@
 			// It takes no place among the machines that are emptied next.
 			continue
 		}
-		if !s.mayCordon(cordoned, m) {
+		if !s.mayCordon(cordoned, m) || a.isTarget(m) {
 			continue
 		}
-		emptying++
-		s.cordon(cordoned, m)
-		if !s.emptied(now, m) {
+		plan, obstructed := a.findObstacle(w, m)
+		if obstructed {
+			// Its VM takes tasks until it can be emptied.
 			continue
 		}
-		if len(w.orders)+unattributed < slots && m.State == job.MachineUp && s.mayOrderMachine(now, m.ID) && !now.Before(m.retryAt) {
+		emptying++
+		s.cordon(cordoned, m)
+		free := len(w.orders)+unattributed+s.vacatedBeside(now, remaining, m) < slots
+		mayOrder := free && m.State == job.MachineUp && s.mayOrderMachine(now, m.ID) && !now.Before(m.retryAt)
+		if a.empty(m, plan, mayOrder) && mayOrder {
 			s.orderMaintenance(now, w, m.ID)
 		}
 	}
 }
 
+// vacatedBeside counts the other machines whose last tasks have stopped for an order that isn't sent yet.
+func (s *Scheduler) vacatedBeside(now time.Time, remaining []*machineState, m *machineState) int {
+	n := 0
+	for _, x := range remaining {
+		if x != m && now.Before(x.awayUntil) && !s.inMaintenance(x.ID) {
+			n++
+		}
+	}
+	return n
+}
+
 // vmUnknown reports whether the machine has a VM of which it isn't known what runs there.
 func (s *Scheduler) vmUnknown(m *machineState) bool {
 	v := s.vms.Get(m.VM)
 	return m.VM != "" && (v == nil || !v.reported || v.silent)
 }
 
-// emptied reports whether nothing runs on the machine, and moves away what can be moved.
-func (s *Scheduler) emptied(now time.Time, m *machineState) bool {
-	v := s.vms.Get(m.VM)
-	if v == nil || v.runs.Len() == 0 {
-		return true
-	}
-	s.relocateLongRunning(now, v, "upkeep")
-	return false
-}
-
 // pinnedCost is the cost of a run that may not be moved. It outweighs any number of other runs.
 const pinnedCost = 1000
 
@@ -232,53 +242,3 @@
 	_, _, st, _ := s.task(r.task)
 	return st != nil && st.def.LongRunning && st.def.HasDisruptionBudget && st.def.DisruptionBudget == 0
 }
-
-// relocateLongRunning moves long-running tasks off a VM, as far as the disruption budgets of
-// their steps allow.
-func (s *Scheduler) relocateLongRunning(now time.Time, v *vmState, reason string) {
-	for _, r := range v.runs.All() {
-		if s.mayRelocate(now, r) {
-			s.stopRun(now, r, reason)
-		}
-	}
-}
-
-// mayRelocate reports whether a long-running task may be stopped in order to start elsewhere. A
-// new owner may do the same at the same time while each owner counts only its own stops. So
-// this requires the right to order machines, which ends before another owner can take over.
-func (s *Scheduler) mayRelocate(now time.Time, r *run) bool {
-	if !s.rights.OrderMachines || r.stopping || r.phase != runConfirmed {
-		return false
-	}
-	j, _, st, _ := s.task(r.task)
-	return j != nil && !j.over() && st.def.LongRunning && s.withinDisruptionBudget(now, st, r)
-}
-
-// mayBeStopping reports whether a former owner may have ordered the run to stop. The VM lists
-// the run as running until it has stopped. mayBeStopping returns false once so much time has
-// passed since the VM's first report that a stopped run would be listed as ended.
-func (s *Scheduler) mayBeStopping(now time.Time, r *run) bool {
-	return r.adopted && now.Before(r.vm.firstReportedAt.Add(s.settings.TaskStopMax+busyHoldWait))
-}
-
-// withinDisruptionBudget reports whether stopping the run keeps its long-running step within
-// the disruption budget: fewer other tasks must be unavailable than the budget allows. A task
-// counts as unavailable from its stop until it is listed as fully running again. Without a
-// budget, no other task may be unavailable, apart from those that were given up: waiting for
-// them would keep their siblings on their VMs for good.
-func (s *Scheduler) withinDisruptionBudget(now time.Time, st *stepState, r *run) bool {
-	unavailable := st.newTasks()
-	for _, t := range st.live {
-		if t.index == r.task.Index || (t.givenUp() && !st.def.HasDisruptionBudget) {
-			continue
-		}
-		x := t.activeRun()
-		if x == nil || x.percent < 100 || x.phase != runConfirmed || x.vm.silent || s.mayBeStopping(now, x) {
-			unavailable++
-		}
-	}
-	if !st.def.HasDisruptionBudget {
-		return unavailable == 0
-	}
-	return unavailable < st.def.DisruptionBudget
-}
--- a/core/schedule/maintenanceorder.go
+++ b/core/schedule/maintenanceorder.go
@@ -65,7 +65,8 @@
 
 // advanceOrder completes the maintenance of a machine that is back, and repeats an order whose outcome
 // isn't known. m is nil if the machine isn't listed.
-func (s *Scheduler) advanceOrder(now time.Time, w *waveState, id job.MachineID, m *machineState, o *maintenanceOrder) {
+func (a *relocations) advanceOrder(w *waveState, id job.MachineID, m *machineState, o *maintenanceOrder) {
+	s, now := a.s, a.now
 	switch {
 	case o.awaitingAnswer:
 	case m == nil:
@@ -74,7 +75,7 @@
 			s.sendMaintenance(now, w, id, o)
 		}
 	case o.begunAt.IsZero():
-		s.repeatMaintenance(now, w, m, o)
+		a.repeatMaintenance(w, m, o)
 	case s.back(m, o):
 		s.reportWaveMachine(now, w, id, "done: back after its maintenance began")
 		w.done[id] = true
@@ -100,12 +101,15 @@
 }
 
 // repeatMaintenance sends an order again if the machine is up and empty.
-func (s *Scheduler) repeatMaintenance(now time.Time, w *waveState, m *machineState, o *maintenanceOrder) {
+func (a *relocations) repeatMaintenance(w *waveState, m *machineState, o *maintenanceOrder) {
+	s, now := a.s, a.now
 	listed := m.State == job.MachineUp && m.listedAt.After(o.refusedAt)
-	if !listed || now.Before(o.retryAt) || s.vmUnknown(m) || !s.emptied(now, m) {
+	if !listed || now.Before(o.retryAt) || s.vmUnknown(m) {
 		return
 	}
-	if s.mayOrderMachine(now, m.ID) && !s.ordersMachine(m.ID) {
+	plan, _ := a.findObstacle(w, m)
+	mayOrder := s.mayOrderMachine(now, m.ID) && !s.ordersMachine(m.ID)
+	if a.empty(m, plan, mayOrder) && mayOrder {
 		s.sendMaintenance(now, w, m.ID, o)
 	}
 }
@@ -172,7 +176,7 @@
 		w.askAt[id] = now.Add(pause)
 		return
 	}
-	m.retryAt = now.Add(pause)
+	m.retryAt, m.awayUntil = now.Add(pause), time.Time{}
 	if outcome == Answered || outcome == Rejected {
 		m.maintenanceRefusals++
 	}
--- a/core/schedule/move.go
+++ b/core/schedule/move.go
@@ -20,7 +20,7 @@
 		x := sizing.Machine{ID: id, Pool: m.Pool, Zone: m.Zone, CPU: m.Capacity.CPU}
 		if p := s.config.Pool(m.Pool); p == nil || !p.Standby {
 			v := s.vms.Get(m.VM)
-			if v == nil || v.runs.Len() > 0 || len(v.lostStarts) > 0 || !s.usable(now, v) || now.Before(v.fullUntil) || v.machine != id || v.capacity.CPU == 0 {
+			if v == nil || v.runs.Len() > 0 || len(v.claims) > 0 || len(v.lostStarts) > 0 || !s.usable(now, v) || now.Before(v.fullUntil) || v.machine != id || v.capacity.CPU == 0 {
 				continue
 			}
 			// The machine list lags behind what the VM reports itself, from which the capacity
--- a/core/schedule/placement.go
+++ b/core/schedule/placement.go
@@ -108,7 +108,7 @@
 	if st.def.Requires != "" && !v.labels[st.def.Requires] {
 		return false
 	}
-	if st.def.MaxPerVM > 0 && v.runsOfStep(step) >= st.def.MaxPerVM {
+	if st.def.MaxPerVM > 0 && v.runsOfStep(step)+v.stoppedClaimsOfStep(step) >= st.def.MaxPerVM {
 		return false
 	}
 	// A spare-CPU task can go elsewhere or wait; a serving task beside it would be slowed down.
--- a/core/schedule/pools.go
+++ b/core/schedule/pools.go
@@ -162,7 +162,7 @@
 func (s *Scheduler) chooseVacating(pools []sizing.Pool) {
 	var vms []sizing.VM
 	for _, v := range s.vms.All() {
-		if v.acceptsTasks() && !v.cordoned() && v.longRunningRuns == 0 {
+		if v.acceptsTasks() && !v.cordoned() && v.longRunningRuns == 0 && len(v.claims) == 0 {
 			vms = append(vms, sizing.VM{ID: v.id, Pool: v.pool, CPU: v.capacity.CPU, Used: v.used.CPU})
 		}
 	}
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -122,6 +122,7 @@
 func (v *vmState) adjustKindCounts(r *run, n int) {
 	if r.longRunning {
 		v.longRunningRuns += n
+		v.longRunningUsed = v.longRunningUsed.Add(r.reservation.Mul(n))
 	}
 	if r.serving {
 		v.servingRuns += n
@@ -372,11 +373,12 @@
 	v.refusals++
 }
 
-// mayHold reports whether the VM has room for the reservation as far as is known: by what runs there, and
-// by what it has refused recently. Smaller tasks may fit where a large one was refused.
-func (v *vmState) mayHold(now time.Time, reservation job.Resources) bool {
+// mayHold reports whether the VM has room for a task of the step as far as is known: by what runs there and
+// is claimed, and by what it has refused recently. Smaller tasks may fit where a large one was refused.
+func (v *vmState) mayHold(now time.Time, def *job.Step) bool {
+	reservation := def.Reservation()
 	refused := now.Before(v.fullUntil) && v.fullFor.FitsIn(reservation)
-	return !refused && reservation.FitsIn(v.freeCapacity())
+	return !refused && reservation.FitsIn(v.freeFor(def))
 }
 
 // releaseNotBegun releases a run that is known not to have begun.
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -119,6 +119,8 @@
 	// maintenanceOrders counts the orders for the maintenance of each machine, over all waves. It
 	// is more than one only if former owners have left it so.
 	maintenanceOrders map[job.MachineID]int
+	// claims holds the room that long-running tasks have claimed on other VMs.
+	claims orderedMap[job.TaskID, *roomClaim]
 	// anyWaveCordon is set while a VM is cordoned for maintenance.
 	anyWaveCordon bool
 	// drainingVMs counts the VMs that are draining.
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -24,11 +24,13 @@
 	}
 	s.sendPlannedStarts(now)
 	s.stopOnDraining(now)
-	s.relocateEvacuated(now)
+	s.pruneClaims(now)
+	relocations := &relocations{s: s, now: now}
+	relocations.relocateEvacuated()
 	s.forgetEnded(now)
 	s.retryRefusedSaves(now)
 	s.pruneOrders(now)
-	s.advanceWaves(now)
+	relocations.advanceWaves()
 	s.sizePools(now)
 }
 
--- a/core/schedule/vmindex.go
+++ b/core/schedule/vmindex.go
@@ -88,7 +88,7 @@
 		if best >= 0 && x.freeFraction >= bestCost {
 			break
 		}
-		if !x.vm.mayHold(a.now, reservation) || (x.vm.yielding && !p.job.longRunning) {
+		if !x.vm.mayHold(a.now, p.step.def) || (x.vm.yielding && !p.job.longRunning) {
 			continue
 		}
 		noneFits = false
--- a/core/schedule/vmstate.go
+++ b/core/schedule/vmstate.go
@@ -48,6 +48,10 @@
 	// in each round.
 	longRunningRuns, servingRuns, spareCPURuns int
 	stoppingRuns                               int
+	// longRunningUsed is what the long-running runs reserve.
+	longRunningUsed job.Resources
+	// claims are the claims on room of this VM.
+	claims []*roomClaim
 	// crashSuspects counts the runs of tasks under which a VM has crashed.
 	crashSuspects int
 	// isolatedRuns counts the runs beside which nothing else may start.
