core/schedule: a task without room elsewhere may return to a VM that isn't ordered yet

A long-running task that ended on a cordoned VM (by failure, by a refused order, under a former owner) stayed away while no other VM had room, although its own did. Cordons made no difference between a machine whose maintenance is ordered and one that waits for its turn.

Red before: TestTaskReturnsToVMThatIsNotEmptiedYet and TestTaskReturnsIfMaintenanceIsRefused (the tasks stay away for over 3 s, to the end); both pass now.

--- a/core/schedule/assign.go
+++ b/core/schedule/assign.go
@@ -39,6 +39,9 @@
 		v.pauseWaived = false
 		if q := waiting[v.pool]; q != nil {
 			q.addVM(v, s.usableIfSound(now, v), v.suspected(now))
+			if s.mayReturnTo(now, v) {
+				q.cordoned = append(q.cordoned, v)
+			}
 		}
 	}
 	for _, q := range waiting {
@@ -46,10 +49,11 @@
 	}
 	for _, p := range slices.Sorted(maps.Keys(waiting)) {
 		q := waiting[p]
-		if len(q.vms) == 0 {
+		if len(q.vms)+len(q.cordoned) == 0 {
 			continue
 		}
 		a := assignment{s: s, now: now, wall: wall, fleet: fleet, poolQueue: q, index: newVMIndex(q.vms, q.minReservation)}
+		a.cordonedIndex = newVMIndex(q.cordoned, q.minReservation)
 		a.startCandidates(p, s.candidates(now, q.jobs))
 		a.startSecondRuns()
 	}
@@ -81,7 +85,8 @@
 	// fleet is the capacity of all VMs.
 	fleet job.Resources
 	*poolQueue
-	index vmIndex
+	// index holds the usable VMs, cordonedIndex those that are usable but for a wave.
+	index, cordonedIndex vmIndex
 	// division is how the pool is divided among accounts, or nil if shares are not in force or
 	// there is room for all that waits.
 	division *fairshare.Division
@@ -173,12 +178,15 @@
 	if c := a.s.claims.Get(id); c != nil && a.startClaimed(p, c) {
 		return true
 	}
-	n := a.chooseVM(p)
+	index, n := &a.index, a.chooseVM(p)
+	if n < 0 && st.def.LongRunning {
+		index, n = &a.cordonedIndex, a.chooseCordonedVM(p)
+	}
 	if n < 0 {
 		return false
 	}
-	a.startTask(j, st, id, task, a.index.vms[n].vm, a.s.nextAttempt(task))
-	a.index.reposition(n)
+	a.startTask(j, st, id, task, index.vms[n].vm, a.s.nextAttempt(task))
+	index.reposition(n)
 	return true
 }
 
--- a/core/schedule/fullpool_test.go
+++ b/core/schedule/fullpool_test.go
@@ -299,6 +299,24 @@
 	assert.Equal(t, p.maintained["m-0"], 1)
 }
 
+// Guards against a task that waits although the VM that a wave empties has room, and no other.
+func TestTaskReturnsToVMThatIsNotEmptiedYet(t *testing.T) {
+	p := newEmulatedPool(t, 2)
+	p.lasting("large", 2, 6000, job.Step{MaxPerVM: 1})
+	p.addJob("endless", "free", job.Step{Count: 2, Resources: job.Resources{CPU: 2000, MemMB: 100}, Estimate: time.Hour})
+	p.run(200 * time.Millisecond)
+	p.wave(1, 1)
+	p.run(time.Second)
+	vm := p.vms["m-0"]
+	for _, r := range p.running[vm] {
+		if r.Task.Job == "large" {
+			p.end(vm, r.Task, job.EndedFailed)
+		}
+	}
+	assert.Equal(t, p.absent("large"), 1)
+	p.checkAbsence(10*time.Second, "large")
+}
+
 // Guards against machines that are never maintained because their tasks have room nowhere else, although
 // the budgets of their steps allow them to be away.
 func TestTaskWithoutRoomElsewhereIsAwayDuringMaintenance(t *testing.T) {
@@ -310,6 +328,17 @@
 	assert.DeepEqual(t, p.maintained, map[job.MachineID]int{"m-0": 1, "m-1": 1, "m-2": 1})
 }
 
+// Guards against tasks that stay away after the order for which they stopped was refused.
+func TestTaskReturnsIfMaintenanceIsRefused(t *testing.T) {
+	p := newEmulatedPool(t, 2)
+	p.lasting("large", 2, 6000, job.Step{MaxPerVM: 1})
+	p.refuse = 3
+	p.wave(1, 1)
+	p.checkAbsence(20*time.Second, "large")
+	assert.Equal(t, p.refuse, 0)
+	assert.Equal(t, p.maintained["m-0"], 1)
+}
+
 // Guards against short tasks that take the room on which a task relies that leaves its VM.
 func TestShortTasksDoNotTakeRoomOfLeavingTask(t *testing.T) {
 	p := newEmulatedPool(t, 2)
--- a/core/schedule/gang.go
+++ b/core/schedule/gang.go
@@ -50,7 +50,10 @@
 			}
 		}
 	}
-	return a.packGang(st, "")
+	if chosen := a.packGang(st, ""); chosen != nil || !st.def.LongRunning {
+		return chosen
+	}
+	return a.packGangOn(st, "", slices.Concat(a.vms, a.cordoned))
 }
 
 // racks returns the racks of the pool's VMs.
@@ -67,13 +70,18 @@
 // packGang assigns all members to VMs of the rack, or to any VMs of the pool if rack is empty.
 // It returns nil if they don't all fit.
 func (a *assignment) packGang(st *stepState, rack job.Label) []*vmState {
+	return a.packGangOn(st, rack, a.vms)
+}
+
+// packGangOn is packGang with the VMs to choose from.
+func (a *assignment) packGangOn(st *stepState, rack job.Label, vms []*vmState) []*vmState {
 	size := st.def.Count
 	if size > maxLiveTasks {
 		return nil
 	}
 	var chosen []*vmState
-	for _, v := range a.vms {
-		if (rack != "" && v.rack != rack) || (v.yielding && !st.def.LongRunning) || !a.s.usable(a.now, v) {
+	for _, v := range vms {
+		if (rack != "" && v.rack != rack) || (v.yielding && !st.def.LongRunning) || !(a.s.usable(a.now, v) || a.s.mayReturnTo(a.now, v)) {
 			continue
 		}
 		if (st.def.Requires != "" && !v.labels[st.def.Requires]) || !st.approval.permits(a.now, v) {
--- a/core/schedule/poolqueue.go
+++ b/core/schedule/poolqueue.go
@@ -15,6 +15,8 @@
 	// minReservation is a lower bound of the reservations of all waiting tasks.
 	minReservation job.Resources
 	vms            []*vmState
+	// cordoned are the VMs that only long-running tasks may take, if no other has room.
+	cordoned []*vmState
 	// suspected are the VMs that get no tasks only because they are suspected.
 	suspected []*vmState
 	// accepting counts the VMs that accept tasks, and isolated those of them that run a task beside
--- a/core/schedule/vm.go
+++ b/core/schedule/vm.go
@@ -247,8 +247,27 @@
 
 // usableIfSound reports whether new tasks may start on the VM as far as it isn't suspected.
 func (s *Scheduler) usableIfSound(now time.Time, v *vmState) bool {
+	return !v.waveCordoned && s.usableIfNotDue(now, v)
+}
+
+// usableIfNotDue reports whether new tasks may start on the VM as far as it isn't suspected and its machine
+// isn't due for maintenance.
+func (s *Scheduler) usableIfNotDue(now time.Time, v *vmState) bool {
+	moving := v.departing || (v.host != nil && v.host.movingTo != "")
 	paused := v.unresponsive || now.Before(v.noAnswerUntil) || v.plannedRuns+v.orderedRuns >= maxPendingStarts
-	return v.acceptsTasks() && !v.cordoned() && !v.departing && !paused && v.rosterSave <= s.storedSequence && !v.rosterRefused && v.unknownRuns == 0 && v.isolatedRuns == 0 && s.capacityKnown(now, v)
+	return v.acceptsTasks() && !moving && !paused && v.rosterSave <= s.storedSequence && !v.rosterRefused && v.unknownRuns == 0 && v.isolatedRuns == 0 && s.capacityKnown(now, v)
+}
+
+// mayReturnTo reports whether long-running tasks without room elsewhere may start on the VM although its
+// machine is due for maintenance: that isn't ordered, and not about to be.
+func (s *Scheduler) mayReturnTo(now time.Time, v *vmState) bool {
+	if !v.waveCordoned || s.inMaintenance(v.machine) || v.suspected(now) {
+		return false
+	}
+	if m := v.host; m != nil && (m.State != job.MachineUp || now.Before(m.awayUntil)) {
+		return false
+	}
+	return s.usableIfNotDue(now, v)
 }
 
 // freeCapacity returns the VM's unused capacity. It is negative if the capacity has shrunk
--- a/core/schedule/vmindex.go
+++ b/core/schedule/vmindex.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"sort"
+	"time"
 
 	"lavenderpond/core/job"
 )
@@ -72,18 +73,28 @@
 	r.unplaceable = append(r.unplaceable, reservation)
 }
 
-// chooseVM returns the index of the VM with the lowest cost for a task, or -1 if no VM can take
+// chooseVM returns the index of the usable VM with the lowest cost for a task, or -1 if no VM can take
 // it.
-func (a *assignment) chooseVM(p placement) int {
+func (a *assignment) chooseVM(p placement) int { return a.chooseFrom(&a.index, p, a.s.usable) }
+
+// chooseCordonedVM returns the index in cordonedIndex of the VM with the lowest cost for a long-running
+// task, or -1 if none can take it.
+func (a *assignment) chooseCordonedVM(p placement) int {
+	return a.chooseFrom(&a.cordonedIndex, p, a.s.mayReturnTo)
+}
+
+// chooseFrom returns the index of the VM with the lowest cost for a task among those for which usable
+// holds, or -1 if none can take it.
+func (a *assignment) chooseFrom(index *vmIndex, p placement, usable func(time.Time, *vmState) bool) int {
 	reservation := p.step.def.Reservation()
 	// Long-running tasks may start on VMs that yield, and other tasks may not.
-	if !p.job.longRunning && a.index.isUnplaceable(reservation) {
+	if !p.job.longRunning && index.isUnplaceable(reservation) {
 		return -1
 	}
 	best, bestCost := -1, 0.0
 	noneFits := true
-	for i := a.index.firstCandidate(reservation); i < len(a.index.vms); i++ {
-		x := a.index.vms[i]
+	for i := index.firstCandidate(reservation); i < len(index.vms); i++ {
+		x := index.vms[i]
 		// The cost of a VM is never below its free fraction.
 		if best >= 0 && x.freeFraction >= bestCost {
 			break
@@ -92,7 +103,7 @@
 			continue
 		}
 		noneFits = false
-		if !p.step.eligible(p.id.StepID(), x.vm) || !p.step.approval.permits(a.now, x.vm) || p.task.mustBeSeparate(a.now, x.vm) || !a.s.usable(a.now, x.vm) {
+		if !p.step.eligible(p.id.StepID(), x.vm) || !p.step.approval.permits(a.now, x.vm) || p.task.mustBeSeparate(a.now, x.vm) || !usable(a.now, x.vm) {
 			continue
 		}
 		if c := a.cost(p, x.vm); best < 0 || c < bestCost {
@@ -100,7 +111,7 @@
 		}
 	}
 	if noneFits {
-		a.index.addUnplaceable(reservation)
+		index.addUnplaceable(reservation)
 	}
 	return best
 }
