core/schedule: tasks that wait start between the maintenances of several waves

A machine that was back from its maintenance was empty, and was ordered into that of the next wave in the round in which its VM reported first. An empty machine isn't ordered for up to a second while a long-running task waits that could start there.

Red before: TestTaskStartsBetweenMaintenancesOfSeveralWaves.

--- a/core/emulator/absence.go
+++ b/core/emulator/absence.go
@@ -10,6 +10,8 @@
 	// maxAbsence is how long a long-running task may be without a run in a fleet that has been
 	// undisturbed for undisturbedPeriod and has room for the task.
 	maxAbsence = 9 * time.Second
+	// roomPeriod is for how long a VM must have room for a task whose absence counts.
+	roomPeriod = 3 * time.Second
 	// undisturbedPeriod is how long after the last disturbance absences may exceed maxAbsence.
 	undisturbedPeriod = contactPeriod + ownerReactionTime
 	// ownerReactionTime is how long an owner that is in contact with the table may take to start
@@ -25,13 +27,15 @@
 	// was reported as a violation.
 	since    map[job.TaskID]time.Time
 	reported map[job.TaskID]bool
+	// roomSince is since when some VM has room for each absent task.
+	roomSince map[job.TaskID]time.Time
 	// longest is the longest absence of any task, total the sum of the absences of each.
 	longest time.Duration
 	total   map[job.TaskID]time.Duration
 }
 
 func newAbsences() absences {
-	return absences{since: map[job.TaskID]time.Time{}, reported: map[job.TaskID]bool{}, total: map[job.TaskID]time.Duration{}}
+	return absences{since: map[job.TaskID]time.Time{}, reported: map[job.TaskID]bool{}, roomSince: map[job.TaskID]time.Time{}, total: map[job.TaskID]time.Duration{}}
 }
 
 // add counts an absence.
@@ -65,6 +69,7 @@
 	}
 	c.absences.add(id, c.w.now.Sub(c.absentSince(id)))
 	delete(c.absences.reported, id)
+	delete(c.absences.roomSince, id)
 }
 
 // mustRun reports whether a task of a long-running job must run: its job is not over, and the
@@ -108,12 +113,16 @@
 // checkAbsence reports a violation if a task is absent for too long although a VM has room for
 // it. An absence is reported once.
 func (c *checker) checkAbsence(id job.TaskID) {
-	absent := c.w.now.Sub(c.absentSince(id))
-	if absent <= maxAbsence || c.absences.reported[id] {
-		return
-	}
 	v := c.w.vmWithRoom(id)
 	if v == nil {
+		delete(c.absences.roomSince, id)
+		return
+	}
+	if c.absences.roomSince[id].IsZero() {
+		c.absences.roomSince[id] = c.w.now
+	}
+	absent := c.w.now.Sub(c.absentSince(id))
+	if absent <= maxAbsence || c.w.now.Sub(c.absences.roomSince[id]) < roomPeriod || c.absences.reported[id] {
 		return
 	}
 	c.absences.reported[id] = true
--- a/core/emulator/crashes.go
+++ b/core/emulator/crashes.go
@@ -101,7 +101,7 @@
 		if at, ok := c.lastCrash[id]; ok && c.w.now.Sub(at) < maxRestartDelay {
 			continue
 		}
-		if len(c.running[id]) == 0 && !c.givenUpWithCause(id) {
+		if len(c.running[id]) == 0 && !c.givenUpWithCause(id) && !c.lacksRoom(id) {
 			c.violationf("%s.0.0.%d is long-running and does not run", t.ID, i)
 		}
 	}
--- a/core/emulator/scenario_test.go
+++ b/core/emulator/scenario_test.go
@@ -92,6 +92,8 @@
 		s.Faults = emulator.RandomFaultsOf(emulator.CutZone, seed, s.Length, 5)
 	case missingMachinesFrom, laggingListsFrom, rewrittenWavesFrom, changingWavesFrom:
 		addWaveChanges(&s)
+	case fullPoolsFrom:
+		fillPools(&s)
 	default:
 		addLoad(&s)
 	}
--- a/core/emulator/world.go
+++ b/core/emulator/world.go
@@ -42,6 +42,8 @@
 	waves  *waveRequests
 	lists  *machineLists
 	policy policy.Policy
+	// fullPools is how full long-running tasks make the pools.
+	fullPools FullPools
 	// unansweredMachineOrderShare is the share of orders for machines that get no answer.
 	unansweredMachineOrderShare float64
 	// demand is the part of the mean load that each account asks for.
--- a/core/schedule/approval.go
+++ b/core/schedule/approval.go
@@ -54,7 +54,7 @@
 	}
 	step := job.StepID{Job: j.ID, Occurrence: o.index, Step: i}
 	withRoom, full := a.approvalCandidates(st, step)
-	if !a.withinQuota(j, st.def.Resources) {
+	if !a.s.withinQuota(j, st.def.Resources) {
 		withRoom, full = nil, append(withRoom, full...)
 	}
 	if len(withRoom) == 0 && (p.anyTicket(a.now) || a.s.approvalRequests >= maxEarlyApprovals) {
--- a/core/schedule/assign.go
+++ b/core/schedule/assign.go
@@ -170,7 +170,7 @@
 // startOpenTask starts a task and reports whether there was capacity for it.
 func (a *assignment) startOpenTask(j *jobState, o *occurrence, i int, task *taskState) bool {
 	st := &o.steps[i]
-	if !a.withinQuota(j, st.def.Resources) {
+	if !a.s.withinQuota(j, st.def.Resources) {
 		return false
 	}
 	id := job.TaskID{Job: j.ID, Occurrence: o.index, Step: i, Index: task.index}
@@ -244,12 +244,12 @@
 
 // withinQuota reports whether the job's account stays within its quota if it uses this much
 // more. Tasks that may still be running count.
-func (a *assignment) withinQuota(j *jobState, more job.Resources) bool {
-	account := a.s.config.Account(j.Terms.Account)
+func (s *Scheduler) withinQuota(j *jobState, more job.Resources) bool {
+	account := s.config.Account(j.Terms.Account)
 	if account == nil {
 		return true
 	}
-	after := a.s.usage[j.Terms.Account].Add(a.s.possibleUsage[j.Terms.Account]).Add(more)
+	after := s.usage[j.Terms.Account].Add(s.possibleUsage[j.Terms.Account]).Add(more)
 	limit := account.Quota
 	return (limit.CPU == 0 || after.CPU <= limit.CPU) &&
 		(limit.MemMB == 0 || after.MemMB <= limit.MemMB) &&
--- a/core/schedule/fullpool_test.go
+++ b/core/schedule/fullpool_test.go
@@ -357,6 +357,27 @@
 	assert.Equal(t, p.maintained[p.machines[home]], 1)
 }
 
+// Guards against two waves that choose each other's machines for the tasks that they move, or both wait.
+func TestWavesOfFullPoolDoNotBlockEachOther(t *testing.T) {
+	p := newEmulatedPool(t, 4)
+	p.lasting("wide", 9, 2500, job.Step{DisruptionBudget: 2, HasDisruptionBudget: true, MaxPerVM: 3})
+	p.wave(1, 4)
+	p.s.AddWave(p.now, job.Wave{Number: 2, Revision: 1, Machines: []job.MachineID{"m-3", "m-2", "m-1", "m-0"}, MaxConcurrent: 2}, job.WaveProgress{})
+	p.checkAbsence(60*time.Second, "wide")
+	assert.DeepEqual(t, p.maintained, map[job.MachineID]int{"m-0": 2, "m-1": 2, "m-2": 2, "m-3": 2})
+}
+
+// Guards against a task that is away for the maintenances of several waves in a row.
+func TestTaskStartsBetweenMaintenancesOfSeveralWaves(t *testing.T) {
+	p := newEmulatedPool(t, 2)
+	p.lasting("large", 2, 6000, job.Step{MaxPerVM: 1})
+	for n := range int64(4) {
+		p.wave(n+1, 1)
+	}
+	p.checkAbsence(30*time.Second, "large")
+	assert.Equal(t, p.maintained["m-0"], 4)
+}
+
 // Guards against a gang whose members find no common time to start because one of them has to leave its VM.
 func TestGangMovesOnlyAsAWhole(t *testing.T) {
 	p := newEmulatedPool(t, 3)
--- a/core/schedule/gang.go
+++ b/core/schedule/gang.go
@@ -19,7 +19,7 @@
 			checkpoint = task.checkpoint
 		}
 	}
-	if !a.withinQuota(j, st.def.Resources.Mul(st.def.Count)) {
+	if !a.s.withinQuota(j, st.def.Resources.Mul(st.def.Count)) {
 		return
 	}
 	claims := a.s.takeClaims(st, job.StepID{Job: j.ID, Occurrence: o.index, Step: i})
--- a/core/schedule/machine.go
+++ b/core/schedule/machine.go
@@ -34,6 +34,9 @@
 	// awayUntil is until when tasks that have stopped for the machine's maintenance don't start there
 	// again.
 	awayUntil time.Time
+	// offeredVM is the machine's VM that is kept until offeredUntil for long-running tasks that wait.
+	offeredVM    job.VMID
+	offeredUntil time.Time
 	// movingTo is the pool that the machine is moving to; empty if it stays.
 	movingTo job.PoolName
 }
--- a/core/schedule/maintenance.go
+++ b/core/schedule/maintenance.go
@@ -192,7 +192,7 @@
 		s.cordon(cordoned, m)
 		free := len(w.orders)+unattributed+s.vacatedBeside(now, remaining, m) < slots
 		mayOrder := free && m.State == job.MachineUp && s.mayOrderMachine(now, m.ID) && !now.Before(m.retryAt)
-		if a.empty(m, plan, mayOrder) && mayOrder {
+		if a.empty(m, plan, mayOrder) && mayOrder && !a.offer(m) {
 			s.orderMaintenance(now, w, m.ID)
 		}
 	}
--- a/core/schedule/maintenanceorder.go
+++ b/core/schedule/maintenanceorder.go
@@ -51,6 +51,9 @@
 	o := &maintenanceOrder{}
 	s.addOrder(w, id, o)
 	s.markWaveDirty(w)
+	if m := s.machines.Get(id); m != nil {
+		m.awayUntil = time.Time{}
+	}
 	s.sendMaintenance(now, w, id, o)
 }
 
--- a/core/schedule/outlook.go
+++ b/core/schedule/outlook.go
@@ -102,7 +102,7 @@
 	for _, o := range j.occurrences {
 		for i := range o.steps {
 			st := &o.steps[i]
-			if st.openTasks > 0 && o.due.IsZero() && o.ready(i) && a.withinQuota(j, st.def.Resources) {
+			if st.openTasks > 0 && o.due.IsZero() && o.ready(i) && a.s.withinQuota(j, st.def.Resources) {
 				return true
 			}
 		}
--- a/core/schedule/secondrun.go
+++ b/core/schedule/secondrun.go
@@ -108,7 +108,7 @@
 			if st.openTasks == 0 || !o.ready(i) {
 				continue
 			}
-			gangWaits := st.def.Gang && a.withinQuota(j, st.def.Resources.Mul(st.def.Count))
+			gangWaits := st.def.Gang && a.s.withinQuota(j, st.def.Resources.Mul(st.def.Count))
 			if gangWaits || a.index.isUnplaceable(st.def.Reservation()) {
 				return true
 			}
@@ -119,7 +119,7 @@
 
 // startSecondRun starts a second run of a task on another VM.
 func (a *assignment) startSecondRun(x runAtRisk) {
-	if a.now.Before(x.state.notBefore) || a.s.mayHaveEnded(x.state) || !a.withinQuota(x.job, x.step.def.Resources) {
+	if a.now.Before(x.state.notBefore) || a.s.mayHaveEnded(x.state) || !a.s.withinQuota(x.job, x.step.def.Resources) {
 		return
 	}
 	if !a.approved(x.job, x.step) {
