core/schedule: a task stays on its draining VM until there is room elsewhere

Long-running tasks were stopped as soon as their VM was listed as draining. In a full pool they were away for as long as it drained. They claim room elsewhere like those that leave for a wave, and stop once there is some, or shortly before the VM may leave.

TestTaskLeavesDrainingVMForRoom passes before and after.

--- a/core/schedule/fullpool_test.go
+++ b/core/schedule/fullpool_test.go
@@ -378,6 +378,36 @@
 	assert.Equal(t, p.maintained["m-0"], 4)
 }
 
+// drain lists a machine's VM as draining for d. It leaves after remaining.
+func (p *emulatedPool) drain(id job.MachineID, remaining, d time.Duration) {
+	leaves := p.now.Add(remaining)
+	for end := p.now.Add(d); p.now.Before(end); p.run(100 * time.Millisecond) {
+		e := p.entry(id, p.vms[id])
+		e.Draining, e.RemainingTime = true, leaves.Sub(p.now)
+		p.s.VMListed(p.now, e)
+	}
+}
+
+// Guards against tasks that are stopped on a draining VM seconds before it leaves, although no other VM has
+// room, and against those that are lost with it.
+func TestTaskOnDrainingVMRunsUntilThereIsRoom(t *testing.T) {
+	p := newEmulatedPool(t, 2)
+	p.lasting("large", 2, 6000, job.Step{MaxPerVM: 1})
+	p.drain("m-0", 4*time.Second, 2*time.Second)
+	assert.Equal(t, p.absent("large"), 0)
+	p.drain("m-0", 2*time.Second, 1500*time.Millisecond)
+	assert.Equal(t, p.absent("large"), 1, "the task is lost with its VM")
+}
+
+// Guards against tasks that stay on a draining VM although another VM has room.
+func TestTaskLeavesDrainingVMForRoom(t *testing.T) {
+	p := newEmulatedPool(t, 3)
+	p.lasting("large", 2, 6000, job.Step{MaxPerVM: 1})
+	p.drain("m-0", 4*time.Second, 500*time.Millisecond)
+	assert.Equal(t, p.absent("large"), 0)
+	assert.Equal(t, len(p.running[p.vms["m-0"]]), 0)
+}
+
 // Guards against a gang whose members find no common time to start because one of them has to leave its VM.
 func TestGangMovesOnlyAsAWhole(t *testing.T) {
 	p := newEmulatedPool(t, 3)
--- a/core/schedule/relocation.go
+++ b/core/schedule/relocation.go
@@ -245,3 +245,35 @@
 	}
 	return unavailable <= st.disruptionBudget()
 }
+
+// relocateDraining moves long-running tasks off draining VMs. A task without room elsewhere stays until
+// its VM is about to leave. Other tasks may end in time; those that don't are lost with the VM.
+func (a *relocations) relocateDraining() {
+	if a.s.drainingVMs == 0 {
+		return
+	}
+	for _, v := range a.s.vms.All() {
+		if !v.draining || v.silent {
+			continue
+		}
+		for _, r := range v.runs.All() {
+			_, _, st, t := a.s.task(r.task)
+			if t == nil || !st.def.LongRunning || r.phase != runConfirmed || r.stopping {
+				continue
+			}
+			a.relocate(r, drainingReason)
+			if !a.now.Before(v.leavesAt.Add(-a.s.settings.TaskStopMax - drainMargin)) {
+				a.s.stopRun(a.now, r, drainingReason)
+			}
+		}
+	}
+}
+
+const (
+	// drainingReason is the reason of stops on draining VMs.
+	drainingReason = "VM is draining"
+	// drainMargin is how long before a draining VM may leave its tasks have ended. Its entry in the
+	// directory is not new, and a task whose end nobody has seen can't start again before its lease has
+	// expired.
+	drainMargin = time.Second
+)
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -23,9 +23,9 @@
 		s.sendHold(now, v)
 	}
 	s.sendPlannedStarts(now)
-	s.stopOnDraining(now)
 	s.pruneClaims(now)
 	relocations := &relocations{s: s, now: now}
+	relocations.relocateDraining()
 	relocations.relocateEvacuated()
 	s.forgetEnded(now)
 	s.retryRefusedSaves(now)
@@ -43,22 +43,3 @@
 func (v *vmState) nothingDue() bool {
 	return v.holdInFlight && v.listed && !v.silent && !v.unresponsive && v.orderedRuns == 0 && v.stoppingRuns == 0 && !v.answerRequired && v.spareCPURuns == 0 && len(v.lostStarts) == 0
 }
-
-// stopOnDraining stops long-running tasks on draining VMs, so that they move elsewhere.
-// Other tasks may end in time; those that don't are lost with the VM.
-func (s *Scheduler) stopOnDraining(now time.Time) {
-	if s.drainingVMs == 0 {
-		return
-	}
-	for _, v := range s.vms.All() {
-		if !v.draining {
-			continue
-		}
-		for _, r := range v.runs.All() {
-			_, _, st, t := s.task(r.task)
-			if t != nil && st.def.LongRunning && r.phase == runConfirmed && !v.silent {
-				s.stopRun(now, r, "VM is draining")
-			}
-		}
-	}
-}
--- a/core/schedule/vm.go
+++ b/core/schedule/vm.go
@@ -71,6 +71,7 @@
 		s.reportDecision(Decision{Kind: VMDraining, VM: v.id, Reason: e.RemainingTime.String()})
 	}
 	s.setDraining(v, e.Draining)
+	v.leavesAt = now.Add(e.RemainingTime)
 }
 
 // setDraining sets whether the VM is draining.
--- a/core/schedule/vmstate.go
+++ b/core/schedule/vmstate.go
@@ -35,6 +35,8 @@
 	listed     bool
 	unlistedAt time.Time
 	draining   bool
+	// leavesAt is when a draining VM may leave.
+	leavesAt time.Time
 	// evacuated is set while the VM's availability zone is being evacuated.
 	evacuated bool
 
