--- a/io/soak/fleet.go
+++ b/io/soak/fleet.go
@@ -149,6 +149,9 @@
 		f.arrive(m)
 	}
 	f.publishMachines()
+	if err := (&oddEntries{f: f}).start(ctx); err != nil {
+		return err
+	}
 	for i := range entries {
 		if err := f.addEntry(ctx, i, table, machinesAddress); err != nil {
 			return err
