platform: an odd entry in the list of machines doesn't hide the others

A page of the list was decoded as a whole: one entry of another type, or with a number too large, and no list was read any more, so that waves and moves of machines stopped. Entries are decoded one by one, and those ignored are counted in the log (machine_entries_ignored). The list now returns that count, which its test ignores.

Red before: TestOddMachineHidesNoOther.

--- a/io/node/owner.go
+++ b/io/node/owner.go
@@ -386,8 +386,11 @@
 	for ctx.Err() == nil {
 		requestedAt := bootNow()
 		callCtx, cancel := context.WithTimeout(ctx, machineListTimeout)
-		list, err := o.node.machines.List(callCtx)
+		list, ignored, err := o.node.machines.List(callCtx)
 		cancel()
+		if ignored > 0 {
+			o.log.Warn().Int("count", ignored).Str("event", "machine_entries_ignored").Send()
+		}
 		if err != nil {
 			o.log.Debug().Err(err).Msg("machines could not be listed")
 		} else {
