core/schedule: pools and shares are sized by VMs that have reported

The entry of a VM that doesn't exist raised the size of the largest VM, by which pools with long-running tasks are sized, and the capacity by which the fair shares are divided, for as long as it stayed.

Red before: TestEntryWithoutVMChangesNoPoolSize (10,000 cores, 8 expected).

--- a/core/schedule/assign.go
+++ b/core/schedule/assign.go
@@ -33,7 +33,7 @@
 	}
 	var fleet job.Resources
 	for _, v := range s.vms.All() {
-		if s.settings.Policy.FairShares {
+		if s.settings.Policy.FairShares && v.reported {
 			fleet = fleet.Add(v.capacity)
 		}
 		v.pauseWaived = false
--- a/core/schedule/pools.go
+++ b/core/schedule/pools.go
@@ -117,12 +117,17 @@
 func (s *Scheduler) poolCapacity(now time.Time) poolCapacity {
 	r := poolCapacity{available: map[job.PoolName]int64{}, used: map[job.PoolName]int64{}}
 	for _, v := range s.vms.All() {
-		r.largestVMCPU = max(r.largestVMCPU, v.capacity.CPU)
+		if v.reported {
+			r.largestVMCPU = max(r.largestVMCPU, v.capacity.CPU)
+		}
 		if v.host != nil {
 			r.largestVMCPU = max(r.largestVMCPU, v.host.Capacity.CPU)
 		}
+	}
+	for _, v := range s.vms.All() {
 		if v.countsAsCapacity(now) {
-			r.available[v.pool] += v.capacity.CPU
+			// An entry that no VM has confirmed yet may say anything.
+			r.available[v.pool] += min(v.capacity.CPU, r.largestVMCPU)
 			r.used[v.pool] += v.used.CPU
 		}
 	}
