core/emulator: VMs that drain and evacuations in nearly full pools

VMs of the emulator drain (vms_drain): they announce when they leave, and no long-running task may be lost with one while nothing else disturbs the fleet.

--- a/core/emulator/disturbances.go
+++ b/core/emulator/disturbances.go
@@ -17,6 +17,8 @@
 		extend(&d.ownerLostUntil, now.Add(f.Duration))
 	case VMsLost:
 		extend(&d.until, now)
+	case VMsDrain:
+		// It is announced.
 	default:
 		extend(&d.until, now.Add(f.Duration))
 	}
--- a/core/emulator/fault.go
+++ b/core/emulator/fault.go
@@ -27,6 +27,8 @@
 	VMsHang
 	// VMsLost ends VMs for good: their machines stay down.
 	VMsLost
+	// VMsDrain announces that VMs leave when the fault ends. Their machines then start others.
+	VMsDrain
 	faultKinds
 )
 
@@ -35,7 +37,7 @@
 	return [...]string{
 		"kill_owner", "freeze_owner", "kill_all", "stop_owner", "cut_owner_from_table", "cut_zone", "table_down",
 		"table_slow", "answers_lost", "answers_lost_late", "vms_crash", "vms_crash_same_id", "vms_fail", "vms_slow",
-		"vms_hang", "vms_lost",
+		"vms_hang", "vms_lost", "vms_drain",
 	}[k]
 }
 
@@ -198,6 +200,8 @@
 			w.crashVM(v, f.Duration, true)
 		case VMsLost:
 			w.loseVM(v)
+		case VMsDrain:
+			w.drainVM(v, f.Duration)
 		case VMsFail:
 			v.failing = true
 			w.after(f.Duration, func() { v.failing = false })
--- a/core/emulator/fullpools_test.go
+++ b/core/emulator/fullpools_test.go
@@ -11,7 +11,7 @@
 const fullPoolsFrom = 22_000
 
 // fillPools leaves little room in the pools while waves begin and owners are lost. Some fleets have
-// machines on standby, and some have short jobs and faults as well.
+// machines on standby, and some have short jobs, faults, VMs that drain and evacuations as well.
 func fillPools(s *emulator.Scenario) {
 	rng := rand.New(rand.NewPCG(s.Seed, 1))
 	s.VMsPerPool, s.StandbyMachines, s.LongRunning = 3+rng.IntN(4), rng.IntN(2), 0
@@ -24,6 +24,12 @@
 	if s.Seed%4 == 0 {
 		s.Faults = append(s.Faults, emulator.RandomFaults(s.Seed, s.Length, 1)...)
 	}
+	if s.Seed%5 == 0 {
+		s.Faults = append(s.Faults, emulator.RandomFaultsOf(emulator.VMsDrain, s.Seed, s.Length, 1+rng.IntN(2))...)
+	}
+	if s.Seed%7 == 0 {
+		s.Evacuations = emulator.RandomEvacuations(s.Seed, s.Length, 1+rng.IntN(2))
+	}
 	if s.Seed%3 == 0 {
 		s.FullPools.Share = 0.5 + 0.2*rng.Float64()
 		s.JobsPerSecond, s.BurstFactor, s.UnansweredMachineOrderShare = 1, 3, 0.1
--- a/core/emulator/table.go
+++ b/core/emulator/table.go
@@ -165,6 +165,9 @@
 		Capacity: v.capacity(), Labels: []job.Label{"a", v.machine.rack},
 		Born: job.Born(v.startedAt.UnixMilli()), Machine: v.machine.id,
 	}
+	if v.draining {
+		r.RemainingTime = v.leavesAt.Sub(t.w.now)
+	}
 	t.vms[v.id] = r
 	t.vmChanges = append(t.vmChanges, vmChange{record: r})
 }
--- a/core/emulator/vm.go
+++ b/core/emulator/vm.go
@@ -55,6 +55,8 @@
 	up        bool
 	listed    bool
 	draining  bool
+	// leavesAt is when a draining VM leaves.
+	leavesAt time.Time
 	// fence is the highest fence of any order so far, lease the time on the clock of the VM
 	// at which its lease expires.
 	fence job.Fence
