--- a/core/schedule/fullpool_test.go
+++ b/core/schedule/fullpool_test.go
@@ -30,9 +30,13 @@
 	refuse     int
 	// stops are the tasks that were stopped, in order.
 	stops []job.TaskID
-	// shortRuns is how long tasks that aren't long-running run; 0 means for ever. begun is when each began.
+	// shortRuns is for how long tasks that aren't long-running run at least; 0 means for ever. begun is when
+	// each began.
 	shortRuns time.Duration
 	begun     map[job.TaskID]time.Time
+	// stopTime is how long a task takes to stop, and stopping when the tasks have stopped that were ordered to.
+	stopTime time.Duration
+	stopping map[job.TaskID]time.Time
 	// bodies and waves are what was stored, and progress that of each wave.
 	bodies   map[job.ID]job.Body
 	progress map[int64]job.WaveProgress
@@ -49,7 +53,7 @@
 func newEmulatedPool(t *testing.T, n int) *emulatedPool {
 	p := &emulatedPool{
 		harness: newHarness(t), recorder: &decisionRecorder{}, vms: map[job.MachineID]job.VMID{}, back: map[job.MachineID]time.Time{},
-		running: map[job.VMID][]job.RunningTask{}, ended: map[job.VMID][]job.End{}, maintained: map[job.MachineID]int{}, begun: map[job.TaskID]time.Time{},
+		running: map[job.VMID][]job.RunningTask{}, ended: map[job.VMID][]job.End{}, maintained: map[job.MachineID]int{}, begun: map[job.TaskID]time.Time{}, stopping: map[job.TaskID]time.Time{},
 		bodies: map[job.ID]job.Body{}, progress: map[int64]job.WaveProgress{},
 	}
 	p.s.settings.Observer = p.recorder
@@ -72,7 +76,7 @@
 
 // entry returns the directory entry of a machine's VM.
 func (p *emulatedPool) entry(id job.MachineID, vm job.VMID) job.VMRecord {
-	return job.VMRecord{ID: vm, Pool: poolA, Address: string(vm), Capacity: job.Resources{CPU: 8000, MemMB: 8000}, Machine: id, Born: 1}
+	return job.VMRecord{ID: vm, Pool: poolA, Address: string(vm), Zone: job.ZoneName("zone of " + id), Capacity: job.Resources{CPU: 8000, MemMB: 8000}, Machine: id, Born: 1}
 }
 
 // run advances the pool by d.
@@ -86,6 +90,7 @@
 		}
 		p.list()
 		p.endShortRuns()
+		p.endStopped()
 		for _, vm := range slices.Sorted(maps.Values(p.vms)) {
 			p.answerHold(string(vm), p.running[vm], p.ended[vm]...)
 		}
@@ -118,8 +123,10 @@
 	case Stop:
 		p.stops = append(p.stops, c.Task)
 		p.checkBudget(c.Task)
-		p.end(c.VM, c.Task, job.EndedStopped)
-		p.breakGang(c.Task)
+		if _, ordered := p.stopping[c.Task]; !ordered {
+			p.stopping[c.Task] = p.now.Add(p.stopTime)
+		}
+		p.endStopped()
 	case Maintain:
 		p.executeMaintain(c)
 	case SaveWave:
@@ -127,14 +134,32 @@
 	}
 }
 
-// endShortRuns ends the tasks that have run for shortRuns.
+// endStopped ends the tasks that have stopped.
+func (p *emulatedPool) endStopped() {
+	for id, at := range p.stopping {
+		if p.now.Before(at) {
+			continue
+		}
+		delete(p.stopping, id)
+		for _, vm := range slices.Sorted(maps.Keys(p.running)) {
+			p.end(vm, id, job.EndedStopped)
+		}
+		p.breakGang(id)
+	}
+}
+
+// shortRunSpread bounds by how much some tasks run longer than others.
+const shortRunSpread = 400
+
+// endShortRuns ends the tasks that have run for long enough.
 func (p *emulatedPool) endShortRuns() {
 	if p.shortRuns == 0 {
 		return
 	}
 	for _, vm := range slices.Sorted(maps.Keys(p.running)) {
 		for _, r := range slices.Clone(p.running[vm]) {
-			if j := p.s.jobs.Get(r.Task.Job); j != nil && !j.longRunning && p.now.Sub(p.begun[r.Task]) >= p.shortRuns {
+			longer := time.Duration(r.Task.Index*137%shortRunSpread) * time.Millisecond
+			if j := p.s.jobs.Get(r.Task.Job); j != nil && !j.longRunning && p.now.Sub(p.begun[r.Task]) >= p.shortRuns+longer {
 				p.end(vm, r.Task, job.EndedDone)
 			}
 		}
@@ -341,9 +366,28 @@
 
 // Guards against short tasks that take the room on which a task relies that leaves its VM.
 func TestShortTasksDoNotTakeRoomOfLeavingTask(t *testing.T) {
+	p, home := newBusyPool(t)
+	p.s.AddWave(p.now, job.Wave{Number: 1, Machines: []job.MachineID{home}, MaxConcurrent: 1}, job.WaveProgress{})
+	longest := p.checkAbsence(10*time.Second, "large")
+	assert.Assert(t, longest < 500*time.Millisecond, "away for %s", longest)
+	assert.Equal(t, p.maintained[home], 1)
+}
+
+// Guards against short tasks that take the room on which a task relies that leaves an evacuated zone.
+func TestShortTasksDoNotTakeRoomOfEvacuatedTask(t *testing.T) {
+	p, home := newBusyPool(t)
+	p.s.SetEvacuatedZones([]job.ZoneName{job.ZoneName("zone of " + home)})
+	longest := p.checkAbsence(10*time.Second, "large")
+	assert.Assert(t, longest < 500*time.Millisecond, "away for %s", longest)
+	assert.Equal(t, len(p.running[p.vms[home]]), 0)
+}
+
+// newBusyPool returns a pool of two VMs that are full of short tasks, and the machine on which the only task
+// of the long-running job "large" runs.
+func newBusyPool(t *testing.T) (*emulatedPool, job.MachineID) {
 	p := newEmulatedPool(t, 2)
 	p.lasting("large", 1, 4000, job.Step{})
-	p.shortRuns = 500 * time.Millisecond
+	p.shortRuns, p.stopTime = 500*time.Millisecond, 300*time.Millisecond
 	for i := range 40 {
 		p.addJob(fmt.Sprintf("short-%d", i), "free", job.Step{Count: 40, Resources: job.Resources{CPU: 1000, MemMB: 100}, Estimate: time.Second})
 	}
@@ -351,10 +395,7 @@
 	home := slices.IndexFunc(p.machines, func(id job.MachineID) bool {
 		return slices.ContainsFunc(p.running[p.vms[id]], func(r job.RunningTask) bool { return r.Task.Job == "large" })
 	})
-	p.s.AddWave(p.now, job.Wave{Number: 1, Machines: []job.MachineID{p.machines[home]}, MaxConcurrent: 1}, job.WaveProgress{})
-	longest := p.checkAbsence(10*time.Second, "large")
-	assert.Assert(t, longest < 500*time.Millisecond, "away for %s", longest)
-	assert.Equal(t, p.maintained[p.machines[home]], 1)
+	return p, p.machines[home]
 }
 
 // Guards against two waves that choose each other's machines for the tasks that they move, or both wait.
