core/schedule: a round looks for obstacles at no more than four new machines of waves

With a wave of a third of 1,000 nearly full VMs, none of which can be emptied, all were planned anew in one round each 250 ms. A machine with an obstacle is looked at again after a second; those that are being emptied are planned in every round.

--- a/core/schedule/emptyingplan.go
+++ b/core/schedule/emptyingplan.go
@@ -14,7 +14,10 @@
 	// has found no room, and keeps its siblings in place.
 	absenceGrace = 3 * time.Second
 	// obstaclePeriod is how long a machine that can't be emptied isn't looked at again.
-	obstaclePeriod = 250 * time.Millisecond
+	obstaclePeriod = time.Second
+	// maxObstaclesPerRound bounds the time that a round takes when few machines of a large wave can be
+	// emptied.
+	maxObstaclesPerRound = 4
 	// awayPeriod is how long tasks that have stopped for the maintenance of their machine don't start
 	// there again while it isn't ordered.
 	awayPeriod = 2 * time.Second
@@ -119,13 +122,15 @@
 }
 
 // findObstacle reports whether a machine can't be emptied, plans how it can otherwise, and logs when
-// that changes.
+// that changes. A machine that this round doesn't look at any more counts as one that can't, unless it is
+// being emptied.
 func (a *relocations) findObstacle(w *waveState, m *machineState) (emptyingPlan, bool) {
-	if a.now.Before(m.obstacleUntil) {
-		return emptyingPlan{}, true
-	}
 	var p emptyingPlan
-	if v := a.s.vms.Get(m.VM); v != nil {
+	v := a.s.vms.Get(m.VM)
+	if a.now.Before(m.obstacleUntil) || (v != nil && !v.waveCordoned && a.obstacles >= maxObstaclesPerRound) {
+		return p, true
+	}
+	if v != nil {
 		p = a.plan(v)
 	}
 	if p.obstacle != m.obstacle {
@@ -140,6 +145,7 @@
 		return p, false
 	}
 	m.obstacleUntil = a.now.Add(obstaclePeriod)
+	a.obstacles++
 	return p, true
 }
 
--- a/core/schedule/relocation.go
+++ b/core/schedule/relocation.go
@@ -19,8 +19,10 @@
 	// cordoned holds the machines that this round has cordoned for waves so far. It is nil before, and
 	// what the last round has cordoned counts.
 	cordoned map[job.MachineID]bool
-	// packing holds the tasks that are to leave machines of waves.
-	packing packing
+	// packing holds the tasks that are to leave machines of waves, and obstacles counts the machines that
+	// this round has found can't be emptied.
+	packing   packing
+	obstacles int
 }
 
 // targets returns the VMs of a pool that long-running tasks may move to.
