--- a/core/schedule/emptyingplan.go
+++ b/core/schedule/emptyingplan.go
@@ -21,9 +21,6 @@
 	// awayPeriod is how long tasks that have stopped for the maintenance of their machine don't start
 	// there again while it isn't ordered.
 	awayPeriod = 2 * time.Second
-	// offerPeriod is for how long an empty VM is kept for long-running tasks that wait. It covers the
-	// save of the VM's entry in the roster.
-	offerPeriod = time.Second
 )
 
 // emptyingPlan says how a VM can be emptied.
@@ -149,16 +146,16 @@
 	return p, true
 }
 
-// empty reports whether nothing runs on the machine, and moves away what can be moved. If the
-// maintenance can be ordered as soon as the machine is empty, tasks without room elsewhere stop last.
+// empty reports whether nothing runs on the machine, and otherwise moves tasks away as planned. Those
+// that have no room elsewhere stop last, once mayOrder tells that the maintenance can be ordered.
 func (a *relocations) empty(m *machineState, p emptyingPlan, mayOrder bool) bool {
 	v := a.s.vms.Get(m.VM)
 	if v == nil || v.runs.Len() == 0 {
 		return true
 	}
-	for _, m := range p.moving {
-		if a.s.mayRelocate(a.now, m.run) {
-			a.move(m)
+	for _, x := range p.moving {
+		if a.s.mayRelocate(a.now, x.run) {
+			a.move(x)
 		}
 	}
 	if mayOrder && len(p.away) == v.runs.Len() && a.mayStayAway(p.away) {
@@ -170,43 +167,6 @@
 	return false
 }
 
-// offer reports whether long-running tasks that wait may still start on an empty VM. They would be away
-// for several maintenances otherwise, if the machine is due for more than one wave.
-func (a *relocations) offer(m *machineState) bool {
-	v := a.s.vms.Get(m.VM)
-	if v == nil {
-		return false
-	}
-	if m.offeredVM != v.id {
-		m.offeredVM, m.offeredUntil = v.id, a.now.Add(offerPeriod)
-	}
-	vacated := a.now.Before(m.awayUntil)
-	return !vacated && a.s.config != nil && a.now.Before(m.offeredUntil) && a.anyWaitsFor(v)
-}
-
-// anyWaitsFor reports whether a long-running task waits that could start on the VM.
-func (a *relocations) anyWaitsFor(v *vmState) bool {
-	for _, j := range a.s.jobs.All() {
-		if !j.longRunning || j.over() || a.s.pool(j) != v.pool || a.s.unreportedVM(j) != nil {
-			continue
-		}
-		for _, o := range j.occurrences {
-			for i := range o.steps {
-				step := job.StepID{Job: j.ID, Occurrence: o.index, Step: i}
-				if st := &o.steps[i]; st.openTasks > 0 && o.ready(i) && a.s.couldStart(a.now, j, st, step, v) {
-					return true
-				}
-			}
-		}
-	}
-	return false
-}
-
-// couldStart reports whether an open task of the step could start on the VM now.
-func (s *Scheduler) couldStart(now time.Time, j *jobState, st *stepState, step job.StepID, v *vmState) bool {
-	return v.mayHold(now, st.def) && st.eligible(step, v) && st.approval.mayPermit(v) && s.withinQuota(j, st.def.Resources)
-}
-
 // maintenanceReason is the reason of stops on machines that are due for maintenance.
 const maintenanceReason = "upkeep"
 
--- a/core/schedule/gang.go
+++ b/core/schedule/gang.go
@@ -81,7 +81,8 @@
 	}
 	var chosen []*vmState
 	for _, v := range vms {
-		if (rack != "" && v.rack != rack) || (v.yielding && !st.def.LongRunning) || !(a.s.usable(a.now, v) || a.s.mayReturnTo(a.now, v)) {
+		usable := a.s.usable(a.now, v) || a.s.mayReturnTo(a.now, v)
+		if !usable || (rack != "" && v.rack != rack) || (v.yielding && !st.def.LongRunning) {
 			continue
 		}
 		if (st.def.Requires != "" && !v.labels[st.def.Requires]) || !st.approval.permits(a.now, v) {
